--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The process on an entry host.
--- /dev/null
+++ b/crates/entry/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! The sockets between entry hosts: gossip datagrams and remote calls.
--- /dev/null
+++ b/crates/platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of the platform: object API, host list and the configuration log kept there.
--- /dev/null
+++ b/crates/serve/src/lib.rs
@@ -0,0 +1,1 @@
+//! The HTTP server: limits against hostile senders, streamed answers, graceful shutdown.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for the systems outside comfreywing, for tests and the demo.
--- /dev/null
+++ b/crates/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs and metrics.
--- /dev/null
+++ b/crates/upstream/src/lib.rs
@@ -0,0 +1,1 @@
+//! Clients of engines and plain services.
