--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,3 @@
 //! Clients of the platform: object API, host list and the configuration log kept there.
+
+pub mod object;
