--- /dev/null
+++ b/crates/entry/src/chat.rs
@@ -0,0 +1,215 @@
+//! The chat/completions convention: a caller's body, the chunks of an engine, and a whole answer.
+//! No I/O here.
+
+use kernel::{
+    fault::{Fault, Kind},
+    reference::Reference,
+};
+use serde_json::{Map, Value, json};
+
+/// Tokens that an answer may have if the caller names no limit.
+const DEFAULT_MAX_TOKENS: u32 = 256;
+
+/// Bytes of the first message that count as the start of the prompt.
+const PREFIX_BYTES: usize = 512;
+
+/// How the caller wants the answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Delivery {
+    /// In one body.
+    Whole,
+    /// As server-sent events.
+    Streamed,
+}
+
+/// A caller's body, checked.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Call {
+    /// What the caller asks for.
+    pub reference: Reference,
+    /// How the answer is wanted.
+    pub delivery: Delivery,
+    /// The most tokens that the answer may have.
+    pub max_tokens: u32,
+    /// A hash of the start of the prompt.
+    pub prefix: u64,
+    /// The body as it came, for the engine.
+    pub body: Map<String, Value>,
+}
+
+/// Checks a caller's body.
+pub fn parse(bytes: &[u8]) -> Result<Call, Fault> {
+    let value: Value = serde_json::from_slice(bytes)
+        .map_err(|it| bad(format!("the body is not valid JSON: {it}")))?;
+    let Value::Object(body) = value else {
+        return Err(bad("the body is not a JSON object"));
+    };
+    let model = body.get("model").and_then(Value::as_str);
+    let model = model.ok_or_else(|| bad("field model is missing or not a string"))?;
+    let reference = model
+        .parse()
+        .map_err(|it| bad(format!("field model: {it}")))?;
+    let messages = body.get("messages").and_then(Value::as_array);
+    let messages = messages.ok_or_else(|| bad("field messages is missing or not a list"))?;
+    if messages.is_empty() {
+        return Err(bad("field messages is empty"));
+    }
+    single(&body)?;
+    Ok(Call {
+        reference,
+        delivery: delivery(&body)?,
+        max_tokens: max_tokens(&body)?,
+        prefix: prefix(messages),
+        body,
+    })
+}
+
+fn bad(detail: impl Into<String>) -> Fault {
+    Fault::new(Kind::BadRequest, detail)
+}
+
+/// More than one choice a request would need one stream each.
+fn single(body: &Map<String, Value>) -> Result<(), Fault> {
+    match body.get("n").and_then(Value::as_u64) {
+        None | Some(1) => Ok(()),
+        Some(it) => Err(bad(format!("field n is {it}: only 1 choice is supported"))),
+    }
+}
+
+fn delivery(body: &Map<String, Value>) -> Result<Delivery, Fault> {
+    match body.get("stream") {
+        None | Some(Value::Null | Value::Bool(false)) => Ok(Delivery::Whole),
+        Some(Value::Bool(true)) => Ok(Delivery::Streamed),
+        Some(_) => Err(bad("field stream is neither true nor false")),
+    }
+}
+
+fn max_tokens(body: &Map<String, Value>) -> Result<u32, Fault> {
+    let Some(value) = body.get("max_tokens").filter(|it| !it.is_null()) else {
+        return Ok(DEFAULT_MAX_TOKENS);
+    };
+    let number = value.as_u64().and_then(|it| u32::try_from(it).ok());
+    match number {
+        Some(it) if it > 0 => Ok(it),
+        _ => Err(bad("field max_tokens is no whole number from 1")),
+    }
+}
+
+/// FNV-1a over the start of the first message, so that equal prompts meet on one engine.
+fn prefix(messages: &[Value]) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0000_0100_0000_01b3;
+    let content = messages[0].get("content").and_then(Value::as_str);
+    let bytes = content.unwrap_or_default().bytes().take(PREFIX_BYTES);
+    bytes.fold(OFFSET, |hash, it| (hash ^ u64::from(it)).wrapping_mul(PRIME))
+}
+
+/// Makes a chunk of an engine one for the caller: its `model` becomes the reference.
+pub fn rename(chunk: &mut Value, reference: &Reference) {
+    if let Some(model) = chunk.get_mut("model") {
+        *model = Value::String(reference.to_string());
+    }
+}
+
+/// One server-sent event.
+pub fn event(index: u64, chunk: &Value) -> Vec<u8> {
+    format!("id: {index}\ndata: {chunk}\n\n").into_bytes()
+}
+
+/// The event that ends a stream.
+pub const DONE: &[u8] = b"data: [DONE]\n\n";
+
+/// Joins the chunks of a stream to one answer.
+#[derive(Debug, Default)]
+pub struct Whole {
+    id: Value,
+    created: Value,
+    message: Map<String, Value>,
+    finish_reason: Value,
+    usage: Value,
+}
+
+impl Whole {
+    /// Adds the next chunk.
+    pub fn add(&mut self, chunk: &Value) {
+        if self.id.is_null() {
+            self.id = chunk["id"].clone();
+            self.created = chunk["created"].clone();
+        }
+        let choice = &chunk["choices"][0];
+        if let Value::Object(delta) = &choice["delta"] {
+            merge(&mut self.message, delta);
+        }
+        if !choice["finish_reason"].is_null() {
+            self.finish_reason = choice["finish_reason"].clone();
+        }
+        if !chunk["usage"].is_null() {
+            self.usage = chunk["usage"].clone();
+        }
+    }
+
+    /// The answer's body.
+    pub fn body(mut self, reference: &Reference) -> Vec<u8> {
+        self.message
+            .entry("role")
+            .or_insert_with(|| "assistant".into());
+        self.message.entry("content").or_insert(Value::Null);
+        let choice = json!({
+            "index": 0,
+            "message": self.message,
+            "finish_reason": self.finish_reason,
+        });
+        let mut body = json!({
+            "id": self.id,
+            "object": "chat.completion",
+            "created": self.created,
+            "model": reference.to_string(),
+            "choices": [choice],
+        });
+        if !self.usage.is_null() {
+            body["usage"] = self.usage;
+        }
+        body.to_string().into_bytes()
+    }
+}
+
+/// Fields of a delta that are given once and not in pieces.
+const FIXED_FIELDS: [&str; 5] = ["id", "index", "name", "role", "type"];
+
+fn merge(whole: &mut Map<String, Value>, delta: &Map<String, Value>) {
+    for (name, piece) in delta {
+        let Some(found) = whole.get_mut(name) else {
+            whole.insert(name.clone(), piece.clone());
+            continue;
+        };
+        if !FIXED_FIELDS.contains(&name.as_str()) {
+            append(found, piece);
+        }
+    }
+}
+
+fn append(whole: &mut Value, piece: &Value) {
+    match (whole, piece) {
+        (Value::String(whole), Value::String(piece)) => whole.push_str(piece),
+        (Value::Object(whole), Value::Object(piece)) => merge(whole, piece),
+        (Value::Array(whole), Value::Array(pieces)) => {
+            for piece in pieces {
+                append_indexed(whole, piece);
+            }
+        }
+        (whole @ Value::Null, piece) => *whole = piece.clone(),
+        _ => {}
+    }
+}
+
+/// List entries of a delta, such as tool calls, say by `index` which entry they go on with.
+fn append_indexed(whole: &mut Vec<Value>, piece: &Value) {
+    let index = piece.get("index");
+    let found = whole
+        .iter_mut()
+        .find(|it| index.is_some() && it.get("index") == index);
+    match found {
+        Some(it) => append(it, piece),
+        None => whole.push(piece.clone()),
+    }
+}
