--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,11 @@
 //! Stand-ins for the systems outside comfreywing, for tests and the demo.
+//!
+//! Each stand-in answers the interface in `docs/PROTOCOLS.md`, has switches for the failures of
+//! the system that it stands for, and counts what it was asked. Async code is confined to this
+//! crate.
+
+pub mod bucket;
+pub mod control;
+pub mod hosts;
+pub mod http;
+pub mod object;
