Let a steward answer that another host places the request

A host that is asked may have lost the stewardship meanwhile. That is neither a permit nor a fault of the request, so the verdict gets a third case.

--- a/crates/kernel/src/permit.rs
+++ b/crates/kernel/src/permit.rs
@@ -75,6 +75,8 @@
     Granted(Permit),
     /// The request is refused; it has not run.
     Refused(Fault),
+    /// The host that was asked doesn't place the request, which has not run: ask another one.
+    Elsewhere,
 }
 
 /// How the use of a permit ended.
