--- /dev/null
+++ b/crates/entry/src/duty.rs
@@ -0,0 +1,9 @@
+//! The duties of an entry host. Each is a plug-in with a thread, in a file of its own.
+
+mod claims;
+mod configuration;
+mod hosts;
+pub mod orders;
+mod reports;
+mod share;
+mod steward;
--- /dev/null
+++ b/crates/entry/src/duty/claims.rs
@@ -0,0 +1,232 @@
+//! Takes and gives up stewardships: who should be steward follows from the members, the object in
+//! the platform confirms it.
+
+use std::{collections::BTreeSet, sync::Arc, time::Duration};
+
+use kernel::{
+    name::Upstream,
+    permit::Holder,
+    registry::inventory,
+    service::{Fencing, Instance, Role},
+};
+use member::{Condition, Member};
+use platform::object::{Failure, Reason, Store, Version};
+use steward::{Event, Predecessor};
+
+use crate::{
+    claim::{self, Evidence, Next, Record},
+    host::Host,
+    plugin::{Duty, Phase, Stop},
+    readiness::Stage,
+};
+
+inventory::submit! {
+    Duty {
+        name: "claims",
+        phase: Phase::Intake,
+        run,
+    }
+}
+
+/// How often the duty looks who should be steward.
+const INTERVAL: Duration = Duration::from_millis(200);
+
+/// How long the duty waits after the platform failed.
+const BACK_OFF: Duration = Duration::from_secs(1);
+
+/// How long a host waits after its start before it takes a first engine, so that it has met the
+/// other members and doesn't take what it would lose at once.
+const SETTLE: Duration = Duration::from_millis(1500);
+
+fn run(host: &Arc<Host>, stop: &Stop) {
+    stop.sleep(SETTLE);
+    while !stop.is_set() {
+        match turn(host) {
+            Ok(()) => stop.sleep(INTERVAL),
+            Err(error) => {
+                log::warn!(target: "steward", "Stewardships could not be settled: {error}.");
+                stop.sleep(BACK_OFF);
+            }
+        }
+    }
+    release_all(host);
+}
+
+fn turn(host: &Host) -> Result<(), Failure> {
+    if host.readiness.stage() != Stage::Ready {
+        return Ok(());
+    }
+    let members = members(host);
+    let live: Vec<Member> = members
+        .iter()
+        .filter(|it| it.state == Condition::Alive)
+        .cloned()
+        .collect();
+    let doubted = std::mem::take(&mut *host.doubted.lock().expect("doubt lock is poisoned"));
+    for engine in doubted {
+        check(host, &engine)?;
+    }
+    for engine in host.listed.engines() {
+        let owner = member::steward::of(&engine.name, &engine.domain, &live);
+        let mine = owner.is_some_and(|it| it.holder == host.me);
+        if mine && !host.holds(&engine.name) {
+            take(host, &engine, &members)?;
+        }
+    }
+    Ok(())
+}
+
+fn members(host: &Host) -> Vec<Member> {
+    let members = host.peer.get().map(peer::Handle::members);
+    members.unwrap_or_default()
+}
+
+/// Somebody else may have taken an engine; the object tells.
+fn check(host: &Host, engine: &Upstream) -> Result<(), Failure> {
+    if !host.holds(engine) {
+        return Ok(());
+    }
+    match read(host, engine) {
+        Ok(Some((_, record))) if record.holder != host.me => {
+            log::info!(target: "steward", "Engine {engine} was taken by {} under {}.", record.holder.host, record.fence);
+            lose(host, engine);
+            Ok(())
+        }
+        Ok(_) => Ok(()),
+        Err(error) => {
+            host.doubt(engine.clone());
+            Err(error)
+        }
+    }
+}
+
+fn lose(host: &Host, engine: &Upstream) {
+    host.held
+        .lock()
+        .expect("held lock is poisoned")
+        .remove(engine);
+    host.inbox.event(Event::Lost {
+        engine: engine.clone(),
+    });
+}
+
+fn read(host: &Host, engine: &Upstream) -> Result<Option<(Version, Record)>, Failure> {
+    let key = claim::key(engine);
+    let Some(object) = host.store.get(Reason::Steward, &key)? else {
+        return Ok(None);
+    };
+    match Record::from_bytes(&object.value) {
+        Ok(record) => Ok(Some((object.version, record))),
+        Err(error) => Err(Failure::Unavailable {
+            reason: format!("{key}: {error}"),
+        }),
+    }
+}
+
+fn take(host: &Host, engine: &Instance, members: &[Member]) -> Result<(), Failure> {
+    let found = read(host, &engine.name)?;
+    let holder = found.as_ref().map(|it| &it.1.holder);
+    let evidence = holder.map_or(Evidence::Ended, |it| evidence(host, it, members));
+    let (fence, predecessor) = match claim::next(found, &host.me, evidence) {
+        // This life wrote the object and the answer was lost.
+        Next::Held { fence } => (fence, Predecessor::Unknown),
+        Next::Write {
+            version,
+            record,
+            predecessor,
+        } => match write(host, &engine.name, version, &record) {
+            Ok(()) => (record.fence, predecessor),
+            // Another host was faster; the next turn sees what it wrote.
+            Err(Failure::Conflict { .. }) => return Ok(()),
+            Err(error) => return Err(error),
+        },
+    };
+    took(host, engine, fence, predecessor);
+    Ok(())
+}
+
+fn write(
+    host: &Host,
+    engine: &Upstream,
+    version: Option<Version>,
+    record: &Record,
+) -> Result<(), Failure> {
+    let key = claim::key(engine);
+    let bytes = record.to_bytes();
+    let written = match version {
+        Some(it) => host.store.update(Reason::Steward, &key, it, &bytes),
+        None => host.store.create(Reason::Steward, &key, &bytes),
+    };
+    match written {
+        Ok(_) => Ok(()),
+        Err(Failure::Unknown { reason }) => settle(host, engine, record, reason),
+        Err(error) => Err(error),
+    }
+}
+
+/// A write without an answer took effect if the object is what was written.
+fn settle(host: &Host, engine: &Upstream, record: &Record, reason: String) -> Result<(), Failure> {
+    match read(host, engine)? {
+        Some((_, found)) if found == *record => Ok(()),
+        _ => Err(Failure::Unknown { reason }),
+    }
+}
+
+fn took(host: &Host, engine: &Instance, fence: u64, predecessor: Predecessor) {
+    let Role::Engine(model) = &engine.role else {
+        return;
+    };
+    let (_, text) = host.text();
+    let fencing = text.model(model).map_or(Fencing::Ignored, |it| it.fencing);
+    log::info!(target: "steward", "Took engine {} under {fence}, predecessor {predecessor:?}.", engine.name);
+    let mut held = host.held.lock().expect("held lock is poisoned");
+    held.insert(engine.name.clone());
+    host.inbox.event(Event::Took {
+        engine: engine.clone(),
+        fence,
+        fencing,
+        predecessor,
+    });
+    drop(held);
+    host.inspect(engine.name.clone());
+}
+
+/// Whether the process of a holder has surely ended. Silence is no proof: it may be paused.
+fn evidence(host: &Host, holder: &Holder, members: &[Member]) -> Evidence {
+    let later = members.iter().any(|it| {
+        it.holder.host == holder.host && it.holder.incarnation > holder.incarnation
+    });
+    let unlisted = host.listed.entry_hosts().is_some_and(|it| {
+        !it.iter()
+            .any(|it| it.name.as_str() == holder.host.as_str())
+    });
+    if later || unlisted {
+        return Evidence::Ended;
+    }
+    Evidence::MayAct
+}
+
+/// Gives everything up in a graceful shutdown, so that the next steward may adopt it at once.
+fn release_all(host: &Host) {
+    let held: BTreeSet<Upstream> =
+        std::mem::take(&mut *host.held.lock().expect("held lock is poisoned"));
+    for engine in held {
+        host.inbox.event(Event::Lost {
+            engine: engine.clone(),
+        });
+        if let Err(error) = release(host, &engine) {
+            log::warn!(target: "steward", "Engine {engine} could not be released: {error}.");
+        }
+    }
+}
+
+fn release(host: &Host, engine: &Upstream) -> Result<(), Failure> {
+    let Some((version, mut record)) = read(host, engine)? else {
+        return Ok(());
+    };
+    if record.holder != host.me {
+        return Ok(());
+    }
+    record.state = claim::State::Released;
+    write(host, engine, Some(version), &record)
+}
--- /dev/null
+++ b/crates/entry/src/duty/steward.rs
@@ -0,0 +1,174 @@
+//! Owns the steward's state: takes events in, carries decisions out.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        mpsc::{SyncSender, TrySendError, sync_channel},
+    },
+    thread,
+    time::Duration,
+};
+
+use kernel::{permit::Verdict, registry::inventory};
+use steward::{Action, Event, Settled, State, Ticket};
+
+use crate::{
+    duty::orders::{self, Job},
+    host::Host,
+    inbox::{Message, Question, Reply},
+    plugin::{Duty, Phase, Stop},
+};
+
+inventory::submit! {
+    Duty {
+        name: "steward",
+        phase: Phase::Service,
+        run,
+    }
+}
+
+/// Threads that give orders to engines; one order occupies one until it is answered.
+const ORDER_THREADS: usize = 16;
+
+/// Orders that wait for a thread.
+const MAX_JOBS: usize = 256;
+
+/// How long the thread sleeps at most, so that it notices a shutdown.
+const MAX_SLEEP: Duration = Duration::from_millis(50);
+
+fn run(host: &Arc<Host>, stop: &Stop) {
+    let (jobs, receiver) = sync_channel(MAX_JOBS);
+    let crew = orders::start(host, receiver, ORDER_THREADS);
+    let mut desk = Desk {
+        host,
+        state: State::new(steward::Settings::default()),
+        replies: HashMap::new(),
+        jobs,
+    };
+    while !stop.is_set() {
+        desk.turn();
+    }
+    let Desk { jobs, .. } = desk;
+    // The threads end once the channel has closed.
+    drop(jobs);
+    join(crew);
+}
+
+fn join(crew: Vec<thread::JoinHandle<()>>) {
+    for thread in crew {
+        if thread.join().is_err() {
+            log::error!(target: "steward", "An order thread panicked.");
+        }
+    }
+}
+
+struct Desk<'a> {
+    host: &'a Arc<Host>,
+    state: State,
+    replies: HashMap<Ticket, Reply>,
+    jobs: SyncSender<Job>,
+}
+
+impl Desk<'_> {
+    fn turn(&mut self) {
+        let now = self.host.clock.now();
+        let due = self.state.next_tick();
+        let until = due.map_or(MAX_SLEEP, |it| it.saturating_duration_since(now));
+        let messages = self.host.inbox.take(until.min(MAX_SLEEP));
+        for message in messages {
+            match message {
+                Message::Question(question) => self.question(question),
+                Message::Event(event) => self.event(event),
+            }
+        }
+        let now = self.host.clock.now();
+        if self.state.next_tick().is_some_and(|it| it <= now) {
+            self.event(Event::Tick);
+        }
+    }
+
+    fn question(&mut self, question: Question) {
+        let Question {
+            ticket,
+            mut ask,
+            arrived,
+            reply,
+        } = question;
+        // The ask has aged while it lay in the inbox.
+        let waited = self.host.clock.now().saturating_duration_since(arrived);
+        ask.remaining = ask.remaining.saturating_sub(waited);
+        self.replies.insert(ticket, reply);
+        self.event(Event::Ask { ticket, ask });
+    }
+
+    fn event(&mut self, event: Event) {
+        if let Event::Withdraw { ticket } = &event {
+            self.replies.remove(ticket);
+        }
+        let actions = self.state.handle(event, self.host.clock.now());
+        for action in actions {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: Action) {
+        match action {
+            Action::Answer { ticket, verdict } => self.answer(ticket, verdict),
+            Action::Redirect { ticket } => self.answer(ticket, Verdict::Elsewhere),
+            Action::Load {
+                order,
+                engine,
+                address,
+                loaded,
+                fence,
+            } => {
+                log::info!(target: "steward", "Load {loaded} on {engine}.");
+                self.order(Job::load(order, address, loaded, fence));
+            }
+            Action::Unload {
+                order,
+                engine,
+                address,
+                loaded,
+                fence,
+            } => {
+                log::info!(target: "steward", "Unload {loaded} from {engine}.");
+                self.order(Job::unload(order, address, loaded, fence));
+            }
+            Action::Inspect { engine } => self.host.inspect(engine),
+            Action::Publish { engine, change } => {
+                let me = &self.host.me.host;
+                let entry = self.host.directory.publish(me, &engine, change);
+                self.host.publish(entry);
+            }
+            Action::PublishBacklog { backlog } => {
+                let me = &self.host.me.host;
+                let entry = self.host.directory.publish_backlog(me, backlog);
+                self.host.publish(entry);
+            }
+            Action::Deposed { engine } => {
+                log::warn!(target: "steward", "Engine {engine} knows a later steward.");
+                self.host.doubt(engine);
+            }
+        }
+    }
+
+    fn answer(&mut self, ticket: Ticket, verdict: Verdict) {
+        if let Some(reply) = self.replies.remove(&ticket) {
+            reply(verdict);
+        }
+    }
+
+    fn order(&mut self, job: Job) {
+        let job = match self.jobs.try_send(job) {
+            Ok(()) => return,
+            Err(TrySendError::Full(it) | TrySendError::Disconnected(it)) => it,
+        };
+        let result = Settled::Failed("too many orders wait for a thread".to_owned());
+        self.host.inbox.event(Event::Ordered {
+            order: job.order,
+            result,
+        });
+    }
+}
--- /dev/null
+++ b/crates/entry/src/flow/model.rs
@@ -0,0 +1,376 @@
+//! A request to a model service: a permit, a stream from the engine, an answer to the caller.
+
+use std::{sync::Arc, time::Instant};
+
+use config::{Target, service::Repeat};
+use kernel::{
+    fault::{Fault, Kind, Ran},
+    name::Upstream,
+    permit::{Ask, Outcome},
+    request::Class,
+};
+use serde_json::Value;
+use serve::{Responder, Response, Stream};
+use telemetry::metrics::Labels;
+use upstream::engine;
+
+use crate::{
+    chat::{self, Call, Delivery},
+    flow::{
+        Admitted, RETRY_AFTER, check_dependencies, marked,
+        place::{self, Place, Search},
+        refuse, served_by,
+    },
+    host::{Host, millis},
+};
+
+/// Times that one request is sent to an engine.
+const MAX_ATTEMPTS: usize = 3;
+
+/// What a request needs on its way.
+struct Way<'a> {
+    host: &'a Arc<Host>,
+    admitted: &'a Admitted,
+    call: Call,
+    target: Target,
+    class: Class,
+    deadline: Instant,
+    labels: Labels,
+}
+
+/// How one attempt ended.
+enum Attempt {
+    /// The caller has its answer, or has gone.
+    Over,
+    /// Nothing reached the caller; the request may be sent again.
+    Again {
+        fault: Fault,
+        engine: Upstream,
+        responder: Responder,
+    },
+    /// Nothing reached the caller; the request may not be sent again.
+    Refused { fault: Fault, responder: Responder },
+}
+
+/// Answers a request to a model service.
+pub fn run(host: &Arc<Host>, admitted: &Admitted, body: &[u8], responder: Responder) {
+    match prepare(host, admitted, body) {
+        Ok(way) => way.run(responder),
+        Err(fault) => refuse(host, Some(&admitted.envelope), &fault, responder),
+    }
+}
+
+fn prepare<'a>(
+    host: &'a Arc<Host>,
+    admitted: &'a Admitted,
+    body: &[u8],
+) -> Result<Way<'a>, Fault> {
+    let call = chat::parse(body)?;
+    let text = &admitted.text;
+    let name = &call.reference.service;
+    let target = text.resolve(&call.reference)?;
+    let declared = text.service(name).ok_or_else(|| {
+        Fault::new(Kind::UnknownService, format!("there is no service {name}"))
+    })?;
+    check_dependencies(host, text, name)?;
+    let class = admitted.class(declared);
+    let labels = Labels {
+        tenant: admitted.envelope.tenant.clone(),
+        class,
+        service: name.clone(),
+    };
+    Ok(Way {
+        deadline: admitted.deadline(declared),
+        host,
+        admitted,
+        call,
+        target,
+        class,
+        labels,
+    })
+}
+
+impl Way<'_> {
+    fn run(self, mut responder: Responder) {
+        let mut avoid = Vec::new();
+        for attempt in 1..=MAX_ATTEMPTS {
+            let place = match self.search(&avoid) {
+                Ok(it) => it,
+                Err(place::Failure::Fault(fault)) => return self.refuse(&fault, responder),
+                Err(place::Failure::CallerGone) => return self.note("the caller has gone"),
+            };
+            self.host
+                .metrics
+                .load_stall(&self.labels, place.permit.load_stall);
+            self.host
+                .metrics
+                .queue_wait(&self.labels, place.permit.queue_wait);
+            match self.attempt(&place, responder) {
+                Attempt::Over => return,
+                Attempt::Refused { fault, responder } => return self.refuse(&fault, responder),
+                Attempt::Again {
+                    fault,
+                    engine,
+                    responder: back,
+                } => {
+                    if attempt == MAX_ATTEMPTS {
+                        return self.refuse(&fault, back);
+                    }
+                    self.note(format!("attempt {attempt} on {engine} ended with {fault}"));
+                    avoid.push(engine);
+                    responder = back;
+                }
+            }
+        }
+    }
+
+    fn refuse(&self, fault: &Fault, responder: Responder) {
+        refuse(self.host, Some(&self.admitted.envelope), fault, responder);
+    }
+
+    fn note(&self, what: impl Into<String>) {
+        self.host.step(&self.admitted.envelope.id, what);
+    }
+
+    fn search(&self, avoid: &[Upstream]) -> Result<Place, place::Failure> {
+        let search = Search {
+            host: self.host,
+            ask: self.ask(),
+            id: &self.admitted.envelope.id,
+            deadline: self.deadline,
+            caller: &self.admitted.caller,
+            avoid,
+        };
+        search.run()
+    }
+
+    fn ask(&self) -> Ask {
+        let now = self.host.clock.now();
+        Ask {
+            // Callers may use one id twice at the same time; engines must never see that.
+            request: self.host.fresh_id(),
+            holder: self.host.me.clone(),
+            reference: self.call.reference.clone(),
+            model: self.target.model.clone(),
+            tenant: self.admitted.envelope.tenant.clone(),
+            class: self.class,
+            remaining: self.deadline.saturating_duration_since(now),
+            prefix: self.call.prefix,
+            max_tokens: self.call.max_tokens,
+        }
+    }
+
+    fn attempt(&self, place: &Place, responder: Responder) -> Attempt {
+        let engine = place.permit.upstream.clone();
+        if self.host.clock.now() >= place.start_by() {
+            place::release(self.host, place, Outcome::Unused);
+            let fault = Fault::new(
+                Kind::Overloaded,
+                format!("the permit on {engine} was void before it could be used"),
+            );
+            return Attempt::Again {
+                fault: fault.after(RETRY_AFTER),
+                engine,
+                responder,
+            };
+        }
+        match self.start(place) {
+            Ok(stream) => self.deliver(place, stream, responder),
+            Err(fault) => self.failed(place, fault, responder),
+        }
+    }
+
+    fn start(&self, place: &Place) -> Result<engine::Stream, Fault> {
+        let id = self.host.fresh_id();
+        self.note(format!(
+            "sent to {} as {id} for {}",
+            place.permit.upstream, place.permit.loaded
+        ));
+        self.host.engines.start(
+            place.permit.address,
+            &place.permit.loaded,
+            &self.call.body,
+            &id,
+            priority(self.class),
+            self.deadline,
+        )
+    }
+
+    /// An attempt of which nothing has reached the caller has failed.
+    fn failed(&self, place: &Place, fault: Fault, responder: Responder) -> Attempt {
+        let ran = fault.kind.answer().ran;
+        let outcome = match ran {
+            Ran::NotRun => Outcome::Refused,
+            Ran::Ran | Ran::Unknown => Outcome::Broken,
+        };
+        place::release(self.host, place, outcome);
+        let engine = place.permit.upstream.clone();
+        self.host.inspect(engine.clone());
+        let may_repeat = ran == Ran::NotRun || self.target.retry.repeat == Repeat::Allowed;
+        if may_repeat && self.host.clock.now() < self.deadline {
+            return Attempt::Again {
+                fault,
+                engine,
+                responder,
+            };
+        }
+        Attempt::Refused { fault, responder }
+    }
+
+    fn deliver(&self, place: &Place, mut stream: engine::Stream, responder: Responder) -> Attempt {
+        // Nothing is told to the caller before the first chunk: until then the status is open.
+        let first = match stream.next() {
+            engine::Next::Chunk { index, json } => (index, json),
+            engine::Next::End => {
+                let fault = Fault::new(Kind::BadAnswer, "the engine's answer has no content");
+                return self.failed(place, fault, responder);
+            }
+            engine::Next::Failed(fault) => return self.failed(place, fault, responder),
+        };
+        let now = self.host.clock.now();
+        let elapsed = now.saturating_duration_since(self.admitted.arrived);
+        self.host.metrics.first_token(&self.labels, elapsed);
+        self.note("first token");
+        let pump = Pump {
+            way: self,
+            place,
+            stream,
+            last: now,
+        };
+        match self.call.delivery {
+            Delivery::Streamed => pump.streamed(first, responder),
+            Delivery::Whole => pump.whole(first, responder),
+        }
+    }
+
+    fn headers(&self, place: &Place, content_type: &str) -> Vec<(String, String)> {
+        let field = |name: &str, value: String| (name.to_owned(), value);
+        vec![
+            field("content-type", content_type.to_owned()),
+            field("x-request-id", self.admitted.envelope.id.to_string()),
+            field("x-adapter", self.call.reference.to_string()),
+            field("x-upstream", place.permit.upstream.to_string()),
+            field(
+                "x-load-stall-ms",
+                place.permit.load_stall.as_millis().to_string(),
+            ),
+        ]
+    }
+
+    fn ended(&self, place: &Place, outcome: Outcome, what: &str) -> Attempt {
+        place::release(self.host, place, outcome);
+        self.note(what);
+        let elapsed = millis(self.admitted.arrived, self.host.clock.now());
+        log::debug!(target: "entry", "Request {} ended after {elapsed} ms: {what}.", self.admitted.envelope.id);
+        Attempt::Over
+    }
+}
+
+/// Moves chunks from an engine to a caller.
+struct Pump<'a> {
+    way: &'a Way<'a>,
+    place: &'a Place,
+    stream: engine::Stream,
+    last: Instant,
+}
+
+impl Pump<'_> {
+    fn next(&mut self) -> engine::Next {
+        let next = self.stream.next();
+        if let engine::Next::Chunk { .. } = next {
+            let now = self.way.host.clock.now();
+            let gap = now.saturating_duration_since(self.last);
+            self.way.host.metrics.token_gap(&self.way.labels, gap);
+            self.last = now;
+        }
+        next
+    }
+
+    fn streamed(mut self, first: (u64, Value), responder: Responder) -> Attempt {
+        let way = self.way;
+        let mut headers = way.headers(self.place, "text/event-stream");
+        headers.push(("cache-control".to_owned(), "no-store".to_owned()));
+        headers.push(served_by(way.host));
+        let mut out = responder.stream(200, headers);
+        let (mut index, mut chunk) = first;
+        loop {
+            chat::rename(&mut chunk, &way.call.reference);
+            if out.write(&chat::event(index, &chunk)).is_err() {
+                return self.caller_gone();
+            }
+            match self.next() {
+                engine::Next::Chunk { index: i, json } => (index, chunk) = (i, json),
+                engine::Next::End => return self.finish(out),
+                engine::Next::Failed(fault) => return self.broken(&fault, out),
+            }
+        }
+    }
+
+    fn finish(self, mut out: Stream) -> Attempt {
+        let told = out.write(chat::DONE).and_then(|()| out.finish());
+        match told {
+            Ok(()) => self.way.ended(self.place, Outcome::Whole, "whole"),
+            Err(_) => self.way.ended(
+                self.place,
+                Outcome::Whole,
+                "whole, but the caller has gone",
+            ),
+        }
+    }
+
+    /// The stream to the caller has begun, so the fault can only be told within it. The connection
+    /// is broken after it, and nobody can take the answer for whole.
+    fn broken(self, fault: &Fault, mut out: Stream) -> Attempt {
+        let id = &self.way.admitted.envelope.id;
+        self.way.host.metrics.refusal(fault.kind);
+        let refusal = serve::refusal(fault, Some(id.as_str()));
+        let mut event = b"event: error\ndata: ".to_vec();
+        event.extend(refusal.body);
+        event.extend(b"\n\n");
+        // A caller that has gone needs no word of it.
+        let _ = out.write(&event);
+        self.way
+            .ended(self.place, Outcome::Broken, &format!("broken: {fault}"))
+    }
+
+    fn whole(mut self, first: (u64, Value), responder: Responder) -> Attempt {
+        let way = self.way;
+        let mut whole = chat::Whole::default();
+        whole.add(&first.1);
+        loop {
+            if responder.gone() {
+                return self.caller_gone();
+            }
+            match self.next() {
+                engine::Next::Chunk { json, .. } => whole.add(&json),
+                engine::Next::End => break,
+                engine::Next::Failed(fault) => return way.failed(self.place, fault, responder),
+            }
+        }
+        let response = Response {
+            status: 200,
+            headers: way.headers(self.place, "application/json"),
+            body: whole.body(&way.call.reference),
+        };
+        responder.send(marked(way.host, response));
+        way.ended(self.place, Outcome::Whole, "whole")
+    }
+
+    /// Dropping the stream tells the engine to cancel.
+    fn caller_gone(self) -> Attempt {
+        let Self {
+            way, place, stream, ..
+        } = self;
+        drop(stream);
+        way.ended(place, Outcome::Cancelled, "the caller has gone")
+    }
+}
+
+/// Engines run lower numbers first.
+fn priority(class: Class) -> i32 {
+    match class {
+        Class::Interactive => 0,
+        Class::Standard => 1,
+        Class::Background => 2,
+    }
+}
--- /dev/null
+++ b/crates/entry/src/flow/plain.rs
@@ -0,0 +1,182 @@
+//! A call to a plain service. A call that may not be repeated is sent at most once; with an
+//! idempotency key it is recorded before it is sent.
+
+use std::{sync::Arc, time::Instant};
+
+use config::service::{Kind as ServiceKind, Outage, Repeat};
+use kernel::{
+    fault::{Fault, Kind, Ran},
+    name::{Service, Upstream},
+    request::Key,
+};
+use platform::journal::Begin;
+use serve::{Request, Responder, Response};
+use sha2::{Digest, Sha256};
+use upstream::plain;
+
+use crate::{
+    flow::{Admitted, RETRY_AFTER, check_dependencies, marked, refuse},
+    host::Host,
+};
+
+/// Times that one call is sent, if it may be.
+const MAX_ATTEMPTS: usize = 3;
+
+/// What a call needs on its way.
+struct Way<'a> {
+    host: &'a Arc<Host>,
+    admitted: &'a Admitted,
+    service: Service,
+    repeat: Repeat,
+    outage: Outage,
+    call: plain::Call,
+    deadline: Instant,
+}
+
+/// Answers a call to the plain service `name`; `rest` is the path below it.
+pub fn run(
+    host: &Arc<Host>,
+    admitted: &Admitted,
+    (name, rest): (&str, &str),
+    request: Request,
+    responder: Responder,
+) {
+    let result = prepare(host, admitted, (name, rest), request).and_then(|way| way.run());
+    match result {
+        Ok(response) => responder.send(marked(host, response)),
+        Err(fault) => refuse(host, Some(&admitted.envelope), &fault, responder),
+    }
+}
+
+fn prepare<'a>(
+    host: &'a Arc<Host>,
+    admitted: &'a Admitted,
+    (name, rest): (&str, &str),
+    request: Request,
+) -> Result<Way<'a>, Fault> {
+    let unknown = || Fault::new(Kind::UnknownService, format!("there is no plain service {name:?}"));
+    let service: Service = name.parse().map_err(|_| unknown())?;
+    let declared = admitted.text.service(&service).ok_or_else(unknown)?;
+    if declared.kind != ServiceKind::Plain {
+        return Err(unknown());
+    }
+    check_dependencies(host, &admitted.text, &service)?;
+    let deadline = admitted.deadline(declared);
+    let headers = request.headers.iter();
+    Ok(Way {
+        host,
+        admitted,
+        service,
+        repeat: declared.retry.repeat,
+        outage: declared.journal_outage,
+        call: plain::Call {
+            method: request.method,
+            path: rest.to_owned(),
+            query: request.query,
+            headers: headers
+                .map(|(name, value)| (name.to_owned(), value.to_owned()))
+                .collect(),
+            body: request.body,
+            request_id: admitted.envelope.id.clone(),
+        },
+        deadline,
+    })
+}
+
+impl Way<'_> {
+    fn run(self) -> Result<Response, Fault> {
+        let Some(key) = self.admitted.envelope.key.clone() else {
+            return self.send();
+        };
+        // A call that may be repeated needs no record.
+        if self.repeat == Repeat::Allowed {
+            return self.send();
+        }
+        self.keyed(&key)
+    }
+
+    fn note(&self, what: impl Into<String>) {
+        self.host.step(&self.admitted.envelope.id, what);
+    }
+
+    fn keyed(&self, key: &Key) -> Result<Response, Fault> {
+        let begun = self
+            .host
+            .journal
+            .begin(&self.service, key, self.fingerprint(), self.deadline);
+        match begin {
+            Begin::First(_) => todo!(),
+        }
+    }
+
+    /// What must be the same when a key is used again: everything that the service acts on.
+    fn fingerprint(&self) -> [u8; 32] {
+        let mut hash = Sha256::new();
+        let query = self.call.query.as_deref().unwrap_or_default();
+        let tenant = self.admitted.envelope.tenant.as_str();
+        let parts = [
+            tenant.as_bytes(),
+            self.call.method.as_bytes(),
+            self.call.path.as_bytes(),
+            query.as_bytes(),
+            &self.call.body,
+        ];
+        for part in parts {
+            hash.update((part.len() as u64).to_be_bytes());
+            hash.update(part);
+        }
+        hash.finalize().into()
+    }
+
+    /// Sends the call until it is answered or may not be sent again.
+    fn send(&self) -> Result<Response, Fault> {
+        let mut tried: Vec<Upstream> = Vec::new();
+        loop {
+            let domain = &self.host.settings.domain;
+            let picked = self.host.listed.pick(&self.service, domain, &tried);
+            let Some((instance, _running)) = picked else {
+                return Err(self.no_instance(&tried));
+            };
+            self.note(format!("sent to {}", instance.name));
+            let sent = self
+                .host
+                .plain
+                .call(instance.address, &self.call, self.deadline);
+            let fault = match sent {
+                Ok(answer) => {
+                    self.note(format!("{} answered {}", instance.name, answer.status));
+                    return Ok(self.response(answer, &instance.name));
+                }
+                Err(it) => it,
+            };
+            self.note(format!("{} failed: {fault}", instance.name));
+            tried.push(instance.name);
+            let may_repeat =
+                fault.kind.answer().ran == Ran::NotRun || self.repeat == Repeat::Allowed;
+            let late = self.host.clock.now() >= self.deadline;
+            if !may_repeat || late || tried.len() == MAX_ATTEMPTS {
+                return Err(fault);
+            }
+        }
+    }
+
+    fn no_instance(&self, tried: &[Upstream]) -> Fault {
+        let detail = format!(
+            "service {} has no live instance besides the {} that refused",
+            self.service,
+            tried.len()
+        );
+        Fault::new(Kind::NoUpstream, detail).after(RETRY_AFTER)
+    }
+
+    fn response(&self, answer: plain::Answer, instance: &Upstream) -> Response {
+        let mut headers = answer.headers;
+        headers.push(("x-request-id".to_owned(), self.admitted.envelope.id.to_string()));
+        headers.push(("x-upstream".to_owned(), instance.to_string()));
+        Response {
+            status: answer.status,
+            headers,
+            body: answer.body,
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/host.rs
@@ -0,0 +1,207 @@
+//! What the threads of an entry host share.
+
+use std::{
+    collections::BTreeSet,
+    sync::{
+        Arc, Mutex, OnceLock, RwLock,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Instant,
+};
+
+use config::{Text, revision};
+use kernel::{
+    clock::Clock,
+    name::Upstream,
+    permit::{Ask, Holder},
+    request::Id,
+};
+use platform::{http, log::Log};
+use steward::Ticket;
+use telemetry::metrics::Metrics;
+
+use crate::{
+    directory::{Entry, Shared},
+    inbox::{Full, Inbox, Question, Reply},
+    listed::Listed,
+    readiness::Readiness,
+    recent::Recent,
+    settings::Settings,
+    trace::Trace,
+};
+
+/// What the threads of an entry host share.
+pub struct Host {
+    /// The settings.
+    pub settings: Settings,
+    /// This life of this host.
+    pub me: Holder,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// The stage of life.
+    pub readiness: Readiness,
+    /// The configuration in force.
+    pub revision: RwLock<revision::State>,
+    /// What is known of all engines.
+    pub directory: Shared,
+    /// What the host list says.
+    pub listed: Listed,
+    /// The way to the thread that owns the steward's state.
+    pub inbox: Inbox,
+    /// The engines that this host is steward of.
+    pub held: Mutex<BTreeSet<Upstream>>,
+    /// Engines whose exact report is wanted soon.
+    pub inspect: Mutex<BTreeSet<Upstream>>,
+    /// Held engines that another host may have taken.
+    pub doubted: Mutex<BTreeSet<Upstream>>,
+    /// Revisions kept for other hosts.
+    pub recent: Recent,
+    /// The other hosts; set once the sockets are open.
+    pub peer: OnceLock<peer::Handle>,
+    /// The platform's object API.
+    pub store: http::Client,
+    /// The configuration log in the platform.
+    pub log: Log,
+    /// The records of keyed calls.
+    pub journal: platform::journal::Journal,
+    /// The client of engines.
+    pub engines: upstream::engine::Client,
+    /// The client of plain services.
+    pub plain: upstream::plain::Client,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// What was decided for recent requests.
+    pub trace: Trace,
+    next: AtomicU64,
+}
+
+impl Host {
+    /// The configuration in force. A request keeps what it was admitted under.
+    pub fn text(&self) -> (revision::Number, Text) {
+        let state = self.revision.read().expect("revision lock is poisoned");
+        (state.number(), state.text().clone())
+    }
+
+    /// A number that was not given before in this life.
+    fn number(&self) -> u64 {
+        self.next.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// An id that no other request of any host has.
+    pub fn fresh_id(&self) -> Id {
+        let Holder { host, incarnation } = &self.me;
+        let text = format!("{host}.{incarnation:x}.{:x}", self.number());
+        text.parse().expect("a fresh id is an id")
+    }
+
+    /// Notes a step of a request.
+    pub fn step(&self, id: &Id, what: impl Into<String>) {
+        self.trace.step(id, self.clock.now(), what);
+    }
+
+    /// Asks the own steward. The reply is not called if the ask does not fit.
+    pub fn ask(&self, ask: Ask, reply: Reply) -> Result<Ticket, (Full, Reply)> {
+        let ticket = Ticket(self.number());
+        let question = Question {
+            ticket,
+            ask,
+            arrived: self.clock.now(),
+            reply,
+        };
+        match self.inbox.ask(question) {
+            Ok(()) => Ok(ticket),
+            Err((full, question)) => Err((full, question.reply)),
+        }
+    }
+
+    /// Publishes an entry to all hosts.
+    pub fn publish(&self, entry: Entry) {
+        if let Some(peer) = self.peer.get() {
+            peer.publish(entry.key, entry.value);
+        }
+    }
+
+    /// Wants an exact report of an engine soon.
+    pub fn inspect(&self, engine: Upstream) {
+        let mut wanted = self.inspect.lock().expect("inspect lock is poisoned");
+        wanted.insert(engine);
+    }
+
+    /// Wants the object of a held engine to be read again.
+    pub fn doubt(&self, engine: Upstream) {
+        let mut doubted = self.doubted.lock().expect("doubt lock is poisoned");
+        doubted.insert(engine);
+    }
+
+    /// Whether this host is steward of an engine.
+    pub fn holds(&self, engine: &Upstream) -> bool {
+        let held = self.held.lock().expect("held lock is poisoned");
+        held.contains(engine)
+    }
+}
+
+/// The parts that are made before the host.
+pub struct Parts {
+    /// The settings.
+    pub settings: Settings,
+    /// The clock.
+    pub clock: Arc<dyn Clock>,
+    /// Metrics.
+    pub metrics: Metrics,
+}
+
+impl Host {
+    /// Joins the parts. Nothing is started.
+    pub fn new(parts: Parts) -> Self {
+        let Parts {
+            settings,
+            clock,
+            metrics,
+        } = parts;
+        let me = Holder {
+            host: settings.host.clone(),
+            incarnation: incarnation(&*clock),
+        };
+        let store = http::Client::new(settings.platform);
+        let shared: Arc<dyn platform::object::Store> = Arc::new(store.clone());
+        Self {
+            readiness: Readiness::default(),
+            revision: RwLock::default(),
+            directory: Shared::new(settings.domain.clone()),
+            listed: Listed::default(),
+            inbox: Inbox::default(),
+            held: Mutex::default(),
+            inspect: Mutex::default(),
+            doubted: Mutex::default(),
+            recent: Recent::default(),
+            peer: OnceLock::new(),
+            log: Log::new(Arc::clone(&shared)),
+            journal: platform::journal::Journal::new(shared, me.clone(), Arc::clone(&clock)),
+            engines: upstream::engine::Client::new(),
+            plain: upstream::plain::Client::new(),
+            trace: Trace::default(),
+            next: AtomicU64::new(1),
+            settings,
+            me,
+            clock,
+            metrics,
+            store,
+        }
+    }
+}
+
+/// Calendar time in milliseconds: a later life of a host has a higher number, since a process
+/// takes longer than that to be replaced.
+fn incarnation(clock: &dyn Clock) -> u64 {
+    let since = clock
+        .calendar()
+        .duration_since(std::time::SystemTime::UNIX_EPOCH);
+    let millis = since.unwrap_or_default().as_millis();
+    u64::try_from(millis).unwrap_or(u64::MAX)
+}
+
+/// Whole milliseconds from `start` to `end`.
+pub fn millis(start: Instant, end: Instant) -> u64 {
+    let elapsed = end.saturating_duration_since(start).as_millis();
+    u64::try_from(elapsed).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/entry/src/inbox.rs
@@ -0,0 +1,88 @@
+//! What waits for the thread that owns the steward's state.
+//!
+//! Asks are bounded and refused beyond the bound. Everything else is bounded by what causes it
+//! (permits, orders and engines that exist) and must not be lost, so it always fits.
+
+use std::{
+    collections::VecDeque,
+    sync::{Condvar, Mutex},
+    time::{Duration, Instant},
+};
+
+use kernel::permit::{Ask, Verdict};
+use steward::{Event, Ticket};
+
+/// Asks that may wait for the thread.
+pub const MAX_ASKS: usize = 4096;
+
+/// Takes the answer to an ask.
+pub type Reply = Box<dyn FnOnce(Verdict) + Send>;
+
+/// An ask with the place for its answer.
+pub struct Question {
+    /// Names the ask.
+    pub ticket: Ticket,
+    /// The ask.
+    pub ask: Ask,
+    /// When it arrived at this host.
+    pub arrived: Instant,
+    /// Takes the answer.
+    pub reply: Reply,
+}
+
+/// Something for the thread.
+pub enum Message {
+    /// A request wants a place.
+    Question(Question),
+    /// Anything else that the state is told.
+    Event(Event),
+}
+
+/// The ask does not fit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Full;
+
+#[derive(Default)]
+struct Queue {
+    messages: VecDeque<Message>,
+    asks: usize,
+}
+
+/// The queue before the thread.
+#[derive(Default)]
+pub struct Inbox {
+    queue: Mutex<Queue>,
+    arrived: Condvar,
+}
+
+impl Inbox {
+    /// Adds an ask, or gives it back if too many wait.
+    pub fn ask(&self, question: Question) -> Result<(), (Full, Question)> {
+        let mut queue = self.queue.lock().expect("inbox lock is poisoned");
+        if queue.asks == MAX_ASKS {
+            return Err((Full, question));
+        }
+        queue.asks += 1;
+        queue.messages.push_back(Message::Question(question));
+        self.arrived.notify_one();
+        Ok(())
+    }
+
+    /// Adds an event.
+    pub fn event(&self, event: Event) {
+        let mut queue = self.queue.lock().expect("inbox lock is poisoned");
+        queue.messages.push_back(Message::Event(event));
+        self.arrived.notify_one();
+    }
+
+    /// Takes everything that waits, after waiting at most `patience` for the first.
+    pub fn take(&self, patience: Duration) -> VecDeque<Message> {
+        let queue = self.queue.lock().expect("inbox lock is poisoned");
+        let waited = self
+            .arrived
+            .wait_timeout_while(queue, patience, |it| it.messages.is_empty());
+        let (mut queue, _) = waited.expect("inbox lock is poisoned");
+        queue.asks = 0;
+        std::mem::take(&mut queue.messages)
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,1 +1,19 @@
-//! The process on an entry host.
+//! The process on an entry host: the kernel's plug-ins joined with sockets, threads and clients.
+
+pub mod chat;
+pub mod claim;
+pub mod directory;
+pub mod duty;
+pub mod envelope;
+pub mod flow;
+pub mod host;
+pub mod inbox;
+pub mod listed;
+pub mod peers;
+pub mod plugin;
+pub mod process;
+pub mod readiness;
+pub mod recent;
+pub mod route;
+pub mod settings;
+pub mod trace;
--- /dev/null
+++ b/crates/entry/src/listed.rs
@@ -0,0 +1,144 @@
+//! What the platform's host list said last, and what upstreams themselves have said since.
+
+use std::{
+    collections::BTreeMap,
+    sync::{
+        Arc, RwLock,
+        atomic::{AtomicU32, Ordering},
+    },
+};
+
+use kernel::{
+    name::{Domain, Model, Service, Upstream},
+    service::{Instance, Role, State},
+};
+
+/// An upstream with the calls that this host runs on it.
+#[derive(Debug)]
+pub struct Known {
+    /// The upstream, as listed.
+    pub instance: Instance,
+    /// Calls that run.
+    pub running: Arc<AtomicU32>,
+}
+
+/// The upstreams.
+#[derive(Debug, Default)]
+pub struct Listed {
+    known: RwLock<BTreeMap<Upstream, Known>>,
+    entries: RwLock<Option<Vec<platform::hosts::Host>>>,
+}
+
+/// One call on an upstream; it is counted until it is dropped.
+#[derive(Debug)]
+pub struct Running(Arc<AtomicU32>);
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Listed {
+    /// Takes over a new list. Gives the upstreams that are new or have changed, and the names of
+    /// those that are gone.
+    pub fn replace(&self, hosts: Vec<platform::hosts::Host>) -> (Vec<Instance>, Vec<Upstream>) {
+        let instances = platform::hosts::instances(&hosts);
+        *self.entries.write().expect("list lock is poisoned") = Some(hosts);
+        let mut known = self.known.write().expect("list lock is poisoned");
+        let mut old = std::mem::take(&mut *known);
+        let mut changed = Vec::new();
+        for mut instance in instances {
+            let before = old.remove(&instance.name);
+            if let Some(it) = &before {
+                instance.state = kept(&it.instance, &instance);
+            }
+            if before.as_ref().is_none_or(|it| it.instance != instance) {
+                changed.push(instance.clone());
+            }
+            let running = before.map(|it| it.running).unwrap_or_default();
+            known.insert(instance.name.clone(), Known { instance, running });
+        }
+        (changed, old.into_keys().collect())
+    }
+
+    /// The entry hosts of the last list, if there was one.
+    pub fn entry_hosts(&self) -> Option<Vec<platform::hosts::Host>> {
+        let hosts = self.entries.read().expect("list lock is poisoned");
+        let hosts = hosts.as_ref()?.iter();
+        let entries = hosts.filter(|it| it.role == platform::hosts::Role::Entry);
+        Some(entries.cloned().collect())
+    }
+
+    /// Notes that an upstream itself said that it is leaving. The list, which lags, can't make it
+    /// live again under the same address.
+    pub fn leaving(&self, name: &Upstream) -> Option<Instance> {
+        let mut known = self.known.write().expect("list lock is poisoned");
+        let it = known.get_mut(name)?;
+        if it.instance.state == State::Leaving {
+            return None;
+        }
+        it.instance.state = State::Leaving;
+        Some(it.instance.clone())
+    }
+
+    /// Every upstream.
+    pub fn instances(&self) -> Vec<Instance> {
+        let known = self.known.read().expect("list lock is poisoned");
+        known.values().map(|it| it.instance.clone()).collect()
+    }
+
+    /// Every engine.
+    pub fn engines(&self) -> Vec<Instance> {
+        let mut instances = self.instances();
+        instances.retain(|it| matches!(it.role, Role::Engine(_)));
+        instances
+    }
+
+    /// Whether a live engine of a base model is known.
+    pub fn has_engine(&self, model: &Model) -> bool {
+        let known = self.known.read().expect("list lock is poisoned");
+        known.values().any(|it| {
+            it.instance.state == State::Live
+                && matches!(&it.instance.role, Role::Engine(of) if of == model)
+        })
+    }
+
+    /// Whether a live instance of a plain service is known.
+    pub fn has_plain(&self, service: &Service) -> bool {
+        let known = self.known.read().expect("list lock is poisoned");
+        known.values().any(|it| serves(it, service))
+    }
+
+    /// Picks the live instance of a plain service with the fewest running calls, one in `domain`
+    /// before others, passing over those in `tried`.
+    pub fn pick(
+        &self,
+        service: &Service,
+        domain: &Domain,
+        tried: &[Upstream],
+    ) -> Option<(Instance, Running)> {
+        let known = self.known.read().expect("list lock is poisoned");
+        let fit = known
+            .values()
+            .filter(|it| serves(it, service) && !tried.contains(&it.instance.name));
+        let best = fit.min_by_key(|it| {
+            let elsewhere = it.instance.domain != *domain;
+            (elsewhere, it.running.load(Ordering::Acquire))
+        })?;
+        best.running.fetch_add(1, Ordering::AcqRel);
+        Some((best.instance.clone(), Running(Arc::clone(&best.running))))
+    }
+}
+
+fn kept(before: &Instance, now: &Instance) -> State {
+    if before.state == State::Leaving && before.address == now.address {
+        return State::Leaving;
+    }
+    now.state
+}
+
+fn serves(it: &Known, service: &Service) -> bool {
+    it.instance.state == State::Live
+        && matches!(&it.instance.role, Role::Plain(of) if of == service)
+}
--- /dev/null
+++ b/crates/entry/src/process.rs
@@ -0,0 +1,187 @@
+//! The life of the process: start, serve, shut down.
+
+use std::{
+    net::TcpListener,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use derive_more::{Display, Error};
+use kernel::clock;
+use serve::{Drained, Limits, Server};
+use signal_hook::{
+    consts::{SIGINT, SIGTERM},
+    iterator::Signals,
+};
+use telemetry::metrics::Metrics;
+
+use crate::{
+    host::{Host, Parts},
+    peers::Answers,
+    plugin::{Crew, Phase},
+    readiness::Stage,
+    route::Router,
+    settings::{Form, Level, Settings},
+};
+
+/// How long a host that leaves stays reachable, so that others learn of it before it closes.
+const LEAVE_NOTICE: Duration = Duration::from_millis(1000);
+
+/// Why the process could not start or did not end well.
+#[derive(Debug, Display, Error)]
+pub enum Failure {
+    /// Logs could not be set up.
+    #[display("logs can't be written: {_0}")]
+    Log(telemetry::log::Failure),
+    /// The callers' address could not be used.
+    #[display("callers' address {address}: {source}")]
+    Callers {
+        /// The address.
+        address: std::net::SocketAddr,
+        /// What the operating system said.
+        source: std::io::Error,
+    },
+    /// The HTTP server could not start.
+    #[display("the callers' port can't be served: {_0}")]
+    Serve(serve::Failure),
+    /// The sockets between hosts could not be opened.
+    #[display("the peers' port can't be served: {_0}")]
+    Peer(peer::Failure),
+    /// A thread or a signal handler could not be started.
+    #[display("a thread can't be started: {_0}")]
+    System(std::io::Error),
+    /// Requests were cut by the shutdown.
+    #[display("the shutdown cut {_0} running requests")]
+    Cut(#[error(not(source))] usize),
+}
+
+/// Runs an entry host until it is told to stop.
+pub fn run(settings: Settings) -> Result<(), Failure> {
+    let logs = telemetry::log::start(log_settings(&settings)).map_err(Failure::Log)?;
+    let metrics = Metrics::new();
+    let limits = Limits {
+        workers: settings.workers as usize,
+        ..Limits::default()
+    };
+    let drain = Duration::from_secs(u64::from(settings.drain_seconds));
+    let listener = TcpListener::bind(settings.callers).map_err(|source| Failure::Callers {
+        address: settings.callers,
+        source,
+    })?;
+    let host = Arc::new(Host::new(Parts {
+        settings,
+        clock: Arc::new(clock::System),
+        metrics,
+    }));
+    let signals = Signals::new([SIGTERM, SIGINT]).map_err(Failure::System)?;
+    let peers = open_peers(&host)?;
+    let router = Arc::new(Router::new(Arc::clone(&host)));
+    let server = Server::start(listener, limits, router).map_err(Failure::Serve)?;
+    let service = Crew::start(&host, Phase::Service).map_err(Failure::System)?;
+    let intake = match Crew::start(&host, Phase::Intake) {
+        Ok(it) => it,
+        Err(error) => {
+            service.join();
+            return Err(Failure::System(error));
+        }
+    };
+    log::info!(target: "entry", "Host {} of {} serves callers on {}.", host.me.host, host.settings.domain, server.address());
+    let res = serve_until_told(&host, signals, server, intake, drain);
+    service.join();
+    peers.stop();
+    log::info!(target: "entry", "Host {} has ended.", host.me.host);
+    drop(logs);
+    res
+}
+
+fn log_settings(settings: &Settings) -> telemetry::log::Settings {
+    telemetry::log::Settings {
+        level: match settings.log.level {
+            Level::Error => log::LevelFilter::Error,
+            Level::Warn => log::LevelFilter::Warn,
+            Level::Info => log::LevelFilter::Info,
+            Level::Debug => log::LevelFilter::Debug,
+            Level::Trace => log::LevelFilter::Trace,
+        },
+        form: match settings.log.form {
+            Form::Text => telemetry::log::Form::Text,
+            Form::Json => telemetry::log::Form::Json,
+        },
+    }
+}
+
+fn open_peers(host: &Arc<Host>) -> Result<peer::Service, Failure> {
+    let settings = peer::Settings {
+        me: member::Me {
+            holder: host.me.clone(),
+            domain: host.settings.domain.clone(),
+            address: host.settings.peers,
+        },
+        listen: host.settings.peers,
+        key: host.settings.cluster_key.bytes().to_vec(),
+        seeds: host.settings.seeds.clone(),
+    };
+    let answers = Arc::new(Answers(Arc::clone(host)));
+    let service = peer::Service::start(settings, answers, Arc::clone(&host.clock));
+    let service = service.map_err(Failure::Peer)?;
+    host.peer
+        .set(service.handle())
+        .unwrap_or_else(|_| unreachable!("the peer handle is set once"));
+    Ok(service)
+}
+
+/// Waits for the first signal, then shuts down; a second signal cuts what still runs.
+fn serve_until_told(
+    host: &Arc<Host>,
+    mut signals: Signals,
+    server: Server,
+    intake: Crew,
+    drain: Duration,
+) -> Result<(), Failure> {
+    println!("callers {}", server.address());
+    signals.forever().next();
+    log::info!(target: "entry", "Shutting down: {} requests run.", server.in_flight());
+    host.readiness.reach(Stage::Leaving);
+    intake.join();
+    if let Some(peer) = host.peer.get() {
+        peer.leave();
+    }
+    std::thread::sleep(LEAVE_NOTICE);
+    let drained = drain_until(&server, &mut signals, drain);
+    server.stop();
+    match drained {
+        Drained::Whole => Ok(()),
+        Drained::Cut(count) => {
+            log::warn!(target: "entry", "The shutdown cut {count} running requests.");
+            Err(Failure::Cut(count))
+        }
+    }
+}
+
+/// Drains the server; a signal meanwhile brings the end forward.
+fn drain_until(server: &Server, signals: &mut Signals, limit: Duration) -> Drained {
+    let handle = signals.handle();
+    let cut = AtomicUsize::new(0);
+    std::thread::scope(|scope| {
+        let watcher = scope.spawn(|| {
+            if signals.forever().next().is_some() {
+                log::warn!(target: "entry", "A second signal ends the shutdown at once.");
+                if let Drained::Cut(count) = server.drain(Duration::ZERO) {
+                    cut.store(count, Ordering::Release);
+                }
+            }
+        });
+        let drained = server.drain(limit);
+        handle.close();
+        if watcher.join().is_err() {
+            log::error!(target: "entry", "The signal thread panicked.");
+        }
+        match cut.load(Ordering::Acquire) {
+            0 => drained,
+            count => Drained::Cut(count),
+        }
+    })
+}
--- /dev/null
+++ b/crates/entry/src/route/explain.rs
@@ -0,0 +1,50 @@
+//! `GET /v1/explain/REQUEST-ID`.
+
+use std::sync::Arc;
+
+use kernel::{
+    fault::{Fault, Kind},
+    registry::inventory,
+};
+use serde_json::{Value, json};
+use serve::{Request, Responder};
+
+use crate::{
+    flow,
+    host::Host,
+    plugin::{Path, Route},
+    route,
+};
+
+const PREFIX: &str = "/v1/explain/";
+
+inventory::submit! {
+    Route {
+        name: "explain",
+        methods: &["GET"],
+        path: Path::Below(PREFIX),
+        handle,
+    }
+}
+
+fn handle(host: &Arc<Host>, request: Request, responder: Responder) {
+    let id = &request.path[PREFIX.len()..];
+    match find(host, id) {
+        Some(it) => responder.send(route::json(200, &it)),
+        None => {
+            let detail = format!("host {} remembers no request {id:?}", host.me.host);
+            let fault = Fault::new(Kind::UnknownPath, detail);
+            flow::refuse(host, None, &fault, responder);
+        }
+    }
+}
+
+fn find(host: &Host, id: &str) -> Option<Value> {
+    let steps = host.trace.steps(id)?;
+    Some(json!({ "request": id, "host": host.me.host.as_str(), "steps": steps }))
+}
+
+/// What this host decided for a request, as JSON text.
+pub fn report(host: &Host, id: &str) -> Option<String> {
+    find(host, id).map(|it| it.to_string())
+}
