Add the steward's state machine and the routing directory

Pure decisions: a permit pins an adapter on an engine, waiters of one adapter share one load, loads are paced by a share of the store's limits, a request that can't be served in time is refused at once, adapters of an earlier steward that may still act get no new work. Thirteen runs of events in crates/steward/tests/state.rs show single decisions; nothing is measured yet.

--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -1,1 +1,16 @@
 //! The decisions of the steward of an engine: placement, loads, eviction, admission. No I/O here.
+
+mod adapter;
+mod budget;
+mod engine;
+pub mod event;
+mod permits;
+mod popularity;
+pub mod route;
+pub mod settings;
+pub mod state;
+mod waiters;
+
+pub use event::{Action, Event, Order, Predecessor, Settled, Ticket};
+pub use settings::{Objective, Settings};
+pub use state::State;
--- /dev/null
+++ b/crates/steward/src/settings.rs
@@ -0,0 +1,69 @@
+//! What operators can set for the decisions of a steward.
+
+use std::time::Duration;
+
+/// How much each of the two measures weighs when they pull in opposite directions.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Objective {
+    /// Weight of the time that requests wait for their adapter.
+    pub load_stall: f64,
+    /// Weight of how fully the engines in use are used.
+    pub batch_efficiency: f64,
+}
+
+impl Default for Objective {
+    fn default() -> Self {
+        Self {
+            load_stall: 1.0,
+            batch_efficiency: 0.0,
+        }
+    }
+}
+
+/// The settings of a [`State`](crate::State).
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// The weights of the two measures.
+    pub objective: Objective,
+    /// A permit is void if its request has not been sent within this time.
+    pub start_by: Duration,
+    /// How long a pin outlasts the deadline of its request.
+    pub run_margin: Duration,
+    /// The longest deadline that any request may have.
+    pub longest_deadline: Duration,
+    /// How long a load takes until loads have been seen.
+    pub load_time: Duration,
+    /// A load order without a result settles as lost after this time.
+    pub load_timeout: Duration,
+    /// How long an adapter whose load failed is left alone at first.
+    pub load_backoff: Duration,
+    /// The longest time that an adapter whose loads fail is left alone.
+    pub longest_load_backoff: Duration,
+    /// How long one token takes until permits have been released.
+    pub token_time: Duration,
+    /// Requests that run together on an engine until it reports its capacity.
+    pub capacity: u32,
+    /// The most requests that may wait.
+    pub max_waiting: usize,
+    /// The time in which the popularity of an adapter that nobody asks for halves.
+    pub half_life: Duration,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            objective: Objective::default(),
+            start_by: Duration::from_secs(1),
+            run_margin: Duration::from_secs(2),
+            longest_deadline: Duration::from_mins(1),
+            load_time: Duration::from_millis(250),
+            load_timeout: Duration::from_secs(10),
+            load_backoff: Duration::from_millis(250),
+            longest_load_backoff: Duration::from_secs(8),
+            token_time: Duration::from_millis(20),
+            capacity: 16,
+            max_waiting: 1024,
+            half_life: Duration::from_secs(90),
+        }
+    }
+}
--- /dev/null
+++ b/crates/steward/src/state/admission.rs
@@ -0,0 +1,230 @@
+//! Whether a request may wait, and what becomes of it while it does.
+
+use std::time::{Duration, Instant};
+
+use kernel::{
+    arena::Key,
+    fault::{Fault, Kind},
+    permit::{Ask, Verdict},
+};
+
+use super::State;
+use crate::{
+    adapter::{Adapter, Rank},
+    event::{Action, Ticket},
+    waiters::Waiter,
+};
+
+/// Whether a waiting request can still be served in time.
+enum Outlook {
+    Hopeful(Instant),
+    Hopeless(Kind),
+}
+
+impl State {
+    pub(super) fn ask(&mut self, ticket: Ticket, ask: Ask, now: Instant) {
+        if !self.has_engine_for(&ask.model) {
+            self.actions.push(Action::Redirect { ticket });
+            return;
+        }
+        let key = self.intern(&ask.reference, &ask.model, now);
+        if let Some(adapter) = self.adapters.get_mut(key) {
+            adapter.popularity.count(self.settings.half_life, now);
+        }
+        if let Some(fault) = self.objection(key, &ask, now) {
+            self.refuse(ticket, fault);
+            return;
+        }
+        if !self.make_room(&ask) {
+            let wait = self.expected_wait(key, now).unwrap_or(self.load_time);
+            let detail = format!("tenant {} has the most waiting requests", ask.tenant);
+            self.refuse(ticket, Fault::new(Kind::TenantLimit, detail).after(wait));
+            return;
+        }
+        self.enqueue(ticket, ask, key, now);
+        self.grant_adapter(key, now);
+        self.requeue(key);
+    }
+
+    fn enqueue(&mut self, ticket: Ticket, ask: Ask, key: Key<Adapter>, now: Instant) {
+        let tag = self.waiters.tag(&ask.tenant, ask.max_tokens);
+        let rank = Rank::new(ask.class, tag, ticket);
+        let deadline = now + ask.remaining;
+        let stalled = self.adapters.get(key).is_none_or(|it| it.ready.is_empty());
+        let waiter = Waiter {
+            adapter: key,
+            rank,
+            arrived: now,
+            deadline,
+            check: now,
+            stalled: stalled.then_some(now),
+            stall: Duration::ZERO,
+            ask,
+        };
+        self.waiters.insert(ticket, waiter);
+        if let Some(adapter) = self.adapters.get_mut(key) {
+            adapter.waiting.insert(rank);
+        }
+    }
+
+    /// Why a request can't be served in time, if it can't.
+    fn objection(&mut self, key: Key<Adapter>, ask: &Ask, now: Instant) -> Option<Fault> {
+        let adapter = self.adapters.get(key)?;
+        let is_loaded = !adapter.ready.is_empty();
+        let blocked = adapter
+            .retry_at
+            .filter(|it| adapter.failures > 2 && *it > now);
+        if !is_loaded && adapter.coming == 0 {
+            let blocked = blocked.or(self.store.probe_at.filter(|it| *it > now));
+            if let Some(until) = blocked {
+                let detail = format!("loads of {} fail at present", ask.reference);
+                return Some(Fault::new(Kind::LoadFailed, detail).after(until - now));
+            }
+        }
+        let wait = self.expected_wait(key, now)?;
+        if wait + self.service_time(ask.max_tokens) <= ask.remaining {
+            return None;
+        }
+        let kind = if is_loaded {
+            Kind::Overloaded
+        } else {
+            Kind::LoadTooLate
+        };
+        let detail = format!("{} would wait {} ms", ask.reference, wait.as_millis());
+        Some(Fault::new(kind, detail).after(wait))
+    }
+
+    /// How long a new request for an adapter would wait; none if that can't be told.
+    fn expected_wait(&mut self, key: Key<Adapter>, now: Instant) -> Option<Duration> {
+        let adapter = self.adapters.get(key)?;
+        if !adapter.ready.is_empty() {
+            return Some(self.batch_wait(key));
+        }
+        if adapter.coming > 0 {
+            return Some(self.load_time);
+        }
+        let retry = adapter
+            .retry_at
+            .map_or(Duration::ZERO, |it| it.saturating_duration_since(now));
+        let others = self.pending.len() - usize::from(self.pending.contains(&key));
+        let token = self.budget.wait(others, now)?;
+        Some(token.max(retry) + self.load_time)
+    }
+
+    /// How long a request for a loaded adapter waits for room in a batch.
+    pub(super) fn batch_wait(&self, key: Key<Adapter>) -> Duration {
+        let Some(adapter) = self.adapters.get(key) else {
+            return Duration::ZERO;
+        };
+        let mut waiting = 0;
+        let mut capacity = 0;
+        for engine in adapter.ready.iter().filter_map(|it| self.engines.get(*it)) {
+            if engine.has_room() {
+                return Duration::ZERO;
+            }
+            capacity += engine.capacity;
+            let slots = engine.contents.iter();
+            waiting += slots
+                .filter_map(|it| self.adapters.get(it.adapter))
+                .map(|it| it.waiting.len())
+                .sum::<usize>();
+        }
+        let turns = u32::try_from(waiting).unwrap_or(u32::MAX).saturating_add(1);
+        self.hold_time.saturating_mul(turns) / capacity.max(1)
+    }
+
+    /// How long an answer takes once its request runs.
+    fn service_time(&self, max_tokens: u32) -> Duration {
+        self.token_time.saturating_mul(max_tokens)
+    }
+
+    /// Makes room in the queue at the expense of the tenant that fills it most.
+    fn make_room(&mut self, ask: &Ask) -> bool {
+        if self.waiters.len() < self.settings.max_waiting {
+            return true;
+        }
+        let own = self.waiters.of(&ask.tenant);
+        let Some((largest, count)) = self.waiters.largest() else {
+            return false;
+        };
+        if count <= own + 1 {
+            return false;
+        }
+        let largest = largest.clone();
+        let Some(ticket) = self.waiters.last_of(&largest) else {
+            return false;
+        };
+        let detail = format!("tenant {largest} has the most waiting requests");
+        self.refuse_waiter(ticket, Kind::TenantLimit, &detail);
+        true
+    }
+
+    pub(super) fn withdraw(&mut self, ticket: Ticket) {
+        self.take_waiter(ticket);
+    }
+
+    /// Removes a request from every queue.
+    pub(super) fn take_waiter(&mut self, ticket: Ticket) -> Option<Waiter> {
+        let waiter = self.waiters.remove(ticket)?;
+        let adapter = self.adapters.get_mut(waiter.adapter)?;
+        adapter.waiting.remove(&waiter.rank);
+        if adapter.waiting.is_empty() {
+            self.pending.remove(&waiter.adapter);
+        }
+        Some(waiter)
+    }
+
+    fn refuse(&mut self, ticket: Ticket, fault: Fault) {
+        let verdict = Verdict::Refused(fault);
+        self.actions.push(Action::Answer { ticket, verdict });
+    }
+
+    pub(super) fn refuse_waiter(&mut self, ticket: Ticket, kind: Kind, detail: &str) {
+        if self.take_waiter(ticket).is_none() {
+            return;
+        }
+        let fault = Fault::new(kind, detail).after(self.load_time);
+        self.refuse(ticket, fault);
+    }
+
+    /// Refuses each waiting request as soon as it can't be served in time any more.
+    pub(super) fn check_waiters(&mut self, now: Instant) {
+        while let Some(ticket) = self.waiters.due(now) {
+            match self.outlook(ticket, now) {
+                Outlook::Hopeful(check) => self.waiters.check_at(ticket, check),
+                Outlook::Hopeless(kind) => {
+                    self.refuse_waiter(ticket, kind, "the deadline can't be met any more");
+                }
+            }
+        }
+    }
+
+    fn outlook(&self, ticket: Ticket, now: Instant) -> Outlook {
+        let Some(waiter) = self.waiters.get(ticket) else {
+            return Outlook::Hopeless(Kind::Internal);
+        };
+        let service = self.service_time(waiter.ask.max_tokens);
+        let Some(start_by) = waiter.deadline.checked_sub(service) else {
+            return Outlook::Hopeless(Kind::DeadlineBeforeStart);
+        };
+        let Some(adapter) = self.adapters.get(waiter.adapter) else {
+            return Outlook::Hopeless(Kind::Internal);
+        };
+        if !adapter.ready.is_empty() {
+            return outlook(start_by, Kind::Overloaded, now);
+        }
+        if adapter.coming > 0 {
+            return outlook(start_by, Kind::LoadTooLate, now);
+        }
+        let load_by = start_by.checked_sub(self.load_time).unwrap_or(now);
+        outlook(load_by, Kind::LoadTooLate, now)
+    }
+}
+
+fn outlook(by: Instant, kind: Kind, now: Instant) -> Outlook {
+    if by > now {
+        Outlook::Hopeful(by)
+    } else {
+        Outlook::Hopeless(kind)
+    }
+}
--- /dev/null
+++ b/crates/steward/tests/state.rs
@@ -0,0 +1,353 @@
+//! Single decisions of the steward's state machine, each shown by a short run of events.
+
+use std::time::{Duration, Instant};
+
+use kernel::{
+    permit::{Ask, Holder, Number, Outcome, Permit, Verdict},
+    request::Class,
+    service::{Fencing, Instance, Role, State as Availability},
+};
+use steward::{Action, Event, Order, Predecessor, Settings, Settled, State, Ticket};
+
+const SLOTS: u32 = 2;
+
+/// A steward of engines with two slots each, at an instant that tests move.
+struct Fixture {
+    state: State,
+    now: Instant,
+    tickets: u64,
+}
+
+fn instance(name: &str, state: Availability) -> Instance {
+    Instance {
+        name: name.parse().unwrap(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        domain: "north".parse().unwrap(),
+        role: Role::Engine("base".parse().unwrap()),
+        state,
+    }
+}
+
+fn holder(incarnation: u64) -> Holder {
+    Holder {
+        host: "entry".parse().unwrap(),
+        incarnation,
+    }
+}
+
+impl Fixture {
+    fn new(engines: &[&str]) -> Self {
+        let mut fixture = Self {
+            state: State::new(Settings::default()),
+            now: Instant::now(),
+            tickets: 0,
+        };
+        fixture.handle(Event::Share {
+            rate_per_second: 4.0,
+            full_speed: 2,
+            in_flight: 4,
+        });
+        // A new share starts with an empty bucket.
+        fixture.pass(1_000);
+        for engine in engines {
+            fixture.take(engine, 7, Predecessor::None);
+            fixture.report(engine, 1, &[]);
+        }
+        fixture
+    }
+
+    fn handle(&mut self, event: Event) -> Vec<Action> {
+        let actions = self.state.handle(event, self.now);
+        let is_told = |it: &Action| {
+            !matches!(
+                it,
+                Action::Publish { .. } | Action::PublishBacklog { .. } | Action::Inspect { .. }
+            )
+        };
+        actions.into_iter().filter(is_told).collect()
+    }
+
+    fn pass(&mut self, millis: u64) -> Vec<Action> {
+        self.now += Duration::from_millis(millis);
+        self.handle(Event::Tick)
+    }
+
+    fn take(&mut self, engine: &str, fence: u64, predecessor: Predecessor) {
+        self.handle(Event::Took {
+            engine: instance(engine, Availability::Live),
+            fence,
+            fencing: Fencing::Ignored,
+            predecessor,
+        });
+    }
+
+    fn report(&mut self, engine: &str, incarnation: u64, loaded: &[(&str, u32)]) -> Vec<Action> {
+        let loaded = loaded
+            .iter()
+            .map(|(it, running)| (it.parse().unwrap(), *running));
+        self.handle(Event::Report {
+            engine: engine.parse().unwrap(),
+            asked: self.now,
+            incarnation,
+            slots: SLOTS,
+            loaded: loaded.collect(),
+        })
+    }
+
+    fn ask(&mut self, reference: &str) -> Vec<Action> {
+        self.ask_within(reference, 10_000, "tenant")
+    }
+
+    fn ask_within(&mut self, reference: &str, millis: u64, tenant: &str) -> Vec<Action> {
+        self.tickets += 1;
+        let ask = Ask {
+            request: format!("r{}", self.tickets).parse().unwrap(),
+            holder: holder(1),
+            reference: reference.parse().unwrap(),
+            model: "base".parse().unwrap(),
+            tenant: tenant.parse().unwrap(),
+            class: Class::Standard,
+            remaining: Duration::from_millis(millis),
+            prefix: 0,
+            max_tokens: 10,
+        };
+        let ticket = Ticket(self.tickets);
+        self.handle(Event::Ask { ticket, ask })
+    }
+
+    fn end(&mut self, order: Order, result: Settled) -> Vec<Action> {
+        self.handle(Event::Ordered { order, result })
+    }
+
+    /// Loads an adapter for one request, and returns its permit.
+    fn load(&mut self, reference: &str) -> Permit {
+        let (order, ..) = load_of(&self.ask(reference));
+        granted(&self.end(order, Settled::Done))
+    }
+
+    fn release(&mut self, number: Number) -> Vec<Action> {
+        self.handle(Event::Release {
+            number,
+            outcome: Outcome::Whole,
+        })
+    }
+}
+
+#[track_caller]
+fn load_of(actions: &[Action]) -> (Order, String) {
+    match actions {
+        [Action::Load { order, loaded, .. }] => (*order, loaded.to_string()),
+        other => panic!("expected one load order, got {other:?}"),
+    }
+}
+
+#[track_caller]
+fn unload_of(actions: &[Action]) -> (Order, String) {
+    match actions {
+        [Action::Unload { order, loaded, .. }] => (*order, loaded.to_string()),
+        other => panic!("expected one unload order, got {other:?}"),
+    }
+}
+
+#[track_caller]
+fn granted(actions: &[Action]) -> Permit {
+    match actions {
+        [
+            Action::Answer {
+                verdict: Verdict::Granted(permit),
+                ..
+            },
+        ] => permit.clone(),
+        other => panic!("expected one permit, got {other:?}"),
+    }
+}
+
+#[track_caller]
+fn refused(actions: &[Action]) -> &'static str {
+    match actions {
+        [
+            Action::Answer {
+                verdict: Verdict::Refused(fault),
+                ..
+            },
+        ] => {
+            assert!(
+                fault.retry_after.is_some(),
+                "{fault} says when to come back"
+            );
+            fault.kind.word()
+        }
+        other => panic!("expected one refusal, got {other:?}"),
+    }
+}
+
+/// Requests for one adapter share one load, and each gets its own permit.
+#[test]
+fn one_load_serves_all_waiters() {
+    let mut fixture = Fixture::new(&["e1"]);
+    let (order, loaded) = load_of(&fixture.ask("s/a@1"));
+    assert_eq!(loaded, format!("s/a@1+{}", (7_u64 << 32) | 1));
+    assert_eq!(fixture.ask("s/a@1"), []);
+    fixture.pass(250);
+    let actions = fixture.end(order, Settled::Done);
+    assert_eq!(actions.len(), 2);
+    let permit = granted(&actions[..1]);
+    assert_eq!(permit.load_stall, Duration::from_millis(250));
+    assert_eq!(permit.loaded.to_string(), loaded);
+}
+
+/// A pinned adapter is not evicted; it is as soon as its permit is released.
+#[test]
+fn pinned_adapters_stay() {
+    let mut fixture = Fixture::new(&["e1"]);
+    let first = fixture.load("s/a@1");
+    fixture.load("s/b@1");
+    fixture.pass(2_000);
+    assert_eq!(fixture.ask("s/c@1"), []);
+    let (order, unloaded) = unload_of(&fixture.release(first.number));
+    assert_eq!(unloaded, first.loaded.to_string());
+    load_of(&fixture.end(order, Settled::Done));
+}
+
+/// An engine that answers that an adapter is busy keeps it, and the load goes elsewhere or waits.
+#[test]
+fn busy_adapters_stay() {
+    let mut fixture = Fixture::new(&["e1"]);
+    for reference in ["s/a@1", "s/b@1"] {
+        let permit = fixture.load(reference);
+        fixture.release(permit.number);
+        fixture.pass(1_000);
+    }
+    let (order, first) = unload_of(&fixture.ask("s/c@1"));
+    let (_, second) = unload_of(&fixture.end(order, Settled::Busy));
+    assert_ne!(first, second);
+}
+
+/// A pin ends when its holder's incarnation has ended and the engine reports the adapter idle.
+#[test]
+fn pins_end_with_their_holder() {
+    let mut fixture = Fixture::new(&["e1"]);
+    let first = fixture.load("s/a@1").loaded.to_string();
+    let second = fixture.load("s/b@1").loaded.to_string();
+    fixture.pass(1_000);
+    assert_eq!(fixture.ask("s/c@1"), []);
+    fixture.handle(Event::HolderGone { holder: holder(1) });
+    fixture.pass(10);
+    let actions = fixture.report("e1", 1, &[(&first, 0), (&second, 1)]);
+    assert_eq!(unload_of(&actions).1, first);
+}
+
+/// A request that can't get its adapter in time is refused at once.
+#[test]
+fn late_loads_are_refused_at_once() {
+    let mut fixture = Fixture::new(&["e1"]);
+    assert_eq!(
+        refused(&fixture.ask_within("s/a@1", 300, "t")),
+        "load-too-late"
+    );
+}
+
+/// A request whose load can't begin in time is refused when that is certain, before its deadline.
+#[test]
+fn blocked_loads_are_refused_before_the_deadline() {
+    let mut fixture = Fixture::new(&["e1"]);
+    fixture.load("s/a@1");
+    fixture.load("s/b@1");
+    fixture.pass(1_000);
+    assert_eq!(fixture.ask_within("s/c@1", 1_000, "t"), []);
+    let due = fixture.state.next_tick().unwrap() - fixture.now;
+    assert!(due < Duration::from_secs(1), "{due:?}");
+    fixture.now += due;
+    assert_eq!(refused(&fixture.handle(Event::Tick)), "load-too-late");
+}
+
+/// Adapters of an earlier steward that may still act get no new work, and stay until they are
+/// known to be idle.
+#[test]
+fn foreign_adapters_get_no_new_work() {
+    let mut fixture = Fixture::new(&[]);
+    fixture.take("e1", 9, Predecessor::Unknown);
+    fixture.report("e1", 1, &[("s/a@1+1", 1), ("s/b@1+2", 0)]);
+    assert_eq!(fixture.ask("s/a@1"), []);
+    fixture.pass(3_000);
+    let actions = fixture.report("e1", 1, &[("s/a@1+1", 1), ("s/b@1+2", 0)]);
+    assert_eq!(unload_of(&actions).1, "s/b@1+2");
+}
+
+/// Adapters of a steward that has released its engine are adopted without a load.
+#[test]
+fn released_adapters_are_adopted() {
+    let mut fixture = Fixture::new(&[]);
+    fixture.take("e1", 9, Predecessor::Released);
+    fixture.report("e1", 1, &[("s/a@1+1", 0)]);
+    assert_eq!(granted(&fixture.ask("s/a@1")).loaded.to_string(), "s/a@1+1");
+}
+
+/// An engine that is leaving gets no new permit.
+#[test]
+fn leaving_engines_get_nothing_new() {
+    let mut fixture = Fixture::new(&["e1", "e2"]);
+    let permit = fixture.load("s/a@1");
+    let engine = instance(permit.upstream.as_str(), Availability::Leaving);
+    fixture.handle(Event::Changed { engine });
+    match &fixture.ask("s/a@1")[..] {
+        [Action::Load { engine, .. }] => assert_ne!(*engine, permit.upstream),
+        other => panic!("expected a load on the other engine, got {other:?}"),
+    }
+}
+
+/// When the last engine is lost, waiting requests are sent elsewhere, not refused.
+#[test]
+fn lost_engines_redirect_their_queue() {
+    let mut fixture = Fixture::new(&["e1"]);
+    fixture.ask("s/a@1");
+    let engine = "e1".parse().unwrap();
+    let ticket = Ticket(1);
+    assert_eq!(
+        fixture.handle(Event::Lost { engine }),
+        [Action::Redirect { ticket }]
+    );
+    let ticket = Ticket(2);
+    assert_eq!(fixture.ask("s/a@1"), [Action::Redirect { ticket }]);
+}
+
+/// A restart empties an engine: what was loaded is loaded again for the next request.
+#[test]
+fn restarts_empty_the_engine() {
+    let mut fixture = Fixture::new(&["e1"]);
+    let permit = fixture.load("s/a@1");
+    fixture.release(permit.number);
+    fixture.pass(1_000);
+    fixture.report("e1", 2, &[]);
+    load_of(&fixture.ask("s/a@1"));
+}
+
+/// A load without an answer keeps its slot until a report shows what became of it.
+#[test]
+fn reports_settle_unanswered_loads() {
+    let mut fixture = Fixture::new(&["e1"]);
+    let (order, loaded) = load_of(&fixture.ask("s/a@1"));
+    fixture.end(order, Settled::Unknown);
+    fixture.pass(100);
+    assert_eq!(
+        granted(&fixture.report("e1", 1, &[(&loaded, 0)]))
+            .loaded
+            .to_string(),
+        loaded
+    );
+}
+
+/// While the store is down, loaded adapters are served and others are refused at once.
+#[test]
+fn store_outages_spare_loaded_adapters() {
+    let mut fixture = Fixture::new(&["e1", "e2"]);
+    fixture.load("s/a@1");
+    let failed = || Settled::Failed("store is down".to_owned());
+    for reference in ["s/b@1", "s/c@1", "s/d@1"] {
+        fixture.pass(1_000);
+        let (order, _) = load_of(&fixture.ask(reference));
+        fixture.end(order, failed());
+    }
+    assert_eq!(refused(&fixture.ask("s/e@1")), "load-failed");
+    granted(&fixture.ask("s/a@1"));
+}
