--- /dev/null
+++ b/crates/serve/src/response.rs
@@ -0,0 +1,69 @@
+//! Answers, and the one place where a fault becomes an answer.
+
+use std::{fmt::Write as _, time::Duration};
+
+use hyper::StatusCode;
+use kernel::fault::Fault;
+use serde_json::json;
+
+/// A whole answer.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Response {
+    /// HTTP status.
+    pub status: u16,
+    /// Header fields; the server adds `Content-Length` and `Date`.
+    pub headers: Vec<(String, String)>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+/// Builds the answer that tells a caller of a fault.
+pub fn refusal(fault: &Fault, request_id: Option<&str>) -> Response {
+    let answer = fault.kind.answer();
+    let body = json!({"error": {
+        "kind": answer.word,
+        "message": fault.detail,
+        "ran": answer.ran.as_str(),
+        "request_id": request_id,
+    }});
+    let mut headers = vec![field("Content-Type", "application/json")];
+    headers.extend(request_id.map(|it| field("X-Request-Id", it)));
+    headers.extend(
+        fault
+            .retry_after
+            .map(|it| field("Retry-After", &whole_seconds(it).to_string())),
+    );
+    Response {
+        status: answer.status,
+        headers,
+        body: body.to_string().into_bytes(),
+    }
+}
+
+fn field(name: &str, value: &str) -> (String, String) {
+    (name.to_owned(), value.to_owned())
+}
+
+fn whole_seconds(span: Duration) -> u64 {
+    span.as_secs() + u64::from(span.subsec_nanos() > 0)
+}
+
+/// The bytes of an answer that ends its connection, for when the parser can't go on.
+pub(crate) fn encode_last(response: &Response) -> Vec<u8> {
+    let reason = StatusCode::from_u16(response.status)
+        .ok()
+        .and_then(|it| it.canonical_reason())
+        .unwrap_or_default();
+    let mut head = format!("HTTP/1.1 {} {reason}\r\n", response.status);
+    for (name, value) in &response.headers {
+        let _ = write!(head, "{name}: {value}\r\n");
+    }
+    let length = response.body.len();
+    let _ = write!(
+        head,
+        "Content-Length: {length}\r\nConnection: close\r\n\r\n"
+    );
+    let mut bytes = head.into_bytes();
+    bytes.extend_from_slice(&response.body);
+    bytes
+}
--- /dev/null
+++ b/crates/serve/src/worker.rs
@@ -0,0 +1,76 @@
+//! The pool of threads that run handlers.
+
+use std::{
+    io, iter,
+    panic::{AssertUnwindSafe, catch_unwind},
+    sync::{
+        Arc, Mutex, PoisonError,
+        mpsc::{Receiver, SyncSender, sync_channel},
+    },
+    thread::{self, JoinHandle},
+};
+
+use crate::{request::Request, responder::Responder, server::Handler};
+
+/// A request on its way to a worker.
+pub(crate) struct Job {
+    pub(crate) request: Request,
+    pub(crate) responder: Responder,
+}
+
+/// The threads; they end once every sender of jobs is dropped.
+pub(crate) struct Pool {
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Pool {
+    /// Starts the threads and gives the way to them.
+    pub(crate) fn start(
+        workers: usize,
+        queue: usize,
+        handler: Arc<dyn Handler>,
+    ) -> io::Result<(Self, SyncSender<Job>)> {
+        let (sender, receiver) = sync_channel(queue);
+        let receiver = Arc::new(Mutex::new(receiver));
+        let threads = iter::repeat_n((receiver, handler), workers)
+            .enumerate()
+            .map(|(index, (receiver, handler))| spawn(index, receiver, handler))
+            .collect::<io::Result<_>>()?;
+        Ok((Self { threads }, sender))
+    }
+
+    /// Waits until every thread has ended.
+    pub(crate) fn join(self) {
+        for thread in self.threads {
+            if thread.join().is_err() {
+                log::error!(target: "serve", "A worker panicked outside of a handler.");
+            }
+        }
+    }
+}
+
+type Jobs = Arc<Mutex<Receiver<Job>>>;
+
+fn spawn(index: usize, jobs: Jobs, handler: Arc<dyn Handler>) -> io::Result<JoinHandle<()>> {
+    thread::Builder::new()
+        .name(format!("serve-worker-{index}"))
+        .spawn(move || while run_next(&jobs, &*handler).is_some() {})
+}
+
+fn run_next(jobs: &Jobs, handler: &dyn Handler) -> Option<()> {
+    let job = next(jobs)?;
+    if job.responder.gone() {
+        return Some(());
+    }
+    // The responder is dropped when the handler panics, which answers the caller.
+    let run = AssertUnwindSafe(|| handler.handle(job.request, job.responder));
+    if catch_unwind(run).is_err() {
+        log::error!(target: "serve", "A handler panicked.");
+    }
+    Some(())
+}
+
+fn next(jobs: &Jobs) -> Option<Job> {
+    let jobs = jobs.lock().unwrap_or_else(PoisonError::into_inner);
+    jobs.recv().ok()
+}
