--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -34,7 +34,7 @@
     /// A hash of the start of the prompt.
     pub prefix: u64,
     /// The body as it came, for the engine.
-    pub body: Map<String, Value>,
+    pub body: Value,
 }
 
 /// Checks a caller's body.
@@ -60,7 +60,7 @@
         delivery: delivery(&body)?,
         max_tokens: max_tokens(&body)?,
         prefix: prefix(messages),
-        body,
+        body: Value::Object(body),
     })
 }
 
@@ -104,6 +104,12 @@
     bytes.fold(OFFSET, |hash, it| (hash ^ u64::from(it)).wrapping_mul(PRIME))
 }
 
+/// Reads a chunk of an engine.
+pub fn chunk(json: &str) -> Result<Value, Fault> {
+    serde_json::from_str(json)
+        .map_err(|it| Fault::new(Kind::BadAnswer, format!("a chunk of the engine is no JSON: {it}")))
+}
+
 /// Makes a chunk of an engine one for the caller: its `model` becomes the reference.
 pub fn rename(chunk: &mut Value, reference: &Reference) {
     if let Some(model) = chunk.get_mut("model") {
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -51,17 +51,27 @@
 }
 
 impl View {
-    /// The entry's bytes.
+    /// The entry's bytes. References that don't fit are left out; a host that doesn't know of a
+    /// loaded adapter asks the steward of its home all the same.
     pub fn to_bytes(&self) -> Vec<u8> {
-        let raw = Raw {
+        let mut raw = self.raw();
+        loop {
+            let bytes = serde_json::to_vec(&raw).expect("a view is valid JSON");
+            if bytes.len() <= member::entry::MAX_VALUE_BYTES || raw.loaded.pop().is_none() {
+                return bytes;
+            }
+        }
+    }
+
+    fn raw(&self) -> Raw {
+        Raw {
             domain: self.domain.to_string(),
             model: self.model.to_string(),
             fence: self.fence,
             leaving: u8::from(self.state == State::Leaving),
             level: self.level.0,
             loaded: self.loaded.iter().map(ToString::to_string).collect(),
-        };
-        serde_json::to_vec(&raw).expect("a view is valid JSON")
+        }
     }
 
     /// Reads an entry; nothing if it can't be understood.
--- a/crates/entry/src/duty/claims.rs
+++ b/crates/entry/src/duty/claims.rs
@@ -9,7 +9,7 @@
     registry::inventory,
     service::{Fencing, Instance, Role},
 };
-use member::{Condition, Member};
+use member::Member;
 use platform::object::{Failure, Reason, Store, Version};
 use steward::{Event, Predecessor};
 
@@ -57,17 +57,12 @@
         return Ok(());
     }
     let members = members(host);
-    let live: Vec<Member> = members
-        .iter()
-        .filter(|it| it.state == Condition::Alive)
-        .cloned()
-        .collect();
     let doubted = std::mem::take(&mut *host.doubted.lock().expect("doubt lock is poisoned"));
     for engine in doubted {
         check(host, &engine)?;
     }
     for engine in host.listed.engines() {
-        let owner = member::steward::of(&engine.name, &engine.domain, &live);
+        let owner = member::steward::of(&engine.name, &engine.domain, &members);
         let mine = owner.is_some_and(|it| it.holder == host.me);
         if mine && !host.holds(&engine.name) {
             take(host, &engine, &members)?;
@@ -76,7 +71,7 @@
     Ok(())
 }
 
-fn members(host: &Host) -> Vec<Member> {
+fn members(host: &Host) -> Arc<[Member]> {
     let members = host.peer.get().map(peer::Handle::members);
     members.unwrap_or_default()
 }
@@ -196,11 +191,7 @@
     let later = members.iter().any(|it| {
         it.holder.host == holder.host && it.holder.incarnation > holder.incarnation
     });
-    let unlisted = host.listed.entry_hosts().is_some_and(|it| {
-        !it.iter()
-            .any(|it| it.name.as_str() == holder.host.as_str())
-    });
-    if later || unlisted {
+    if later || host.listed.has_vanished(&holder.host) {
         return Evidence::Ended;
     }
     Evidence::MayAct
--- a/crates/entry/src/duty/configuration.rs
+++ b/crates/entry/src/duty/configuration.rs
@@ -1,16 +1,16 @@
-//! Keeps the configuration up to date, from the platform or from other hosts.
+//! Keeps the configuration up to date from the platform. A few hosts of each failure domain watch
+//! it; the others learn from them, and the platform counts fewer calls.
 
 use std::{sync::Arc, time::Duration};
 
-use config::revision::{Next, Number, Record, State};
 use kernel::registry::inventory;
-use platform::object::{Failure, Reason, Store};
+use member::{Condition, Member};
+use platform::object::{Failure, Reason, Store, Version};
 
 use crate::{
+    adoption::{self, Source},
     host::Host,
     plugin::{Duty, Phase, Stop},
-    readiness::Stage,
-    recent::{self, Step},
 };
 
 inventory::submit! {
@@ -22,13 +22,67 @@
 }
 
 /// How long one watch waits for a change.
-const WATCH: Duration = Duration::from_secs(5);
+const WATCH: Duration = Duration::from_secs(4);
 
 /// How long the duty waits after the platform failed.
 const BACK_OFF: Duration = Duration::from_millis(500);
 
+/// How often a host that does not watch looks whether it has to.
+const IDLE: Duration = Duration::from_millis(500);
+
+/// Hosts of a failure domain that watch.
+const WATCHERS: usize = 2;
+
+/// Objects below this prefix are accepted edits.
+const LOG_PREFIX: &str = "config/log/";
+
 fn run(host: &Arc<Host>, stop: &Stop) {
+    let mut since = None;
     while !stop.is_set() {
-        todo!()
+        if since.is_some() && !is_watcher(host) {
+            stop.sleep(IDLE);
+            continue;
+        }
+        match turn(host, since) {
+            Ok(revision) => since = Some(revision),
+            Err(Failure::Gap { .. }) => since = None,
+            Err(error) => {
+                log::warn!(target: "config", "The configuration could not be read from the platform: {error}.");
+                stop.sleep(BACK_OFF);
+            }
+        }
+    }
+}
+
+/// Waits for a change after `since`, or reads everything if that is not known.
+fn turn(host: &Host, since: Option<Version>) -> Result<Version, Failure> {
+    let Some(since) = since else {
+        // The position is read before the log, so that no edit falls between the two.
+        let page = host.store.list(Reason::Config, LOG_PREFIX, "~", 1)?;
+        adoption::from_platform(host)?;
+        adoption::ready(host, Source::Platform);
+        return Ok(page.revision);
+    };
+    let events = host
+        .store
+        .watch(Reason::Config, LOG_PREFIX, since, WATCH)?;
+    if !events.events.is_empty() {
+        adoption::from_platform(host)?;
     }
+    Ok(events.revision)
+}
+
+/// Whether this host is among the first live ones of its failure domain.
+fn is_watcher(host: &Host) -> bool {
+    let Some(peer) = host.peer.get() else {
+        return true;
+    };
+    let members = peer.members();
+    let mut hosts: Vec<&Member> = members
+        .iter()
+        .filter(|it| it.domain == host.settings.domain && it.state == Condition::Up)
+        .collect();
+    hosts.sort_by(|a, b| a.holder.host.cmp(&b.holder.host));
+    let first = hosts.iter().take(WATCHERS);
+    hosts.is_empty() || first.into_iter().any(|it| it.holder.host == host.me.host)
 }
--- a/crates/entry/src/duty/hosts.rs
+++ b/crates/entry/src/duty/hosts.rs
@@ -30,7 +30,7 @@
     let client = Client::sharing(host.store.clone());
     while !stop.is_set() {
         match client.list() {
-            Ok(list) => take(host, list),
+            Ok(list) => take(host, &list),
             Err(error) => {
                 log::warn!(target: "platform", "The host list could not be read: {error}.");
             }
@@ -39,7 +39,7 @@
     }
 }
 
-fn take(host: &Host, list: Vec<hosts::Host>) {
+fn take(host: &Host, list: &[hosts::Host]) {
     let entries = list.iter().filter_map(listing).collect();
     let (changed, gone) = host.listed.replace(list);
     if let Some(peer) = host.peer.get() {
--- a/crates/entry/src/duty/orders.rs
+++ b/crates/entry/src/duty/orders.rs
@@ -129,8 +129,9 @@
         engine::Load::NoSlot => Settled::NoSlot,
         engine::Load::StaleFence => Settled::StaleFence,
         engine::Load::Leaving => Settled::Leaving,
-        engine::Load::Failed(why) | engine::Load::Refused(why) => Settled::Failed(why),
-        engine::Load::Unknown(_) => Settled::Unknown,
+        engine::Load::Failed(why) => Settled::Failed(why),
+        engine::Load::Refused => Settled::Failed("the engine can't be reached".to_owned()),
+        engine::Load::Unknown => Settled::Unknown,
     }
 }
 
@@ -140,7 +141,7 @@
         engine::Unload::NotLoaded => Settled::NotLoaded,
         engine::Unload::Busy => Settled::Busy,
         engine::Unload::StaleFence => Settled::StaleFence,
-        engine::Unload::Refused(why) => Settled::Failed(why),
-        engine::Unload::Unknown(_) => Settled::Unknown,
+        engine::Unload::Refused => Settled::Failed("the engine can't be reached".to_owned()),
+        engine::Unload::Unknown => Settled::Unknown,
     }
 }
--- a/crates/entry/src/duty/reports.rs
+++ b/crates/entry/src/duty/reports.rs
@@ -29,6 +29,9 @@
 /// How often the duty looks whether a report is wanted.
 const CHECK: Duration = Duration::from_millis(20);
 
+/// How long an engine may take to answer.
+const TIMEOUT: Duration = Duration::from_millis(500);
+
 /// Engines that are asked at the same time, so that one that hangs doesn't hold up the others.
 const PARALLEL: usize = 8;
 
@@ -89,7 +92,7 @@
 fn ask(host: &Host, engine: &Instance, misses: &Mutex<BTreeMap<Upstream, u32>>) {
     let asked = host.clock.now();
     let name = engine.name.clone();
-    match host.engines.models(engine.address) {
+    match host.engines.models(engine.address, TIMEOUT) {
         Ok(report) => {
             misses
                 .lock()
@@ -105,7 +108,7 @@
         }
         Err(error) => missed(host, name, &error.to_string(), misses),
     }
-    if let Ok(load) = host.engines.load_report(engine.address) {
+    if let Ok(load) = host.engines.load_report(engine.address, TIMEOUT) {
         host.inbox.event(Event::Lagging {
             engine: engine.name.clone(),
             running: load.running,
--- a/crates/entry/src/duty/share.rs
+++ b/crates/entry/src/duty/share.rs
@@ -24,7 +24,7 @@
 fn run(host: &Arc<Host>, stop: &Stop) {
     while !stop.is_set() {
         let store = host.text().1.store();
-        let hosts = host.listed.entry_hosts().map_or(1, |it| it.len().max(1));
+        let hosts = host.listed.entry_count().unwrap_or(1).max(1);
         let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
         host.inbox.event(Event::Share {
             rate_per_second: store.rate_per_second / f64::from(hosts),
--- a/crates/entry/src/flow/model.rs
+++ b/crates/entry/src/flow/model.rs
@@ -12,7 +12,10 @@
 use serde_json::Value;
 use serve::{Responder, Response, Stream};
 use telemetry::metrics::Labels;
-use upstream::engine;
+use upstream::{
+    engine::{self, Start},
+    watch::Watch,
+};
 
 use crate::{
     chat::{self, Call, Delivery},
@@ -186,14 +189,17 @@
             "sent to {} as {id} for {}",
             place.permit.upstream, place.permit.loaded
         ));
-        self.host.engines.start(
-            place.permit.address,
-            &place.permit.loaded,
-            &self.call.body,
-            &id,
-            priority(self.class),
-            self.deadline,
-        )
+        let caller = self.admitted.caller.clone();
+        self.host.engines.start(&Start {
+            address: place.permit.address,
+            loaded: &place.permit.loaded,
+            body: &self.call.body,
+            id: &id,
+            priority: priority(self.class),
+            start_by: place.start_by().min(self.deadline),
+            deadline: self.deadline,
+            watch: Watch::new(move || caller.is_gone()),
+        })
     }
 
     /// An attempt of which nothing has reached the caller has failed.
@@ -220,7 +226,10 @@
     fn deliver(&self, place: &Place, mut stream: engine::Stream, responder: Responder) -> Attempt {
         // Nothing is told to the caller before the first chunk: until then the status is open.
         let first = match stream.next() {
-            engine::Next::Chunk { index, json } => (index, json),
+            engine::Next::Chunk { index, json } => match chat::chunk(&json) {
+                Ok(chunk) => (index, chunk),
+                Err(fault) => return self.failed(place, fault, responder),
+            },
             engine::Next::End => {
                 let fault = Fault::new(Kind::BadAnswer, "the engine's answer has no content");
                 return self.failed(place, fault, responder);
@@ -275,15 +284,18 @@
 }
 
 impl Pump<'_> {
-    fn next(&mut self) -> engine::Next {
-        let next = self.stream.next();
-        if let engine::Next::Chunk { .. } = next {
-            let now = self.way.host.clock.now();
-            let gap = now.saturating_duration_since(self.last);
-            self.way.host.metrics.token_gap(&self.way.labels, gap);
-            self.last = now;
-        }
-        next
+    /// The next chunk; nothing at the end.
+    fn next(&mut self) -> Result<Option<(u64, Value)>, Fault> {
+        let (index, json) = match self.stream.next() {
+            engine::Next::Chunk { index, json } => (index, json),
+            engine::Next::End => return Ok(None),
+            engine::Next::Failed(fault) => return Err(fault),
+        };
+        let now = self.way.host.clock.now();
+        let gap = now.saturating_duration_since(self.last);
+        self.way.host.metrics.token_gap(&self.way.labels, gap);
+        self.last = now;
+        Ok(Some((index, chat::chunk(&json)?)))
     }
 
     fn streamed(mut self, first: (u64, Value), responder: Responder) -> Attempt {
@@ -299,9 +311,9 @@
                 return self.caller_gone();
             }
             match self.next() {
-                engine::Next::Chunk { index: i, json } => (index, chunk) = (i, json),
-                engine::Next::End => return self.finish(out),
-                engine::Next::Failed(fault) => return self.broken(&fault, out),
+                Ok(Some(next)) => (index, chunk) = next,
+                Ok(None) => return self.finish(out),
+                Err(fault) => return self.broken(&fault, out),
             }
         }
     }
@@ -342,9 +354,9 @@
                 return self.caller_gone();
             }
             match self.next() {
-                engine::Next::Chunk { json, .. } => whole.add(&json),
-                engine::Next::End => break,
-                engine::Next::Failed(fault) => return way.failed(self.place, fault, responder),
+                Ok(Some((_, chunk))) => whole.add(&chunk),
+                Ok(None) => break,
+                Err(fault) => return way.failed(self.place, fault, responder),
             }
         }
         let response = Response {
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -54,6 +54,8 @@
     pub inspect: Mutex<BTreeSet<Upstream>>,
     /// Held engines that another host may have taken.
     pub doubted: Mutex<BTreeSet<Upstream>>,
+    /// The highest revision that another host is known to have, with that host.
+    pub known: Mutex<Option<(u64, Holder)>>,
     /// Revisions kept for other hosts.
     pub recent: Recent,
     /// The other hosts; set once the sockets are open.
@@ -116,8 +118,11 @@
 
     /// Publishes an entry to all hosts.
     pub fn publish(&self, entry: Entry) {
-        if let Some(peer) = self.peer.get() {
-            peer.publish(entry.key, entry.value);
+        let Some(peer) = self.peer.get() else {
+            return;
+        };
+        if let Err(error) = peer.publish(&entry.key, entry.value) {
+            log::warn!(target: "member", "An entry was not published: {error}.");
         }
     }
 
@@ -173,6 +178,7 @@
             held: Mutex::default(),
             inspect: Mutex::default(),
             doubted: Mutex::default(),
+            known: Mutex::default(),
             recent: Recent::default(),
             peer: OnceLock::new(),
             log: Log::new(Arc::clone(&shared)),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -1,5 +1,6 @@
 //! The process on an entry host: the kernel's plug-ins joined with sockets, threads and clients.
 
+pub mod adoption;
 pub mod chat;
 pub mod claim;
 pub mod directory;
--- a/crates/entry/src/listed.rs
+++ b/crates/entry/src/listed.rs
@@ -1,7 +1,7 @@
 //! What the platform's host list said last, and what upstreams themselves have said since.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, BTreeSet},
     sync::{
         Arc, RwLock,
         atomic::{AtomicU32, Ordering},
@@ -9,7 +9,7 @@
 };
 
 use kernel::{
-    name::{Domain, Model, Service, Upstream},
+    name::{Domain, Host, Model, Service, Upstream},
     service::{Instance, Role, State},
 };
 
@@ -26,7 +26,16 @@
 #[derive(Debug, Default)]
 pub struct Listed {
     known: RwLock<BTreeMap<Upstream, Known>>,
-    entries: RwLock<Option<Vec<platform::hosts::Host>>>,
+    entries: RwLock<Entries>,
+}
+
+/// The entry hosts.
+#[derive(Debug, Default)]
+struct Entries {
+    /// Those on the last list.
+    now: Option<BTreeSet<String>>,
+    /// Those that were ever on a list that this host has read.
+    ever: BTreeSet<String>,
 }
 
 /// One call on an upstream; it is counted until it is dropped.
@@ -42,9 +51,9 @@
 impl Listed {
     /// Takes over a new list. Gives the upstreams that are new or have changed, and the names of
     /// those that are gone.
-    pub fn replace(&self, hosts: Vec<platform::hosts::Host>) -> (Vec<Instance>, Vec<Upstream>) {
-        let instances = platform::hosts::instances(&hosts);
-        *self.entries.write().expect("list lock is poisoned") = Some(hosts);
+    pub fn replace(&self, hosts: &[platform::hosts::Host]) -> (Vec<Instance>, Vec<Upstream>) {
+        let instances = platform::hosts::instances(hosts);
+        self.note_entries(hosts);
         let mut known = self.known.write().expect("list lock is poisoned");
         let mut old = std::mem::take(&mut *known);
         let mut changed = Vec::new();
@@ -62,12 +71,27 @@
         (changed, old.into_keys().collect())
     }
 
-    /// The entry hosts of the last list, if there was one.
-    pub fn entry_hosts(&self) -> Option<Vec<platform::hosts::Host>> {
-        let hosts = self.entries.read().expect("list lock is poisoned");
-        let hosts = hosts.as_ref()?.iter();
-        let entries = hosts.filter(|it| it.role == platform::hosts::Role::Entry);
-        Some(entries.cloned().collect())
+    fn note_entries(&self, hosts: &[platform::hosts::Host]) {
+        let entry = |it: &&platform::hosts::Host| it.role == platform::hosts::Role::Entry;
+        let names = hosts.iter().filter(entry).map(|it| it.name.to_string());
+        let now: BTreeSet<String> = names.collect();
+        let mut entries = self.entries.write().expect("list lock is poisoned");
+        entries.ever.extend(now.iter().cloned());
+        entries.now = Some(now);
+    }
+
+    /// How many entry hosts the last list had, if there was one.
+    pub fn entry_count(&self) -> Option<usize> {
+        let entries = self.entries.read().expect("list lock is poisoned");
+        entries.now.as_ref().map(BTreeSet::len)
+    }
+
+    /// Whether an entry host was on the list and is no more. The list lags, so a host that was
+    /// never on it may just be new.
+    pub fn has_vanished(&self, host: &Host) -> bool {
+        let entries = self.entries.read().expect("list lock is poisoned");
+        let now = entries.now.as_ref();
+        entries.ever.contains(host.as_str()) && now.is_some_and(|it| !it.contains(host.as_str()))
     }
 
     /// Notes that an upstream itself said that it is leaving. The list, which lags, can't make it
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -2,10 +2,11 @@
 
 use std::sync::Arc;
 
+use config::revision::Number;
 use kernel::{
     fault::{Fault, Kind},
     name::Upstream,
-    permit::{Ask, Holder, Number, Outcome, Verdict},
+    permit::{self, Ask, Holder, Outcome, Verdict},
 };
 use member::Change;
 use steward::Event;
@@ -26,13 +27,14 @@
         }
     }
 
-    fn release(&self, engine: Upstream, fence: u64, number: Number, outcome: Outcome) {
+    fn release(&self, engine: Upstream, fence: u64, number: permit::Number, outcome: Outcome) {
         log::trace!(target: "steward", "Permit {number} of {engine} under {fence} is released.");
         self.0.inbox.event(Event::Release { number, outcome });
     }
 
     fn revisions(&self, after: u64) -> Vec<Vec<u8>> {
-        self.0.recent.after(after)
+        let (number, text) = self.0.text();
+        self.0.recent.after(Number(after), number, &text)
     }
 
     fn explain(&self, id: &str) -> Option<String> {
@@ -40,12 +42,18 @@
     }
 
     fn changed(&self, change: Change) {
-        log::info!(target: "member", "{change}.");
-        if let Some(holder) = change.ended() {
-            self.0.directory.forget(&holder.host);
-            self.0.inbox.event(Event::HolderGone {
-                holder: holder.clone(),
-            });
+        let member = change.member();
+        let Holder { host, incarnation } = &member.holder;
+        log::info!(target: "member", "Host {host} of {} is {:?}, incarnation {incarnation}.", member.domain, member.state);
+        if let Change::Down(it) = &change {
+            self.0.directory.forget(&it.holder.host);
+        }
+    }
+
+    fn revision(&self, revision: u64, holder: Holder) {
+        let mut known = self.0.known.lock().expect("known lock is poisoned");
+        if known.as_ref().is_none_or(|it| it.0 < revision) {
+            *known = Some((revision, holder));
         }
     }
 
