Add the configuration text with its checks, changes and revisions

Cause: operators need one text whose problems are all reported at once with their places, and hosts need to adopt one change without a pass over 23,000 adapters.

Change: the YAML is read by serde-saphyr into a tree that knows its places; checks run over that tree and collect problems. The text keeps its maps in 256 shared shards, so that a copy is cheap and a change copies one shard. Differences, their application and revisions are pure.

Measured by tests/revision.rs: one change in a text of 23,000 adapters copies fewer than 300 entries.

--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -1,1 +1,18 @@
 //! The operators' text: parsing, validation, revisions and differences. No I/O here.
+
+pub mod change;
+pub mod fields;
+mod graph;
+pub mod node;
+pub mod problem;
+mod read;
+mod render;
+pub mod revision;
+mod serial;
+pub mod service;
+pub mod shard;
+pub mod text;
+pub mod unit;
+
+pub use service::{Model, Service, Store, Target, Tenant};
+pub use text::Text;
--- /dev/null
+++ b/crates/config/tests/problems.rs
@@ -0,0 +1,168 @@
+//! Every kind of bad text, and the messages about it.
+
+use config::{node::MAX_FILE_BYTES, text};
+use insta::assert_snapshot;
+
+/// The problems of a text, a line each.
+fn problems(text: impl AsRef<[u8]>) -> String {
+    match text::parse("fleet.yaml", text.as_ref()) {
+        Ok(_) => "no problem".to_owned(),
+        Err(list) => list.to_string(),
+    }
+}
+
+/// Covers: the example text is right.
+#[test]
+fn example_is_right() {
+    let example = include_bytes!("../../../examples/fleet.yaml");
+    assert_eq!(problems(example), "no problem");
+}
+
+/// Covers: unknown and repeated fields at every level, all reported at once.
+#[test]
+fn unknown_and_repeated_fields() {
+    let text = "\
+stores: {}
+store: {rate: 1/s, rate: 2/s, full_speed: 1, in_flight: 1, burst: 9}
+models:
+  base: {fence: checked}
+services:
+  signs: {kind: model, model: base, deadlin: 5s}
+";
+    assert_snapshot!(problems(text));
+}
+
+/// Covers: wrong units, words, counts and names.
+#[test]
+fn wrong_values() {
+    let text = "\
+revision: -1
+store: {rate: 4.5, full_speed: 0, in_flight: 1.5}
+models:
+  Base: {}
+  base: {fencing: maybe, prefix_cache: yes}
+tenants:
+  a: {weight: -1, in_flight: x}
+  b: {weight: 0}
+services:
+  one: {kind: plain, deadline: 5 s, retry: {repeat: maybe, budget: 110%}}
+  two: {kind: plain, deadline: 0s, class: urgent, journal_outage: ignore}
+  three: {kind: plain, deadline: 25h, depends_on: one}
+  four: {kind: plain, deadline: [1s]}
+  five: {kind: other}
+  six: {}
+  seven: plain
+  eight: {kind: plain, deadline: 99999999999999999999s}
+";
+    assert_snapshot!(problems(text));
+}
+
+/// Covers: adapters given twice, versions that are zero, doubled or missing.
+#[test]
+fn wrong_adapters() {
+    let text = "\
+models: {base: {}}
+services:
+  signs:
+    kind: model
+    model: base
+    adapters:
+      bay: [0]
+      lot: [1, 1]
+      bay: [2]
+      gate: []
+      door:
+      Kerb: [1]
+      ramp: [-1, 1.0, 4294967296, x, [1]]
+";
+    assert_snapshot!(problems(text));
+}
+
+/// Covers: dependencies and base models that are not declared; fields of the other kind of service.
+#[test]
+fn wrong_links() {
+    let text = "\
+services:
+  signs: {kind: model, model: gone, depends_on: [registry, registry, barrier], journal_outage: refuse}
+  barrier: {kind: plain, model: gone, weights: {}, adapters: {}}
+  cards: {kind: model}
+";
+    assert_snapshot!(problems(text));
+}
+
+/// Covers: each cycle is printed once, with the services on it.
+#[test]
+fn dependency_cycles() {
+    let text = "\
+services:
+  a: {kind: plain, depends_on: [b]}
+  b: {kind: plain, depends_on: [c]}
+  c: {kind: plain, depends_on: [a]}
+  d: {kind: plain, depends_on: [a]}
+  e: {kind: plain, depends_on: [e]}
+  f: {kind: plain, depends_on: [g]}
+  g: {kind: plain, depends_on: [f, a]}
+";
+    assert_snapshot!(problems(text));
+}
+
+/// Covers: files that are no YAML document of the right shape.
+#[test]
+fn wrong_files() {
+    let deep = format!("services: {}{}", "[".repeat(10_000), "]".repeat(10_000));
+    let indented: String = (0..100)
+        .flat_map(|it| [" ".repeat(it), "a:\n".to_owned()])
+        .collect();
+    let cases: [(&str, &[u8]); 14] = [
+        ("empty", b""),
+        ("only a comment", b"# nothing\n"),
+        ("a scalar", b"fleet"),
+        ("a list", b"[1, 2]"),
+        (
+            "truncated in a list",
+            b"services:\n  a: {kind: plain, depends_on: [b",
+        ),
+        ("truncated in quotes", b"services:\n  a: {kind: \"pla"),
+        (
+            "truncated after a key",
+            b"services:\n  a:\n    kind: plain\n    dead",
+        ),
+        ("not UTF-8", b"services:\n  a\xff: {}\n"),
+        ("UTF-16", b"\xff\xfes\0e\0r\0v\0"),
+        ("tabs", b"services:\n\ta: {}\n"),
+        ("anchors", b"services:\n  a: &x {kind: plain}\n  b: *x\n"),
+        ("two documents", b"services: {}\n---\nservices: {}\n"),
+        ("deep flow", deep.as_bytes()),
+        ("deep blocks", indented.as_bytes()),
+    ];
+    let shown = cases.map(|(name, bytes)| format!("{name}\n{}", problems(bytes)));
+    assert_snapshot!(shown.join("\n\n"));
+}
+
+/// Covers: places and numbers as written are right after characters of several bytes, in a file
+/// that begins with a byte order mark and has carriage returns.
+#[test]
+fn places_after_wide_characters() {
+    let text =
+        "\u{feff}# žluťoučký 🦄\r\nservices:\r\n  a: {kind: 1.10, class: 🦄, deadline: 0x10}\r\n";
+    assert_snapshot!(problems(text));
+}
+
+/// Covers: a file above the limit is refused without being read.
+#[test]
+fn large_file() {
+    let text = vec![b'#'; MAX_FILE_BYTES + 1];
+    assert_snapshot!(problems(text));
+}
+
+/// Covers: a file with very many problems is answered with a bounded list.
+#[test]
+fn many_problems() {
+    let services: Vec<String> = (0..500).map(|it| format!("  s{it}: {{}}\n")).collect();
+    let shown = problems(format!("services:\n{}", services.concat()));
+    assert_eq!(shown.lines().count(), config::problem::MAX_PROBLEMS + 1);
+    assert_eq!(
+        shown.lines().last(),
+        Some("fleet.yaml:101:8: 400 more problems are not shown")
+    );
+}
--- /dev/null
+++ b/crates/config/tests/revision.rs
@@ -0,0 +1,88 @@
+//! Revisions go up one by one and never back.
+
+use config::{
+    Text,
+    change::diff,
+    revision::{EditId, Next, Number, Record, State},
+    text,
+};
+
+fn record(number: u64, old: &Text, new: &str) -> (Record, Text) {
+    let new = text::parse("f", new.as_bytes()).expect("the text is right");
+    let record = Record {
+        number: Number(number),
+        edit: EditId(u128::from(number)),
+        author: "ann".to_owned(),
+        changes: diff(old, &new),
+    };
+    (record, new)
+}
+
+/// Covers: only the next higher revision is adopted; a repeat, an older one and a gap are not.
+#[test]
+fn adoption() {
+    let (first, text) = record(1, &Text::default(), "services: {a: {kind: plain}}");
+    let (second, last) = record(2, &text, "services: {b: {kind: plain}}");
+    let mut state = State::default();
+    let gap = Next::Gap {
+        held: Number(0),
+        offered: Number(2),
+    };
+    assert_eq!(state.adopt(&second), gap);
+    assert_eq!(state.adopt(&first), Next::Adopted);
+    assert_eq!(state.adopt(&first), Next::Old);
+    assert_eq!(state.adopt(&second), Next::Adopted);
+    assert_eq!(state.adopt(&first), Next::Old);
+    assert_eq!((state.number(), state.text()), (Number(2), &last));
+    assert_eq!(state.replace(State::new(Number(1), text)), Next::Old);
+    assert_eq!(state.number(), Number(2));
+}
+
+/// Covers: a record that does not fit is refused and changes nothing.
+#[test]
+fn rejection() {
+    let (_, text) = record(1, &Text::default(), "services: {a: {kind: plain}}");
+    let (mut removal, _) = record(1, &text, "services: {}");
+    let mut state = State::default();
+    assert!(matches!(state.adopt(&removal), Next::Rejected(_)));
+    assert_eq!(state, State::default());
+    removal.changes.clear();
+    assert_eq!(state.adopt(&removal), Next::Adopted);
+}
+
+/// Covers: the JSON form of a record, and bytes that are none.
+#[test]
+fn json() {
+    let yaml = "models: {m: {}}\ntenants: {t: {weight: 2}}\nservices: {a: {kind: model, model: m, \
+                depends_on: [b], adapters: {x: [1, 2]}}, b: {kind: plain}}";
+    let (record, _) = record(7, &Text::default(), yaml);
+    let json = record.to_json();
+    insta::assert_snapshot!(String::from_utf8_lossy(&json));
+    assert_eq!(Record::from_json(&json).expect("just written"), record);
+    let error = Record::from_json(&json[1..]).expect_err("the first byte is missing");
+    assert!(
+        error
+            .to_string()
+            .starts_with("the bytes are no record of an edit")
+    );
+}
+
+/// Covers: one change in a text of 23,000 adapters copies a small part of it.
+#[test]
+fn one_change_copies_little() {
+    let adapters: Vec<String> = (0..23_000)
+        .map(|it| format!("      a{it}: [1]\n"))
+        .collect();
+    let head = "models: {m: {}}\nservices:\n  s:\n    kind: model\n    model: m\n    adapters:\n";
+    let yaml = format!("{head}{}", adapters.concat());
+    let old = text::parse("f", yaml.as_bytes()).expect("the text is right");
+    assert_eq!(old.adapter_count(), 23_000);
+    let published = yaml.replace("a11500: [1]", "a11500: [1, 2]");
+    let new = text::parse("f", published.as_bytes()).expect("the text is right");
+    let changes = diff(&old, &new);
+    assert_eq!(changes.len(), 1);
+    let edited = old.edited(&changes).expect("the change fits");
+    assert_eq!(edited, new);
+    let copied = edited.copied(&old);
+    assert!(copied < 300, "one change copied {copied} entries of 23000");
+}
