--- /dev/null
+++ b/crates/entry/tests/claim.rs
@@ -0,0 +1,87 @@
+//! Taking an engine over.
+
+use entry::claim::{self, Evidence, Next, Record, State};
+use kernel::permit::Holder;
+use steward::Predecessor;
+
+fn holder(host: &str, incarnation: u64) -> Holder {
+    Holder {
+        host: host.parse().unwrap(),
+        incarnation,
+    }
+}
+
+fn record(host: &str, incarnation: u64, state: State) -> Record {
+    Record {
+        holder: holder(host, incarnation),
+        fence: 5,
+        state,
+    }
+}
+
+fn check(found: Option<Record>, evidence: Evidence, expected: Predecessor) {
+    let me = holder("me", 2);
+    let fence = found.as_ref().map_or(1, |it| it.fence + 1);
+    let version = found.as_ref().map(|_| 9);
+    let next = claim::next(found.map(|it| (9, it)), &me, evidence);
+    let record = Record {
+        holder: me,
+        fence,
+        state: State::Held,
+    };
+    let expected = Next::Write {
+        version,
+        record,
+        predecessor: expected,
+    };
+    assert_eq!(next, expected);
+}
+
+/// Covers: the fencing number rises with each change of hands, and an earlier steward counts as
+/// unable to act only on proof.
+#[test]
+fn predecessor_follows_from_the_evidence() {
+    check(None, Evidence::Ended, Predecessor::None);
+    check(
+        Some(record("other", 1, State::Held)),
+        Evidence::MayAct,
+        Predecessor::Unknown,
+    );
+    check(
+        Some(record("other", 1, State::Held)),
+        Evidence::Ended,
+        Predecessor::Gone,
+    );
+    check(
+        Some(record("other", 1, State::Released)),
+        Evidence::MayAct,
+        Predecessor::Released,
+    );
+    check(
+        Some(record("me", 1, State::Held)),
+        Evidence::MayAct,
+        Predecessor::Gone,
+    );
+    check(
+        Some(record("me", 2, State::Released)),
+        Evidence::MayAct,
+        Predecessor::Released,
+    );
+}
+
+/// Covers: the own write is recognised after a lost answer.
+#[test]
+fn own_record_is_held() {
+    let found = Some((9, record("me", 2, State::Held)));
+    let next = claim::next(found, &holder("me", 2), Evidence::MayAct);
+    assert_eq!(next, Next::Held { fence: 5 });
+}
+
+/// Covers: a record survives its bytes, and other bytes are an error.
+#[test]
+fn record_round_trips() {
+    let it = record("other", 7, State::Released);
+    assert_eq!(Record::from_bytes(&it.to_bytes()), Ok(it));
+    assert!(Record::from_bytes(b"{}").is_err());
+    assert!(Record::from_bytes(&[0xff]).is_err());
+}
