Add the configuration log over the platform's objects

Cause: an answer of the platform can be lost after the write took effect, and operators race each other; an edit must be accepted once or not at all.

Change: each revision is an object created only if absent, with the edit id of its author. A lost answer is settled by reading back; while the number is still free the same conditional write is tried again, since the first one may still arrive. Records are never deleted: a writer that was paused could take the number of a deleted one.

--- a/crates/config/src/change.rs
+++ b/crates/config/src/change.rs
@@ -7,6 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    revision::Unreadable,
     serial,
     service::{Model, Service, Store, Tenant, Versions},
     shard::Map,
@@ -196,6 +197,35 @@
     }
 }
 
+/// Changes as JSON lists of at most `max_bytes` each, in order; a change alone may be longer.
+pub fn chunks(changes: &[Change], max_bytes: usize) -> Vec<Vec<u8>> {
+    let mut chunks = Vec::new();
+    let mut chunk = b"[".to_vec();
+    for change in changes {
+        let json = serde_json::to_vec(change).expect("a change has only strings as keys");
+        let separator_and_end = 2;
+        if chunk.len() > 1 && chunk.len() + json.len() + separator_and_end > max_bytes {
+            chunk.push(b']');
+            chunks.push(std::mem::replace(&mut chunk, b"[".to_vec()));
+        }
+        if chunk.len() > 1 {
+            chunk.push(b',');
+        }
+        chunk.extend(json);
+    }
+    chunk.push(b']');
+    chunks.push(chunk);
+    chunks
+}
+
+/// Changes from one of their JSON lists.
+pub fn from_json(bytes: &[u8]) -> Result<Vec<Change>, Unreadable> {
+    serde_json::from_slice(bytes).map_err(|reason| Unreadable {
+        what: "list of changes",
+        reason,
+    })
+}
+
 impl std::fmt::Display for Change {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,3 +1,4 @@
 //! Clients of the platform: object API, host list and the configuration log kept there.
 
+pub mod log;
 pub mod object;
--- /dev/null
+++ b/crates/platform/tests/store/main.rs
@@ -0,0 +1,4 @@
+//! What comfreywing keeps in the platform's objects, over a fake that fails on demand.
+
+mod fake;
+mod log;
