--- /dev/null
+++ b/crates/standin/src/client.rs
@@ -0,0 +1,250 @@
+//! A small HTTP client for tests, the demo and the switches of stand-ins in other processes.
+
+use std::{
+    collections::BTreeMap,
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+
+use derive_more::{Display, Error};
+use serde::{Serialize, de::DeserializeOwned};
+use ureq::{Agent, Body, BodyReader, http};
+
+/// Time for a whole call unless one is named.
+pub const TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Why no answer came.
+#[derive(Debug, Display, Error)]
+#[display("{method} http://{address}{path}: {reason}")]
+pub struct Failure {
+    method: &'static str,
+    address: SocketAddr,
+    path: String,
+    #[error(not(source))]
+    reason: String,
+}
+
+/// A request.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// The method.
+    pub method: &'static str,
+    /// Path and query.
+    pub path: String,
+    /// The headers.
+    pub headers: Vec<(&'static str, String)>,
+    /// The body; none is sent if it is empty.
+    pub body: Vec<u8>,
+    /// Time for the whole call.
+    pub timeout: Duration,
+}
+
+impl Request {
+    /// A request without headers and body.
+    pub fn new(method: &'static str, path: impl Into<String>) -> Self {
+        Self {
+            method,
+            path: path.into(),
+            headers: Vec::new(),
+            body: Vec::new(),
+            timeout: TIMEOUT,
+        }
+    }
+
+    /// A `POST` with a JSON body.
+    pub fn post(path: impl Into<String>, body: &impl Serialize) -> Self {
+        let body = serde_json::to_vec(body).expect("the body can be written as JSON");
+        let request = Self::new("POST", path).with("content-type", "application/json");
+        Self { body, ..request }
+    }
+
+    /// The same request with a header.
+    #[must_use]
+    pub fn with(mut self, name: &'static str, value: impl Into<String>) -> Self {
+        self.headers.push((name, value.into()));
+        self
+    }
+
+    fn failure(&self, address: SocketAddr, reason: &dyn std::fmt::Display) -> Failure {
+        Failure {
+            method: self.method,
+            address,
+            path: self.path.clone(),
+            reason: reason.to_string(),
+        }
+    }
+
+    fn open(&self, address: SocketAddr) -> Result<http::Response<Body>, Failure> {
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .max_redirects(0)
+            .proxy(None)
+            .timeout_global(Some(self.timeout))
+            .build();
+        let agent: Agent = config.into();
+        let mut request = http::Request::builder()
+            .method(self.method)
+            .uri(format!("http://{address}{}", self.path));
+        for (name, value) in &self.headers {
+            request = request.header(*name, value);
+        }
+        let opened = match self.body.as_slice() {
+            [] => request.body(()).map(|it| agent.run(it)),
+            body => request.body(body).map(|it| agent.run(it)),
+        };
+        let opened = opened.map_err(|it| self.failure(address, &it))?;
+        opened.map_err(|it| self.failure(address, &it))
+    }
+
+    /// Sends the request and reads the answer to its end.
+    pub fn send(&self, address: SocketAddr) -> Result<Answer, Failure> {
+        let mut response = self.open(address)?;
+        let (status, headers) = head(&response);
+        let body = response.body_mut().read_to_vec();
+        Ok(Answer {
+            status,
+            headers,
+            body: body.map_err(|it| self.failure(address, &it))?,
+        })
+    }
+
+    /// Sends the request and reads the answer event by event.
+    pub fn stream(&self, address: SocketAddr) -> Result<Stream, Failure> {
+        let response = self.open(address)?;
+        let (status, headers) = head(&response);
+        let body = response.into_body().into_reader();
+        Ok(Stream {
+            status,
+            headers,
+            body: BufReader::new(body),
+        })
+    }
+}
+
+fn head(response: &http::Response<Body>) -> (u16, BTreeMap<String, String>) {
+    let headers = response.headers().iter().map(|(name, value)| {
+        let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
+        (name.to_string(), value)
+    });
+    (response.status().as_u16(), headers.collect())
+}
+
+/// An answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Answer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The headers, with names in lower case.
+    pub headers: BTreeMap<String, String>,
+    /// The body.
+    pub body: Vec<u8>,
+}
+
+impl Answer {
+    /// A header; empty if it is absent.
+    pub fn header(&self, name: &str) -> &str {
+        self.headers.get(name).map_or("", String::as_str)
+    }
+
+    /// The body as JSON; null if it is none.
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+
+    /// The body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+}
+
+/// An answer that comes event by event.
+pub struct Stream {
+    /// The HTTP status.
+    pub status: u16,
+    /// The headers, with names in lower case.
+    pub headers: BTreeMap<String, String>,
+    body: BufReader<BodyReader<'static>>,
+}
+
+impl std::fmt::Debug for Stream {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.debug_struct("Stream")
+            .field("status", &self.status)
+            .field("headers", &self.headers)
+            .finish_non_exhaustive()
+    }
+}
+
+/// A server-sent event.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Event {
+    /// When it was read.
+    pub at: Instant,
+    /// Its `event` field; empty if it has none.
+    pub kind: String,
+    /// Its `id` field; empty if it has none.
+    pub id: String,
+    /// Its data.
+    pub data: String,
+}
+
+impl Event {
+    /// The data as JSON; null if it is none.
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_str(&self.data).unwrap_or_default()
+    }
+
+    /// Whether this is the last event of a whole stream.
+    pub fn is_done(&self) -> bool {
+        self.data == "[DONE]"
+    }
+}
+
+impl Iterator for Stream {
+    type Item = Event;
+
+    /// The next event; none at the end of the answer and where it breaks off.
+    fn next(&mut self) -> Option<Event> {
+        let mut event = Event {
+            at: Instant::now(),
+            kind: String::new(),
+            id: String::new(),
+            data: String::new(),
+        };
+        loop {
+            let mut line = String::new();
+            if !matches!(self.body.read_line(&mut line), Ok(1..)) {
+                return None;
+            }
+            let line = line.trim_end();
+            match line.split_once(": ") {
+                Some(("id", value)) => value.clone_into(&mut event.id),
+                Some(("event", value)) => value.clone_into(&mut event.kind),
+                Some(("data", value)) => event.data.push_str(value),
+                _ if line.is_empty() && !event.data.is_empty() => {
+                    event.at = Instant::now();
+                    return Some(event);
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+/// Sets a switch of a stand-in in another process.
+pub fn set(address: SocketAddr, path: &str, switch: &impl Serialize) -> Result<(), Failure> {
+    let request = Request::post(path, switch);
+    let answer = request.send(address)?;
+    match answer.status {
+        200 | 204 => Ok(()),
+        _ => Err(request.failure(address, &answer.text())),
+    }
+}
+
+/// Reads the counts of a stand-in in another process.
+pub fn counts<T: DeserializeOwned>(address: SocketAddr, path: &str) -> Result<T, Failure> {
+    let request = Request::new("GET", path);
+    let answer = request.send(address)?;
+    serde_json::from_slice(&answer.body).map_err(|it| request.failure(address, &it))
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,7 +5,11 @@
 //! crate.
 
 pub mod bucket;
+pub mod client;
 pub mod control;
+pub mod engine;
 pub mod hosts;
 pub mod http;
 pub mod object;
+pub mod plain;
+pub mod weights;
