Lend the store's limits load by load from one pool

Now one entry host keeps a pool that lends the right to begin single loads; totals in both directions heal lost messages, a fence outranks an older pool, and a steward that loses the pool takes its floor only after the pool has set it aside.

--- a/crates/experiment/src/fleet.rs
+++ b/crates/experiment/src/fleet.rs
@@ -1,6 +1,7 @@
 //! The decision code of all entry hosts of a fleet, driven against the models of engines and store.
 
 mod entry;
+mod lending;
 mod upstreams;
 
 use std::time::{Duration, Instant};
@@ -14,6 +15,7 @@
 use steward::{
     Action, Event, Order, Predecessor, Settings, State, Ticket,
     route::{Backlog, Candidate, Change, Directory},
+    share::{Demand, Pool},
 };
 
 use crate::{
@@ -32,6 +34,9 @@
 /// One way between hosts of different failure domains.
 const FAR: Micros = MILLI;
 
+/// The entry host that keeps the pool of the store's limits.
+const LENDER: usize = 0;
+
 /// How late entry hosts hear what a steward publishes.
 const DIRECTORY_LAG: Micros = 50 * MILLI;
 
@@ -57,6 +62,8 @@
     LoadEnded(Command, u64),
     Unload(Command),
     Inspect(usize, usize),
+    Demand(usize, Demand),
+    Lend,
     Restart,
     Store(Health),
     Mark,
@@ -109,6 +116,8 @@
     machines: Vec<Machine>,
     loading: Vec<u32>,
     store: Store,
+    pool: Pool,
+    lend_at: Option<Micros>,
     references: Vec<Reference>,
     tenants: Vec<Tenant>,
     model: Model,
@@ -136,10 +145,13 @@
             capacity: deployment.batch,
             ..settings.clone()
         };
+        let base = Instant::now();
         let mut fleet = Self {
             deployment,
             trace,
-            base: Instant::now(),
+            base,
+            pool: lending::pool(deployment, base),
+            lend_at: None,
             now: 0,
             agenda: Agenda::default(),
             members: (0..deployment.hosts)
@@ -179,10 +191,7 @@
             let host = self.steward_of(engine);
             self.agenda.plan(0, Happening::Tell(host, event));
         }
-        for host in 0..self.deployment.hosts {
-            let share = self.static_share(host);
-            self.agenda.plan(0, Happening::Tell(host, share));
-        }
+        self.share();
     }
 
     fn steward_of(&self, engine: usize) -> usize {
@@ -194,19 +203,6 @@
         hosts[(engine / domains) % hosts.len()]
     }
 
-    #[expect(clippy::cast_precision_loss, reason = "fleets are small")]
-    fn static_share(&self, host: usize) -> Event {
-        let engines = 0..self.deployment.engines;
-        let own = engines.filter(|it| self.steward_of(*it) == host).count();
-        let part = own as f64 / self.deployment.engines as f64;
-        let hosts = u32::try_from(self.deployment.hosts).unwrap_or(u32::MAX);
-        Event::Share {
-            rate_per_second: self.deployment.rate * part,
-            full_speed: 1,
-            in_flight: self.deployment.in_flight / hosts,
-        }
-    }
-
     fn script(&mut self, scenario: Scenario) {
         match scenario {
             Scenario::Restart => self.agenda.plan(EVENT, Happening::Restart),
@@ -251,6 +247,8 @@
             Happening::LoadEnded(command, incarnation) => self.load_ended(&command, incarnation),
             Happening::Unload(command) => self.unload(&command),
             Happening::Inspect(host, engine) => self.report(host, engine),
+            Happening::Demand(host, demand) => self.demand(host, demand),
+            Happening::Lend => self.lend_due(),
             Happening::Restart => self.restart(),
             Happening::Store(health) => self.store.set_health(health),
             Happening::Mark => self.marked = self.usage(),
@@ -362,6 +360,9 @@
             }
             Action::Publish { engine, change } => self.spread(host, &News::Engine(engine, change)),
             Action::PublishBacklog { backlog } => self.spread(host, &News::Backlog(backlog)),
+            Action::Demand(demand) => {
+                self.plan(self.between(host, LENDER), Happening::Demand(host, demand));
+            }
             Action::Deposed { .. } => {}
         }
     }
--- a/crates/steward/src/event.rs
+++ b/crates/steward/src/event.rs
@@ -9,7 +9,10 @@
     service::{Fencing, Instance},
 };
 
-use crate::route::{Backlog, Change};
+use crate::{
+    route::{Backlog, Change},
+    share::{Demand, Loan},
+};
 
 /// Names a waiting [`Ask`]; the caller of the state machine chooses it.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -137,7 +140,7 @@
         /// How it ended.
         result: Settled,
     },
-    /// This steward's present share of the weight store's limits.
+    /// The floor of this steward: its share of the weight store's limits while it has no pool.
     Share {
         /// Loads that may begin in a second.
         rate_per_second: f64,
@@ -146,6 +149,8 @@
         /// Loads that may be in flight.
         in_flight: u32,
     },
+    /// The pool of the weight store's limits says how things stand.
+    Lent(Loan),
     /// Time has passed.
     Tick,
 }
@@ -208,6 +213,8 @@
         /// The wait.
         backlog: Backlog,
     },
+    /// Tells the pool of the weight store's limits what this steward needs.
+    Demand(Demand),
     /// The fencing number of this stewardship is out of date; the engine is treated as lost.
     Deposed {
         /// The engine.
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -8,6 +8,7 @@
 mod popularity;
 pub mod route;
 pub mod settings;
+pub mod share;
 pub mod state;
 mod waiters;
 
--- a/crates/steward/src/state.rs
+++ b/crates/steward/src/state.rs
@@ -25,6 +25,7 @@
     permits::Permits,
     route::{Backlog, Change, Level},
     settings::Settings,
+    share::Limits,
     waiters::Waiters,
 };
 
@@ -80,6 +81,7 @@
     hold_time: Duration,
     backlog: Backlog,
     sweep_at: Option<Instant>,
+    contact_at: Option<Instant>,
     actions: Vec<Action>,
 }
 
@@ -104,6 +106,7 @@
             store: Store::default(),
             backlog: Backlog::default(),
             sweep_at: None,
+            contact_at: None,
             actions: Vec::new(),
         }
     }
@@ -139,9 +142,15 @@
                 rate_per_second,
                 full_speed,
                 in_flight,
-            } => self
-                .budget
-                .share(rate_per_second, full_speed, in_flight, now),
+            } => {
+                let limits = Limits {
+                    rate_per_second,
+                    full_speed,
+                    in_flight,
+                };
+                self.budget.share(limits, now);
+            }
+            Event::Lent(loan) => self.budget.lent(loan, now),
             Event::Tick => {}
         }
         self.advance(now);
@@ -160,6 +169,7 @@
             self.waiters.next_check(),
             self.permits.next_end(),
             self.sweep_at,
+            self.contact_at,
         ]
         .into_iter()
         .flatten()
@@ -188,11 +198,27 @@
     fn advance(&mut self, now: Instant) {
         self.expire_permits(now);
         self.check_waiters(now);
+        self.budget.refresh(now);
         self.start_loads(now);
+        self.tell_pool(now);
         self.publish_backlog(now);
         self.sweep(now);
     }
 
+    fn tell_pool(&mut self, now: Instant) {
+        if self.pending.is_empty() {
+            self.budget.give_back();
+        }
+        let wanted = if self.store_is_down(now) {
+            0
+        } else {
+            self.pending.len()
+        };
+        let demand = self.budget.demand(wanted, now);
+        self.actions.extend(demand.map(Action::Demand));
+        self.contact_at = self.budget.next_contact(now);
+    }
+
     fn publish_backlog(&mut self, now: Instant) {
         let wait = self.budget.wait(self.pending.len(), now);
         let backlog = if self.store_is_down(now) {
