--- a/crates/entry/src/adoption.rs
+++ b/crates/entry/src/adoption.rs
@@ -1,8 +1,8 @@
 //! Adopts configuration revisions. The revision in force only goes up.
 
-use config::revision::{Next, Record, State};
+use config::revision::{Next, Number, Record, State};
 use kernel::name::Host as HostName;
-use platform::object::Failure;
+use platform::log;
 
 use crate::{
     host::Host,
@@ -34,15 +34,32 @@
         return;
     }
     let number = host.text().0;
-    log::info!(target: "config", "Ready with revision {number} from {}.", source.as_str());
+    ::log::info!(target: "config", "Ready with revision {number} from {}.", source.as_str());
     host.readiness.reach(Stage::Ready);
 }
 
 /// Brings the configuration up to what the platform has.
-pub fn from_platform(host: &Host) -> Result<(), Failure> {
-    let after = host.text().0;
-    let records = host.log.fetch_after(after)?;
-    todo!()
+pub fn from_platform(host: &Host) -> Result<(), log::Error> {
+    let held = host.text().0;
+    if held == Number::default() {
+        replace(host, host.log.load()?);
+        return Ok(());
+    }
+    match host.log.fetch_after(held) {
+        Ok(records) => {
+            for record in records {
+                if adopt(host, &record) == Progress::Stuck {
+                    break;
+                }
+            }
+        }
+        // The records in between were dropped after a snapshot.
+        Err(log::Error::Hole { .. }) => {
+            replace(host, host.log.load()?);
+        }
+        Err(error) => return Err(error),
+    }
+    Ok(())
 }
 
 /// Takes what another host sent.
@@ -52,7 +69,7 @@
             Some(Step::Record(record)) => adopt(host, &record),
             Some(Step::State(state)) => replace(host, state),
             None => {
-                log::warn!(target: "config", "Host {other} sent a revision that can't be read.");
+                ::log::warn!(target: "config", "Host {other} sent a revision that can't be read.");
                 return;
             }
         };
@@ -80,11 +97,11 @@
         }
         Next::Old => Progress::Fine,
         Next::Gap { held, offered } => {
-            log::info!(target: "config", "Revision {offered} can't follow {held}.");
+            ::log::info!(target: "config", "Revision {offered} can't follow {held}.");
             Progress::Stuck
         }
         Next::Rejected(invalid) => {
-            log::error!(target: "config", "Revision {} does not fit the text in force: {invalid}.", record.number);
+            ::log::error!(target: "config", "Revision {} does not fit the text in force: {invalid}.", record.number);
             Progress::Stuck
         }
     }
@@ -103,7 +120,7 @@
 }
 
 fn in_force(host: &Host, number: u64) {
-    log::info!(target: "config", "Revision {number} is in force.");
+    ::log::info!(target: "config", "Revision {number} is in force.");
     host.metrics.revision(number);
     if let Some(peer) = host.peer.get() {
         peer.revise(number);
--- a/crates/entry/src/duty/configuration.rs
+++ b/crates/entry/src/duty/configuration.rs
@@ -5,7 +5,10 @@
 
 use kernel::registry::inventory;
 use member::{Condition, Member};
-use platform::object::{Failure, Reason, Store, Version};
+use platform::{
+    log::Error,
+    object::{Failure, Reason, Store, Version},
+};
 
 use crate::{
     adoption::{self, Source},
@@ -45,7 +48,7 @@
         }
         match turn(host, since) {
             Ok(revision) => since = Some(revision),
-            Err(Failure::Gap { .. }) => since = None,
+            Err(Error::Store(Failure::Gap { .. })) => since = None,
             Err(error) => {
                 log::warn!(target: "config", "The configuration could not be read from the platform: {error}.");
                 stop.sleep(BACK_OFF);
@@ -55,7 +58,7 @@
 }
 
 /// Waits for a change after `since`, or reads everything if that is not known.
-fn turn(host: &Host, since: Option<Version>) -> Result<Version, Failure> {
+fn turn(host: &Host, since: Option<Version>) -> Result<Version, Error> {
     let Some(since) = since else {
         // The position is read before the log, so that no edit falls between the two.
         let page = host.store.list(Reason::Config, LOG_PREFIX, "~", 1)?;
