--- /dev/null
+++ b/crates/member/src/settings.rs
@@ -0,0 +1,75 @@
+//! The intervals and limits of gossip.
+
+use std::time::Duration;
+
+/// Which hosts a host knows in full.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Detail {
+    /// All hosts; fits fleets of up to about a hundred hosts.
+    Fleet,
+    /// Those of the own failure domain, and a few contacts in each other domain.
+    Domain,
+}
+
+/// Intervals and limits; all hosts of a deployment use the same.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Settings {
+    /// Time between two rounds of probes.
+    pub period: Duration,
+    /// How long a direct probe waits for its answer before others are asked to probe.
+    pub direct_timeout: Duration,
+    /// How long the indirect probes may then take before the target is suspected.
+    pub indirect_timeout: Duration,
+    /// How long a suspected host has to refute.
+    pub suspicion: Duration,
+    /// Time between two comparisons of versions with a random member.
+    pub sync_interval: Duration,
+    /// Time between two tries to reach hosts that are not known to be alive.
+    pub reconnect_interval: Duration,
+    /// Time between two probes of a contact in another failure domain.
+    pub contact_interval: Duration,
+    /// How long a dead host is remembered.
+    pub forget: Duration,
+    /// How many successors on the ring of the own domain are probed in each period.
+    pub ring_probes: usize,
+    /// How many further members of the own domain are probed in each period, in random order.
+    pub random_probes: usize,
+    /// How many members are asked to probe a host that did not answer.
+    pub relays: usize,
+    /// To how many members fresh news is sent at once.
+    pub fanout: usize,
+    /// Which hosts are known in full.
+    pub detail: Detail,
+    /// How many live hosts are kept of each other domain if only the own one is known in full.
+    pub contacts: usize,
+    /// Most lines of a digest.
+    pub digest_lines: usize,
+    /// Rough size in bytes up to which a message is filled.
+    pub message_bytes: usize,
+    /// Most messages that answer one comparison.
+    pub sync_burst: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            period: Duration::from_millis(500),
+            direct_timeout: Duration::from_millis(200),
+            indirect_timeout: Duration::from_millis(300),
+            suspicion: Duration::from_secs(1),
+            sync_interval: Duration::from_secs(1),
+            reconnect_interval: Duration::from_secs(2),
+            contact_interval: Duration::from_secs(2),
+            forget: Duration::from_hours(2),
+            ring_probes: 1,
+            random_probes: 1,
+            relays: 3,
+            fanout: 3,
+            detail: Detail::Fleet,
+            contacts: 3,
+            digest_lines: 20,
+            message_bytes: 1000,
+            sync_burst: 4,
+        }
+    }
+}
