--- /dev/null
+++ b/crates/peer/src/handler.rs
@@ -0,0 +1,34 @@
+//! What the rest of an entry host does for its peers.
+
+use kernel::{
+    name::Upstream,
+    permit::{Ask, Holder, Number, Outcome, Verdict},
+};
+
+/// Answers peers and hears of members. Every method runs on the thread of the sockets and must
+/// return soon.
+pub trait Handler: Send + Sync {
+    /// Places a request; the verdict may be given later and from any thread. If the asking host
+    /// has gone by then, a permit comes back at once through [`Handler::release`].
+    fn place(&self, ask: Ask, reply: Box<dyn FnOnce(Verdict) + Send>);
+
+    /// Takes a permit back. The same release may come more than once.
+    fn release(&self, engine: Upstream, fence: u64, number: Number, outcome: Outcome);
+
+    /// The accepted configuration edits after a revision, in order.
+    fn revisions(&self, after: u64) -> Vec<Vec<u8>>;
+
+    /// What was decided for a request and why.
+    fn explain(&self, request: &str) -> Option<String>;
+
+    /// A member has changed.
+    fn changed(&self, change: member::Change);
+
+    /// An entry that another host published has changed, or vanished.
+    fn entry(&self, owner: Holder, key: &str, value: Option<&[u8]>);
+
+    /// A configuration revision higher than any known before exists; `holder` knows of it.
+    fn revision(&self, revision: u64, holder: Holder) {
+        let _ = (revision, holder);
+    }
+}
--- /dev/null
+++ b/crates/peer/tests/peer/fixture.rs
@@ -0,0 +1,202 @@
+//! Services with a handler that records what it is told.
+
+use std::{
+    net::{IpAddr, Ipv4Addr, SocketAddr},
+    sync::{Arc, Condvar, Mutex},
+    thread,
+    time::{Duration, Instant},
+};
+
+use kernel::{
+    clock,
+    fault::{Fault, Kind},
+    name::{Domain, Host, Upstream},
+    permit::{Ask, Holder, Number, Outcome, Permit, Verdict},
+    request::Class,
+};
+use member::{Change, Condition};
+use peer::{Handler, Service, Settings};
+
+pub type Reply = Box<dyn FnOnce(Verdict) + Send>;
+
+/// How long a test waits before it is given up as hung.
+pub const HANG: Duration = Duration::from_mins(1);
+
+pub const KEY: &[u8] = b"a key for tests";
+
+/// What a handler was told.
+#[derive(Default)]
+pub struct Record {
+    pub held: Vec<Reply>,
+    pub releases: Vec<(Upstream, u64, Number, Outcome)>,
+    pub changes: Vec<Change>,
+    pub entries: Vec<(Host, String, Option<Vec<u8>>)>,
+    pub revision: u64,
+}
+
+#[derive(Default)]
+pub struct Recorder {
+    record: Mutex<Record>,
+    changed: Condvar,
+}
+
+impl Recorder {
+    fn note(&self, note: impl FnOnce(&mut Record)) {
+        note(&mut self.record.lock().unwrap());
+        self.changed.notify_all();
+    }
+
+    /// Waits until the record gives something.
+    pub fn wait<T>(&self, mut look: impl FnMut(&mut Record) -> Option<T>) -> T {
+        let mut record = self.record.lock().unwrap();
+        loop {
+            if let Some(found) = look(&mut record) {
+                return found;
+            }
+            let (next, waited) = self.changed.wait_timeout(record, HANG).unwrap();
+            assert!(
+                !waited.timed_out(),
+                "the record never showed what was awaited"
+            );
+            record = next;
+        }
+    }
+}
+
+impl Handler for Recorder {
+    fn place(&self, ask: Ask, reply: Reply) {
+        match ask.request.as_str() {
+            "elsewhere" => reply(Verdict::Elsewhere),
+            "refused" => reply(Verdict::Refused(
+                Fault::new(Kind::Overloaded, "full").after(Duration::from_secs(3)),
+            )),
+            "held" => self.note(|it| it.held.push(reply)),
+            _ => reply(Verdict::Granted(permit())),
+        }
+    }
+
+    fn release(&self, engine: Upstream, fence: u64, number: Number, outcome: Outcome) {
+        self.note(|it| it.releases.push((engine, fence, number, outcome)));
+    }
+
+    fn revisions(&self, after: u64) -> Vec<Vec<u8>> {
+        (after + 1..=3)
+            .map(|it| it.to_be_bytes().to_vec())
+            .collect()
+    }
+
+    fn explain(&self, request: &str) -> Option<String> {
+        (request == "known").then(|| "because".to_owned())
+    }
+
+    fn changed(&self, change: Change) {
+        self.note(|it| it.changes.push(change));
+    }
+
+    fn entry(&self, owner: Holder, key: &str, value: Option<&[u8]>) {
+        let value = value.map(<[u8]>::to_vec);
+        self.note(|it| it.entries.push((owner.host, key.to_owned(), value)));
+    }
+
+    fn revision(&self, revision: u64, _: Holder) {
+        self.note(|it| it.revision = revision);
+    }
+}
+
+/// Waits until a condition that nobody tells of holds.
+pub fn poll(holds: impl Fn() -> bool) {
+    let started = Instant::now();
+    while !holds() {
+        assert!(started.elapsed() < HANG, "the condition never held");
+        thread::sleep(Duration::from_millis(5));
+    }
+}
+
+pub fn permit() -> Permit {
+    Permit {
+        number: Number(7),
+        upstream: "engine-1".parse().unwrap(),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        loaded: "signs/bay-summary@7+31".parse().unwrap(),
+        fence: 5,
+        start_by: Duration::from_secs(1),
+        run_by: Duration::from_secs(30),
+        load_stall: Duration::from_millis(250),
+        queue_wait: Duration::from_millis(260),
+    }
+}
+
+pub fn ask(request: &str) -> Ask {
+    Ask {
+        request: request.parse().unwrap(),
+        holder: holder("b"),
+        reference: "signs/bay-summary@7".parse().unwrap(),
+        model: "base".parse().unwrap(),
+        tenant: "maegesho".parse().unwrap(),
+        class: Class::Interactive,
+        remaining: Duration::from_millis(1500),
+        prefix: 11,
+        max_tokens: 64,
+    }
+}
+
+pub fn host(name: &str) -> Host {
+    name.parse().unwrap()
+}
+
+pub fn holder(name: &str) -> Holder {
+    Holder {
+        host: host(name),
+        incarnation: 1,
+    }
+}
+
+pub fn settings(name: &str, key: &[u8], seeds: Vec<SocketAddr>) -> Settings {
+    let domain: Domain = "dar-1".parse().unwrap();
+    let listen = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+    let me = member::Me {
+        holder: holder(name),
+        domain,
+        address: listen,
+    };
+    Settings::new(me, listen, key.to_vec(), seeds)
+}
+
+/// A service and its record.
+pub struct Node {
+    pub service: Service,
+    pub recorder: Arc<Recorder>,
+}
+
+impl Node {
+    pub fn start(settings: Settings) -> Self {
+        let recorder = Arc::new(Recorder::default());
+        let handler: Arc<dyn Handler> = Arc::<Recorder>::clone(&recorder);
+        let service = Service::start(settings, handler, Arc::new(clock::System)).unwrap();
+        Self { service, recorder }
+    }
+
+    /// Waits until a host is up here.
+    pub fn wait_for(&self, name: &str) {
+        self.wait_until(name, Condition::Up);
+    }
+
+    /// Waits until a host has got into a state here.
+    pub fn wait_until(&self, name: &str, state: Condition) {
+        let host = host(name);
+        self.recorder.wait(|record| {
+            let mut changes = record.changes.iter().rev();
+            let last = changes.find(|it| *it.host() == host)?;
+            (last.member().state == state).then_some(())
+        });
+    }
+}
+
+/// Two services that know each other.
+pub fn pair() -> (Node, Node) {
+    let a = Node::start(settings("a", KEY, Vec::new()));
+    let b = Node::start(settings("b", KEY, vec![a.service.address()]));
+    a.wait_for("b");
+    b.wait_for("a");
+    (a, b)
+}
--- /dev/null
+++ b/crates/peer/tests/peer/main.rs
@@ -0,0 +1,5 @@
+//! Services on loopback sockets.
+
+mod calls;
+mod fixture;
+mod strangers;
