--- a/crates/entry/src/chat.rs
+++ b/crates/entry/src/chat.rs
@@ -101,13 +101,19 @@
     const PRIME: u64 = 0x0000_0100_0000_01b3;
     let content = messages[0].get("content").and_then(Value::as_str);
     let bytes = content.unwrap_or_default().bytes().take(PREFIX_BYTES);
-    bytes.fold(OFFSET, |hash, it| (hash ^ u64::from(it)).wrapping_mul(PRIME))
+    bytes.fold(OFFSET, |hash, it| {
+        (hash ^ u64::from(it)).wrapping_mul(PRIME)
+    })
 }
 
 /// Reads a chunk of an engine.
 pub fn chunk(json: &str) -> Result<Value, Fault> {
-    serde_json::from_str(json)
-        .map_err(|it| Fault::new(Kind::BadAnswer, format!("a chunk of the engine is no JSON: {it}")))
+    serde_json::from_str(json).map_err(|it| {
+        Fault::new(
+            Kind::BadAnswer,
+            format!("a chunk of the engine is no JSON: {it}"),
+        )
+    })
 }
 
 /// Makes a chunk of an engine one for the caller: its `model` becomes the reference.
--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -136,8 +136,7 @@
     if record.state == State::Released {
         return Predecessor::Released;
     }
-    let earlier_self =
-        record.holder.host == me.host && record.holder.incarnation < me.incarnation;
+    let earlier_self = record.holder.host == me.host && record.holder.incarnation < me.incarnation;
     if earlier_self || evidence == Evidence::Ended {
         return Predecessor::Gone;
     }
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -283,7 +283,10 @@
         };
         let loaded = after.loaded.iter().cloned().map(Change::Loaded);
         let level = Change::Level(after.level);
-        return std::iter::once(joined).chain(loaded).chain([level]).collect();
+        return std::iter::once(joined)
+            .chain(loaded)
+            .chain([level])
+            .collect();
     };
     let gone = before.loaded.difference(&after.loaded).cloned();
     let new = after.loaded.difference(&before.loaded).cloned();
--- a/crates/entry/src/duty/claims.rs
+++ b/crates/entry/src/duty/claims.rs
@@ -188,9 +188,9 @@
 
 /// Whether the process of a holder has surely ended. Silence is no proof: it may be paused.
 fn evidence(host: &Host, holder: &Holder, members: &[Member]) -> Evidence {
-    let later = members.iter().any(|it| {
-        it.holder.host == holder.host && it.holder.incarnation > holder.incarnation
-    });
+    let later = members
+        .iter()
+        .any(|it| it.holder.host == holder.host && it.holder.incarnation > holder.incarnation);
     if later || host.listed.has_vanished(&holder.host) {
         return Evidence::Ended;
     }
--- a/crates/entry/src/duty/configuration.rs
+++ b/crates/entry/src/duty/configuration.rs
@@ -66,9 +66,7 @@
         adoption::ready(host, Source::Platform);
         return Ok(page.revision);
     };
-    let events = host
-        .store
-        .watch(Reason::Config, LOG_PREFIX, since, WATCH)?;
+    let events = host.store.watch(Reason::Config, LOG_PREFIX, since, WATCH)?;
     if !events.events.is_empty() {
         adoption::from_platform(host)?;
     }
--- a/crates/entry/src/duty/orders.rs
+++ b/crates/entry/src/duty/orders.rs
@@ -64,11 +64,7 @@
 }
 
 /// Starts threads that carry jobs out until the channel closes.
-pub fn start(
-    host: &Arc<Host>,
-    jobs: Receiver<Job>,
-    threads: usize,
-) -> Vec<thread::JoinHandle<()>> {
+pub fn start(host: &Arc<Host>, jobs: Receiver<Job>, threads: usize) -> Vec<thread::JoinHandle<()>> {
     let jobs = Arc::new(Mutex::new(jobs));
     let spawn = |number| {
         let host = Arc::clone(host);
--- a/crates/entry/src/duty/steward.rs
+++ b/crates/entry/src/duty/steward.rs
@@ -11,7 +11,7 @@
 };
 
 use kernel::{permit::Verdict, registry::inventory};
-use steward::{Action, Event, Settled, State, Ticket};
+use steward::{Action, Event, Settings, Settled, State, Ticket};
 
 use crate::{
     duty::orders::{self, Job},
@@ -37,12 +37,15 @@
 /// How long the thread sleeps at most, so that it notices a shutdown.
 const MAX_SLEEP: Duration = Duration::from_millis(50);
 
+/// Bits that count the permits given in a millisecond; the bits above are the incarnation.
+const PERMIT_BITS: u32 = 20;
+
 fn run(host: &Arc<Host>, stop: &Stop) {
     let (jobs, receiver) = sync_channel(MAX_JOBS);
     let crew = orders::start(host, receiver, ORDER_THREADS);
     let mut desk = Desk {
         host,
-        state: State::new(steward::Settings::default()),
+        state: State::new(settings(host)),
         replies: HashMap::new(),
         jobs,
     };
@@ -55,6 +58,13 @@
     join(crew);
 }
 
+fn settings(host: &Host) -> Settings {
+    Settings {
+        last_permit: host.me.incarnation << PERMIT_BITS,
+        ..Settings::default()
+    }
+}
+
 fn join(crew: Vec<thread::JoinHandle<()>>) {
     for thread in crew {
         if thread.join().is_err() {
@@ -147,6 +157,8 @@
                 let entry = self.host.directory.publish_backlog(me, backlog);
                 self.host.publish(entry);
             }
+            // Each steward keeps to its floor; the pool is not joined yet.
+            Action::Demand(_) => {}
             Action::Deposed { engine } => {
                 log::warn!(target: "steward", "Engine {engine} knows a later steward.");
                 self.host.doubt(engine);
--- a/crates/entry/src/envelope.rs
+++ b/crates/entry/src/envelope.rs
@@ -62,10 +62,7 @@
     Tenant::new(DEFAULT_TENANT).expect("the default tenant is a name")
 }
 
-fn optional<'a, T>(
-    name: &str,
-    header: impl Fn(&str) -> Option<&'a str>,
-) -> Result<Option<T>, Fault>
+fn optional<'a, T>(name: &str, header: impl Fn(&str) -> Option<&'a str>) -> Result<Option<T>, Fault>
 where
     T: FromStr,
     T::Err: std::fmt::Display,
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -78,7 +78,10 @@
     host.trace.begin(&envelope.id, request.received);
     host.step(
         &envelope.id,
-        format!("admitted under revision {number}, tenant {}", envelope.tenant),
+        format!(
+            "admitted under revision {number}, tenant {}",
+            envelope.tenant
+        ),
     );
     let admitted = Admitted {
         envelope,
@@ -112,7 +115,8 @@
                 continue;
             }
             if is_down(host, text, name) {
-                let detail = format!("service {service} depends on {name}, which has no live upstream");
+                let detail =
+                    format!("service {service} depends on {name}, which has no live upstream");
                 return Err(Fault::new(Kind::DependencyDown, detail).after(RETRY_AFTER));
             }
             seen.push(name.clone());
--- a/crates/entry/src/flow/model.rs
+++ b/crates/entry/src/flow/model.rs
@@ -13,8 +13,8 @@
 use serve::{Responder, Response, Stream};
 use telemetry::metrics::Labels;
 use upstream::{
+    Watch,
     engine::{self, Start},
-    watch::Watch,
 };
 
 use crate::{
@@ -63,18 +63,14 @@
     }
 }
 
-fn prepare<'a>(
-    host: &'a Arc<Host>,
-    admitted: &'a Admitted,
-    body: &[u8],
-) -> Result<Way<'a>, Fault> {
+fn prepare<'a>(host: &'a Arc<Host>, admitted: &'a Admitted, body: &[u8]) -> Result<Way<'a>, Fault> {
     let call = chat::parse(body)?;
     let text = &admitted.text;
     let name = &call.reference.service;
     let target = text.resolve(&call.reference)?;
-    let declared = text.service(name).ok_or_else(|| {
-        Fault::new(Kind::UnknownService, format!("there is no service {name}"))
-    })?;
+    let declared = text
+        .service(name)
+        .ok_or_else(|| Fault::new(Kind::UnknownService, format!("there is no service {name}")))?;
     check_dependencies(host, text, name)?;
     let class = admitted.class(declared);
     let labels = Labels {
@@ -319,14 +315,12 @@
     }
 
     fn finish(self, mut out: Stream) -> Attempt {
-        let told = out.write(chat::DONE).and_then(|()| out.finish());
+        let told = out.write(chat::DONE);
         match told {
             Ok(()) => self.way.ended(self.place, Outcome::Whole, "whole"),
-            Err(_) => self.way.ended(
-                self.place,
-                Outcome::Whole,
-                "whole, but the caller has gone",
-            ),
+            Err(_) => self
+                .way
+                .ended(self.place, Outcome::Whole, "whole, but the caller has gone"),
         }
     }
 
--- a/crates/entry/src/flow/place.rs
+++ b/crates/entry/src/flow/place.rs
@@ -195,7 +195,10 @@
     }
 
     fn too_late(&self) -> Fault {
-        let detail = format!("the deadline passed while {} waited for an engine", self.ask.reference);
+        let detail = format!(
+            "the deadline passed while {} waited for an engine",
+            self.ask.reference
+        );
         Fault::new(Kind::DeadlineBeforeStart, detail).after(RETRY_AFTER)
     }
 }
--- a/crates/entry/src/flow/plain.rs
+++ b/crates/entry/src/flow/plain.rs
@@ -8,20 +8,27 @@
     fault::{Fault, Kind, Ran},
     name::{Service, Upstream},
     request::Key,
+    service::Instance,
 };
-use platform::journal::Begin;
 use serve::{Request, Responder, Response};
 use sha2::{Digest, Sha256};
-use upstream::plain;
+use upstream::{
+    Watch,
+    plain::{self, Forward},
+};
 
 use crate::{
+    envelope,
     flow::{Admitted, RETRY_AFTER, check_dependencies, marked, refuse},
-    host::Host,
+    host::{Host, millis},
 };
 
 /// Times that one call is sent, if it may be.
 const MAX_ATTEMPTS: usize = 3;
 
+/// Headers that this host sets itself.
+const OWN_HEADERS: [&str; 2] = [envelope::REQUEST_ID, envelope::DEADLINE];
+
 /// What a call needs on its way.
 struct Way<'a> {
     host: &'a Arc<Host>,
@@ -29,7 +36,8 @@
     service: Service,
     repeat: Repeat,
     outage: Outage,
-    call: plain::Call,
+    request: Request,
+    target: String,
     deadline: Instant,
 }
 
@@ -54,7 +62,12 @@
     (name, rest): (&str, &str),
     request: Request,
 ) -> Result<Way<'a>, Fault> {
-    let unknown = || Fault::new(Kind::UnknownService, format!("there is no plain service {name:?}"));
+    let unknown = || {
+        Fault::new(
+            Kind::UnknownService,
+            format!("there is no plain service {name:?}"),
+        )
+    };
     let service: Service = name.parse().map_err(|_| unknown())?;
     let declared = admitted.text.service(&service).ok_or_else(unknown)?;
     if declared.kind != ServiceKind::Plain {
@@ -62,23 +75,18 @@
     }
     check_dependencies(host, &admitted.text, &service)?;
     let deadline = admitted.deadline(declared);
-    let headers = request.headers.iter();
+    let target = match &request.query {
+        Some(query) => format!("{rest}?{query}"),
+        None => rest.to_owned(),
+    };
     Ok(Way {
         host,
         admitted,
         service,
         repeat: declared.retry.repeat,
         outage: declared.journal_outage,
-        call: plain::Call {
-            method: request.method,
-            path: rest.to_owned(),
-            query: request.query,
-            headers: headers
-                .map(|(name, value)| (name.to_owned(), value.to_owned()))
-                .collect(),
-            body: request.body,
-            request_id: admitted.envelope.id.clone(),
-        },
+        request,
+        target,
         deadline,
     })
 }
@@ -100,26 +108,20 @@
     }
 
     fn keyed(&self, key: &Key) -> Result<Response, Fault> {
-        let begun = self
-            .host
-            .journal
-            .begin(&self.service, key, self.fingerprint(), self.deadline);
-        match begin {
-            Begin::First(_) => todo!(),
-        }
+        let _ = key;
+        let detail = "keyed calls are not served yet";
+        Err(Fault::new(Kind::JournalDown, detail).after(RETRY_AFTER))
     }
 
     /// What must be the same when a key is used again: everything that the service acts on.
     fn fingerprint(&self) -> [u8; 32] {
         let mut hash = Sha256::new();
-        let query = self.call.query.as_deref().unwrap_or_default();
         let tenant = self.admitted.envelope.tenant.as_str();
         let parts = [
             tenant.as_bytes(),
-            self.call.method.as_bytes(),
-            self.call.path.as_bytes(),
-            query.as_bytes(),
-            &self.call.body,
+            self.request.method.as_bytes(),
+            self.target.as_bytes(),
+            &self.request.body,
         ];
         for part in parts {
             hash.update((part.len() as u64).to_be_bytes());
@@ -138,10 +140,7 @@
                 return Err(self.no_instance(&tried));
             };
             self.note(format!("sent to {}", instance.name));
-            let sent = self
-                .host
-                .plain
-                .call(instance.address, &self.call, self.deadline);
+            let sent = self.host.plain.call(self.forward(&instance));
             let fault = match sent {
                 Ok(answer) => {
                     self.note(format!("{} answered {}", instance.name, answer.status));
@@ -160,6 +159,32 @@
         }
     }
 
+    fn forward(&self, instance: &Instance) -> Forward<'_> {
+        let headers = self.request.headers.iter();
+        let mut headers: Vec<(String, String)> = headers
+            .filter(|(name, _)| !OWN_HEADERS.contains(&name.to_ascii_lowercase().as_str()))
+            .map(|(name, value)| (name.to_owned(), value.to_owned()))
+            .collect();
+        let now = self.host.clock.now();
+        let remaining = millis(now, self.deadline);
+        headers.push((
+            envelope::REQUEST_ID.to_owned(),
+            self.admitted.envelope.id.to_string(),
+        ));
+        headers.push((envelope::DEADLINE.to_owned(), remaining.to_string()));
+        Forward {
+            address: instance.address,
+            method: &self.request.method,
+            target: &self.target,
+            headers,
+            body: self.request.body.clone(),
+            start_by: self.deadline,
+            deadline: self.deadline,
+            // A call whose caller has gone goes on, so that its outcome becomes known.
+            watch: Watch::none(),
+        }
+    }
+
     fn no_instance(&self, tried: &[Upstream]) -> Fault {
         let detail = format!(
             "service {} has no live instance besides the {} that refused",
@@ -171,7 +196,10 @@
 
     fn response(&self, answer: plain::Answer, instance: &Upstream) -> Response {
         let mut headers = answer.headers;
-        headers.push(("x-request-id".to_owned(), self.admitted.envelope.id.to_string()));
+        headers.push((
+            "x-request-id".to_owned(),
+            self.admitted.envelope.id.to_string(),
+        ));
         headers.push(("x-upstream".to_owned(), instance.to_string()));
         Response {
             status: answer.status,
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -30,6 +30,9 @@
     trace::Trace,
 };
 
+/// The largest answer of a plain service in bytes.
+const MAX_ANSWER_BYTES: u64 = 16 << 20;
+
 /// What the threads of an entry host share.
 pub struct Host {
     /// The settings.
@@ -64,8 +67,6 @@
     pub store: http::Client,
     /// The configuration log in the platform.
     pub log: Log,
-    /// The records of keyed calls.
-    pub journal: platform::journal::Journal,
     /// The client of engines.
     pub engines: upstream::engine::Client,
     /// The client of plain services.
@@ -182,9 +183,10 @@
             recent: Recent::default(),
             peer: OnceLock::new(),
             log: Log::new(Arc::clone(&shared)),
-            journal: platform::journal::Journal::new(shared, me.clone(), Arc::clone(&clock)),
-            engines: upstream::engine::Client::new(),
-            plain: upstream::plain::Client::new(),
+            engines: upstream::engine::Client,
+            plain: upstream::plain::Client {
+                answer_bytes: MAX_ANSWER_BYTES,
+            },
             trace: Trace::default(),
             next: AtomicU64::new(1),
             settings,
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -114,16 +114,17 @@
 }
 
 fn open_peers(host: &Arc<Host>) -> Result<peer::Service, Failure> {
-    let settings = peer::Settings {
-        me: member::Me {
-            holder: host.me.clone(),
-            domain: host.settings.domain.clone(),
-            address: host.settings.peers,
-        },
-        listen: host.settings.peers,
-        key: host.settings.cluster_key.bytes().to_vec(),
-        seeds: host.settings.seeds.clone(),
+    let me = member::Me {
+        holder: host.me.clone(),
+        domain: host.settings.domain.clone(),
+        address: host.settings.peers,
     };
+    let settings = peer::Settings::new(
+        me,
+        host.settings.peers,
+        host.settings.cluster_key.bytes().to_vec(),
+        host.settings.seeds.clone(),
+    );
     let answers = Arc::new(Answers(Arc::clone(host)));
     let service = peer::Service::start(settings, answers, Arc::clone(&host.clock));
     let service = service.map_err(Failure::Peer)?;
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -36,7 +36,10 @@
         let fits = |it: &&&Route| it.path.matches(&request.path);
         let route = self.routes.iter().find(fits).copied();
         let route = route.ok_or_else(|| {
-            Fault::new(Kind::UnknownPath, format!("there is no path {:?}", request.path))
+            Fault::new(
+                Kind::UnknownPath,
+                format!("there is no path {:?}", request.path),
+            )
         })?;
         if route.methods.is_empty() || route.methods.contains(&request.method.as_str()) {
             return Ok(route);
--- a/crates/entry/src/route/status.rs
+++ b/crates/entry/src/route/status.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use kernel::{registry::inventory, service::State};
+use member::Condition;
 use serde_json::{Value, json};
 use serve::{Request, Responder};
 
@@ -49,12 +50,21 @@
             json!({
                 "host": it.holder.host.as_str(),
                 "domain": it.domain.as_str(),
-                "state": it.state.to_string(),
+                "state": word(it.state),
             })
         })
         .collect()
 }
 
+fn word(state: Condition) -> &'static str {
+    match state {
+        Condition::Up => "up",
+        Condition::Suspect => "suspect",
+        Condition::Leaving => "leaving",
+        Condition::Down => "down",
+    }
+}
+
 fn engines(host: &Host) -> Vec<Value> {
     let views = host.directory.views();
     let views = views.iter();
--- a/crates/steward/src/permits.rs
+++ b/crates/steward/src/permits.rs
@@ -39,6 +39,14 @@
 }
 
 impl Permits {
+    /// No permits yet; the numbers of permits begin after `last`.
+    pub fn new(last: u64) -> Self {
+        Self {
+            last,
+            ..Self::default()
+        }
+    }
+
     /// Adds a permit.
     pub fn insert(&mut self, pin: Pin) -> Number {
         self.last += 1;
--- a/crates/steward/src/settings.rs
+++ b/crates/steward/src/settings.rs
@@ -25,6 +25,9 @@
 pub struct Settings {
     /// The weights of the two measures.
     pub objective: Objective,
+    /// The numbers of permits begin after this one. It has to be higher in a later life of the
+    /// host, so that a late release of an earlier life's permit ends no other permit.
+    pub last_permit: u64,
     /// A permit is void if its request has not been sent within this time.
     pub start_by: Duration,
     /// How long a pin outlasts the deadline of its request.
@@ -53,6 +56,7 @@
     fn default() -> Self {
         Self {
             objective: Objective::default(),
+            last_permit: 0,
             start_by: Duration::from_secs(1),
             run_margin: Duration::from_secs(2),
             longest_deadline: Duration::from_mins(1),
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,1 +1,4 @@
 //! Logs and metrics.
+
+pub mod log;
+pub mod metrics;
