Add the operators' command line

Cause: operators drive the system through one text, and need to check, apply, compare and show it, to see the state per failure domain and to ask why a request went as it did.

Change: the binary comfreywing with check, apply, show, diff, status and explain; text for people or JSON; exit codes 0 to 4. What show prints carries its revision, so that an edit made from an older text is refused with both sides instead of reverting what was accepted since.

Shown by 'cargo test -p cli': 14 tests run the binary on files and against the stand-in of the object API, with lost answers, outages and a missing platform.

--- /dev/null
+++ b/crates/cli/src/command/status.rs
@@ -0,0 +1,196 @@
+//! `comfreywing status`.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::{
+    args::Arguments,
+    entry::{self, Answer},
+    report::{Code, Report},
+    table,
+};
+
+/// What one entry host says of itself and of what it sees.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct Host {
+    #[serde(rename = "host")]
+    name: String,
+    domain: String,
+    incarnation: u64,
+    revision: u64,
+    ready: bool,
+    #[serde(default)]
+    members: Vec<Member>,
+    #[serde(default)]
+    engines: Vec<Engine>,
+    #[serde(default)]
+    upstreams: u64,
+}
+
+/// An entry host as another one sees it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct Member {
+    host: String,
+    domain: String,
+    state: String,
+}
+
+/// An engine as its steward or another host sees it.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct Engine {
+    name: String,
+    domain: String,
+    #[serde(default)]
+    steward: Option<String>,
+    #[serde(default)]
+    fence: u64,
+    state: String,
+    #[serde(default)]
+    loaded: Vec<Loaded>,
+}
+
+/// An adapter on an engine.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+struct Loaded {
+    name: String,
+    running: u64,
+}
+
+/// What is known of a failure domain.
+#[derive(Clone, Debug, Default, PartialEq, Serialize)]
+struct Domain {
+    /// Revisions in force on the hosts that answered.
+    revisions: BTreeSet<u64>,
+    /// Every host that answered or that another one sees.
+    hosts: BTreeSet<String>,
+    /// Hosts that answered and are ready.
+    ready: BTreeSet<String>,
+    /// Upstreams that a host of the domain knows.
+    upstreams: u64,
+    /// Engines by name, as their highest fencing number shows them.
+    engines: BTreeMap<String, Engine>,
+}
+
+impl Domain {
+    fn adapters(&self) -> usize {
+        self.engines.values().map(|it| it.loaded.len()).sum()
+    }
+}
+
+/// Shows the state of each failure domain, from the entry hosts that answer.
+pub fn run(arguments: &Arguments) -> Result<Report, Report> {
+    let mut hosts: Vec<Host> = Vec::new();
+    let mut failed = Vec::new();
+    for address in arguments.entries()? {
+        match entry::get(address, "/v1/status") {
+            Answer::Found(host) => hosts.push(host),
+            Answer::Absent => failed.push(format!("{address}: it is no entry host")),
+            Answer::Failed(reason) => failed.push(format!("{address}: {reason}")),
+        }
+    }
+    let code = match (hosts.is_empty(), failed.is_empty()) {
+        (true, _) => Code::Unreachable,
+        (false, false) => Code::Failed,
+        (false, true) => Code::Ok,
+    };
+    let domains = by_domain(&hosts);
+    let human = show(&domains, &failed);
+    let json = json!({ "domains": domains, "hosts": hosts, "unreachable": failed });
+    Ok(Report::new(code, human, json))
+}
+
+fn by_domain(hosts: &[Host]) -> BTreeMap<String, Domain> {
+    let mut domains: BTreeMap<String, Domain> = BTreeMap::new();
+    for host in hosts {
+        let domain = domains.entry(host.domain.clone()).or_default();
+        domain.revisions.insert(host.revision);
+        domain.hosts.insert(host.name.clone());
+        domain.upstreams = domain.upstreams.max(host.upstreams);
+        if host.ready {
+            domain.ready.insert(host.name.clone());
+        }
+        for member in &host.members {
+            let domain = domains.entry(member.domain.clone()).or_default();
+            domain.hosts.insert(member.host.clone());
+        }
+        for engine in &host.engines {
+            let domain = domains.entry(engine.domain.clone()).or_default();
+            keep_newest(&mut domain.engines, engine);
+        }
+    }
+    domains
+}
+
+fn keep_newest(engines: &mut BTreeMap<String, Engine>, engine: &Engine) {
+    let known = engines.get(&engine.name);
+    if known.is_none_or(|it| it.fence < engine.fence) {
+        engines.insert(engine.name.clone(), engine.clone());
+    }
+}
+
+fn show(domains: &BTreeMap<String, Domain>, failed: &[String]) -> String {
+    let mut parts = Vec::new();
+    if !domains.is_empty() {
+        parts.push(domain_table(domains));
+        parts.push(engine_table(domains));
+    }
+    if !failed.is_empty() {
+        parts.push(format!("no answer:\n  {}", failed.join("\n  ")));
+    }
+    parts.join("\n\n")
+}
+
+fn domain_table(domains: &BTreeMap<String, Domain>) -> String {
+    let rows: Vec<[String; 6]> = domains
+        .iter()
+        .map(|(name, domain)| {
+            [
+                name.clone(),
+                revisions(domain),
+                domain.hosts.len().to_string(),
+                domain.ready.len().to_string(),
+                domain.upstreams.to_string(),
+                domain.adapters().to_string(),
+            ]
+        })
+        .collect();
+    let header = [
+        "DOMAIN",
+        "REVISION",
+        "HOSTS",
+        "READY",
+        "UPSTREAMS",
+        "ADAPTERS",
+    ];
+    table::render(header, &rows)
+}
+
+/// The revision in force, all of them if hosts differ, or a question mark if no host answered.
+fn revisions(domain: &Domain) -> String {
+    if domain.revisions.is_empty() {
+        return "?".to_owned();
+    }
+    let numbers: Vec<String> = domain.revisions.iter().map(ToString::to_string).collect();
+    numbers.join(",")
+}
+
+fn engine_table(domains: &BTreeMap<String, Domain>) -> String {
+    let engines = domains.values().flat_map(|it| it.engines.values());
+    let rows: Vec<[String; 6]> = engines
+        .map(|engine| {
+            let loaded: Vec<&str> = engine.loaded.iter().map(|it| it.name.as_str()).collect();
+            [
+                engine.name.clone(),
+                engine.domain.clone(),
+                engine.state.clone(),
+                engine.steward.clone().unwrap_or_else(|| "-".to_owned()),
+                engine.fence.to_string(),
+                loaded.join(" "),
+            ]
+        })
+        .collect();
+    let header = ["ENGINE", "DOMAIN", "STATE", "STEWARD", "FENCE", "LOADED"];
+    table::render(header, &rows)
+}
--- /dev/null
+++ b/crates/cli/src/file.rs
@@ -0,0 +1,26 @@
+//! Reading the operator's file.
+
+use std::{fs::File, io::Read, path::Path};
+
+use config::{
+    node::{MAX_FILE_BYTES, too_large},
+    problem::{Place, Sink},
+    text::{Edit, parse_edit},
+};
+
+use crate::report::Report;
+
+/// Reads and checks a file. A file over the limit is refused without being read.
+pub fn read(path: &Path) -> Result<Edit, Report> {
+    let name = path.display().to_string();
+    let wrong = |error: std::io::Error| Report::bad_input(format!("{name}: {error}"));
+    let file = File::open(path).map_err(wrong)?;
+    let bytes = file.metadata().map_err(wrong)?.len();
+    if bytes > MAX_FILE_BYTES as u64 {
+        return Err(Sink::new(&name).fail(Place::START, too_large(bytes)).into());
+    }
+    let mut content = Vec::new();
+    let limit = MAX_FILE_BYTES as u64 + 1;
+    file.take(limit).read_to_end(&mut content).map_err(wrong)?;
+    Ok(parse_edit(&name, &content)?)
+}
--- /dev/null
+++ b/crates/cli/tests/cli/main.rs
@@ -0,0 +1,6 @@
+//! The command line as operators run it: the binary on files, against a stand-in of the platform.
+
+mod check;
+mod edit;
+mod hosts;
+mod run;
