--- /dev/null
+++ b/crates/standin/examples/demo/main.rs
@@ -0,0 +1,173 @@
+//! Starts a whole deployment on this machine, sends requests through it and checks every answer.
+//!
+//! `cargo run --release --example demo` prints a table of outcomes and exits with 1 if any is
+//! wrong. With `--hold` everything stays up until a signal comes or standard input closes.
+
+use std::{
+    path::Path,
+    process::ExitCode,
+    time::{Duration, Instant},
+};
+
+use derive_more::{Display, Error};
+use standin::{
+    client::{self, Request},
+    fleet::{self, Fleet, Shape, process::Ended},
+};
+
+mod hold;
+mod model;
+mod outcome;
+mod service;
+
+use hold::{Ending, Interrupt};
+use outcome::{Outcome, Verdict};
+
+/// Time for a configuration to be in force everywhere.
+const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(17);
+
+/// Time for an entry host to shut down.
+const SHUT_DOWN_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Time between two looks at something that is waited for.
+const POLL: Duration = Duration::from_millis(20);
+
+/// The text that is applied.
+const TEXT: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/fleet.yaml");
+
+/// Why the demo can't go on.
+#[derive(Debug, Display, Error)]
+enum Failure {
+    /// The fleet did not start.
+    #[display("the fleet did not start: {_0}")]
+    Start(fleet::Failure),
+    /// A stand-in can't be asked.
+    #[display("{_0}")]
+    Ask(client::Failure),
+    /// The text was not applied.
+    #[display("the text was not applied: {_0}")]
+    Apply(#[error(not(source))] String),
+    /// The text is not in force.
+    #[display("the text is not in force at {_0} after {IN_FORCE_TIMEOUT:?}")]
+    InForce(#[error(not(source))] String),
+    /// Signals can't be handled.
+    #[display("signals can't be handled: {_0}")]
+    Signals(std::io::Error),
+    /// A signal came.
+    #[display("a signal came")]
+    Interrupted,
+    /// The command line is wrong.
+    #[display("{_0:?} is not understood; the only option is --hold")]
+    Usage(#[error(not(source))] String),
+}
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(Verdict::Right) => ExitCode::SUCCESS,
+        Ok(Verdict::Wrong) => ExitCode::FAILURE,
+        Err(failure) => {
+            eprintln!("demo: {failure}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<Verdict, Failure> {
+    let ending = ending()?;
+    let interrupt = Interrupt::register().map_err(Failure::Signals)?;
+    let fleet = Fleet::start(&Shape::default()).map_err(Failure::Start)?;
+    apply(&fleet)?;
+    wait_in_force(&fleet, &interrupt)?;
+    let outcomes = send_all(&fleet, &interrupt)?;
+    print!("{}", outcome::table(&outcomes));
+    let answers = outcome::verdict(&outcomes);
+    if ending == Ending::Hold {
+        announce(&fleet);
+        interrupt.wait();
+    }
+    let ended = shut_down(&fleet);
+    Ok(answers.and(ended))
+}
+
+fn ending() -> Result<Ending, Failure> {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    match arguments.as_slice() {
+        [] => Ok(Ending::Exit),
+        [option] if option == "--hold" => Ok(Ending::Hold),
+        other => Err(Failure::Usage(other.join(" "))),
+    }
+}
+
+fn apply(fleet: &Fleet) -> Result<(), Failure> {
+    let platform = fleet.platform().to_string();
+    let text = Path::new(TEXT).display().to_string();
+    let output = fleet
+        .cli(&["apply", &text, "--platform", &platform])
+        .map_err(Failure::Start)?;
+    if output.status.success() {
+        return Ok(());
+    }
+    let message = [output.stdout, output.stderr].concat();
+    let message = String::from_utf8_lossy(&message);
+    Err(Failure::Apply(format!(
+        "{}: {}",
+        output.status,
+        message.trim()
+    )))
+}
+
+fn wait_in_force(fleet: &Fleet, interrupt: &Interrupt) -> Result<(), Failure> {
+    let deadline = Instant::now() + IN_FORCE_TIMEOUT;
+    for entry in fleet.entries() {
+        while !serves_text(entry) {
+            interrupt.check()?;
+            if Instant::now() >= deadline {
+                return Err(Failure::InForce(entry.name.clone()));
+            }
+            std::thread::sleep(POLL);
+        }
+    }
+    Ok(())
+}
+
+/// Whether a host is ready and has the text and the upstreams.
+fn serves_text(entry: &fleet::Entry) -> bool {
+    let Ok(answer) = Request::new("GET", "/v1/status").send(entry.address()) else {
+        return false;
+    };
+    let status = answer.json();
+    let revision = status["revision"].as_u64().unwrap_or_default();
+    let upstreams = status["upstreams"].as_u64().unwrap_or_default();
+    status["ready"] == true && revision > 0 && upstreams > 0
+}
+
+fn send_all(fleet: &Fleet, interrupt: &Interrupt) -> Result<Vec<Outcome>, Failure> {
+    let mut outcomes = Vec::new();
+    for entry in fleet.entries() {
+        interrupt.check()?;
+        outcomes.extend(model::send_all(entry));
+    }
+    model::check_runs(fleet, &mut outcomes).map_err(Failure::Ask)?;
+    interrupt.check()?;
+    outcomes.extend(service::send_all(fleet).map_err(Failure::Ask)?);
+    Ok(outcomes)
+}
+
+fn announce(fleet: &Fleet) {
+    for entry in fleet.entries() {
+        println!("entry {}", entry.address());
+    }
+    println!("platform {}", fleet.platform());
+}
+
+fn shut_down(fleet: &Fleet) -> Verdict {
+    let mut verdict = Verdict::Right;
+    for (name, ended) in fleet.shut_down(SHUT_DOWN_TIMEOUT) {
+        if matches!(ended, Ended::With(status) if status.success()) {
+            continue;
+        }
+        eprintln!("demo: {name} did not shut down well: {ended:?}");
+        verdict = Verdict::Wrong;
+    }
+    verdict
+}
--- /dev/null
+++ b/crates/standin/examples/demo/model.rs
@@ -0,0 +1,178 @@
+//! Requests to model services, whole and streamed.
+
+use std::time::Instant;
+
+use serde_json::{Value, json};
+use standin::{
+    client::{self, Answer, Request},
+    engine::{Counts, End},
+    fleet::{Entry, Fleet, Upstream},
+};
+
+use super::outcome::Outcome;
+
+/// The adapters and versions that are asked for through every entry host.
+const REFERENCES: [&str; 3] = [
+    "signs/bay-summary@6",
+    "signs/bay-summary@7",
+    "cards/formula-card@12",
+];
+
+/// Tokens of each answer.
+const TOKENS: u32 = 8;
+
+/// Sends every request through one entry host.
+pub fn send_all(entry: &Entry) -> Vec<Outcome> {
+    let mut outcomes = Vec::new();
+    for (index, reference) in REFERENCES.iter().enumerate() {
+        let id = format!("demo-{}-{index}", entry.name);
+        outcomes.push(whole(entry, format!("{id}-whole"), reference));
+        outcomes.push(stream(entry, format!("{id}-stream"), reference));
+    }
+    outcomes
+}
+
+fn request(id: &str, reference: &str, stream: bool) -> Request {
+    let body = json!({
+        "model": reference,
+        "messages": [{"role": "user", "content": "Which bays are free?"}],
+        "max_tokens": TOKENS,
+        "stream": stream,
+    });
+    let request = Request::post("/v1/chat/completions", &body).with("x-request-id", id);
+    request
+        .with("x-tenant", "car-parks")
+        .with("x-deadline-ms", "10000")
+}
+
+fn whole(entry: &Entry, id: String, reference: &str) -> Outcome {
+    let start = Instant::now();
+    let answer = request(&id, reference, false).send(entry.address());
+    let mut outcome = Outcome::new(id, &entry.name, reference);
+    match answer {
+        Ok(answer) => {
+            outcome.first = Some(start.elapsed());
+            check_whole(&mut outcome, &answer);
+        }
+        Err(failure) => outcome.wrong.push(failure.to_string()),
+    }
+    outcome
+}
+
+fn check_whole(outcome: &mut Outcome, answer: &Answer) {
+    outcome.expect(
+        answer.status == 200,
+        format!("{}: {}", answer.status, answer.text()),
+    );
+    check_head(outcome, |name| answer.header(name).to_owned());
+    let body = answer.json();
+    check_model(outcome, &body);
+    let expected: String = (0..TOKENS).map(|it| text(&outcome.target, it)).collect();
+    let content = &body["choices"][0]["message"]["content"];
+    outcome.expect(*content == expected, format!("the text is {content}"));
+}
+
+fn stream(entry: &Entry, id: String, reference: &str) -> Outcome {
+    let start = Instant::now();
+    let stream = request(&id, reference, true).stream(entry.address());
+    let mut outcome = Outcome::new(id, &entry.name, reference);
+    let stream = match stream {
+        Ok(stream) => stream,
+        Err(failure) => {
+            outcome.wrong.push(failure.to_string());
+            return outcome;
+        }
+    };
+    outcome.expect(stream.status == 200, format!("status {}", stream.status));
+    let headers = stream.headers.clone();
+    check_head(&mut outcome, |name| {
+        headers.get(name).cloned().unwrap_or_default()
+    });
+    let mut chunks = 0;
+    let mut done = 0;
+    for event in stream {
+        outcome.first.get_or_insert_with(|| event.at - start);
+        outcome.expect(done == 0, "an event follows [DONE]");
+        if event.is_done() {
+            done += 1;
+            continue;
+        }
+        check_chunk(&mut outcome, &event, chunks);
+        chunks += 1;
+    }
+    outcome.expect(
+        chunks == TOKENS,
+        format!("{chunks} chunks in place of {TOKENS}"),
+    );
+    outcome.expect(done == 1, "no [DONE]");
+    outcome
+}
+
+fn check_chunk(outcome: &mut Outcome, event: &client::Event, chunk: u32) {
+    outcome.expect(
+        event.kind.is_empty(),
+        format!("event {}: {}", event.kind, event.data),
+    );
+    let body = event.json();
+    check_model(outcome, &body);
+    let expected = text(&outcome.target, chunk);
+    let content = &body["choices"][0]["delta"]["content"];
+    outcome.expect(*content == expected, format!("chunk {chunk} is {content}"));
+}
+
+fn check_head(outcome: &mut Outcome, header: impl Fn(&str) -> String) {
+    outcome.load_stall_ms = header("x-load-stall-ms");
+    let [id, adapter, entry] = ["x-request-id", "x-adapter", "x-served-by"].map(header);
+    outcome.expect(id == outcome.request, format!("the request id is {id:?}"));
+    outcome.expect(
+        adapter == outcome.target,
+        format!("the adapter is {adapter:?}"),
+    );
+    outcome.expect(entry == outcome.entry, format!("served by {entry:?}"));
+}
+
+/// An answer may name the adapter with or without its load epoch.
+fn check_model(outcome: &mut Outcome, body: &Value) {
+    let model = body["model"].as_str().unwrap_or_default();
+    let reference = model.split('+').next();
+    outcome.expect(
+        reference == Some(&outcome.target),
+        format!("the model is {model:?}"),
+    );
+}
+
+fn text(reference: &str, chunk: u32) -> String {
+    format!("{reference}#{chunk} ")
+}
+
+/// Checks with the engines that each request ran once, to its end, on the named adapter.
+pub fn check_runs(fleet: &Fleet, outcomes: &mut [Outcome]) -> Result<(), client::Failure> {
+    let mut journals = Vec::new();
+    for engine in fleet.engines() {
+        journals.push((engine, engine.counts::<Counts>()?));
+    }
+    for outcome in outcomes {
+        check_run(outcome, &journals);
+    }
+    Ok(())
+}
+
+fn check_run(outcome: &mut Outcome, journals: &[(&Upstream, Counts)]) {
+    let mut runs = 0;
+    for (engine, counts) in journals {
+        for entry in counts.request(&outcome.request) {
+            runs += 1;
+            outcome.domain.clone_from(&engine.domain);
+            let reference = entry.loaded.split('+').next();
+            outcome.expect(
+                reference == Some(&outcome.target),
+                format!("{} ran {}", engine.name, entry.loaded),
+            );
+            outcome.expect(
+                entry.ended == Some(End::Finished),
+                format!("{} ended it as {:?}", engine.name, entry.ended),
+            );
+        }
+    }
+    outcome.expect(runs == 1, format!("it ran {runs} times"));
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,10 +6,13 @@
 
 pub mod bucket;
 pub mod client;
+pub mod command;
 pub mod control;
 pub mod engine;
+pub mod fleet;
 pub mod hosts;
 pub mod http;
 pub mod object;
 pub mod plain;
+pub mod platform;
 pub mod weights;
