--- a/crates/entry/src/adoption.rs
+++ b/crates/entry/src/adoption.rs
@@ -28,14 +28,14 @@
     }
 }
 
-/// Makes this host ready.
-pub fn ready(host: &Host, source: Source) {
+/// Notes that the configuration is known.
+pub fn known(host: &Host, source: Source) {
     if host.readiness.stage() != Stage::Starting {
         return;
     }
     let number = host.text().0;
-    ::log::info!(target: "config", "Ready with revision {number} from {}.", source.as_str());
-    host.readiness.reach(Stage::Ready);
+    ::log::info!(target: "config", "Revision {number} is known from {}.", source.as_str());
+    host.readiness.reach(Stage::Joining);
 }
 
 /// Brings the configuration up to what the platform has.
--- a/crates/entry/src/duty.rs
+++ b/crates/entry/src/duty.rs
@@ -3,6 +3,7 @@
 mod claims;
 mod configuration;
 mod hosts;
+mod joining;
 mod learning;
 pub mod orders;
 mod reports;
--- a/crates/entry/src/duty/claims.rs
+++ b/crates/entry/src/duty/claims.rs
@@ -53,7 +53,7 @@
 }
 
 fn turn(host: &Host) -> Result<(), Failure> {
-    if host.readiness.stage() != Stage::Ready {
+    if host.readiness.stage() == Stage::Starting {
         return Ok(());
     }
     let members = members(host);
--- a/crates/entry/src/duty/configuration.rs
+++ b/crates/entry/src/duty/configuration.rs
@@ -63,7 +63,7 @@
         // The position is read before the log, so that no edit falls between the two.
         let page = host.store.list(Reason::Config, LOG_PREFIX, "~", 1)?;
         adoption::from_platform(host)?;
-        adoption::ready(host, Source::Platform);
+        adoption::known(host, Source::Platform);
         return Ok(page.revision);
     };
     let events = host.store.watch(Reason::Config, LOG_PREFIX, since, WATCH)?;
--- a/crates/entry/src/duty/learning.rs
+++ b/crates/entry/src/duty/learning.rs
@@ -51,7 +51,7 @@
         ask(host, &member.holder.host);
     }
     if host.text().0.0 > 0 {
-        adoption::ready(host, Source::Peers);
+        adoption::known(host, Source::Peers);
     }
 }
 
--- a/crates/entry/src/flow/model.rs
+++ b/crates/entry/src/flow/model.rs
@@ -146,8 +146,7 @@
     fn ask(&self) -> Ask {
         let now = self.host.clock.now();
         Ask {
-            // Callers may use one id twice at the same time; engines must never see that.
-            request: self.host.fresh_id(),
+            request: self.admitted.envelope.id.clone(),
             holder: self.host.me.clone(),
             reference: self.call.reference.clone(),
             model: self.target.model.clone(),
@@ -180,7 +179,7 @@
     }
 
     fn start(&self, place: &Place) -> Result<engine::Stream, Fault> {
-        let id = self.host.fresh_id();
+        let id = self.host.attempt_id(&self.admitted.envelope.id);
         self.note(format!(
             "sent to {} as {id} for {}",
             place.permit.upstream, place.permit.loaded
@@ -315,13 +314,12 @@
     }
 
     fn finish(self, mut out: Stream) -> Attempt {
-        let told = out.write(chat::DONE);
-        match told {
-            Ok(()) => self.way.ended(self.place, Outcome::Whole, "whole"),
-            Err(_) => self
-                .way
-                .ended(self.place, Outcome::Whole, "whole, but the caller has gone"),
+        if out.write(chat::DONE).is_err() {
+            let what = "whole, but the caller has gone";
+            return self.way.ended(self.place, Outcome::Whole, what);
         }
+        out.finish();
+        self.way.ended(self.place, Outcome::Whole, "whole")
     }
 
     /// The stream to the caller has begun, so the fault can only be told within it. The connection
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -30,6 +30,9 @@
     trace::Trace,
 };
 
+/// Bytes of a caller's id that stand in the ids of its attempts.
+const MAX_SHOWN_ID_BYTES: usize = 64;
+
 /// The largest answer of a plain service in bytes.
 const MAX_ANSWER_BYTES: u64 = 16 << 20;
 
@@ -97,6 +100,15 @@
         text.parse().expect("a fresh id is an id")
     }
 
+    /// The id of one attempt at a request. Callers may use one id twice at the same time; engines
+    /// must never see that.
+    pub fn attempt_id(&self, request: &Id) -> Id {
+        let text = request.as_str();
+        let shown = &text[..text.len().min(MAX_SHOWN_ID_BYTES)];
+        let text = format!("{shown}~{}", self.fresh_id());
+        text.parse().unwrap_or_else(|_| self.fresh_id())
+    }
+
     /// Notes a step of a request.
     pub fn step(&self, id: &Id, what: impl Into<String>) {
         self.trace.step(id, self.clock.now(), what);
--- a/crates/entry/src/readiness.rs
+++ b/crates/entry/src/readiness.rs
@@ -8,6 +8,8 @@
 pub enum Stage {
     /// The configuration is not known yet.
     Starting,
+    /// The configuration is known; the stewards of the engines are not all known yet.
+    Joining,
     /// Requests are served.
     Ready,
     /// Running requests end; new ones are refused.
@@ -19,6 +21,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             Self::Starting => "starting",
+            Self::Joining => "joining",
             Self::Ready => "ready",
             Self::Leaving => "leaving",
         }
@@ -34,7 +37,8 @@
     pub fn stage(&self) -> Stage {
         match self.0.load(Ordering::Acquire) {
             0 => Stage::Starting,
-            1 => Stage::Ready,
+            1 => Stage::Joining,
+            2 => Stage::Ready,
             _ => Stage::Leaving,
         }
     }
--- a/crates/entry/src/route/health.rs
+++ b/crates/entry/src/route/health.rs
@@ -39,7 +39,7 @@
     let stage = host.readiness.stage();
     let status = match stage {
         Stage::Ready => 200,
-        Stage::Starting | Stage::Leaving => 503,
+        Stage::Starting | Stage::Joining | Stage::Leaving => 503,
     };
     responder.send(route::json(status, &json!({ "stage": stage.as_str() })));
 }
--- a/crates/experiment/src/fleet/entry.rs
+++ b/crates/experiment/src/fleet/entry.rs
@@ -96,6 +96,7 @@
                 self.plan(delay, Happening::Start(request, permit));
             }
             Verdict::Refused(fault) => self.refuse(request, &fault),
+            Verdict::Elsewhere => unreachable!("a redirect is an action of its own"),
         }
     }
 
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -202,10 +202,11 @@
 }
 
 impl Counts {
-    /// The entries of a request.
+    /// The entries of a request. An entry host names its attempts `REQUEST~ATTEMPT`.
     pub fn request(&self, request: &str) -> Vec<&Entry> {
         let entries = self.journal.iter();
-        entries.filter(|it| it.request == request).collect()
+        let caller = |it: &&Entry| it.request.split('~').next() == Some(request);
+        entries.filter(caller).collect()
     }
 }
 
