--- /dev/null
+++ b/crates/journal/tests/interleavings.rs
@@ -0,0 +1,302 @@
+//! Random interleavings of several hosts over one shard of a store whose answers get lost, whose
+//! writes come late and which has outages, with hosts that are killed at any step. Seeds are fixed.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use journal::{
+    Outcome, Scope, Shard,
+    record::{Event, Moment, Start},
+    scope::Digest,
+    segment::Number,
+    shard::{Rest, Step, Ticket, Verdict},
+};
+use kernel::permit::Holder;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+const HOSTS: usize = 3;
+const KEYS: usize = 4;
+const SEEDS: u64 = 400;
+const STEPS: usize = 600;
+
+/// Segments that one list returns.
+const PAGE: usize = 2;
+
+/// How long a call may run, in milliseconds.
+const RUN_MS: u64 = 1_000;
+
+struct Host {
+    shard: Shard,
+    incarnation: u64,
+    io: Option<Step>,
+    calls: Vec<(Ticket, usize)>,
+    running: Vec<(usize, Start)>,
+}
+
+impl Host {
+    fn new(number: usize, incarnation: u64) -> Self {
+        let host = format!("e{number}").parse().expect("a name");
+        Self {
+            shard: Shard::new(Holder { host, incarnation }),
+            incarnation,
+            io: None,
+            calls: Vec::new(),
+            running: Vec::new(),
+        }
+    }
+}
+
+/// Hosts, the store, and what really happened.
+struct World {
+    rng: StdRng,
+    now: Moment,
+    hosts: Vec<Host>,
+    segments: BTreeMap<u64, Vec<u8>>,
+    late: Vec<(u64, Vec<u8>)>,
+    /// The call that ran under a key, if any, and its answer.
+    ran: BTreeMap<usize, Option<Outcome>>,
+    verdicts: BTreeSet<&'static str>,
+    calls: u16,
+}
+
+fn key(number: usize) -> Digest {
+    let scope = Scope {
+        service: "barrier".parse().expect("a name"),
+        tenant: "mall".parse().expect("a name"),
+        key: format!("k{number}").parse().expect("a key"),
+    };
+    scope.digest()
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        Self {
+            rng: StdRng::seed_from_u64(seed),
+            now: Moment(1_000_000),
+            hosts: (0..HOSTS).map(|it| Host::new(it, 1)).collect(),
+            segments: BTreeMap::new(),
+            late: Vec::new(),
+            ran: BTreeMap::new(),
+            verdicts: BTreeSet::new(),
+            calls: 0,
+        }
+    }
+
+    fn pick(&mut self, count: usize) -> usize {
+        self.rng.random_range(0..count)
+    }
+
+    fn turn(&mut self) {
+        self.now = self.now.after(std::time::Duration::from_millis(7));
+        let host = self.pick(HOSTS);
+        match self.pick(20) {
+            0..3 => self.begin(host),
+            3..9 => self.issue(host),
+            9..15 => self.answer(host),
+            15..18 => self.end(host),
+            18 => self.arrive_late(),
+            _ => self.disturb(host),
+        }
+        self.collect(host);
+    }
+
+    fn begin(&mut self, host: usize) {
+        let number = self.pick(KEYS);
+        let run_by = self.now.after(std::time::Duration::from_millis(RUN_MS));
+        let host = &mut self.hosts[host];
+        let ticket = host.shard.begin(key(number), key(number), run_by, self.now);
+        host.calls.push((ticket, number));
+    }
+
+    fn issue(&mut self, host: usize) {
+        let host = &mut self.hosts[host];
+        if host.io.is_none() {
+            host.io = Some(host.shard.step(self.now)).filter(|it| *it != Step::Idle);
+        }
+    }
+
+    fn answer(&mut self, host: usize) {
+        let luck = self.pick(10);
+        self.answer_with(host, luck);
+    }
+
+    fn answer_with(&mut self, host: usize, luck: usize) {
+        let Some(step) = self.hosts[host].io.take() else {
+            return;
+        };
+        match step {
+            Step::Idle => {}
+            Step::Write { segment, bytes } => self.write(host, luck, segment, bytes),
+            _ if luck == 0 => self.hosts[host].shard.failed("outage"),
+            Step::List { from } => self.list(host, from),
+            Step::Get { segment } => {
+                let bytes = self.segments.get(&segment.0).map(Vec::as_slice);
+                self.hosts[host].shard.got(segment, bytes);
+            }
+        }
+    }
+
+    fn list(&mut self, host: usize, from: Number) {
+        let mut range = self.segments.range(from.0..);
+        let items = range.by_ref().take(PAGE);
+        let items: Vec<_> = items
+            .map(|(it, bytes)| (Number(*it), bytes.clone()))
+            .collect();
+        let rest = if range.next().is_some() {
+            Rest::More
+        } else {
+            Rest::End
+        };
+        let listed = self.hosts[host].shard.listed(&items, rest, self.now);
+        listed.expect("the segments are whole");
+    }
+
+    fn write(&mut self, host: usize, luck: usize, segment: Number, bytes: Vec<u8>) {
+        let free = !self.segments.contains_key(&segment.0);
+        let shard = &mut self.hosts[host].shard;
+        match luck {
+            0 => return shard.failed("outage"),
+            1 => return shard.lost(),
+            2 => {
+                self.late.push((segment.0, bytes));
+                return shard.lost();
+            }
+            _ => {}
+        }
+        if free {
+            self.segments.insert(segment.0, bytes);
+        }
+        match (luck, free) {
+            (3 | 4, _) => shard.lost(),
+            (_, true) => shard.written(self.now),
+            (_, false) => shard.taken(),
+        }
+    }
+
+    fn arrive_late(&mut self) {
+        if !self.late.is_empty() {
+            let index = self.pick(self.late.len());
+            let (segment, bytes) = self.late.swap_remove(index);
+            self.segments.entry(segment).or_insert(bytes);
+        }
+    }
+
+    /// Ends a running call: it is sent and answered, sent and lost, or not sent at all.
+    fn end(&mut self, host: usize) {
+        if self.hosts[host].running.is_empty() {
+            return;
+        }
+        let (number, start) = self.hosts[host].running.pop().expect("it is not empty");
+        let event = match self.pick(4) {
+            0 => Event::Void,
+            1 => {
+                self.run(number, None);
+                Event::Lost
+            }
+            _ => {
+                self.calls += 1;
+                let outcome = Outcome::new(200 + self.calls, Vec::new(), b"open");
+                self.run(number, Some(outcome.clone()));
+                Event::Finished { outcome }
+            }
+        };
+        self.hosts[host].shard.end(key(number), &start, event);
+    }
+
+    fn run(&mut self, number: usize, outcome: Option<Outcome>) {
+        let before = self.ran.insert(number, outcome);
+        assert!(before.is_none(), "call {number} ran twice");
+    }
+
+    /// A caller gives up, or a host is killed, in the midst of running calls or not.
+    fn disturb(&mut self, host: usize) {
+        if self.pick(2) == 0 {
+            let host = &mut self.hosts[host];
+            if let Some((ticket, _)) = host.calls.pop() {
+                host.shard.abandon(ticket);
+            }
+            return;
+        }
+        if let Some((number, _)) = self.hosts[host].running.pop() {
+            self.run(number, None);
+        }
+        if let Some(Step::Write { segment, bytes }) = self.hosts[host].io.take() {
+            self.late.push((segment.0, bytes));
+        }
+        self.hosts[host] = Host::new(host, self.hosts[host].incarnation + 1);
+    }
+
+    fn collect(&mut self, host: usize) {
+        let calls = std::mem::take(&mut self.hosts[host].calls);
+        for (ticket, number) in calls {
+            let Some(verdict) = self.hosts[host].shard.take(ticket) else {
+                self.hosts[host].calls.push((ticket, number));
+                continue;
+            };
+            let word = match verdict {
+                Verdict::First(start) => {
+                    assert!(
+                        !self.ran.contains_key(&number),
+                        "call {number} is made again"
+                    );
+                    let others = self.hosts.iter().flat_map(|it| &it.running);
+                    assert!(
+                        others.into_iter().all(|it| it.0 != number),
+                        "call {number} runs"
+                    );
+                    self.hosts[host].running.push((number, start));
+                    "first"
+                }
+                Verdict::Repeat(outcome) => {
+                    assert_eq!(self.ran.get(&number), Some(&Some(outcome)));
+                    "repeat"
+                }
+                Verdict::Running => "running",
+                Verdict::Unknown => "unknown",
+                Verdict::Reused => panic!("no call was changed"),
+                Verdict::Down(_) => "down",
+            };
+            self.verdicts.insert(word);
+        }
+    }
+
+    /// Lets every host come to rest without further trouble.
+    fn rest(&mut self) {
+        while !self.late.is_empty() {
+            self.arrive_late();
+        }
+        for _ in 0..100 {
+            for host in 0..HOSTS {
+                self.issue(host);
+                self.answer_with(host, 9);
+                self.collect(host);
+            }
+        }
+    }
+}
+
+/// Covers: a call with one key is made at most once, a repeat gets its very answer, and every call
+/// gets a verdict once the platform is well.
+#[test]
+fn at_most_once() {
+    let mut verdicts = BTreeSet::new();
+    for seed in 0..SEEDS {
+        let mut world = World::new(seed);
+        for step in 0..STEPS {
+            let turn = std::panic::AssertUnwindSafe(|| world.turn());
+            if let Err(panic) = std::panic::catch_unwind(turn) {
+                eprintln!("seed {seed}, step {step}");
+                std::panic::resume_unwind(panic);
+            }
+        }
+        world.rest();
+        let waiting: usize = world.hosts.iter().map(|it| it.calls.len()).sum();
+        assert_eq!(waiting, 0, "seed {seed}: calls without a verdict");
+        assert!(
+            world.hosts.iter().all(|it| !it.shard.has_work()),
+            "seed {seed}"
+        );
+        verdicts.append(&mut world.verdicts);
+    }
+    let all = ["down", "first", "repeat", "running", "unknown"];
+    assert_eq!(verdicts, BTreeSet::from(all), "not every verdict was met");
+}
--- a/crates/platform/src/log.rs
+++ b/crates/platform/src/log.rs
@@ -21,6 +21,9 @@
 /// The largest part of a long edit or of a snapshot, in bytes.
 pub const MAX_PART_BYTES: usize = MAX_VALUE_BYTES - 64 * 1024;
 
+/// The largest changes of an edit that are stored in its record, in bytes.
+pub const MAX_INLINE_BYTES: usize = 64 * 1024;
+
 /// A snapshot is due when the log has this many revisions above the last one.
 pub const SNAPSHOT_REVISIONS: u64 = 512;
 
@@ -188,12 +191,13 @@
 
     /// The bytes of a record. The changes of a long edit are stored apart before it.
     fn store_changes(&self, record: &Record) -> Result<Vec<u8>, Error> {
-        let chunks = change::chunks(&record.changes, MAX_PART_BYTES);
         let mut stored = Stored {
             record: record.clone(),
             parts: 0,
         };
-        if chunks.len() > 1 {
+        let chunks = change::chunks(&record.changes, MAX_PART_BYTES);
+        let bytes: usize = chunks.iter().map(Vec::len).sum();
+        if bytes > MAX_INLINE_BYTES {
             stored.record.changes.clear();
             stored.parts = u32::try_from(chunks.len()).expect("a text has few parts");
             for (part, chunk) in (0..).zip(&chunks) {
