--- /dev/null
+++ b/crates/platform/src/journal.rs
@@ -0,0 +1,163 @@
+//! The journal of keyed calls over the platform's objects. Callers' threads do the I/O: of those
+//! that wait for one shard, one drives it and the others share its writes.
+
+mod lane;
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use derive_more::Display;
+use journal::{
+    Outcome, Scope,
+    record::{Event, Moment, Start},
+    scope::{Digest, SHARDS},
+    shard::Verdict,
+};
+use kernel::{clock::Clock, permit::Holder};
+
+use self::lane::Lane;
+use crate::object::Store;
+
+/// How much longer than its deadline a call may run before its outcome counts as unknown on other
+/// hosts; it covers the difference of their clocks.
+const RUN_GRACE: Duration = Duration::from_secs(5);
+
+/// How long a caller waits until the end of its call is recorded.
+const END_PATIENCE: Duration = Duration::from_secs(1);
+
+/// Leave to make a call, once. It has to be given back to [`Journal::finish`],
+/// [`Journal::release`] or [`Journal::lose`].
+#[derive(Debug)]
+#[must_use = "a call that isn't ended counts as running"]
+pub struct First {
+    key: Digest,
+    start: Start,
+}
+
+/// What to do about a keyed call.
+#[derive(Debug)]
+pub enum Begin {
+    /// Make it: nobody has, and nobody else will.
+    First(First),
+    /// It was made before; this is its answer.
+    Repeat(Outcome),
+    /// It is running, here or on another host.
+    Running,
+    /// It was begun before and nobody knows its outcome. It is not made again.
+    Unknown,
+    /// The key was used for another call.
+    Reused,
+    /// It can't be recorded; this call is not made.
+    Down(Outage),
+}
+
+/// Why a call can't be recorded.
+#[derive(Clone, Debug, Display, Eq, PartialEq)]
+#[display("the journal can't be written: {reason}")]
+pub struct Outage {
+    /// What was seen.
+    pub reason: String,
+}
+
+/// Whether the end of a call is recorded.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum End {
+    /// All hosts know it.
+    Recorded,
+    /// Only this host knows it yet; it is written by later calls or by [`Journal::flush`]. If the
+    /// host goes before that, repeats get an unknown outcome.
+    Pending,
+}
+
+/// The journal on one host. Any number of threads may use it.
+pub struct Journal {
+    host: Arc<Host>,
+    lanes: Vec<Lane>,
+}
+
+/// What all shards have in common.
+struct Host {
+    me: Holder,
+    store: Arc<dyn Store>,
+    clock: Arc<dyn Clock>,
+}
+
+impl Journal {
+    /// A journal that knows nothing yet; it reads a shard when the first call needs it.
+    pub fn new(store: Arc<dyn Store>, me: Holder, clock: Arc<dyn Clock>) -> Self {
+        let host = Arc::new(Host { me, store, clock });
+        let lane = |shard| Lane::new(shard, Arc::clone(&host));
+        let lanes = (0..SHARDS).map(lane).collect();
+        Self { host, lanes }
+    }
+
+    /// Asks for leave to make a call. `fingerprint` is a digest of everything that must be the
+    /// same when the key is used again. Blocks until the platform has answered, at most until
+    /// about `deadline`.
+    pub fn begin(&self, scope: &Scope, fingerprint: &[u8; 32], deadline: Instant) -> Begin {
+        let key = scope.digest();
+        let left = deadline.saturating_duration_since(self.host.clock.now());
+        let now = Moment::from(self.host.clock.calendar());
+        let run_by = now.after(left + RUN_GRACE);
+        let lane = self.lane(key);
+        match lane.begin(key, Digest::of(fingerprint), run_by, deadline) {
+            Verdict::First(start) => Begin::First(First { key, start }),
+            Verdict::Repeat(outcome) => Begin::Repeat(outcome),
+            Verdict::Running => Begin::Running,
+            Verdict::Unknown => Begin::Unknown,
+            Verdict::Reused => Begin::Reused,
+            Verdict::Down(reason) => Begin::Down(Outage { reason }),
+        }
+    }
+
+    /// Records the answer of a call. A body above [`journal::record::MAX_BODY_BYTES`] is left out,
+    /// and repeats are told so by [`journal::record::Body::Omitted`].
+    pub fn finish(
+        &self,
+        first: First,
+        status: u16,
+        headers: Vec<(String, String)>,
+        body: &[u8],
+    ) -> End {
+        let outcome = Outcome::new(status, headers, body);
+        self.end(first, Event::Finished { outcome })
+    }
+
+    /// Records that a call was not sent: its key is free again.
+    pub fn release(&self, first: First) -> End {
+        self.end(first, Event::Void)
+    }
+
+    /// Records that a call was sent and that its outcome is unknown.
+    pub fn lose(&self, first: First) -> End {
+        self.end(first, Event::Lost)
+    }
+
+    /// Writes the ends of calls that are not recorded yet, as far as the platform takes them.
+    pub fn flush(&self) -> End {
+        let ends = self.lanes.iter().map(Lane::flush);
+        let pending = ends.filter(|it| *it == End::Pending).count();
+        if pending == 0 {
+            End::Recorded
+        } else {
+            End::Pending
+        }
+    }
+
+    /// How many keys this host remembers.
+    pub fn keys(&self) -> usize {
+        self.lanes.iter().map(Lane::keys).sum()
+    }
+
+    fn end(&self, first: First, event: Event) -> End {
+        let deadline = self.host.clock.now() + END_PATIENCE;
+        let First { key, start } = first;
+        self.lane(key).end(key, &start, event, deadline)
+    }
+
+    fn lane(&self, key: Digest) -> &Lane {
+        &self.lanes[usize::from(key.shard())]
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,5 +3,6 @@
 pub mod budget;
 pub mod hosts;
 pub mod http;
+pub mod journal;
 pub mod log;
 pub mod object;
--- /dev/null
+++ b/crates/platform/tests/store/journal.rs
@@ -0,0 +1,139 @@
+//! The journal's driver: threads, group commit and failures of the store.
+
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use journal::Scope;
+use kernel::{clock::System, permit::Holder};
+use platform::journal::{Begin, End, Journal};
+
+use crate::fake::{Fake, Trouble};
+
+const FINGERPRINT: [u8; 32] = [7; 32];
+
+fn open(fake: &Arc<Fake>, host: &str) -> Journal {
+    let store = Arc::clone(fake);
+    let host = host.parse().expect("a name");
+    let me = Holder {
+        host,
+        incarnation: 1,
+    };
+    Journal::new(store, me, Arc::new(System))
+}
+
+fn scope(key: &str) -> Scope {
+    Scope {
+        service: "barrier".parse().expect("a name"),
+        tenant: "mall".parse().expect("a name"),
+        key: key.parse().expect("a key"),
+    }
+}
+
+fn begin(journal: &Journal, key: &str) -> Begin {
+    let deadline = Instant::now() + Duration::from_mins(1);
+    journal.begin(&scope(key), &FINGERPRINT, deadline)
+}
+
+/// Covers: begin, finish, and the repeat's answer on another host.
+#[test]
+fn repeat_elsewhere() {
+    let fake = Arc::new(Fake::default());
+    let (one, two) = (open(&fake, "e1"), open(&fake, "e2"));
+    let Begin::First(first) = begin(&one, "k") else {
+        panic!("nobody has begun");
+    };
+    assert!(matches!(begin(&two, "k"), Begin::Running));
+    let headers = vec![("x-barrier".to_owned(), "north".to_owned())];
+    assert_eq!(
+        one.finish(first, 201, headers.clone(), b"open"),
+        End::Recorded
+    );
+    for journal in [&one, &two] {
+        let Begin::Repeat(outcome) = begin(journal, "k") else {
+            panic!("the call was answered");
+        };
+        assert_eq!((outcome.status, outcome.headers), (201, headers.clone()));
+    }
+    let other = two.begin(
+        &scope("k"),
+        &[8; 32],
+        Instant::now() + Duration::from_mins(1),
+    );
+    assert!(matches!(other, Begin::Reused));
+}
+
+/// Covers: an outage refuses at once; an end during an outage is written by a flush.
+#[test]
+fn outage() {
+    let fake = Arc::new(Fake::default());
+    let journal = open(&fake, "e1");
+    fake.trouble(&[Trouble::Outage]);
+    assert!(matches!(begin(&journal, "k"), Begin::Down(_)));
+    let Begin::First(first) = begin(&journal, "k") else {
+        panic!("the outage is over");
+    };
+    fake.trouble(&[Trouble::Outage, Trouble::Outage]);
+    assert_eq!(journal.finish(first, 200, Vec::new(), b""), End::Pending);
+    assert_eq!(journal.flush(), End::Pending);
+    assert_eq!(journal.flush(), End::Recorded);
+    assert!(matches!(begin(&open(&fake, "e2"), "k"), Begin::Repeat(_)));
+}
+
+/// Covers: a call that was not sent frees its key, and one with an unknown outcome does not.
+#[test]
+fn release_and_lose() {
+    let fake = Arc::new(Fake::default());
+    let (one, two) = (open(&fake, "e1"), open(&fake, "e2"));
+    let Begin::First(first) = begin(&one, "k") else {
+        panic!("nobody has begun");
+    };
+    assert_eq!(one.release(first), End::Recorded);
+    let Begin::First(first) = begin(&two, "k") else {
+        panic!("the key is free");
+    };
+    assert_eq!(two.lose(first), End::Recorded);
+    assert!(matches!(begin(&one, "k"), Begin::Unknown));
+}
+
+/// Covers: a caller whose deadline has passed is not made to wait, and its key stays free.
+#[test]
+fn deadline() {
+    let fake = Arc::new(Fake::default());
+    let journal = open(&fake, "e1");
+    let begun = journal.begin(&scope("k"), &FINGERPRINT, Instant::now());
+    assert!(matches!(begun, Begin::Down(_)));
+    assert!(matches!(begin(&journal, "k"), Begin::First(_)));
+}
+
+/// Covers: threads of two hosts race for the same keys; each call is made once, and the writes
+/// are shared.
+#[test]
+fn threads_of_two_hosts() {
+    const THREADS: usize = 8;
+    const KEYS: usize = 50;
+    let fake = Arc::new(Fake::default());
+    let hosts = [open(&fake, "e1"), open(&fake, "e2")];
+    let made: Vec<AtomicUsize> = (0..KEYS).map(|_| AtomicUsize::new(0)).collect();
+    let run = |journal: &Journal| {
+        for (number, made) in made.iter().enumerate() {
+            if let Begin::First(first) = begin(journal, &format!("k{number}")) {
+                made.fetch_add(1, Ordering::Relaxed);
+                let _ = journal.finish(first, 200, Vec::new(), b"open");
+            }
+        }
+    };
+    std::thread::scope(|scope| {
+        for thread in 0..THREADS {
+            let journal = &hosts[thread % 2];
+            scope.spawn(move || run(journal));
+        }
+    });
+    assert!(made.iter().all(|it| it.load(Ordering::Relaxed) == 1));
+    assert_eq!(hosts[0].flush(), End::Recorded);
+    assert!(matches!(begin(&hosts[1], "k0"), Begin::Repeat(_)));
+}
--- a/crates/platform/tests/store/main.rs
+++ b/crates/platform/tests/store/main.rs
@@ -1,4 +1,5 @@
 //! What comfreywing keeps in the platform's objects, over a fake that fails on demand.
 
 mod fake;
+mod journal;
 mod log;
