Add the clients of engines and plain services

An engine's answer has to reach its caller whole, from the adapter and version that was named, and a caller who is told 'not-run' has to be able to rely on it. Each call goes out once, on a connection of its own; the socket below ureq notes when the first byte is handed over, sends none after start-by, and stops waiting once the caller has gone. The state of a streamed answer is pure: chunks once and in order, each checked for the loaded name, whole only with every finish reason and [DONE], resumed at the first missing chunk within bounds.

Ruled out: ureq's own errors as the source of not-run, since its timeouts and I/O errors don't tell whether the request had begun.

--- /dev/null
+++ b/crates/upstream/src/sse.rs
@@ -0,0 +1,123 @@
+//! A parser of server-sent events that takes the stream in parts of any size.
+
+use derive_more::{Display, Error};
+
+/// Longest line in bytes.
+pub const MAX_LINE_BYTES: usize = 256 * 1024;
+/// Largest data of one event in bytes.
+pub const MAX_EVENT_BYTES: usize = 512 * 1024;
+
+const BYTE_ORDER_MARK: &[u8] = "\u{feff}".as_bytes();
+
+/// One event.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Event {
+    /// The event's name; empty for plain messages.
+    pub name: String,
+    /// The `id` field of this very event.
+    pub id: Option<String>,
+    /// The data, its lines joined by line feeds.
+    pub data: String,
+}
+
+/// Why a stream can't be read on.
+#[derive(Clone, Copy, Debug, Display, Eq, Error, PartialEq)]
+pub enum Invalid {
+    /// A line is longer than [`MAX_LINE_BYTES`].
+    #[display("a line has more than {MAX_LINE_BYTES} bytes")]
+    Line,
+    /// An event is larger than [`MAX_EVENT_BYTES`].
+    #[display("an event has more than {MAX_EVENT_BYTES} bytes")]
+    Event,
+    /// A line is not UTF-8.
+    #[display("a line is not UTF-8")]
+    Encoding,
+}
+
+/// The parser's state between two parts.
+#[derive(Clone, Debug, Default)]
+pub struct Parser {
+    line: Vec<u8>,
+    event: Event,
+    has_data: bool,
+    after_return: bool,
+    after_first: bool,
+}
+
+impl Parser {
+    /// Takes the next part of the stream and adds the events that it completes.
+    pub fn push(&mut self, mut part: &[u8], events: &mut Vec<Event>) -> Result<(), Invalid> {
+        while !part.is_empty() {
+            if std::mem::take(&mut self.after_return) && part[0] == b'\n' {
+                part = &part[1..];
+                continue;
+            }
+            let Some(end) = part.iter().position(|it| matches!(it, b'\r' | b'\n')) else {
+                return self.extend_line(part);
+            };
+            self.extend_line(&part[..end])?;
+            self.after_return = part[end] == b'\r';
+            part = &part[end + 1..];
+            events.extend(self.end_line()?);
+        }
+        Ok(())
+    }
+
+    fn extend_line(&mut self, part: &[u8]) -> Result<(), Invalid> {
+        if self.line.len() + part.len() > MAX_LINE_BYTES {
+            return Err(Invalid::Line);
+        }
+        self.line.extend_from_slice(part);
+        Ok(())
+    }
+
+    fn end_line(&mut self) -> Result<Option<Event>, Invalid> {
+        let mut line = std::mem::take(&mut self.line);
+        let is_first = !std::mem::replace(&mut self.after_first, true);
+        let mark = if is_first && line.starts_with(BYTE_ORDER_MARK) {
+            BYTE_ORDER_MARK.len()
+        } else {
+            0
+        };
+        let text = std::str::from_utf8(&line[mark..]).map_err(|_| Invalid::Encoding)?;
+        let result = if text.is_empty() {
+            Ok(self.end_event())
+        } else {
+            self.take_field(text).map(|()| None)
+        };
+        // Keeps the memory of the line for the next one.
+        line.clear();
+        self.line = line;
+        result
+    }
+
+    fn end_event(&mut self) -> Option<Event> {
+        let event = std::mem::take(&mut self.event);
+        std::mem::take(&mut self.has_data).then_some(event)
+    }
+
+    fn take_field(&mut self, line: &str) -> Result<(), Invalid> {
+        let (field, value) = line.split_once(':').unwrap_or((line, ""));
+        let value = value.strip_prefix(' ').unwrap_or(value);
+        match field {
+            "data" => return self.take_data(value),
+            "event" => value.clone_into(&mut self.event.name),
+            "id" => self.event.id = Some(value.to_owned()),
+            // Comments and unknown fields mean nothing.
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn take_data(&mut self, value: &str) -> Result<(), Invalid> {
+        let data = &mut self.event.data;
+        if data.len() + value.len() >= MAX_EVENT_BYTES {
+            return Err(Invalid::Event);
+        }
+        if std::mem::replace(&mut self.has_data, true) {
+            data.push('\n');
+        }
+        data.push_str(value);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/upstream/tests/it/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the clients against upstreams that follow a script.
+
+mod assembly;
+mod engine;
+mod plain;
+mod sse;
+mod support;
--- /dev/null
+++ b/crates/upstream/tests/it/plain.rs
@@ -0,0 +1,109 @@
+//! The plain client against scripted instances.
+
+use std::time::Instant;
+
+use kernel::fault::{Fault, Kind};
+use upstream::{
+    Watch,
+    plain::{Answer, Client, Forward},
+};
+
+use crate::support::{Act, Upstream, answer, late, soon};
+
+const CLIENT: Client = Client { answer_bytes: 64 };
+
+fn call(upstream: &Upstream, method: &str, body: &str, deadline: Instant) -> Result<Answer, Fault> {
+    let field = |name: &str, value: &str| (name.to_owned(), value.to_owned());
+    CLIENT.call(Forward {
+        address: upstream.address,
+        method,
+        target: "/openings?gate=2",
+        headers: vec![
+            field("Connection", "close, X-Hop"),
+            field("X-Hop", "1"),
+            field("Transfer-Encoding", "chunked"),
+            field("Host", "outside"),
+            field("X-Request-Id", "r1"),
+        ],
+        body: body.as_bytes().to_vec(),
+        start_by: deadline,
+        deadline,
+        watch: Watch::none(),
+    })
+}
+
+fn check_fails(act: &Act, deadline: Instant, expected: Kind) {
+    let upstream = Upstream::start(vec![act.clone()]);
+    let fault = call(&upstream, "POST", "open", deadline).unwrap_err();
+    assert_eq!(fault.kind, expected, "{act:?}: {fault}");
+    assert!(upstream.stop().len() <= 1, "it was sent again");
+}
+
+/// Covers what is passed on in both directions, with and without a body, and a redirection.
+#[test]
+fn calls_are_passed_on() {
+    let reply = "HTTP/1.1 302 Found\r\nLocation: /x\r\nConnection: X-Own\r\nX-Own: 1\r\n\
+                 Content-Length: 2\r\n\r\nok";
+    for (method, body) in [
+        ("POST", "open"),
+        ("GET", ""),
+        ("DELETE", "all"),
+        ("PURGE", ""),
+        ("PUT", ""),
+    ] {
+        let upstream = Upstream::start(vec![Act::Write(reply.to_owned())]);
+        let answer = call(&upstream, method, body, late()).unwrap();
+        assert_eq!((answer.status, &*answer.body), (302, &b"ok"[..]));
+        assert_eq!(answer.headers, [("location".to_owned(), "/x".to_owned())]);
+
+        let requests = upstream.requests();
+        let (head, sent) = requests[0].split_once("\r\n\r\n").unwrap();
+        assert!(
+            head.starts_with(&format!("{method} /openings?gate=2 HTTP/1.1\r\n")),
+            "{head}"
+        );
+        assert!(head.contains("\r\nx-request-id: r1"), "{head}");
+        assert!(
+            !head.contains("x-hop") && !head.contains("outside"),
+            "{head}"
+        );
+        assert_eq!(sent, body);
+    }
+}
+
+/// Covers an instance that is leaving, and answers that only look like it.
+#[test]
+fn a_leaving_instance_has_not_run_the_call() {
+    let leaving =
+        |status| format!("HTTP/1.1 {status} X\r\nX-Leaving: true\r\nContent-Length: 0\r\n\r\n");
+    check_fails(&Act::Write(leaving(503)), late(), Kind::UpstreamRefused);
+    for text in [leaving(500), answer(503, "busy")] {
+        let upstream = Upstream::start(vec![Act::Write(text)]);
+        assert!(call(&upstream, "POST", "open", late()).is_ok());
+    }
+}
+
+/// Covers every point at which the instance can be lost after the first byte, and the limit.
+#[test]
+fn failures_after_the_first_byte_are_unknown() {
+    let whole = answer(200, "opened");
+    for count in [0, 5, whole.len() - 6, whole.len() - 1] {
+        let part = whole[..count].to_owned();
+        check_fails(&Act::Write(part.clone()), late(), Kind::UpstreamLost);
+        check_fails(&Act::Hold(part), soon(), Kind::DeadlineAfterStart);
+    }
+    for act in [Act::Close, Act::Reset(1), Act::Reset(60)] {
+        check_fails(&act, late(), Kind::UpstreamLost);
+    }
+    let large = answer(200, &"x".repeat(65));
+    check_fails(&Act::Write(large), late(), Kind::BadAnswer);
+}
+
+/// Covers a deadline that has passed before the call.
+#[test]
+fn a_late_call_is_not_sent() {
+    let upstream = Upstream::start(Vec::new());
+    let fault = call(&upstream, "POST", "open", Instant::now()).unwrap_err();
+    assert_eq!(fault.kind, Kind::DeadlineBeforeStart);
+    assert_eq!(upstream.stop(), Vec::<String>::new());
+}
--- /dev/null
+++ b/crates/upstream/tests/it/sse.rs
@@ -0,0 +1,59 @@
+//! The event parser.
+
+use upstream::sse::{Event, Invalid, MAX_EVENT_BYTES, MAX_LINE_BYTES, Parser};
+
+fn parse(parts: &[&[u8]]) -> Result<Vec<Event>, Invalid> {
+    let mut parser = Parser::default();
+    let mut events = Vec::new();
+    for part in parts {
+        parser.push(part, &mut events)?;
+    }
+    Ok(events)
+}
+
+fn check(stream: &str, expected: &[(&str, Option<&str>, &str)]) {
+    let expected: Vec<Event> = expected
+        .iter()
+        .map(|(name, id, data)| Event {
+            name: (*name).to_owned(),
+            id: id.map(str::to_owned),
+            data: (*data).to_owned(),
+        })
+        .collect();
+    let bytes = stream.as_bytes();
+    assert_eq!(parse(&[bytes]).unwrap(), expected);
+    // Covers a break at any byte.
+    for at in 0..=bytes.len() {
+        let (first, second) = bytes.split_at(at);
+        assert_eq!(parse(&[first, second]).unwrap(), expected, "at {at}");
+    }
+    let single: Vec<&[u8]> = bytes.chunks(1).collect();
+    assert_eq!(parse(&single).unwrap(), expected);
+}
+
+/// Covers fields, comments, the three line ends, and an event without its empty line.
+#[test]
+fn events_are_read_at_any_break() {
+    check("id: 1\ndata: a\n\n", &[("", Some("1"), "a")]);
+    check(
+        "data: a\r\ndata:b\r\n\r\ndata:  c\r\r",
+        &[("", None, "a\nb"), ("", None, " c")],
+    );
+    check(
+        ": hi\n\nid\nevent: error\ndata\n\n",
+        &[("error", Some(""), "")],
+    );
+    check("\u{feff}data: ä\n\ndata: cut\n", &[("", None, "ä")]);
+    check("id: 1\n\ndata: a\n\n", &[("", None, "a")]);
+}
+
+/// Covers the bounds.
+#[test]
+fn excess_is_refused() {
+    let line = "x".repeat(MAX_LINE_BYTES + 1);
+    assert_eq!(parse(&[line.as_bytes()]), Err(Invalid::Line));
+    let part = format!("data: {}\n", "x".repeat(MAX_EVENT_BYTES / 4));
+    let event = part.repeat(4);
+    assert_eq!(parse(&[event.as_bytes()]), Err(Invalid::Event));
+    assert_eq!(parse(&[b"data: \xff\n"]), Err(Invalid::Encoding));
+}
