Add logs by flexi_logger and metrics by opentelemetry

On-call engineers need one line a record with the part's prefix, and histograms for each tenant and class. Control characters in a message are escaped, so that text of a caller can't begin a line of its own. Bucket bounds include the targets 0.54 s and 62 ms. Callers choose tenant names, so 48 tenants and 12 services have labels of their own and the rest is counted as 'other'; 48 x 3 x 12 series stay below the library's limit of 2,000 for an instrument. Totals that other crates keep, such as platform calls, are shown through observable counters.

--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,4 +1,4 @@
-//! Logs and metrics.
+//! Logs and metrics of an entry host.
 
 pub mod log;
 pub mod metrics;
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -1,35 +1,102 @@
-//! Logs.
-/// Settings.
-pub struct Settings {
-    /// Level.
-    pub level: ::log::LevelFilter,
-    /// Form.
-    pub form: Form,
-}
-/// Form.
+//! Logs: one line a record on the standard error stream, each with the prefix of its part.
+
+#[cfg(test)]
+mod tests;
+
+use std::io::{self, Write};
+
+use derive_more::{Display, Error};
+use flexi_logger::{DeferredNow, ErrorChannel, LogSpecification, Logger, LoggerHandle};
+use log::{LevelFilter, Record};
+use serde_json::json;
+
+/// Libraries that are kept to warnings, since they log each call at lower levels.
+const QUIET_LIBRARIES: [&str; 5] = ["hyper", "mio", "opentelemetry", "ureq", "ureq_proto"];
+const TIME_FORMAT: &str = "%Y-%m-%dT%H:%M:%S%.3fZ";
+
+/// How records are written.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Form {
-    /// Text.
+    /// `TIME LEVEL part: message`.
+    #[default]
     Text,
-    /// JSON.
+    /// One JSON object with `ts`, `level`, `part` and `message`.
     Json,
 }
-/// Failure.
-#[derive(Debug)]
-pub struct Failure;
-impl std::fmt::Display for Failure {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("x")
+
+/// What is logged, and how.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Settings {
+    /// The least important level that is written.
+    pub level: LevelFilter,
+    /// The form of a line.
+    pub form: Form,
+}
+
+/// The log can't be started, for instance because it runs already.
+#[derive(Debug, Display, Error)]
+#[display("the log can't be started: {_0}")]
+pub struct Failure(flexi_logger::FlexiLoggerError);
+
+/// Starts to log. Records are written as long as the handle is kept.
+pub fn start(settings: Settings) -> Result<LoggerHandle, Failure> {
+    let format = match settings.form {
+        Form::Text => write_text,
+        Form::Json => write_json,
+    };
+    Logger::with(specification(settings.level))
+        .log_to_stderr()
+        .error_channel(ErrorChannel::DevNull)
+        .format(format)
+        .start()
+        .map_err(Failure)
+}
+
+fn specification(level: LevelFilter) -> LogSpecification {
+    let mut builder = LogSpecification::builder();
+    builder.default(level);
+    for library in QUIET_LIBRARIES {
+        builder.module(library, level.min(LevelFilter::Warn));
     }
+    builder.build()
+}
+
+fn write_text(out: &mut dyn Write, now: &mut DeferredNow, record: &Record) -> io::Result<()> {
+    let time = now.now_utc_owned().format(TIME_FORMAT);
+    out.write_all(text_line(&time.to_string(), record).as_bytes())
+}
+
+fn write_json(out: &mut dyn Write, now: &mut DeferredNow, record: &Record) -> io::Result<()> {
+    let time = now.now_utc_owned().format(TIME_FORMAT);
+    out.write_all(json_line(&time.to_string(), record).as_bytes())
+}
+
+/// The part that logs: the target's first segment.
+fn part<'a>(record: &'a Record) -> &'a str {
+    record.target().split("::").next().unwrap_or_default()
+}
+
+fn text_line(time: &str, record: &Record) -> String {
+    let message: String = record.args().to_string().chars().flat_map(escape).collect();
+    format!("{time} {:5} {}: {message}", record.level(), part(record))
+}
+
+/// Control characters are escaped, so that a caller's text can't begin a line of its own.
+fn escape(it: char) -> impl Iterator<Item = char> {
+    let (plain, escaped) = if it.is_control() {
+        (None, Some(it.escape_default()))
+    } else {
+        (Some(it), None)
+    };
+    plain.into_iter().chain(escaped.into_iter().flatten())
 }
-impl std::error::Error for Failure {}
-/// Starts.
-pub fn start(settings: Settings) -> Result<flexi_logger::LoggerHandle, Failure> {
-    flexi_logger::Logger::with(
-        flexi_logger::LogSpecification::builder()
-            .default(settings.level)
-            .build(),
-    )
-    .log_to_stderr()
-    .start()
-    .map_err(|_| Failure)
+
+fn json_line(time: &str, record: &Record) -> String {
+    json!({
+        "ts": time,
+        "level": record.level().as_str().to_ascii_lowercase(),
+        "part": part(record),
+        "message": record.args().to_string(),
+    })
+    .to_string()
 }
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -1,45 +1,300 @@
-//! Metrics.
+//! Metrics in the Prometheus text format. Each is described in `docs/operating/metrics.md`.
+
+mod buckets;
+mod label;
+mod total;
+
+use std::{fmt, time::Duration};
+
 use kernel::{
     fault::Kind,
-    name::{Service, Tenant},
+    name::{Model, Service},
     request::Class,
 };
-use std::time::Duration;
-/// Labels.
-#[derive(Clone)]
-pub struct Labels {
-    /// t
-    pub tenant: Tenant,
-    /// c
-    pub class: Class,
-    /// s
-    pub service: Service,
-}
-/// Metrics.
-pub struct Metrics;
+use member::Condition;
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use platform::object::Reason;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+pub use label::{Direction, Ending, Labels, MAX_SERVICES, MAX_TENANTS, Medium};
+use label::{Roster, word};
+use total::Totals;
+
+/// Prefix of every metric.
+const NAMESPACE: &str = "comfreywing";
+
+/// Every metric of an entry host.
+pub struct Metrics {
+    registry: Registry,
+    provider: SdkMeterProvider,
+    tenants: Roster,
+    services: Roster,
+    load_stall: Histogram<f64>,
+    first_token: Histogram<f64>,
+    token_gap: Histogram<f64>,
+    queue_wait: Histogram<f64>,
+    duration: Histogram<f64>,
+    occupancy: Histogram<f64>,
+    requests: Counter<u64>,
+    refusals: Counter<u64>,
+    retries: Counter<u64>,
+    loads: Counter<u64>,
+    load_failures: Counter<u64>,
+    evictions: Counter<u64>,
+    members: Gauge<u64>,
+    revision: Gauge<u64>,
+    in_flight: Gauge<u64>,
+    platform_calls: Totals<Reason>,
+    control_bytes: Totals<(Direction, Medium)>,
+}
+
 impl Metrics {
-    /// n
+    /// Metrics that have counted nothing yet.
     pub fn new() -> Self {
-        Self
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .with_namespace(NAMESPACE)
+            .scope_info_enabled(false)
+            .without_target_info()
+            .build()
+            .expect("a new registry takes the exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter(NAMESPACE);
+        Self {
+            registry,
+            provider,
+            tenants: Roster::new(MAX_TENANTS),
+            services: Roster::new(MAX_SERVICES),
+            load_stall: seconds(
+                &meter,
+                "load_stall",
+                "Time a request waited for its adapter to arrive",
+                buckets::LOAD_STALL,
+            ),
+            first_token: seconds(
+                &meter,
+                "first_token",
+                "Time from a request's arrival to its first token",
+                buckets::FIRST_TOKEN,
+            ),
+            token_gap: seconds(
+                &meter,
+                "token_gap",
+                "Time between two tokens of an answer",
+                buckets::TOKEN_GAP,
+            ),
+            queue_wait: seconds(
+                &meter,
+                "queue_wait",
+                "Time a request waited for its place on an engine",
+                buckets::QUEUE_WAIT,
+            ),
+            duration: seconds(
+                &meter,
+                "request_duration",
+                "Time from a request's arrival to the end of its answer",
+                buckets::DURATION,
+            ),
+            occupancy: meter
+                .f64_histogram("batch_occupancy")
+                .with_description("Share of an engine's batch that was in use")
+                .with_unit("1")
+                .with_boundaries(buckets::OCCUPANCY.to_vec())
+                .build(),
+            requests: counter(&meter, "requests", "Requests that ended, by outcome"),
+            refusals: counter(&meter, "refusals", "Faults told to callers, by kind"),
+            retries: counter(&meter, "retries", "Requests that were sent again"),
+            loads: counter(&meter, "loads", "Adapters that were loaded"),
+            load_failures: counter(&meter, "load_failures", "Adapters that failed to load"),
+            evictions: counter(&meter, "evictions", "Adapters that were unloaded"),
+            members: gauge(&meter, "members", "Entry hosts, by condition"),
+            revision: gauge(&meter, "config_revision", "Configuration revision in force"),
+            in_flight: gauge(&meter, "requests_in_flight", "Requests that are running"),
+            platform_calls: Totals::start(
+                &meter,
+                "platform_calls",
+                "Calls of the platform, by reason",
+                |reason| vec![KeyValue::new("reason", reason.to_string())],
+            ),
+            control_bytes: Totals::start(
+                &meter,
+                "control_bytes",
+                "Bytes between entry hosts",
+                |(direction, medium)| {
+                    vec![
+                        KeyValue::new("direction", direction.as_str()),
+                        KeyValue::new("medium", medium.as_str()),
+                    ]
+                },
+            ),
+        }
     }
-    /// n
+
+    /// The metrics in the Prometheus text format.
     pub fn render(&self) -> String {
-        String::new()
-    }
-    /// n
-    pub fn refusal(&self, _: Kind) {}
-    /// n
-    pub fn load_stall(&self, _: &Labels, _: Duration) {}
-    /// n
-    pub fn queue_wait(&self, _: &Labels, _: Duration) {}
-    /// n
-    pub fn first_token(&self, _: &Labels, _: Duration) {}
-    /// n
-    pub fn token_gap(&self, _: &Labels, _: Duration) {}
-    /// n
-    pub fn load(&self) {}
-    /// n
-    pub fn eviction(&self) {}
-    /// n
-    pub fn revision(&self, _: u64) {}
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::error!(target: "telemetry", "The metrics can't be written: {error}.");
+        }
+        String::from_utf8_lossy(&text).into_owned()
+    }
+
+    /// A request waited so long for its adapter to arrive.
+    pub fn load_stall(&self, labels: &Labels, wait: Duration) {
+        self.load_stall
+            .record(wait.as_secs_f64(), &self.full(labels));
+    }
+
+    /// A request waited so long for its place on an engine, its load stall included.
+    pub fn queue_wait(&self, labels: &Labels, wait: Duration) {
+        self.queue_wait
+            .record(wait.as_secs_f64(), &self.short(labels));
+    }
+
+    /// The first token came so long after its request.
+    pub fn first_token(&self, labels: &Labels, wait: Duration) {
+        self.first_token
+            .record(wait.as_secs_f64(), &self.full(labels));
+    }
+
+    /// A token came so long after the one before it.
+    pub fn token_gap(&self, labels: &Labels, gap: Duration) {
+        self.token_gap
+            .record(gap.as_secs_f64(), &self.short(labels));
+    }
+
+    /// A request ended so long after its arrival.
+    pub fn request(&self, labels: &Labels, ending: Ending, elapsed: Duration) {
+        let attributes = self.full(labels);
+        self.duration.record(elapsed.as_secs_f64(), &attributes);
+        let [_, class, service] = attributes;
+        let outcome = KeyValue::new("outcome", ending.as_str());
+        self.requests.add(1, &[class, service, outcome]);
+    }
+
+    /// An engine of a model ran so many requests of those that it can run together.
+    pub fn batch_occupancy(&self, model: &Model, running: u32, capacity: u32) {
+        if capacity == 0 {
+            return;
+        }
+        let share = f64::from(running) / f64::from(capacity);
+        let model = KeyValue::new("model", model.as_str().to_owned());
+        self.occupancy.record(share, &[model]);
+    }
+
+    /// A caller was told of a fault.
+    pub fn refusal(&self, kind: Kind) {
+        self.refusals.add(1, &[KeyValue::new("kind", kind.word())]);
+    }
+
+    /// A request of a service was sent again.
+    pub fn retry(&self, service: &Service) {
+        let service = self.services.admit(service.as_str());
+        self.retries.add(1, &[KeyValue::new("service", service)]);
+    }
+
+    /// An adapter was loaded.
+    pub fn load(&self) {
+        self.loads.add(1, &[]);
+    }
+
+    /// An adapter failed to load.
+    pub fn load_failure(&self) {
+        self.load_failures.add(1, &[]);
+    }
+
+    /// An adapter was unloaded.
+    pub fn eviction(&self) {
+        self.evictions.add(1, &[]);
+    }
+
+    /// So many entry hosts are in a condition.
+    pub fn members(&self, condition: Condition, count: u64) {
+        let state = KeyValue::new("state", word(condition));
+        self.members.record(count, &[state]);
+    }
+
+    /// The configuration revision in force.
+    pub fn revision(&self, number: u64) {
+        self.revision.record(number, &[]);
+    }
+
+    /// So many requests are running.
+    pub fn in_flight(&self, count: u64) {
+        self.in_flight.record(count, &[]);
+    }
+
+    /// So many calls of the platform were made for a reason since the start.
+    pub fn platform_calls(&self, reason: Reason, total: u64) {
+        self.platform_calls.set(reason, total);
+    }
+
+    /// So many bytes passed between this host and its peers since the start.
+    pub fn control_bytes(&self, direction: Direction, medium: Medium, total: u64) {
+        self.control_bytes.set((direction, medium), total);
+    }
+
+    fn full(&self, labels: &Labels) -> [KeyValue; 3] {
+        let [tenant, class] = self.short(labels);
+        let service = self.services.admit(labels.service.as_str());
+        [tenant, class, KeyValue::new("service", service)]
+    }
+
+    fn short(&self, labels: &Labels) -> [KeyValue; 2] {
+        let tenant = self.tenants.admit(labels.tenant.as_str());
+        let class: Class = labels.class;
+        [
+            KeyValue::new("tenant", tenant),
+            KeyValue::new("class", class.as_str()),
+        ]
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Metrics").finish_non_exhaustive()
+    }
+}
+
+impl Drop for Metrics {
+    fn drop(&mut self) {
+        if let Err(error) = self.provider.shutdown() {
+            log::debug!(target: "telemetry", "The metrics did not end properly: {error}.");
+        }
+    }
+}
+
+fn seconds(
+    meter: &Meter,
+    name: &'static str,
+    description: &'static str,
+    bounds: &[f64],
+) -> Histogram<f64> {
+    meter
+        .f64_histogram(name)
+        .with_description(description)
+        .with_unit("s")
+        .with_boundaries(bounds.to_vec())
+        .build()
+}
+
+fn counter(meter: &Meter, name: &'static str, description: &'static str) -> Counter<u64> {
+    let builder = meter.u64_counter(name).with_description(description);
+    builder.build()
+}
+
+fn gauge(meter: &Meter, name: &'static str, description: &'static str) -> Gauge<u64> {
+    let builder = meter.u64_gauge(name).with_description(description);
+    builder.build()
 }
--- /dev/null
+++ b/crates/telemetry/tests/metrics.rs
@@ -0,0 +1,113 @@
+//! The metrics as a scrape shows them.
+
+use std::time::Duration;
+
+use kernel::{fault::Kind, request::Class};
+use member::Condition;
+use platform::object::Reason;
+use telemetry::metrics::{Direction, Ending, Labels, MAX_TENANTS, Medium, Metrics};
+
+fn labels(tenant: &str) -> Labels {
+    Labels {
+        tenant: tenant.parse().unwrap(),
+        class: Class::Interactive,
+        service: "signs".parse().unwrap(),
+    }
+}
+
+fn check(record: impl Fn(&Metrics), lines: &[&str]) {
+    let metrics = Metrics::new();
+    record(&metrics);
+    let text = metrics.render();
+    for line in lines {
+        assert!(text.lines().any(|it| it == *line), "{line}\n{text}");
+    }
+}
+
+/// Covers the histograms of time: labels, and the targets among the bounds.
+#[test]
+fn times_have_labels_and_targets() {
+    let full = r#"class="interactive",service="signs",tenant="mall""#;
+    let short = r#"class="interactive",tenant="mall""#;
+    let millis = Duration::from_millis;
+    check(
+        |it| it.first_token(&labels("mall"), millis(540)),
+        &[
+            &format!(r#"comfreywing_first_token_seconds_bucket{{{full},le="0.54"}} 1"#),
+            &format!(r#"comfreywing_first_token_seconds_bucket{{{full},le="0.4"}} 0"#),
+            &format!("comfreywing_first_token_seconds_sum{{{full}}} 0.54"),
+        ],
+    );
+    check(
+        |it| it.token_gap(&labels("mall"), millis(62)),
+        &[
+            &format!(r#"comfreywing_token_gap_seconds_bucket{{{short},le="0.062"}} 1"#),
+            &format!(r#"comfreywing_token_gap_seconds_bucket{{{short},le="0.05"}} 0"#),
+        ],
+    );
+    check(
+        |it| {
+            it.load_stall(&labels("mall"), Duration::ZERO);
+            it.queue_wait(&labels("mall"), millis(3));
+        },
+        &[
+            &format!(r#"comfreywing_load_stall_seconds_bucket{{{full},le="0.001"}} 1"#),
+            &format!("comfreywing_queue_wait_seconds_count{{{short}}} 1"),
+        ],
+    );
+}
+
+/// Covers the other kinds of metrics.
+#[test]
+fn counters_and_gauges_are_shown() {
+    check(
+        |it| {
+            it.request(&labels("mall"), Ending::Whole, Duration::from_secs(1));
+            it.batch_occupancy(&"base".parse().unwrap(), 3, 8);
+            it.batch_occupancy(&"base".parse().unwrap(), 3, 0);
+            it.refusal(Kind::Overloaded);
+            it.retry(&"signs".parse().unwrap());
+            it.load();
+            it.load_failure();
+            it.eviction();
+            it.members(Condition::Up, 4);
+            it.revision(7);
+            it.in_flight(2);
+            it.platform_calls(Reason::Config, 5);
+            it.platform_calls(Reason::Config, 6);
+            it.control_bytes(Direction::Out, Medium::Datagram, 100);
+        },
+        &[
+            r#"comfreywing_requests_total{class="interactive",outcome="whole",service="signs"} 1"#,
+            r#"comfreywing_batch_occupancy_ratio_bucket{model="base",le="0.375"} 1"#,
+            r#"comfreywing_batch_occupancy_ratio_count{model="base"} 1"#,
+            r#"comfreywing_refusals_total{kind="overloaded"} 1"#,
+            r#"comfreywing_retries_total{service="signs"} 1"#,
+            "comfreywing_loads_total 1",
+            "comfreywing_load_failures_total 1",
+            "comfreywing_evictions_total 1",
+            r#"comfreywing_members{state="up"} 4"#,
+            "comfreywing_config_revision 7",
+            "comfreywing_requests_in_flight 2",
+            r#"comfreywing_platform_calls_total{reason="config"} 6"#,
+            r#"comfreywing_control_bytes_total{direction="out",medium="datagram"} 100"#,
+        ],
+    );
+}
+
+/// Covers more tenants than have a label: the rest is counted together, and nothing is lost.
+#[test]
+fn tenants_are_bounded() {
+    let metrics = Metrics::new();
+    for index in 0..MAX_TENANTS * 3 {
+        metrics.token_gap(&labels(&format!("tenant-{index}")), Duration::ZERO);
+    }
+    let text = metrics.render();
+    let counts = text
+        .lines()
+        .filter(|it| it.starts_with("comfreywing_token_gap_seconds_count"));
+    assert_eq!(counts.count(), MAX_TENANTS + 1);
+    let other = r#"comfreywing_token_gap_seconds_count{class="interactive",tenant="other"}"#;
+    let expected = format!("{other} {}", MAX_TENANTS * 2);
+    assert!(text.lines().any(|it| it == expected), "{text}");
+}
