--- a/crates/telemetry/tests/metrics.rs
+++ b/crates/telemetry/tests/metrics.rs
@@ -57,26 +57,36 @@
     );
 }
 
+fn record_all(it: &Metrics) {
+    it.first_token(&labels("mall"), Duration::ZERO);
+    it.token_gap(&labels("mall"), Duration::ZERO);
+    it.load_stall(&labels("mall"), Duration::ZERO);
+    it.queue_wait(&labels("mall"), Duration::ZERO);
+    record_others(it);
+}
+
+fn record_others(it: &Metrics) {
+    it.request(&labels("mall"), Ending::Whole, Duration::from_secs(1));
+    it.batch_occupancy(&"base".parse().unwrap(), 3, 8);
+    it.batch_occupancy(&"base".parse().unwrap(), 3, 0);
+    it.refusal(Kind::Overloaded);
+    it.retry(&"signs".parse().unwrap());
+    it.load();
+    it.load_failure();
+    it.eviction();
+    it.members(Condition::Up, 4);
+    it.revision(7);
+    it.in_flight(2);
+    it.platform_calls(Reason::Config, 5);
+    it.platform_calls(Reason::Config, 6);
+    it.control_bytes(Direction::Out, Medium::Datagram, 100);
+}
+
 /// Covers the other kinds of metrics.
 #[test]
 fn counters_and_gauges_are_shown() {
     check(
-        |it| {
-            it.request(&labels("mall"), Ending::Whole, Duration::from_secs(1));
-            it.batch_occupancy(&"base".parse().unwrap(), 3, 8);
-            it.batch_occupancy(&"base".parse().unwrap(), 3, 0);
-            it.refusal(Kind::Overloaded);
-            it.retry(&"signs".parse().unwrap());
-            it.load();
-            it.load_failure();
-            it.eviction();
-            it.members(Condition::Up, 4);
-            it.revision(7);
-            it.in_flight(2);
-            it.platform_calls(Reason::Config, 5);
-            it.platform_calls(Reason::Config, 6);
-            it.control_bytes(Direction::Out, Medium::Datagram, 100);
-        },
+        record_others,
         &[
             r#"comfreywing_requests_total{class="interactive",outcome="whole",service="signs"} 1"#,
             r#"comfreywing_batch_occupancy_ratio_bucket{model="base",le="0.375"} 1"#,
@@ -111,3 +121,19 @@
     let expected = format!("{other} {}", MAX_TENANTS * 2);
     assert!(text.lines().any(|it| it == expected), "{text}");
 }
+
+/// Covers that the operators' page names each metric, and no other.
+#[test]
+fn page_names_every_metric() {
+    const PAGE: &str = include_str!("../../../docs/operating/metrics.md");
+    let metrics = Metrics::new();
+    record_all(&metrics);
+    let text = metrics.render();
+    let types = text.lines().filter_map(|it| it.strip_prefix("# TYPE "));
+    let mut shown: Vec<&str> = types.filter_map(|it| it.split(' ').next()).collect();
+    let rows = PAGE.lines().filter_map(|it| it.strip_prefix("| `"));
+    let mut named: Vec<&str> = rows.filter_map(|it| it.split('`').next()).collect();
+    shown.sort_unstable();
+    named.sort_unstable();
+    assert_eq!(shown, named);
+}
