Bound the memory of bodies, and the patience with slow readers

A body limit for each request still let a thousand connections hold a gigabyte, and a reader that takes a byte now and then kept a worker for ever, since any progress reset its time. All running bodies now share 64 MiB, and a slow reader has to take 4 KiB a second on average after the write time. A cancellation waits 100 ms for its answer in place of 500, since it delays the next attempt.

Shown by: cargo test -p serve (bodies_share_a_limit and slow_reader_is_dropped).

--- a/crates/serve/src/body.rs
+++ b/crates/serve/src/body.rs
@@ -1,6 +1,7 @@
 //! The body of an answer, as the connection takes it.
 
 use std::{
+    cell::Cell,
     pin::Pin,
     rc::Rc,
     task::{Context, Poll, ready},
@@ -36,18 +37,30 @@
     progress: Rc<Progress>,
     caller: Caller,
     framing: Framing,
+    held: usize,
+    all_held: Rc<Cell<usize>>,
 }
 
 impl Exchange {
-    pub(crate) fn new(progress: Rc<Progress>, framing: Framing) -> Self {
+    pub(crate) fn new(progress: Rc<Progress>, framing: Framing, all_held: Rc<Cell<usize>>) -> Self {
         progress.enter(Phase::Request);
         Self {
             progress,
             caller: Caller::default(),
             framing,
+            held: 0,
+            all_held,
         }
     }
 
+    /// Counts bytes of the request's body, which stay until the answer is made, and gives the
+    /// sum over all running requests.
+    pub(crate) fn hold(&mut self, bytes: usize) -> usize {
+        self.held += bytes;
+        self.all_held.update(|it| it + bytes);
+        self.all_held.get()
+    }
+
     pub(crate) fn caller(&self) -> Caller {
         self.caller.clone()
     }
@@ -67,6 +80,7 @@
 impl Drop for Exchange {
     fn drop(&mut self) {
         self.caller.leave();
+        self.all_held.update(|it| it - self.held);
         self.progress.enter(Phase::Answered);
     }
 }
--- a/crates/serve/src/connection.rs
+++ b/crates/serve/src/connection.rs
@@ -1,6 +1,7 @@
 //! One connection from its first byte to its close.
 
 use std::{
+    cell::Cell,
     future::poll_fn,
     net::SocketAddr,
     pin::Pin,
@@ -48,6 +49,8 @@
     pub(crate) limits: Limits,
     pub(crate) jobs: SyncSender<Job>,
     pub(crate) running: Arc<AtomicUsize>,
+    /// Bytes of the bodies of all running requests.
+    pub(crate) body_bytes: Rc<Cell<usize>>,
 }
 
 /// How the requests on a connection ended.
@@ -142,8 +145,7 @@
     }
 
     fn deadline(&self) -> Option<Instant> {
-        let stalled = self.progress.stalled();
-        let unread = stalled.map(|it| it + self.limits.write_time);
+        let unread = self.progress.write_deadline(self.limits.write_time);
         let quiet = match self.progress.phase() {
             Phase::Idle(since) => Some(self.idle_deadline(since)),
             Phase::Head(since) => Some(since + self.limits.header_time),
--- a/crates/serve/src/exchange.rs
+++ b/crates/serve/src/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::{convert::Infallible, net::SocketAddr, rc::Rc, sync::mpsc::TrySendError, time::Duration};
 
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use http_body_util::BodyExt;
 use hyper::{
     Method, StatusCode, Version,
     body::{Body as _, Incoming},
@@ -38,10 +38,11 @@
     shared: Rc<Shared>,
     progress: Rc<Progress>,
 ) -> Result<Reply, Infallible> {
-    let exchange = Exchange::new(progress, framing(request.version()));
+    let body_bytes = shared.body_bytes.clone();
+    let mut exchange = Exchange::new(progress, framing(request.version()), body_bytes);
     let (head, body) = request.into_parts();
     let id = request_id(&head);
-    let request = match read(&head, body, peer, &shared.limits).await {
+    let request = match read(&head, body, peer, &shared.limits, &mut exchange).await {
         Ok(request) => request,
         Err(fault) => return Ok(refuse_unread(&fault, id.as_ref(), exchange)),
     };
@@ -83,39 +84,59 @@
     body: Incoming,
     peer: SocketAddr,
     limits: &Limits,
+    exchange: &mut Exchange,
 ) -> Result<Request, Fault> {
     if head.method == Method::CONNECT {
         return Err(Fault::new(Kind::BadRequest, "CONNECT is not supported"));
     }
     let received = std::time::Instant::now();
     let mut request = Request::from_head(head, peer, received)?;
-    request.body = read_body(body, limits).await?;
+    let collected = timeout(limits.body_time, read_body(body, limits, exchange)).await;
+    request.body = collected.unwrap_or_else(|_| {
+        let detail = format!("the body did not come within {:?}", limits.body_time);
+        Err(Fault::new(Kind::SlowSender, detail))
+    })?;
     Ok(request)
 }
 
-async fn read_body(body: Incoming, limits: &Limits) -> Result<Vec<u8>, Fault> {
-    let declared = body.size_hint().lower();
-    if declared > limits.body_bytes as u64 {
-        return Err(too_large(limits));
-    }
-    let collect = Limited::new(body, limits.body_bytes).collect();
-    let Ok(collected) = timeout(limits.body_time, collect).await else {
-        let detail = format!("the body did not come within {:?}", limits.body_time);
-        return Err(Fault::new(Kind::SlowSender, detail));
-    };
-    match collected {
-        Ok(collected) => Ok(collected.to_bytes().into()),
-        Err(error) if error.is::<LengthLimitError>() => Err(too_large(limits)),
-        Err(error) => {
-            let detail = format!("the body can't be read: {error}");
-            Err(Fault::new(Kind::BadRequest, detail))
-        }
+async fn read_body(
+    mut body: Incoming,
+    limits: &Limits,
+    exchange: &mut Exchange,
+) -> Result<Vec<u8>, Fault> {
+    let declared = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    let mut whole = Vec::new();
+    check_size(declared, limits)?;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| unreadable(&error))?;
+        // Trailers mean nothing here.
+        let data = frame.into_data().unwrap_or_default();
+        check_size(whole.len() + data.len(), limits)?;
+        check_sum(exchange.hold(data.len()), limits)?;
+        whole.extend_from_slice(&data);
     }
+    Ok(whole)
 }
 
-fn too_large(limits: &Limits) -> Fault {
+fn unreadable(error: &hyper::Error) -> Fault {
+    let detail = format!("the body can't be read: {error}");
+    Fault::new(Kind::BadRequest, detail)
+}
+
+fn check_size(bytes: usize, limits: &Limits) -> Result<(), Fault> {
+    if bytes <= limits.body_bytes {
+        return Ok(());
+    }
     let detail = format!("the body has more than {} bytes", limits.body_bytes);
-    Fault::new(Kind::BodyTooLarge, detail)
+    Err(Fault::new(Kind::BodyTooLarge, detail))
+}
+
+fn check_sum(bytes: usize, limits: &Limits) -> Result<(), Fault> {
+    if bytes <= limits.running_body_bytes {
+        return Ok(());
+    }
+    let detail = "the bodies of the running requests are too large";
+    Err(Fault::new(Kind::Overloaded, detail).after(OVERLOAD_PAUSE))
 }
 
 fn enqueue(shared: &Shared, job: Job) -> Result<(), Fault> {
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -19,7 +19,7 @@
 mod socket;
 mod worker;
 
-pub use limits::Limits;
+pub use limits::{Limits, MIN_HEADER_BYTES, MIN_READ_BYTES};
 pub use request::{Headers, Request};
 pub use responder::{Caller, Gone, Responder, Stream};
 pub use response::{Response, refusal};
--- a/crates/serve/src/limits.rs
+++ b/crates/serve/src/limits.rs
@@ -5,6 +5,9 @@
 /// Smallest value of [`Limits::header_bytes`]; the parser needs that much.
 pub const MIN_HEADER_BYTES: usize = 8192;
 
+/// Bytes of an answer that a slow caller has to read each second.
+pub const MIN_READ_BYTES: u64 = 4096;
+
 /// Bounds on what callers can occupy.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limits {
@@ -16,9 +19,12 @@
     pub header_time: Duration,
     /// Size of a request body in bytes.
     pub body_bytes: usize,
+    /// Size of the bodies of all requests that run, in bytes.
+    pub running_body_bytes: usize,
     /// Time from the end of the headers to the end of the body.
     pub body_time: Duration,
-    /// Time for which a caller may leave an answer unread.
+    /// Time for which a caller may leave an answer unread; a caller that reads gains a second
+    /// for every [`MIN_READ_BYTES`].
     pub write_time: Duration,
     /// Open connections of all callers.
     pub connections: usize,
@@ -39,6 +45,7 @@
             header_count: 64,
             header_time: Duration::from_secs(5),
             body_bytes: 1024 * 1024,
+            running_body_bytes: 64 * 1024 * 1024,
             body_time: Duration::from_secs(10),
             write_time: Duration::from_secs(20),
             connections: 4096,
--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -3,6 +3,7 @@
 use std::{
     io,
     net::{SocketAddr, TcpListener},
+    rc::Rc,
     sync::{
         Arc,
         atomic::{AtomicUsize, Ordering},
@@ -94,14 +95,19 @@
         let (commands, orders) = mpsc::channel(COMMANDS);
         let (pool, jobs) =
             Pool::start(limits.workers, limits.queue, handler).map_err(Failure::System)?;
-        let shared = Shared {
-            limits,
-            jobs,
-            running: running.clone(),
+        let count = running.clone();
+        let acceptor = move || {
+            let shared = Shared {
+                limits,
+                jobs,
+                running: count,
+                body_bytes: Rc::default(),
+            };
+            accept(socket, shared, orders);
         };
         let acceptor = thread::Builder::new()
             .name("serve-acceptor".to_owned())
-            .spawn(move || accept(socket, shared, orders))
+            .spawn(acceptor)
             .map_err(Failure::System)?;
         Ok(Self {
             address,
--- a/crates/serve/src/socket.rs
+++ b/crates/serve/src/socket.rs
@@ -11,7 +11,7 @@
         atomic::{AtomicUsize, Ordering},
     },
     task::{Context, Poll, ready},
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use hyper::rt::{Read, ReadBufCursor, Write};
@@ -20,6 +20,8 @@
     net::TcpStream,
 };
 
+use crate::limits::MIN_READ_BYTES;
+
 /// Bytes taken from a socket at a time.
 const READ_BYTES: usize = 8192;
 
@@ -53,11 +55,18 @@
     Reset,
 }
 
+/// An answer that its caller does not read as fast as it is written.
+#[derive(Clone, Copy, Debug)]
+struct Backlog {
+    since: Instant,
+    read: u64,
+}
+
 /// The progress of one connection, shared by its socket, its service and its answers.
 #[derive(Debug)]
 pub(crate) struct Progress {
     phase: Cell<Phase>,
-    stalled: Cell<Option<Instant>>,
+    backlog: Cell<Option<Backlog>>,
     malformed: Cell<bool>,
     closing: Cell<Closing>,
     running: Arc<AtomicUsize>,
@@ -67,7 +76,7 @@
     pub(crate) fn new(running: Arc<AtomicUsize>) -> Self {
         Self {
             phase: Cell::new(Phase::Idle(Instant::now())),
-            stalled: Cell::new(None),
+            backlog: Cell::new(None),
             malformed: Cell::new(false),
             closing: Cell::new(Closing::Plain),
             running,
@@ -88,9 +97,11 @@
         };
     }
 
-    /// Since when the caller has read nothing of what waits for it.
-    pub(crate) fn stalled(&self) -> Option<Instant> {
-        self.stalled.get()
+    /// When a caller that leaves its answer unread has used up its time, if it does.
+    pub(crate) fn write_deadline(&self, write_time: Duration) -> Option<Instant> {
+        let backlog = self.backlog.get()?;
+        let gained = Duration::from_secs(backlog.read / MIN_READ_BYTES);
+        Some(backlog.since + write_time + gained)
     }
 
     /// Whether the parser has given up on the head of a request.
@@ -112,12 +123,24 @@
         }
     }
 
-    fn note_written(&self, blocked: bool) {
-        let since = self.stalled.get().unwrap_or_else(Instant::now);
-        self.stalled.set(blocked.then_some(since));
+    fn note_written(&self, result: &Poll<io::Result<usize>>) {
+        let backlog = self.backlog.get();
+        let next = match result {
+            Poll::Pending => Some(backlog.unwrap_or_else(|| Backlog {
+                since: Instant::now(),
+                read: 0,
+            })),
+            Poll::Ready(Ok(count)) => backlog.map(|it| Backlog {
+                read: it.read + *count as u64,
+                ..it
+            }),
+            Poll::Ready(Err(_)) => backlog,
+        };
+        self.backlog.set(next);
     }
 
     fn note_flushed(&self) {
+        self.backlog.set(None);
         if self.phase.get() == Phase::Answered {
             self.enter(Phase::Idle(Instant::now()));
         }
@@ -182,7 +205,7 @@
             return Poll::Ready(Ok(buf.len()));
         }
         let result = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.progress.note_written(result.is_pending());
+        self.progress.note_written(&result);
         result
     }
 
--- a/crates/serve/tests/server.rs
+++ b/crates/serve/tests/server.rs
@@ -238,6 +238,33 @@
     check_refused(limits, &broken, Kind::BadRequest);
 }
 
+/// Covers the limit on all bodies together: what is too much is refused, and room is freed.
+#[test]
+fn bodies_share_a_limit() {
+    let limits = Limits {
+        running_body_bytes: 8,
+        ..Limits::default()
+    };
+    let (entered, running) = mpsc::sync_channel(1);
+    let (release, released) = mpsc::sync_channel::<()>(1);
+    let released = std::sync::Mutex::new(released);
+    let server = start(limits, move |request: Request, responder: Responder| {
+        entered.send(()).unwrap();
+        released.lock().unwrap().recv().unwrap();
+        answer_ok(request, responder);
+    });
+    let post = "POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 5\r\n\r\n12345";
+    for _ in 0..2 {
+        let first = connect_and_send(&server, post);
+        running.recv_timeout(PATIENCE).unwrap();
+        let second = read_rest(connect_and_send(&server, post));
+        assert!(second.contains(r#""kind":"overloaded""#), "{second:?}");
+        release.send(()).unwrap();
+        assert!(read_rest(first).ends_with("12345"));
+    }
+    server.stop();
+}
+
 /// Covers a caller that sends far more than the limit: it still gets the answer, no reset.
 #[test]
 fn refusal_of_a_large_body_can_be_read() {
@@ -368,6 +395,13 @@
     let caller = connect_and_send(&server, &get("/"));
     left.recv_timeout(PATIENCE).unwrap();
     drop(caller);
+
+    // One that reads a byte now and then gains next to nothing.
+    let mut caller = connect_and_send(&server, &get("/"));
+    while left.try_recv().is_err() {
+        let _ = caller.read(&mut [0]);
+        thread::sleep(SHORT / 4);
+    }
     server.stop();
 }
 
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -27,8 +27,8 @@
 pub use orders::{Load, Occupancy, Report, Unload};
 pub use stream::{Next, Stream};
 
-/// Longest wait for an answer to a cancellation.
-const CANCEL_TIME: Duration = Duration::from_millis(500);
+/// Longest wait for an answer to a cancellation; whoever drops a stream waits that long.
+const CANCEL_TIME: Duration = Duration::from_millis(100);
 /// Refusals that an engine gives before anything runs.
 const NOT_RUN: [&str; 3] = ["not-loaded", "leaving", "full"];
 
