--- a/crates/entry/src/flow/model.rs
+++ b/crates/entry/src/flow/model.rs
@@ -11,6 +11,7 @@
 };
 use serde_json::Value;
 use serve::{Responder, Response, Stream};
+use steward::Event;
 use telemetry::metrics::Labels;
 use upstream::{
     Watch,
@@ -206,7 +207,11 @@
         };
         place::release(self.host, place, outcome);
         let engine = place.permit.upstream.clone();
-        self.host.inspect(engine.clone());
+        if fault.kind == Kind::UpstreamLeaving
+            && let Some(engine) = self.host.listed.leaving(&engine)
+        {
+            self.host.inbox.event(Event::Changed { engine });
+        }
         let may_repeat = ran == Ran::NotRun || self.target.retry.repeat == Repeat::Allowed;
         if may_repeat && self.host.clock.now() < self.deadline {
             return Attempt::Again {
@@ -243,7 +248,7 @@
         };
         match self.call.delivery {
             Delivery::Streamed => pump.streamed(first, responder),
-            Delivery::Whole => pump.whole(first, responder),
+            Delivery::Whole => pump.whole(&first.1, responder),
         }
     }
 
@@ -337,10 +342,10 @@
             .ended(self.place, Outcome::Broken, &format!("broken: {fault}"))
     }
 
-    fn whole(mut self, first: (u64, Value), responder: Responder) -> Attempt {
+    fn whole(mut self, first: &Value, responder: Responder) -> Attempt {
         let way = self.way;
         let mut whole = chat::Whole::default();
-        whole.add(&first.1);
+        whole.add(first);
         loop {
             if responder.gone() {
                 return self.caller_gone();
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -16,13 +16,13 @@
     permit::{Ask, Holder},
     request::Id,
 };
-use platform::{http, log::Log};
+use platform::{http, journal::Journal, log::Log};
 use steward::Ticket;
 use telemetry::metrics::Metrics;
 
 use crate::{
     directory::{Entry, Shared},
-    inbox::{Full, Inbox, Question, Reply},
+    inbox::{Inbox, Question, Reply},
     listed::Listed,
     readiness::Readiness,
     recent::Recent,
@@ -70,6 +70,8 @@
     pub store: http::Client,
     /// The configuration log in the platform.
     pub log: Log,
+    /// The records of keyed calls.
+    pub journal: Journal,
     /// The client of engines.
     pub engines: upstream::engine::Client,
     /// The client of plain services.
@@ -114,8 +116,8 @@
         self.trace.step(id, self.clock.now(), what);
     }
 
-    /// Asks the own steward. The reply is not called if the ask does not fit.
-    pub fn ask(&self, ask: Ask, reply: Reply) -> Result<Ticket, (Full, Reply)> {
+    /// Asks the own steward, or gives the reply back if too many asks wait.
+    pub fn ask(&self, ask: Ask, reply: Reply) -> Result<Ticket, Reply> {
         let ticket = Ticket(self.number());
         let question = Question {
             ticket,
@@ -123,10 +125,8 @@
             arrived: self.clock.now(),
             reply,
         };
-        match self.inbox.ask(question) {
-            Ok(()) => Ok(ticket),
-            Err((full, question)) => Err((full, question.reply)),
-        }
+        self.inbox.ask(question)?;
+        Ok(ticket)
     }
 
     /// Publishes an entry to all hosts.
@@ -195,6 +195,7 @@
             recent: Recent::default(),
             peer: OnceLock::new(),
             log: Log::new(Arc::clone(&shared)),
+            journal: Journal::new(shared, me.clone(), Arc::clone(&clock)),
             engines: upstream::engine::Client,
             plain: upstream::plain::Client {
                 answer_bytes: MAX_ANSWER_BYTES,
--- a/crates/entry/src/inbox.rs
+++ b/crates/entry/src/inbox.rs
@@ -38,10 +38,6 @@
     Event(Event),
 }
 
-/// The ask does not fit.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Full;
-
 #[derive(Default)]
 struct Queue {
     messages: VecDeque<Message>,
@@ -56,11 +52,11 @@
 }
 
 impl Inbox {
-    /// Adds an ask, or gives it back if too many wait.
-    pub fn ask(&self, question: Question) -> Result<(), (Full, Question)> {
+    /// Adds an ask, or gives the place for its answer back if too many wait.
+    pub fn ask(&self, question: Question) -> Result<(), Reply> {
         let mut queue = self.queue.lock().expect("inbox lock is poisoned");
         if queue.asks == MAX_ASKS {
-            return Err((Full, question));
+            return Err(question.reply);
         }
         queue.asks += 1;
         queue.messages.push_back(Message::Question(question));
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -22,7 +22,7 @@
 
 impl peer::Handler for Answers {
     fn place(&self, ask: Ask, reply: Reply) {
-        if let Err((_, reply)) = self.0.ask(ask, reply) {
+        if let Err(reply) = self.0.ask(ask, reply) {
             reply(Verdict::Refused(full()));
         }
     }
--- a/crates/entry/src/plugin.rs
+++ b/crates/entry/src/plugin.rs
@@ -124,7 +124,7 @@
     /// Which paths it answers.
     pub path: Path,
     /// Answers a request.
-    pub handle: fn(&Arc<Host>, serve::Request, serve::Responder),
+    pub handle: fn(&Arc<Host>, &serve::Request, serve::Responder),
 }
 
 /// Which paths a route answers.
--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -28,7 +28,7 @@
 };
 
 /// How long a host that leaves stays reachable, so that others learn of it before it closes.
-const LEAVE_NOTICE: Duration = Duration::from_millis(1000);
+const LEAVE_NOTICE: Duration = Duration::from_secs(1);
 
 /// Why the process could not start or did not end well.
 #[derive(Debug, Display, Error)]
--- a/crates/entry/src/route.rs
+++ b/crates/entry/src/route.rs
@@ -52,7 +52,7 @@
 impl serve::Handler for Router {
     fn handle(&self, request: Request, responder: Responder) {
         match self.find(&request) {
-            Ok(route) => (route.handle)(&self.host, request, responder),
+            Ok(route) => (route.handle)(&self.host, &request, responder),
             Err(fault) => flow::refuse(&self.host, None, &fault, responder),
         }
     }
--- a/crates/entry/src/route/chat.rs
+++ b/crates/entry/src/route/chat.rs
@@ -20,8 +20,8 @@
     }
 }
 
-fn handle(host: &Arc<Host>, request: Request, responder: Responder) {
-    if let Some((admitted, responder)) = flow::admit(host, &request, responder) {
+fn handle(host: &Arc<Host>, request: &Request, responder: Responder) {
+    if let Some((admitted, responder)) = flow::admit(host, request, responder) {
         flow::model::run(host, &admitted, &request.body, responder);
     }
 }
--- a/crates/entry/src/route/explain.rs
+++ b/crates/entry/src/route/explain.rs
@@ -27,16 +27,15 @@
     }
 }
 
-fn handle(host: &Arc<Host>, request: Request, responder: Responder) {
+fn handle(host: &Arc<Host>, request: &Request, responder: Responder) {
     let id = &request.path[PREFIX.len()..];
-    match find(host, id) {
-        Some(it) => responder.send(route::json(200, &it)),
-        None => {
-            let detail = format!("host {} remembers no request {id:?}", host.me.host);
-            let fault = Fault::new(Kind::UnknownPath, detail);
-            flow::refuse(host, None, &fault, responder);
-        }
+    if let Some(it) = find(host, id) {
+        responder.send(route::json(200, &it));
+        return;
     }
+    let detail = format!("host {} remembers no request {id:?}", host.me.host);
+    let fault = Fault::new(Kind::UnknownPath, detail);
+    flow::refuse(host, None, &fault, responder);
 }
 
 fn find(host: &Host, id: &str) -> Option<Value> {
--- a/crates/entry/src/route/health.rs
+++ b/crates/entry/src/route/health.rs
@@ -31,11 +31,11 @@
     }
 }
 
-fn alive(_: &Arc<Host>, _: Request, responder: Responder) {
+fn alive(_: &Arc<Host>, _: &Request, responder: Responder) {
     responder.send(route::json(200, &json!({ "alive": true })));
 }
 
-fn ready(host: &Arc<Host>, _: Request, responder: Responder) {
+fn ready(host: &Arc<Host>, _: &Request, responder: Responder) {
     let stage = host.readiness.stage();
     let status = match stage {
         Stage::Ready => 200,
--- a/crates/entry/src/route/metrics.rs
+++ b/crates/entry/src/route/metrics.rs
@@ -19,7 +19,7 @@
     }
 }
 
-fn handle(host: &Arc<Host>, _: Request, responder: Responder) {
+fn handle(host: &Arc<Host>, _: &Request, responder: Responder) {
     let content_type = "text/plain; version=0.0.4".to_owned();
     responder.send(Response {
         status: 200,
--- a/crates/entry/src/route/service.rs
+++ b/crates/entry/src/route/service.rs
@@ -22,12 +22,11 @@
     }
 }
 
-fn handle(host: &Arc<Host>, request: Request, responder: Responder) {
-    let Some((admitted, responder)) = flow::admit(host, &request, responder) else {
+fn handle(host: &Arc<Host>, request: &Request, responder: Responder) {
+    let Some((admitted, responder)) = flow::admit(host, request, responder) else {
         return;
     };
-    let path = request.path.clone();
-    let below = &path[PREFIX.len()..];
+    let below = &request.path[PREFIX.len()..];
     let (name, rest) = match below.find('/') {
         Some(at) => below.split_at(at),
         None => (below, "/"),
--- a/crates/entry/src/route/status.rs
+++ b/crates/entry/src/route/status.rs
@@ -23,7 +23,7 @@
     }
 }
 
-fn handle(host: &Arc<Host>, _: Request, responder: Responder) {
+fn handle(host: &Arc<Host>, _: &Request, responder: Responder) {
     responder.send(route::json(200, &report(host)));
 }
 
--- a/crates/kernel/src/fault.rs
+++ b/crates/kernel/src/fault.rs
@@ -96,12 +96,12 @@
     UnknownAdapter => "unknown-adapter", 404, NotRun, Correct;
     /// The adapter has no such version.
     UnknownVersion => "unknown-version", 404, NotRun, Correct;
-    /// A request with this id is running with another content.
-    DuplicateRequest => "duplicate-request", 409, NotRun, Correct;
     /// The idempotency key was used for another request.
     KeyReused => "key-reused", 422, NotRun, Correct;
     /// The first call with this key is still running.
     KeyRunning => "key-running", 409, Unknown, Inquire;
+    /// A call with this key was begun before and its outcome is not known.
+    KeyUnknown => "key-unknown", 502, Unknown, Inquire;
     /// The tenant has used up its share.
     TenantLimit => "tenant-limit", 429, NotRun, Retry;
     /// There is no capacity within the deadline.
@@ -126,6 +126,8 @@
     DeadlineAfterStart => "deadline-after-start", 504, Unknown, Inquire;
     /// The upstream refused the connection or the request; it did not run.
     UpstreamRefused => "upstream-refused", 503, NotRun, Retry;
+    /// The upstream is leaving and took nothing new.
+    UpstreamLeaving => "upstream-leaving", 503, NotRun, Retry;
     /// The connection broke after the request was sent.
     UpstreamLost => "upstream-lost", 502, Unknown, Inquire;
     /// The upstream answered for another adapter or version; the answer was withheld.
--- a/crates/upstream/src/engine.rs
+++ b/crates/upstream/src/engine.rs
@@ -30,7 +30,9 @@
 /// Longest wait for an answer to a cancellation; whoever drops a stream waits that long.
 const CANCEL_TIME: Duration = Duration::from_millis(100);
 /// Refusals that an engine gives before anything runs.
-const NOT_RUN: [&str; 3] = ["not-loaded", "leaving", "full"];
+const NOT_RUN: [&str; 3] = ["not-loaded", LEAVING, "full"];
+/// The refusal of an engine that takes nothing new.
+const LEAVING: &str = "leaving";
 
 /// A request for a chat completion.
 #[derive(Clone, Debug)]
@@ -184,7 +186,11 @@
     let Refusal { code, message } = refusal;
     if is_not_run && NOT_RUN.contains(&&*code) {
         let detail = format!("the engine {address} refused the request: {code}");
-        return Fault::new(Kind::UpstreamRefused, detail);
+        let kind = match code.as_str() {
+            LEAVING => Kind::UpstreamLeaving,
+            _ => Kind::UpstreamRefused,
+        };
+        return Fault::new(kind, detail);
     }
     let detail = format!("the engine {address} answered {status} {code} {message}");
     Fault::new(Kind::UpstreamLost, detail)
--- a/crates/upstream/src/plain.rs
+++ b/crates/upstream/src/plain.rs
@@ -75,7 +75,7 @@
         let response = call::send(prepare(forward)?).map_err(|failure| failure.fault())?;
         if is_leaving(&response) {
             let detail = format!("the instance {address} is leaving");
-            return Err(Fault::new(Kind::UpstreamRefused, detail));
+            return Err(Fault::new(Kind::UpstreamLeaving, detail));
         }
         self.read(response)
             .map_err(|error| broken(address, deadline, &error))
