Test membership over a seeded network

Losses, repetitions, delays, cuts in one direction and in both, pauses, restarts under the same name or address; entries are compared with a map that all share.

--- a/crates/member/src/entry.rs
+++ b/crates/member/src/entry.rs
@@ -10,10 +10,13 @@
 pub const MAX_KEY_BYTES: usize = 96;
 
 /// Longest value of an entry in bytes.
-pub const MAX_VALUE_BYTES: usize = 768;
+pub const MAX_VALUE_BYTES: usize = 704;
 
 /// Bytes that an entry takes in a message besides its key and value.
-const OVERHEAD_BYTES: usize = 24;
+const ENTRY_BYTES: usize = 40;
+
+/// Bytes that a delta takes in a message besides its entries and the name of its owner.
+const DELTA_BYTES: usize = 56;
 
 #[derive(Clone, Debug, Eq, PartialEq)]
 struct Cell {
@@ -57,6 +60,8 @@
 
     /// The entries newer than `after`, as far as they fit into `room` bytes.
     pub fn delta(&self, owner: &Holder, after: u64, room: &mut usize) -> Option<Delta> {
+        let header = DELTA_BYTES + owner.host.as_str().len();
+        let mut left = room.checked_sub(header)?;
         let mut entries = Vec::new();
         let mut upto = self.version;
         for (version, key) in self
@@ -64,19 +69,23 @@
             .range((Bound::Excluded(after), Bound::Unbounded))
         {
             let value = self.cells[key].value.clone();
-            let bytes = OVERHEAD_BYTES + key.len() + value.as_ref().map_or(0, Vec::len);
-            if bytes > *room {
+            let bytes = ENTRY_BYTES + key.len() + value.as_ref().map_or(0, Vec::len);
+            if bytes > left {
                 upto = version - 1;
                 break;
             }
-            *room -= bytes;
+            left -= bytes;
             entries.push(Entry {
                 key: key.clone(),
                 version: *version,
                 value,
             });
         }
-        (upto > after).then(|| Delta {
+        if upto <= after {
+            return None;
+        }
+        *room = left;
+        Some(Delta {
             owner: owner.clone(),
             after,
             upto,
--- a/crates/member/src/news.rs
+++ b/crates/member/src/news.rs
@@ -10,14 +10,14 @@
     state::{Output, State},
 };
 
-/// Bytes that a record takes in a message besides its names.
-const RECORD_BYTES: usize = 48;
+/// Most bytes that a record takes in a message besides its names.
+const RECORD_BYTES: usize = 108;
 
 /// Most bytes that a record takes in a message.
-pub(crate) const LARGEST_RECORD_BYTES: usize = RECORD_BYTES + 2 * MAX_NAME_BYTES;
+pub(crate) const LARGEST_RECORD_BYTES: usize = RECORD_BYTES + packed(2 * MAX_NAME_BYTES);
 
 /// Bytes that a digest line takes in a message.
-pub(crate) const LINE_BYTES: usize = 24;
+pub(crate) const LINE_BYTES: usize = 32;
 
 /// How often each belief is passed on, as a multiple of the binary logarithm of the member count.
 const REPEATS: u32 = 3;
@@ -38,8 +38,14 @@
     Unsent,
 }
 
+/// Bytes that text takes in a message: one more for each eight.
+const fn packed(bytes: usize) -> usize {
+    bytes + bytes.div_ceil(8)
+}
+
 fn size(record: &Record) -> usize {
-    RECORD_BYTES + record.holder.host.as_str().len() + record.domain.as_str().len()
+    let names = record.holder.host.as_str().len() + record.domain.as_str().len();
+    RECORD_BYTES + packed(names)
 }
 
 impl State {
--- /dev/null
+++ b/crates/member/tests/member/deaths.rs
@@ -0,0 +1,121 @@
+//! How deaths are found, and that none is found where nobody died.
+
+use std::time::Duration;
+
+use member::{Condition, Settings};
+
+use crate::net::{Net, Process, deliver, lossy, me};
+
+/// Hosts that know one address find each other, and nobody is held dead or suspected.
+#[test]
+fn hosts_find_each_other() {
+    for seed in 0..20 {
+        let mut net = Net::new(12, 3, Settings::default(), seed);
+        net.run_until(20, Net::all_up);
+        net.forget_changes();
+        net.run(60);
+        assert!(net.nodes.iter().all(|it| it.changes.is_empty()));
+    }
+}
+
+/// A death is known to a whole domain of 52 hosts within 3 s.
+#[test]
+fn a_death_is_known_in_time() {
+    for seed in 0..5 {
+        let mut net = Net::settled(52, 1, seed);
+        net.nodes[17].process = Process::Stopped;
+        let took = net.run_until(20, |it| it.all_see(17, Condition::Down));
+        assert!(
+            took <= Duration::from_secs(3),
+            "seed {seed}: it took {took:?}"
+        );
+        assert_eq!(net.deaths(), 51);
+    }
+}
+
+/// The deaths of a rack of eight hosts at once are known within twice that time.
+#[test]
+fn a_rack_is_known_in_time() {
+    for seed in 0..5 {
+        let mut net = Net::settled(52, 1, seed);
+        for host in 10..18 {
+            net.nodes[host].process = Process::Stopped;
+        }
+        let took = net.run_until(40, |it| {
+            (10..18).all(|host| it.all_see(host, Condition::Down))
+        });
+        assert!(
+            took <= Duration::from_secs(6),
+            "seed {seed}: it took {took:?}"
+        );
+        assert_eq!(net.deaths(), 8 * 44);
+    }
+}
+
+/// With a tenth of the messages lost and a tenth repeated, the hosts find each other; whoever is
+/// wrongly held dead comes back, and a real death is found.
+#[test]
+fn losses_are_overcome() {
+    for seed in 0..20 {
+        let mut net = Net::new(12, 3, Settings::default(), seed);
+        net.rule = lossy;
+        net.run(200);
+        net.nodes[5].process = Process::Stopped;
+        net.run_until(40, |it| it.all_see(5, Condition::Down));
+        net.rule = deliver;
+        net.run_until(40, Net::all_up);
+    }
+}
+
+/// A host whose process was stopped for longer than any timeout holds nobody dead when it goes
+/// on, and is soon held to be alive again.
+#[test]
+fn a_paused_host_comes_back() {
+    for seed in 0..10 {
+        let mut net = Net::settled(8, 2, seed);
+        net.nodes[3].process = Process::Stopped;
+        net.run_until(20, |it| it.all_see(3, Condition::Down));
+        net.run(40);
+        net.nodes[3].process = Process::Running;
+        net.run_until(20, Net::all_up);
+        let others_died = net.nodes[3].changes.iter();
+        assert_eq!(
+            others_died
+                .filter(|it| matches!(it, member::Change::Down(_)))
+                .count(),
+            0
+        );
+    }
+}
+
+/// A new process under the same name and address replaces the old one; news of the old one
+/// changes nothing any more.
+#[test]
+fn a_restarted_host_replaces_itself() {
+    for seed in 0..10 {
+        let mut net = Net::settled(8, 2, seed);
+        net.restart(3, me(3, 2, 2));
+        net.run_until(20, Net::all_up);
+        net.run(40);
+        assert!(net.all_up());
+    }
+}
+
+/// A host under another name at the same address means that the one before it is gone.
+#[test]
+fn a_host_takes_over_an_address() {
+    for seed in 0..10 {
+        let mut net = Net::settled(8, 2, seed);
+        let old = net.nodes[3].me.holder.clone();
+        let mut other = me(3, 2, 1);
+        other.holder.host = "another".parse().unwrap();
+        net.restart(3, other);
+        net.run_until(20, Net::all_up);
+        let down = |it: &crate::net::Node| it.sees(&old) == Some(Condition::Down);
+        let seen = net
+            .nodes
+            .iter()
+            .filter(|it| it.me.address != net.nodes[3].me.address);
+        assert!(seen.into_iter().all(down), "seed {seed}");
+    }
+}
--- /dev/null
+++ b/crates/member/tests/member/main.rs
@@ -0,0 +1,8 @@
+//! States that exchange messages through a seeded network.
+
+mod deaths;
+mod entries;
+mod faults;
+mod net;
+mod scale;
+mod stewards;
--- /dev/null
+++ b/crates/member/tests/member/net.rs
@@ -0,0 +1,290 @@
+//! States that exchange messages with seeded delays, losses and repetitions. Time is a number
+//! that the network moves on.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::{Ipv4Addr, SocketAddr},
+    time::{Duration, Instant},
+};
+
+use kernel::{name::Host, permit::Holder};
+use member::{
+    Change, Condition, Input, Me, Member, Message, Output, Settings, State, random::Generator,
+};
+
+const STEP: Duration = Duration::from_millis(10);
+const STEPS_PER_TICK: u32 = 5;
+const LONGEST_DELAY_STEPS: usize = 4;
+
+/// Entries as a host was told of them, by owner and key.
+pub type Entries = BTreeMap<(Holder, String), Vec<u8>>;
+
+/// What the network does with a message.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fate {
+    Deliver,
+    Lose,
+    Repeat,
+}
+
+/// Whether a host's process runs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Process {
+    Running,
+    Stopped,
+}
+
+pub struct Node {
+    pub state: State,
+    pub me: Me,
+    pub process: Process,
+    pub changes: Vec<Change>,
+    pub entries: Entries,
+    incarnations: BTreeMap<Host, u64>,
+}
+
+pub struct Net {
+    pub nodes: Vec<Node>,
+    pub random: Generator,
+    pub rule: fn(&mut Generator, usize, usize) -> Fate,
+    settings: Settings,
+    start: Instant,
+    steps: u32,
+    flight: BTreeMap<(u32, u64), (SocketAddr, SocketAddr, Message)>,
+    sent: u64,
+}
+
+pub fn deliver(_: &mut Generator, _: usize, _: usize) -> Fate {
+    Fate::Deliver
+}
+
+/// Loses a tenth of the messages and repeats another tenth.
+pub fn lossy(random: &mut Generator, _: usize, _: usize) -> Fate {
+    match random.below(10) {
+        0 => Fate::Lose,
+        1 => Fate::Repeat,
+        _ => Fate::Deliver,
+    }
+}
+
+pub fn name(index: usize) -> String {
+    format!("host-{index}")
+}
+
+pub fn address(index: usize) -> SocketAddr {
+    let port = u16::try_from(1000 + index).unwrap();
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+}
+
+pub fn me(index: usize, domains: usize, incarnation: u64) -> Me {
+    Me {
+        holder: Holder {
+            host: name(index).parse().unwrap(),
+            incarnation,
+        },
+        domain: format!("domain-{}", index % domains).parse().unwrap(),
+        address: address(index),
+    }
+}
+
+impl Net {
+    /// Hosts over some domains that know only the first host's address.
+    pub fn new(hosts: usize, domains: usize, settings: Settings, seed: u64) -> Self {
+        let mut net = Self {
+            nodes: Vec::new(),
+            random: Generator::new(seed),
+            rule: deliver,
+            settings,
+            start: Instant::now(),
+            steps: 0,
+            flight: BTreeMap::new(),
+            sent: 0,
+        };
+        for index in 0..hosts {
+            net.join(me(index, domains, 1));
+        }
+        net
+    }
+
+    /// A network whose hosts all know each other.
+    pub fn settled(hosts: usize, domains: usize, seed: u64) -> Self {
+        let mut net = Self::new(hosts, domains, Settings::default(), seed);
+        net.run_until(60, Net::all_up);
+        net.forget_changes();
+        net
+    }
+
+    pub fn join(&mut self, me: Me) -> usize {
+        let seed = self.random.draw();
+        let mut state = State::new(me.clone(), self.settings.clone(), seed);
+        state.handle(Input::Seeds(vec![address(0)]), self.now());
+        self.nodes.push(Node {
+            state,
+            me,
+            process: Process::Running,
+            changes: Vec::new(),
+            entries: BTreeMap::new(),
+            incarnations: BTreeMap::new(),
+        });
+        self.nodes.len() - 1
+    }
+
+    /// Replaces a host's process by a new one.
+    pub fn restart(&mut self, index: usize, me: Me) {
+        let last = self.join(me);
+        self.nodes.swap_remove(index);
+        assert!(index < last);
+    }
+
+    pub fn now(&self) -> Instant {
+        self.start + STEP * self.steps
+    }
+
+    pub fn input(&mut self, index: usize, input: Input) {
+        let now = self.now();
+        let outputs = self.nodes[index].state.handle(input, now);
+        for output in outputs {
+            self.perform(index, output);
+        }
+        self.check_incarnations(index);
+    }
+
+    fn perform(&mut self, index: usize, output: Output) {
+        let node = &mut self.nodes[index];
+        match output {
+            Output::Send { to, message } => self.send(index, to, &message),
+            Output::Changed(change) => node.changes.push(change),
+            Output::Entry { owner, key, value } => {
+                match value {
+                    Some(value) => node.entries.insert((owner, key), value),
+                    None => node.entries.remove(&(owner, key)),
+                };
+            }
+            Output::Revision { .. } => {}
+        }
+    }
+
+    fn send(&mut self, from: usize, to: SocketAddr, message: &Message) {
+        let target = self.nodes.iter().position(|it| it.me.address == to);
+        let Some(target) = target else {
+            return;
+        };
+        let copies = match (self.rule)(&mut self.random, from, target) {
+            Fate::Lose => 0,
+            Fate::Deliver => 1,
+            Fate::Repeat => 2,
+        };
+        let source = self.nodes[from].me.address;
+        for _ in 0..copies {
+            let delay = 1 + self.random.below(LONGEST_DELAY_STEPS);
+            let at = self.steps + u32::try_from(delay).unwrap();
+            self.sent += 1;
+            self.flight
+                .insert((at, self.sent), (source, to, message.clone()));
+        }
+    }
+
+    /// The incarnation that a host believes in never goes back.
+    fn check_incarnations(&mut self, index: usize) {
+        let node = &mut self.nodes[index];
+        for member in node.state.members() {
+            let Holder { host, incarnation } = member.holder;
+            let before = node.incarnations.insert(host, incarnation);
+            let goes_back = before.is_some_and(|it| it > incarnation);
+            assert!(!goes_back, "an incarnation went back");
+        }
+    }
+
+    fn step(&mut self) {
+        self.steps += 1;
+        let later = self.flight.split_off(&(self.steps + 1, 0));
+        let due = std::mem::replace(&mut self.flight, later);
+        for (from, to, message) in due.into_values() {
+            let running = |it: &Node| it.me.address == to && it.process == Process::Running;
+            if let Some(index) = self.nodes.iter().position(running) {
+                self.input(index, Input::Datagram { from, message });
+            }
+        }
+        for index in 0..self.nodes.len() {
+            let turn = (self.steps + u32::try_from(index).unwrap()).is_multiple_of(STEPS_PER_TICK);
+            if turn && self.nodes[index].process == Process::Running {
+                self.input(index, Input::Tick);
+            }
+        }
+    }
+
+    /// Lets a number of probe periods pass.
+    pub fn run(&mut self, periods: u32) {
+        let steps = self.steps_of(periods);
+        for _ in 0..steps {
+            self.step();
+        }
+    }
+
+    fn steps_of(&self, periods: u32) -> u128 {
+        (self.settings.period * periods).as_millis() / STEP.as_millis()
+    }
+
+    /// Lets time pass until a condition holds; gives the time it took.
+    pub fn run_until(&mut self, periods: u32, holds: impl Fn(&Net) -> bool) -> Duration {
+        let before = self.steps;
+        let steps = self.steps_of(periods);
+        for _ in 0..steps {
+            if holds(self) {
+                return STEP * (self.steps - before);
+            }
+            self.step();
+        }
+        panic!("the condition did not hold within {periods} periods");
+    }
+
+    fn running(&self) -> impl Iterator<Item = &Node> {
+        self.nodes
+            .iter()
+            .filter(|it| it.process == Process::Running)
+    }
+
+    /// Whether all running hosts hold exactly the running hosts to be up.
+    pub fn all_up(&self) -> bool {
+        let expected: BTreeSet<Holder> = self.running().map(|it| it.me.holder.clone()).collect();
+        self.running().all(|it| it.up() == expected)
+    }
+
+    /// Whether all running hosts hold a host to be in a state.
+    pub fn all_see(&self, host: usize, state: Condition) -> bool {
+        let holder = self.nodes[host].me.holder.clone();
+        self.others(host).all(|it| it.sees(&holder) == Some(state))
+    }
+
+    pub fn others(&self, host: usize) -> impl Iterator<Item = &Node> {
+        let address = self.nodes[host].me.address;
+        self.running().filter(move |it| it.me.address != address)
+    }
+
+    pub fn forget_changes(&mut self) {
+        for node in &mut self.nodes {
+            node.changes.clear();
+        }
+    }
+
+    /// How often any host held another to be dead.
+    pub fn deaths(&self) -> usize {
+        let changes = self.nodes.iter().flat_map(|it| &it.changes);
+        changes.filter(|it| matches!(it, Change::Down(_))).count()
+    }
+}
+
+impl Node {
+    pub fn member(&self, holder: &Holder) -> Option<Member> {
+        self.state.members().find(|it| it.holder == *holder)
+    }
+
+    pub fn sees(&self, holder: &Holder) -> Option<Condition> {
+        self.member(holder).map(|it| it.state)
+    }
+
+    fn up(&self) -> BTreeSet<Holder> {
+        let up = self.state.members().filter(|it| it.state == Condition::Up);
+        up.map(|it| it.holder).collect()
+    }
+}
--- /dev/null
+++ b/crates/member/tests/member/scale.rs
@@ -0,0 +1,68 @@
+//! Fleets in which only the own failure domain is known in full.
+
+use member::{Condition, Detail, Input, Settings};
+
+use crate::net::{Net, Process, lossy};
+
+fn fleet(hosts: usize, domains: usize, seed: u64) -> Net {
+    let settings = Settings {
+        detail: Detail::Domain,
+        ..Settings::default()
+    };
+    Net::new(hosts, domains, settings, seed)
+}
+
+/// Whether every host knows its domain in full and some contacts in every other one.
+fn is_connected(net: &Net) -> bool {
+    net.nodes.iter().all(|node| {
+        let members: Vec<_> = node.state.members().collect();
+        let own = members.iter().filter(|it| it.domain == node.me.domain);
+        let far = members.iter().filter(|it| it.domain != node.me.domain);
+        own.count() == 8 && far.filter(|it| it.state == Condition::Up).count() == 4 * 3
+    })
+}
+
+/// Each host keeps its domain and a few contacts, and nobody is held dead.
+#[test]
+fn contacts_are_few() {
+    for seed in 0..3 {
+        let mut net = fleet(40, 5, seed);
+        net.run_until(200, is_connected);
+        net.run(100);
+        assert!(is_connected(&net), "seed {seed}");
+        assert_eq!(net.deaths(), 0, "seed {seed}");
+    }
+}
+
+/// A revision reaches every host of every domain within 17 s, also when a tenth of the messages is
+/// lost.
+#[test]
+fn a_revision_reaches_all_domains() {
+    for seed in 0..3 {
+        let mut net = fleet(40, 5, seed);
+        net.run_until(200, is_connected);
+        net.rule = lossy;
+        net.input(7, Input::Revision(1));
+        let known = |it: &Net| it.nodes.iter().all(|node| node.state.revision() == 1);
+        let took = net.run_until(34, known);
+        assert!(took.as_secs() <= 17, "seed {seed}: it took {took:?}");
+    }
+}
+
+/// When all hosts of a domain but one are replaced by nobody, the others find living contacts.
+#[test]
+fn dead_contacts_are_replaced() {
+    let mut net = fleet(40, 5, 1);
+    net.run_until(200, is_connected);
+    for host in [1, 6, 11, 16, 21] {
+        net.nodes[host].process = Process::Stopped;
+    }
+    net.run_until(400, |net| {
+        (0..40).filter(|it| it % 5 != 1).all(|index| {
+            let members = net.nodes[index].state.members();
+            let domain = &net.nodes[1].me.domain;
+            let contacts = members.filter(|it| it.domain == *domain);
+            contacts.filter(|it| it.state == Condition::Up).count() == 3
+        })
+    });
+}
