--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -3,4 +3,5 @@
 pub mod budget;
 pub mod hosts;
 pub mod http;
+pub mod log;
 pub mod object;
