Let the demo check that streams end and that nothing else ran

The first runs against the entry host showed two gaps in the demo: engines know requests by the id that the entry host gives them, so no run was found, and an answer that broke off after its last chunk looked like one that ended. The demo now follows the id in the answer, checks that nothing else ran, and tells a broken answer from an ended one.

--- a/crates/standin/examples/demo/main.rs
+++ b/crates/standin/examples/demo/main.rs
@@ -10,9 +10,10 @@
 };
 
 use derive_more::{Display, Error};
+use serde_json::Value;
 use standin::{
     client::{self, Request},
-    fleet::{self, Fleet, Shape, process::Ended},
+    fleet::{self, Entry, Fleet, Shape, process::Ended},
 };
 
 mod hold;
@@ -23,8 +24,8 @@
 use hold::{Ending, Interrupt};
 use outcome::{Outcome, Verdict};
 
-/// Time for a configuration to be in force everywhere.
-const IN_FORCE_TIMEOUT: Duration = Duration::from_secs(17);
+/// Time for a configuration to be in force and for engines to be known everywhere.
+const START_TIMEOUT: Duration = Duration::from_secs(17);
 
 /// Time for an entry host to shut down.
 const SHUT_DOWN_TIMEOUT: Duration = Duration::from_secs(30);
@@ -48,7 +49,7 @@
     #[display("the text was not applied: {_0}")]
     Apply(#[error(not(source))] String),
     /// The text is not in force.
-    #[display("the text is not in force at {_0} after {IN_FORCE_TIMEOUT:?}")]
+    #[display("the text is not in force at {_0} after {START_TIMEOUT:?}")]
     InForce(#[error(not(source))] String),
     /// Signals can't be handled.
     #[display("signals can't be handled: {_0}")]
@@ -77,7 +78,15 @@
     let interrupt = Interrupt::register().map_err(Failure::Signals)?;
     let fleet = Fleet::start(&Shape::default()).map_err(Failure::Start)?;
     apply(&fleet)?;
-    wait_in_force(&fleet, &interrupt)?;
+    if let Some(entry) = wait(&fleet, &interrupt, has_text)? {
+        return Err(Failure::InForce(entry.name.clone()));
+    }
+    if let Some(entry) = wait(&fleet, &interrupt, has_engines)? {
+        eprintln!(
+            "demo: {} knows no engine after {START_TIMEOUT:?}",
+            entry.name
+        );
+    }
     let outcomes = send_all(&fleet, &interrupt)?;
     print!("{}", outcome::table(&outcomes));
     let answers = outcome::verdict(&outcomes);
@@ -116,29 +125,39 @@
     )))
 }
 
-fn wait_in_force(fleet: &Fleet, interrupt: &Interrupt) -> Result<(), Failure> {
-    let deadline = Instant::now() + IN_FORCE_TIMEOUT;
+/// Waits until something holds for every entry host; returns one for which it didn't in time.
+fn wait<'a>(
+    fleet: &'a Fleet,
+    interrupt: &Interrupt,
+    holds: fn(&Value) -> bool,
+) -> Result<Option<&'a Entry>, Failure> {
+    let deadline = Instant::now() + START_TIMEOUT;
     for entry in fleet.entries() {
-        while !serves_text(entry) {
+        while !holds(&status(entry)) {
             interrupt.check()?;
             if Instant::now() >= deadline {
-                return Err(Failure::InForce(entry.name.clone()));
+                return Ok(Some(entry));
             }
             std::thread::sleep(POLL);
         }
     }
-    Ok(())
+    Ok(None)
+}
+
+/// What a host knows; null if it doesn't answer.
+fn status(entry: &Entry) -> Value {
+    let answer = Request::new("GET", "/v1/status").send(entry.address());
+    answer.map(|it| it.json()).unwrap_or_default()
+}
+
+fn has_text(status: &Value) -> bool {
+    status["ready"] == true && status["revision"].as_u64() > Some(0)
 }
 
-/// Whether a host is ready and has the text and the upstreams.
-fn serves_text(entry: &fleet::Entry) -> bool {
-    let Ok(answer) = Request::new("GET", "/v1/status").send(entry.address()) else {
-        return false;
-    };
-    let status = answer.json();
-    let revision = status["revision"].as_u64().unwrap_or_default();
-    let upstreams = status["upstreams"].as_u64().unwrap_or_default();
-    status["ready"] == true && revision > 0 && upstreams > 0
+fn has_engines(status: &Value) -> bool {
+    status["engines"]
+        .as_array()
+        .is_some_and(|it| !it.is_empty())
 }
 
 fn send_all(fleet: &Fleet, interrupt: &Interrupt) -> Result<Vec<Outcome>, Failure> {
--- a/crates/standin/examples/demo/model.rs
+++ b/crates/standin/examples/demo/model.rs
@@ -4,9 +4,9 @@
 
 use serde_json::{Value, json};
 use standin::{
-    client::{self, Answer, Request},
-    engine::{Counts, End},
-    fleet::{Entry, Fleet, Upstream},
+    client::{self, Answer, Request, State},
+    engine::{Counts, End, Entry},
+    fleet::{self, Fleet, Upstream},
 };
 
 use super::outcome::Outcome;
@@ -22,7 +22,7 @@
 const TOKENS: u32 = 8;
 
 /// Sends every request through one entry host.
-pub fn send_all(entry: &Entry) -> Vec<Outcome> {
+pub fn send_all(entry: &fleet::Entry) -> Vec<Outcome> {
     let mut outcomes = Vec::new();
     for (index, reference) in REFERENCES.iter().enumerate() {
         let id = format!("demo-{}-{index}", entry.name);
@@ -45,7 +45,7 @@
         .with("x-deadline-ms", "10000")
 }
 
-fn whole(entry: &Entry, id: String, reference: &str) -> Outcome {
+fn whole(entry: &fleet::Entry, id: String, reference: &str) -> Outcome {
     let start = Instant::now();
     let answer = request(&id, reference, false).send(entry.address());
     let mut outcome = Outcome::new(id, &entry.name, reference);
@@ -72,25 +72,29 @@
     outcome.expect(*content == expected, format!("the text is {content}"));
 }
 
-fn stream(entry: &Entry, id: String, reference: &str) -> Outcome {
+fn stream(entry: &fleet::Entry, id: String, reference: &str) -> Outcome {
     let start = Instant::now();
     let stream = request(&id, reference, true).stream(entry.address());
     let mut outcome = Outcome::new(id, &entry.name, reference);
-    let stream = match stream {
+    let mut stream = match stream {
         Ok(stream) => stream,
         Err(failure) => {
             outcome.wrong.push(failure.to_string());
             return outcome;
         }
     };
-    outcome.expect(stream.status == 200, format!("status {}", stream.status));
+    let status = stream.status;
+    if status != 200 {
+        outcome.wrong.push(format!("{status}: {}", stream.text()));
+        return outcome;
+    }
     let headers = stream.headers.clone();
     check_head(&mut outcome, |name| {
         headers.get(name).cloned().unwrap_or_default()
     });
     let mut chunks = 0;
     let mut done = 0;
-    for event in stream {
+    for event in stream.by_ref() {
         outcome.first.get_or_insert_with(|| event.at - start);
         outcome.expect(done == 0, "an event follows [DONE]");
         if event.is_done() {
@@ -105,6 +109,7 @@
         format!("{chunks} chunks in place of {TOKENS}"),
     );
     outcome.expect(done == 1, "no [DONE]");
+    outcome.expect(stream.state == State::Ended, "the answer broke off");
     outcome
 }
 
@@ -131,7 +136,7 @@
     outcome.expect(entry == outcome.entry, format!("served by {entry:?}"));
 }
 
-/// An answer may name the adapter with or without its load epoch.
+/// Checks the adapter, which may be named with its load epoch, and notes the id.
 fn check_model(outcome: &mut Outcome, body: &Value) {
     let model = body["model"].as_str().unwrap_or_default();
     let reference = model.split('+').next();
@@ -139,40 +144,50 @@
         reference == Some(&outcome.target),
         format!("the model is {model:?}"),
     );
+    let run = body["id"].as_str().unwrap_or_default();
+    run.clone_into(&mut outcome.run);
 }
 
 fn text(reference: &str, chunk: u32) -> String {
     format!("{reference}#{chunk} ")
 }
 
-/// Checks with the engines that each request ran once, to its end, on the named adapter.
-pub fn check_runs(fleet: &Fleet, outcomes: &mut [Outcome]) -> Result<(), client::Failure> {
-    let mut journals = Vec::new();
+/// Checks with the engines that each request ran once, to its end, on the named adapter, and that
+/// nothing else ran.
+pub fn check_runs(fleet: &Fleet, outcomes: &mut Vec<Outcome>) -> Result<(), client::Failure> {
+    let mut runs = Vec::new();
     for engine in fleet.engines() {
-        journals.push((engine, engine.counts::<Counts>()?));
+        let journal = engine.counts::<Counts>()?.journal;
+        runs.extend(journal.into_iter().map(|entry| (engine, entry)));
+    }
+    for outcome in outcomes.iter_mut() {
+        let (own, others) = runs.into_iter().partition(|it| it.1.request == outcome.run);
+        runs = others;
+        check_run(outcome, &own);
     }
-    for outcome in outcomes {
-        check_run(outcome, &journals);
+    for (engine, entry) in runs {
+        let mut outcome = Outcome::new(entry.request, "-", &entry.loaded);
+        outcome.domain.clone_from(&engine.domain);
+        let wrong = format!("{} ran it for no known answer", engine.name);
+        outcome.wrong.push(wrong);
+        outcomes.push(outcome);
     }
     Ok(())
 }
 
-fn check_run(outcome: &mut Outcome, journals: &[(&Upstream, Counts)]) {
-    let mut runs = 0;
-    for (engine, counts) in journals {
-        for entry in counts.request(&outcome.request) {
-            runs += 1;
-            outcome.domain.clone_from(&engine.domain);
-            let reference = entry.loaded.split('+').next();
-            outcome.expect(
-                reference == Some(&outcome.target),
-                format!("{} ran {}", engine.name, entry.loaded),
-            );
-            outcome.expect(
-                entry.ended == Some(End::Finished),
-                format!("{} ended it as {:?}", engine.name, entry.ended),
-            );
-        }
+fn check_run(outcome: &mut Outcome, runs: &[(&Upstream, Entry)]) {
+    let count = runs.len();
+    outcome.expect(count == 1, format!("it ran {count} times"));
+    for (engine, entry) in runs {
+        outcome.domain.clone_from(&engine.domain);
+        let reference = entry.loaded.split('+').next();
+        outcome.expect(
+            reference == Some(&outcome.target),
+            format!("{} ran {}", engine.name, entry.loaded),
+        );
+        outcome.expect(
+            entry.ended == Some(End::Finished),
+            format!("{} ended it as {:?}", engine.name, entry.ended),
+        );
     }
-    outcome.expect(runs == 1, format!("it ran {runs} times"));
 }
--- a/crates/standin/examples/demo/outcome.rs
+++ b/crates/standin/examples/demo/outcome.rs
@@ -30,6 +30,8 @@
     pub entry: String,
     /// The adapter and version, or the service.
     pub target: String,
+    /// The id under which an engine ran it, as the answer tells it.
+    pub run: String,
     /// The failure domain of the upstream that answered; empty if it isn't known.
     pub domain: String,
     /// Time to the first token of a stream or to the whole answer.
@@ -47,6 +49,7 @@
             request,
             entry: entry.to_owned(),
             target: target.to_owned(),
+            run: String::new(),
             domain: String::new(),
             first: None,
             load_stall_ms: String::new(),
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -2,7 +2,7 @@
 
 use std::{
     collections::BTreeMap,
-    io::{BufRead, BufReader},
+    io::{BufRead, BufReader, Read},
     net::SocketAddr,
     time::{Duration, Instant},
 };
@@ -117,6 +117,7 @@
         Ok(Stream {
             status,
             headers,
+            state: State::Open,
             body: BufReader::new(body),
         })
     }
@@ -164,9 +165,31 @@
     pub status: u16,
     /// The headers, with names in lower case.
     pub headers: BTreeMap<String, String>,
+    /// How far it has been read.
+    pub state: State,
     body: BufReader<BodyReader<'static>>,
 }
 
+/// How far an answer has been read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum State {
+    /// It may go on.
+    Open,
+    /// It ended as the protocol wants it.
+    Ended,
+    /// It broke off.
+    Broken,
+}
+
+impl Stream {
+    /// The rest of the answer as text, as far as it comes.
+    pub fn text(mut self) -> String {
+        let mut rest = Vec::new();
+        let _ = self.body.read_to_end(&mut rest);
+        String::from_utf8_lossy(&rest).into_owned()
+    }
+}
+
 impl std::fmt::Debug for Stream {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Stream")
@@ -214,7 +237,12 @@
         };
         loop {
             let mut line = String::new();
-            if !matches!(self.body.read_line(&mut line), Ok(1..)) {
+            match self.body.read_line(&mut line) {
+                Ok(0) => self.state = State::Ended,
+                Ok(_) => {}
+                Err(_) => self.state = State::Broken,
+            }
+            if self.state != State::Open {
                 return None;
             }
             let line = line.trim_end();
