End the entry hosts of a killed fleet

A fleet whose owner was killed by SIGKILL left its entry hosts running; stand-ins end by themselves when their input closes. A guard process is now told of each entry host and kills those left when its own input closes, if they still run the same program.

--- a/crates/standin/src/command.rs
+++ b/crates/standin/src/command.rs
@@ -3,12 +3,13 @@
 use std::{
     io::{self, Read, Write},
     net::SocketAddr,
+    path::Path,
 };
 
 use derive_more::{Display, Error};
 use serde::de::DeserializeOwned;
 
-use crate::{engine, hosts, http::ANY_PORT, object, plain, platform, weights};
+use crate::{engine, fleet::guard, hosts, http::ANY_PORT, object, plain, platform, weights};
 
 /// The word before the address in the line that tells that a stand-in is ready.
 pub const READY: &str = "ready";
@@ -17,6 +18,7 @@
 pub const USAGE: &str = "standin object|hosts|platform\n\
     standin weights|engine [SETTINGS-JSON]\n\
     standin plain SETTINGS-JSON\n\
+    standin guard PROGRAM\n\
     The stand-in prints `ready ADDRESS` and ends when its standard input closes.";
 
 /// Why a stand-in did not start.
@@ -56,6 +58,11 @@
 
 /// Runs a stand-in until standard input closes, so that none outlives its parent.
 pub fn run(arguments: &[String]) -> Result<(), Failure> {
+    if let [kind, program] = arguments
+        && kind == guard::KIND
+    {
+        return guard::run(Path::new(program)).map_err(Failure::Io);
+    }
     let server = start(arguments)?;
     let mut output = io::stdout();
     writeln!(output, "{READY} {}", server.address()).map_err(Failure::Io)?;
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -16,12 +16,14 @@
 
 use crate::{client, command, engine, hosts, object, plain, weights};
 
+pub mod guard;
 pub mod port;
 pub mod process;
 pub mod programs;
 pub mod settings;
 pub mod shape;
 
+use guard::Guard;
 use process::{Pending, Plan, Process};
 pub use shape::Shape;
 
@@ -154,6 +156,7 @@
     plains: Vec<Upstream>,
     weights: Process,
     platform: Process,
+    guard: Option<Guard>,
     directory: Directory,
 }
 
@@ -191,6 +194,7 @@
             plains,
             weights,
             platform,
+            guard: None,
             directory,
         };
         fleet.list_upstreams(shape)?;
@@ -211,7 +215,10 @@
     /// Starts entry hosts that know of each other, on top of those that run.
     pub fn start_entries(&mut self, shape: &Shape) -> Result<(), Failure> {
         // A long build must not come between the reservation of ports and their use.
-        programs::shipped()?;
+        let programs = programs::shipped()?;
+        if self.guard.is_none() {
+            self.guard = Some(self.start_guard(&programs.entry)?);
+        }
         let places = shape.entry_places();
         let ports: Vec<port::Reserved> = places
             .iter()
@@ -251,6 +258,17 @@
         Ok(())
     }
 
+    fn start_guard(&self, program: &Path) -> Result<Guard, Failure> {
+        let plan = Plan {
+            name: guard::KIND,
+            program: &programs::standin()?,
+            arguments: &[guard::KIND.to_owned(), program.display().to_string()],
+            word: command::READY,
+            log: self.directory.0.join("guard.log"),
+        };
+        Ok(Guard::new(Pending::spawn(&plan)?.ready()?))
+    }
+
     fn spawn_entry(&self, name: &str, settings: &Path) -> Result<Pending, Failure> {
         let plan = Plan {
             name,
@@ -259,7 +277,11 @@
             word: CALLERS,
             log: self.directory.0.join(format!("{name}.log")),
         };
-        Pending::spawn(&plan)
+        let pending = Pending::spawn(&plan)?;
+        if let Some(guard) = &self.guard {
+            guard.watch(pending.id())?;
+        }
+        Ok(pending)
     }
 
     /// Kills an entry host and starts it anew with the same settings.
--- a/crates/standin/src/fleet/process.rs
+++ b/crates/standin/src/fleet/process.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs::{self, File},
-    io::{BufRead, BufReader},
+    io::{self, BufRead, BufReader, Write},
     net::SocketAddr,
     path::{Path, PathBuf},
     process::{Child, ChildStdout, Command, ExitStatus, Stdio},
@@ -45,14 +45,14 @@
 
 /// A child that is killed and waited for when this is dropped.
 #[derive(Debug)]
-struct Guard {
+struct Owned {
     name: String,
     child: Mutex<Child>,
     output: Option<JoinHandle<()>>,
     log: PathBuf,
 }
 
-impl Guard {
+impl Owned {
     fn child(&self) -> MutexGuard<'_, Child> {
         self.child.lock().expect("the child's lock is poisoned")
     }
@@ -72,7 +72,7 @@
     }
 }
 
-impl Drop for Guard {
+impl Drop for Owned {
     fn drop(&mut self) {
         self.kill();
         if let Some(output) = self.output.take() {
@@ -84,7 +84,7 @@
 /// A process that is not known to be ready.
 #[derive(Debug)]
 pub struct Pending {
-    guard: Guard,
+    owned: Owned,
     word: &'static str,
     first_line: Receiver<String>,
 }
@@ -102,7 +102,7 @@
             .spawn()
             .map_err(failed)?;
         let output = child.stdout.take();
-        let mut guard = Guard {
+        let mut owned = Owned {
             name: plan.name.to_owned(),
             child: Mutex::new(child),
             output: None,
@@ -111,29 +111,34 @@
         let (sender, first_line) = sync_channel(1);
         let thread = std::thread::Builder::new().name(plan.name.to_owned());
         let thread = thread.spawn(move || read_output(output, &sender));
-        guard.output = Some(thread.map_err(failed)?);
+        owned.output = Some(thread.map_err(failed)?);
         Ok(Self {
-            guard,
+            owned,
             word: plan.word,
             first_line,
         })
     }
 
+    /// The process id.
+    pub fn id(&self) -> u32 {
+        self.owned.child().id()
+    }
+
     /// Waits until the process tells its address.
     pub fn ready(self) -> Result<Process, Failure> {
-        let name = self.guard.name.clone();
+        let name = self.owned.name.clone();
         let line = match self.first_line.recv_timeout(START_TIMEOUT) {
             Ok(line) => line,
             Err(RecvTimeoutError::Timeout) => {
-                let log = self.guard.log_tail();
+                let log = self.owned.log_tail();
                 return Err(Failure::Slow { name, log });
             }
-            Err(RecvTimeoutError::Disconnected) => return Err(ended(&self.guard)),
+            Err(RecvTimeoutError::Disconnected) => return Err(ended(&self.owned)),
         };
         let address = line.strip_prefix(self.word).map(str::trim);
         match address.and_then(|it| it.parse().ok()) {
             Some(address) => Ok(Process {
-                guard: self.guard,
+                owned: self.owned,
                 address,
             }),
             None => Err(Failure::Output { name, line }),
@@ -141,12 +146,12 @@
     }
 }
 
-fn ended(guard: &Guard) -> Failure {
-    let status = guard.child().wait();
+fn ended(owned: &Owned) -> Failure {
+    let status = owned.child().wait();
     Failure::Ended {
-        name: guard.name.clone(),
+        name: owned.name.clone(),
         status: status.map_or_else(|it| it.to_string(), |it| it.to_string()),
-        log: guard.log_tail(),
+        log: owned.log_tail(),
     }
 }
 
@@ -162,7 +167,7 @@
 /// A process that is ready.
 #[derive(Debug)]
 pub struct Process {
-    guard: Guard,
+    owned: Owned,
     address: SocketAddr,
 }
 
@@ -192,18 +197,31 @@
 
     /// The process id.
     pub fn id(&self) -> u32 {
-        self.guard.child().id()
+        self.owned.child().id()
     }
 
     /// What it logged so far.
     pub fn log(&self) -> String {
-        let log = fs::read(&self.guard.log).unwrap_or_default();
+        let log = fs::read(&self.owned.log).unwrap_or_default();
         String::from_utf8_lossy(&log).into_owned()
     }
 
+    /// Writes a line to its standard input.
+    pub fn tell(&self, line: &str) -> io::Result<()> {
+        match &mut self.owned.child().stdin {
+            Some(input) => writeln!(input, "{line}"),
+            None => Err(io::ErrorKind::BrokenPipe.into()),
+        }
+    }
+
+    /// Closes its standard input.
+    pub fn close_input(&self) {
+        self.owned.child().stdin = None;
+    }
+
     /// Kills it at once and waits for its end.
     pub fn kill(&self) {
-        self.guard.kill();
+        self.owned.kill();
     }
 
     /// Stops it where it is.
@@ -225,7 +243,7 @@
     pub fn wait(&self, limit: Duration) -> Ended {
         let deadline = Instant::now() + limit;
         loop {
-            if let Ok(Some(status)) = self.guard.child().try_wait() {
+            if let Ok(Some(status)) = self.owned.child().try_wait() {
                 return Ended::With(status);
             }
             if Instant::now() >= deadline {
@@ -237,7 +255,7 @@
 
     /// Sends a signal while the lock keeps the process id from being reused.
     fn signal(&self, signal: Signal) {
-        let mut child = self.guard.child();
+        let mut child = self.owned.child();
         if !matches!(child.try_wait(), Ok(None)) {
             return;
         }
@@ -246,7 +264,7 @@
             .args([signal.flag(), &id])
             .status();
         if !matches!(&sent, Ok(status) if status.success()) {
-            log::warn!(target: "fleet", "No signal to {}: {sent:?}.", self.guard.name);
+            log::warn!(target: "fleet", "No signal to {}: {sent:?}.", self.owned.name);
         }
     }
 }
--- a/crates/standin/tests/fleet.rs
+++ b/crates/standin/tests/fleet.rs
@@ -1,6 +1,11 @@
 //! A fleet's processes: started, switched, signalled, and gone with their owner.
 
-use std::{path::Path, time::Duration};
+use std::{
+    os::unix::process::ExitStatusExt,
+    path::Path,
+    process::{Command, Stdio},
+    time::Duration,
+};
 
 use standin::{
     client::Request,
@@ -8,6 +13,7 @@
     fleet::{
         Failure, Fleet, Shape,
         process::{Ended, Pending, Plan},
+        programs,
     },
 };
 
@@ -105,3 +111,28 @@
         "{other}"
     );
 }
+
+// When its input closes, the guard kills the processes that it was told of and that run the
+// program, and no other one.
+#[test]
+fn the_guard_kills_what_is_left() {
+    let child = |program: &str| {
+        let spawned = Command::new(program).stdin(Stdio::piped()).arg("-").spawn();
+        spawned.unwrap()
+    };
+    let (mut left, mut other) = (child("/bin/cat"), child("/bin/sh"));
+    let standin = programs::standin().unwrap();
+    let guard = spawn(standin.to_str().unwrap(), &["guard", "/bin/cat"], "guard");
+    let guard = guard.unwrap().ready().unwrap();
+    for child in [&left, &other] {
+        guard.tell(&child.id().to_string()).unwrap();
+    }
+    // Waiting for a child closes its input, which would end it by itself.
+    let _input = left.stdin.take();
+    guard.close_input();
+    assert_eq!(left.wait().unwrap().signal(), Some(9));
+    assert!(matches!(guard.wait(Duration::from_mins(1)), Ended::With(status) if status.success()));
+    assert_eq!(other.try_wait().unwrap(), None);
+    other.kill().unwrap();
+    other.wait().unwrap();
+}
