Show what a change replaces

Cause: 'set service gate' on both sides of a conflict does not tell an operator what differs.

Change: a change is shown with the fields that differ from the text before it, or with all its fields where that text is not at hand.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -7,15 +7,18 @@
 pub mod show;
 pub mod status;
 
-use config::change::Change;
+use config::{
+    Text,
+    change::{Change, show},
+};
 
 /// Changes that are shown to people; a program gets all of them.
 const MAX_SHOWN: usize = 100;
 
-/// Changes for people, a line each.
-fn list(changes: &[Change]) -> String {
+/// Changes of `before` for people, a line each.
+fn list(changes: &[Change], before: &Text) -> String {
     let shown = changes.iter().take(MAX_SHOWN);
-    let mut lines: Vec<String> = shown.map(|it| format!("  {it}")).collect();
+    let mut lines: Vec<String> = shown.map(|it| format!("  {}", show(it, before))).collect();
     if changes.len() > MAX_SHOWN {
         lines.push(format!("  and {} more", changes.len() - MAX_SHOWN));
     }
--- a/crates/cli/src/command/apply.rs
+++ b/crates/cli/src/command/apply.rs
@@ -1,6 +1,7 @@
 //! `comfreywing apply FILE`.
 
 use config::{
+    Text,
     change::{Change, diff},
     revision::{EditId, Number, Record, State},
 };
@@ -18,7 +19,7 @@
 pub fn run(arguments: &Arguments, options: &Apply) -> Result<Report, Report> {
     let edit = file::read(&options.file)?;
     let log = arguments.log()?;
-    let mut state = log.load()?;
+    let state = log.load()?;
     let changes = diff(state.text(), &edit.text);
     if changes.is_empty() {
         return Ok(unchanged(state.number()));
@@ -33,11 +34,11 @@
         changes,
     };
     match log.append(&record)? {
-        Appended::Accepted => {
-            state.adopt(&record);
-            Ok(accepted(&log, &state, &record))
+        Appended::Accepted => Ok(accepted(&log, state, &record)),
+        Appended::Conflict { theirs } => {
+            let before = state.text();
+            Err(conflict((&[theirs], before), (&record.changes, before)))
         }
-        Appended::Conflict { theirs } => Err(conflict(&[theirs], &record.changes)),
         Appended::Unknown { reason } => Err(unknown(&record, &reason)),
     }
 }
@@ -52,7 +53,10 @@
         let message = format!("the file was made from revision {base}, but {number} is the last");
         return Err(Report::bad_input(message));
     }
-    Err(conflict(&log.fetch_after(base)?, ours))
+    let theirs = log.fetch_after(base)?;
+    // The text at the base is not at hand, so that their changes are shown in full.
+    let base = Text::default();
+    Err(conflict((&theirs, &base), (ours, state.text())))
 }
 
 fn unchanged(number: Number) -> Report {
@@ -60,17 +64,18 @@
     Report::ok(human, json!({ "revision": number, "changes": [] }))
 }
 
-fn accepted(log: &Log, state: &State, record: &Record) -> Report {
+fn accepted(log: &Log, mut state: State, record: &Record) -> Report {
     let mut lines = vec![
         format!(
             "revision {} is accepted with {}:",
             record.number,
             count(&record.changes)
         ),
-        list(&record.changes),
+        list(&record.changes, state.text()),
     ];
+    state.adopt(record);
     // The edit is in the log whatever becomes of the snapshot; the next edit tries again.
-    if let Err(error) = log.snapshot(state) {
+    if let Err(error) = log.snapshot(&state) {
         lines.push(format!("no snapshot was written: {error}"));
     }
     let json = json!({
@@ -81,21 +86,24 @@
     Report::ok(lines.join("\n"), json)
 }
 
-fn conflict(theirs: &[Record], ours: &[Change]) -> Report {
+/// Shows both sides, each with the text that it changes.
+fn conflict(theirs: (&[Record], &Text), ours: (&[Change], &Text)) -> Report {
+    let (records, base) = theirs;
+    let (changes, before) = ours;
     let mut lines =
         vec!["conflict: another edit was accepted first; nothing was changed".to_owned()];
-    for record in theirs {
+    for record in records {
         lines.push(format!(
             "theirs, revision {} by {}:",
             record.number, record.author
         ));
-        lines.push(list(&record.changes));
+        lines.push(list(&record.changes, base));
     }
     lines.push("yours, not in force:".to_owned());
-    lines.push(list(ours));
+    lines.push(list(changes, before));
     lines
         .push("Run comfreywing show, make your edit in what it prints, and apply that.".to_owned());
-    let json = json!({ "theirs": theirs, "yours": ours });
+    let json = json!({ "theirs": records, "yours": changes });
     Report::new(Code::Conflict, lines.join("\n"), json)
 }
 
--- a/crates/cli/src/command/diff.rs
+++ b/crates/cli/src/command/diff.rs
@@ -22,7 +22,7 @@
         format!(
             "{} from revision {number}:\n{}",
             count(&changes),
-            list(&changes)
+            list(&changes, state.text())
         )
     };
     let json = json!({ "revision": number, "changes": changes });
--- a/crates/config/src/change.rs
+++ b/crates/config/src/change.rs
@@ -1,6 +1,9 @@
 //! Small changes of the text, differences between texts, and their application.
 
 mod apply;
+mod show;
+
+pub use show::show;
 
 use derive_more::{Display, Error};
 use kernel::name;
@@ -225,32 +228,3 @@
         reason,
     })
 }
-
-impl std::fmt::Display for Change {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        match self {
-            Self::SetStore { .. } => write!(f, "set store"),
-            Self::SetModel { name, .. } => write!(f, "set model {name}"),
-            Self::RemoveModel { name } => write!(f, "remove model {name}"),
-            Self::SetTenant { name, .. } => write!(f, "set tenant {name}"),
-            Self::RemoveTenant { name } => write!(f, "remove tenant {name}"),
-            Self::SetService { name, .. } => write!(f, "set service {name}"),
-            Self::RemoveService { name } => write!(f, "remove service {name}"),
-            Self::SetAdapter {
-                service,
-                adapter,
-                versions,
-            } => {
-                let versions: Vec<String> = versions.iter().map(ToString::to_string).collect();
-                write!(
-                    f,
-                    "set adapter {service}/{adapter}: {}",
-                    versions.join(", ")
-                )
-            }
-            Self::RemoveAdapter { service, adapter } => {
-                write!(f, "remove adapter {service}/{adapter}")
-            }
-        }
-    }
-}
--- a/crates/config/tests/text.rs
+++ b/crates/config/tests/text.rs
@@ -2,7 +2,7 @@
 
 use config::{
     Text,
-    change::{Invalid, diff},
+    change::{Invalid, diff, show},
     text,
 };
 use kernel::{fault::Kind, reference::Reference};
@@ -87,7 +87,7 @@
 fn check_diff(old: &str, new: &str, expected: &[&str]) {
     let (old, new) = (parse(old), parse(new));
     let changes = diff(&old, &new);
-    let shown: Vec<String> = changes.iter().map(ToString::to_string).collect();
+    let shown: Vec<String> = changes.iter().map(|it| show(it, &old)).collect();
     assert_eq!(shown, expected);
     assert_eq!(old.edited(&changes), Ok(new));
 }
@@ -102,17 +102,24 @@
     let other = "tenants: {t: {}}\nmodels: {n: {}}\nstore: {rate: 2/s, full_speed: 1, in_flight: 1}\n\
                  services: {a: {kind: model, model: n, adapters: {x: [1, 2]}}}";
     check_diff(plain, plain, &[]);
-    check_diff(plain, turned, &["set service a", "set service b"]);
+    check_diff(
+        plain,
+        turned,
+        &[
+            "set service a: depends_on [b] -> []",
+            "set service b: depends_on [] -> [a]",
+        ],
+    );
     check_diff(
         model,
         other,
         &[
-            "set store",
+            "set store: rate 1/s -> 2/s",
             "remove model m",
-            "set model n",
-            "set tenant t",
-            "set service a",
-            "set adapter a/x: 1, 2",
+            "set model n: fencing ignored; prefix_cache off",
+            "set tenant t: weight 1; in_flight unlimited",
+            "set service a: model m -> n",
+            "set adapter a/x: versions 1 -> 1, 2",
             "remove adapter a/y",
         ],
     );
@@ -120,12 +127,14 @@
         other,
         plain,
         &[
-            "set store",
+            "set store: rate 2/s -> 1/s",
             "remove model n",
             "remove tenant t",
-            "set service a",
+            "set service a: kind model -> plain; retry.repeat allowed -> never; journal_outage refuse; \
+             depends_on [] -> [b]",
             "remove adapter a/x",
-            "set service b",
+            "set service b: kind plain; deadline 30s; class standard; retry.repeat never; \
+             retry.budget 0.1; journal_outage refuse; depends_on []",
         ],
     );
 }
@@ -174,12 +183,7 @@
         "set service a",
         "service a is plain: it has no adapters",
     );
-    check_invalid(
-        empty,
-        used,
-        "set adapter a/x: 1",
-        "service a is not declared",
-    );
+    check_invalid(empty, used, "set adapter a/x", "service a is not declared");
     check_invalid(
         empty,
         used,
