--- a/crates/entry/src/duty/claims.rs
+++ b/crates/entry/src/duty/claims.rs
@@ -1,7 +1,11 @@
 //! Takes and gives up stewardships: who should be steward follows from the members, the object in
 //! the platform confirms it.
 
-use std::{collections::BTreeSet, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+    time::Duration,
+};
 
 use kernel::{
     name::Upstream,
@@ -38,10 +42,14 @@
 /// other members and doesn't take what it would lose at once.
 const SETTLE: Duration = Duration::from_millis(1500);
 
+/// Stewards before this host that may still act, by engine.
+type Earlier = BTreeMap<Upstream, Holder>;
+
 fn run(host: &Arc<Host>, stop: &Stop) {
     stop.sleep(SETTLE);
+    let mut earlier = Earlier::new();
     while !stop.is_set() {
-        match turn(host) {
+        match turn(host, &mut earlier) {
             Ok(()) => stop.sleep(INTERVAL),
             Err(error) => {
                 log::warn!(target: "steward", "Stewardships could not be settled: {error}.");
@@ -52,11 +60,12 @@
     release_all(host);
 }
 
-fn turn(host: &Host) -> Result<(), Failure> {
+fn turn(host: &Host, earlier: &mut Earlier) -> Result<(), Failure> {
     if host.readiness.stage() == Stage::Starting {
         return Ok(());
     }
     let members = members(host);
+    settle_earlier(host, earlier, &members);
     let doubted = std::mem::take(&mut *host.doubted.lock().expect("doubt lock is poisoned"));
     for engine in doubted {
         check(host, &engine)?;
@@ -65,7 +74,7 @@
         let owner = member::steward::of(&engine.name, &engine.domain, &members);
         let mine = owner.is_some_and(|it| it.holder == host.me);
         if mine && !host.holds(&engine.name) {
-            take(host, &engine, &members)?;
+            take(host, &engine, &members, earlier)?;
         }
     }
     Ok(())
@@ -118,10 +127,17 @@
     }
 }
 
-fn take(host: &Host, engine: &Instance, members: &[Member]) -> Result<(), Failure> {
+fn take(
+    host: &Host,
+    engine: &Instance,
+    members: &[Member],
+    earlier: &mut Earlier,
+) -> Result<(), Failure> {
     let found = read(host, &engine.name)?;
-    let holder = found.as_ref().map(|it| &it.1.holder);
-    let evidence = holder.map_or(Evidence::Ended, |it| evidence(host, it, members));
+    let holder = found.as_ref().map(|it| it.1.holder.clone());
+    let evidence = holder
+        .as_ref()
+        .map_or(Evidence::Ended, |it| evidence(host, it, members));
     let (fence, predecessor) = match claim::next(found, &host.me, evidence) {
         // This life wrote the object and the answer was lost.
         Next::Held { fence } => (fence, Predecessor::Unknown),
@@ -136,10 +152,30 @@
             Err(error) => return Err(error),
         },
     };
+    if let (Predecessor::Unknown, Some(holder)) = (predecessor, holder) {
+        earlier.insert(engine.name.clone(), holder);
+    }
     took(host, engine, fence, predecessor);
     Ok(())
 }
 
+/// Tells the steward of earlier stewards that have surely ended by now.
+fn settle_earlier(host: &Host, earlier: &mut Earlier, members: &[Member]) {
+    earlier.retain(|engine, holder| {
+        if !host.holds(engine) {
+            return false;
+        }
+        // After a lost answer the earlier steward is this life itself.
+        if *holder != host.me && evidence(host, holder, members) == Evidence::MayAct {
+            return true;
+        }
+        host.inbox.event(Event::PredecessorEnded {
+            engine: engine.clone(),
+        });
+        false
+    });
+}
+
 fn write(
     host: &Host,
     engine: &Upstream,
--- /dev/null
+++ b/crates/entry/src/duty/lives.rs
@@ -0,0 +1,60 @@
+//! Ends the permits of entry hosts' processes that have surely ended. A host that is only silent
+//! may be paused; its permits end by their own time.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use kernel::{name::Host as HostName, permit::Holder, registry::inventory};
+use steward::Event;
+
+use crate::{
+    host::Host,
+    plugin::{Duty, Phase, Stop},
+};
+
+inventory::submit! {
+    Duty {
+        name: "lives",
+        phase: Phase::Service,
+        run,
+    }
+}
+
+/// How often the duty looks.
+const INTERVAL: Duration = Duration::from_millis(500);
+
+fn run(host: &Arc<Host>, stop: &Stop) {
+    let mut lives: BTreeMap<HostName, u64> = BTreeMap::new();
+    while !stop.is_set() {
+        for holder in ended(host, &mut lives) {
+            log::info!(target: "steward", "Host {} has ended incarnation {}.", holder.host, holder.incarnation);
+            host.inbox.event(Event::HolderGone { holder });
+        }
+        stop.sleep(INTERVAL);
+    }
+}
+
+fn ended(host: &Host, lives: &mut BTreeMap<HostName, u64>) -> Vec<Holder> {
+    let mut ended = Vec::new();
+    let members = host.peer.get().map(peer::Handle::members);
+    for member in members.iter().flat_map(|it| it.iter()) {
+        let now = member.holder.incarnation;
+        let before = lives.insert(member.holder.host.clone(), now);
+        if let Some(incarnation) = before.filter(|it| *it < now) {
+            ended.push(Holder {
+                host: member.holder.host.clone(),
+                incarnation,
+            });
+        }
+    }
+    lives.retain(|name, incarnation| {
+        let vanished = host.listed.has_vanished(name);
+        if vanished {
+            ended.push(Holder {
+                host: name.clone(),
+                incarnation: *incarnation,
+            });
+        }
+        !vanished
+    });
+    ended
+}
--- a/crates/entry/src/duty/orders.rs
+++ b/crates/entry/src/duty/orders.rs
@@ -105,15 +105,20 @@
     } = job;
     match job.kind {
         Kind::Load => {
-            host.metrics.load();
             let result = host.engines.load(*address, loaded, *fence, LOAD_TIMEOUT);
+            match result {
+                engine::Load::Done => host.metrics.load(),
+                _ => host.metrics.load_failure(),
+            }
             load_result(result)
         }
         Kind::Unload => {
-            host.metrics.eviction();
             let result = host
                 .engines
                 .unload(*address, loaded, *fence, UNLOAD_TIMEOUT);
+            if result == engine::Unload::Done {
+                host.metrics.eviction();
+            }
             unload_result(result)
         }
     }
--- a/crates/entry/src/duty/reports.rs
+++ b/crates/entry/src/duty/reports.rs
@@ -7,7 +7,11 @@
     time::{Duration, Instant},
 };
 
-use kernel::{name::Upstream, registry::inventory, service::Instance};
+use kernel::{
+    name::Upstream,
+    registry::inventory,
+    service::{Instance, Role},
+};
 use steward::Event;
 
 use crate::{
@@ -109,6 +113,10 @@
         Err(error) => missed(host, name, &error.to_string(), misses),
     }
     if let Ok(load) = host.engines.load_report(engine.address, TIMEOUT) {
+        if let Role::Engine(model) = &engine.role {
+            host.metrics
+                .batch_occupancy(model, load.running, load.capacity);
+        }
         host.inbox.event(Event::Lagging {
             engine: engine.name.clone(),
             running: load.running,
--- /dev/null
+++ b/crates/entry/src/duty/telemetry.rs
@@ -0,0 +1,62 @@
+//! Brings counts that other parts keep into the metrics.
+
+use std::{sync::Arc, time::Duration};
+
+use kernel::registry::inventory;
+use member::Condition;
+use telemetry::metrics::{Direction, Medium};
+
+use crate::{
+    host::Host,
+    plugin::{Duty, Phase, Stop},
+};
+
+inventory::submit! {
+    Duty {
+        name: "telemetry",
+        phase: Phase::Service,
+        run,
+    }
+}
+
+/// How often the counts are read.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Every condition of a member.
+const CONDITIONS: [Condition; 4] = [
+    Condition::Up,
+    Condition::Suspect,
+    Condition::Leaving,
+    Condition::Down,
+];
+
+fn run(host: &Arc<Host>, stop: &Stop) {
+    while !stop.is_set() {
+        for (reason, total) in host.store.counts() {
+            host.metrics.platform_calls(reason, total);
+        }
+        if let Some(peer) = host.peer.get() {
+            peers(host, peer);
+        }
+        host.metrics.in_flight(host.running.total());
+        stop.sleep(INTERVAL);
+    }
+}
+
+fn peers(host: &Host, peer: &peer::Handle) {
+    let totals = peer.counters();
+    let bytes = [
+        (Direction::In, Medium::Datagram, totals.datagram_bytes_in),
+        (Direction::Out, Medium::Datagram, totals.datagram_bytes_out),
+        (Direction::In, Medium::Stream, totals.stream_bytes_in),
+        (Direction::Out, Medium::Stream, totals.stream_bytes_out),
+    ];
+    for (direction, medium, total) in bytes {
+        host.metrics.control_bytes(direction, medium, total);
+    }
+    let members = peer.members();
+    for condition in CONDITIONS {
+        let count = members.iter().filter(|it| it.state == condition).count();
+        host.metrics.members(condition, count as u64);
+    }
+}
--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -8,7 +8,7 @@
 use config::{Text, revision::Number};
 use kernel::{
     fault::{Fault, Kind},
-    name::Service,
+    name::{Service, Tenant},
     request::Class,
 };
 use serve::{Caller, Request, Responder, Response};
@@ -17,6 +17,7 @@
     envelope::{self, Envelope},
     host::Host,
     readiness::Stage,
+    running,
 };
 
 pub mod model;
@@ -41,6 +42,8 @@
     pub arrived: Instant,
     /// Whether the caller is still there.
     pub caller: Caller,
+    /// Counts the request for as long as it runs.
+    _running: running::Request,
 }
 
 impl Admitted {
@@ -75,6 +78,15 @@
         return None;
     }
     let (number, text) = host.text();
+    let tenant = &envelope.tenant;
+    let running = match host.running.enter(tenant, text.tenant(tenant).in_flight) {
+        Ok(it) => it,
+        Err(limit) => {
+            let fault = over_limit(tenant, limit);
+            refuse(host, Some(&envelope), &fault, responder);
+            return None;
+        }
+    };
     host.trace.begin(&envelope.id, request.received);
     host.step(
         &envelope.id,
@@ -89,10 +101,16 @@
         number,
         arrived: request.received,
         caller: responder.caller(),
+        _running: running,
     };
     Some((admitted, responder))
 }
 
+fn over_limit(tenant: &Tenant, running::Limit(limit): running::Limit) -> Fault {
+    let detail = format!("tenant {tenant} runs {limit} requests on this host, as many as it may");
+    Fault::new(Kind::TenantLimit, detail).after(RETRY_AFTER)
+}
+
 fn unready(host: &Host) -> Option<Fault> {
     match host.readiness.stage() {
         Stage::Ready => None,
--- a/crates/entry/src/flow/model.rs
+++ b/crates/entry/src/flow/model.rs
@@ -12,7 +12,7 @@
 use serde_json::Value;
 use serve::{Responder, Response, Stream};
 use steward::Event;
-use telemetry::metrics::Labels;
+use telemetry::metrics::{Ending, Labels};
 use upstream::{
     Watch,
     engine::{self, Start},
@@ -97,7 +97,7 @@
             let place = match self.search(&avoid) {
                 Ok(it) => it,
                 Err(place::Failure::Fault(fault)) => return self.refuse(&fault, responder),
-                Err(place::Failure::CallerGone) => return self.note("the caller has gone"),
+                Err(place::Failure::CallerGone) => return self.abandoned(),
             };
             self.host
                 .metrics
@@ -117,6 +117,7 @@
                         return self.refuse(&fault, back);
                     }
                     self.note(format!("attempt {attempt} on {engine} ended with {fault}"));
+                    self.host.metrics.retry(&self.labels.service);
                     avoid.push(engine);
                     responder = back;
                 }
@@ -125,9 +126,21 @@
     }
 
     fn refuse(&self, fault: &Fault, responder: Responder) {
+        self.measure(Ending::Refused);
         refuse(self.host, Some(&self.admitted.envelope), fault, responder);
     }
 
+    fn abandoned(&self) {
+        self.measure(Ending::Cancelled);
+        self.note("the caller has gone");
+    }
+
+    fn measure(&self, ending: Ending) {
+        let now = self.host.clock.now();
+        let elapsed = now.saturating_duration_since(self.admitted.arrived);
+        self.host.metrics.request(&self.labels, ending, elapsed);
+    }
+
     fn note(&self, what: impl Into<String>) {
         self.host.step(&self.admitted.envelope.id, what);
     }
@@ -268,6 +281,11 @@
 
     fn ended(&self, place: &Place, outcome: Outcome, what: &str) -> Attempt {
         place::release(self.host, place, outcome);
+        self.measure(match outcome {
+            Outcome::Whole => Ending::Whole,
+            Outcome::Cancelled => Ending::Cancelled,
+            Outcome::Unused | Outcome::Refused | Outcome::Broken => Ending::Broken,
+        });
         self.note(what);
         let elapsed = millis(self.admitted.arrived, self.host.clock.now());
         log::debug!(target: "entry", "Request {} ended after {elapsed} ms: {what}.", self.admitted.envelope.id);
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -26,6 +26,7 @@
     listed::Listed,
     readiness::Readiness,
     recent::Recent,
+    running,
     settings::Settings,
     trace::Trace,
 };
@@ -76,6 +77,8 @@
     pub engines: upstream::engine::Client,
     /// The client of plain services.
     pub plain: upstream::plain::Client,
+    /// The requests that run.
+    pub running: running::Counts,
     /// Metrics.
     pub metrics: Metrics,
     /// What was decided for recent requests.
@@ -200,6 +203,7 @@
             plain: upstream::plain::Client {
                 answer_bytes: MAX_ANSWER_BYTES,
             },
+            running: running::Counts::default(),
             trace: Trace::default(),
             next: AtomicU64::new(1),
             settings,
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod readiness;
 pub mod recent;
 pub mod route;
+pub mod running;
 pub mod settings;
 pub mod trace;
--- a/crates/steward/src/event.rs
+++ b/crates/steward/src/event.rs
@@ -70,6 +70,11 @@
         /// What became of the steward before.
         predecessor: Predecessor,
     },
+    /// The steward before has ended, so that what it loaded can be adopted.
+    PredecessorEnded {
+        /// The engine.
+        engine: Upstream,
+    },
     /// This host is steward of an engine no longer.
     Lost {
         /// The engine.
--- a/crates/steward/src/state.rs
+++ b/crates/steward/src/state.rs
@@ -120,6 +120,7 @@
                 fencing,
                 predecessor,
             } => self.took(engine, fence, fencing, predecessor, now),
+            Event::PredecessorEnded { engine } => self.predecessor_ended(&engine, now),
             Event::Lost { engine } => self.lost(&engine),
             Event::Changed { engine } => self.changed(&engine, now),
             Event::Down { engine } => self.down(&engine),
--- a/crates/steward/src/state/stewardship.rs
+++ b/crates/steward/src/state/stewardship.rs
@@ -53,6 +53,35 @@
         self.inspect(key);
     }
 
+    /// What the steward before has loaded takes new work from now on.
+    pub(super) fn predecessor_ended(&mut self, name: &Upstream, now: Instant) {
+        let Some(key) = self.engine_names.get(name).copied() else {
+            return;
+        };
+        let Some(engine) = self.engines.get_mut(key) else {
+            return;
+        };
+        if engine.predecessor != Predecessor::Unknown {
+            return;
+        }
+        engine.predecessor = Predecessor::Gone;
+        for index in 0..engine.contents.len() {
+            self.adopt(key, index, now);
+        }
+        self.grant_engine(key, now);
+    }
+
+    fn adopt(&mut self, key: Key<Engine>, index: usize, now: Instant) {
+        let Some(slot) = self.slot(key, index) else {
+            return;
+        };
+        if matches!(slot.phase, Phase::Foreign | Phase::Drained) {
+            let adapter = slot.adapter;
+            self.settle_phase(key, index, now);
+            self.grant_adapter(adapter, now);
+        }
+    }
+
     pub(super) fn lost(&mut self, name: &Upstream) {
         let Some(key) = self.engine_names.remove(name) else {
             return;
