--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -15,8 +15,10 @@
 };
 
 pub mod adapter;
+pub mod batch;
 pub mod chat;
 pub mod core;
+pub mod report;
 pub mod run;
 
 use self::core::Core;
--- a/crates/standin/src/engine/adapter.rs
+++ b/crates/standin/src/engine/adapter.rs
@@ -13,7 +13,8 @@
 
 use super::{
     Unload,
-    core::{Core, Fence, Loading, Slot, State},
+    batch::{Loading, Slot},
+    core::{Core, Fence, State},
 };
 use crate::http::{Call, Reply};
 
--- a/crates/standin/src/engine/chat.rs
+++ b/crates/standin/src/engine/chat.rs
@@ -3,7 +3,7 @@
 use bytes::Bytes;
 use serde::Deserialize;
 
-use super::core::Run;
+use super::batch::Run;
 
 /// Tokens of an answer whose request doesn't say how many.
 pub const DEFAULT_MAX_TOKENS: u32 = 8;
--- a/crates/standin/src/engine/run.rs
+++ b/crates/standin/src/engine/run.rs
@@ -8,8 +8,9 @@
 
 use super::{
     End, Pace,
+    batch::{Order, Progress, Refusal, Run, Turn},
     chat::{self, Ask, Voice},
-    core::{Core, Order, Progress, Refusal, Run, Turn},
+    core::Core,
 };
 use crate::http::{self, Call, Reply, body::Broken};
 
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -12,11 +12,12 @@
 };
 
 use derive_more::{Display, Error};
-use serde::{Serialize, de::DeserializeOwned};
 
-use crate::{client, command, engine, hosts, object, plain, weights};
+use crate::{client, command, control::Power, engine, hosts, link, object, plain, weights};
 
 pub mod guard;
+mod launch;
+pub mod part;
 pub mod port;
 pub mod process;
 pub mod programs;
@@ -24,6 +25,8 @@
 pub mod shape;
 
 use guard::Guard;
+use launch::Launch;
+pub use part::{Entry, Upstream};
 use process::{Pending, Plan, Process};
 pub use shape::Shape;
 
@@ -81,63 +84,6 @@
     Control(client::Failure),
 }
 
-/// An entry host of the fleet.
-#[derive(Debug)]
-pub struct Entry {
-    /// Its name.
-    pub name: String,
-    /// Its failure domain.
-    pub domain: String,
-    /// Its peer address, kept over restarts.
-    pub peers: SocketAddr,
-    settings: PathBuf,
-    process: Process,
-}
-
-impl Entry {
-    /// Where callers connect.
-    pub fn address(&self) -> SocketAddr {
-        self.process.address()
-    }
-
-    /// Its process.
-    pub fn process(&self) -> &Process {
-        &self.process
-    }
-}
-
-/// A stand-in of the fleet.
-#[derive(Debug)]
-pub struct Upstream {
-    /// Its name.
-    pub name: String,
-    /// Its failure domain.
-    pub domain: String,
-    process: Process,
-}
-
-impl Upstream {
-    /// Where it listens.
-    pub fn address(&self) -> SocketAddr {
-        self.process.address()
-    }
-
-    /// Its process.
-    pub fn process(&self) -> &Process {
-        &self.process
-    }
-
-    /// Sets a switch of its kind.
-    pub fn set(&self, switch: &impl Serialize) -> Result<(), client::Failure> {
-        client::set(self.address(), "/control", switch)
-    }
-
-    /// Reads the counts of its kind.
-    pub fn counts<T: DeserializeOwned>(&self) -> Result<T, client::Failure> {
-        client::counts(self.address(), "/control")
-    }
-}
-
 /// A directory that is removed with the fleet.
 #[derive(Debug)]
 struct Directory(PathBuf);
@@ -230,11 +176,15 @@
         for (place, address) in places.into_iter().zip(&addresses) {
             self.set_hosts(&hosts::Switch::Put(place.host(*address)))
                 .map_err(Failure::Control)?;
+            let link = self
+                .link(shape.links)
+                .map_err(|it| start_failure("a link", it))?;
+            let platform = link.as_ref().map_or(self.platform(), link::Server::address);
             let settings = settings::Entry {
                 host: &place.name,
                 domain: &place.domain,
                 peers: *address,
-                platform: self.platform.address(),
+                platform,
                 seeds: addresses
                     .iter()
                     .filter(|it| *it != address)
@@ -244,20 +194,28 @@
             let file = self.directory.0.join(format!("{}.yaml", place.name));
             fs::write(&file, settings.to_string()).map_err(|it| start_failure(&place.name, it))?;
             let process = self.spawn_entry(&place.name, &file)?;
-            pending.push((place, *address, file, process));
+            pending.push((place, *address, file, link, process));
         }
-        for (place, peers, settings, process) in pending {
+        for (place, peers, settings, link, process) in pending {
             self.entries.push(Entry {
                 name: place.name,
                 domain: place.domain,
                 peers,
                 settings,
                 process: process.ready()?,
+                link,
             });
         }
         Ok(())
     }
 
+    fn link(&self, links: Power) -> io::Result<Option<link::Server>> {
+        match links {
+            Power::On => link::Server::start(self.platform()).map(Some),
+            Power::Off => Ok(None),
+        }
+    }
+
     fn start_guard(&self, program: &Path) -> Result<Guard, Failure> {
         let plan = Plan {
             name: guard::KIND,
@@ -369,52 +327,6 @@
     }
 }
 
-/// How stand-ins are started.
-struct Launch<'a> {
-    program: &'a Path,
-    directory: &'a Path,
-}
-
-impl Launch<'_> {
-    fn standin(
-        &self,
-        kind: &str,
-        name: &str,
-        settings: &impl Serialize,
-    ) -> Result<Pending, Failure> {
-        let settings = serde_json::to_string(settings).expect("settings can be written as JSON");
-        let plan = Plan {
-            name,
-            program: self.program,
-            arguments: &[kind.to_owned(), settings],
-            word: command::READY,
-            log: self.directory.join(format!("{name}.log")),
-        };
-        Pending::spawn(&plan)
-    }
-
-    fn all<S: Serialize>(
-        &self,
-        kind: &str,
-        places: Vec<shape::Place>,
-        settings: impl Fn(&shape::Place) -> S,
-    ) -> Result<Vec<Upstream>, Failure> {
-        let mut pending = Vec::new();
-        for place in places {
-            let process = self.standin(kind, &place.name, &settings(&place))?;
-            pending.push((place, process));
-        }
-        let ready = pending.into_iter().map(|(place, process)| {
-            Ok(Upstream {
-                name: place.name,
-                domain: place.domain,
-                process: process.ready()?,
-            })
-        });
-        ready.collect()
-    }
-}
-
 fn start_failure(name: &str, source: io::Error) -> Failure {
     Failure::Start {
         name: name.to_owned(),
--- a/crates/standin/src/fleet/shape.rs
+++ b/crates/standin/src/fleet/shape.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::{engine, hosts, weights};
+use crate::{control::Power, engine, hosts, weights};
 
 /// How many of what stand where.
 #[derive(Clone, Debug)]
@@ -19,6 +19,8 @@
     pub plains: Vec<String>,
     /// The limits of the weight store.
     pub weights: weights::Settings,
+    /// Whether each entry host has a path to the platform that can be cut.
+    pub links: Power,
 }
 
 impl Default for Shape {
@@ -30,6 +32,7 @@
             engine: engine::Settings::default(),
             plains: ["barrier", "registry"].map(str::to_owned).into(),
             weights: weights::Settings::default(),
+            links: Power::Off,
         }
     }
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fleet;
 pub mod hosts;
 pub mod http;
+pub mod link;
 pub mod object;
 pub mod plain;
 pub mod platform;
