Estimate popularity by rate, and age it faster while it shifts

The estimate is now a rate with an assumed idle time before the first ask; it falls when several expected asks fail to come, and all of it ages eight times as fast while more asks than usual call for an eviction. Homes are sorted by backlog only if loads fail there, since the pool makes the wait the same everywhere.

--- a/crates/experiment/examples/experiment.rs
+++ b/crates/experiment/examples/experiment.rs
@@ -1,8 +1,11 @@
 //! Runs the scenarios of placement on a simulated clock and prints what they measure.
 
+use std::time::Duration;
+
 use argh::FromArgs;
 use experiment::{
-    deployment::Deployment, figures::Figures, fleet, naive, oracle, report, scenario::Scenario,
+    deployment::Deployment, figures::Figures, fleet, naive, oracle, recovery::Course, report,
+    scenario::Scenario,
 };
 use steward::Settings;
 
@@ -24,6 +27,45 @@
     /// how many seeds are run and added up
     #[argh(option, default = "3")]
     seeds: u64,
+    /// the half-life of popularity in seconds, for trials
+    #[argh(option)]
+    half_life: Option<u64>,
+    /// the idle time assumed before the first ask, in seconds, for trials
+    #[argh(option)]
+    prior_idle: Option<u64>,
+    /// entry hosts, for trials
+    #[argh(option)]
+    hosts: Option<usize>,
+    /// failure domains, for trials
+    #[argh(option)]
+    domains: Option<usize>,
+    /// weight of load stalls, for trials
+    #[argh(option)]
+    load_stall: Option<f64>,
+    /// weight of batch efficiency, for trials
+    #[argh(option)]
+    batch_efficiency: Option<f64>,
+}
+
+impl Arguments {
+    fn settings(&self) -> Settings {
+        let mut settings = Settings::default();
+        if let Some(seconds) = self.half_life {
+            settings.half_life = Duration::from_secs(seconds);
+        }
+        if let Some(seconds) = self.prior_idle {
+            settings.prior_idle = Duration::from_secs(seconds);
+        }
+        settings
+    }
+
+    fn adjust(&self, deployment: &mut Deployment) {
+        deployment.hosts = self.hosts.unwrap_or(deployment.hosts);
+        deployment.domains = self.domains.unwrap_or(deployment.domains);
+        let objective = &mut deployment.objective;
+        objective.load_stall = self.load_stall.unwrap_or(objective.load_stall);
+        objective.batch_efficiency = self.batch_efficiency.unwrap_or(objective.batch_efficiency);
+    }
 }
 
 fn main() {
@@ -31,7 +73,8 @@
     let chosen = |name: &str, word: &str| word == "all" || word == name;
     let deployments = [Deployment::maegesho(), Deployment::institute()];
     let skews = arguments.skew.map_or(vec![0.8, 1.0, 1.2], |it| vec![it]);
-    for deployment in deployments {
+    for mut deployment in deployments {
+        arguments.adjust(&mut deployment);
         if !chosen(deployment.name, &arguments.deployment) {
             continue;
         }
@@ -54,7 +97,7 @@
         let trace = scenario.trace(deployment, skew, seed);
         own.merge(fleet::run(
             deployment,
-            &Settings::default(),
+            &arguments.settings(),
             scenario,
             &trace,
         ));
@@ -72,4 +115,7 @@
     print!("{}", report::row("naive", &reference));
     print!("{}", report::row("hindsight", &bound));
     println!("refusals: {}", report::refusals(&own));
+    if matches!(scenario, Scenario::Shift | Scenario::Restart) {
+        print!("{}", report::course(&Course::new(&own)));
+    }
 }
--- a/crates/experiment/src/report.rs
+++ b/crates/experiment/src/report.rs
@@ -3,10 +3,14 @@
 use std::fmt::Write as _;
 
 use crate::{
-    agenda::Micros,
+    agenda::{Micros, SECOND},
     figures::{Figures, permille, quantile},
+    recovery::{Course, WINDOW},
 };
 
+/// Windows after an event that are printed.
+const SHOWN_WINDOWS: usize = 12;
+
 /// The heading of a table of figures.
 pub const HEADING: &str = "\
 | policy | requests | stall p50 ms | p95 | p99 | max | stalled % | total stall s | first token p95 ms \
@@ -56,6 +60,23 @@
     words.join(", ")
 }
 
+/// The course of the share of stalled requests after an event.
+pub fn course(course: &Course) -> String {
+    let mut text = format!(
+        "stalled before the event: {} %; after it, in windows of {} s:",
+        percent(course.steady),
+        WINDOW / SECOND
+    );
+    for window in course.windows.iter().take(SHOWN_WINDOWS) {
+        let _ = write!(text, " {}", percent(*window));
+    }
+    let _ = match course.recovered_after() {
+        Some(time) => writeln!(text, "; within 10 % of steady after {} s", time / SECOND),
+        None => writeln!(text, "; not within 10 % of steady"),
+    };
+    text
+}
+
 fn millis(micros: Micros) -> u64 {
     micros.div_ceil(1_000)
 }
--- a/crates/experiment/src/scenario.rs
+++ b/crates/experiment/src/scenario.rs
@@ -7,13 +7,13 @@
 };
 
 /// The time before measuring begins.
-pub const WARM_UP: Micros = 180 * SECOND;
+pub const WARM_UP: Micros = 1200 * SECOND;
 
 /// When the event of a scenario happens.
-pub const EVENT: Micros = 420 * SECOND;
+pub const EVENT: Micros = 1500 * SECOND;
 
 /// The length of a scenario.
-pub const LENGTH: Micros = 900 * SECOND;
+pub const LENGTH: Micros = 2400 * SECOND;
 
 /// How long the store is down in the outage scenario.
 pub const OUTAGE: Micros = 300 * SECOND;
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod adapter;
 mod budget;
+mod drift;
 mod engine;
 pub mod event;
 mod permits;
--- a/crates/steward/src/route.rs
+++ b/crates/steward/src/route.rs
@@ -302,12 +302,16 @@
 
     fn push_homes(&self, ask: &Ask, ranked: &mut Vec<Candidate>) {
         let mut homes = self.homes(ask);
-        homes.sort_by_key(|it| self.backlogs.get(&it.steward).copied().unwrap_or_default());
+        homes.sort_by_key(|it| self.is_blocked(&it.steward));
         for entry in homes {
             push(entry, ranked);
         }
     }
 
+    fn is_blocked(&self, steward: &Host) -> bool {
+        self.backlogs.get(steward) == Some(&Backlog::Blocked)
+    }
+
     /// The engines after the adapter's point on the ring, one for each steward.
     fn homes(&self, ask: &Ask) -> Vec<&Entry> {
         let mut homes: Vec<&Entry> = Vec::with_capacity(MAX_HOMES);
--- a/crates/steward/src/settings.rs
+++ b/crates/steward/src/settings.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use crate::popularity::Aging;
+
 /// How much each of the two measures weighs when they pull in opposite directions.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Objective {
@@ -45,8 +47,10 @@
     pub capacity: u32,
     /// The most requests that may wait.
     pub max_waiting: usize,
-    /// The time in which the popularity of an adapter that nobody asks for halves.
+    /// The time in which the weight of an ask in the popularity of its adapter halves.
     pub half_life: Duration,
+    /// How long a new adapter is taken to have been idle before its first ask.
+    pub prior_idle: Duration,
 }
 
 impl Default for Settings {
@@ -63,7 +67,18 @@
             token_time: Duration::from_millis(20),
             capacity: 16,
             max_waiting: 1024,
-            half_life: Duration::from_secs(90),
+            half_life: Duration::from_mins(5),
+            prior_idle: Duration::from_mins(5),
+        }
+    }
+}
+
+impl Settings {
+    /// How popularity ages.
+    pub(crate) fn aging(&self) -> Aging {
+        Aging {
+            half_life: self.half_life,
+            prior: self.prior_idle,
         }
     }
 }
--- a/crates/steward/src/share/pool.rs
+++ b/crates/steward/src/share/pool.rs
@@ -9,9 +9,11 @@
 
 use super::{Demand, LEASE, Limits, Loan, Mode};
 
-/// The share of the rate that is lent. The rest makes up for loads that begin a little early or
-/// late after they were lent.
-const LENT_RATE: f64 = 0.98;
+/// The share of the rate that is lent. The rest makes up for the drift of clocks.
+const LENT_RATE: f64 = 0.995;
+
+/// How much later one load begins after it was lent than another.
+const JITTER: Duration = Duration::from_millis(10);
 
 /// Tolerance for rounding when tokens are compared, in tokens.
 const ROUNDING: f64 = 1e-6;
@@ -148,7 +150,12 @@
     pub fn rate(&self, now: Instant) -> f64 {
         let reserved = self.borrowers.values().filter(|it| it.is_reserved(now));
         let floors: f64 = reserved.map(|it| it.floor).sum();
-        (self.limits.rate_per_second - floors).max(0.0) * LENT_RATE
+        let rate = (self.limits.rate_per_second - floors).max(0.0) * LENT_RATE;
+        if self.limits.full_speed > 1 {
+            return rate;
+        }
+        // A bucket of a single token leaves no depth to absorb the jitter.
+        rate / (1.0 + rate * JITTER.as_secs_f64())
     }
 
     fn loan(&self, steward: &Holder, now: Instant) -> Option<Loan> {
@@ -180,7 +187,8 @@
     }
 
     fn depth(&self) -> f64 {
-        f64::from(self.limits.full_speed)
+        let jitter = self.limits.rate_per_second * JITTER.as_secs_f64();
+        (f64::from(self.limits.full_speed) - jitter).max(1.0)
     }
 
     fn refill(&mut self, now: Instant) {
--- a/crates/steward/src/state.rs
+++ b/crates/steward/src/state.rs
@@ -20,6 +20,7 @@
 use crate::{
     adapter::Adapter,
     budget::Budget,
+    drift::Drift,
     engine::Engine,
     event::{Action, Event, Order},
     permits::Permits,
@@ -35,6 +36,9 @@
 /// Length of an answer until answers have been seen, in tokens.
 const INITIAL_TOKENS: u32 = 64;
 
+/// An adapter that is asked for less often than this, in asks a second, is forgotten.
+const FORGOTTEN_RATE: f64 = 1e-5;
+
 /// How often records of idle adapters are dropped.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(30);
 
@@ -75,6 +79,7 @@
     orders: BTreeMap<Order, Issued>,
     last_order: u64,
     budget: Budget,
+    drift: Drift,
     store: Store,
     load_time: Duration,
     token_time: Duration,
@@ -103,6 +108,7 @@
             orders: BTreeMap::new(),
             last_order: 0,
             budget: Budget::new(),
+            drift: Drift::new(),
             store: Store::default(),
             backlog: Backlog::default(),
             sweep_at: None,
@@ -269,7 +275,7 @@
         if let Some(key) = self.references.get(reference) {
             return *key;
         }
-        let adapter = Adapter::new(reference.clone(), model.clone(), now);
+        let adapter = Adapter::new(reference.clone(), model.clone(), self.drift.age(now));
         let key = self.adapters.insert(adapter);
         self.references.insert(reference.clone(), key);
         key
@@ -286,10 +292,11 @@
             Some(at) if at > now => return,
             _ => self.sweep_at = Some(now + SWEEP_INTERVAL),
         }
-        let half_life = self.settings.half_life;
+        let aging = self.settings.aging();
+        let age = self.drift.age(now);
         let adapters = self.adapters.iter();
         let idle: Vec<_> = adapters
-            .filter(|(_, it)| it.is_idle() && it.popularity.value(half_life, now) < 0.01)
+            .filter(|(_, it)| it.is_idle() && it.popularity.rate(aging, age) < FORGOTTEN_RATE)
             .map(|(key, _)| key)
             .collect();
         for key in idle {
--- a/crates/steward/src/state/admission.rs
+++ b/crates/steward/src/state/admission.rs
@@ -11,6 +11,7 @@
 use super::State;
 use crate::{
     adapter::{Adapter, Rank},
+    drift::Hit,
     event::{Action, Ticket},
     waiters::Waiter,
 };
@@ -28,9 +29,7 @@
             return;
         }
         let key = self.intern(&ask.reference, &ask.model, now);
-        if let Some(adapter) = self.adapters.get_mut(key) {
-            adapter.popularity.count(self.settings.half_life, now);
-        }
+        self.count(key, now);
         if let Some(fault) = self.objection(key, &ask, now) {
             self.refuse(ticket, fault);
             return;
@@ -46,6 +45,35 @@
         self.requeue(key);
     }
 
+    fn count(&mut self, key: Key<Adapter>, now: Instant) {
+        let aging = self.settings.aging();
+        let age = self.drift.age(now);
+        let Some(adapter) = self.adapters.get_mut(key) else {
+            return;
+        };
+        adapter.popularity.count(aging, age);
+        let hit = self.hit(key);
+        self.drift.note(hit, now);
+    }
+
+    fn hit(&self, key: Key<Adapter>) -> Hit {
+        let Some(adapter) = self.adapters.get(key) else {
+            return Hit::Hit;
+        };
+        if !adapter.ready.is_empty() || adapter.coming > 0 {
+            return Hit::Hit;
+        }
+        let mut engines = self
+            .engines
+            .iter()
+            .filter(|(_, it)| it.model == adapter.model);
+        if engines.any(|(_, it)| it.is_usable() && it.has_free_slot()) {
+            Hit::Hit
+        } else {
+            Hit::Miss
+        }
+    }
+
     fn enqueue(&mut self, ticket: Ticket, ask: Ask, key: Key<Adapter>, now: Instant) {
         let tag = self.waiters.tag(&ask.tenant, ask.max_tokens);
         let rank = Rank::new(ask.class, tag, ticket);
--- a/crates/steward/src/state/eviction.rs
+++ b/crates/steward/src/state/eviction.rs
@@ -1,6 +1,6 @@
 //! Which slot a load gets, and what has to make room for it.
 
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use kernel::arena::Key;
 
@@ -14,6 +14,9 @@
 /// efficiency.
 const FILL_WORTH: f64 = 4.0;
 
+/// The time over which the misses that an eviction will cost are counted.
+const MISS_HORIZON: Duration = Duration::from_secs(100);
+
 /// What a copy beside another one is worth, as a share of what the only one is worth.
 const COPY_WORTH: f64 = 0.25;
 
@@ -69,7 +72,10 @@
         let Some(adapter) = self.adapters.get(slot.adapter) else {
             return 0.0;
         };
-        let worth = adapter.popularity.value(self.settings.half_life, now);
+        let rate = adapter
+            .popularity
+            .rate(self.settings.aging(), self.drift.age(now));
+        let worth = rate * MISS_HORIZON.as_secs_f64();
         if slot.phase != Phase::Ready {
             return 0.0;
         }
@@ -96,7 +102,7 @@
     }
 
     /// How long a permit of an earlier steward can pin anything.
-    fn longest_run(&self) -> std::time::Duration {
+    fn longest_run(&self) -> Duration {
         self.settings.longest_deadline + self.settings.run_margin
     }
 }
