--- a/crates/journal/src/index.rs
+++ b/crates/journal/src/index.rs
@@ -46,8 +46,9 @@
 
 impl Index {
     /// Takes in a record of a segment. Hosts take in the same records in the same order, and the
-    /// rules use only what the records say, so that all hosts agree.
-    pub(crate) fn take_in(&mut self, segment: Number, record: &Record) {
+    /// rules use only what the records say, so that all hosts agree. Returns when the record is no
+    /// longer needed.
+    pub(crate) fn take_in(&mut self, segment: Number, record: &Record) -> Moment {
         match &record.event {
             Event::Started {
                 fingerprint,
@@ -58,6 +59,8 @@
             Event::Lost => self.end(record, State::Lost),
             Event::Void => self.end(record, State::Void),
         }
+        let entry = self.entries.get(&record.key);
+        entry.map_or(Moment(0), |it| it.until)
     }
 
     fn begin(&mut self, record: &Record, fingerprint: Digest, at: Moment, run_by: Moment) {
@@ -65,7 +68,7 @@
         if known.is_some_and(|it| it.state != State::Void && at < it.until) {
             return;
         }
-        let until = at.after(KEEP);
+        let until = run_by.max(at).after(KEEP);
         let entry = Entry {
             start: record.start.clone(),
             fingerprint,
--- a/crates/journal/src/record.rs
+++ b/crates/journal/src/record.rs
@@ -7,7 +7,7 @@
 
 use crate::scope::Digest;
 
-/// How long a key is remembered after its call began.
+/// How long a key is remembered after its call has ended at the latest.
 pub const KEEP: Duration = Duration::from_hours(24);
 
 /// The largest body that is kept with an outcome, in bytes.
--- a/crates/journal/src/shard/call.rs
+++ b/crates/journal/src/shard/call.rs
@@ -65,6 +65,12 @@
         }
     }
 
+    /// Its time is over, and it was not made.
+    pub(super) fn expire(&mut self) {
+        let reason = "the deadline passed before the call was recorded".to_owned();
+        self.phase = Phase::Done(Verdict::Down(reason));
+    }
+
     /// The verdict when the platform can't be reached.
     pub(super) fn fail(&mut self, reason: &str) {
         let verdict = match self.phase {
@@ -80,6 +86,7 @@
 impl Shard {
     /// Notes that the end of the shard was seen by the I/O that just ended.
     pub(super) fn refreshed(&mut self) {
+        self.seen_at = self.issued_at;
         for (_, call) in self.calls.range_mut(..self.issued) {
             call.view = View::Current;
         }
@@ -116,6 +123,10 @@
             return;
         };
         let phase = self.judge(call, now);
+        if phase == Phase::Queued && now >= call.run_by {
+            self.calls.entry(ticket).and_modify(Call::expire);
+            return;
+        }
         if phase == Phase::Queued {
             self.enqueue(ticket, now);
         }
--- a/crates/journal/src/shard/flight.rs
+++ b/crates/journal/src/shard/flight.rs
@@ -2,7 +2,7 @@
 
 use super::{Shard, Step, Ticket, Verdict, call::Phase};
 use crate::{
-    record::{Event, Record, Start},
+    record::{Event, Moment, Record, Start},
     segment::{Number, Segment},
 };
 
@@ -62,16 +62,16 @@
 
 impl Shard {
     /// The records of a flight are in the shard.
-    pub(super) fn land(&mut self, flight: Flight) {
+    pub(super) fn land(&mut self, flight: Flight, now: Moment) {
         for queued in flight.queued {
             match queued.ticket {
-                Some(ticket) => self.land_start(ticket, &queued.record),
+                Some(ticket) => self.land_start(ticket, &queued.record, now),
                 None => self.land_ending(&queued.record),
             }
         }
     }
 
-    fn land_start(&mut self, ticket: Ticket, record: &Record) {
+    fn land_start(&mut self, ticket: Ticket, record: &Record, now: Moment) {
         self.starting.remove(&record.key);
         let waiting = self.calls.get_mut(&ticket).filter(|it| !it.is_done());
         let Some(call) = waiting else {
@@ -83,6 +83,11 @@
             call.phase = Phase::Fresh;
             return;
         }
+        if now >= call.run_by {
+            call.expire();
+            self.end(record.key, &record.start, Event::Void);
+            return;
+        }
         self.running.insert(record.start.number);
         call.phase = Phase::Done(Verdict::First(record.start.clone()));
     }
--- a/crates/platform/src/journal.rs
+++ b/crates/platform/src/journal.rs
@@ -146,6 +146,13 @@
         }
     }
 
+    /// Deletes records whose time is over. One host of a fleet is enough; more do no harm. Gives
+    /// how many shards could not be tidied because the platform failed or another host was faster.
+    pub fn tidy(&self) -> usize {
+        let results = self.lanes.iter().map(Lane::tidy);
+        results.filter(Result::is_err).count()
+    }
+
     /// How many keys this host remembers.
     pub fn keys(&self) -> usize {
         self.lanes.iter().map(Lane::keys).sum()
--- a/crates/platform/src/journal/lane.rs
+++ b/crates/platform/src/journal/lane.rs
@@ -1,5 +1,7 @@
 //! One shard of the journal, and the I/O for it.
 
+mod floor;
+
 use std::{
     sync::{Arc, Condvar, Mutex, MutexGuard},
     time::{Duration, Instant},
@@ -48,6 +50,7 @@
 
 /// The result of an I/O that the store carried out.
 enum Answer {
+    Found(Number),
     Listed(Page),
     Got(Number, Option<Vec<u8>>),
     Written,
@@ -167,6 +170,7 @@
     fn perform(&self, step: Step) -> Answer {
         let result = match step {
             Step::Idle => return Answer::Taken,
+            Step::Find => self.read_floor().map(|it| Answer::Found(it.segment)),
             Step::List { from } => self.list(from).map(Answer::Listed),
             Step::Get { segment } => {
                 let object = self.host.store.get(Reason::Journal, &self.key(segment));
@@ -207,6 +211,7 @@
     fn apply(&self, inner: &mut Inner, answer: Answer) {
         let now = self.now();
         match answer {
+            Answer::Found(floor) => inner.shard.found(floor),
             Answer::Listed(page) => self.apply_list(inner, page, now),
             Answer::Got(segment, bytes) => inner.shard.got(segment, bytes.as_deref()),
             Answer::Written => inner.shard.written(now),
@@ -225,7 +230,6 @@
             Continuation::End => Rest::End,
             Continuation::More => Rest::More,
         };
-        let number = |key: &str| key.rsplit('/').next()?.parse().ok().map(Number);
         let items = page.items.into_iter();
         let items: Vec<_> = items
             .filter_map(|it| Some((number(&it.key)?, it.value)))
@@ -252,3 +256,9 @@
         self.inner.lock().expect("journal lock is poisoned")
     }
 }
+
+/// The number of a segment from its key.
+fn number(key: &str) -> Option<Number> {
+    let (_, digits) = key.rsplit_once('/')?;
+    digits.parse().ok().map(Number)
+}
