--- a/crates/entry/src/duty.rs
+++ b/crates/entry/src/duty.rs
@@ -3,8 +3,13 @@
 mod claims;
 mod configuration;
 mod hosts;
+mod joining;
+mod journal;
 mod learning;
+mod lives;
 pub mod orders;
 mod reports;
 mod share;
+mod status;
 mod steward;
+mod telemetry;
--- a/crates/entry/src/flow/model.rs
+++ b/crates/entry/src/flow/model.rs
@@ -11,7 +11,8 @@
 };
 use serde_json::Value;
 use serve::{Responder, Response, Stream};
-use telemetry::metrics::Labels;
+use steward::Event;
+use telemetry::metrics::{Ending, Labels};
 use upstream::{
     Watch,
     engine::{self, Start},
@@ -96,7 +97,7 @@
             let place = match self.search(&avoid) {
                 Ok(it) => it,
                 Err(place::Failure::Fault(fault)) => return self.refuse(&fault, responder),
-                Err(place::Failure::CallerGone) => return self.note("the caller has gone"),
+                Err(place::Failure::CallerGone) => return self.abandoned(),
             };
             self.host
                 .metrics
@@ -116,6 +117,7 @@
                         return self.refuse(&fault, back);
                     }
                     self.note(format!("attempt {attempt} on {engine} ended with {fault}"));
+                    self.host.metrics.retry(&self.labels.service);
                     avoid.push(engine);
                     responder = back;
                 }
@@ -124,9 +126,21 @@
     }
 
     fn refuse(&self, fault: &Fault, responder: Responder) {
+        self.measure(Ending::Refused);
         refuse(self.host, Some(&self.admitted.envelope), fault, responder);
     }
 
+    fn abandoned(&self) {
+        self.measure(Ending::Cancelled);
+        self.note("the caller has gone");
+    }
+
+    fn measure(&self, ending: Ending) {
+        let now = self.host.clock.now();
+        let elapsed = now.saturating_duration_since(self.admitted.arrived);
+        self.host.metrics.request(&self.labels, ending, elapsed);
+    }
+
     fn note(&self, what: impl Into<String>) {
         self.host.step(&self.admitted.envelope.id, what);
     }
@@ -146,8 +160,7 @@
     fn ask(&self) -> Ask {
         let now = self.host.clock.now();
         Ask {
-            // Callers may use one id twice at the same time; engines must never see that.
-            request: self.host.fresh_id(),
+            request: self.admitted.envelope.id.clone(),
             holder: self.host.me.clone(),
             reference: self.call.reference.clone(),
             model: self.target.model.clone(),
@@ -180,7 +193,7 @@
     }
 
     fn start(&self, place: &Place) -> Result<engine::Stream, Fault> {
-        let id = self.host.fresh_id();
+        let id = self.host.attempt_id(&self.admitted.envelope.id);
         self.note(format!(
             "sent to {} as {id} for {}",
             place.permit.upstream, place.permit.loaded
@@ -207,7 +220,11 @@
         };
         place::release(self.host, place, outcome);
         let engine = place.permit.upstream.clone();
-        self.host.inspect(engine.clone());
+        if fault.kind == Kind::UpstreamLeaving
+            && let Some(engine) = self.host.listed.leaving(&engine)
+        {
+            self.host.inbox.event(Event::Changed { engine });
+        }
         let may_repeat = ran == Ran::NotRun || self.target.retry.repeat == Repeat::Allowed;
         if may_repeat && self.host.clock.now() < self.deadline {
             return Attempt::Again {
@@ -244,7 +261,7 @@
         };
         match self.call.delivery {
             Delivery::Streamed => pump.streamed(first, responder),
-            Delivery::Whole => pump.whole(first, responder),
+            Delivery::Whole => pump.whole(&first.1, responder),
         }
     }
 
@@ -264,6 +281,11 @@
 
     fn ended(&self, place: &Place, outcome: Outcome, what: &str) -> Attempt {
         place::release(self.host, place, outcome);
+        self.measure(match outcome {
+            Outcome::Whole => Ending::Whole,
+            Outcome::Cancelled => Ending::Cancelled,
+            Outcome::Unused | Outcome::Refused | Outcome::Broken => Ending::Broken,
+        });
         self.note(what);
         let elapsed = millis(self.admitted.arrived, self.host.clock.now());
         log::debug!(target: "entry", "Request {} ended after {elapsed} ms: {what}.", self.admitted.envelope.id);
@@ -315,13 +337,12 @@
     }
 
     fn finish(self, mut out: Stream) -> Attempt {
-        let told = out.write(chat::DONE);
-        match told {
-            Ok(()) => self.way.ended(self.place, Outcome::Whole, "whole"),
-            Err(_) => self
-                .way
-                .ended(self.place, Outcome::Whole, "whole, but the caller has gone"),
+        if out.write(chat::DONE).is_err() {
+            let what = "whole, but the caller has gone";
+            return self.way.ended(self.place, Outcome::Whole, what);
         }
+        out.finish();
+        self.way.ended(self.place, Outcome::Whole, "whole")
     }
 
     /// The stream to the caller has begun, so the fault can only be told within it. The connection
@@ -339,10 +360,10 @@
             .ended(self.place, Outcome::Broken, &format!("broken: {fault}"))
     }
 
-    fn whole(mut self, first: (u64, Value), responder: Responder) -> Attempt {
+    fn whole(mut self, first: &Value, responder: Responder) -> Attempt {
         let way = self.way;
         let mut whole = chat::Whole::default();
-        whole.add(&first.1);
+        whole.add(first);
         loop {
             if responder.gone() {
                 return self.caller_gone();
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -16,20 +16,24 @@
     permit::{Ask, Holder},
     request::Id,
 };
-use platform::{http, log::Log};
+use platform::{http, journal::Journal, log::Log};
 use steward::Ticket;
 use telemetry::metrics::Metrics;
 
 use crate::{
     directory::{Entry, Shared},
-    inbox::{Full, Inbox, Question, Reply},
+    inbox::{Inbox, Question, Reply},
     listed::Listed,
     readiness::Readiness,
     recent::Recent,
+    running,
     settings::Settings,
     trace::Trace,
 };
 
+/// Bytes of a caller's id that stand in the ids of its attempts.
+const MAX_SHOWN_ID_BYTES: usize = 64;
+
 /// The largest answer of a plain service in bytes.
 const MAX_ANSWER_BYTES: u64 = 16 << 20;
 
@@ -67,10 +71,14 @@
     pub store: http::Client,
     /// The configuration log in the platform.
     pub log: Log,
+    /// The records of keyed calls.
+    pub journal: Journal,
     /// The client of engines.
     pub engines: upstream::engine::Client,
     /// The client of plain services.
     pub plain: upstream::plain::Client,
+    /// The requests that run.
+    pub running: running::Counts,
     /// Metrics.
     pub metrics: Metrics,
     /// What was decided for recent requests.
@@ -97,13 +105,22 @@
         text.parse().expect("a fresh id is an id")
     }
 
+    /// The id of one attempt at a request. Callers may use one id twice at the same time; engines
+    /// must never see that.
+    pub fn attempt_id(&self, request: &Id) -> Id {
+        let text = request.as_str();
+        let shown = &text[..text.len().min(MAX_SHOWN_ID_BYTES)];
+        let text = format!("{shown}~{}", self.fresh_id());
+        text.parse().unwrap_or_else(|_| self.fresh_id())
+    }
+
     /// Notes a step of a request.
     pub fn step(&self, id: &Id, what: impl Into<String>) {
         self.trace.step(id, self.clock.now(), what);
     }
 
-    /// Asks the own steward. The reply is not called if the ask does not fit.
-    pub fn ask(&self, ask: Ask, reply: Reply) -> Result<Ticket, (Full, Reply)> {
+    /// Asks the own steward, or gives the reply back if too many asks wait.
+    pub fn ask(&self, ask: Ask, reply: Reply) -> Result<Ticket, Reply> {
         let ticket = Ticket(self.number());
         let question = Question {
             ticket,
@@ -111,10 +128,8 @@
             arrived: self.clock.now(),
             reply,
         };
-        match self.inbox.ask(question) {
-            Ok(()) => Ok(ticket),
-            Err((full, question)) => Err((full, question.reply)),
-        }
+        self.inbox.ask(question)?;
+        Ok(ticket)
     }
 
     /// Publishes an entry to all hosts.
@@ -183,10 +198,12 @@
             recent: Recent::default(),
             peer: OnceLock::new(),
             log: Log::new(Arc::clone(&shared)),
+            journal: Journal::new(shared, me.clone(), Arc::clone(&clock)),
             engines: upstream::engine::Client,
             plain: upstream::plain::Client {
                 answer_bytes: MAX_ANSWER_BYTES,
             },
+            running: running::Counts::default(),
             trace: Trace::default(),
             next: AtomicU64::new(1),
             settings,
