Count upstreams by the host list, and race writers through the log

Cause: an entry host's count of upstreams is that of the fleet, not of its failure domain, and hosts other than the steward do not know what runs. The log's behaviour under races was shown for single cases only.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -4,7 +4,7 @@
 
 use argh::{FromArgValue, FromArgs};
 use kernel::request::Id;
-use platform::{http, log::Log};
+use platform::{hosts, http, log::Log};
 
 use crate::report::Report;
 
@@ -153,6 +153,12 @@
         Ok(Log::new(std::sync::Arc::new(http::Client::new(address))))
     }
 
+    /// The platform's host list, if a platform is named.
+    pub fn hosts(&self) -> Option<hosts::Client> {
+        let address = self.platform.or_else(|| platform_of_environment().ok());
+        address.map(hosts::Client::new)
+    }
+
     /// The entry hosts to ask.
     pub fn entries(&self) -> Result<Vec<SocketAddr>, Report> {
         if !self.entry.is_empty() {
--- a/crates/cli/src/command/status.rs
+++ b/crates/cli/src/command/status.rs
@@ -12,6 +12,9 @@
     table,
 };
 
+/// The state of a host that is gone.
+const DOWN: &str = "down";
+
 /// What one entry host says of itself and of what it sees.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 struct Host {
@@ -25,8 +28,6 @@
     members: Vec<Member>,
     #[serde(default)]
     engines: Vec<Engine>,
-    #[serde(default)]
-    upstreams: u64,
 }
 
 /// An entry host as another one sees it.
@@ -55,7 +56,8 @@
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 struct Loaded {
     name: String,
-    running: u64,
+    /// Requests that run on it; only its steward knows.
+    running: Option<u64>,
 }
 
 /// What is known of a failure domain.
@@ -67,8 +69,8 @@
     hosts: BTreeSet<String>,
     /// Hosts that answered and are ready.
     ready: BTreeSet<String>,
-    /// Upstreams that a host of the domain knows.
-    upstreams: u64,
+    /// Upstreams by the platform's host list, or engines that hosts know if it was not asked.
+    upstreams: usize,
     /// Engines by name, as their highest fencing number shows them.
     engines: BTreeMap<String, Engine>,
 }
@@ -90,12 +92,17 @@
             Answer::Failed(reason) => failed.push(format!("{address}: {reason}")),
         }
     }
+    let mut domains = by_domain(&hosts);
+    match arguments.hosts().map(|it| it.list()) {
+        Some(Ok(listed)) => count_listed(&mut domains, &listed),
+        Some(Err(error)) => failed.push(format!("host list: {error}")),
+        None => {}
+    }
     let code = match (hosts.is_empty(), failed.is_empty()) {
         (true, _) => Code::Unreachable,
         (false, false) => Code::Failed,
         (false, true) => Code::Ok,
     };
-    let domains = by_domain(&hosts);
     let human = show(&domains, &failed);
     let json = json!({ "domains": domains, "hosts": hosts, "unreachable": failed });
     Ok(Report::new(code, human, json))
@@ -107,22 +114,33 @@
         let domain = domains.entry(host.domain.clone()).or_default();
         domain.revisions.insert(host.revision);
         domain.hosts.insert(host.name.clone());
-        domain.upstreams = domain.upstreams.max(host.upstreams);
         if host.ready {
             domain.ready.insert(host.name.clone());
         }
-        for member in &host.members {
+        for member in host.members.iter().filter(|it| it.state != DOWN) {
             let domain = domains.entry(member.domain.clone()).or_default();
             domain.hosts.insert(member.host.clone());
         }
         for engine in &host.engines {
             let domain = domains.entry(engine.domain.clone()).or_default();
             keep_newest(&mut domain.engines, engine);
+            domain.upstreams = domain.engines.len();
         }
     }
     domains
 }
 
+/// Counts the upstreams of each domain as the platform's host list has them.
+fn count_listed(domains: &mut BTreeMap<String, Domain>, listed: &[platform::hosts::Host]) {
+    for domain in domains.values_mut() {
+        domain.upstreams = 0;
+    }
+    for instance in platform::hosts::instances(listed) {
+        let domain = domains.entry(instance.domain.to_string()).or_default();
+        domain.upstreams += 1;
+    }
+}
+
 fn keep_newest(engines: &mut BTreeMap<String, Engine>, engine: &Engine) {
     let known = engines.get(&engine.name);
     if known.is_none_or(|it| it.fence < engine.fence) {
--- a/crates/cli/tests/cli/hosts.rs
+++ b/crates/cli/tests/cli/hosts.rs
@@ -31,7 +31,7 @@
 
 const ONE: &str = r#"{"host":"e1","domain":"north","incarnation":3,"revision":7,"ready":true,
     "members":[{"host":"e1","domain":"north","state":"up"},{"host":"e2","domain":"south","state":"up"},
-               {"host":"e3","domain":"west","state":"suspect"}],
+               {"host":"e3","domain":"west","state":"suspect"},{"host":"e4","domain":"west","state":"down"}],
     "engines":[{"name":"g1","domain":"north","steward":"e1","fence":4,"state":"live",
                 "loaded":[{"name":"signs/bay-summary@7+1","running":2},{"name":"signs/gate@1+2","running":0}]},
                {"name":"g2","domain":"south","steward":null,"fence":1,"state":"live","loaded":[]}],
@@ -40,7 +40,7 @@
 const TWO: &str = r#"{"host":"e2","domain":"south","incarnation":1,"revision":6,"ready":false,
     "members":[{"host":"e2","domain":"south","state":"up"}],
     "engines":[{"name":"g2","domain":"south","steward":"e2","fence":2,"state":"leaving",
-                "loaded":[{"name":"cards/formula-card@11+1","running":1}]}],
+                "loaded":[{"name":"cards/formula-card@11+1","running":null}]}],
     "upstreams":1}"#;
 
 const ACCOUNT: &str = r#"{"request":"r/1","host":"e1",
@@ -57,6 +57,27 @@
     assert_snapshot!(place.run(&format!("status --output json {entries}")));
 }
 
+const LIST: &str = r#"{"hosts":[
+    {"name":"g1","address":"10.0.0.1:80","domain":"north","role":"engine","serves":"base-7b","state":"live"},
+    {"name":"b1","address":"10.0.0.2:80","domain":"north","role":"plain","serves":"barrier","state":"leaving"},
+    {"name":"g9","address":"10.0.0.3:80","domain":"west","role":"engine","serves":"base-7b","state":"live"},
+    {"name":"e1","address":"10.0.0.4:80","domain":"north","role":"entry","state":"live"}]}"#;
+
+/// Covers: with a platform the upstreams are those of its host list; a list that can't be read is
+/// said.
+#[test]
+fn status_with_host_list() {
+    let one = start(&[("/v1/status", ONE)]);
+    let platform = start(&[("/hosts", LIST)]);
+    let place = Place::new("status_with_host_list").with(platform.address());
+    let command = format!("status {}", entries(&[one.address()]));
+    assert_snapshot!(place.run(&command));
+    let empty = start(&[]);
+    let outcome = place.with(empty.address()).run(&command);
+    assert_eq!(outcome.code, Some(1));
+    assert!(outcome.stderr.contains("host list: "), "{outcome}");
+}
+
 /// Covers: entry hosts that do not answer are named, and the exit code says how many did.
 #[test]
 fn status_without_hosts() {
--- a/crates/platform/tests/store/main.rs
+++ b/crates/platform/tests/store/main.rs
@@ -3,3 +3,4 @@
 mod fake;
 mod journal;
 mod log;
+mod race;
