Check invariants over seeded event sequences; measure decision cost

The sequences found three faults, now mended: a load reserved while a slot was being freed took its token early, so that loads bunched to 8 in a second under a share of 5 and a burst of 2 (reservations now take no token, the load does); an engine that was out of reach lost its in-flight loads from the slot count; a second load of an adapter was possible there.

--- a/crates/experiment/examples/experiment.rs
+++ b/crates/experiment/examples/experiment.rs
@@ -4,11 +4,19 @@
 
 use argh::FromArgs;
 use experiment::{
-    deployment::Deployment, figures::Figures, fleet, naive, oracle, recovery::Course, report,
+    cost::{self, Cost},
+    deployment::Deployment,
+    figures::Figures,
+    fleet, naive, oracle,
+    recovery::Course,
+    report,
     scenario::Scenario,
 };
 use steward::Settings;
 
+/// Requests for which the cost of a decision is measured.
+const COST_REQUESTS: usize = 100_000;
+
 /// Measures the placement decisions on a simulated clock.
 #[derive(FromArgs)]
 struct Arguments {
@@ -27,6 +35,9 @@
     /// how many seeds are run and added up
     #[argh(option, default = "3")]
     seeds: u64,
+    /// measure what a decision costs instead
+    #[argh(switch)]
+    cost: bool,
     /// the half-life of popularity in seconds, for trials
     #[argh(option)]
     half_life: Option<u64>,
@@ -70,6 +81,10 @@
 
 fn main() {
     let arguments: Arguments = argh::from_env();
+    if arguments.cost {
+        print_costs(arguments.seed);
+        return;
+    }
     let chosen = |name: &str, word: &str| word == "all" || word == name;
     let deployments = [Deployment::maegesho(), Deployment::institute()];
     let skews = arguments.skew.map_or(vec![0.8, 1.0, 1.2], |it| vec![it]);
@@ -89,6 +104,28 @@
     }
 }
 
+fn print_costs(seed: u64) {
+    let costs = cost::SIZES.map(|it| cost::measure(it, COST_REQUESTS, seed));
+    println!("| engines | rank ns | steward of 21 ns | steward of all ns |");
+    println!("| --: | --: | --: | --: |");
+    for it in &costs {
+        println!(
+            "| {} | {} | {} | {} |",
+            it.engines, it.rank, it.steward, it.alone
+        );
+    }
+    let (first, last) = (costs[0], costs[costs.len() - 1]);
+    let slope = |cost: fn(&Cost) -> u128| {
+        cost::slope((first.engines, cost(&first)), (last.engines, cost(&last)))
+    };
+    println!(
+        "growth as a power of the engines: rank {:.2}, steward of 21 {:.2}, steward of all {:.2}",
+        slope(|it| it.rank),
+        slope(|it| it.steward),
+        slope(|it| it.alone),
+    );
+}
+
 fn compare(deployment: &Deployment, scenario: Scenario, skew: f64, arguments: &Arguments) {
     let mut own = Figures::default();
     let mut reference = Figures::default();
--- a/crates/steward/src/budget.rs
+++ b/crates/steward/src/budget.rs
@@ -65,6 +65,7 @@
     mode: Mode,
     account: Account,
     in_flight: u32,
+    reserved: u32,
     loan: Option<(Loan, Instant)>,
     lent_at: Option<Instant>,
     told: Option<(Demand, Instant)>,
@@ -87,6 +88,7 @@
             mode: Mode::Floor,
             account: Account::default(),
             in_flight: 0,
+            reserved: 0,
             loan: None,
             lent_at: None,
             told: None,
@@ -140,7 +142,8 @@
 
     /// Gives unused loans back to the pool.
     pub fn give_back(&mut self) {
-        self.account.returned += self.account.available();
+        let reserved = u64::from(self.reserved);
+        self.account.returned += self.account.available().saturating_sub(reserved);
         self.lent_at = None;
     }
 
@@ -183,13 +186,25 @@
         next.into_iter().chain(stale).min()
     }
 
-    /// Whether a load may begin now.
+    /// Whether a load may begin, or be reserved, now.
     pub fn is_ready(&mut self, now: Instant) -> bool {
         if self.mode == Mode::Pooled {
-            return self.account.available() > 0;
+            return self.account.available() > u64::from(self.reserved);
         }
         self.floor.refill(now);
-        self.in_flight < self.floor.limits.in_flight && self.floor.tokens + ROUNDING >= 1.0
+        let reserved = f64::from(self.reserved);
+        self.in_flight + self.reserved < self.floor.limits.in_flight
+            && self.floor.tokens + ROUNDING >= reserved + 1.0
+    }
+
+    /// Sets a load aside that begins when a slot has been freed for it.
+    pub fn reserve(&mut self) {
+        self.reserved += 1;
+    }
+
+    /// Ends a reservation, whether its load begins now or never.
+    pub fn unreserve(&mut self) {
+        self.reserved = self.reserved.saturating_sub(1);
     }
 
     /// Begins a load.
@@ -207,20 +222,6 @@
         self.account.ended = (self.account.ended + 1).min(self.account.used);
     }
 
-    /// Gives back a load that was begun but never reached the store.
-    pub fn undo(&mut self) {
-        self.in_flight = self.in_flight.saturating_sub(1);
-        match self.mode {
-            Mode::Pooled => {
-                self.account.used = self.account.used.saturating_sub(1).max(self.account.ended);
-            }
-            Mode::Floor => {
-                let depth = f64::from(self.floor.limits.full_speed);
-                self.floor.tokens = (self.floor.tokens + 1.0).min(depth);
-            }
-        }
-    }
-
     /// How long the load after `ahead` others has to wait for its turn; none if no load can begin.
     #[expect(clippy::cast_precision_loss, reason = "queues are short")]
     pub fn wait(&mut self, ahead: usize, now: Instant) -> Option<Duration> {
--- a/crates/steward/src/state/load.rs
+++ b/crates/steward/src/state/load.rs
@@ -119,7 +119,6 @@
     }
 
     fn begin(&mut self, adapter: Key<Adapter>, place: Place, now: Instant) {
-        self.budget.begin();
         self.pending.remove(&adapter);
         if let Some(it) = self.adapters.get_mut(adapter) {
             it.coming += 1;
@@ -138,6 +137,7 @@
     }
 
     fn order_load(&mut self, key: Key<Engine>, adapter: Key<Adapter>, now: Instant) {
+        self.budget.begin();
         let order = self.issue(key, Kind::Load, now);
         let Some(reference) = self.adapters.get(adapter).map(|it| it.reference.clone()) else {
             return;
@@ -166,6 +166,7 @@
     }
 
     fn order_unload(&mut self, key: Key<Engine>, index: usize, next: Key<Adapter>, now: Instant) {
+        self.budget.reserve();
         let order = self.issue(key, Kind::Unload, now);
         self.retire(key, index);
         let Some(engine) = self.engines.get_mut(key) else {
@@ -326,7 +327,7 @@
             return;
         };
         match result {
-            Settled::Done | Settled::NotLoaded => self.replace(key, index, next, now),
+            Settled::Done | Settled::NotLoaded => self.vacate(key, index, next),
             Settled::Busy => {
                 self.give_up(next);
                 self.keep_busy(key, index, now);
@@ -338,26 +339,18 @@
         }
     }
 
-    /// Loads the next adapter into a slot that has become free, if anybody still waits for it.
-    fn replace(&mut self, key: Key<Engine>, index: usize, next: Key<Adapter>, now: Instant) {
+    /// Frees a slot. The load that it was freed for, or a more urgent one, takes its turn at the
+    /// budget now, since the unload may have taken long.
+    fn vacate(&mut self, key: Key<Engine>, index: usize, next: Key<Adapter>) {
         if let Some(engine) = self.engines.get_mut(key) {
             engine.contents.remove(index);
         }
-        let is_wanted = self
-            .adapters
-            .get(next)
-            .is_some_and(|it| !it.waiting.is_empty());
-        let is_usable = self.engines.get(key).is_some_and(Engine::is_usable);
-        if is_wanted && is_usable {
-            self.order_load(key, next, now);
-        } else {
-            self.give_up(next);
-        }
+        self.give_up(next);
     }
 
-    /// Takes back a load that never reached the store.
+    /// Ends the reservation of a load; its waiting requests are placed anew.
     pub(super) fn give_up(&mut self, next: Key<Adapter>) {
-        self.budget.undo();
+        self.budget.unreserve();
         self.release_coming(next);
         self.requeue(next);
     }
--- a/crates/steward/src/state/stewardship.rs
+++ b/crates/steward/src/state/stewardship.rs
@@ -11,6 +11,7 @@
 
 use super::State;
 use crate::{
+    adapter::Adapter,
     engine::{Contact, Engine, Phase, Slot},
     event::{Action, Predecessor},
     route::{Change, Level},
@@ -66,11 +67,11 @@
         self.redirect_homeless(&engine.model);
     }
 
+    /// Withdraws an engine from new work. What it has loaded is settled by its next report.
     pub(super) fn down(&mut self, name: &Upstream) {
         let Some(key) = self.engine_names.get(name).copied() else {
             return;
         };
-        self.empty(key);
         let Some(engine) = self.engines.get_mut(key) else {
             return;
         };
@@ -79,10 +80,35 @@
         }
         engine.contact = Contact::Absent;
         let model = engine.model.clone();
+        self.retire_all(key);
         self.publish(key, Change::Gone);
         self.redirect_homeless(&model);
     }
 
+    fn retire_all(&mut self, key: Key<Engine>) {
+        for (index, adapter) in self.ready_slots(key) {
+            self.retire(key, index);
+            self.requeue(adapter);
+        }
+    }
+
+    fn enlist_all(&mut self, key: Key<Engine>) {
+        for (_, adapter) in self.ready_slots(key) {
+            self.enlist(key, adapter);
+        }
+    }
+
+    fn ready_slots(&self, key: Key<Engine>) -> Vec<(usize, Key<Adapter>)> {
+        let Some(engine) = self.engines.get(key) else {
+            return Vec::new();
+        };
+        let slots = engine.contents.iter().enumerate();
+        slots
+            .filter(|(_, it)| it.phase == Phase::Ready)
+            .map(|(index, it)| (index, it.adapter))
+            .collect()
+    }
+
     /// Sends requests elsewhere if no engine of theirs is left here.
     fn redirect_homeless(&mut self, model: &Model) {
         if self.has_engine_for(model) {
@@ -115,25 +141,15 @@
         }
         engine.state = state;
         let is_usable = engine.is_usable();
+        let is_known = engine.is_known();
         let model = engine.model.clone();
-        let slots: Vec<_> = engine
-            .contents
-            .iter()
-            .map(|it| (it.adapter, it.phase))
-            .collect();
-        if engine.is_known() {
+        if is_known {
             self.publish(key, Change::State(state));
         }
-        for (index, (adapter, phase)) in slots.into_iter().enumerate() {
-            if phase != Phase::Ready {
-                continue;
-            }
-            if is_usable {
-                self.enlist(key, adapter);
-            } else {
-                self.retire(key, index);
-                self.requeue(adapter);
-            }
+        if is_usable {
+            self.enlist_all(key);
+        } else {
+            self.retire_all(key);
         }
         self.redirect_homeless(&model);
     }
@@ -234,8 +250,12 @@
             return;
         }
         engine.contact = Contact::Known;
+        let is_usable = engine.is_usable();
         let joined = self.introduction(key);
         self.actions.extend(joined);
+        if is_usable {
+            self.enlist_all(key);
+        }
     }
 
     /// What a directory has to be told of an engine.
@@ -249,8 +269,10 @@
             fence: engine.fence,
             state: engine.state,
         };
-        let ready = engine.contents.iter().filter(|it| it.phase == Phase::Ready);
-        let loaded = ready.map(|it| Change::Loaded(it.loaded.reference.clone()));
+        let slots = engine.contents.iter();
+        let ready = slots.filter_map(|it| self.adapters.get(it.adapter));
+        let ready = ready.filter(|it| it.ready.contains(&key));
+        let loaded = ready.map(|it| Change::Loaded(it.reference.clone()));
         let changes = std::iter::once(joined)
             .chain([Change::Level(engine.published)])
             .chain(loaded);
--- /dev/null
+++ b/crates/steward/tests/invariants.rs
@@ -0,0 +1,500 @@
+//! What must hold after every event, checked over long seeded sequences of events in which orders
+//! fail, answers are lost, engines restart and leave, and stewardships are lost and taken.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::{Duration, Instant},
+};
+
+use kernel::{
+    permit::{Ask, Holder, Number, Outcome, Permit, Verdict},
+    reference::{Loaded, Reference},
+    request::Class,
+    service::{Fencing, Instance, Role, State as Availability},
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use steward::{Action, Event, Order, Predecessor, Settings, Settled, State, Ticket};
+
+const ENGINES: usize = 3;
+const SLOTS: u32 = 3;
+const CAPACITY: u32 = 4;
+const ADAPTERS: usize = 14;
+const RATE: f64 = 5.0;
+const DEPTH: u32 = 2;
+const IN_FLIGHT: u32 = 3;
+const STEPS: usize = 4_000;
+
+/// An engine as it truly is.
+#[derive(Default)]
+struct Engine {
+    loaded: BTreeMap<Loaded, u32>,
+    incarnation: u64,
+    fence: u64,
+    is_leaving: bool,
+}
+
+struct Command {
+    engine: usize,
+    loaded: Loaded,
+    is_load: bool,
+    incarnation: u64,
+}
+
+/// A request that waits for its answer.
+#[derive(Clone, Debug)]
+struct Open {
+    reference: Reference,
+    holder: Holder,
+    deadline: Instant,
+}
+
+/// A permit that is outstanding.
+struct Held {
+    engine: usize,
+    permit: Permit,
+    holder: Holder,
+    incarnation: u64,
+    until: Instant,
+}
+
+struct World {
+    random: StdRng,
+    state: State,
+    now: Instant,
+    engines: Vec<Engine>,
+    open: BTreeMap<Ticket, Open>,
+    answered: BTreeSet<Ticket>,
+    permits: BTreeMap<Number, Held>,
+    orders: BTreeMap<Order, Command>,
+    starts: Vec<Instant>,
+    tickets: u64,
+}
+
+impl World {
+    fn new(seed: u64) -> Self {
+        let settings = Settings {
+            capacity: CAPACITY,
+            max_waiting: 12,
+            longest_deadline: Duration::from_secs(8),
+            ..Settings::default()
+        };
+        let mut world = Self {
+            random: StdRng::seed_from_u64(seed),
+            state: State::new(settings),
+            now: Instant::now(),
+            engines: (0..ENGINES).map(|_| Engine::default()).collect(),
+            open: BTreeMap::new(),
+            answered: BTreeSet::new(),
+            permits: BTreeMap::new(),
+            orders: BTreeMap::new(),
+            starts: Vec::new(),
+            tickets: 0,
+        };
+        world.handle(Event::Share {
+            rate_per_second: RATE,
+            full_speed: DEPTH,
+            in_flight: IN_FLIGHT,
+        });
+        for engine in 0..ENGINES {
+            world.take(engine, Predecessor::None);
+        }
+        world
+    }
+
+    fn chance(&mut self, percent: u32) -> bool {
+        self.random.random_range(0..100) < percent
+    }
+
+    fn instance(&self, engine: usize) -> Instance {
+        Instance {
+            name: format!("e{engine}").parse().unwrap(),
+            address: "127.0.0.1:1".parse().unwrap(),
+            domain: "north".parse().unwrap(),
+            role: Role::Engine("base".parse().unwrap()),
+            state: if self.engines[engine].is_leaving {
+                Availability::Leaving
+            } else {
+                Availability::Live
+            },
+        }
+    }
+
+    fn take(&mut self, engine: usize, predecessor: Predecessor) {
+        self.engines[engine].fence += 1;
+        let event = Event::Took {
+            engine: self.instance(engine),
+            fence: self.engines[engine].fence,
+            fencing: Fencing::Ignored,
+            predecessor,
+        };
+        self.handle(event);
+        self.report(engine);
+    }
+
+    fn report(&mut self, engine: usize) {
+        let truth = &self.engines[engine];
+        let event = Event::Report {
+            engine: format!("e{engine}").parse().unwrap(),
+            asked: self.now,
+            incarnation: truth.incarnation,
+            slots: SLOTS,
+            loaded: truth.loaded.clone().into_iter().collect(),
+        };
+        self.handle(event);
+    }
+
+    fn handle(&mut self, event: Event) {
+        for action in self.state.handle(event, self.now) {
+            self.check(action);
+        }
+    }
+
+    fn check(&mut self, action: Action) {
+        match action {
+            Action::Answer { ticket, verdict } => self.check_answer(ticket, verdict),
+            Action::Redirect { ticket } => self.close(ticket),
+            Action::Load {
+                order,
+                engine,
+                loaded,
+                ..
+            } => self.check_load(order, index(engine.as_str()), loaded),
+            Action::Unload {
+                order,
+                engine,
+                loaded,
+                ..
+            } => self.check_unload(order, index(engine.as_str()), loaded),
+            _ => {}
+        }
+    }
+
+    /// Every request is answered once.
+    fn close(&mut self, ticket: Ticket) {
+        assert!(
+            self.open.remove(&ticket).is_some(),
+            "{ticket:?} was not open"
+        );
+        assert!(
+            self.answered.insert(ticket),
+            "{ticket:?} was answered before"
+        );
+    }
+
+    fn check_answer(&mut self, ticket: Ticket, verdict: Verdict) {
+        let open = self.open[&ticket].clone();
+        self.close(ticket);
+        let Verdict::Granted(permit) = verdict else {
+            return;
+        };
+        let engine = index(permit.upstream.as_str());
+        assert_eq!(permit.loaded.reference, open.reference);
+        assert!(
+            !self.engines[engine].is_leaving,
+            "a leaving engine got new work"
+        );
+        let on_engine = self.permits.values().filter(|it| it.engine == engine);
+        assert!(
+            on_engine.count() < CAPACITY as usize,
+            "the batch of e{engine} is full"
+        );
+        let held = Held {
+            engine,
+            holder: open.holder,
+            incarnation: self.engines[engine].incarnation,
+            until: self.now + permit.run_by,
+            permit,
+        };
+        self.permits.insert(held.permit.number, held);
+    }
+
+    /// Loads keep to the share, to the slots, and to one for each adapter of an engine.
+    fn check_load(&mut self, order: Order, engine: usize, loaded: Loaded) {
+        self.starts.push(self.now);
+        for span in [1, 4] {
+            let since = self.now.checked_sub(Duration::from_secs(span)).unwrap();
+            let count = self.starts.iter().filter(|it| **it > since).count();
+            #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+            let (count, span) = (count as f64, span as f64);
+            assert!(
+                count <= RATE * span + f64::from(DEPTH) + 1e-3,
+                "{count} loads in {span} s"
+            );
+        }
+        let loads = || self.orders.values().filter(|it| it.is_load);
+        assert!(
+            loads().count() < IN_FLIGHT as usize,
+            "too many loads in flight"
+        );
+        let here = || {
+            loads().filter(|it| {
+                it.engine == engine && it.incarnation == self.engines[engine].incarnation
+            })
+        };
+        assert!(
+            here().all(|it| it.loaded.reference != loaded.reference),
+            "two loads of {loaded}"
+        );
+        let used = self.engines[engine].loaded.len() + here().count();
+        assert!(
+            used < SLOTS as usize,
+            "e{engine} has no free slot for {loaded}"
+        );
+        self.command(order, engine, loaded, true);
+    }
+
+    /// Nothing that a permit pins is unloaded.
+    fn check_unload(&mut self, order: Order, engine: usize, loaded: Loaded) {
+        let incarnation = self.engines[engine].incarnation;
+        let mut permits = self.permits.values();
+        let is_pinned = permits.any(|it| {
+            it.engine == engine && it.permit.loaded == loaded && it.incarnation == incarnation
+        });
+        assert!(!is_pinned, "{loaded} is pinned");
+        self.command(order, engine, loaded, false);
+    }
+
+    fn command(&mut self, order: Order, engine: usize, loaded: Loaded, is_load: bool) {
+        let command = Command {
+            engine,
+            loaded,
+            is_load,
+            incarnation: self.engines[engine].incarnation,
+        };
+        self.orders.insert(order, command);
+    }
+
+    fn step(&mut self) {
+        match self.random.random_range(0..100) {
+            0..=34 => self.ask(),
+            35..=54 => self.release(),
+            55..=79 => self.end_order(),
+            80..=89 => self.pass(),
+            90..=93 => {
+                let engine = self.random.random_range(0..ENGINES);
+                self.report(engine);
+            }
+            94 => self.withdraw(),
+            95 => self.restart(),
+            96 => self.toggle_leaving(),
+            97 => self.hand_over(),
+            98 => self.holder_gone(),
+            _ => self.down(),
+        }
+    }
+
+    fn holder(&mut self) -> Holder {
+        Holder {
+            host: "entry".parse().unwrap(),
+            incarnation: self.random.random_range(1..=2),
+        }
+    }
+
+    fn ask(&mut self) {
+        self.tickets += 1;
+        let ticket = Ticket(self.tickets);
+        let skewed = self.random.random_range(0..ADAPTERS) * self.random.random_range(0..ADAPTERS)
+            / ADAPTERS;
+        let reference: Reference = format!("s/a{skewed}@1").parse().unwrap();
+        let remaining = Duration::from_millis(self.random.random_range(200..8_000));
+        let holder = self.holder();
+        let open = Open {
+            reference: reference.clone(),
+            holder: holder.clone(),
+            deadline: self.now + remaining,
+        };
+        self.open.insert(ticket, open);
+        let ask = Ask {
+            request: format!("r{}", self.tickets).parse().unwrap(),
+            holder,
+            reference,
+            model: "base".parse().unwrap(),
+            tenant: format!("t{}", self.random.random_range(0..3))
+                .parse()
+                .unwrap(),
+            class: Class::ALL[self.random.random_range(0..3)],
+            remaining,
+            prefix: 0,
+            max_tokens: 10,
+        };
+        self.handle(Event::Ask { ticket, ask });
+    }
+
+    fn release(&mut self) {
+        let count = self.permits.len();
+        if count == 0 {
+            return;
+        }
+        let at = self.random.random_range(0..count);
+        let number = *self.permits.keys().nth(at).unwrap();
+        self.permits.remove(&number);
+        let outcome = if self.chance(80) {
+            Outcome::Whole
+        } else {
+            Outcome::Unused
+        };
+        self.handle(Event::Release { number, outcome });
+    }
+
+    fn end_order(&mut self) {
+        let Some(order) = self.orders.keys().next().copied() else {
+            return;
+        };
+        let command = self.orders.remove(&order).unwrap();
+        let result = if self.engines[command.engine].incarnation == command.incarnation {
+            self.carry_out(&command)
+        } else {
+            Settled::Unknown
+        };
+        self.handle(Event::Ordered { order, result });
+    }
+
+    fn carry_out(&mut self, command: &Command) -> Settled {
+        let takes_effect = self.chance(90);
+        let is_answered = self.chance(92);
+        let engine = &mut self.engines[command.engine];
+        if takes_effect {
+            if command.is_load {
+                engine.loaded.insert(command.loaded.clone(), 0);
+            } else {
+                engine.loaded.remove(&command.loaded);
+            }
+        }
+        match (is_answered, takes_effect) {
+            (false, _) => Settled::Unknown,
+            (true, true) => Settled::Done,
+            (true, false) if command.is_load => Settled::Failed("the store refused".to_owned()),
+            (true, false) => Settled::Busy,
+        }
+    }
+
+    fn pass(&mut self) {
+        let millis = self.random.random_range(1..800);
+        let until = self.now + Duration::from_millis(millis);
+        while let Some(next) = self.state.next_tick().filter(|it| *it <= until) {
+            self.now = self.now.max(next);
+            self.forget_ended();
+            self.handle(Event::Tick);
+            let again = self.state.next_tick();
+            assert!(
+                again.is_none_or(|it| it > self.now),
+                "ticks make no progress"
+            );
+        }
+        self.now = until;
+        self.forget_ended();
+        self.handle(Event::Tick);
+        // Each caller hears its answer by its deadline.
+        let late = self.open.values().find(|it| it.deadline < self.now);
+        assert!(
+            late.is_none(),
+            "a request waits past its deadline: {late:?}"
+        );
+    }
+
+    /// Pins end by themselves soon after the deadline of their request.
+    fn forget_ended(&mut self) {
+        let now = self.now;
+        self.permits.retain(|_, it| it.until > now);
+    }
+
+    fn withdraw(&mut self) {
+        let Some(ticket) = self.open.keys().next().copied() else {
+            return;
+        };
+        self.open.remove(&ticket);
+        self.handle(Event::Withdraw { ticket });
+    }
+
+    fn restart(&mut self) {
+        let engine = self.random.random_range(0..ENGINES);
+        let truth = &mut self.engines[engine];
+        truth.incarnation += 1;
+        truth.loaded.clear();
+        self.report(engine);
+    }
+
+    fn toggle_leaving(&mut self) {
+        let engine = self.random.random_range(0..ENGINES);
+        self.engines[engine].is_leaving ^= true;
+        let instance = self.instance(engine);
+        self.handle(Event::Changed { engine: instance });
+    }
+
+    fn hand_over(&mut self) {
+        let engine = self.random.random_range(0..ENGINES);
+        self.handle(Event::Lost {
+            engine: format!("e{engine}").parse().unwrap(),
+        });
+        self.permits.retain(|_, it| it.engine != engine);
+        self.finish_orders(engine);
+        let predecessor = if self.chance(50) {
+            Predecessor::Released
+        } else {
+            Predecessor::Unknown
+        };
+        self.take(engine, predecessor);
+    }
+
+    /// What was ordered before a stewardship ends is over when the next one begins.
+    fn finish_orders(&mut self, engine: usize) {
+        let orders: Vec<_> = self
+            .orders
+            .iter()
+            .filter(|(_, it)| it.engine == engine)
+            .map(|(order, _)| *order)
+            .collect();
+        for order in orders {
+            self.orders.remove(&order);
+            self.handle(Event::Ordered {
+                order,
+                result: Settled::Unknown,
+            });
+        }
+    }
+
+    fn holder_gone(&mut self) {
+        let holder = self.holder();
+        self.permits.retain(|_, it| it.holder != holder);
+        self.handle(Event::HolderGone { holder });
+    }
+
+    fn down(&mut self) {
+        let engine = self.random.random_range(0..ENGINES);
+        self.handle(Event::Down {
+            engine: format!("e{engine}").parse().unwrap(),
+        });
+        self.report(engine);
+    }
+
+    /// Lets everything end: each request that still waits is answered.
+    fn drain(&mut self) {
+        for _ in 0..40 {
+            self.pass();
+            while !self.orders.is_empty() {
+                self.end_order();
+            }
+        }
+        assert!(self.open.is_empty(), "never answered: {:?}", self.open);
+    }
+}
+
+fn index(engine: &str) -> usize {
+    engine[1..].parse().unwrap()
+}
+
+/// The invariants hold over seeded sequences of events.
+#[test]
+fn invariants_hold_over_seeded_sequences() {
+    for seed in 0..40 {
+        let mut world = World::new(seed);
+        for _ in 0..STEPS {
+            world.step();
+        }
+        world.drain();
+        assert!(
+            world.answered.len() > 100,
+            "seed {seed} asks for too little"
+        );
+    }
+}
