Keep the queue at the store short while it does not empty

With more misses than the store can load, the queue grew until deadlines cut it, which gave longer stalls and no more answers.

--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod adapter;
 mod budget;
+mod congestion;
 mod drift;
 mod engine;
 pub mod event;
--- a/crates/steward/src/state.rs
+++ b/crates/steward/src/state.rs
@@ -20,6 +20,7 @@
 use crate::{
     adapter::Adapter,
     budget::Budget,
+    congestion::Congestion,
     drift::Drift,
     engine::Engine,
     event::{Action, Event, Order},
@@ -80,6 +81,7 @@
     last_order: u64,
     budget: Budget,
     drift: Drift,
+    congestion: Congestion,
     store: Store,
     load_time: Duration,
     token_time: Duration,
@@ -109,6 +111,7 @@
             last_order: 0,
             budget: Budget::new(),
             drift: Drift::new(),
+            congestion: Congestion::default(),
             store: Store::default(),
             backlog: Backlog::default(),
             sweep_at: None,
@@ -227,6 +230,7 @@
 
     fn publish_backlog(&mut self, now: Instant) {
         let wait = self.budget.wait(self.pending.len(), now);
+        self.congestion.note(wait, now);
         let backlog = if self.store_is_down(now) {
             Backlog::Blocked
         } else {
--- a/crates/steward/src/state/admission.rs
+++ b/crates/steward/src/state/admission.rs
@@ -109,6 +109,9 @@
                 return Some(Fault::new(Kind::LoadFailed, detail).after(until - now));
             }
         }
+        if let Some(fault) = self.congested(key, ask, now) {
+            return Some(fault);
+        }
         let wait = self.expected_wait(key, now)?;
         if wait + self.service_time(ask.max_tokens) <= ask.remaining {
             return None;
@@ -122,6 +125,26 @@
         Some(Fault::new(kind, detail).after(wait))
     }
 
+    /// Keeps the queue at the store short when it does not empty by itself. A request that can
+    /// share the load of another one adds nothing to it.
+    fn congested(&mut self, key: Key<Adapter>, ask: &Ask, now: Instant) -> Option<Fault> {
+        let limit = self.congestion.limit(ask.class, now)?;
+        let adapter = self.adapters.get(key)?;
+        let is_shared = !adapter.ready.is_empty() || adapter.coming > 0;
+        if is_shared || self.pending.contains(&key) {
+            return None;
+        }
+        let wait = self.budget.wait(self.pending.len(), now)?;
+        if wait <= limit {
+            return None;
+        }
+        let detail = format!(
+            "the queue at the weight store is {} ms long",
+            wait.as_millis()
+        );
+        Some(Fault::new(Kind::Overloaded, detail).after(wait))
+    }
+
     /// How long a new request for an adapter would wait; none if that can't be told.
     fn expected_wait(&mut self, key: Key<Adapter>, now: Instant) -> Option<Duration> {
         let adapter = self.adapters.get(key)?;
