Spread changed entries at once and spare the seeds

Comparing versions once a second left entries behind: 16 hosts with 21 entries of 240 bytes each settled after 18.5 s and an entry took 5.34 s at most. All hosts joined their seed again and again: it carried 24.5 KB/s at 64 hosts, while the mean was 3.4 KB/s.

--- a/crates/member/src/message.rs
+++ b/crates/member/src/message.rs
@@ -40,12 +40,19 @@
     /// Says how much the sender knows of some hosts.
     Sync(Vec<Line>),
     /// Answers a `Sync`.
-    Delta {
-        /// Entries that the receiver lacks.
-        deltas: Vec<Delta>,
-        /// What the sender lacks, as far as it could see.
-        wanted: Vec<Line>,
-    },
+    Delta(Update),
+}
+
+/// The answer to a digest.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Update {
+    /// Entries that the receiver lacks.
+    pub deltas: Vec<Delta>,
+    /// What the sender lacks, as far as it could see.
+    pub wanted: Vec<Line>,
+    /// What the receiver will still lack after this answer, to be asked for in turn. This paces a
+    /// long transfer by the receiver.
+    pub remaining: Vec<Line>,
 }
 
 /// How much the sender knows of one host.
--- a/crates/member/src/settings.rs
+++ b/crates/member/src/settings.rs
@@ -24,6 +24,8 @@
     pub suspicion: Duration,
     /// Time between two comparisons of versions with a random member.
     pub sync_interval: Duration,
+    /// Shortest time between two comparisons after a change.
+    pub eager_sync_interval: Duration,
     /// Time between two tries to reach hosts that are not known to be alive.
     pub reconnect_interval: Duration,
     /// Time between two probes of a contact in another failure domain.
@@ -58,6 +60,7 @@
             indirect_timeout: Duration::from_millis(300),
             suspicion: Duration::from_secs(1),
             sync_interval: Duration::from_secs(1),
+            eager_sync_interval: Duration::from_millis(200),
             reconnect_interval: Duration::from_secs(2),
             contact_interval: Duration::from_secs(2),
             forget: Duration::from_hours(2),
@@ -67,7 +70,7 @@
             fanout: 3,
             detail: Detail::Fleet,
             contacts: 3,
-            digest_lines: 20,
+            digest_lines: 28,
             message_bytes: 1000,
             sync_burst: 4,
         }
--- a/crates/member/src/state.rs
+++ b/crates/member/src/state.rs
@@ -21,6 +21,7 @@
     random::{self, Generator},
     record::{Change, Condition, Intent, Member, Record, Standing},
     settings::{Detail, Settings},
+    sync::Fresh,
     table::{Peer, Table},
 };
 
@@ -111,6 +112,7 @@
     pub(crate) number: u64,
     pub(crate) order: Vec<u64>,
     pub(crate) cursor: u64,
+    pub(crate) fresh: Fresh,
     pub(crate) seeds: Vec<SocketAddr>,
     pub(crate) listed: BTreeMap<Host, Listing>,
     pub(crate) due: Due,
@@ -124,6 +126,7 @@
     pub period: Option<Instant>,
     pub contact: Option<Instant>,
     pub sync: Option<Instant>,
+    pub eager_sync: Option<Instant>,
     pub reconnect: Option<Instant>,
 }
 
@@ -167,6 +170,7 @@
             number: 0,
             order: Vec::new(),
             cursor: 0,
+            fresh: Fresh::default(),
             seeds: Vec::new(),
             listed: BTreeMap::new(),
             due: Due::default(),
@@ -223,7 +227,7 @@
 
     fn publish(&mut self, key: String, value: Option<Vec<u8>>) {
         if self.store.publish(key, value) == Effect::Changed {
-            self.cursor = 0;
+            self.fresh.add(self.my_id());
         }
     }
 
@@ -283,7 +287,7 @@
             Body::Relay { number, target } => self.relay(sender, number, target, now),
             Body::Join => self.introduce(sender),
             Body::Sync(lines) => self.compare(sender, &lines),
-            Body::Delta { deltas, wanted } => self.patch(sender, deltas, &wanted),
+            Body::Delta(update) => self.patch(sender, update),
         }
     }
 
@@ -367,7 +371,6 @@
             Standing::Alive | Standing::Down => None,
         };
         peer.down_at = died.then_some(now);
-        self.table.touch(id);
         self.announce(id);
         if other_life || died {
             self.drop_entries(id, &old.holder);
--- a/crates/member/src/sync.rs
+++ b/crates/member/src/sync.rs
@@ -1,9 +1,9 @@
 //! How hosts find and repair differences between what they know.
 
-use std::{collections::BTreeSet, net::SocketAddr, time::Instant};
+use std::{collections::BTreeMap, net::SocketAddr, time::Instant};
 
 use crate::{
-    message::{Body, Delta, Line},
+    message::{Body, Delta, Line, Update},
     news::{LARGEST_RECORD_BYTES, LINE_BYTES},
     random,
     record::Record,
@@ -17,45 +17,86 @@
 /// In one of this many turns a seed is tried although members are known.
 const SEED_TURNS: usize = 8;
 
+/// How often a change is compared with others before it is left to the regular turns.
+const FRESH_REPEATS: u32 = 3;
+
+/// Hosts of which something has changed that others may not have, and how often to compare it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Fresh(BTreeMap<u64, u32>);
+
+impl Fresh {
+    pub fn add(&mut self, id: u64) {
+        self.0.insert(id, FRESH_REPEATS);
+    }
+
+    fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
+    /// Up to `most` hosts, those that were compared least often first.
+    fn take(&mut self, most: usize) -> Vec<u64> {
+        let mut order: Vec<(u32, u64)> = self.0.iter().map(|(id, left)| (*left, *id)).collect();
+        order.sort_unstable_by(|a, b| b.cmp(a));
+        order.truncate(most);
+        for (left, id) in &order {
+            match left {
+                0 | 1 => self.0.remove(id),
+                _ => self.0.insert(*id, left - 1),
+            };
+        }
+        order.into_iter().map(|it| it.1).collect()
+    }
+}
+
 impl State {
-    /// Compares versions with a random member when that is due.
+    /// Compares versions with a random member when that is due: regularly, and sooner while there
+    /// are changes that the others may not have.
     pub(crate) fn sync(&mut self, now: Instant) {
-        if turn(&mut self.due.sync, self.settings.sync_interval, now) == Turn::Later {
+        let regular = turn(&mut self.due.sync, self.settings.sync_interval, now);
+        if regular == Turn::Later && self.fresh.is_empty() {
             return;
         }
-        for id in self.pick(1, |_| true) {
-            let lines = self.digest();
-            self.send_to(id, Body::Sync(lines));
-        }
+        let interval = self.settings.eager_sync_interval;
+        let eager = turn(&mut self.due.eager_sync, interval, now);
+        let mut ids = match (regular, eager) {
+            (Turn::Later, Turn::Later) => return,
+            (Turn::Later, Turn::Now) => Vec::new(),
+            (Turn::Now, _) => self.next_in_turn(),
+        };
+        let Some(target) = self.pick(1, |_| true).pop() else {
+            return;
+        };
+        let room = self.settings.digest_lines.saturating_sub(ids.len());
+        ids.extend(self.fresh.take(room));
+        ids.sort_unstable();
+        ids.dedup();
+        let lines = ids.into_iter().filter_map(|it| self.line(it)).collect();
+        self.send_to(target, Body::Sync(lines));
     }
 
-    /// Lines on the own host, on those that changed last, and on some of the others in turn.
-    fn digest(&mut self) -> Vec<Line> {
-        let most = self.settings.digest_lines;
+    /// The own host and some of the others in turn, to fill most of a digest.
+    fn next_in_turn(&mut self) -> Vec<u64> {
+        let cursor = self.cursor;
         let near = self
             .table
             .iter()
-            .filter(|(_, it)| !it.is_down() && self.is_near(&it.record));
-        let mut recent: Vec<(u64, u64)> = near.clone().map(|(id, it)| (it.touched, id)).collect();
-        recent.sort_unstable_by(|a, b| b.cmp(a));
-        let mut ids: Vec<u64> = recent.into_iter().map(|it| it.1).take(most / 2).collect();
-        let chosen: BTreeSet<u64> = ids.iter().copied().collect();
-        let cursor = self.cursor;
-        let later = near.clone().filter(|(id, _)| *id > cursor);
-        let earlier = near.filter(|(id, _)| *id <= cursor);
-        let rest = later
-            .chain(earlier)
-            .map(|it| it.0)
-            .filter(|it| !chosen.contains(it));
-        let rest: Vec<u64> = rest.take(most - most / 2).collect();
-        self.cursor = rest.last().copied().unwrap_or(0);
-        ids.extend(rest);
-        let own = table::line(&self.me, &self.store);
-        let others = ids
-            .iter()
-            .filter_map(|it| self.table.get(*it))
-            .map(table::Peer::line);
-        std::iter::once(own).chain(others).collect()
+            .filter(|(_, it)| !it.is_down() && self.is_near(&it.record))
+            .map(|it| it.0);
+        let later = near.clone().filter(|id| *id > cursor);
+        let earlier = near.filter(|id| *id <= cursor);
+        let most = self.settings.digest_lines * 3 / 4;
+        let mut ids: Vec<u64> = later.chain(earlier).take(most).collect();
+        self.cursor = ids.last().copied().unwrap_or(0);
+        ids.push(self.my_id());
+        ids
+    }
+
+    /// The digest line of a host, the own one included.
+    fn line(&self, id: u64) -> Option<Line> {
+        if id == self.my_id() {
+            return Some(table::line(&self.me, &self.store));
+        }
+        self.table.get(id).map(table::Peer::line)
     }
 
     /// Answers a digest with what its sender lacks and with what this host lacks.
@@ -64,14 +105,14 @@
         self.supply(sender.address, lines, wanted);
     }
 
-    /// Takes entries in and sends what is wanted in turn.
-    pub(crate) fn patch(&mut self, sender: &Record, deltas: Vec<Delta>, wanted: &[Line]) {
-        for delta in deltas {
+    /// Takes entries in, sends what is wanted, and asks for what remains.
+    pub(crate) fn patch(&mut self, sender: &Record, update: Update) {
+        for delta in update.deltas {
             self.apply(delta);
         }
-        if !wanted.is_empty() {
-            self.supply(sender.address, wanted, Vec::new());
-        }
+        let remaining = update.remaining.iter().filter_map(|it| self.lack(it));
+        let wanted: Vec<Line> = remaining.collect();
+        self.supply(sender.address, &update.wanted, wanted);
     }
 
     fn apply(&mut self, delta: Delta) {
@@ -87,7 +128,7 @@
         if fresh.is_empty() {
             return;
         }
-        self.table.touch(id);
+        self.fresh.add(id);
         self.out.extend(fresh.into_iter().map(|it| Output::Entry {
             owner: owner.clone(),
             key: it.key,
@@ -118,22 +159,42 @@
         let outdated = lines.iter().filter(|it| self.is_outdated(it));
         let mut records: Vec<u64> = outdated.map(|it| it.id).collect();
         let mut lines = lines.to_vec();
-        for _ in 0..self.settings.sync_burst {
+        for last in (0..self.settings.sync_burst).rev() {
             let rest = records.split_off(records.len().min(DELTA_RECORDS));
-            let taken = LINE_BYTES * wanted.len() + LARGEST_RECORD_BYTES * records.len();
+            let reserved = if last == 0 { lines.len() } else { 0 };
+            let taken = LINE_BYTES * (wanted.len() + reserved);
+            let taken = taken + LARGEST_RECORD_BYTES * records.len();
             let mut room = self.settings.message_bytes.saturating_sub(taken);
             let deltas = self.deltas(&mut lines, &mut room);
             if deltas.is_empty() && wanted.is_empty() && records.is_empty() {
                 return;
             }
-            let wanted = std::mem::take(&mut wanted);
-            let body = Body::Delta { deltas, wanted };
+            let remaining = if last == 0 {
+                self.remaining(&lines)
+            } else {
+                Vec::new()
+            };
+            let body = Body::Delta(Update {
+                deltas,
+                wanted: std::mem::take(&mut wanted),
+                remaining,
+            });
             room += LARGEST_RECORD_BYTES * records.len();
             self.send_within(to, body, &records, room);
             records = rest;
         }
     }
 
+    /// The own lines of those hosts of which the given lines still lack entries.
+    fn remaining(&self, lines: &[Line]) -> Vec<Line> {
+        let own = |it: &Line| Some((*it, self.line(it.id)?));
+        let pairs = lines.iter().filter_map(own);
+        let behind = pairs.filter(|(theirs, own)| {
+            (theirs.incarnation, theirs.version) < (own.incarnation, own.version)
+        });
+        behind.map(|it| it.1).collect()
+    }
+
     fn is_outdated(&self, line: &Line) -> bool {
         let Some(belief) = self.belief(line.id) else {
             return false;
@@ -182,26 +243,40 @@
         if turn(&mut self.due.reconnect, interval, now) == Turn::Later {
             return;
         }
-        let alone = self.pick(1, |_| true).is_empty();
-        let seed_turn = self.random.below(SEED_TURNS) == 0;
-        if alone {
-            self.join(usize::MAX);
-        } else if seed_turn {
-            self.join(1);
+        if self.pick(1, |_| true).is_empty() {
+            self.join();
+        } else {
+            self.greet_seed();
         }
         self.call_dead();
         self.call_listed();
     }
 
-    fn join(&mut self, most: usize) {
-        let mut seeds = self.seeds.clone();
-        seeds.retain(|it| *it != self.me.address);
-        self.random.shuffle(&mut seeds);
-        for seed in seeds.into_iter().take(most) {
-            self.send(seed, Body::Join, &[]);
+    /// Asks all seeds for the hosts that they know.
+    fn join(&mut self) {
+        for seed in self.seeds.clone() {
+            if seed != self.me.address {
+                self.send(seed, Body::Join, &[]);
+            }
         }
     }
 
+    /// Now and then greets a seed that is not known, so that two parts of a fleet that have
+    /// forgotten each other meet again. It answers only if it lacks this host, since all hosts may
+    /// have the same seeds.
+    fn greet_seed(&mut self) {
+        if self.seeds.is_empty() || self.random.below(SEED_TURNS) > 0 {
+            return;
+        }
+        let seed = self.seeds[self.random.below(self.seeds.len())];
+        let known = |it: &table::Peer| it.record.address == seed && !it.is_down();
+        if seed == self.me.address || self.table.iter().any(|(_, it)| known(it)) {
+            return;
+        }
+        let own = table::line(&self.me, &self.store);
+        self.send(seed, Body::Sync(vec![own]), &[]);
+    }
+
     /// Tells a host that is held dead so, which refutes if it is not.
     fn call_dead(&mut self) {
         let dead: Vec<u64> = self
--- a/crates/member/src/table.rs
+++ b/crates/member/src/table.rs
@@ -20,8 +20,6 @@
     pub confirm_at: Option<Instant>,
     /// When the host was found dead.
     pub down_at: Option<Instant>,
-    /// Grows with each change, so that digests can begin with what is new.
-    pub touched: u64,
 }
 
 impl Peer {
@@ -52,7 +50,6 @@
 #[derive(Clone, Debug, Default)]
 pub struct Table {
     peers: BTreeMap<u64, Peer>,
-    changes: u64,
 }
 
 impl Table {
@@ -79,10 +76,8 @@
             store: Store::default(),
             confirm_at: None,
             down_at: None,
-            touched: 0,
         };
         self.peers.insert(id, peer);
-        self.touch(id);
         id
     }
 
@@ -90,14 +85,6 @@
         self.peers.remove(&id)
     }
 
-    /// Notes that something of a host has changed.
-    pub fn touch(&mut self, id: u64) {
-        self.changes += 1;
-        if let Some(peer) = self.peers.get_mut(&id) {
-            peer.touched = self.changes;
-        }
-    }
-
     /// The hosts of a failure domain that are not dead.
     pub fn in_domain<'a>(&'a self, domain: &'a Domain) -> impl Iterator<Item = (u64, &'a Peer)> {
         self.iter()
--- a/crates/wire/schema/comfreywing.capnp
+++ b/crates/wire/schema/comfreywing.capnp
@@ -77,6 +77,7 @@
   struct Update {
     deltas @0 :List(Delta);
     wanted @1 :List(Line);
+    remaining @2 :List(Line);
   }
 }
 
--- a/crates/wire/src/comfreywing_capnp.rs
+++ b/crates/wire/src/comfreywing_capnp.rs
@@ -3522,6 +3522,21 @@
             pub fn has_wanted(&self) -> bool {
                 !self.reader.get_pointer_field(1).is_null()
             }
+            #[inline]
+            pub fn get_remaining(
+                self,
+            ) -> ::capnp::Result<
+                ::capnp::struct_list::Reader<'a, crate::comfreywing_capnp::line::Owned>,
+            > {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(2),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_remaining(&self) -> bool {
+                !self.reader.get_pointer_field(2).is_null()
+            }
         }
 
         pub struct Builder<'a> {
@@ -3531,7 +3546,7 @@
             const STRUCT_SIZE: ::capnp::private::layout::StructSize =
                 ::capnp::private::layout::StructSize {
                     data: 0,
-                    pointers: 2,
+                    pointers: 3,
                 };
         }
         impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -3692,6 +3707,43 @@
             pub fn has_wanted(&self) -> bool {
                 !self.builder.is_pointer_field_null(1)
             }
+            #[inline]
+            pub fn get_remaining(
+                self,
+            ) -> ::capnp::Result<
+                ::capnp::struct_list::Builder<'a, crate::comfreywing_capnp::line::Owned>,
+            > {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(2),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_remaining(
+                &mut self,
+                value: ::capnp::struct_list::Reader<'_, crate::comfreywing_capnp::line::Owned>,
+            ) -> ::capnp::Result<()> {
+                ::capnp::traits::SetterInput::set_pointer_builder(
+                    self.builder.reborrow().get_pointer_field(2),
+                    value,
+                    false,
+                )
+            }
+            #[inline]
+            pub fn init_remaining(
+                self,
+                size: u32,
+            ) -> ::capnp::struct_list::Builder<'a, crate::comfreywing_capnp::line::Owned>
+            {
+                ::capnp::traits::FromPointerBuilder::init_pointer(
+                    self.builder.get_pointer_field(2),
+                    size,
+                )
+            }
+            #[inline]
+            pub fn has_remaining(&self) -> bool {
+                !self.builder.is_pointer_field_null(2)
+            }
         }
 
         pub struct Pipeline {
@@ -3706,17 +3758,17 @@
         }
         impl Pipeline {}
         mod _private {
-            pub(crate) static ENCODED_NODE: [::capnp::Word; 56] = [
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 76] = [
                 ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
                 ::capnp::word(207, 229, 206, 140, 253, 111, 19, 147),
                 ::capnp::word(25, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(31, 174, 144, 110, 61, 211, 105, 211),
-                ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(21, 0, 0, 0, 2, 1, 0, 0),
                 ::capnp::word(33, 0, 0, 0, 7, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 175, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(99, 111, 109, 102, 114, 101, 121, 119),
@@ -3724,21 +3776,28 @@
                 ::capnp::word(112, 58, 71, 111, 115, 115, 105, 112),
                 ::capnp::word(46, 85, 112, 100, 97, 116, 101, 0),
                 ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(12, 0, 0, 0, 3, 0, 4, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(41, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(69, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(64, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(64, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(92, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(1, 0, 0, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(61, 0, 0, 0, 58, 0, 0, 0),
+                ::capnp::word(89, 0, 0, 0, 58, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-                ::capnp::word(56, 0, 0, 0, 3, 0, 1, 0),
-                ::capnp::word(84, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(84, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(112, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(2, 0, 0, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(109, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(108, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(136, 0, 0, 0, 2, 0, 1, 0),
                 ::capnp::word(100, 101, 108, 116, 97, 115, 0, 0),
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -3763,11 +3822,25 @@
                 ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
                 ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(114, 101, 109, 97, 105, 110, 105, 110),
+                ::capnp::word(103, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(16, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(228, 21, 14, 104, 158, 86, 223, 142),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ];
             pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
                 match index {
                     0 => <::capnp::struct_list::Owned<crate::comfreywing_capnp::delta::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     1 => <::capnp::struct_list::Owned<crate::comfreywing_capnp::line::Owned> as ::capnp::introspect::Introspect>::introspect(),
+                    2 => <::capnp::struct_list::Owned<crate::comfreywing_capnp::line::Owned> as ::capnp::introspect::Introspect>::introspect(),
                     _ => ::capnp::introspect::panic_invalid_field_index(index),
                 }
             }
@@ -3786,9 +3859,9 @@
                     MEMBERS_BY_DISCRIMINANT,
                     MEMBERS_BY_NAME,
                 );
-            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2];
             pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 1];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[0, 2, 1];
             pub(crate) const TYPE_ID: u64 = 0x9313_6ffd_8cce_e5cf;
         }
     }
--- a/crates/wire/src/gossip.rs
+++ b/crates/wire/src/gossip.rs
@@ -6,7 +6,7 @@
 };
 use member::{
     Message, entry,
-    message::{Body, Delta, Entry, Line},
+    message::{Body, Delta, Entry, Line, Update},
     record::{Intent, Record, Standing},
 };
 
@@ -73,7 +73,7 @@
         }
         Body::Join => gossip.set_join(()),
         Body::Sync(lines) => write_lines(lines, gossip.init_sync(count(lines.len()))),
-        Body::Delta { deltas, wanted } => write_update(deltas, wanted, gossip.init_delta()),
+        Body::Delta(update) => write_update(update, gossip.init_delta()),
     }
 }
 
@@ -103,8 +103,15 @@
     }
 }
 
-fn write_update(deltas: &[Delta], wanted: &[Line], mut to: schema::gossip::update::Builder<'_>) {
+fn write_update(update: &Update, mut to: schema::gossip::update::Builder<'_>) {
+    let Update {
+        deltas,
+        wanted,
+        remaining,
+    } = update;
     write_lines(wanted, to.reborrow().init_wanted(count(wanted.len())));
+    let lines = to.reborrow().init_remaining(count(remaining.len()));
+    write_lines(remaining, lines);
     let mut list = to.init_deltas(count(deltas.len()));
     for (index, delta) in (0..).zip(deltas) {
         write_delta(delta, list.reborrow().get(index));
@@ -204,10 +211,11 @@
 
 fn read_update(update: schema::gossip::update::Reader<'_>) -> Result<Body, Invalid> {
     let deltas = field("delta.deltas", update.get_deltas())?;
-    Ok(Body::Delta {
+    Ok(Body::Delta(Update {
         deltas: deltas.iter().map(read_delta).collect::<Result<_, _>>()?,
         wanted: read_lines(field("delta.wanted", update.get_wanted())?),
-    })
+        remaining: read_lines(field("delta.remaining", update.get_remaining())?),
+    }))
 }
 
 fn read_delta(delta: schema::delta::Reader<'_>) -> Result<Delta, Invalid> {
--- a/crates/wire/tests/gossip.rs
+++ b/crates/wire/tests/gossip.rs
@@ -12,7 +12,7 @@
 use kernel::permit::Holder;
 use member::{
     Input, Me, Message, Output, Settings, State, entry,
-    message::{Body, Delta, Entry, Line},
+    message::{Body, Delta, Entry, Line, Update},
     random::Generator,
     record::{Intent, Record, Standing},
 };
@@ -76,10 +76,11 @@
         number: 5,
         target: "[::1]:7000".parse().unwrap(),
     };
-    let update = Body::Delta {
+    let update = Body::Delta(Update {
         deltas: vec![delta()],
         wanted: vec![line(1)],
-    };
+        remaining: vec![line(2)],
+    });
     let bodies = [
         Body::News,
         Body::Ping(7),
