--- a/crates/cli/tests/cli/edit.rs
+++ b/crates/cli/tests/cli/edit.rs
@@ -139,3 +139,33 @@
     ];
     insta::assert_debug_snapshot!(calls);
 }
+
+/// Covers: operators apply different files at once, as processes; each accepted edit is a revision
+/// of its own, and the others are told of the conflict.
+#[test]
+fn racing_operators() {
+    const OPERATORS: usize = 6;
+    let server = Server::start();
+    let place = Place::new("racing_operators").with(server.address());
+    for operator in 0..OPERATORS {
+        let name = format!("{operator}.yaml");
+        place.write(&name, text(&format!("s{operator}: {{kind: plain}}")));
+    }
+    let place = &place;
+    let codes: Vec<Option<i32>> = std::thread::scope(|scope| {
+        let runs =
+            (0..OPERATORS).map(|it| scope.spawn(move || place.run(&format!("apply {it}.yaml"))));
+        let runs: Vec<_> = runs.collect();
+        let outcomes = runs
+            .into_iter()
+            .map(|it| it.join().expect("the binary runs"));
+        outcomes.map(|it| it.code).collect()
+    });
+    let count = |code| codes.iter().filter(|it| **it == Some(code)).count();
+    assert_eq!(count(0) + count(3), OPERATORS, "{codes:?}");
+    let shown = place.run("show").stdout;
+    assert!(
+        shown.starts_with(&format!("revision: {}\n", count(0))),
+        "{codes:?}\n{shown}"
+    );
+}
--- a/crates/config/src/change.rs
+++ b/crates/config/src/change.rs
@@ -10,10 +10,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
+    persistent::Map,
     revision::Unreadable,
     serial,
     service::{Model, Service, Store, Tenant, Versions},
-    shard::Map,
     text::Text,
 };
 
--- a/crates/config/src/lib.rs
+++ b/crates/config/src/lib.rs
@@ -4,13 +4,13 @@
 pub mod fields;
 mod graph;
 pub mod node;
+pub mod persistent;
 pub mod problem;
 mod read;
 mod render;
 pub mod revision;
 mod serial;
 pub mod service;
-pub mod shard;
 pub mod text;
 pub mod unit;
 
--- a/crates/config/src/read.rs
+++ b/crates/config/src/read.rs
@@ -10,9 +10,9 @@
 use crate::{
     fields::{self, Fields},
     node::{Entry as Field, Node, Value},
+    persistent::Map,
     problem::{List, Sink},
     service::{Model, Store, Tenant},
-    shard::Map,
     text::{Edit, Text},
     unit,
 };
--- a/crates/config/src/read/service.rs
+++ b/crates/config/src/read/service.rs
@@ -8,11 +8,11 @@
 use crate::{
     fields::{self, Fields},
     node::{Entry as Field, Node, Value},
+    persistent::Map,
     problem::{Place, Sink},
     service::{
         DEFAULT_DEADLINE, DEFAULT_RETRY_BUDGET, Kind, Repeat, Retry, Service, Versions, Weights,
     },
-    shard::Map,
     text::Entry,
     unit,
 };
--- a/crates/config/src/text.rs
+++ b/crates/config/src/text.rs
@@ -10,11 +10,11 @@
 
 use crate::{
     node,
+    persistent::Map,
     problem::List,
     read, render,
     revision::Number,
     service::{Kind, Model, Service, Store, Target, Tenant, Versions},
-    shard::Map,
 };
 
 /// Everything that the operators declare.
--- a/crates/platform/tests/store/journal.rs
+++ b/crates/platform/tests/store/journal.rs
@@ -212,3 +212,27 @@
     assert!(matches!(begin(&two, &key), Begin::Repeat(_)));
     assert_eq!(take(), [1, 1, 1]);
 }
+
+/// Covers: the journal over HTTP, with answers of the platform lost at every write.
+#[test]
+fn over_http() {
+    let server = standin::object::Server::start();
+    let open = |host: &str| {
+        let store = Arc::new(platform::http::Client::new(server.address()));
+        let host = host.parse().expect("a name");
+        let me = Holder {
+            host,
+            incarnation: 1,
+        };
+        Journal::new(store, me, Arc::new(System))
+    };
+    let (one, two) = (open("e1"), open("e2"));
+    server.set(standin::object::Switch::LoseAnswers(2));
+    let Begin::First(first) = begin(&one, "k") else {
+        panic!("nobody has begun");
+    };
+    assert!(matches!(begin(&two, "k"), Begin::Running));
+    assert_eq!(one.finish(first, 200, Vec::new(), b"open"), End::Recorded);
+    assert!(matches!(begin(&two, "k"), Begin::Repeat(_)));
+    assert_eq!(server.counts().lost, 2);
+}
