--- a/crates/platform/tests/store/journal.rs
+++ b/crates/platform/tests/store/journal.rs
@@ -185,3 +185,54 @@
     assert!(matches!(call(&other, last), Begin::Repeat(_)));
     assert!(matches!(call(&other, &keys[0]), Begin::First(_)));
 }
+
+/// Covers: what a keyed call costs the platform: two writes; a repeat one read on a host that
+/// knows the key, and a write, a list and a read on one that does not.
+#[test]
+fn calls_to_the_platform() {
+    let fake = Arc::new(Fake::default());
+    let (one, two) = (open(&fake, "e1"), open(&fake, "e2"));
+    let take = || ["get", "list", "create"].map(|it| fake.take_calls(it));
+    for journal in [&one, &two] {
+        assert!(!matches!(begin(journal, "warm"), Begin::Down(_)));
+    }
+    let same_shard = |it: &String| scope(it).digest().shard() == scope("warm").digest().shard();
+    let key = (0..100_000)
+        .map(|it| format!("k{it}"))
+        .find(same_shard)
+        .expect("there are more");
+    take();
+    let Begin::First(first) = begin(&one, &key) else {
+        panic!("nobody has begun");
+    };
+    assert_eq!(one.finish(first, 200, Vec::new(), b""), End::Recorded);
+    assert_eq!(take(), [0, 0, 2]);
+    assert!(matches!(begin(&one, &key), Begin::Repeat(_)));
+    assert_eq!(take(), [1, 0, 0]);
+    assert!(matches!(begin(&two, &key), Begin::Repeat(_)));
+    assert_eq!(take(), [1, 1, 1]);
+}
+
+/// Covers: the journal over HTTP, with answers of the platform lost at every write.
+#[test]
+fn over_http() {
+    let server = standin::object::Server::start();
+    let open = |host: &str| {
+        let store = Arc::new(platform::http::Client::new(server.address()));
+        let host = host.parse().expect("a name");
+        let me = Holder {
+            host,
+            incarnation: 1,
+        };
+        Journal::new(store, me, Arc::new(System))
+    };
+    let (one, two) = (open("e1"), open("e2"));
+    server.set(standin::object::Switch::LoseAnswers(2));
+    let Begin::First(first) = begin(&one, "k") else {
+        panic!("nobody has begun");
+    };
+    assert!(matches!(begin(&two, "k"), Begin::Running));
+    assert_eq!(one.finish(first, 200, Vec::new(), b"open"), End::Recorded);
+    assert!(matches!(begin(&two, "k"), Begin::Repeat(_)));
+    assert_eq!(server.counts().lost, 2);
+}
