Keep a part of the platform budget for calls that somebody waits for

Host list, shares and status are asked for again soon anyway, but a burst of them could use the budget up just when a keyed call has to be recorded or a stewardship taken. They now leave a quarter of the burst to essential calls.

--- a/crates/platform/src/budget.rs
+++ b/crates/platform/src/budget.rs
@@ -7,6 +7,8 @@
 
 use kernel::clock::Clock;
 
+use crate::object::Reason;
+
 /// Calls that may be made.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Rate {
@@ -16,6 +18,27 @@
     pub burst: u32,
 }
 
+/// Whether a call can be put off.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Importance {
+    /// Somebody waits for it.
+    Essential,
+    /// It is made again soon anyway; it leaves a part of the burst to essential calls.
+    Deferrable,
+}
+
+impl From<Reason> for Importance {
+    fn from(reason: Reason) -> Self {
+        match reason {
+            Reason::Config | Reason::Journal | Reason::Steward => Self::Essential,
+            Reason::Hosts | Reason::Share | Reason::Status => Self::Deferrable,
+        }
+    }
+}
+
+/// The part of the burst that only essential calls may use.
+const RESERVED_PART: f64 = 0.25;
+
 /// Whether a call may be made.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
@@ -56,21 +79,31 @@
     }
 
     /// Takes one call from the budget if it may be made now.
-    pub fn take(&self) -> Verdict {
+    pub fn take(&self, importance: Importance) -> Verdict {
         let now = self.clock.now();
         let mut state = self.state.lock().expect("budget lock is poisoned");
         state.refill(self.rate, now);
         if now < state.closed_until {
             return Verdict::Wait(state.closed_until - now);
         }
-        if state.tokens >= 1.0 {
+        let missing = 1.0 + self.reserve(importance) - state.tokens;
+        if missing <= 0.0 {
             state.tokens -= 1.0;
             return Verdict::Go;
         }
-        let wait = (1.0 - state.tokens) / self.rate.calls_per_second;
+        let wait = missing / self.rate.calls_per_second;
         Verdict::Wait(Duration::try_from_secs_f64(wait).unwrap_or(Duration::MAX))
     }
 
+    /// Calls that a call of this importance must leave in the budget.
+    fn reserve(&self, importance: Importance) -> f64 {
+        match importance {
+            Importance::Essential => 0.0,
+            // With one call at a time there is nothing to share out.
+            Importance::Deferrable => f64::from(self.rate.burst.saturating_sub(1)) * RESERVED_PART,
+        }
+    }
+
     /// Keeps every call back for a time that the platform asked for.
     pub fn close(&self, after: Duration) {
         let until = self.clock.now() + after;
--- a/crates/platform/src/http/link.rs
+++ b/crates/platform/src/http/link.rs
@@ -185,7 +185,7 @@
 
     /// Makes one call.
     pub fn call(&self, reason: Reason, request: &Request) -> Result<Answer, Failure> {
-        if let Verdict::Wait(after) = self.budget.take() {
+        if let Verdict::Wait(after) = self.budget.take(reason.into()) {
             self.held.fetch_add(1, Ordering::Relaxed);
             return Err(Failure::Throttled { after });
         }
