--- a/crates/experiment/src/deployment.rs
+++ b/crates/experiment/src/deployment.rs
@@ -71,6 +71,11 @@
         }
     }
 
+    /// Places in the batches of all engines.
+    pub fn places(&self) -> u32 {
+        u32::try_from(self.engines).unwrap_or(u32::MAX) * self.batch
+    }
+
     /// Adapter slots of all engines.
     pub fn total_slots(&self) -> usize {
         self.engines * self.slots as usize
--- a/crates/experiment/src/figures.rs
+++ b/crates/experiment/src/figures.rs
@@ -41,6 +41,10 @@
     pub busy: Micros,
     /// The sum of the running times of all requests.
     pub work: Micros,
+    /// The sum of the running times of the requests that were answered in time.
+    pub useful: Micros,
+    /// Places in the batches of all engines.
+    pub places: u32,
     /// Batch size.
     pub batch: u32,
     /// Length of the part that is counted.
@@ -74,6 +78,8 @@
         self.peak_in_flight = self.peak_in_flight.max(other.peak_in_flight);
         self.busy += other.busy;
         self.work += other.work;
+        self.useful += other.useful;
+        self.places = other.places;
         self.batch = other.batch;
         self.length += other.length;
     }
@@ -109,6 +115,11 @@
         permille(self.work, self.busy * u64::from(self.batch))
     }
 
+    /// The share of all places of the fleet that ran requests answered in time, in thousandths.
+    pub fn useful_permille(&self) -> u64 {
+        permille(self.useful, self.length * u64::from(self.places))
+    }
+
     /// Refusals of every kind.
     pub fn refused(&self) -> u64 {
         self.refusals.values().sum()
--- a/crates/experiment/src/fleet.rs
+++ b/crates/experiment/src/fleet.rs
@@ -103,6 +103,7 @@
     next: usize,
     steward: usize,
     stall: Micros,
+    run: Micros,
 }
 
 /// A fleet in the middle of a run.
@@ -171,6 +172,7 @@
             marked: (0, 0),
             figures: Figures {
                 batch: deployment.batch,
+                places: deployment.places(),
                 length: LENGTH - WARM_UP,
                 ..Figures::default()
             },
--- a/crates/experiment/src/fleet/entry.rs
+++ b/crates/experiment/src/fleet/entry.rs
@@ -127,6 +127,7 @@
                 self.figures.wrong += 1;
             }
         }
+        self.progress[request].run = run.last;
         self.plan(run.last, Happening::Finish(request, permit, incarnation));
     }
 
@@ -162,6 +163,7 @@
         }
         if self.now <= self.deadline(request) {
             self.figures.in_time += 1;
+            self.figures.useful += self.progress[request].run;
         } else {
             self.figures.misses += 1;
         }
--- a/crates/experiment/src/naive.rs
+++ b/crates/experiment/src/naive.rs
@@ -61,6 +61,7 @@
     agenda: Agenda<Happening>,
     nodes: Vec<Node>,
     phases: Vec<Phase>,
+    runs: Vec<Micros>,
     store: Store,
     pump_at: Option<Micros>,
     marked: (Micros, Micros),
@@ -82,11 +83,13 @@
         agenda: Agenda::default(),
         nodes: (0..deployment.engines).map(node).collect(),
         phases: vec![Phase::Waiting; trace.len()],
+        runs: vec![0; trace.len()],
         store: Store::new(deployment),
         pump_at: None,
         marked: (0, 0),
         figures: Figures {
             batch: deployment.batch,
+            places: deployment.places(),
             length: LENGTH - WARM_UP,
             ..Figures::default()
         },
@@ -217,6 +220,7 @@
         }
         let incarnation = node.machine.incarnation;
         self.phases[request] = Phase::Running;
+        self.runs[request] = run.last;
         if self.counts(request) {
             let stall = self.now - self.trace[request].at;
             self.figures.stalls.push((stall, self.trace[request].at));
@@ -315,6 +319,7 @@
             let arrival = &self.trace[request];
             if is_whole && self.now <= arrival.at + arrival.patience {
                 self.figures.in_time += 1;
+                self.figures.useful += self.runs[request];
             } else {
                 self.figures.misses += 1;
             }
--- a/crates/experiment/src/oracle.rs
+++ b/crates/experiment/src/oracle.rs
@@ -87,6 +87,7 @@
     let mut cache = Cache::new(trace, deployment.total_slots());
     let mut figures = Figures {
         batch: deployment.batch,
+        places: deployment.places(),
         ..Figures::default()
     };
     let mut arriving: HashMap<usize, Micros> = HashMap::new();
--- a/crates/experiment/src/report.rs
+++ b/crates/experiment/src/report.rs
@@ -14,8 +14,8 @@
 /// The heading of a table of figures.
 pub const HEADING: &str = "\
 | policy | requests | stall p50 ms | p95 | p99 | max | stalled % | total stall s | first token p95 ms \
-| batch % | in time % | refused | misses | retries | loads | evictions | over rate | peak loads/s | peak in flight |
-| --- | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: |
+| batch % | useful % | in time % | refused | misses | retries | loads | evictions | over rate | peak loads/s | peak in flight |
+| --- | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: |
 ";
 
 /// One row of a table.
@@ -30,6 +30,7 @@
     let _ = write!(row, "| {} ", figures.total_stall() / 1_000_000);
     let _ = write!(row, "| {} ", millis(quantile(&first, 950)));
     let _ = write!(row, "| {} ", percent(figures.batch_permille()));
+    let _ = write!(row, "| {} ", percent(figures.useful_permille()));
     let in_time = permille(figures.in_time, figures.requests);
     let _ = write!(row, "| {} | {} ", percent(in_time), figures.refused());
     let counts = [
--- a/crates/steward/src/budget.rs
+++ b/crates/steward/src/budget.rs
@@ -102,7 +102,8 @@
         self.floor.refill(now);
     }
 
-    /// Takes in what the pool tells. From then on it is the only source of loads.
+    /// Takes in what the pool tells. It is the only source of loads once those of the floor have
+    /// ended.
     pub fn lent(&mut self, loan: Loan, now: Instant) {
         if loan.fence < self.account.fence {
             return;
@@ -117,12 +118,19 @@
             self.account.received = loan.total;
             self.lent_at = Some(now);
         }
-        self.mode = Mode::Pooled;
         self.loan = Some((loan, now));
     }
 
+    /// Whether the pool was heard of late.
+    fn hears_pool(&self, now: Instant) -> bool {
+        self.loan.is_some_and(|(_, at)| now < at + SILENCE)
+    }
+
     /// Falls back to the floor once the pool is sure to have set it aside.
     pub fn refresh(&mut self, now: Instant) {
+        if self.mode == Mode::Floor && self.hears_pool(now) && self.in_flight == 0 {
+            self.mode = Mode::Pooled;
+        }
         if self.mode == Mode::Pooled && self.fallback_at().is_some_and(|it| it <= now) {
             self.mode = Mode::Floor;
             self.floor.tokens = 0.0;
@@ -149,7 +157,7 @@
 
     /// What the pool has to be told now, if anything.
     pub fn demand(&mut self, wanted: usize, now: Instant) -> Option<Demand> {
-        let (_, heard) = self.loan?;
+        self.loan?;
         let demand = Demand {
             mode: self.mode,
             fence: self.account.fence,
@@ -158,8 +166,7 @@
             ended: self.account.ended,
             returned: self.account.returned,
         };
-        let is_silent = self.mode == Mode::Pooled && heard + SILENCE <= now;
-        if is_silent {
+        if self.mode == Mode::Pooled && !self.hears_pool(now) {
             return None;
         }
         if let Some((told, at)) = self.told
@@ -174,8 +181,8 @@
 
     /// When the pool has to be told something at the latest, or the floor takes over.
     pub fn next_contact(&self, now: Instant) -> Option<Instant> {
-        let (_, heard) = self.loan?;
-        let is_silent = self.mode == Mode::Pooled && heard + SILENCE <= now;
+        self.loan?;
+        let is_silent = self.mode == Mode::Pooled && !self.hears_pool(now);
         let loan = self.lent_at.filter(|_| self.account.available() > 0);
         let stale = loan.map(|it| it + LOAN_TIME);
         let next = if is_silent {
@@ -191,6 +198,9 @@
         if self.mode == Mode::Pooled {
             return self.account.available() > u64::from(self.reserved);
         }
+        if self.hears_pool(now) {
+            return false;
+        }
         self.floor.refill(now);
         let reserved = f64::from(self.reserved);
         self.in_flight + self.reserved < self.floor.limits.in_flight
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -2,12 +2,14 @@
 
 mod adapter;
 mod budget;
+pub mod circuit;
 mod congestion;
 mod drift;
 mod engine;
 pub mod event;
 mod permits;
 mod popularity;
+pub mod retry;
 pub mod route;
 pub mod settings;
 pub mod share;
--- a/crates/steward/src/share/pool.rs
+++ b/crates/steward/src/share/pool.rs
@@ -15,6 +15,9 @@
 /// How much later one load begins after it was lent than another.
 const JITTER: Duration = Duration::from_millis(10);
 
+/// No load takes longer than this.
+const LONGEST_LOAD: Duration = Duration::from_secs(20);
+
 /// Tolerance for rounding when tokens are compared, in tokens.
 const ROUNDING: f64 = 1e-6;
 
@@ -29,6 +32,7 @@
     ended: u64,
     returned: u64,
     served: Instant,
+    moved: Instant,
 }
 
 impl Borrower {
@@ -43,7 +47,12 @@
         u64::from(self.wanted).saturating_sub(under_way)
     }
 
-    fn in_flight(&self) -> u64 {
+    /// What was received long ago has ended, even if nobody says so. A loan that has not been
+    /// received may still be used.
+    fn in_flight(&self, now: Instant) -> u64 {
+        if now >= self.moved + LONGEST_LOAD {
+            return self.lent - self.received;
+        }
         self.lent.saturating_sub(self.ended + self.returned)
     }
 }
@@ -83,6 +92,7 @@
             ended: 0,
             returned: 0,
             served: now,
+            moved: now,
         };
         self.borrowers.entry(steward).or_insert(borrower);
     }
@@ -106,13 +116,16 @@
         if demand.fence != fence {
             return;
         }
-        it.received = it.received.max(demand.received).min(it.lent);
+        if demand.received > it.received {
+            it.received = demand.received.min(it.lent);
+            it.moved = now;
+        }
         it.ended = it.ended.max(demand.ended).min(it.lent);
         let returned = demand.returned.clamp(it.returned, it.lent);
         #[expect(clippy::cast_precision_loss, reason = "few loans come back at once")]
         let back = (returned - it.returned) as f64;
         it.returned = returned;
-        self.tokens = (self.tokens + back).min(self.depth());
+        self.tokens = (self.tokens + back).min(self.depth(now));
     }
 
     /// Lends what can be lent now, and tells `steward` how things stand in any case.
@@ -124,6 +137,7 @@
             if let Some(borrower) = self.borrowers.get_mut(&holder) {
                 borrower.lent += 1;
                 borrower.served = now;
+                borrower.moved = now;
             }
             if !told.contains(&holder) {
                 told.push(holder);
@@ -139,7 +153,7 @@
     pub fn next_lend(&self, now: Instant) -> Option<Instant> {
         let is_wanted = self.borrowers.values().any(|it| it.demand() > 0);
         let rate = self.rate(now);
-        if !is_wanted || rate <= 0.0 || !self.has_flight_room() {
+        if !is_wanted || rate <= 0.0 || !self.has_flight_room(now) {
             return None;
         }
         let missing = (1.0 - self.tokens).max(0.0);
@@ -171,7 +185,7 @@
 
     /// The steward with the longest queue; among equals the one that was served longest ago.
     fn next_borrower(&self, now: Instant) -> Option<Holder> {
-        if self.tokens + ROUNDING < 1.0 || !self.has_flight_room() {
+        if self.tokens + ROUNDING < 1.0 || !self.has_flight_room(now) {
             return None;
         }
         let waiting = self.borrowers.iter();
@@ -181,19 +195,27 @@
             .map(|(holder, _)| holder.clone())
     }
 
-    fn has_flight_room(&self) -> bool {
-        let in_flight: u64 = self.borrowers.values().map(Borrower::in_flight).sum();
+    /// A steward on its floor has one load in flight at most, besides none that was lent.
+    fn has_flight_room(&self, now: Instant) -> bool {
+        let borrowers = self.borrowers.values();
+        let in_flight: u64 = borrowers
+            .map(|it| it.in_flight(now).max(u64::from(it.is_reserved(now))))
+            .sum();
         in_flight < u64::from(self.limits.in_flight)
     }
 
-    fn depth(&self) -> f64 {
+    /// Each floor may begin a load at any time, so that less is left for a burst.
+    fn depth(&self, now: Instant) -> f64 {
+        let floors = self.borrowers.values().filter(|it| it.is_reserved(now));
+        let floors = u32::try_from(floors.count()).unwrap_or(u32::MAX);
+        let burst = f64::from(self.limits.full_speed.saturating_sub(floors));
         let jitter = self.limits.rate_per_second * JITTER.as_secs_f64();
-        (f64::from(self.limits.full_speed) - jitter).max(1.0)
+        (burst - jitter).max(1.0)
     }
 
     fn refill(&mut self, now: Instant) {
         let elapsed = now.saturating_duration_since(self.at).as_secs_f64();
-        self.tokens = (self.tokens + elapsed * self.rate(now)).min(self.depth());
+        self.tokens = (self.tokens + elapsed * self.rate(now)).min(self.depth(now));
         self.at = self.at.max(now);
     }
 }
--- /dev/null
+++ b/crates/steward/tests/retry.rs
@@ -0,0 +1,90 @@
+//! Retry budgets and circuits.
+
+use std::time::{Duration, Instant};
+
+use steward::{
+    circuit::{self, Circuit, Gate},
+    retry::{self, Attempt, Budget, Decision},
+};
+
+fn attempt(count: u32, now: Instant) -> Attempt {
+    Attempt {
+        count,
+        deadline: now + Duration::from_secs(10),
+        shortest: Duration::from_millis(100),
+        retry_after: None,
+    }
+}
+
+/// A service whose requests all fail sends at most a tenth more than it was sent, beside what it
+/// had saved.
+#[test]
+fn budgets_stop_retry_storms() {
+    let now = Instant::now();
+    let mut budget = Budget::new(retry::Settings::default());
+    let mut retries = 0;
+    for _ in 0..1_000 {
+        budget.earn();
+        if let Decision::After(_) = budget.decide(attempt(1, now), 0.5, now) {
+            retries += 1;
+        }
+    }
+    assert!((100..=120).contains(&retries), "{retries} retries");
+}
+
+/// A pause is jittered, doubles, and never comes before the time that the refusal named.
+#[test]
+fn pauses_back_off() {
+    let now = Instant::now();
+    let mut budget = Budget::new(retry::Settings::default());
+    let mut check = |attempt, random, expected| {
+        assert_eq!(budget.decide(attempt, random, now), expected);
+    };
+    check(
+        attempt(1, now),
+        1.0,
+        Decision::After(Duration::from_millis(50)),
+    );
+    check(
+        attempt(2, now),
+        1.0,
+        Decision::After(Duration::from_millis(100)),
+    );
+    check(
+        attempt(2, now),
+        0.25,
+        Decision::After(Duration::from_millis(25)),
+    );
+    check(attempt(3, now), 0.5, Decision::Exhausted);
+    let named = Attempt {
+        retry_after: Some(Duration::from_secs(3)),
+        ..attempt(1, now)
+    };
+    check(named, 0.5, Decision::After(Duration::from_secs(3)));
+    let late = Attempt {
+        retry_after: Some(Duration::from_secs(10)),
+        ..attempt(1, now)
+    };
+    check(late, 0.5, Decision::TooLate);
+}
+
+/// A circuit opens after failures in a row, lets one probe through after its pause, and waits
+/// twice as long after a failed probe.
+#[test]
+fn circuits_probe_one_at_a_time() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let mut circuit = Circuit::new(circuit::Settings::default());
+    for _ in 0..5 {
+        assert_eq!(circuit.pass(start), Gate::Open);
+        circuit.fail(1.0, start);
+    }
+    assert_eq!(circuit.pass(at(499)), Gate::Closed(at(500)));
+    assert_eq!(circuit.pass(at(500)), Gate::Probe);
+    assert_eq!(circuit.pass(at(600)), Gate::Closed(at(1_000)));
+    circuit.fail(1.0, at(700));
+    assert_eq!(circuit.pass(at(1_699)), Gate::Closed(at(1_700)));
+    assert_eq!(circuit.pass(at(1_700)), Gate::Probe);
+    circuit.succeed();
+    assert_eq!(circuit.pass(at(1_701)), Gate::Open);
+}
