--- /dev/null
+++ b/crates/entry/tests/fleet/answer.rs
@@ -0,0 +1,81 @@
+//! Every caller gets the whole answer to its own request, or is told that it did not.
+
+use std::thread;
+
+use standin::{
+    client::State,
+    engine::{Pace, Switch},
+};
+
+use crate::fixture::{
+    Delivery, Fixture, TOKENS, chat, chat_within, check_stream, check_whole, shape, wait,
+};
+
+const REFERENCE: &str = "signs/bay-summary@7";
+
+/// Covers: a stream that breaks after each of its chunks is resumed, for both kinds of answer.
+#[test]
+fn stream_that_breaks_anywhere_is_resumed() {
+    let it = Fixture::start(&shape());
+    for after in 0..TOKENS {
+        it.set_engines(&Switch::BreakStreams { after, times: 1 });
+        let id = format!("break-{after}");
+        let stream = chat(&id, REFERENCE, Delivery::Streamed).stream(it.entry(0).address());
+        check_stream(stream.unwrap(), REFERENCE);
+        assert_eq!(it.runs(&id).len(), 1);
+        it.set_engines(&Switch::BreakStreams { after, times: 1 });
+        let answer = chat(&id, REFERENCE, Delivery::Whole).send(it.entry(1).address());
+        check_whole(&answer.unwrap(), REFERENCE);
+    }
+}
+
+/// Covers: an engine that is lost in the middle of a stream; the cut answer is not taken for whole.
+#[test]
+fn lost_engine_breaks_the_answer_visibly() {
+    let it = Fixture::start(&shape());
+    it.set_engines(&Switch::Pace(Pace::Stepped));
+    let address = it.entry(0).address();
+    let reader = thread::spawn(move || {
+        let request = chat_within("lost", REFERENCE, Delivery::Streamed, "8000");
+        let mut stream = request.stream(address).unwrap();
+        let events: Vec<_> = stream.by_ref().collect();
+        (events, stream.state)
+    });
+    wait("the request runs", || !it.runs("lost").is_empty());
+    let counts = it.engine_counts();
+    let index = counts.iter().position(|it| !it.request("lost").is_empty());
+    let engine = &it.fleet.engines()[index.unwrap()];
+    engine.set(&Switch::Step(2)).unwrap();
+    wait("two tokens are made", || {
+        it.runs("lost").iter().any(|it| it.chunks == 2)
+    });
+    engine.process().kill();
+    let (events, state) = reader.join().unwrap();
+    assert!(!events.iter().any(standin::client::Event::is_done));
+    let last = events.last().unwrap();
+    assert_eq!(last.kind, "error");
+    assert_eq!(last.json()["error"]["ran"], "unknown");
+    assert_eq!(state, State::Broken);
+}
+
+/// Covers: two callers with one request id at the same time, through one host and through two.
+#[test]
+fn callers_with_one_id_get_their_own_answers() {
+    let it = Fixture::start(&shape());
+    let references = ["signs/bay-summary@6", REFERENCE, "cards/formula-card@12"];
+    let callers: Vec<_> = references
+        .iter()
+        .flat_map(|reference| [0, 1].map(|entry| (*reference, entry)))
+        .map(|(reference, entry)| {
+            let address = it.entry(entry).address();
+            thread::spawn(move || {
+                let stream = chat("same", reference, Delivery::Streamed).stream(address);
+                check_stream(stream.unwrap(), reference);
+            })
+        })
+        .collect();
+    for caller in callers {
+        caller.join().unwrap();
+    }
+    assert_eq!(it.runs("same").len(), 6);
+}
--- /dev/null
+++ b/crates/entry/tests/fleet/configuration.rs
@@ -0,0 +1,99 @@
+//! A configuration, once accepted, is in force everywhere and never reverts.
+
+use std::{fs, path::PathBuf, thread};
+
+use standin::{
+    control::{Outage, Power},
+    link::Path,
+    object,
+};
+
+use crate::fixture::{Fixture, shape, status, wait, wait_ready};
+
+/// A file with the example text plus one adapter of its own.
+struct File(PathBuf);
+
+impl File {
+    fn new(adapter: &str) -> Self {
+        let example = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/fleet.yaml");
+        let text = fs::read_to_string(example).unwrap();
+        let wanted = "      bay-summary: [6, 7]\n";
+        assert!(text.contains(wanted));
+        let text = text.replace(wanted, &format!("{wanted}      {adapter}: [1]\n"));
+        let name = format!("comfreywing-{}-{adapter}.yaml", std::process::id());
+        let path = std::env::temp_dir().join(name);
+        fs::write(&path, text).unwrap();
+        Self(path)
+    }
+}
+
+impl Drop for File {
+    fn drop(&mut self) {
+        let _ = fs::remove_file(&self.0);
+    }
+}
+
+fn revision(it: &Fixture, entry: usize) -> u64 {
+    let status = status(it.entry(entry));
+    status
+        .and_then(|it| it["revision"].as_u64())
+        .unwrap_or_default()
+}
+
+fn wait_revision(it: &Fixture, entries: &[usize], wanted: u64) {
+    wait(&format!("{entries:?} have revision {wanted}"), || {
+        entries.iter().all(|entry| revision(it, *entry) >= wanted)
+    });
+}
+
+/// Covers: the platform goes out right after the edit was accepted, one domain is cut from the
+/// platform but not from its peers, and a host is replaced meanwhile.
+#[test]
+fn accepted_edit_reaches_every_domain_and_stays() {
+    let mut shape = shape();
+    shape.links = Power::On;
+    let mut it = Fixture::start(&shape);
+    let cut = 1;
+    it.entry(cut).link().unwrap().set(Path::Frozen);
+    let file = File::new("after-cut");
+    it.apply(&file.0);
+    wait_revision(&it, &[0, 1, 2, 3], 2);
+    it.fleet
+        .set_objects(&object::Switch::Outage(Outage::Refuse))
+        .unwrap();
+    it.fleet.restart(2).unwrap();
+    wait_ready(it.entry(2));
+    assert!((0..4).all(|entry| revision(&it, entry) == 2));
+    it.fleet
+        .set_objects(&object::Switch::Outage(Outage::None))
+        .unwrap();
+    it.entry(cut).link().unwrap().set(Path::Open);
+    assert!((0..4).all(|entry| revision(&it, entry) == 2));
+}
+
+/// Covers: operators that race each other, with lost answers: each edit is accepted once or
+/// answered with a conflict, and all hosts end with the same text.
+#[test]
+fn racing_operators_are_told_of_the_conflict() {
+    let it = Fixture::start(&shape());
+    it.fleet
+        .set_objects(&object::Switch::LoseAnswers(1))
+        .unwrap();
+    let files: Vec<File> = (0..3).map(|it| File::new(&format!("race-{it}"))).collect();
+    let outcomes: Vec<(Option<i32>, String)> = thread::scope(|scope| {
+        let operators: Vec<_> = files
+            .iter()
+            .map(|file| scope.spawn(|| it.try_apply(&file.0)))
+            .collect();
+        operators.into_iter().map(|it| it.join().unwrap()).collect()
+    });
+    let accepted = outcomes.iter().filter(|it| it.0 == Some(0)).count();
+    assert!(accepted >= 1, "{outcomes:?}");
+    assert!(
+        outcomes.iter().all(|it| matches!(it.0, Some(0 | 3))),
+        "{outcomes:?}"
+    );
+    let last = 1 + u64::try_from(accepted).unwrap();
+    wait_revision(&it, &[0, 1, 2, 3], last);
+    assert!((0..4).all(|entry| revision(&it, entry) == last));
+}
--- /dev/null
+++ b/crates/entry/tests/fleet/fixture.rs
@@ -0,0 +1,251 @@
+//! A fleet with a text in force, and requests to it.
+
+use std::{
+    path::Path,
+    sync::{Condvar, Mutex},
+    time::{Duration, Instant},
+};
+
+use serde_json::{Value, json};
+use standin::{
+    client::{Answer, Request, State, Stream},
+    engine,
+    fleet::{Entry, Fleet, Shape, Upstream},
+};
+
+/// Fleets that run at the same time; each has about fifteen processes.
+const FLEETS: usize = 3;
+
+/// When waiting counts as a hang.
+const HANG: Duration = Duration::from_secs(90);
+
+/// Time between two looks.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Tokens of each answer.
+pub const TOKENS: u32 = 6;
+
+/// The text that is applied.
+const TEXT: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/fleet.yaml");
+
+static FREE: Mutex<usize> = Mutex::new(FLEETS);
+static FREED: Condvar = Condvar::new();
+
+/// Leave to run a fleet.
+struct Slot;
+
+impl Slot {
+    fn take() -> Self {
+        let free = FREE
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        let free = FREED.wait_while(free, |it| *it == 0);
+        *free.unwrap_or_else(std::sync::PoisonError::into_inner) -= 1;
+        Self
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        *FREE
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner) += 1;
+        FREED.notify_one();
+    }
+}
+
+/// A fleet with the example text in force.
+pub struct Fixture {
+    pub fleet: Fleet,
+    _slot: Slot,
+}
+
+/// Three engines, one in each failure domain, and the barrier service.
+pub fn shape() -> Shape {
+    Shape {
+        engines: 3,
+        plains: vec!["barrier".to_owned(), "registry".to_owned()],
+        ..Shape::default()
+    }
+}
+
+impl Fixture {
+    pub fn start(shape: &Shape) -> Self {
+        let slot = Slot::take();
+        let fleet = Fleet::start(shape).unwrap();
+        let it = Self { fleet, _slot: slot };
+        it.apply(Path::new(TEXT));
+        it.wait_ready();
+        it
+    }
+
+    /// Applies a text and gives the exit code.
+    pub fn try_apply(&self, file: &Path) -> (Option<i32>, String) {
+        let platform = self.fleet.platform().to_string();
+        let file = file.display().to_string();
+        let output = self.fleet.cli(&["apply", &file, "--platform", &platform]);
+        let output = output.unwrap();
+        let text = [output.stdout, output.stderr].concat();
+        (
+            output.status.code(),
+            String::from_utf8_lossy(&text).into_owned(),
+        )
+    }
+
+    pub fn apply(&self, file: &Path) {
+        let (code, text) = self.try_apply(file);
+        assert_eq!(code, Some(0), "{text}");
+    }
+
+    pub fn wait_ready(&self) {
+        for entry in self.fleet.entries() {
+            wait_ready(entry);
+        }
+    }
+
+    pub fn entry(&self, index: usize) -> &Entry {
+        self.fleet.entry(index)
+    }
+
+    /// What every engine ran of a request.
+    pub fn runs(&self, request: &str) -> Vec<engine::Entry> {
+        let counts = self.engine_counts();
+        let found = counts.iter().flat_map(|it| it.request(request));
+        found.cloned().collect()
+    }
+
+    pub fn engine_counts(&self) -> Vec<engine::Counts> {
+        let engines = self.fleet.engines().iter();
+        engines.map(|it| it.counts().unwrap()).collect()
+    }
+
+    pub fn set_engines(&self, switch: &engine::Switch) {
+        for engine in self.fleet.engines() {
+            engine.set(switch).unwrap();
+        }
+    }
+
+    /// How often the plain service `name` ran calls with a key.
+    pub fn ran_key(&self, name: &str, key: &str) -> u64 {
+        self.plain_counts(name)
+            .iter()
+            .map(|it| it.ran_key(key))
+            .sum()
+    }
+
+    pub fn plain_counts(&self, name: &str) -> Vec<standin::plain::Counts> {
+        self.plains(name).map(|it| it.counts().unwrap()).collect()
+    }
+
+    pub fn plains<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a Upstream> {
+        let plains = self.fleet.plains().iter();
+        plains.filter(move |it| it.name.starts_with(name))
+    }
+
+    /// The name of the steward of an engine, as an entry host knows it.
+    pub fn steward(&self, entry: usize, engine: &str) -> Option<String> {
+        let status = status(self.entry(entry))?;
+        let engines = status["engines"].as_array()?;
+        let found = engines.iter().find(|it| it["name"] == engine)?;
+        found["steward"].as_str().map(str::to_owned)
+    }
+
+    pub fn index_of(&self, entry: &str) -> usize {
+        let mut entries = self.fleet.entries().iter();
+        entries.position(|it| it.name == entry).unwrap()
+    }
+}
+
+pub fn status(entry: &Entry) -> Option<Value> {
+    let answer = Request::new("GET", "/v1/status").send(entry.address());
+    answer.ok().map(|it| it.json())
+}
+
+pub fn wait_ready(entry: &Entry) {
+    wait(&format!("{} is ready with a text", entry.name), || {
+        status(entry).is_some_and(|it| it["ready"] == true && it["revision"].as_u64() > Some(0))
+    });
+}
+
+/// Waits until something is so.
+pub fn wait(what: &str, mut is_so: impl FnMut() -> bool) {
+    let start = Instant::now();
+    while !is_so() {
+        assert!(start.elapsed() < HANG, "it hangs: {what}");
+        std::thread::sleep(POLL);
+    }
+}
+
+/// How an answer is wanted.
+#[derive(Clone, Copy)]
+pub enum Delivery {
+    Whole,
+    Streamed,
+}
+
+pub fn chat(id: &str, reference: &str, delivery: Delivery) -> Request {
+    chat_within(id, reference, delivery, "60000")
+}
+
+/// A chat request with a deadline in milliseconds.
+pub fn chat_within(id: &str, reference: &str, delivery: Delivery, deadline: &str) -> Request {
+    let body = json!({
+        "model": reference,
+        "messages": [{"role": "user", "content": "Which bays are free?"}],
+        "max_tokens": TOKENS,
+        "stream": matches!(delivery, Delivery::Streamed),
+    });
+    let mut request = Request::post("/v1/chat/completions", &body)
+        .with("x-request-id", id)
+        .with("x-deadline-ms", deadline);
+    request.timeout = HANG;
+    request
+}
+
+pub fn keyed(id: &str, key: &str) -> Request {
+    let mut request = Request::post("/services/barrier/open", &json!({"gate": 3}))
+        .with("x-request-id", id)
+        .with("x-deadline-ms", "20000")
+        .with("idempotency-key", key);
+    request.timeout = HANG;
+    request
+}
+
+/// The text that an engine makes of a reference.
+pub fn content(reference: &str) -> String {
+    let chunks: Vec<String> = (0..TOKENS).map(|it| format!("{reference}#{it} ")).collect();
+    chunks.concat()
+}
+
+/// Checks that an answer is whole and from the reference.
+pub fn check_whole(answer: &Answer, reference: &str) {
+    assert_eq!(answer.status, 200, "{}", answer.text());
+    let body = answer.json();
+    assert_eq!(body["model"], reference);
+    assert_eq!(body["choices"][0]["message"]["content"], content(reference));
+}
+
+/// Reads a stream to its end, checks that it is whole and from the reference.
+pub fn check_stream(mut stream: Stream, reference: &str) {
+    let mut text = String::new();
+    let mut done = 0;
+    for event in stream.by_ref() {
+        assert_eq!(event.kind, "", "{}", event.data);
+        if event.is_done() {
+            done += 1;
+            continue;
+        }
+        let body = event.json();
+        assert_eq!(body["model"], reference);
+        text.push_str(body["choices"][0]["delta"]["content"].as_str().unwrap());
+    }
+    assert_eq!(stream.state, State::Ended, "the answer broke off");
+    assert_eq!((done, text), (1, content(reference)));
+}
+
+/// The kind and the `ran` of a refusal.
+pub fn refusal(answer: &Answer) -> (String, String) {
+    let body = answer.json();
+    let field = |name: &str| body["error"][name].as_str().unwrap_or_default().to_owned();
+    (field("kind"), field("ran"))
+}
--- /dev/null
+++ b/crates/entry/tests/fleet/leaving.rs
@@ -0,0 +1,84 @@
+//! An upstream that leaves gets nothing new, and what runs on it ends.
+
+use std::thread;
+
+use standin::{
+    control::Power,
+    engine::{Pace, Switch},
+    hosts, plain,
+};
+
+use crate::fixture::{
+    Delivery, Fixture, TOKENS, chat, check_stream, check_whole, keyed, shape, wait,
+};
+
+const REFERENCE: &str = "signs/bay-summary@7";
+
+/// Covers: both signals for an engine, with a request in progress.
+#[test]
+fn leaving_engine_ends_its_work_and_gets_nothing_new() {
+    for by_list in [false, true] {
+        let it = Fixture::start(&shape());
+        it.set_engines(&Switch::Pace(Pace::Stepped));
+        let address = it.entry(0).address();
+        let reader = thread::spawn(move || {
+            let stream = chat("stays", REFERENCE, Delivery::Streamed).stream(address);
+            check_stream(stream.unwrap(), REFERENCE);
+        });
+        wait("the request runs", || !it.runs("stays").is_empty());
+        let counts = it.engine_counts();
+        let index = counts.iter().position(|it| !it.request("stays").is_empty());
+        let engine = &it.fleet.engines()[index.unwrap()];
+        if by_list {
+            let state = hosts::Switch::State(engine.name.clone(), hosts::State::Leaving);
+            it.fleet.set_hosts(&state).unwrap();
+            wait("every host knows", || {
+                (0..4).all(|entry| {
+                    let status = crate::fixture::status(it.entry(entry)).unwrap();
+                    let engines = status["engines"].as_array().unwrap();
+                    let found = engines.iter().find(|it| it["name"] == engine.name);
+                    found.is_some_and(|it| it["state"] == "leaving")
+                })
+            });
+        } else {
+            engine.set(&Switch::Leaving(Power::On)).unwrap();
+        }
+        for other in it.fleet.engines() {
+            other.set(&Switch::Pace(Pace::Timed)).unwrap();
+        }
+        engine.set(&Switch::Pace(Pace::Stepped)).unwrap();
+        // The first of these may still be refused by the engine itself, which tells the steward.
+        let warm = chat("warm", REFERENCE, Delivery::Whole).send(it.entry(1).address());
+        check_whole(&warm.unwrap(), REFERENCE);
+        let refused = it.engine_counts()[index.unwrap()].while_leaving;
+        for entry in 0..4 {
+            let id = format!("new-{entry}");
+            let answer = chat(&id, REFERENCE, Delivery::Whole).send(it.entry(entry).address());
+            check_whole(&answer.unwrap(), REFERENCE);
+        }
+        let counts = it.engine_counts();
+        let counts = &counts[index.unwrap()];
+        assert_eq!(counts.journal.len(), 1, "{:?}", counts.journal);
+        assert_eq!(counts.while_leaving, refused);
+        engine.set(&Switch::Step(TOKENS)).unwrap();
+        reader.join().unwrap();
+    }
+}
+
+/// Covers: a plain instance that says that it leaves is not asked again by the same host.
+#[test]
+fn leaving_instance_is_remembered() {
+    let it = Fixture::start(&shape());
+    let near: Vec<_> = it.plains("barrier").collect();
+    let entry = it.entry(0);
+    let own = near.iter().find(|it| it.domain == entry.domain).unwrap();
+    own.set(&plain::Switch::Leaving(Power::On)).unwrap();
+    for number in 0..3 {
+        let key = format!("leaving-{number}");
+        let answer = keyed(&key, &key).send(entry.address()).unwrap();
+        assert_eq!(answer.status, 200, "{}", answer.text());
+        assert_eq!(it.ran_key("barrier", &key), 1);
+    }
+    let counts: plain::Counts = own.counts().unwrap();
+    assert_eq!((counts.while_leaving, counts.ran()), (1, 0));
+}
