--- a/crates/journal/src/index.rs
+++ b/crates/journal/src/index.rs
@@ -1,6 +1,8 @@
 //! What a host knows of the keys of a shard.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
+
+use kernel::arena::{Arena, Key};
 
 use crate::{
     record::{Event, KEEP, Moment, Record, Start},
@@ -8,11 +10,27 @@
     segment::Number,
 };
 
-/// What is known of a key.
+/// One life of a host's process; many keys have the same.
 #[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) struct Life {
+    host: String,
+    incarnation: u64,
+}
+
+/// An attempt to begin a call, in few bytes.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Attempt {
+    /// The host's process.
+    pub(crate) life: Key<Life>,
+    /// The number of the attempt in it.
+    pub(crate) number: u64,
+}
+
+/// What is known of a key.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) struct Entry {
     /// The attempt that has the key.
-    pub(crate) start: Start,
+    pub(crate) attempt: Attempt,
     /// What must be the same when the key is used again.
     pub(crate) fingerprint: Digest,
     /// The call has ended by then.
@@ -39,6 +57,8 @@
 /// Keys with what is known of them.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Index {
+    lives: Arena<Life>,
+    by_host: HashMap<String, BTreeMap<u64, Key<Life>>>,
     entries: HashMap<Digest, Entry>,
     /// Keys in the order in which they began, so that old ones are found without a search.
     begun: VecDeque<(Moment, Digest)>,
@@ -70,7 +90,7 @@
         }
         let until = run_by.max(at).after(KEEP);
         let entry = Entry {
-            start: record.start.clone(),
+            attempt: self.attempt(&record.start),
             fingerprint,
             run_by,
             until,
@@ -81,12 +101,36 @@
     }
 
     fn end(&mut self, record: &Record, state: State) {
+        let attempt = self.attempt(&record.start);
         let known = self.entries.get_mut(&record.key);
-        if let Some(entry) = known.filter(|it| it.start == record.start) {
+        if let Some(entry) = known.filter(|it| it.attempt == attempt) {
             entry.state = state;
         }
     }
 
+    fn attempt(&mut self, start: &Start) -> Attempt {
+        let life = self.find(&start.host, start.incarnation);
+        Attempt {
+            life: life.unwrap_or_else(|| self.add(start)),
+            number: start.number,
+        }
+    }
+
+    fn add(&mut self, start: &Start) -> Key<Life> {
+        let life = self.lives.insert(Life {
+            host: start.host.clone(),
+            incarnation: start.incarnation,
+        });
+        let lives = self.by_host.entry(start.host.clone()).or_default();
+        lives.insert(start.incarnation, life);
+        life
+    }
+
+    /// The key of a host's process, if it has recorded anything.
+    pub(crate) fn find(&self, host: &str, incarnation: u64) -> Option<Key<Life>> {
+        self.by_host.get(host)?.get(&incarnation).copied()
+    }
+
     /// What is known of a key; nothing if the key is free.
     pub(crate) fn get(&self, key: Digest, now: Moment) -> Option<&Entry> {
         let entry = self.entries.get(&key)?;
@@ -96,7 +140,9 @@
 
     /// Whether an attempt has the key.
     pub(crate) fn holds(&self, key: Digest, start: &Start) -> bool {
-        self.entries.get(&key).is_some_and(|it| it.start == *start)
+        let entry = self.entries.get(&key);
+        let life = self.find(&start.host, start.incarnation);
+        entry.is_some_and(|it| Some(it.attempt.life) == life && it.attempt.number == start.number)
     }
 
     /// Drops keys whose time is over.
--- a/crates/journal/src/shard.rs
+++ b/crates/journal/src/shard.rs
@@ -164,7 +164,7 @@
         self.tickets += 1;
         self.calls
             .insert(ticket, Call::new(key, fingerprint, run_by));
-        self.settle(now);
+        self.examine(ticket, now);
         ticket
     }
 
--- a/crates/journal/src/shard/call.rs
+++ b/crates/journal/src/shard/call.rs
@@ -2,8 +2,8 @@
 
 use super::{Queued, Shard, Ticket, Verdict};
 use crate::{
-    index::State,
-    record::{Event, Moment, Record, Start},
+    index::{Entry, State},
+    record::{Event, Moment, Record},
     scope::Digest,
     segment::Number,
 };
@@ -118,7 +118,8 @@
         }
     }
 
-    fn examine(&mut self, ticket: Ticket, now: Moment) {
+    /// Finds out what a call has to wait for.
+    pub(super) fn examine(&mut self, ticket: Ticket, now: Moment) {
         let Some(call) = self.calls.get(&ticket) else {
             return;
         };
@@ -147,15 +148,16 @@
         match entry.state {
             State::Finished(segment) => Phase::Fetch(segment),
             State::Void => Phase::Fresh,
-            State::Started if self.is_own(&entry.start) => self.judge_own(call, entry.start.number),
+            State::Started if self.is_own(entry) => self.judge_own(call, entry.attempt.number),
             State::Started if call.view == View::Old => Phase::Refresh,
             State::Started if now < entry.run_by => Phase::Done(Verdict::Running),
             State::Started | State::Lost => Phase::Done(Verdict::Unknown),
         }
     }
 
-    fn is_own(&self, start: &Start) -> bool {
-        start.host == self.me.host.as_str() && start.incarnation == self.me.incarnation
+    fn is_own(&self, entry: &Entry) -> bool {
+        let own = self.index.find(self.me.host.as_str(), self.me.incarnation);
+        own == Some(entry.attempt.life)
     }
 
     fn judge_own(&self, call: &Call, number: u64) -> Phase {
