--- a/crates/journal/src/shard/result.rs
+++ b/crates/journal/src/shard/result.rs
@@ -40,12 +40,7 @@
         Ok(())
     }
 
-    pub(super) fn take_in(
-        &mut self,
-        number: Number,
-        bytes: &[u8],
-        now: Moment,
-    ) -> Result<(), Unreadable> {
+    fn take_in(&mut self, number: Number, bytes: &[u8], now: Moment) -> Result<(), Unreadable> {
         if number != self.next {
             return Err(Unreadable::Missing {
                 wanted: self.next,
@@ -63,7 +58,7 @@
         Ok(())
     }
 
-    pub(super) fn learn<'a>(&mut self, number: Number, records: impl Iterator<Item = &'a Record>) {
+    fn learn<'a>(&mut self, number: Number, records: impl Iterator<Item = &'a Record>) {
         let needed = records.map(|it| self.index.take_in(number, it)).max();
         self.floor.push(number, needed.unwrap_or(Moment(0)));
         self.next = number.next();
--- a/crates/journal/src/shard/step.rs
+++ b/crates/journal/src/shard/step.rs
@@ -39,7 +39,7 @@
         }
     }
 
-    pub(super) fn step_at_tail(&mut self) -> Step {
+    fn step_at_tail(&mut self) -> Step {
         if let Some(segment) = self.calls.values().find_map(Call::fetches) {
             return Step::Get { segment };
         }
@@ -51,7 +51,7 @@
 
     /// Whether too much time has passed since the end of the shard was seen. Segments that came
     /// since may have been deleted again, and their numbers would be free.
-    pub(super) fn is_stale(&self, now: Moment) -> bool {
+    fn is_stale(&self, now: Moment) -> bool {
         self.tail == Tail::Seen && now >= self.seen_at.after(MAX_VIEW_AGE)
     }
 
@@ -75,7 +75,7 @@
         self.floor.record(floor);
     }
 
-    pub(super) fn launch(&mut self) -> Step {
+    fn launch(&mut self) -> Step {
         let count = Segment::fitting(self.queue.iter().map(|it| &it.record));
         let queued: Vec<Queued> = self.queue.drain(..count).collect();
         let writer = self.start();
