Keep a segment for as long as an older view may rely on it

Cause: the age of a segment was taken from its records alone. Ends of calls that are written late are over at once, so that their segments could be deleted while a host with an older view still counted on their places being taken; its write would have succeeded below the floor, unseen by the others.

Change: a segment says when it was made and is needed for 24 h from then at least. A view may be 6 h old, so that a host that reads a shard now and then reads only what is new instead of all of it.

Shown: verdicts::late_endings_keep_their_segments failed before (floor 41 when none was due) and passes now.

--- a/crates/journal/src/segment.rs
+++ b/crates/journal/src/segment.rs
@@ -3,7 +3,7 @@
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
-use crate::record::{Record, Start};
+use crate::record::{Moment, Record, Start};
 
 /// The largest segment in bytes, unless one record alone is larger.
 pub const MAX_BYTES: usize = 128 * 1024;
@@ -25,6 +25,8 @@
 pub struct Segment {
     /// The write that made it, by which its host recognises it after a lost answer.
     pub writer: Start,
+    /// When it was made.
+    pub at: Moment,
     /// The records, in order.
     pub records: Vec<Record>,
 }
--- a/crates/journal/src/shard.rs
+++ b/crates/journal/src/shard.rs
@@ -77,9 +77,10 @@
     Down(String),
 }
 
-/// How old the view of a shard's end may be when a segment is written; segments may be gone that
-/// are much older than that.
-pub const MAX_VIEW_AGE: Duration = Duration::from_hours(1);
+/// How old the view of a shard's end may be when a write begins, and how long the write may take.
+/// Both, and a write of another host that took as long, are over before the earliest segment that
+/// the view lacks can be deleted.
+pub const MAX_VIEW_AGE: Duration = Duration::from_hours(6);
 
 /// The state of one shard on one host.
 #[derive(Clone, Debug)]
--- a/crates/journal/src/shard/flight.rs
+++ b/crates/journal/src/shard/flight.rs
@@ -18,6 +18,7 @@
 pub(super) struct Flight {
     pub(super) segment: Number,
     pub(super) writer: Start,
+    pub(super) at: Moment,
     pub(super) queued: Vec<Queued>,
     pub(super) answer: Answer,
     /// Whether an attempt may have taken effect or may still do so.
@@ -34,24 +35,30 @@
 }
 
 impl Flight {
-    pub(super) fn new(segment: Number, writer: Start, queued: Vec<Queued>) -> Self {
+    pub(super) fn new(segment: Number, writer: Start, at: Moment, queued: Vec<Queued>) -> Self {
         Self {
             segment,
             writer,
+            at,
             queued,
             answer: Answer::Absent,
             doubtful: false,
         }
     }
 
+    /// The write; every attempt has the same content.
     pub(super) fn write(&self) -> Step {
-        let segment = Segment {
-            writer: self.writer.clone(),
-            records: self.queued.iter().map(|it| it.record.clone()).collect(),
-        };
         Step::Write {
             segment: self.segment,
-            bytes: segment.to_bytes(),
+            bytes: self.content().to_bytes(),
+        }
+    }
+
+    pub(super) fn content(&self) -> Segment {
+        Segment {
+            writer: self.writer.clone(),
+            at: self.at,
+            records: self.queued.iter().map(|it| it.record.clone()).collect(),
         }
     }
 
--- a/crates/journal/src/shard/result.rs
+++ b/crates/journal/src/shard/result.rs
@@ -2,7 +2,7 @@
 
 use super::{MAX_VIEW_AGE, Rest, Shard, Tail, Verdict, call::Phase, flight::Answer};
 use crate::{
-    record::{Event, Moment, Record},
+    record::{Event, KEEP, Moment},
     segment::{Number, Segment, Unreadable},
 };
 
@@ -49,7 +49,7 @@
         }
         let segment = Segment::from_bytes(number, bytes)?;
         let flight = self.flight.take();
-        self.learn(number, segment.records.iter());
+        self.learn(number, &segment);
         match flight {
             Some(flight) if flight.writer == segment.writer => self.land(flight, now),
             Some(flight) => self.requeue(flight),
@@ -58,9 +58,13 @@
         Ok(())
     }
 
-    fn learn<'a>(&mut self, number: Number, records: impl Iterator<Item = &'a Record>) {
-        let needed = records.map(|it| self.index.take_in(number, it)).max();
-        self.floor.push(number, needed.unwrap_or(Moment(0)));
+    fn learn(&mut self, number: Number, segment: &Segment) {
+        // Hosts whose view lacks this segment may still rely on its place being taken.
+        let mut needed = segment.at.after(KEEP);
+        for record in &segment.records {
+            needed = needed.max(self.index.take_in(number, record));
+        }
+        self.floor.push(number, needed);
         self.next = number.next();
     }
 
@@ -75,8 +79,7 @@
             self.reset();
             return;
         }
-        let records = flight.queued.iter().map(|it| &it.record);
-        self.learn(flight.segment, records);
+        self.learn(flight.segment, &flight.content());
         self.land(flight, now);
         self.refreshed();
         self.settle(now);
--- a/crates/journal/src/shard/step.rs
+++ b/crates/journal/src/shard/step.rs
@@ -35,18 +35,18 @@
             Tail::Unknown => Step::Find,
             Tail::Unread => Step::List { from: self.next },
             Tail::Seen if refresh => Step::List { from: self.next },
-            Tail::Seen => self.step_at_tail(),
+            Tail::Seen => self.step_at_tail(now),
         }
     }
 
-    fn step_at_tail(&mut self) -> Step {
+    fn step_at_tail(&mut self, now: Moment) -> Step {
         if let Some(segment) = self.calls.values().find_map(Call::fetches) {
             return Step::Get { segment };
         }
         if self.queue.is_empty() {
             return Step::Idle;
         }
-        self.launch()
+        self.launch(now)
     }
 
     /// Whether too much time has passed since the end of the shard was seen. Segments that came
@@ -75,11 +75,11 @@
         self.floor.record(floor);
     }
 
-    fn launch(&mut self) -> Step {
+    fn launch(&mut self, now: Moment) -> Step {
         let count = Segment::fitting(self.queue.iter().map(|it| &it.record));
         let queued: Vec<Queued> = self.queue.drain(..count).collect();
         let writer = self.start();
-        let flight = Flight::new(self.next, writer, queued);
+        let flight = Flight::new(self.next, writer, now, queued);
         let step = flight.write();
         self.flight = Some(flight);
         step
--- a/crates/journal/tests/verdicts.rs
+++ b/crates/journal/tests/verdicts.rs
@@ -401,3 +401,25 @@
     }
     assert_eq!(bench.verdict(1, "k", &[]), "running");
 }
+
+/// Covers: segments stay for as long as a host may rely on an older view of the shard, also those
+/// whose records were over when they were written.
+#[test]
+fn late_endings_keep_their_segments() {
+    let mut bench = Bench::new(1);
+    let names: Vec<String> = (0..40).map(|it| format!("k{it}")).collect();
+    let tickets: Vec<Ticket> = names.iter().map(|it| bench.begin(0, it)).collect();
+    bench.drive(0, &[]);
+    bench.now = bench.now.after(RUN_TIME + KEEP);
+    for (name, ticket) in names.iter().zip(tickets) {
+        if let Some(Verdict::First(start)) = bench.hosts[0].take(ticket) {
+            bench.end(0, name, &start, Event::Lost);
+        }
+    }
+    assert_eq!(bench.segments.len(), 41);
+    let written = bench.now;
+    bench.now = written.after(2 * MAX_VIEW_AGE);
+    assert_eq!(bench.hosts[0].floor(bench.now), None);
+    bench.now = written.after(2 * KEEP);
+    assert_eq!(bench.hosts[0].floor(bench.now), Some(Number(41)));
+}
