--- a/crates/journal/src/shard.rs
+++ b/crates/journal/src/shard.rs
@@ -108,6 +108,16 @@
     /// When the I/O began that saw the end of the shard last.
     seen_at: Moment,
     floor: Floor,
+    reading: Reading,
+}
+
+/// When a shard is read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Reading {
+    /// When a call needs it.
+    OnDemand,
+    /// At once.
+    Wanted,
 }
 
 /// How much of the shard this host has read.
@@ -150,6 +160,7 @@
             issued_at: Moment(0),
             seen_at: Moment(0),
             floor: Floor::default(),
+            reading: Reading::OnDemand,
         }
     }
 
@@ -224,6 +235,18 @@
         self.flight.is_some() || !self.queue.is_empty()
     }
 
+    /// Asks for the shard to be read before a call needs it.
+    pub fn warm(&mut self) {
+        if self.tail != Tail::Seen {
+            self.reading = Reading::Wanted;
+        }
+    }
+
+    /// Whether the shard is to be read before a call needs it, and has not been.
+    pub fn is_cold(&self) -> bool {
+        self.reading == Reading::Wanted
+    }
+
     /// How many keys are known.
     pub fn keys(&self) -> usize {
         self.index.len()
--- a/crates/journal/src/shard/call.rs
+++ b/crates/journal/src/shard/call.rs
@@ -1,6 +1,6 @@
 //! A call that waits for its verdict.
 
-use super::{Queued, Shard, Ticket, Verdict};
+use super::{Queued, Reading, Shard, Ticket, Verdict};
 use crate::{
     index::{Entry, State},
     record::{Event, Moment, Record},
@@ -87,6 +87,7 @@
     /// Notes that the end of the shard was seen by the I/O that just ended.
     pub(super) fn refreshed(&mut self) {
         self.seen_at = self.issued_at;
+        self.reading = Reading::OnDemand;
         for (_, call) in self.calls.range_mut(..self.issued) {
             call.view = View::Current;
         }
--- a/crates/journal/src/shard/step.rs
+++ b/crates/journal/src/shard/step.rs
@@ -1,7 +1,7 @@
 //! What the next I/O of a shard is.
 
 use super::{
-    MAX_VIEW_AGE, Shard, Step, Tail, Ticket,
+    MAX_VIEW_AGE, Reading, Shard, Step, Tail, Ticket,
     call::{Call, Phase},
     flight::{Answer, Flight, Queued},
     floor::Floor,
@@ -27,7 +27,8 @@
                 Answer::Absent => flight.write(),
             };
         }
-        if self.queue.is_empty() && self.calls.values().all(Call::is_done) {
+        let waits = !self.queue.is_empty() || !self.calls.values().all(Call::is_done);
+        if !waits && self.reading == Reading::OnDemand {
             return Step::Idle;
         }
         let refresh = self.calls.values().any(|it| it.phase == Phase::Refresh);
--- a/crates/platform/src/journal.rs
+++ b/crates/platform/src/journal.rs
@@ -146,6 +146,13 @@
         }
     }
 
+    /// Reads the shards before calls need them. Gives how many could not be read; they are read when
+    /// a call needs them.
+    pub fn warm(&self) -> usize {
+        let outcomes = self.lanes.iter().map(Lane::warm);
+        outcomes.filter(|it| *it == lane::Outcome::Failed).count()
+    }
+
     /// Deletes records whose time is over. One host of a fleet is enough; more do no harm. Gives
     /// how many shards could not be tidied because the platform failed or another host was faster.
     pub fn tidy(&self) -> usize {
--- a/crates/platform/src/journal/lane.rs
+++ b/crates/platform/src/journal/lane.rs
@@ -59,6 +59,15 @@
     Failed(Failure),
 }
 
+/// How driving a shard ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Outcome {
+    /// It has nothing left to do.
+    Done,
+    /// An I/O failed.
+    Failed,
+}
+
 /// Whether a turn brought the shard on.
 enum Turn {
     /// Something happened.
@@ -119,15 +128,32 @@
     }
 
     pub(super) fn flush(&self) -> End {
+        match self.drive_while(self.lock(), Shard::has_work) {
+            Outcome::Done => End::Recorded,
+            Outcome::Failed => End::Pending,
+        }
+    }
+
+    pub(super) fn warm(&self) -> Outcome {
         let mut inner = self.lock();
+        inner.shard.warm();
+        self.drive_while(inner, Shard::is_cold)
+    }
+
+    /// Carries out I/O while the shard wants it, until one fails.
+    fn drive_while<'a>(
+        &'a self,
+        mut inner: MutexGuard<'a, Inner>,
+        wants: fn(&Shard) -> bool,
+    ) -> Outcome {
         let failures = inner.failures;
-        while inner.shard.has_work() {
+        while wants(&inner.shard) {
             if inner.failures != failures {
-                return End::Pending;
+                return Outcome::Failed;
             }
             inner = self.drive_or_wait(inner, self.host.clock.now() + MAX_SLEEP);
         }
-        End::Recorded
+        Outcome::Done
     }
 
     pub(super) fn keys(&self) -> usize {
