Check long dependency chains in one pass, and keep small maps small

Cause: hostile texts were tried on the release build.

Change: the place of a service on the path is looked up, a long cycle is shown in part, and a map has no shards before its first entry.

--- a/crates/config/src/graph.rs
+++ b/crates/config/src/graph.rs
@@ -1,6 +1,6 @@
 //! Dependencies between services.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 use kernel::name::Service;
 
@@ -33,26 +33,35 @@
     F: Fn(&Service) -> &'a [Service],
 {
     let mut path = vec![(start, next(start).iter())];
+    let mut places = BTreeMap::from([(start, 0)]);
     while let Some((service, rest)) = path.last_mut() {
         let Some(dependency) = rest.next() else {
             done.insert(*service);
+            places.remove(*service);
             path.pop();
             continue;
         };
         if done.contains(dependency) {
             continue;
         }
-        if let Some(first) = path.iter().position(|(it, _)| *it == dependency) {
+        if let Some(first) = places.get(dependency).copied() {
             let on_cycle = path[first..].iter().map(|(it, _)| *it);
             found.push(on_cycle.chain([dependency]).cloned().collect());
             continue;
         }
+        places.insert(dependency, path.len());
         path.push((dependency, next(dependency).iter()));
     }
 }
 
-/// The cycle for messages: `a -> b -> a`.
+/// Services of a cycle that are named in a message.
+const MAX_SHOWN: usize = 20;
+
+/// The cycle for messages: `a -> b -> a`. The middle of a long one is left out.
 pub(crate) fn show(cycle: &[Service]) -> String {
-    let names: Vec<&str> = cycle.iter().map(Service::as_str).collect();
+    let mut names: Vec<&str> = cycle.iter().map(Service::as_str).collect();
+    if names.len() > MAX_SHOWN {
+        names.splice(MAX_SHOWN / 2..names.len() - MAX_SHOWN / 2, ["..."]);
+    }
     names.join(" -> ")
 }
--- a/crates/config/src/persistent.rs
+++ b/crates/config/src/persistent.rs
@@ -15,15 +15,17 @@
 /// A map of shards; copies share their equal shards.
 #[derive(Clone, Debug)]
 pub struct Map<K, V> {
+    /// No shards at all before the first entry, so that a small map is small.
     shards: Arc<Vec<Shard<K, V>>>,
+    empty: Shard<K, V>,
     len: usize,
 }
 
 impl<K, V> Default for Map<K, V> {
     fn default() -> Self {
-        let empty = Arc::new(BTreeMap::new());
         Self {
-            shards: Arc::new(vec![empty; SHARDS]),
+            shards: Arc::new(Vec::new()),
+            empty: Arc::new(BTreeMap::new()),
             len: 0,
         }
     }
@@ -42,7 +44,7 @@
 
     /// The value of a key.
     pub fn get(&self, key: &K) -> Option<&V> {
-        self.shards[index(key)].get(key)
+        self.shard(index(key)).get(key)
     }
 
     /// The value of a key, to be changed.
@@ -102,12 +104,18 @@
         &'a self,
         other: &'a Self,
     ) -> impl Iterator<Item = (&'a Shard<K, V>, &'a Shard<K, V>)> {
-        let pairs = self.shards.iter().zip(other.shards.iter());
-        pairs.filter(|(one, two)| !Arc::ptr_eq(one, two))
+        let all = (0..SHARDS).map(|it| (self.shard(it), other.shard(it)));
+        let both_empty = |one: &Shard<K, V>, two: &Shard<K, V>| one.is_empty() && two.is_empty();
+        all.filter(move |(one, two)| !Arc::ptr_eq(one, two) && !both_empty(one, two))
+    }
+
+    fn shard(&self, index: usize) -> &Shard<K, V> {
+        self.shards.get(index).unwrap_or(&self.empty)
     }
 
     fn shard_mut(&mut self, key: &K) -> &mut BTreeMap<K, V> {
         let shards = Arc::make_mut(&mut self.shards);
+        shards.resize(SHARDS, Arc::clone(&self.empty));
         Arc::make_mut(&mut shards[index(key)])
     }
 }
--- a/crates/config/tests/problems.rs
+++ b/crates/config/tests/problems.rs
@@ -106,6 +106,19 @@
     assert_snapshot!(problems(text));
 }
 
+/// Covers: a very long cycle is found in one pass and shown in part.
+#[test]
+fn long_cycle() {
+    let service = |it| {
+        format!(
+            "  s{it}: {{kind: plain, depends_on: [s{}]}}\n",
+            (it + 1) % 5_000
+        )
+    };
+    let services: Vec<String> = (0..5_000).map(service).collect();
+    assert_snapshot!(problems(format!("services:\n{}", services.concat())));
+}
+
 /// Covers: files that are no YAML document of the right shape.
 #[test]
 fn wrong_files() {
