--- a/crates/journal/src/shard.rs
+++ b/crates/journal/src/shard.rs
@@ -77,9 +77,10 @@
     Down(String),
 }
 
-/// How old the view of a shard's end may be when a segment is written; segments may be gone that
-/// are much older than that.
-pub const MAX_VIEW_AGE: Duration = Duration::from_hours(1);
+/// How old the view of a shard's end may be when a write begins, and how long the write may take.
+/// Both, and a write of another host that took as long, are over before the earliest segment that
+/// the view lacks can be deleted.
+pub const MAX_VIEW_AGE: Duration = Duration::from_hours(6);
 
 /// The state of one shard on one host.
 #[derive(Clone, Debug)]
@@ -107,6 +108,16 @@
     /// When the I/O began that saw the end of the shard last.
     seen_at: Moment,
     floor: Floor,
+    reading: Reading,
+}
+
+/// When a shard is read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Reading {
+    /// When a call needs it.
+    OnDemand,
+    /// At once.
+    Wanted,
 }
 
 /// How much of the shard this host has read.
@@ -149,6 +160,7 @@
             issued_at: Moment(0),
             seen_at: Moment(0),
             floor: Floor::default(),
+            reading: Reading::OnDemand,
         }
     }
 
@@ -164,7 +176,7 @@
         self.tickets += 1;
         self.calls
             .insert(ticket, Call::new(key, fingerprint, run_by));
-        self.settle(now);
+        self.examine(ticket, now);
         ticket
     }
 
@@ -223,6 +235,18 @@
         self.flight.is_some() || !self.queue.is_empty()
     }
 
+    /// Asks for the shard to be read before a call needs it.
+    pub fn warm(&mut self) {
+        if self.tail != Tail::Seen {
+            self.reading = Reading::Wanted;
+        }
+    }
+
+    /// Whether the shard is to be read before a call needs it, and has not been.
+    pub fn is_cold(&self) -> bool {
+        self.reading == Reading::Wanted
+    }
+
     /// How many keys are known.
     pub fn keys(&self) -> usize {
         self.index.len()
--- a/crates/journal/src/shard/step.rs
+++ b/crates/journal/src/shard/step.rs
@@ -1,7 +1,7 @@
 //! What the next I/O of a shard is.
 
 use super::{
-    MAX_VIEW_AGE, Shard, Step, Tail, Ticket,
+    MAX_VIEW_AGE, Reading, Shard, Step, Tail, Ticket,
     call::{Call, Phase},
     flight::{Answer, Flight, Queued},
     floor::Floor,
@@ -27,7 +27,8 @@
                 Answer::Absent => flight.write(),
             };
         }
-        if self.queue.is_empty() && self.calls.values().all(Call::is_done) {
+        let waits = !self.queue.is_empty() || !self.calls.values().all(Call::is_done);
+        if !waits && self.reading == Reading::OnDemand {
             return Step::Idle;
         }
         let refresh = self.calls.values().any(|it| it.phase == Phase::Refresh);
@@ -35,23 +36,23 @@
             Tail::Unknown => Step::Find,
             Tail::Unread => Step::List { from: self.next },
             Tail::Seen if refresh => Step::List { from: self.next },
-            Tail::Seen => self.step_at_tail(),
+            Tail::Seen => self.step_at_tail(now),
         }
     }
 
-    pub(super) fn step_at_tail(&mut self) -> Step {
+    fn step_at_tail(&mut self, now: Moment) -> Step {
         if let Some(segment) = self.calls.values().find_map(Call::fetches) {
             return Step::Get { segment };
         }
         if self.queue.is_empty() {
             return Step::Idle;
         }
-        self.launch()
+        self.launch(now)
     }
 
     /// Whether too much time has passed since the end of the shard was seen. Segments that came
     /// since may have been deleted again, and their numbers would be free.
-    pub(super) fn is_stale(&self, now: Moment) -> bool {
+    fn is_stale(&self, now: Moment) -> bool {
         self.tail == Tail::Seen && now >= self.seen_at.after(MAX_VIEW_AGE)
     }
 
@@ -75,11 +76,11 @@
         self.floor.record(floor);
     }
 
-    pub(super) fn launch(&mut self) -> Step {
+    fn launch(&mut self, now: Moment) -> Step {
         let count = Segment::fitting(self.queue.iter().map(|it| &it.record));
         let queued: Vec<Queued> = self.queue.drain(..count).collect();
         let writer = self.start();
-        let flight = Flight::new(self.next, writer, queued);
+        let flight = Flight::new(self.next, writer, now, queued);
         let step = flight.write();
         self.flight = Some(flight);
         step
