--- a/crates/cli/tests/cli/edit.rs
+++ b/crates/cli/tests/cli/edit.rs
@@ -114,3 +114,58 @@
         assert!(outcome.stderr.starts_with("the platform"), "{outcome}");
     }
 }
+
+/// Covers: a text of 23,000 adapters is applied, and a change of one adapter costs a few calls.
+#[test]
+fn many_adapters() {
+    let server = Server::start();
+    let place = Place::new("many_adapters").with(server.address());
+    let adapters: Vec<String> = (0..23_000)
+        .map(|it| format!("      a{it}: [1]\n"))
+        .collect();
+    let head = "models: {m: {}}\nservices:\n  s:\n    kind: model\n    model: m\n    adapters:\n";
+    let text = format!("{head}{}", adapters.concat());
+    place.write("one.yaml", &text);
+    let outcome = place.run("apply one.yaml");
+    assert_eq!(outcome.code, Some(0), "{outcome}");
+    let before = server.counts();
+    place.write("two.yaml", text.replace("a9: [1]", "a9: [1, 2]"));
+    assert_snapshot!(place.run("apply two.yaml"));
+    let after = server.counts();
+    let calls = [
+        after.reads - before.reads,
+        after.lists - before.lists,
+        after.writes - before.writes,
+    ];
+    insta::assert_debug_snapshot!(calls);
+}
+
+/// Covers: operators apply different files at once, as processes; each accepted edit is a revision
+/// of its own, and the others are told of the conflict.
+#[test]
+fn racing_operators() {
+    const OPERATORS: usize = 6;
+    let server = Server::start();
+    let place = Place::new("racing_operators").with(server.address());
+    for operator in 0..OPERATORS {
+        let name = format!("{operator}.yaml");
+        place.write(&name, text(&format!("s{operator}: {{kind: plain}}")));
+    }
+    let place = &place;
+    let codes: Vec<Option<i32>> = std::thread::scope(|scope| {
+        let runs =
+            (0..OPERATORS).map(|it| scope.spawn(move || place.run(&format!("apply {it}.yaml"))));
+        let runs: Vec<_> = runs.collect();
+        let outcomes = runs
+            .into_iter()
+            .map(|it| it.join().expect("the binary runs"));
+        outcomes.map(|it| it.code).collect()
+    });
+    let count = |code| codes.iter().filter(|it| **it == Some(code)).count();
+    assert_eq!(count(0) + count(3), OPERATORS, "{codes:?}");
+    let shown = place.run("show").stdout;
+    assert!(
+        shown.starts_with(&format!("revision: {}\n", count(0))),
+        "{codes:?}\n{shown}"
+    );
+}
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -23,9 +23,11 @@
 use crate::{
     directory::{Entry, Shared},
     inbox::{Inbox, Question, Reply},
+    lending::Lending,
     listed::Listed,
     readiness::Readiness,
     recent::Recent,
+    running,
     settings::Settings,
     trace::Trace,
 };
@@ -54,6 +56,8 @@
     pub listed: Listed,
     /// The way to the thread that owns the steward's state.
     pub inbox: Inbox,
+    /// The division of the weight store's limits.
+    pub lending: Lending,
     /// The engines that this host is steward of.
     pub held: Mutex<BTreeSet<Upstream>>,
     /// Engines whose exact report is wanted soon.
@@ -76,6 +80,8 @@
     pub engines: upstream::engine::Client,
     /// The client of plain services.
     pub plain: upstream::plain::Client,
+    /// The requests that run.
+    pub running: running::Counts,
     /// Metrics.
     pub metrics: Metrics,
     /// What was decided for recent requests.
@@ -188,6 +194,7 @@
             directory: Shared::new(settings.domain.clone()),
             listed: Listed::default(),
             inbox: Inbox::default(),
+            lending: Lending::default(),
             held: Mutex::default(),
             inspect: Mutex::default(),
             doubted: Mutex::default(),
@@ -200,6 +207,7 @@
             plain: upstream::plain::Client {
                 answer_bytes: MAX_ANSWER_BYTES,
             },
+            running: running::Counts::default(),
             trace: Trace::default(),
             next: AtomicU64::new(1),
             settings,
--- a/crates/steward/src/budget.rs
+++ b/crates/steward/src/budget.rs
@@ -65,6 +65,7 @@
     mode: Mode,
     account: Account,
     in_flight: u32,
+    reserved: u32,
     loan: Option<(Loan, Instant)>,
     lent_at: Option<Instant>,
     told: Option<(Demand, Instant)>,
@@ -87,6 +88,7 @@
             mode: Mode::Floor,
             account: Account::default(),
             in_flight: 0,
+            reserved: 0,
             loan: None,
             lent_at: None,
             told: None,
@@ -100,7 +102,8 @@
         self.floor.refill(now);
     }
 
-    /// Takes in what the pool tells. From then on it is the only source of loads.
+    /// Takes in what the pool tells. It is the only source of loads once those of the floor have
+    /// ended.
     pub fn lent(&mut self, loan: Loan, now: Instant) {
         if loan.fence < self.account.fence {
             return;
@@ -115,12 +118,19 @@
             self.account.received = loan.total;
             self.lent_at = Some(now);
         }
-        self.mode = Mode::Pooled;
         self.loan = Some((loan, now));
     }
 
+    /// Whether the pool was heard of late.
+    fn hears_pool(&self, now: Instant) -> bool {
+        self.loan.is_some_and(|(_, at)| now < at + SILENCE)
+    }
+
     /// Falls back to the floor once the pool is sure to have set it aside.
     pub fn refresh(&mut self, now: Instant) {
+        if self.mode == Mode::Floor && self.hears_pool(now) && self.in_flight == 0 {
+            self.mode = Mode::Pooled;
+        }
         if self.mode == Mode::Pooled && self.fallback_at().is_some_and(|it| it <= now) {
             self.mode = Mode::Floor;
             self.floor.tokens = 0.0;
@@ -140,13 +150,14 @@
 
     /// Gives unused loans back to the pool.
     pub fn give_back(&mut self) {
-        self.account.returned += self.account.available();
+        let reserved = u64::from(self.reserved);
+        self.account.returned += self.account.available().saturating_sub(reserved);
         self.lent_at = None;
     }
 
     /// What the pool has to be told now, if anything.
     pub fn demand(&mut self, wanted: usize, now: Instant) -> Option<Demand> {
-        let (_, heard) = self.loan?;
+        self.loan?;
         let demand = Demand {
             mode: self.mode,
             fence: self.account.fence,
@@ -155,8 +166,7 @@
             ended: self.account.ended,
             returned: self.account.returned,
         };
-        let is_silent = self.mode == Mode::Pooled && heard + SILENCE <= now;
-        if is_silent {
+        if self.mode == Mode::Pooled && !self.hears_pool(now) {
             return None;
         }
         if let Some((told, at)) = self.told
@@ -171,8 +181,8 @@
 
     /// When the pool has to be told something at the latest, or the floor takes over.
     pub fn next_contact(&self, now: Instant) -> Option<Instant> {
-        let (_, heard) = self.loan?;
-        let is_silent = self.mode == Mode::Pooled && heard + SILENCE <= now;
+        self.loan?;
+        let is_silent = self.mode == Mode::Pooled && !self.hears_pool(now);
         let loan = self.lent_at.filter(|_| self.account.available() > 0);
         let stale = loan.map(|it| it + LOAN_TIME);
         let next = if is_silent {
@@ -183,13 +193,28 @@
         next.into_iter().chain(stale).min()
     }
 
-    /// Whether a load may begin now.
+    /// Whether a load may begin, or be reserved, now.
     pub fn is_ready(&mut self, now: Instant) -> bool {
         if self.mode == Mode::Pooled {
-            return self.account.available() > 0;
+            return self.account.available() > u64::from(self.reserved);
+        }
+        if self.hears_pool(now) {
+            return false;
         }
         self.floor.refill(now);
-        self.in_flight < self.floor.limits.in_flight && self.floor.tokens + ROUNDING >= 1.0
+        let reserved = f64::from(self.reserved);
+        self.in_flight + self.reserved < self.floor.limits.in_flight
+            && self.floor.tokens + ROUNDING >= reserved + 1.0
+    }
+
+    /// Sets a load aside that begins when a slot has been freed for it.
+    pub fn reserve(&mut self) {
+        self.reserved += 1;
+    }
+
+    /// Ends a reservation, whether its load begins now or never.
+    pub fn unreserve(&mut self) {
+        self.reserved = self.reserved.saturating_sub(1);
     }
 
     /// Begins a load.
@@ -207,20 +232,6 @@
         self.account.ended = (self.account.ended + 1).min(self.account.used);
     }
 
-    /// Gives back a load that was begun but never reached the store.
-    pub fn undo(&mut self) {
-        self.in_flight = self.in_flight.saturating_sub(1);
-        match self.mode {
-            Mode::Pooled => {
-                self.account.used = self.account.used.saturating_sub(1).max(self.account.ended);
-            }
-            Mode::Floor => {
-                let depth = f64::from(self.floor.limits.full_speed);
-                self.floor.tokens = (self.floor.tokens + 1.0).min(depth);
-            }
-        }
-    }
-
     /// How long the load after `ahead` others has to wait for its turn; none if no load can begin.
     #[expect(clippy::cast_precision_loss, reason = "queues are short")]
     pub fn wait(&mut self, ahead: usize, now: Instant) -> Option<Duration> {
--- a/crates/steward/src/state.rs
+++ b/crates/steward/src/state.rs
@@ -20,6 +20,8 @@
 use crate::{
     adapter::Adapter,
     budget::Budget,
+    congestion::Congestion,
+    drift::Drift,
     engine::Engine,
     event::{Action, Event, Order},
     permits::Permits,
@@ -35,6 +37,9 @@
 /// Length of an answer until answers have been seen, in tokens.
 const INITIAL_TOKENS: u32 = 64;
 
+/// An adapter that is asked for less often than this, in asks a second, is forgotten.
+const FORGOTTEN_RATE: f64 = 1e-5;
+
 /// How often records of idle adapters are dropped.
 const SWEEP_INTERVAL: Duration = Duration::from_secs(30);
 
@@ -75,6 +80,8 @@
     orders: BTreeMap<Order, Issued>,
     last_order: u64,
     budget: Budget,
+    drift: Drift,
+    congestion: Congestion,
     store: Store,
     load_time: Duration,
     token_time: Duration,
@@ -103,6 +110,8 @@
             orders: BTreeMap::new(),
             last_order: 0,
             budget: Budget::new(),
+            drift: Drift::new(),
+            congestion: Congestion::default(),
             store: Store::default(),
             backlog: Backlog::default(),
             sweep_at: None,
@@ -120,6 +129,7 @@
                 fencing,
                 predecessor,
             } => self.took(engine, fence, fencing, predecessor, now),
+            Event::PredecessorEnded { engine } => self.predecessor_ended(&engine, now),
             Event::Lost { engine } => self.lost(&engine),
             Event::Changed { engine } => self.changed(&engine, now),
             Event::Down { engine } => self.down(&engine),
@@ -221,6 +231,7 @@
 
     fn publish_backlog(&mut self, now: Instant) {
         let wait = self.budget.wait(self.pending.len(), now);
+        self.congestion.note(wait, now);
         let backlog = if self.store_is_down(now) {
             Backlog::Blocked
         } else {
@@ -269,7 +280,7 @@
         if let Some(key) = self.references.get(reference) {
             return *key;
         }
-        let adapter = Adapter::new(reference.clone(), model.clone(), now);
+        let adapter = Adapter::new(reference.clone(), model.clone(), self.drift.age(now));
         let key = self.adapters.insert(adapter);
         self.references.insert(reference.clone(), key);
         key
@@ -286,10 +297,11 @@
             Some(at) if at > now => return,
             _ => self.sweep_at = Some(now + SWEEP_INTERVAL),
         }
-        let half_life = self.settings.half_life;
+        let aging = self.settings.aging();
+        let age = self.drift.age(now);
         let adapters = self.adapters.iter();
         let idle: Vec<_> = adapters
-            .filter(|(_, it)| it.is_idle() && it.popularity.value(half_life, now) < 0.01)
+            .filter(|(_, it)| it.is_idle() && it.popularity.rate(aging, age) < FORGOTTEN_RATE)
             .map(|(key, _)| key)
             .collect();
         for key in idle {
--- a/crates/steward/src/state/admission.rs
+++ b/crates/steward/src/state/admission.rs
@@ -11,6 +11,7 @@
 use super::State;
 use crate::{
     adapter::{Adapter, Rank},
+    drift::Hit,
     event::{Action, Ticket},
     waiters::Waiter,
 };
@@ -28,9 +29,7 @@
             return;
         }
         let key = self.intern(&ask.reference, &ask.model, now);
-        if let Some(adapter) = self.adapters.get_mut(key) {
-            adapter.popularity.count(self.settings.half_life, now);
-        }
+        self.count(key, now);
         if let Some(fault) = self.objection(key, &ask, now) {
             self.refuse(ticket, fault);
             return;
@@ -46,6 +45,35 @@
         self.requeue(key);
     }
 
+    fn count(&mut self, key: Key<Adapter>, now: Instant) {
+        let aging = self.settings.aging();
+        let age = self.drift.age(now);
+        let Some(adapter) = self.adapters.get_mut(key) else {
+            return;
+        };
+        adapter.popularity.count(aging, age);
+        let hit = self.hit(key);
+        self.drift.note(hit, now);
+    }
+
+    fn hit(&self, key: Key<Adapter>) -> Hit {
+        let Some(adapter) = self.adapters.get(key) else {
+            return Hit::Hit;
+        };
+        if !adapter.ready.is_empty() || adapter.coming > 0 {
+            return Hit::Hit;
+        }
+        let mut engines = self
+            .engines
+            .iter()
+            .filter(|(_, it)| it.model == adapter.model);
+        if engines.any(|(_, it)| it.is_usable() && it.has_free_slot()) {
+            Hit::Hit
+        } else {
+            Hit::Miss
+        }
+    }
+
     fn enqueue(&mut self, ticket: Ticket, ask: Ask, key: Key<Adapter>, now: Instant) {
         let tag = self.waiters.tag(&ask.tenant, ask.max_tokens);
         let rank = Rank::new(ask.class, tag, ticket);
@@ -81,6 +109,9 @@
                 return Some(Fault::new(Kind::LoadFailed, detail).after(until - now));
             }
         }
+        if let Some(fault) = self.congested(key, ask, now) {
+            return Some(fault);
+        }
         let wait = self.expected_wait(key, now)?;
         if wait + self.service_time(ask.max_tokens) <= ask.remaining {
             return None;
@@ -94,6 +125,26 @@
         Some(Fault::new(kind, detail).after(wait))
     }
 
+    /// Keeps the queue at the store short when it does not empty by itself. A request that can
+    /// share the load of another one adds nothing to it.
+    fn congested(&mut self, key: Key<Adapter>, ask: &Ask, now: Instant) -> Option<Fault> {
+        let limit = self.congestion.limit(ask.class, now)?;
+        let adapter = self.adapters.get(key)?;
+        let is_shared = !adapter.ready.is_empty() || adapter.coming > 0;
+        if is_shared || self.pending.contains(&key) {
+            return None;
+        }
+        let wait = self.budget.wait(self.pending.len(), now)?;
+        if wait <= limit {
+            return None;
+        }
+        let detail = format!(
+            "the queue at the weight store is {} ms long",
+            wait.as_millis()
+        );
+        Some(Fault::new(Kind::Overloaded, detail).after(wait))
+    }
+
     /// How long a new request for an adapter would wait; none if that can't be told.
     fn expected_wait(&mut self, key: Key<Adapter>, now: Instant) -> Option<Duration> {
         let adapter = self.adapters.get(key)?;
--- a/crates/upstream/tests/it/engine.rs
+++ b/crates/upstream/tests/it/engine.rs
@@ -6,7 +6,7 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
-    time::Instant,
+    time::{Duration, Instant},
 };
 
 use kernel::{
@@ -124,13 +124,14 @@
 /// Covers the refusals that engines give before anything runs, and the same words elsewhere.
 #[test]
 fn only_refusals_of_the_contract_are_not_run() {
-    let refusals = [(404, "not-loaded"), (503, "leaving"), (503, "full")];
-    for (status, code) in refusals {
-        check_fails(
-            &[Act::Write(error(status, code))],
-            late(),
-            Kind::UpstreamRefused,
-        );
+    let refusals = [
+        (404, "not-loaded", Kind::UpstreamRefused),
+        (503, "leaving", Kind::UpstreamLeaving),
+        (503, "full", Kind::UpstreamRefused),
+    ];
+    for (status, code, kind) in refusals {
+        assert_eq!(kind.answer().ran, Ran::NotRun);
+        check_fails(&[Act::Write(error(status, code))], late(), kind);
     }
     for (status, code) in [(500, "full"), (503, "other"), (400, "not-loaded")] {
         check_fails(
@@ -249,12 +250,13 @@
 /// Covers a caller that goes while the engine is silent, before and within the answer.
 #[test]
 fn a_caller_that_goes_ends_the_wait() {
+    let far = Instant::now() + Duration::from_hours(1);
     for text in [String::new(), body(1)] {
         let upstream = Upstream::start(vec![Act::Hold(text)]);
         let asked = Arc::new(AtomicBool::new(false));
         // The caller goes once it was found there while the engine was silent.
         let watch = Watch::new(move || asked.swap(true, Ordering::AcqRel));
-        let fault = match start_watched(upstream.address, late(), late(), watch) {
+        let fault = match start_watched(upstream.address, far, far, watch) {
             Ok(mut stream) => read(&mut stream).1.unwrap_err(),
             Err(fault) => fault,
         };
