Try whole fleets against faults of engines, hosts and services

Each test drives real processes and checks with the stand-ins' own journals. A plain stand-in dropped a call with its caller; it now runs it, as a real service would.

--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -273,7 +273,9 @@
         if call.path == "/control" {
             return self.control(&call);
         }
-        self.serve(&call).await
+        // A call runs on when its caller has gone.
+        let served = tokio::spawn(async move { self.serve(&call).await });
+        served.await.unwrap_or(Reply::Break)
     }
 }
 
--- a/crates/standin/tests/plain.rs
+++ b/crates/standin/tests/plain.rs
@@ -1,5 +1,7 @@
 //! The stand-in of a plain service.
 
+use std::{io::Write, net::TcpStream};
+
 use standin::{
     client::{Answer, Failure, Request},
     control::{Outage, Power},
@@ -73,3 +75,23 @@
         assert_eq!((counts.while_leaving, counts.refused), (1, 1));
     });
 }
+
+// A call whose caller has gone runs all the same, once.
+#[test]
+fn a_call_outlives_its_caller() {
+    check(|server| {
+        server.set(Switch::DelayMs(20));
+        let mut caller = TcpStream::connect(server.address()).unwrap();
+        caller
+            .write_all(b"POST /openings HTTP/1.1\r\nhost: x\r\n\r\n")
+            .unwrap();
+        while server.counts().calls == 0 {
+            std::thread::yield_now();
+        }
+        drop(caller);
+        while server.counts().ran() == 0 {
+            std::thread::yield_now();
+        }
+        assert_eq!(server.counts().ran(), 1);
+    });
+}
--- /dev/null
+++ b/crates/standin/tests/whole/hosts.rs
@@ -0,0 +1,152 @@
+//! Hosts that are cut off, killed, stopped and shut down.
+
+use std::time::Duration;
+
+use standin::{
+    engine::{Pace, Switch},
+    fleet::process::Ended,
+    link, plain,
+};
+
+use crate::support::{
+    Form, REFERENCE, ask, check, expect_answer, open, opening, read, ready, request, runs,
+    set_engines, set_links, set_plains, shape, success, taken, until, whole,
+};
+
+// Cut off from the platform, every host answers model requests as before; a keyed call is refused
+// and has not run, and runs once when the platform is back.
+#[test]
+fn model_requests_outlive_the_platform() {
+    check(&shape(), |fleet| {
+        for entry in fleet.entries() {
+            expect_answer(entry);
+        }
+        set_links(fleet, link::Path::Closed);
+        for entry in fleet.entries() {
+            expect_answer(entry);
+        }
+        let refused = open(fleet.entry(0), "k1");
+        assert_eq!(
+            refused.json()["error"]["ran"],
+            "not-run",
+            "{}",
+            refused.text()
+        );
+        assert_eq!(runs(fleet, "k1"), 0);
+        set_links(fleet, link::Path::Open);
+        until("a keyed call", || success(&open(fleet.entry(0), "k1")));
+        assert_eq!(open(fleet.entry(1), "k1").status, 200);
+        assert_eq!(runs(fleet, "k1"), 1);
+    });
+}
+
+// After one host was killed, all others answer; it answers again after its restart.
+#[test]
+fn a_killed_host_is_replaced() {
+    check(&shape(), |fleet| {
+        fleet.entry(0).process().kill();
+        for entry in &fleet.entries()[1..] {
+            until(&entry.name, || success(&ask(entry)));
+            expect_answer(entry);
+        }
+        fleet.restart(0).unwrap();
+        until("readiness", || ready(fleet.entry(0)));
+        until("an answer", || success(&ask(fleet.entry(0))));
+        expect_answer(fleet.entry(0));
+    });
+}
+
+// Told to shut down, every host ends by itself and well.
+#[test]
+fn hosts_shut_down_well() {
+    check(&shape(), |fleet| {
+        for (name, ended) in fleet.shut_down(Duration::from_mins(1)) {
+            let well = matches!(ended, Ended::With(status) if status.success());
+            assert!(well, "{name}: {ended:?}");
+        }
+    });
+}
+
+// A host that shuts down ends the stream that it serves, whole, and only then itself.
+#[test]
+fn a_shutdown_cuts_no_stream() {
+    check(&shape(), |fleet| {
+        set_engines(fleet, &Switch::Pace(Pace::Stepped));
+        let entry = fleet.entry(0);
+        std::thread::scope(|scope| {
+            let streamed = scope.spawn(|| {
+                let request = request(REFERENCE, Form::Stream);
+                read(request.stream(entry.address()).unwrap())
+            });
+            until("a running stream", || match taken(fleet) {
+                0 => Err("none".to_owned()),
+                _ => Ok(()),
+            });
+            entry.process().terminate();
+            until("leaving", || match ready(entry) {
+                Ok(()) => Err("ready".to_owned()),
+                Err(_) => Ok(()),
+            });
+            set_engines(fleet, &Switch::Step(8));
+            assert_eq!(streamed.join().unwrap(), whole(REFERENCE));
+        });
+        let ended = entry.process().wait(Duration::from_mins(1));
+        assert!(
+            matches!(ended, Ended::With(it) if it.success()),
+            "{ended:?}"
+        );
+    });
+}
+
+// A host that stands still keeps no other from answering, and answers again when it goes on.
+#[test]
+fn a_stopped_host_goes_on() {
+    check(&shape(), |fleet| {
+        fleet.entry(0).process().pause();
+        for entry in &fleet.entries()[1..] {
+            until(&entry.name, || success(&ask(entry)));
+            expect_answer(entry);
+        }
+        fleet.entry(0).process().resume();
+        until("an answer", || success(&ask(fleet.entry(0))));
+        expect_answer(fleet.entry(0));
+    });
+}
+
+// A host is killed while a keyed call runs. Nobody can know its outcome, so it is never made again.
+#[test]
+fn a_keyed_call_outlives_its_host() {
+    check(&shape(), |fleet| {
+        set_plains(fleet, plain::Switch::DelayMs(500));
+        let entry = fleet.entry(0);
+        std::thread::scope(|scope| {
+            scope.spawn(|| {
+                // The host is killed, so that no answer comes.
+                let _ = opening("k1").send(entry.address());
+            });
+            until("a call", || {
+                let calls = fleet.plains().iter();
+                let calls = calls.map(|it| it.counts::<plain::Counts>().unwrap().calls);
+                match calls.sum() {
+                    0_u64 => Err("none".to_owned()),
+                    _ => Ok(()),
+                }
+            });
+            entry.process().kill();
+        });
+        for entry in &fleet.entries()[1..] {
+            let repeated = open(entry, "k1");
+            assert_ne!(
+                repeated.json()["error"]["ran"],
+                "not-run",
+                "{}",
+                repeated.text()
+            );
+        }
+        until("the end of the run", || match runs(fleet, "k1") {
+            0 => Err("it runs".to_owned()),
+            _ => Ok(()),
+        });
+        assert_eq!(runs(fleet, "k1"), 1);
+    });
+}
