--- a/crates/experiment/src/oracle.rs
+++ b/crates/experiment/src/oracle.rs
@@ -1,7 +1,7 @@
-//! What the same slots and store limits allow with hindsight: one cache of all slots that evicts
-//! the adapter whose next request is farthest away, one queue at the store, one load for all
-//! waiting requests of an adapter. It loads on demand only and has no batches, pins or latencies.
-//! This is a comparison, not a proof: loading ahead of demand could do better.
+//! What the same slots and store limits allow to somebody who knows more: one cache of all slots,
+//! one queue at the store, one load for all waiting requests of an adapter. It loads on demand only
+//! and has no batches, pins or latencies. This is a comparison, not a proof: loading ahead of
+//! demand could do better.
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
@@ -11,7 +11,7 @@
     figures::Figures,
     machine::PREFILL,
     scenario::{EVENT, OUTAGE, Scenario, WARM_UP},
-    trace::Arrival,
+    trace::{Arrival, SHIFT_PLACES},
 };
 
 /// The time of the first decoding step.
@@ -20,7 +20,20 @@
 /// What the last token takes after the first, for each token.
 const TOKEN: Micros = 16 * MILLI;
 
+/// What is known beforehand.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Knowledge {
+    /// Every request: the adapter whose next request is farthest away is evicted.
+    Future,
+    /// How popular each adapter is at present: the least popular one is evicted. Where requests
+    /// are independent of each other, no policy that does not see the future does better.
+    Popularity,
+}
+
 struct Cache<'a> {
+    knowledge: Knowledge,
+    adapters: usize,
+    shifted: usize,
     trace: &'a [Arrival],
     uses: HashMap<usize, VecDeque<Micros>>,
     loaded: HashMap<usize, Micros>,
@@ -29,7 +42,7 @@
 }
 
 impl<'a> Cache<'a> {
-    fn new(trace: &'a [Arrival], slots: usize) -> Self {
+    fn new(trace: &'a [Arrival], knowledge: Knowledge, deployment: &Deployment) -> Self {
         let mut uses: HashMap<usize, VecDeque<Micros>> = HashMap::new();
         for arrival in trace {
             uses.entry(arrival.adapter)
@@ -37,11 +50,34 @@
                 .push_back(arrival.at);
         }
         Self {
+            knowledge,
+            adapters: deployment.adapters,
+            shifted: 0,
             trace,
             uses,
             loaded: HashMap::new(),
             order: BTreeSet::new(),
-            slots,
+            slots: deployment.total_slots(),
+        }
+    }
+
+    /// The place in the order of eviction; the greatest goes first.
+    fn rank(&mut self, adapter: usize, now: Micros) -> Micros {
+        match self.knowledge {
+            Knowledge::Future => self.next_use(adapter, now),
+            Knowledge::Popularity => {
+                let rank = (adapter + self.adapters - self.shifted) % self.adapters;
+                rank as Micros
+            }
+        }
+    }
+
+    /// Popularity shifts: every adapter gets its new place.
+    fn shift(&mut self, now: Micros) {
+        self.shifted = SHIFT_PLACES;
+        let loaded: Vec<_> = self.loaded.keys().copied().collect();
+        for adapter in loaded {
+            self.touch(adapter, now);
         }
     }
 
@@ -57,7 +93,7 @@
 
     /// Moves an adapter to its place by next use.
     fn touch(&mut self, adapter: usize, now: Micros) {
-        let next = self.next_use(adapter, now);
+        let next = self.rank(adapter, now);
         if let Some(old) = self.loaded.insert(adapter, next) {
             self.order.remove(&(old, adapter));
         }
@@ -82,9 +118,15 @@
     }
 }
 
-/// Runs a scenario with hindsight and measures it.
-pub fn run(deployment: &Deployment, scenario: Scenario, trace: &[Arrival]) -> Figures {
-    let mut cache = Cache::new(trace, deployment.total_slots());
+/// Runs a scenario and measures it.
+pub fn run(
+    deployment: &Deployment,
+    knowledge: Knowledge,
+    scenario: Scenario,
+    trace: &[Arrival],
+) -> Figures {
+    let mut cache = Cache::new(trace, knowledge, deployment);
+    let mut shifts = scenario == Scenario::Shift;
     let mut figures = Figures {
         batch: deployment.batch,
         places: deployment.places(),
@@ -99,6 +141,10 @@
             cache.clear();
             arriving.clear();
         }
+        if shifts && arrival.at >= EVENT {
+            shifts = false;
+            cache.shift(arrival.at);
+        }
         let ready = ready_at(
             &mut cache,
             &mut arriving,
--- a/crates/experiment/src/trace.rs
+++ b/crates/experiment/src/trace.rs
@@ -12,7 +12,7 @@
 pub const TENANTS: usize = 8;
 
 /// How many places popularity moves at a shift: none of the most popular adapters stays popular.
-const SHIFT_PLACES: usize = 300;
+pub const SHIFT_PLACES: usize = 300;
 
 /// One request.
 #[derive(Clone, Debug)]
--- a/crates/steward/src/share/pool.rs
+++ b/crates/steward/src/share/pool.rs
@@ -10,10 +10,10 @@
 use super::{Demand, LEASE, Limits, Loan, Mode};
 
 /// The share of the rate that is lent. The rest makes up for the drift of clocks.
-const LENT_RATE: f64 = 0.995;
+const LENT_RATE: f64 = 0.998;
 
 /// How much later one load begins after it was lent than another.
-const JITTER: Duration = Duration::from_millis(10);
+const JITTER: Duration = Duration::from_millis(5);
 
 /// No load takes longer than this.
 const LONGEST_LOAD: Duration = Duration::from_secs(20);
