Correct batches by lagging reports; test routing, adoption and tenant limits

Requests that run on an engine without a permit of its steward were not counted. What a lagging report shows beyond the most permits outstanding since the last one now takes up room.

--- a/crates/steward/src/engine.rs
+++ b/crates/steward/src/engine.rs
@@ -100,6 +100,10 @@
     pub loads: u32,
     /// Permits outstanding.
     pub running: u32,
+    /// The most permits outstanding at once since the last lagging report.
+    pub peak: u32,
+    /// Requests beyond the permits, by the last lagging report.
+    pub extra: u32,
     /// Requests that can run together.
     pub capacity: u32,
     /// The load level that was last published.
@@ -126,7 +130,7 @@
 
     /// Whether one more request may run.
     pub fn has_room(&self) -> bool {
-        self.is_usable() && self.running < self.capacity
+        self.is_usable() && self.running + self.extra < self.capacity
     }
 
     /// Whether a slot is free.
@@ -134,6 +138,19 @@
         self.contents.len() < self.slots as usize
     }
 
+    /// Takes in a lagging report. Only what the permits don't explain counts, since they are
+    /// exact and the report is old.
+    pub fn correct(&mut self, running: u32, waiting: u32) {
+        self.extra = (running + waiting).saturating_sub(self.peak);
+        self.peak = self.running;
+    }
+
+    /// Counts a new permit.
+    pub fn admit(&mut self) {
+        self.running += 1;
+        self.peak = self.peak.max(self.running);
+    }
+
     /// The share of the batch that is in use, from 0 to 1.
     pub fn fill(&self) -> f64 {
         f64::from(self.running) / f64::from(self.capacity.max(1))
--- a/crates/steward/src/state.rs
+++ b/crates/steward/src/state.rs
@@ -140,8 +140,11 @@
                 loaded,
             } => self.report(&engine, asked, incarnation, slots, loaded, now),
             Event::Lagging {
-                engine, capacity, ..
-            } => self.lagging(&engine, capacity, now),
+                engine,
+                running,
+                waiting,
+                capacity,
+            } => self.lagging(&engine, running, waiting, capacity, now),
             Event::Ask { ticket, ask } => self.ask(ticket, ask, now),
             Event::Withdraw { ticket } => self.withdraw(ticket),
             Event::Release { number, outcome } => self.release(number, outcome, now),
--- a/crates/steward/src/state/grant.rs
+++ b/crates/steward/src/state/grant.rs
@@ -101,7 +101,7 @@
         };
         slot.permits += 1;
         let loaded = slot.loaded.clone();
-        engine.running += 1;
+        engine.admit();
         let run_by = waiter.deadline + self.settings.run_margin;
         let pin = Pin {
             engine: key,
--- a/crates/steward/src/state/stewardship.rs
+++ b/crates/steward/src/state/stewardship.rs
@@ -47,6 +47,8 @@
             contents: Vec::new(),
             loads: 0,
             running: 0,
+            peak: 0,
+            extra: 0,
             capacity: self.settings.capacity,
             published: Level::default(),
         });
@@ -154,17 +156,24 @@
         self.redirect_homeless(&model);
     }
 
-    pub(super) fn lagging(&mut self, name: &Upstream, capacity: u32, now: Instant) {
+    pub(super) fn lagging(
+        &mut self,
+        name: &Upstream,
+        running: u32,
+        waiting: u32,
+        capacity: u32,
+        now: Instant,
+    ) {
         let Some(key) = self.engine_names.get(name).copied() else {
             return;
         };
         let Some(engine) = self.engines.get_mut(key) else {
             return;
         };
-        if capacity == 0 || engine.capacity == capacity {
-            return;
+        engine.correct(running, waiting);
+        if capacity > 0 {
+            engine.capacity = capacity;
         }
-        engine.capacity = capacity;
         self.publish_level(key);
         self.grant_engine(key, now);
     }
--- a/crates/steward/tests/state.rs
+++ b/crates/steward/tests/state.rs
@@ -73,10 +73,20 @@
     }
 
     fn take(&mut self, engine: &str, fence: u64, predecessor: Predecessor) {
+        self.take_checked(engine, fence, predecessor, Fencing::Ignored);
+    }
+
+    fn take_checked(
+        &mut self,
+        engine: &str,
+        fence: u64,
+        predecessor: Predecessor,
+        fencing: Fencing,
+    ) {
         self.handle(Event::Took {
             engine: instance(engine, Availability::Live),
             fence,
-            fencing: Fencing::Ignored,
+            fencing,
             predecessor,
         });
     }
@@ -351,3 +361,65 @@
     assert_eq!(refused(&fixture.ask("s/e@1")), "load-failed");
     granted(&fixture.ask("s/a@1"));
 }
+
+/// An engine that checks fencing numbers obeys the new steward alone once it has obeyed it, so
+/// that what it has loaded is adopted.
+#[test]
+fn checked_engines_are_adopted_with_the_first_order() {
+    let mut fixture = Fixture::new(&[]);
+    fixture.take_checked("e1", 9, Predecessor::Unknown, Fencing::Checked);
+    fixture.report("e1", 1, &[("s/a@1+1", 0)]);
+    let (order, _) = load_of(&fixture.ask("s/b@1"));
+    granted(&fixture.end(order, Settled::Done));
+    assert_eq!(granted(&fixture.ask("s/a@1")).loaded.to_string(), "s/a@1+1");
+}
+
+/// A steward whose order is refused for its old fencing number acts on that engine no longer.
+#[test]
+fn stale_stewards_stand_down() {
+    let mut fixture = Fixture::new(&["e1"]);
+    let (order, _) = load_of(&fixture.ask("s/a@1"));
+    let engine = "e1".parse().unwrap();
+    let ticket = Ticket(1);
+    let expected = [Action::Redirect { ticket }, Action::Deposed { engine }];
+    assert_eq!(fixture.end(order, Settled::StaleFence), expected);
+}
+
+/// Requests that run without a permit of this steward count against the batch.
+#[test]
+fn lagging_reports_correct_the_batch() {
+    let mut fixture = Fixture::new(&["e1"]);
+    fixture.load("s/a@1");
+    let lagging = |running| Event::Lagging {
+        engine: "e1".parse().unwrap(),
+        running,
+        waiting: 0,
+        capacity: 4,
+    };
+    fixture.handle(lagging(4));
+    assert_eq!(fixture.ask("s/a@1"), []);
+    granted(&fixture.handle(lagging(1)));
+}
+
+/// When the queue is full, the tenant that fills it makes room for others.
+#[test]
+fn the_largest_tenant_makes_room() {
+    let mut fixture = Fixture::new(&["e1"]);
+    let limit = Settings::default().max_waiting;
+    for _ in 0..limit {
+        fixture.ask_within("s/a@1", 30_000, "greedy");
+    }
+    assert_eq!(
+        refused(&fixture.ask_within("s/a@1", 30_000, "greedy")),
+        "tenant-limit"
+    );
+    assert_eq!(
+        refused(&fixture.ask_within("s/a@1", 30_000, "modest")),
+        "tenant-limit"
+    );
+    let waiting = fixture.state.waiting();
+    assert_eq!(
+        waiting, limit,
+        "one of the greedy tenant's requests made room"
+    );
+}
