--- /dev/null
+++ b/crates/entry/src/duty.rs
@@ -0,0 +1,16 @@
+//! The duties of an entry host. Each is a plug-in with a thread, in a file of its own.
+
+mod claims;
+mod configuration;
+mod hosts;
+mod joining;
+mod journal;
+mod learning;
+mod lending;
+mod lives;
+pub mod orders;
+mod reports;
+mod share;
+mod status;
+mod steward;
+mod telemetry;
--- a/crates/kernel/src/permit.rs
+++ b/crates/kernel/src/permit.rs
@@ -75,6 +75,8 @@
     Granted(Permit),
     /// The request is refused; it has not run.
     Refused(Fault),
+    /// The host that was asked doesn't place the request, which has not run: ask another one.
+    Elsewhere,
 }
 
 /// How the use of a permit ended.
@@ -84,8 +86,10 @@
     Whole,
     /// The permit was never used.
     Unused,
-    /// The engine refused: it is leaving, it lacks the adapter, or it can't be reached.
+    /// The engine refused: it lacks the adapter, or it can't be reached.
     Refused,
+    /// The engine refused because it is leaving.
+    Leaving,
     /// The answer broke off.
     Broken,
     /// The caller has gone and the engine was told to cancel.
