--- a/crates/member/src/sync.rs
+++ b/crates/member/src/sync.rs
@@ -15,7 +15,7 @@
 const DELTA_RECORDS: usize = 3;
 
 /// In one of this many turns a seed is tried although members are known.
-const SEED_TURNS: usize = 8;
+const SEED_TURNS: usize = 32;
 
 /// How often a change is compared with others before it is left to the regular turns.
 const FRESH_REPEATS: u32 = 3;
