Split the state machine by concern; tell a process that it was replaced

A host that was first heard of while suspected had no time at which it became dead. A process whose name a later one has taken now learns so.

--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -4,7 +4,9 @@
 //! joins, suspicions and deaths, and repairs what got lost by comparing versions with a random
 //! member. The same comparison carries the entries that hosts publish.
 
+mod belief;
 pub mod entry;
+pub mod event;
 pub mod message;
 mod news;
 mod probe;
@@ -16,10 +18,11 @@
 mod sync;
 mod table;
 
+pub use event::{Input, Listing, Output};
 pub use message::Message;
 pub use record::{Change, Condition, Member};
 pub use settings::{Detail, Settings};
-pub use state::{Input, Listing, Output, State};
+pub use state::State;
 
 use std::net::SocketAddr;
 
--- a/crates/member/src/news.rs
+++ b/crates/member/src/news.rs
@@ -5,9 +5,10 @@
 use kernel::name::{Domain, MAX_NAME_BYTES};
 
 use crate::{
+    event::Output,
     message::{Body, Message},
     record::{Intent, Record, Standing},
-    state::{Output, State},
+    state::State,
 };
 
 /// Most bytes that a record takes in a message besides its names.
--- a/crates/member/src/sync.rs
+++ b/crates/member/src/sync.rs
@@ -3,11 +3,12 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Instant};
 
 use crate::{
+    event::Output,
     message::{Body, Delta, Line, Update},
     news::{LARGEST_RECORD_BYTES, LINE_BYTES},
     random,
     record::Record,
-    state::{Output, State, Turn, turn},
+    state::{State, Turn, turn},
     table,
 };
 
--- a/crates/member/src/table.rs
+++ b/crates/member/src/table.rs
@@ -69,12 +69,12 @@
         self.peers.iter_mut().map(|(id, it)| (*id, it))
     }
 
-    pub fn insert(&mut self, record: Record) -> u64 {
+    pub fn insert(&mut self, record: Record, confirm_at: Option<Instant>) -> u64 {
         let id = random::id(&record.holder.host);
         let peer = Peer {
             record,
             store: Store::default(),
-            confirm_at: None,
+            confirm_at,
             down_at: None,
         };
         self.peers.insert(id, peer);
--- a/crates/member/tests/member/deaths.rs
+++ b/crates/member/tests/member/deaths.rs
@@ -101,6 +101,27 @@
     }
 }
 
+/// A process that was replaced while it was paused learns so, and is not heard any more.
+#[test]
+fn a_replaced_process_is_told() {
+    let mut net = Net::settled(8, 2, 1);
+    net.nodes[3].process = Process::Stopped;
+    let mut later = me(3, 2, 2);
+    later.address = crate::net::address(8);
+    let eighth = net.join(later.clone());
+    net.run(40);
+    net.nodes[3].process = Process::Running;
+    net.run_until(20, |it| it.nodes[3].superseded_by.is_some());
+    assert_eq!(net.nodes[3].superseded_by, Some(later.holder.clone()));
+    net.run(20);
+    let seen = net.nodes.iter().enumerate().filter(|it| it.0 != 3);
+    assert!(
+        seen.into_iter()
+            .all(|it| it.1.sees(&later.holder).is_some())
+    );
+    assert_eq!(net.nodes[eighth].superseded_by, None);
+}
+
 /// A host under another name at the same address means that the one before it is gone.
 #[test]
 fn a_host_takes_over_an_address() {
--- a/crates/member/tests/member/net.rs
+++ b/crates/member/tests/member/net.rs
@@ -40,6 +40,7 @@
     pub process: Process,
     pub changes: Vec<Change>,
     pub entries: Entries,
+    pub superseded_by: Option<Holder>,
     incarnations: BTreeMap<Host, u64>,
 }
 
@@ -124,6 +125,7 @@
             process: Process::Running,
             changes: Vec::new(),
             entries: BTreeMap::new(),
+            superseded_by: None,
             incarnations: BTreeMap::new(),
         });
         self.nodes.len() - 1
@@ -160,6 +162,7 @@
                     None => node.entries.remove(&(owner, key)),
                 };
             }
+            Output::Superseded(by) => node.superseded_by = Some(by),
             Output::Revision { .. } => {}
         }
     }
--- a/crates/peer/src/gossip.rs
+++ b/crates/peer/src/gossip.rs
@@ -166,6 +166,10 @@
             Output::Send { to, message } => self.send(to, &message),
             Output::Changed(change) => self.change(change),
             Output::Entry { owner, key, value } => handler.entry(owner, &key, value.as_deref()),
+            Output::Superseded(by) => {
+                log::error!(target: "peer", "host {} runs as incarnation {} elsewhere; this one is not heard", by.host, by.incarnation);
+                handler.superseded(by);
+            }
             Output::Revision { revision, holder } => {
                 self.context.revision.set(revision);
                 handler.revision(revision, holder);
--- a/crates/peer/src/handler.rs
+++ b/crates/peer/src/handler.rs
@@ -38,6 +38,11 @@
     /// An entry that another host published has changed, or vanished.
     fn entry(&self, owner: Holder, key: &str, value: Option<&[u8]>);
 
+    /// A later process has taken this host's name; peers hear nothing of this one any more.
+    fn superseded(&self, by: Holder) {
+        let _ = by;
+    }
+
     /// A configuration revision higher than any known before exists; `holder` knows of it.
     fn revision(&self, revision: u64, holder: Holder) {
         let _ = (revision, holder);
