--- a/crates/peer/src/auth.rs
+++ b/crates/peer/src/auth.rs
@@ -110,3 +110,6 @@
     pub server: [u8; NONCE_BYTES],
     pub client: [u8; NONCE_BYTES],
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/peer/src/release.rs
+++ b/crates/peer/src/release.rs
@@ -87,3 +87,6 @@
         queues.remove(host).map_or(0, |it| it.len())
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/peer/src/service.rs
+++ b/crates/peer/src/service.rs
@@ -20,15 +20,8 @@
 };
 
 use crate::{
-    Handle, Handler, Limits, Settings,
-    auth::Key,
-    client::{self, Links},
-    gossip::Gossip,
-    guest::Book,
-    handle::Call,
-    release::Queues,
-    server,
-    shared::Shared,
+    Handle, Handler, Limits, Settings, auth::Key, client, delivery, gossip::Gossip, guest::Book,
+    handle::Call, link::Links, release::Queues, server, shared::Shared,
 };
 
 /// Why the sockets could not be opened.
@@ -210,7 +203,7 @@
         tasks.spawn_local(gossip.run());
         tasks.spawn_local(server::listen(Rc::clone(&context), listener));
         tasks.spawn_local(make_calls(Rc::clone(&context), calls));
-        tasks.spawn_local(client::send_releases(Rc::clone(&context)));
+        tasks.spawn_local(delivery::send(Rc::clone(&context)));
         tokio::select! {
             () = shared.stop.notified() => drain(&context).await,
             // None of the tasks ends by itself.
--- a/crates/peer/src/slot.rs
+++ b/crates/peer/src/slot.rs
@@ -89,3 +89,6 @@
         let _ = self.0.fill(Err(lost));
     }
 }
+
+#[cfg(test)]
+mod tests;
