--- a/crates/peer/tests/peer/strangers.rs
+++ b/crates/peer/tests/peer/strangers.rs
@@ -9,6 +9,7 @@
 use futures::AsyncReadExt;
 use hmac::{Hmac, KeyInit, Mac};
 use kernel::permit::Verdict;
+use member::{Change, Condition};
 use sha2::Sha256;
 use wire::comfreywing_capnp::door;
 
@@ -102,8 +103,16 @@
     poll(|| counters().datagrams_malformed > 0);
     poll(|| counters().datagrams_forged > 0);
     poll(|| counters().strangers > 0);
-    let down = |it: &member::Member| it.state == member::Condition::Down;
-    assert!(!b.service.handle().members().iter().any(down));
+    let up = |it: &member::Member| it.state == Condition::Up;
+    poll(|| b.service.handle().members().iter().all(up));
+    poll(|| a.service.handle().members().iter().all(up));
+    for node in [a, b] {
+        let died = |it: &Change| matches!(it, Change::Down(_));
+        let deaths = node
+            .recorder
+            .wait(|it| Some(it.changes.iter().filter(|it| died(it)).count()));
+        assert_eq!(deaths, 0);
+    }
 }
 
 /// A connection that says nothing, or too much, is closed.
