--- a/crates/serve/benches/stream.rs
+++ b/crates/serve/benches/stream.rs
@@ -1,4 +1,5 @@
-//! Processor time of the connections' thread for each event of paced streams.
+//! Processor time of the connections' thread for each event of paced streams, and the memory of the
+//! process, callers included.
 //!
 //! `cargo bench -p serve --bench stream`
 
@@ -13,18 +14,20 @@
 
 use serve::{Limits, Request, Responder, Server};
 
-const EVENTS: usize = 200;
+const EVENTS: usize = 100;
 const EVENT_BYTES: usize = 300;
-const PAUSE: Duration = Duration::from_millis(20);
+const PAUSE: Duration = Duration::from_millis(62);
 
 fn main() {
-    for streams in [25, 50, 100, 200, 400] {
+    for streams in [150, 300, 600, 1200] {
         measure(streams);
     }
 }
 
 fn measure(streams: usize) {
     let limits = Limits {
+        peer_connections: streams,
+        queue: streams,
         workers: streams,
         ..Limits::default()
     };
@@ -40,10 +43,11 @@
     }
     let elapsed = start.elapsed();
     let busy = acceptor_time();
+    let peak = peak_kilobytes();
     server.stop();
     let events = streams * EVENTS;
     println!(
-        "streams {streams}: {:.0} events/s, {:.1} us of the connections' thread an event, {:.1}% of a core",
+        "streams {streams}: {:.0} events/s, {:.1} us of the connections' thread an event, {:.1}% of a core, {peak} kB at most",
         ratio(events) / elapsed.as_secs_f64(),
         busy.as_secs_f64() * 1e6 / ratio(events),
         busy.as_secs_f64() / elapsed.as_secs_f64() * 100.0,
@@ -73,6 +77,16 @@
     assert!(answer.ends_with(b"0\r\n\r\n"), "the answer is cut");
 }
 
+/// The largest resident memory of the process so far.
+fn peak_kilobytes() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").expect("the system has /proc");
+    let line = status.lines().find_map(|it| it.strip_prefix("VmHWM:"));
+    let number = line.and_then(|it| it.trim().strip_suffix(" kB"));
+    number
+        .and_then(|it| it.parse().ok())
+        .expect("the line has a number")
+}
+
 /// Processor time of the thread that runs the connections.
 fn acceptor_time() -> Duration {
     let tasks = fs::read_dir("/proc/self/task").expect("the system has /proc");
