--- a/crates/serve/tests/server.rs
+++ b/crates/serve/tests/server.rs
@@ -121,6 +121,58 @@
     server.stop();
 }
 
+/// Covers a connection that is used again, with requests sent ahead, and one without a body.
+#[test]
+fn requests_of_one_connection_are_answered_in_order() {
+    let server = start(Limits::default(), answer_ok);
+    let post = |body: &str| format!("POST / HTTP/1.1\r\nContent-Length: 1\r\n\r\n{body}");
+    let text = post("1") + &post("2") + "HEAD / HTTP/1.1\r\n\r\n" + &post("3") + &get("/");
+    let answer = read_rest(connect_and_send(&server, &text));
+    let bodies: Vec<&str> = answer
+        .split("HTTP/1.1 200 OK\r\n")
+        .filter_map(|it| it.split_once("\r\n\r\n"))
+        .map(|(_, body)| body)
+        .collect();
+    assert_eq!(bodies, ["1", "2", "", "3", ""]);
+    server.stop();
+}
+
+/// Covers a sender that waits for leave to send its body.
+#[test]
+fn expected_body_is_asked_for() {
+    let server = start(Limits::default(), answer_ok);
+    let head = "POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n";
+    let mut reader = BufReader::new(connect_and_send(&server, head));
+    assert_eq!(read_line(&mut reader), "HTTP/1.1 100 Continue");
+    reader.get_mut().write_all(b"hi").unwrap();
+    read_until(&mut reader, "HTTP/1.1 200 OK");
+    server.stop();
+}
+
+/// Covers many callers that never finish their heads or bodies: the others are served.
+#[test]
+fn slow_senders_hold_nobody_up() {
+    let limits = Limits {
+        workers: 1,
+        ..Limits::default()
+    };
+    let server = start(limits, answer_ok);
+    let slow = [
+        "GET / HT",
+        "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n1",
+        "",
+    ];
+    let held: Vec<TcpStream> = (0..300)
+        .map(|index| connect_and_send(&server, slow[index % slow.len()]))
+        .collect();
+    for _ in 0..10 {
+        let answer = read_rest(connect_and_send(&server, &get("/")));
+        assert!(answer.starts_with("HTTP/1.1 200 OK\r\n"), "{answer:?}");
+    }
+    drop(held);
+    server.stop();
+}
+
 /// Covers streaming: the second event is not made until the caller has read the first.
 #[test]
 fn events_reach_the_caller_one_by_one() {
