--- a/crates/serve/src/connection.rs
+++ b/crates/serve/src/connection.rs
@@ -21,8 +21,8 @@
 };
 
 use crate::{
-    exchange,
     limits::Limits,
+    reply::reply,
     response::{encode_last, refusal},
     socket::{Closing, Phase, Progress, Socket},
     worker::Job,
@@ -72,11 +72,11 @@
     let progress = Rc::new(Progress::new(shared.running.clone()));
     let socket = Socket::new(stream, progress.clone());
     let mut timer = Timer::new(shared.limits, progress.clone());
-    let reply = {
+    let answer = {
         let (shared, progress) = (shared.clone(), progress.clone());
-        move |request| exchange::reply(request, peer, shared.clone(), progress.clone())
+        move |request| reply(request, peer, shared.clone(), progress.clone())
     };
-    let service = service_fn(move |request| Box::pin(reply(request)));
+    let service = service_fn(move |request| Box::pin(answer(request)));
     let mut connection = builder(&shared.limits).serve_connection(socket, service);
     let end = loop {
         let draining = timer.is_draining();
--- a/crates/serve/src/lib.rs
+++ b/crates/serve/src/lib.rs
@@ -12,6 +12,7 @@
 mod connection;
 mod exchange;
 mod limits;
+mod reply;
 mod request;
 mod responder;
 mod response;
--- /dev/null
+++ b/crates/serve/src/reply.rs
@@ -0,0 +1,193 @@
+//! One request from the end of its head to its reply.
+
+use std::{convert::Infallible, net::SocketAddr, rc::Rc, sync::mpsc::TrySendError, time::Duration};
+
+use http_body_util::BodyExt;
+use hyper::{
+    Method, StatusCode, Version,
+    body::{Body as _, Incoming},
+    header::{CONNECTION, HeaderName, HeaderValue},
+    http,
+};
+use kernel::{
+    fault::{Fault, Kind},
+    request::Id,
+};
+use tokio::{sync::oneshot, time::timeout};
+
+use crate::{
+    body::Content,
+    connection::Shared,
+    exchange::{Exchange, Framing},
+    limits::Limits,
+    request::Request,
+    responder::{Answer, Responder},
+    response::{Response, refusal},
+    socket::Progress,
+    worker::Job,
+};
+
+/// When a caller who met a full queue may come back.
+const OVERLOAD_PAUSE: Duration = Duration::from_secs(1);
+
+type Reply = http::Response<Content>;
+
+/// Reads the rest of a request, has a worker handle it, and gives the reply.
+pub(crate) async fn reply(
+    request: http::Request<Incoming>,
+    peer: SocketAddr,
+    shared: Rc<Shared>,
+    progress: Rc<Progress>,
+) -> Result<Reply, Infallible> {
+    let body_bytes = shared.body_bytes.clone();
+    let mut exchange = Exchange::new(progress, framing(request.version()), body_bytes);
+    let (head, body) = request.into_parts();
+    let id = request_id(&head);
+    let request = match read(&head, body, peer, &shared.limits, &mut exchange).await {
+        Ok(request) => request,
+        Err(fault) => return Ok(refuse_unread(&fault, id.as_ref(), exchange)),
+    };
+    let (sender, answer) = oneshot::channel();
+    let responder = Responder::new(exchange.caller(), sender);
+    let job = Job { request, responder };
+    if let Err(fault) = enqueue(&shared, job) {
+        return Ok(refuse(&fault, id.as_ref(), exchange));
+    }
+    let reply = match answer.await {
+        Ok(Answer::Whole(response)) => whole(response, exchange),
+        Ok(Answer::Stream {
+            status,
+            headers,
+            pieces,
+        }) => build(status, headers, Content::stream(pieces, exchange)),
+        Err(_) => {
+            let fault = Fault::new(Kind::Internal, "the handler gave no answer");
+            refuse(&fault, id.as_ref(), exchange)
+        }
+    };
+    Ok(reply)
+}
+
+fn framing(version: Version) -> Framing {
+    if version == Version::HTTP_11 {
+        return Framing::Chunked;
+    }
+    Framing::Closed
+}
+
+fn request_id(head: &http::request::Parts) -> Option<Id> {
+    let value = head.headers.get("x-request-id")?;
+    value.to_str().ok()?.parse().ok()
+}
+
+async fn read(
+    head: &http::request::Parts,
+    body: Incoming,
+    peer: SocketAddr,
+    limits: &Limits,
+    exchange: &mut Exchange,
+) -> Result<Request, Fault> {
+    if head.method == Method::CONNECT {
+        return Err(Fault::new(Kind::BadRequest, "CONNECT is not supported"));
+    }
+    let received = std::time::Instant::now();
+    let mut request = Request::from_head(head, peer, received)?;
+    let collected = timeout(limits.body_time, read_body(body, limits, exchange)).await;
+    request.body = collected.unwrap_or_else(|_| {
+        let detail = format!("the body did not come within {:?}", limits.body_time);
+        Err(Fault::new(Kind::SlowSender, detail))
+    })?;
+    Ok(request)
+}
+
+async fn read_body(
+    mut body: Incoming,
+    limits: &Limits,
+    exchange: &mut Exchange,
+) -> Result<Vec<u8>, Fault> {
+    let declared = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
+    let mut whole = Vec::new();
+    check_size(declared, limits)?;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|error| unreadable(&error))?;
+        // Trailers mean nothing here.
+        let data = frame.into_data().unwrap_or_default();
+        check_size(whole.len() + data.len(), limits)?;
+        check_sum(exchange.hold(data.len()), limits)?;
+        whole.extend_from_slice(&data);
+    }
+    Ok(whole)
+}
+
+fn unreadable(error: &hyper::Error) -> Fault {
+    let detail = format!("the body can't be read: {error}");
+    Fault::new(Kind::BadRequest, detail)
+}
+
+fn check_size(bytes: usize, limits: &Limits) -> Result<(), Fault> {
+    if bytes <= limits.body_bytes {
+        return Ok(());
+    }
+    let detail = format!("the body has more than {} bytes", limits.body_bytes);
+    Err(Fault::new(Kind::BodyTooLarge, detail))
+}
+
+fn check_sum(bytes: usize, limits: &Limits) -> Result<(), Fault> {
+    if bytes <= limits.running_body_bytes {
+        return Ok(());
+    }
+    let detail = "the bodies of the running requests are too large";
+    Err(Fault::new(Kind::Overloaded, detail).after(OVERLOAD_PAUSE))
+}
+
+fn enqueue(shared: &Shared, job: Job) -> Result<(), Fault> {
+    match shared.jobs.try_send(job) {
+        Ok(()) => Ok(()),
+        Err(TrySendError::Full(_)) => {
+            let detail = "every worker is busy and the queue is full";
+            Err(Fault::new(Kind::Overloaded, detail).after(OVERLOAD_PAUSE))
+        }
+        Err(TrySendError::Disconnected(_)) => {
+            Err(Fault::new(Kind::NotReady, "the workers have ended"))
+        }
+    }
+}
+
+fn refuse(fault: &Fault, id: Option<&Id>, exchange: Exchange) -> Reply {
+    log::debug!(target: "serve", "A request was refused: {fault}.");
+    whole(refusal(fault, id.map(Id::as_str)), exchange)
+}
+
+fn refuse_unread(fault: &Fault, id: Option<&Id>, exchange: Exchange) -> Reply {
+    exchange.leave_unread();
+    let mut reply = refuse(fault, id, exchange);
+    let close = HeaderValue::from_static("close");
+    reply.headers_mut().insert(CONNECTION, close);
+    reply
+}
+
+fn whole(response: Response, exchange: Exchange) -> Reply {
+    let content = Content::whole(response.body, exchange);
+    build(response.status, response.headers, content)
+}
+
+fn build(status: u16, headers: Vec<(String, String)>, content: Content) -> Reply {
+    let mut reply = http::Response::new(content);
+    *reply.status_mut() = StatusCode::from_u16(status).unwrap_or_else(|_| {
+        log::error!(target: "serve", "A handler answered with the status {status}.");
+        StatusCode::INTERNAL_SERVER_ERROR
+    });
+    for (name, value) in headers {
+        match field(&name, &value) {
+            Some((name, value)) => {
+                reply.headers_mut().append(name, value);
+            }
+            None => log::error!(target: "serve", "The header {name:?} can't be sent."),
+        }
+    }
+    reply
+}
+
+fn field(name: &str, value: &str) -> Option<(HeaderName, HeaderValue)> {
+    Some((name.parse().ok()?, value.parse().ok()?))
+}
