Drive the assembly of answers with random arrivals

2,000 seeded scripts of up to three connections with losses, repetitions, any order and misplaced ends: what is delivered is always a start of the answer, each chunk once, and the end comes only after all of it.

--- a/crates/upstream/tests/it/assembly.rs
+++ b/crates/upstream/tests/it/assembly.rs
@@ -3,6 +3,7 @@
 use std::time::Instant;
 
 use kernel::fault::Kind;
+use proptest::{collection::vec, prelude::ProptestConfig, proptest, test_runner::RngSeed};
 use upstream::{
     assembly::{Assembly, MAX_EARLY_BYTES, MAX_RESUMES, Step},
     sse::{Event, Parser},
@@ -198,3 +199,36 @@
     let piled: Vec<Event> = (1..=8).flat_map(event).collect();
     assert_eq!(run(vec![piled]), "upstream-lost");
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 2000,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(31),
+        ..ProptestConfig::default()
+    })]
+
+    /// Covers random orders, repetitions, losses and breaks, ends of the stream at wrong places
+    /// included: what is delivered is always a start of the answer, each chunk once, and the end
+    /// comes only after all of it. A last connection that brings everything makes it whole.
+    #[test]
+    fn any_arrival_gives_a_start_of_the_answer(
+        script in vec(vec(0..=COUNT, 0..=8), 0..=3),
+    ) {
+        let all = events(&loaded().to_string(), 0, COUNT);
+        let mut connections: Vec<Vec<Event>> = script
+            .iter()
+            .map(|it| parse(&it.iter().map(|&index| all[index].clone()).collect::<String>()))
+            .collect();
+        let seen = run(connections.clone());
+        let delivered: Vec<&str> = seen.split(' ').filter(|it| it.parse::<u64>().is_ok()).collect();
+        let whole = ["0", "1", "2", "3"];
+        assert_eq!(delivered, whole[..delivered.len()], "{seen}");
+        assert!(!seen.contains("end") || delivered.len() == COUNT, "{seen}");
+
+        connections.push(parse(&all.concat()));
+        let seen = run(connections);
+        let delivered = seen.split(' ').filter(|it| it.parse::<u64>().is_ok());
+        assert!(delivered.eq(whole) && seen.ends_with("end"), "{seen}");
+    }
+}
