--- a/crates/upstream/tests/it/engine.rs
+++ b/crates/upstream/tests/it/engine.rs
@@ -220,6 +220,36 @@
     assert_eq!(run(&Upstream::start(script), late()), Ok(COUNT as u64));
 }
 
+/// Covers a stream in chunks of HTTP that breaks anywhere within their framing.
+#[test]
+fn a_break_within_http_chunks_is_resumed() {
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let name = loaded().to_string();
+    let chunked = |from: usize| {
+        let events = events(&name, from, COUNT);
+        let chunk = |it: &String| format!("{:x}\r\n{it}\r\n", it.len());
+        let chunks: Vec<String> = events.iter().map(chunk).collect();
+        format!("{head}{}0\r\n\r\n", chunks.concat())
+    };
+    let whole = chunked(0);
+    for cut in (head.len()..whole.len() - 40).step_by(29) {
+        let complete = whole[..cut].matches("\n\n").count();
+        let script = vec![
+            Act::Write(whole[..cut].to_owned()),
+            Act::Write(chunked(complete.min(COUNT))),
+        ];
+        let upstream = Upstream::start(script);
+        assert_eq!(
+            run(&upstream, late()),
+            Ok(COUNT as u64),
+            "cut at byte {cut}"
+        );
+    }
+    let upstream = Upstream::start(vec![Act::Write(whole)]);
+    assert_eq!(run(&upstream, late()), Ok(COUNT as u64));
+    assert_eq!(upstream.stop().len(), 1, "a whole answer is asked for once");
+}
+
 /// Covers a resume that answers for another name.
 #[test]
 fn a_resume_for_another_name_is_withheld() {
