Allow no more connections than there are files for

A process that may open 1,024 files took up to 4,096 connections; once the files were used up it could reach no upstream, and refused what it had accepted. Half of the files, less 64, is left to callers, and the log says so at the start.

--- a/crates/serve/src/limits.rs
+++ b/crates/serve/src/limits.rs
@@ -1,6 +1,9 @@
 //! What the server allows its callers.
 
-use std::time::Duration;
+#[cfg(test)]
+mod tests;
+
+use std::{fs, time::Duration};
 
 /// Smallest value of [`Limits::header_bytes`]; the parser needs that much.
 pub const MIN_HEADER_BYTES: usize = 8192;
@@ -8,6 +11,9 @@
 /// Bytes of an answer that a slow caller has to read each second.
 pub const MIN_READ_BYTES: u64 = 4096;
 
+/// Files that a process needs besides its connections to callers and upstreams.
+const OTHER_FILES: usize = 64;
+
 /// Bounds on what callers can occupy.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Limits {
@@ -56,3 +62,36 @@
         }
     }
 }
+
+impl Limits {
+    /// The same limits with no more connections than the process may have files for, since each
+    /// request may need a connection to an upstream as well.
+    pub(crate) fn within_files(mut self) -> Self {
+        let limits = fs::read_to_string("/proc/self/limits").unwrap_or_default();
+        let Some(files) = open_files(&limits) else {
+            return self;
+        };
+        let connections = max_connections(files);
+        if connections < self.connections {
+            log::warn!(
+                target: "serve",
+                "The process may open {files} files, so {connections} connections are allowed in place of {}.",
+                self.connections,
+            );
+            self.connections = connections;
+        }
+        self
+    }
+}
+
+/// The soft limit on open files in the text of `/proc/self/limits`.
+fn open_files(limits: &str) -> Option<usize> {
+    let line = limits
+        .lines()
+        .find_map(|it| it.strip_prefix("Max open files"))?;
+    line.split_whitespace().next()?.parse().ok()
+}
+
+fn max_connections(files: usize) -> usize {
+    (files.saturating_sub(OTHER_FILES) / 2).max(1)
+}
--- a/crates/serve/src/server.rs
+++ b/crates/serve/src/server.rs
@@ -89,6 +89,7 @@
         handler: Arc<dyn Handler>,
     ) -> Result<Self, Failure> {
         check(&limits)?;
+        let limits = limits.within_files();
         let address = listener.local_addr().map_err(Failure::System)?;
         let socket = open(listener).map_err(Failure::System)?;
         let running = Arc::new(AtomicUsize::new(0));
