Refuse a request for which no worker becomes free in time

Workers hold a stream for its whole length, so a request behind a full pool waited for seconds without a word and past its deadline. More connections of one peer are allowed by default, since behind a balancer all callers share its few addresses.

--- a/crates/serve/src/limits.rs
+++ b/crates/serve/src/limits.rs
@@ -40,6 +40,8 @@
     pub idle: Duration,
     /// Requests that wait for a worker.
     pub queue: usize,
+    /// Time for which a request waits for a worker before it is refused.
+    pub queue_time: Duration,
     /// Requests that are handled at the same time, each on a thread of its own.
     pub workers: usize,
 }
@@ -54,10 +56,11 @@
             running_body_bytes: 64 * 1024 * 1024,
             body_time: Duration::from_secs(10),
             write_time: Duration::from_secs(20),
-            connections: 4096,
-            peer_connections: 1024,
+            connections: 8192,
+            peer_connections: 4096,
             idle: Duration::from_mins(1),
             queue: 256,
+            queue_time: Duration::from_millis(500),
             workers: 256,
         }
     }
--- a/crates/serve/src/reply.rs
+++ b/crates/serve/src/reply.rs
@@ -21,10 +21,10 @@
     exchange::{Exchange, Framing},
     limits::Limits,
     request::Request,
-    responder::{Answer, Responder},
+    responder::{Answer, Caller, Responder},
     response::{Response, refusal},
     socket::Progress,
-    worker::Job,
+    worker::{Claim, Claimed, Job},
 };
 
 /// When a caller who met a full queue may come back.
@@ -47,27 +47,42 @@
         Ok(request) => request,
         Err(fault) => return Ok(refuse_unread(&fault, id.as_ref(), exchange)),
     };
-    let (sender, answer) = oneshot::channel();
-    let responder = Responder::new(exchange.caller(), sender);
-    let job = Job { request, responder };
-    if let Err(fault) = enqueue(&shared, job) {
-        return Ok(refuse(&fault, id.as_ref(), exchange));
-    }
-    let reply = match answer.await {
+    let reply = match handled(request, &shared, exchange.caller()).await {
         Ok(Answer::Whole(response)) => whole(response, exchange),
         Ok(Answer::Stream {
             status,
             headers,
             pieces,
         }) => build(status, headers, Content::stream(pieces, exchange)),
-        Err(_) => {
-            let fault = Fault::new(Kind::Internal, "the handler gave no answer");
-            refuse(&fault, id.as_ref(), exchange)
-        }
+        Err(fault) => refuse(&fault, id.as_ref(), exchange),
     };
     Ok(reply)
 }
 
+/// Has a worker handle a request, if one becomes free in time.
+async fn handled(request: Request, shared: &Shared, caller: Caller) -> Result<Answer, Fault> {
+    let claim = Claim::default();
+    let (sender, mut answer) = oneshot::channel();
+    let job = Job {
+        claim: claim.clone(),
+        request,
+        responder: Responder::new(caller, sender),
+    };
+    enqueue(shared, job)?;
+    let answered = match timeout(shared.limits.queue_time, &mut answer).await {
+        Ok(answered) => answered,
+        Err(_) if claim.take() == Claimed::Mine => {
+            return Err(overloaded("no worker became free in time"));
+        }
+        Err(_) => answer.await,
+    };
+    answered.map_err(|_| Fault::new(Kind::Internal, "the handler gave no answer"))
+}
+
+fn overloaded(detail: &str) -> Fault {
+    Fault::new(Kind::Overloaded, detail).after(OVERLOAD_PAUSE)
+}
+
 fn framing(version: Version) -> Framing {
     if version == Version::HTTP_11 {
         return Framing::Chunked;
@@ -136,17 +151,15 @@
     if bytes <= limits.running_body_bytes {
         return Ok(());
     }
-    let detail = "the bodies of the running requests are too large";
-    Err(Fault::new(Kind::Overloaded, detail).after(OVERLOAD_PAUSE))
+    Err(overloaded(
+        "the bodies of the running requests are too large",
+    ))
 }
 
 fn enqueue(shared: &Shared, job: Job) -> Result<(), Fault> {
     match shared.jobs.try_send(job) {
         Ok(()) => Ok(()),
-        Err(TrySendError::Full(_)) => {
-            let detail = "every worker is busy and the queue is full";
-            Err(Fault::new(Kind::Overloaded, detail).after(OVERLOAD_PAUSE))
-        }
+        Err(TrySendError::Full(_)) => Err(overloaded("every worker is busy")),
         Err(TrySendError::Disconnected(_)) => {
             Err(Fault::new(Kind::NotReady, "the workers have ended"))
         }
--- a/crates/serve/src/worker.rs
+++ b/crates/serve/src/worker.rs
@@ -5,6 +5,7 @@
     panic::{AssertUnwindSafe, catch_unwind},
     sync::{
         Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, Ordering},
         mpsc::{Receiver, SyncSender, sync_channel},
     },
     thread::{self, JoinHandle},
@@ -12,8 +13,30 @@
 
 use crate::{request::Request, responder::Responder, server::Handler};
 
+/// The right to begin with a request. Either a worker takes it, to handle the request, or the
+/// connection, to refuse it.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Claim(Arc<AtomicBool>);
+
+/// Whether a claim was still to be had.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Claimed {
+    Mine,
+    Taken,
+}
+
+impl Claim {
+    pub(crate) fn take(&self) -> Claimed {
+        if self.0.swap(true, Ordering::AcqRel) {
+            return Claimed::Taken;
+        }
+        Claimed::Mine
+    }
+}
+
 /// A request on its way to a worker.
 pub(crate) struct Job {
+    pub(crate) claim: Claim,
     pub(crate) request: Request,
     pub(crate) responder: Responder,
 }
@@ -59,7 +82,7 @@
 
 fn run_next(jobs: &Jobs, handler: &dyn Handler) -> Option<()> {
     let job = next(jobs)?;
-    if job.responder.gone() {
+    if job.responder.gone() || job.claim.take() == Claimed::Taken {
         return Some(());
     }
     // The responder is dropped when the handler panics, which answers the caller.
