--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -2,6 +2,8 @@
 
 pub mod store;
 
+use std::hash::{DefaultHasher, Hash, Hasher};
+
 use derive_more::{Display, Error};
 use kernel::{
     name::{Host, Upstream},
@@ -11,6 +13,13 @@
 use serde::{Deserialize, Serialize};
 use steward::Predecessor;
 
+/// The distance between the fencing numbers of two stewards that the platform confirmed. The numbers
+/// in between are for stewards that it could not confirm yet.
+pub const FENCE_STEP: u64 = 4096;
+
+/// How many numbers above the last known one an unconfirmed steward chooses from.
+const FENCE_CHOICES: u64 = 256;
+
 /// What the object of an engine says.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Record {
@@ -110,7 +119,7 @@
     let Some((version, record)) = found else {
         return Next::Write {
             version: None,
-            record: held(me, 1),
+            record: held(me, FENCE_STEP),
             predecessor: Predecessor::None,
         };
     };
@@ -121,11 +130,45 @@
     }
     Next::Write {
         version: Some(version),
-        record: held(me, record.fence + 1),
+        record: held(me, (record.fence / FENCE_STEP + 1) * FENCE_STEP),
         predecessor: predecessor(&record, me, evidence),
     }
 }
 
+/// The fencing number of a steward that takes an engine while the platform is out, above the
+/// `highest` that is known. Two hosts that do so at the same time choose different ones, save by
+/// an unlikely chance.
+pub fn unconfirmed_fence(highest: u64, me: &Holder) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (me.host.as_str(), me.incarnation).hash(&mut hasher);
+    highest + 1 + hasher.finish() % FENCE_CHOICES
+}
+
+/// What to do with an engine that was taken while the platform was out.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Confirm {
+    /// Write this, if the object still has the version (or is absent).
+    Write {
+        /// The version, unless the object is absent.
+        version: Option<Version>,
+        /// What to write.
+        record: Record,
+    },
+    /// Another host was confirmed with a number as high.
+    Lost,
+}
+
+/// Decides how `me` has an engine confirmed that it took under `fence`, given the object found.
+pub fn confirm(found: Option<(Version, Record)>, me: &Holder, fence: u64) -> Confirm {
+    match found {
+        Some((_, record)) if record.fence >= fence && record.holder != *me => Confirm::Lost,
+        found => Confirm::Write {
+            version: found.map(|it| it.0),
+            record: held(me, fence),
+        },
+    }
+}
+
 fn held(me: &Holder, fence: u64) -> Record {
     Record {
         holder: me.clone(),
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -96,6 +96,8 @@
 pub struct Shared {
     directory: RwLock<Directory>,
     views: Mutex<HashMap<Upstream, (Host, View)>>,
+    /// The highest fencing number ever heard of, also of stewards that are gone.
+    fences: Mutex<HashMap<Upstream, u64>>,
 }
 
 /// What an entry of another host means for this one.
@@ -118,6 +120,7 @@
         Self {
             directory: RwLock::new(Directory::new(domain)),
             views: Mutex::default(),
+            fences: Mutex::default(),
         }
     }
 
@@ -138,6 +141,19 @@
         all
     }
 
+    /// The highest fencing number that was ever heard of for an engine; 0 if there was none.
+    pub fn highest_fence(&self, engine: &Upstream) -> u64 {
+        let fences = self.fences.lock().expect("directory lock is poisoned");
+        fences.get(engine).copied().unwrap_or_default()
+    }
+
+    /// Remembers a fencing number of an engine.
+    pub fn note_fence(&self, engine: &Upstream, fence: u64) {
+        let mut fences = self.fences.lock().expect("directory lock is poisoned");
+        let highest = fences.entry(engine.clone()).or_default();
+        *highest = fence.max(*highest);
+    }
+
     /// The steward of an engine.
     pub fn steward(&self, engine: &Upstream) -> Option<Host> {
         let views = self.views.lock().expect("directory lock is poisoned");
@@ -215,8 +231,9 @@
     }
 
     fn update(&self, steward: &Host, engine: Upstream, view: View) -> News {
-        let mut views = self.views.lock().expect("directory lock is poisoned");
         let fence = view.fence;
+        self.note_fence(&engine, fence);
+        let mut views = self.views.lock().expect("directory lock is poisoned");
         let before = views.get(&engine);
         if before.is_some_and(|(_, it)| it.fence > fence) {
             return News::None;
--- a/crates/entry/src/duty/claims.rs
+++ b/crates/entry/src/duty/claims.rs
@@ -4,7 +4,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::Arc,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use kernel::{
@@ -13,12 +13,12 @@
     registry::inventory,
     service::{Fencing, Instance, Role},
 };
-use member::Member;
+use member::{Condition, Member};
 use platform::object::Failure;
 use steward::{Event, Predecessor};
 
 use crate::{
-    claim::{self, Evidence, Next},
+    claim::{self, Confirm, Evidence, Next},
     evidence,
     host::Host,
     plugin::{Duty, Phase, Stop},
@@ -43,17 +43,36 @@
 /// other members and doesn't take what it would lose at once.
 const SETTLE: Duration = Duration::from_millis(1500);
 
-/// Stewards before this host that may still act, by engine.
-type Earlier = BTreeMap<Upstream, Holder>;
+/// How long the platform has to be out before an engine without a steward is taken unconfirmed.
+const UNCONFIRMED_AFTER: Duration = Duration::from_secs(3);
+
+/// What the duty remembers.
+#[derive(Default)]
+struct Claims {
+    /// Stewards before this host that may still act, by engine.
+    earlier: BTreeMap<Upstream, Holder>,
+    /// Engines taken while the platform was out.
+    unconfirmed: BTreeSet<Upstream>,
+    /// Since when the platform has been out.
+    out_since: Option<Instant>,
+}
 
 fn run(host: &Arc<Host>, stop: &Stop) {
     stop.sleep(SETTLE);
-    let mut earlier = Earlier::new();
+    let mut claims = Claims::default();
     while !stop.is_set() {
-        match turn(host, &mut earlier) {
-            Ok(()) => stop.sleep(INTERVAL),
+        if host.readiness.stage() == Stage::Starting {
+            stop.sleep(INTERVAL);
+            continue;
+        }
+        match claims.turn(host) {
+            Ok(()) => {
+                claims.out_since = None;
+                stop.sleep(INTERVAL);
+            }
             Err(error) => {
                 log::warn!(target: "steward", "Stewardships could not be settled: {error}.");
+                claims.without_platform(host);
                 stop.sleep(BACK_OFF);
             }
         }
@@ -61,48 +80,115 @@
     release_all(host);
 }
 
-fn turn(host: &Host, earlier: &mut Earlier) -> Result<(), Failure> {
-    if host.readiness.stage() == Stage::Starting {
-        return Ok(());
+impl Claims {
+    fn turn(&mut self, host: &Host) -> Result<(), Failure> {
+        let members = members(host);
+        settle_earlier(host, &mut self.earlier, &members);
+        let doubted = std::mem::take(&mut *host.doubted.lock().expect("doubt lock is poisoned"));
+        for engine in doubted {
+            self.check(host, &engine)?;
+        }
+        for engine in self.unconfirmed.clone() {
+            confirm(host, &engine)?;
+            self.unconfirmed.remove(&engine);
+        }
+        for engine in wanted(host, &members) {
+            take(host, &engine, &members, &mut self.earlier)?;
+        }
+        Ok(())
     }
-    let members = members(host);
-    settle_earlier(host, earlier, &members);
-    let doubted = std::mem::take(&mut *host.doubted.lock().expect("doubt lock is poisoned"));
-    for engine in doubted {
-        check(host, &engine)?;
+
+    /// Somebody else may have taken an engine; the object tells.
+    fn check(&self, host: &Host, engine: &Upstream) -> Result<(), Failure> {
+        if !host.holds(engine) || self.unconfirmed.contains(engine) {
+            return Ok(());
+        }
+        match claim::store::read(&host.store, &claim::key(engine)) {
+            Ok(Some((_, record))) if record.holder != host.me => {
+                log::info!(target: "steward", "Engine {engine} was taken by {} under {}.", record.holder.host, record.fence);
+                lose(host, engine);
+                Ok(())
+            }
+            Ok(_) => Ok(()),
+            Err(error) => {
+                host.doubt(engine.clone());
+                Err(error)
+            }
+        }
     }
-    for engine in host.listed.engines() {
-        let owner = member::steward::of(&engine.name, &engine.domain, &members);
-        let mine = owner.is_some_and(|it| it.holder == host.me);
-        if mine && !host.holds(&engine.name) {
-            take(host, &engine, &members, earlier)?;
+
+    /// While the platform is out, the higher fencing number wins, and engines whose steward is gone
+    /// are taken without the platform's word. Names with epochs keep that safe.
+    fn without_platform(&mut self, host: &Host) {
+        let now = host.clock.now();
+        let since = *self.out_since.get_or_insert(now);
+        give_way(host);
+        if now.saturating_duration_since(since) < UNCONFIRMED_AFTER {
+            return;
+        }
+        let members = members(host);
+        for engine in wanted(host, &members) {
+            if has_live_steward(host, &engine.name, &members) {
+                continue;
+            }
+            let highest = host.directory.highest_fence(&engine.name);
+            let fence = claim::unconfirmed_fence(highest, &host.me);
+            self.unconfirmed.insert(engine.name.clone());
+            took(host, &engine, fence, Predecessor::Unknown);
         }
     }
-    Ok(())
 }
 
-fn members(host: &Host) -> Arc<[Member]> {
-    let members = host.peer.get().map(peer::Handle::members);
-    members.unwrap_or_default()
+/// The engines that this host should be steward of and is not.
+fn wanted(host: &Host, members: &[Member]) -> Vec<Instance> {
+    let mut engines = host.listed.engines();
+    engines.retain(|it| {
+        let owner = member::steward::of(&it.name, &it.domain, members);
+        owner.is_some_and(|it| it.holder == host.me) && !host.holds(&it.name)
+    });
+    engines
 }
 
-/// Somebody else may have taken an engine; the object tells.
-fn check(host: &Host, engine: &Upstream) -> Result<(), Failure> {
-    if !host.holds(engine) {
-        return Ok(());
-    }
-    match claim::store::read(&host.store, &claim::key(engine)) {
-        Ok(Some((_, record))) if record.holder != host.me => {
-            log::info!(target: "steward", "Engine {engine} was taken by {} under {}.", record.holder.host, record.fence);
-            lose(host, engine);
-            Ok(())
+fn has_live_steward(host: &Host, engine: &Upstream, members: &[Member]) -> bool {
+    let steward = host.directory.steward(engine);
+    steward.is_some_and(|steward| {
+        let mut hosts = members.iter();
+        hosts.any(|it| it.holder.host == steward && it.state != Condition::Down)
+    })
+}
+
+/// Gives up engines that another host has taken under a higher number.
+fn give_way(host: &Host) {
+    let held = host.held.lock().expect("held lock is poisoned").clone();
+    for (engine, fence) in held {
+        if host.directory.highest_fence(&engine) > fence {
+            log::info!(target: "steward", "Engine {engine} was taken under a higher number than {fence}.");
+            lose(host, &engine);
         }
-        Ok(_) => Ok(()),
-        Err(error) => {
-            host.doubt(engine.clone());
-            Err(error)
+    }
+}
+
+/// Has an engine confirmed that was taken while the platform was out.
+fn confirm(host: &Host, engine: &Upstream) -> Result<(), Failure> {
+    let held = host.held.lock().expect("held lock is poisoned").clone();
+    let Some(fence) = held.get(engine).copied() else {
+        return Ok(());
+    };
+    let key = claim::key(engine);
+    let found = claim::store::read(&host.store, &key)?;
+    match claim::confirm(found, &host.me, fence) {
+        Confirm::Write { version, record } => {
+            claim::store::write(&host.store, &key, version, &record)?;
+            log::info!(target: "steward", "Engine {engine} is confirmed under {fence}.");
         }
+        Confirm::Lost => lose(host, engine),
     }
+    Ok(())
+}
+
+fn members(host: &Host) -> Arc<[Member]> {
+    let members = host.peer.get().map(peer::Handle::members);
+    members.unwrap_or_default()
 }
 
 fn lose(host: &Host, engine: &Upstream) {
@@ -119,7 +205,7 @@
     host: &Host,
     engine: &Instance,
     members: &[Member],
-    earlier: &mut Earlier,
+    earlier: &mut BTreeMap<Upstream, Holder>,
 ) -> Result<(), Failure> {
     let key = claim::key(&engine.name);
     let found = claim::store::read(&host.store, &key)?;
@@ -149,7 +235,7 @@
 }
 
 /// Tells the steward of earlier stewards that have surely ended by now.
-fn settle_earlier(host: &Host, earlier: &mut Earlier, members: &[Member]) {
+fn settle_earlier(host: &Host, earlier: &mut BTreeMap<Upstream, Holder>, members: &[Member]) {
     earlier.retain(|engine, holder| {
         if !host.holds(engine) {
             return false;
@@ -173,7 +259,8 @@
     let fencing = text.model(model).map_or(Fencing::Ignored, |it| it.fencing);
     log::info!(target: "steward", "Took engine {} under {fence}, predecessor {predecessor:?}.", engine.name);
     let mut held = host.held.lock().expect("held lock is poisoned");
-    held.insert(engine.name.clone());
+    held.insert(engine.name.clone(), fence);
+    host.directory.note_fence(&engine.name, fence);
     host.inbox.event(Event::Took {
         engine: engine.clone(),
         fence,
@@ -186,9 +273,8 @@
 
 /// Gives everything up in a graceful shutdown, so that the next steward may adopt it at once.
 fn release_all(host: &Host) {
-    let held: BTreeSet<Upstream> =
-        std::mem::take(&mut *host.held.lock().expect("held lock is poisoned"));
-    for engine in held {
+    let held = std::mem::take(&mut *host.held.lock().expect("held lock is poisoned"));
+    for engine in held.into_keys() {
         host.inbox.event(Event::Lost {
             engine: engine.clone(),
         });
--- a/crates/entry/src/duty/hosts.rs
+++ b/crates/entry/src/duty/hosts.rs
@@ -1,12 +1,15 @@
 //! Reads the platform's host list and tells the steward and the members what it says.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use kernel::{
     name::{Host as HostName, Upstream},
     registry::inventory,
 };
-use member::Listing;
+use member::{Condition, Listing};
 use platform::hosts::{self, Client};
 use steward::Event;
 
@@ -29,19 +32,21 @@
 fn run(host: &Arc<Host>, stop: &Stop) {
     let client = Client::sharing(host.store.clone());
     while !stop.is_set() {
+        let asked = host.clock.now();
         match client.list() {
-            Ok(list) => take(host, &list),
+            Ok(list) => take(host, &list, asked),
             Err(error) => {
                 log::warn!(target: "platform", "The host list could not be read: {error}.");
+                learn(host);
             }
         }
         stop.sleep(INTERVAL);
     }
 }
 
-fn take(host: &Host, list: &[hosts::Host]) {
+fn take(host: &Host, list: &[hosts::Host], read: Instant) {
     let entries = list.iter().filter_map(listing).collect();
-    let (changed, gone) = host.listed.replace(list);
+    let (changed, gone) = host.listed.replace(list, read);
     if let Some(peer) = host.peer.get() {
         peer.listed(entries);
     }
@@ -54,10 +59,41 @@
     }
 }
 
+/// Learns a younger list from another host.
+fn learn(host: &Host) {
+    let Some(peer) = host.peer.get() else {
+        return;
+    };
+    let members = peer.members();
+    let others = members
+        .iter()
+        .filter(|it| it.holder.host != host.me.host && it.state != Condition::Down);
+    for member in others {
+        let asked = host.clock.now();
+        let Ok(Some(list)) = peer.hosts(&member.holder.host) else {
+            continue;
+        };
+        let Some(read) = asked.checked_sub(list.age) else {
+            continue;
+        };
+        let is_younger = host.listed.last().is_none_or(|it| it.0 < read);
+        if !is_younger {
+            continue;
+        }
+        match hosts::from_json(&list.json) {
+            Ok(list) => take(host, &list, read),
+            Err(error) => {
+                let name = &member.holder.host;
+                log::warn!(target: "platform", "Host {name} sent a host list that can't be read: {error}.");
+            }
+        }
+    }
+}
+
 fn lost(host: &Host, engine: Upstream) {
     log::info!(target: "platform", "Upstream {engine} is gone from the host list.");
     let mut held = host.held.lock().expect("held lock is poisoned");
-    if held.remove(&engine) {
+    if held.remove(&engine).is_some() {
         host.inbox.event(Event::Lost { engine });
     }
 }
--- a/crates/entry/src/duty/reports.rs
+++ b/crates/entry/src/duty/reports.rs
@@ -60,7 +60,8 @@
 /// The engines to ask now.
 fn wanted(host: &Host, due: &mut BTreeMap<Upstream, Instant>) -> BTreeSet<Upstream> {
     let now = host.clock.now();
-    let held = host.held.lock().expect("held lock is poisoned").clone();
+    let held = host.held.lock().expect("held lock is poisoned");
+    let held: BTreeSet<Upstream> = held.keys().cloned().collect();
     due.retain(|engine, _| held.contains(engine));
     let mut inspect = host.inspect.lock().expect("inspect lock is poisoned");
     let mut wanted = std::mem::take(&mut *inspect);
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -1,7 +1,7 @@
 //! What the threads of an entry host share.
 
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     sync::{
         Arc, Mutex, OnceLock, RwLock,
         atomic::{AtomicU64, Ordering},
@@ -58,8 +58,8 @@
     pub inbox: Inbox,
     /// The division of the weight store's limits.
     pub lending: Lending,
-    /// The engines that this host is steward of.
-    pub held: Mutex<BTreeSet<Upstream>>,
+    /// The engines that this host is steward of, with the fencing number of each.
+    pub held: Mutex<BTreeMap<Upstream, u64>>,
     /// Engines whose exact report is wanted soon.
     pub inspect: Mutex<BTreeSet<Upstream>>,
     /// Held engines that another host may have taken.
@@ -160,7 +160,7 @@
     /// Whether this host is steward of an engine.
     pub fn holds(&self, engine: &Upstream) -> bool {
         let held = self.held.lock().expect("held lock is poisoned");
-        held.contains(engine)
+        held.contains_key(engine)
     }
 }
 
--- a/crates/entry/src/listed.rs
+++ b/crates/entry/src/listed.rs
@@ -6,6 +6,7 @@
         Arc, RwLock,
         atomic::{AtomicU32, Ordering},
     },
+    time::Instant,
 };
 
 use kernel::{
@@ -34,6 +35,8 @@
 struct Entries {
     /// Those on the last list.
     now: Option<BTreeSet<String>>,
+    /// The whole last list and when the platform gave it.
+    list: Option<(Instant, Vec<platform::hosts::Host>)>,
     /// Those that were ever on a list that this host has read.
     ever: BTreeSet<String>,
 }
@@ -51,9 +54,13 @@
 impl Listed {
     /// Takes over a new list. Gives the upstreams that are new or have changed, and the names of
     /// those that are gone.
-    pub fn replace(&self, hosts: &[platform::hosts::Host]) -> (Vec<Instance>, Vec<Upstream>) {
+    pub fn replace(
+        &self,
+        hosts: &[platform::hosts::Host],
+        read: Instant,
+    ) -> (Vec<Instance>, Vec<Upstream>) {
         let instances = platform::hosts::instances(hosts);
-        self.note_entries(hosts);
+        self.note_entries(hosts, read);
         let mut known = self.known.write().expect("list lock is poisoned");
         let mut old = std::mem::take(&mut *known);
         let mut changed = Vec::new();
@@ -71,13 +78,20 @@
         (changed, old.into_keys().collect())
     }
 
-    fn note_entries(&self, hosts: &[platform::hosts::Host]) {
+    fn note_entries(&self, hosts: &[platform::hosts::Host], read: Instant) {
         let entry = |it: &&platform::hosts::Host| it.role == platform::hosts::Role::Entry;
         let names = hosts.iter().filter(entry).map(|it| it.name.to_string());
         let now: BTreeSet<String> = names.collect();
         let mut entries = self.entries.write().expect("list lock is poisoned");
         entries.ever.extend(now.iter().cloned());
         entries.now = Some(now);
+        entries.list = Some((read, hosts.to_vec()));
+    }
+
+    /// The last list and when the platform gave it.
+    pub fn last(&self) -> Option<(Instant, Vec<platform::hosts::Host>)> {
+        let entries = self.entries.read().expect("list lock is poisoned");
+        entries.list.clone()
     }
 
     /// How many entry hosts the last list had, if there was one.
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -45,6 +45,14 @@
         crate::route::explain::report(&self.0, id)
     }
 
+    fn hosts(&self) -> Option<peer::List> {
+        let (read, list) = self.0.listed.last()?;
+        Some(peer::List {
+            json: platform::hosts::to_json(&list),
+            age: self.0.clock.now().saturating_duration_since(read),
+        })
+    }
+
     fn demand(&self, from: Holder, demand: Demand) {
         lending::take(&self.0, &from, demand);
     }
--- a/crates/entry/tests/claim.rs
+++ b/crates/entry/tests/claim.rs
@@ -1,6 +1,6 @@
 //! Taking an engine over.
 
-use entry::claim::{self, Evidence, Next, Record, State};
+use entry::claim::{self, Confirm, Evidence, FENCE_STEP, Next, Record, State};
 use kernel::permit::Holder;
 use steward::Predecessor;
 
@@ -14,14 +14,14 @@
 fn record(host: &str, incarnation: u64, state: State) -> Record {
     Record {
         holder: holder(host, incarnation),
-        fence: 5,
+        fence: 5 * FENCE_STEP + 7,
         state,
     }
 }
 
 fn check(found: Option<Record>, evidence: Evidence, expected: Predecessor) {
     let me = holder("me", 2);
-    let fence = found.as_ref().map_or(1, |it| it.fence + 1);
+    let fence = found.as_ref().map_or(FENCE_STEP, |_| 6 * FENCE_STEP);
     let version = found.as_ref().map(|_| 9);
     let next = claim::next(found.map(|it| (9, it)), &me, evidence);
     let record = Record {
@@ -74,7 +74,8 @@
 fn own_record_is_held() {
     let found = Some((9, record("me", 2, State::Held)));
     let next = claim::next(found, &holder("me", 2), Evidence::MayAct);
-    assert_eq!(next, Next::Held { fence: 5 });
+    let fence = 5 * FENCE_STEP + 7;
+    assert_eq!(next, Next::Held { fence });
 }
 
 /// Covers: a record survives its bytes, and other bytes are an error.
@@ -85,3 +86,34 @@
     assert!(Record::from_bytes(b"{}").is_err());
     assert!(Record::from_bytes(&[0xff]).is_err());
 }
+
+/// Covers: numbers chosen without the platform lie between two that it confirms, differ between
+/// hosts, and are confirmed unless another host was.
+#[test]
+fn unconfirmed_number_lies_between_confirmed_ones() {
+    let other = record("other", 1, State::Held);
+    let me = holder("me", 2);
+    let fence = claim::unconfirmed_fence(other.fence, &me);
+    assert!((other.fence + 1..6 * FENCE_STEP).contains(&fence));
+    assert_ne!(
+        fence,
+        claim::unconfirmed_fence(other.fence, &holder("you", 2))
+    );
+    let expected = Confirm::Write {
+        version: Some(9),
+        record: Record {
+            holder: me.clone(),
+            fence,
+            state: State::Held,
+        },
+    };
+    assert_eq!(
+        claim::confirm(Some((9, other.clone())), &me, fence),
+        expected
+    );
+    let later = Record {
+        fence: 6 * FENCE_STEP,
+        ..other
+    };
+    assert_eq!(claim::confirm(Some((9, later)), &me, fence), Confirm::Lost);
+}
--- a/crates/entry/tests/fleet/eviction.rs
+++ b/crates/entry/tests/fleet/eviction.rs
@@ -1,9 +1,10 @@
-//! An adapter that serves a request is never evicted while the request runs.
+//! An adapter that serves a request is never evicted while the request runs, not even on an engine
+//! that would obey the order.
 
 use std::thread;
 
 use standin::{
-    engine::{Orders, Pace, Switch},
+    engine::{Orders, Pace, Switch, Unload},
     fleet::Shape,
 };
 
@@ -32,6 +33,7 @@
     let it = Fixture::start(&small(fencing));
     let engine = &it.fleet.engines()[0];
     engine.set(&Switch::Pace(Pace::Stepped)).unwrap();
+    engine.set(&Switch::Unload(Unload::Obey)).unwrap();
     let old = it.index_of(&it.steward(0, &engine.name).unwrap());
     let other = (old + 1) % it.fleet.entries().len();
     let request = chat("pinned", REFERENCE, Delivery::Streamed);
@@ -85,6 +87,7 @@
     let it = Fixture::start(&small(Orders::Ignored));
     let engine = &it.fleet.engines()[0];
     engine.set(&Switch::Pace(Pace::Stepped)).unwrap();
+    engine.set(&Switch::Unload(Unload::Obey)).unwrap();
     let old = it.index_of(&it.steward(0, &engine.name).unwrap());
     let other = (old + 1) % it.fleet.entries().len();
     let request = chat("orphan", REFERENCE, Delivery::Streamed);
--- a/crates/entry/tests/fleet/main.rs
+++ b/crates/entry/tests/fleet/main.rs
@@ -9,5 +9,6 @@
 mod leaving;
 mod not_run;
 mod once;
+mod outage;
 mod shutdown;
 mod version;
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -16,6 +16,7 @@
 
 use crate::{
     handle::{Body, Call},
+    handler::List,
     link::{Lost, fault, reach},
     service::Context,
 };
@@ -50,6 +51,10 @@
             let answer = within(timeout, &host, explain(&context, &host, &request)).await;
             let _ = reply.fill(answer);
         }
+        Body::Hosts(reply) => {
+            let answer = within(timeout, &host, hosts(&context, &host)).await;
+            let _ = reply.fill(answer);
+        }
         Body::Demand(demand) => {
             let answer = within(timeout, &host, tell_demand(&context, &host, &demand)).await;
             note_unheard(answer);
@@ -76,6 +81,20 @@
     Ok(())
 }
 
+async fn hosts(context: &Rc<Context>, host: &Host) -> Result<Option<List>, Lost> {
+    let open = reach(context, host).await?;
+    let request = open.peer.hosts_request();
+    let answer = open.answer(request.send().promise).await?;
+    let answer = answer.get()?;
+    let Ok(age) = u64::try_from(answer.get_age_millis()) else {
+        return Ok(None);
+    };
+    Ok(Some(List {
+        json: answer.get_list()?.to_vec(),
+        age: Duration::from_millis(age),
+    }))
+}
+
 async fn lend(context: &Rc<Context>, host: &Host, loan: &Loan) -> Result<(), Lost> {
     let open = reach(context, host).await?;
     let mut request = open.peer.lend_request();
--- a/crates/peer/src/handle.rs
+++ b/crates/peer/src/handle.rs
@@ -14,6 +14,7 @@
 
 use crate::{
     counter::Totals,
+    handler::List,
     release::Added,
     shared::Shared,
     slot::{self, Reply},
@@ -34,6 +35,7 @@
     Explain(String, Reply<Option<String>>),
     Demand(Demand),
     Lend(Loan),
+    Hosts(Reply<Option<List>>),
 }
 
 /// How long a host may take to give revisions or an explanation.
@@ -96,6 +98,14 @@
             .unwrap_or_else(|| Err(late(host, INQUIRY_TIMEOUT)))
     }
 
+    /// The platform's host list as another host read it last; none if it never did.
+    pub fn hosts(&self, host: &Host) -> Result<Option<List>, Fault> {
+        let (wait, reply) = slot::new();
+        self.call(host, INQUIRY_TIMEOUT, Body::Hosts(reply))?;
+        wait.wait(INQUIRY_TIMEOUT)
+            .unwrap_or_else(|| Err(late(host, INQUIRY_TIMEOUT)))
+    }
+
     /// Tells the host that lends out the weight store's limits what this steward needs. The message
     /// may get lost; its counts are totals.
     pub fn demand(&self, host: &Host, demand: Demand) -> Result<(), Fault> {
--- a/crates/peer/src/handler.rs
+++ b/crates/peer/src/handler.rs
@@ -1,11 +1,22 @@
 //! What the rest of an entry host does for its peers.
 
+use std::time::Duration;
+
 use kernel::{
     name::Upstream,
     permit::{Ask, Holder, Number, Outcome, Verdict},
 };
 use steward::share::{Demand, Loan};
 
+/// The platform's host list as a host read it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct List {
+    /// The list, in the form in which the platform gives it.
+    pub json: Vec<u8>,
+    /// How long ago it was read.
+    pub age: Duration,
+}
+
 /// Answers peers and hears of members. Every method runs on the thread of the sockets and must
 /// return soon.
 pub trait Handler: Send + Sync {
@@ -22,6 +33,11 @@
     /// What was decided for a request and why.
     fn explain(&self, request: &str) -> Option<String>;
 
+    /// The platform's host list as this host read it last, if it did.
+    fn hosts(&self) -> Option<List> {
+        None
+    }
+
     /// A steward tells the lender of the weight store's limits what it needs.
     fn demand(&self, from: Holder, demand: Demand) {
         let _ = (from, demand);
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -316,6 +316,22 @@
         Ok(())
     }
 
+    async fn hosts(
+        self: Rc<Self>,
+        _: peer::HostsParams,
+        mut results: peer::HostsResults,
+    ) -> Result<(), Error> {
+        self.context.shared.counters.calls_in.add(1);
+        let mut results = results.get();
+        let Some(list) = self.context.handler.hosts() else {
+            results.set_age_millis(-1);
+            return Ok(());
+        };
+        results.set_list(&list.json);
+        results.set_age_millis(i64::try_from(list.age.as_millis()).map_err(failed)?);
+        Ok(())
+    }
+
     async fn explain(
         self: Rc<Self>,
         params: peer::ExplainParams,
--- a/crates/platform/src/hosts.rs
+++ b/crates/platform/src/hosts.rs
@@ -7,6 +7,7 @@
     service,
 };
 use serde::Deserialize;
+use serde_json::json;
 
 use crate::{
     http::{self, link::Effect, link::Request},
@@ -89,6 +90,39 @@
     })
 }
 
+/// A list in the form in which the platform gives it, for hosts that can't reach the platform.
+pub fn to_json(hosts: &[Host]) -> Vec<u8> {
+    let hosts: Vec<_> = hosts.iter().map(entry).collect();
+    let list = json!({ "hosts": hosts });
+    list.to_string().into_bytes()
+}
+
+/// Reads a list. An entry that can't be understood is logged and passed over.
+pub fn from_json(bytes: &[u8]) -> Result<Vec<Host>, serde_json::Error> {
+    let raw: RawList = serde_json::from_slice(bytes)?;
+    Ok(raw.hosts.into_iter().filter_map(host).collect())
+}
+
+fn entry(host: &Host) -> serde_json::Value {
+    let (role, serves) = match &host.role {
+        Role::Entry => ("entry", ""),
+        Role::Engine(model) => ("engine", model.as_str()),
+        Role::Plain(service) => ("plain", service.as_str()),
+    };
+    let state = match host.state {
+        service::State::Live => "live",
+        service::State::Leaving => "leaving",
+    };
+    json!({
+        "name": host.name.as_str(),
+        "address": host.address,
+        "domain": host.domain.as_str(),
+        "role": role,
+        "serves": serves,
+        "state": state,
+    })
+}
+
 #[derive(Deserialize)]
 struct RawList {
     hosts: Vec<serde_json::Value>,
--- a/crates/wire/schema/comfreywing.capnp
+++ b/crates/wire/schema/comfreywing.capnp
@@ -179,4 +179,6 @@
   explain @3 (request :Text) -> (found :Bool, text :Text);
   demand @4 (demand :Demand) -> ();
   lend @5 (loan :Loan) -> ();
+  # The host list as read last, and how long ago; a negative age if it was never read.
+  hosts @6 () -> (list :Data, ageMillis :Int64);
 }
--- a/crates/wire/src/comfreywing_capnp.rs
+++ b/crates/wire/src/comfreywing_capnp.rs
@@ -9320,6 +9320,10 @@
         ::capnp::capability::Params<crate::comfreywing_capnp::peer::lend_params::Owned>;
     pub type LendResults =
         ::capnp::capability::Results<crate::comfreywing_capnp::peer::lend_results::Owned>;
+    pub type HostsParams =
+        ::capnp::capability::Params<crate::comfreywing_capnp::peer::hosts_params::Owned>;
+    pub type HostsResults =
+        ::capnp::capability::Results<crate::comfreywing_capnp::peer::hosts_results::Owned>;
 
     pub struct Client {
         pub client: ::capnp::capability::Client,
@@ -9453,6 +9457,15 @@
             self.client
                 .new_call(_private::TYPE_ID, 5, ::core::option::Option::None)
         }
+        pub fn hosts_request(
+            &self,
+        ) -> ::capnp::capability::Request<
+            crate::comfreywing_capnp::peer::hosts_params::Owned,
+            crate::comfreywing_capnp::peer::hosts_results::Owned,
+        > {
+            self.client
+                .new_call(_private::TYPE_ID, 6, ::core::option::Option::None)
+        }
     }
     pub trait Server: 'static {
         fn place(
@@ -9509,6 +9522,15 @@
                 "method peer::Server::lend not implemented".to_string(),
             )))
         }
+        fn hosts(
+            self: ::capnp::capability::Rc<Self>,
+            _: HostsParams,
+            _: HostsResults,
+        ) -> impl ::core::future::Future<Output = Result<(), ::capnp::Error>> + 'static {
+            ::core::future::ready(Err(::capnp::Error::unimplemented(
+                "method peer::Server::hosts not implemented".to_string(),
+            )))
+        }
     }
     pub struct ServerDispatch<_T> {
         pub server: ::capnp::capability::Rc<_T>,
@@ -9612,6 +9634,14 @@
                     )),
                     false,
                 ),
+                6 => ::capnp::capability::DispatchCallResult::new(
+                    ::capnp::capability::Promise::from_future(<_T as Server>::hosts(
+                        this,
+                        ::capnp::private::capability::internal_get_typed_params(params),
+                        ::capnp::private::capability::internal_get_typed_results(results),
+                    )),
+                    false,
+                ),
                 _ => ::capnp::capability::DispatchCallResult::new(
                     ::capnp::capability::Promise::err(::capnp::Error::unimplemented(
                         "Method not implemented.".to_string(),
@@ -13351,4 +13381,604 @@
             pub(crate) const TYPE_ID: u64 = 0xe25d_6411_020d_cf70;
         }
     }
+
+    pub mod hosts_params {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader
+                    .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl Reader<'_> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize {
+                    data: 0,
+                    pointers: 0,
+                };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder
+                    .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder
+                    .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                    .into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(
+                            <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                            default,
+                        )?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder {
+                    builder: self.builder.reborrow(),
+                }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self {
+                    _typeless: typeless,
+                }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 17] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(243, 161, 174, 213, 8, 66, 194, 139),
+                ::capnp::word(23, 0, 0, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 34, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 109, 102, 114, 101, 121, 119),
+                ::capnp::word(105, 110, 103, 46, 99, 97, 112, 110),
+                ::capnp::word(112, 58, 80, 101, 101, 114, 46, 104),
+                ::capnp::word(111, 115, 116, 115, 36, 80, 97, 114),
+                ::capnp::word(97, 109, 115, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_field_index(index)
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[];
+            pub(crate) const TYPE_ID: u64 = 0x8bc2_4208_d5ae_a1f3;
+        }
+    }
+
+    pub mod hosts_results {
+        #[derive(Copy, Clone)]
+        pub struct Owned(());
+        impl ::capnp::introspect::Introspect for Owned {
+            fn introspect() -> ::capnp::introspect::Type {
+                ::capnp::introspect::TypeVariant::Struct(
+                    ::capnp::introspect::RawBrandedStructSchema {
+                        generic: &_private::RAW_SCHEMA,
+                        field_types: _private::get_field_types,
+                        annotation_types: _private::get_annotation_types,
+                        type_id: ::core::any::TypeId::of::<Owned>(),
+                    },
+                )
+                .into()
+            }
+        }
+        impl ::capnp::traits::Owned for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::OwnedStruct for Owned {
+            type Reader<'a> = Reader<'a>;
+            type Builder<'a> = Builder<'a>;
+        }
+        impl ::capnp::traits::Pipelined for Owned {
+            type Pipeline = Pipeline;
+        }
+
+        pub struct Reader<'a> {
+            reader: ::capnp::private::layout::StructReader<'a>,
+        }
+        impl ::core::marker::Copy for Reader<'_> {}
+        impl ::core::clone::Clone for Reader<'_> {
+            fn clone(&self) -> Self {
+                *self
+            }
+        }
+
+        impl ::capnp::traits::HasTypeId for Reader<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructReader<'a>> for Reader<'a> {
+            fn from(reader: ::capnp::private::layout::StructReader<'a>) -> Self {
+                Self { reader }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Reader<'a>> for ::capnp::dynamic_value::Reader<'a> {
+            fn from(reader: Reader<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Reader::new(
+                    reader.reader,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl ::core::fmt::Debug for Reader<'_> {
+            fn fmt(
+                &self,
+                f: &mut ::core::fmt::Formatter<'_>,
+            ) -> ::core::result::Result<(), ::core::fmt::Error> {
+                core::fmt::Debug::fmt(
+                    &::core::convert::Into::<::capnp::dynamic_value::Reader<'_>>::into(*self),
+                    f,
+                )
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerReader<'a> for Reader<'a> {
+            fn get_from_pointer(
+                reader: &::capnp::private::layout::PointerReader<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(reader.get_struct(default)?.into())
+            }
+        }
+
+        impl<'a> ::capnp::traits::IntoInternalStructReader<'a> for Reader<'a> {
+            fn into_internal_struct_reader(self) -> ::capnp::private::layout::StructReader<'a> {
+                self.reader
+            }
+        }
+
+        impl<'a> ::capnp::traits::Imbue<'a> for Reader<'a> {
+            fn imbue(&mut self, cap_table: &'a ::capnp::private::layout::CapTable) {
+                self.reader
+                    .imbue(::capnp::private::layout::CapTableReader::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> Reader<'a> {
+            pub fn reborrow(&self) -> Reader<'_> {
+                Self { ..*self }
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.reader.total_size()
+            }
+            #[inline]
+            pub fn get_list(self) -> ::capnp::Result<::capnp::data::Reader<'a>> {
+                ::capnp::traits::FromPointerReader::get_from_pointer(
+                    &self.reader.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn has_list(&self) -> bool {
+                !self.reader.get_pointer_field(0).is_null()
+            }
+            #[inline]
+            pub fn get_age_millis(self) -> i64 {
+                self.reader.get_data_field::<i64>(0)
+            }
+        }
+
+        pub struct Builder<'a> {
+            builder: ::capnp::private::layout::StructBuilder<'a>,
+        }
+        impl ::capnp::traits::HasStructSize for Builder<'_> {
+            const STRUCT_SIZE: ::capnp::private::layout::StructSize =
+                ::capnp::private::layout::StructSize {
+                    data: 1,
+                    pointers: 1,
+                };
+        }
+        impl ::capnp::traits::HasTypeId for Builder<'_> {
+            const TYPE_ID: u64 = _private::TYPE_ID;
+        }
+        impl<'a> ::core::convert::From<::capnp::private::layout::StructBuilder<'a>> for Builder<'a> {
+            fn from(builder: ::capnp::private::layout::StructBuilder<'a>) -> Self {
+                Self { builder }
+            }
+        }
+
+        impl<'a> ::core::convert::From<Builder<'a>> for ::capnp::dynamic_value::Builder<'a> {
+            fn from(builder: Builder<'a>) -> Self {
+                Self::Struct(::capnp::dynamic_struct::Builder::new(
+                    builder.builder,
+                    ::capnp::schema::StructSchema::new(
+                        ::capnp::introspect::RawBrandedStructSchema {
+                            generic: &_private::RAW_SCHEMA,
+                            field_types: _private::get_field_types,
+                            annotation_types: _private::get_annotation_types,
+                            type_id: ::core::any::TypeId::of::<Owned>(),
+                        },
+                    ),
+                ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::ImbueMut<'a> for Builder<'a> {
+            fn imbue_mut(&mut self, cap_table: &'a mut ::capnp::private::layout::CapTable) {
+                self.builder
+                    .imbue(::capnp::private::layout::CapTableBuilder::from_ref(
+                        cap_table,
+                    ))
+            }
+        }
+
+        impl<'a> ::capnp::traits::FromPointerBuilder<'a> for Builder<'a> {
+            fn init_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                _size: u32,
+            ) -> Self {
+                builder
+                    .init_struct(<Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE)
+                    .into()
+            }
+            fn get_from_pointer(
+                builder: ::capnp::private::layout::PointerBuilder<'a>,
+                default: ::core::option::Option<&'a [::capnp::Word]>,
+            ) -> ::capnp::Result<Self> {
+                ::core::result::Result::Ok(
+                    builder
+                        .get_struct(
+                            <Self as ::capnp::traits::HasStructSize>::STRUCT_SIZE,
+                            default,
+                        )?
+                        .into(),
+                )
+            }
+        }
+
+        impl ::capnp::traits::SetterInput<Owned> for Reader<'_> {
+            fn set_pointer_builder(
+                mut pointer: ::capnp::private::layout::PointerBuilder<'_>,
+                value: Self,
+                canonicalize: bool,
+            ) -> ::capnp::Result<()> {
+                pointer.set_struct(&value.reader, canonicalize)
+            }
+        }
+
+        impl<'a> Builder<'a> {
+            pub fn into_reader(self) -> Reader<'a> {
+                self.builder.into_reader().into()
+            }
+            pub fn reborrow(&mut self) -> Builder<'_> {
+                Builder {
+                    builder: self.builder.reborrow(),
+                }
+            }
+            pub fn reborrow_as_reader(&self) -> Reader<'_> {
+                self.builder.as_reader().into()
+            }
+
+            pub fn total_size(&self) -> ::capnp::Result<::capnp::MessageSize> {
+                self.builder.as_reader().total_size()
+            }
+            #[inline]
+            pub fn get_list(self) -> ::capnp::Result<::capnp::data::Builder<'a>> {
+                ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                    self.builder.get_pointer_field(0),
+                    ::core::option::Option::None,
+                )
+            }
+            #[inline]
+            pub fn set_list(&mut self, value: ::capnp::data::Reader<'_>) {
+                self.builder.reborrow().get_pointer_field(0).set_data(value);
+            }
+            #[inline]
+            pub fn init_list(self, size: u32) -> ::capnp::data::Builder<'a> {
+                self.builder.get_pointer_field(0).init_data(size)
+            }
+            #[inline]
+            pub fn has_list(&self) -> bool {
+                !self.builder.is_pointer_field_null(0)
+            }
+            #[inline]
+            pub fn get_age_millis(self) -> i64 {
+                self.builder.get_data_field::<i64>(0)
+            }
+            #[inline]
+            pub fn set_age_millis(&mut self, value: i64) {
+                self.builder.set_data_field::<i64>(0, value);
+            }
+        }
+
+        pub struct Pipeline {
+            _typeless: ::capnp::any_pointer::Pipeline,
+        }
+        impl ::capnp::capability::FromTypelessPipeline for Pipeline {
+            fn new(typeless: ::capnp::any_pointer::Pipeline) -> Self {
+                Self {
+                    _typeless: typeless,
+                }
+            }
+        }
+        impl Pipeline {}
+        mod _private {
+            pub(crate) static ENCODED_NODE: [::capnp::Word; 49] = [
+                ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
+                ::capnp::word(128, 77, 194, 252, 208, 72, 237, 200),
+                ::capnp::word(23, 0, 0, 0, 1, 0, 1, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(1, 0, 7, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(21, 0, 0, 0, 42, 1, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(29, 0, 0, 0, 119, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(99, 111, 109, 102, 114, 101, 121, 119),
+                ::capnp::word(105, 110, 103, 46, 99, 97, 112, 110),
+                ::capnp::word(112, 58, 80, 101, 101, 114, 46, 104),
+                ::capnp::word(111, 115, 116, 115, 36, 82, 101, 115),
+                ::capnp::word(117, 108, 116, 115, 0, 0, 0, 0),
+                ::capnp::word(8, 0, 0, 0, 3, 0, 4, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(41, 0, 0, 0, 42, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(36, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(48, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(45, 0, 0, 0, 82, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(44, 0, 0, 0, 3, 0, 1, 0),
+                ::capnp::word(56, 0, 0, 0, 2, 0, 1, 0),
+                ::capnp::word(108, 105, 115, 116, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(13, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(97, 103, 101, 77, 105, 108, 108, 105),
+                ::capnp::word(115, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(5, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+                ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ];
+            pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
+                match index {
+                    0 => <::capnp::data::Owned as ::capnp::introspect::Introspect>::introspect(),
+                    1 => <i64 as ::capnp::introspect::Introspect>::introspect(),
+                    _ => ::capnp::introspect::panic_invalid_field_index(index),
+                }
+            }
+            pub(crate) fn get_annotation_types(
+                child_index: Option<u16>,
+                index: u32,
+            ) -> ::capnp::introspect::Type {
+                ::capnp::introspect::panic_invalid_annotation_indices(child_index, index)
+            }
+            pub(crate) static ARENA: ::capnp::private::arena::GeneratedCodeArena =
+                ::capnp::private::arena::GeneratedCodeArena::new(&ENCODED_NODE);
+            pub(crate) static RAW_SCHEMA: ::capnp::introspect::RawStructSchema =
+                ::capnp::introspect::RawStructSchema::new(
+                    &ARENA,
+                    NONUNION_MEMBERS,
+                    MEMBERS_BY_DISCRIMINANT,
+                    MEMBERS_BY_NAME,
+                );
+            pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1];
+            pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
+            pub(crate) static MEMBERS_BY_NAME: &[u16] = &[1, 0];
+            pub(crate) const TYPE_ID: u64 = 0xc8ed_48d0_fcc2_4d80;
+        }
+    }
 }
