--- a/crates/experiment/examples/experiment.rs
+++ b/crates/experiment/examples/experiment.rs
@@ -36,6 +36,9 @@
     /// how many seeds are run and added up
     #[argh(option, default = "3")]
     seeds: u64,
+    /// leave out what comfreywing is compared with
+    #[argh(switch)]
+    alone: bool,
     /// measure what a decision costs instead
     #[argh(switch)]
     cost: bool,
@@ -140,13 +143,16 @@
             scenario,
             &trace,
         ));
+        if arguments.alone {
+            continue;
+        }
         reference.merge(naive::run(deployment, scenario, &trace));
         let oracle = |it| oracle::run(deployment, it, scenario, &trace);
         hindsight.merge(oracle(Knowledge::Future));
         informed.merge(oracle(Knowledge::Popularity));
     }
     println!(
-        "\n{} {} skew {skew}, {:.1} requests/s\n",
+        "\n### {}: {}, skew {skew}, {:.1} requests/s\n",
         deployment.name,
         scenario.name(),
         deployment.capacity(skew) * scenario.load(),
@@ -156,9 +162,9 @@
     print!("{}", report::row("naive", &reference));
     print!("{}", report::row("known popularity", &informed));
     print!("{}", report::row("known future", &hindsight));
-    println!("refusals: {}", report::refusals(&own));
+    println!("\nRefusals: {}.", report::refusals(&own));
     if matches!(scenario, Scenario::Shift | Scenario::Restart) {
-        print!("comfreywing: {}", report::course(&Course::new(&own)));
+        print!("\ncomfreywing: {}", report::course(&Course::new(&own)));
         print!(
             "known popularity: {}",
             report::course(&Course::new(&informed))
--- a/crates/steward/src/route.rs
+++ b/crates/steward/src/route.rs
@@ -115,6 +115,13 @@
     loaded: Vec<Reference>,
 }
 
+impl Entry {
+    /// One if a request could run there at once, else none.
+    fn openings(&self) -> usize {
+        usize::from(self.state == State::Live && self.level < Level::FULL)
+    }
+}
+
 /// What an entry host knows of the engines of its region. It lags behind the stewards.
 #[derive(Debug)]
 pub struct Directory {
@@ -124,6 +131,8 @@
     holders: HashMap<Reference, Vec<Key<Entry>>>,
     rings: HashMap<Model, BTreeMap<u64, Key<Entry>>>,
     backlogs: HashMap<Host, Backlog>,
+    /// How many engines of each steward have room in their batch.
+    open: HashMap<Host, usize>,
 }
 
 impl Directory {
@@ -136,6 +145,7 @@
             holders: HashMap::new(),
             rings: HashMap::new(),
             backlogs: HashMap::new(),
+            open: HashMap::new(),
         }
     }
 
@@ -201,12 +211,29 @@
         match change {
             Change::Loaded(reference) => self.loaded(key, reference),
             Change::Unloaded(reference) => self.unloaded(key, &reference),
-            Change::Level(level) => entry.level = level,
-            Change::State(state) => entry.state = state,
+            Change::Level(level) => self.change(key, |it| it.level = level),
+            Change::State(state) => self.change(key, |it| it.state = state),
             Change::Gone | Change::Joined { .. } => self.remove(key),
         }
     }
 
+    /// Changes an entry, and the count of its steward's open engines with it.
+    fn change(&mut self, key: Key<Entry>, change: impl FnOnce(&mut Entry)) {
+        let Some(entry) = self.engines.get_mut(key) else {
+            return;
+        };
+        let before = entry.openings();
+        change(entry);
+        let after = entry.openings();
+        let steward = entry.steward.clone();
+        self.count(steward, before, after);
+    }
+
+    fn count(&mut self, steward: Host, before: usize, after: usize) {
+        let open = self.open.entry(steward).or_default();
+        *open = (*open + after).saturating_sub(before);
+    }
+
     fn join(&mut self, entry: Entry) {
         if let Some(key) = self.names.get(&entry.name).copied() {
             if self
@@ -220,6 +247,7 @@
         }
         let name = entry.name.clone();
         let model = entry.model.clone();
+        self.count(entry.steward.clone(), 0, entry.openings());
         let key = self.engines.insert(entry);
         let ring = self.rings.entry(model).or_default();
         for point in points(&name) {
@@ -232,6 +260,7 @@
         let Some(entry) = self.engines.remove(key) else {
             return;
         };
+        self.count(entry.steward.clone(), entry.openings(), 0);
         self.names.remove(&entry.name);
         if let Some(ring) = self.rings.get_mut(&entry.model) {
             for point in points(&entry.name) {
@@ -302,7 +331,7 @@
 
     fn push_homes(&self, ask: &Ask, ranked: &mut Vec<Candidate>) {
         let mut homes = self.homes(ask);
-        homes.sort_by_key(|it| self.is_blocked(&it.steward));
+        homes.sort_by_key(|it| (self.is_blocked(&it.steward), !self.is_open(&it.steward)));
         for entry in homes {
             push(entry, ranked);
         }
@@ -312,7 +341,12 @@
         self.backlogs.get(steward) == Some(&Backlog::Blocked)
     }
 
-    /// The engines after the adapter's point on the ring, one for each steward.
+    fn is_open(&self, steward: &Host) -> bool {
+        self.open.get(steward).is_some_and(|it| *it > 0)
+    }
+
+    /// The engines after the adapter's point on the ring, one for each steward. Of the stewards
+    /// without an engine that has room, only the first is among them.
     fn homes(&self, ask: &Ask) -> Vec<&Entry> {
         let mut homes: Vec<&Entry> = Vec::with_capacity(MAX_HOMES);
         let Some(ring) = self.rings.get(&ask.model) else {
@@ -328,6 +362,9 @@
             if entry.state != State::Live || homes.iter().any(|it| it.steward == entry.steward) {
                 continue;
             }
+            if !homes.is_empty() && !self.is_open(&entry.steward) {
+                continue;
+            }
             homes.push(entry);
             if homes.len() == MAX_HOMES {
                 break;
--- a/crates/steward/src/state.rs
+++ b/crates/steward/src/state.rs
@@ -222,11 +222,7 @@
         if self.pending.is_empty() {
             self.budget.give_back();
         }
-        let wanted = if self.store_is_down(now) {
-            0
-        } else {
-            self.pending.len()
-        };
+        let wanted = self.wanted_loads(now);
         let demand = self.budget.demand(wanted, now);
         self.actions.extend(demand.map(Action::Demand));
         self.contact_at = self.budget.next_contact(now);
--- a/crates/steward/src/state/eviction.rs
+++ b/crates/steward/src/state/eviction.rs
@@ -20,6 +20,10 @@
 /// What a copy beside another one is worth, as a share of what the only one is worth.
 const COPY_WORTH: f64 = 0.25;
 
+/// What it costs to load onto an engine without room in its batch: more than any eviction, since
+/// the requests would wait there.
+const FULL_BATCH_COST: f64 = 1e6;
+
 /// Where a load goes.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Place {
@@ -35,13 +39,13 @@
         let model = &self.adapters.get(adapter)?.model;
         let mut best: Option<(f64, Place)> = None;
         for (key, engine) in self.engines.iter() {
-            if engine.model != *model || !engine.has_room() || engine.mentions(adapter) {
+            if engine.model != *model || !engine.is_usable() || engine.mentions(adapter) {
                 continue;
             }
             let Some((worth, place)) = self.place_on(key, engine, now) else {
                 continue;
             };
-            let cost = self.cost(worth, engine);
+            let cost = self.cost(worth, engine) + crowding(engine);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, place));
             }
@@ -106,3 +110,11 @@
         self.settings.longest_deadline + self.settings.run_margin
     }
 }
+
+fn crowding(engine: &Engine) -> f64 {
+    if engine.has_room() {
+        0.0
+    } else {
+        FULL_BATCH_COST
+    }
+}
--- a/crates/steward/src/state/load.rs
+++ b/crates/steward/src/state/load.rs
@@ -66,6 +66,7 @@
         self.end_backoff(now);
         while !self.pending.is_empty() && self.budget.is_ready(now) && !self.store_is_down(now) {
             let Some((adapter, place)) = self.next_placement(now) else {
+                self.budget.give_back();
                 return;
             };
             self.begin(adapter, place, now);
@@ -82,6 +83,17 @@
         }
     }
 
+    /// Loads that could begin now if the budget allowed them.
+    pub(super) fn wanted_loads(&self, now: Instant) -> usize {
+        let mut first = self.pending.iter().take(MAX_ATTEMPTS);
+        let has_place = first.any(|it| self.may_load(*it, now) && self.place(*it, now).is_some());
+        if has_place && !self.store_is_down(now) {
+            self.pending.len()
+        } else {
+            0
+        }
+    }
+
     fn next_placement(&self, now: Instant) -> Option<(Key<Adapter>, Place)> {
         let mut order: Vec<_> = self
             .pending
