--- a/crates/peer/examples/gossip/fleet.rs
+++ b/crates/peer/examples/gossip/fleet.rs
@@ -22,9 +22,6 @@
     report::Window,
 };
 
-/// Above this many hosts, only the own domain is known in full.
-const FULL_DETAIL_HOSTS: usize = 64;
-
 /// How long anything may take before the measurement gives it up.
 const LIMIT: Duration = Duration::from_secs(90);
 
@@ -37,12 +34,14 @@
     pub domains: usize,
     pub entries: usize,
     pub entry_bytes: usize,
+    /// Above this many hosts, only the own domain is known in full.
+    pub full_detail: usize,
 }
 
 impl Shape {
     /// Which hosts know each other in full.
     pub fn detail(self) -> Detail {
-        if self.hosts <= FULL_DETAIL_HOSTS {
+        if self.hosts <= self.full_detail {
             Detail::Fleet
         } else {
             Detail::Domain
--- a/crates/peer/examples/gossip/main.rs
+++ b/crates/peer/examples/gossip/main.rs
@@ -6,6 +6,7 @@
 mod cost;
 mod fleet;
 mod report;
+mod stewards;
 
 use std::{process::ExitCode, time::Duration};
 
@@ -34,6 +35,10 @@
     /// changed entries a second of each host in the second window (default 0.1)
     #[argh(option, default = "0.1")]
     changes: f64,
+    /// up to this many hosts all know each other in full, beyond it those of a domain do
+    /// (default 64)
+    #[argh(option, default = "64")]
+    full_detail: usize,
     /// seconds of each of the two windows (default 20)
     #[argh(option, default = "20")]
     window: u64,
@@ -59,6 +64,7 @@
     report::print(&rows);
     if args.calls > 0 {
         calls::measure(args.calls);
+        stewards::measure();
     }
     ExitCode::SUCCESS
 }
@@ -70,6 +76,7 @@
         domains: args.domains.unwrap_or(by_size).min(hosts),
         entries: args.entries,
         entry_bytes: args.entry_bytes,
+        full_detail: args.full_detail,
     };
     let window = Duration::from_secs(args.window);
     let before = cost::memory();
--- a/crates/peer/examples/gossip/report.rs
+++ b/crates/peer/examples/gossip/report.rs
@@ -129,6 +129,7 @@
         domains,
         entries,
         entry_bytes,
+        ..
     } = row.shape;
     println!("{hosts} hosts in {domains} domains, {entries} entries of {entry_bytes} bytes each");
     println!("  settled after {:.1} s", row.settled.as_secs_f64());
--- /dev/null
+++ b/crates/peer/examples/gossip/stewards.rs
@@ -0,0 +1,53 @@
+//! The cost of finding the stewards of all engines of a failure domain.
+
+use std::{
+    hint::black_box,
+    net::{Ipv4Addr, SocketAddr},
+    time::Instant,
+};
+
+use kernel::{
+    name::{Domain, Upstream},
+    permit::Holder,
+};
+use member::{Condition, Member, steward};
+
+/// Sizes of today and of the target, with one between: engines and hosts of a domain.
+const SIZES: [(u16, u16); 3] = [(18, 4), (110, 5), (1100, 52)];
+
+const ROUNDS: u32 = 100;
+
+fn members(hosts: u16, domain: &Domain) -> Vec<Member> {
+    let member = |index: u16| Member {
+        holder: Holder {
+            host: format!("entry-{index:03}").parse().expect("a name"),
+            incarnation: 1,
+        },
+        domain: domain.clone(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1000 + index)),
+        state: Condition::Up,
+    };
+    (0..hosts).map(member).collect()
+}
+
+/// Prints the time for each size.
+pub fn measure() {
+    let domain: Domain = "domain-0".parse().expect("a name");
+    println!("stewards of all engines of a domain:");
+    for (engines, hosts) in SIZES {
+        let members = members(hosts, &domain);
+        let name = |index: u16| format!("domain-0-engine-{index}").parse().expect("a name");
+        let engines: Vec<Upstream> = (0..engines).map(name).collect();
+        let start = Instant::now();
+        for _ in 0..ROUNDS {
+            for engine in &engines {
+                black_box(steward::of(engine, &domain, &members));
+            }
+        }
+        println!(
+            "  {} engines, {hosts} hosts: {:?}",
+            engines.len(),
+            start.elapsed() / ROUNDS
+        );
+    }
+}
