Limit retries by a budget a service, and pass over upstreams that keep failing

Cause: retries were three attempts whatever the service declared, so a failing upstream tripled its own load; old records of keyed calls were never deleted; a record that took longer than the deadline was followed by a late call.

--- a/crates/entry/src/duty/steward.rs
+++ b/crates/entry/src/duty/steward.rs
@@ -15,6 +15,7 @@
 
 use crate::{
     duty::orders::{self, Job},
+    flow::MAX_DEADLINE,
     host::Host,
     inbox::{Message, Question, Reply},
     lending,
@@ -62,6 +63,7 @@
 fn settings(host: &Host) -> Settings {
     Settings {
         last_permit: host.me.incarnation << PERMIT_BITS,
+        longest_deadline: MAX_DEADLINE,
         ..Settings::default()
     }
 }
--- a/crates/entry/src/flow/model.rs
+++ b/crates/entry/src/flow/model.rs
@@ -25,11 +25,9 @@
         refuse, served_by,
     },
     host::{Host, millis},
+    retries::Next,
 };
 
-/// Times that one request is sent to an engine.
-const MAX_ATTEMPTS: usize = 3;
-
 /// What a request needs on its way.
 struct Way<'a> {
     host: &'a Arc<Host>,
@@ -91,8 +89,10 @@
 
 impl Way<'_> {
     fn run(self, mut responder: Responder) {
+        let service = &self.labels.service;
+        self.host.retries.earn(service, self.target.retry);
         let mut avoid = Vec::new();
-        for attempt in 1..=MAX_ATTEMPTS {
+        for attempt in 1.. {
             let place = match self.search(&avoid) {
                 Ok(it) => it,
                 Err(place::Failure::Fault(fault)) => return self.refuse(&fault, responder),
@@ -112,11 +112,17 @@
                     engine,
                     responder: back,
                 } => {
-                    if attempt == MAX_ATTEMPTS {
-                        return self.refuse(&fault, back);
-                    }
                     self.note(format!("attempt {attempt} on {engine} ended with {fault}"));
-                    self.host.metrics.retry(&self.labels.service);
+                    let now = self.host.clock.now();
+                    let next = self
+                        .host
+                        .retries
+                        .decide(service, attempt, self.deadline, now);
+                    let Next::Again(pause) = next else {
+                        return self.refuse(&fault, back);
+                    };
+                    self.host.metrics.retry(service);
+                    std::thread::sleep(pause);
                     avoid.push(engine);
                     responder = back;
                 }
--- a/crates/entry/src/flow/plain.rs
+++ b/crates/entry/src/flow/plain.rs
@@ -3,7 +3,7 @@
 
 use std::{sync::Arc, time::Instant};
 
-use config::service::{Kind as ServiceKind, Outage, Repeat};
+use config::service::{Kind as ServiceKind, Outage, Repeat, Retry};
 use journal::{Outcome, Scope, record::Body};
 use kernel::{
     fault::{Fault, Kind, Ran},
@@ -23,11 +23,10 @@
     envelope,
     flow::{Admitted, RETRY_AFTER, check_dependencies, marked, refuse},
     host::{Host, millis},
+    listed::Running,
+    retries::Next,
 };
 
-/// Times that one call is sent, if it may be.
-const MAX_ATTEMPTS: usize = 3;
-
 /// Headers that this host sets itself.
 const OWN_HEADERS: [&str; 2] = [envelope::REQUEST_ID, envelope::DEADLINE];
 
@@ -42,7 +41,7 @@
     host: &'a Arc<Host>,
     admitted: &'a Admitted,
     service: Service,
-    repeat: Repeat,
+    retry: Retry,
     outage: Outage,
     request: &'a Request,
     target: String,
@@ -91,7 +90,7 @@
         host,
         admitted,
         service,
-        repeat: declared.retry.repeat,
+        retry: declared.retry,
         outage: declared.journal_outage,
         request,
         target,
@@ -105,7 +104,7 @@
             return self.send();
         };
         // A call that may be repeated needs no record.
-        if self.repeat == Repeat::Allowed {
+        if self.retry.repeat == Repeat::Allowed {
             return self.send();
         }
         self.keyed(key)
@@ -146,6 +145,12 @@
     fn first(&self, first: First) -> Result<Response, Fault> {
         self.note("recorded as the first call with its key");
         let journal = &self.host.journal;
+        // Writing the record takes time, and others count the call as ended soon after its deadline.
+        if self.host.clock.now() >= self.deadline {
+            journal.release(first);
+            let detail = "the deadline passed while the call was recorded";
+            return Err(Fault::new(Kind::DeadlineBeforeStart, detail).after(RETRY_AFTER));
+        }
         let sent = self.send();
         let end = match &sent {
             Ok(it) => journal.finish(first, it.status, it.headers.clone(), &it.body),
@@ -215,34 +220,54 @@
 
     /// Sends the call until it is answered or may not be sent again.
     fn send(&self) -> Result<Response, Fault> {
+        self.host.retries.earn(&self.service, self.retry);
         let mut tried: Vec<Upstream> = Vec::new();
-        loop {
+        for attempt in 1.. {
+            let now = self.host.clock.now();
             let domain = &self.host.settings.domain;
-            let picked = self.host.listed.pick(&self.service, domain, &tried);
-            let Some((instance, _running)) = picked else {
+            let picked = self.host.listed.pick(&self.service, domain, &tried, now);
+            let Some((instance, running)) = picked else {
                 return Err(self.no_instance(&tried));
             };
-            self.note(format!("sent to {}", instance.name));
-            let sent = self.host.plain.call(self.forward(&instance));
-            let fault = match sent {
-                Ok(answer) => {
-                    self.note(format!("{} answered {}", instance.name, answer.status));
-                    return Ok(self.response(answer, &instance.name));
-                }
+            let fault = match self.send_to(&instance, &running) {
+                Ok(response) => return Ok(response),
                 Err(it) => it,
             };
-            self.note(format!("{} failed: {fault}", instance.name));
-            if fault.kind == Kind::UpstreamLeaving {
-                self.host.listed.leaving(&instance.name);
-            }
             tried.push(instance.name);
-            let may_repeat =
-                fault.kind.answer().ran == Ran::NotRun || self.repeat == Repeat::Allowed;
-            let late = self.host.clock.now() >= self.deadline;
-            if !may_repeat || late || tried.len() == MAX_ATTEMPTS {
+            let ran = fault.kind.answer().ran;
+            if ran != Ran::NotRun && self.retry.repeat != Repeat::Allowed {
+                return Err(fault);
+            }
+            let now = self.host.clock.now();
+            let retries = &self.host.retries;
+            let next = retries.decide(&self.service, attempt, self.deadline, now);
+            let Next::Again(pause) = next else {
                 return Err(fault);
+            };
+            self.host.metrics.retry(&self.service);
+            std::thread::sleep(pause);
+        }
+        unreachable!("the loop ends by returning")
+    }
+
+    fn send_to(&self, instance: &Instance, running: &Running) -> Result<Response, Fault> {
+        self.note(format!("sent to {}", instance.name));
+        let sent = self.host.plain.call(self.forward(instance));
+        let fault = match sent {
+            Ok(answer) => {
+                self.note(format!("{} answered {}", instance.name, answer.status));
+                running.succeeded();
+                return Ok(self.response(answer, &instance.name));
             }
+            Err(it) => it,
+        };
+        self.note(format!("{} failed: {fault}", instance.name));
+        if fault.kind == Kind::UpstreamLeaving {
+            self.host.listed.leaving(&instance.name);
+        } else {
+            running.failed(self.host.clock.now());
         }
+        Err(fault)
     }
 
     fn forward(&self, instance: &Instance) -> Forward<'_> {
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -27,6 +27,7 @@
     listed::Listed,
     readiness::Readiness,
     recent::Recent,
+    retries::Retries,
     running,
     settings::Settings,
     trace::Trace,
@@ -80,6 +81,8 @@
     pub engines: upstream::engine::Client,
     /// The client of plain services.
     pub plain: upstream::plain::Client,
+    /// The retries that services may still make.
+    pub retries: Retries,
     /// The requests that run.
     pub running: running::Counts,
     /// Metrics.
@@ -207,6 +210,7 @@
             plain: upstream::plain::Client {
                 answer_bytes: MAX_ANSWER_BYTES,
             },
+            retries: Retries::default(),
             running: running::Counts::default(),
             trace: Trace::default(),
             next: AtomicU64::new(1),
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod process;
 pub mod readiness;
 pub mod recent;
+pub mod retries;
 pub mod route;
 pub mod running;
 pub mod settings;
--- a/crates/entry/src/listed.rs
+++ b/crates/entry/src/listed.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     sync::{
-        Arc, RwLock,
+        Arc, Mutex, MutexGuard, RwLock,
         atomic::{AtomicU32, Ordering},
     },
     time::Instant,
@@ -13,14 +13,37 @@
     name::{Domain, Host, Model, Service, Upstream},
     service::{Instance, Role, State},
 };
+use steward::circuit::{self, Circuit, Gate};
 
 /// An upstream with the calls that this host runs on it.
 #[derive(Debug)]
 pub struct Known {
     /// The upstream, as listed.
     pub instance: Instance,
-    /// Calls that run.
-    pub running: Arc<AtomicU32>,
+    /// What this host's calls have met there.
+    pub calls: Arc<Calls>,
+}
+
+/// What this host's calls of an upstream have met.
+#[derive(Debug)]
+pub struct Calls {
+    running: AtomicU32,
+    circuit: Mutex<Circuit>,
+}
+
+impl Default for Calls {
+    fn default() -> Self {
+        Self {
+            running: AtomicU32::default(),
+            circuit: Mutex::new(Circuit::new(circuit::Settings::default())),
+        }
+    }
+}
+
+impl Calls {
+    fn circuit(&self) -> MutexGuard<'_, Circuit> {
+        self.circuit.lock().expect("circuit lock is poisoned")
+    }
 }
 
 /// The upstreams.
@@ -43,11 +66,23 @@
 
 /// One call on an upstream; it is counted until it is dropped.
 #[derive(Debug)]
-pub struct Running(Arc<AtomicU32>);
+pub struct Running(Arc<Calls>);
+
+impl Running {
+    /// The upstream answered.
+    pub fn succeeded(&self) {
+        self.0.circuit().succeed();
+    }
+
+    /// The upstream could not be reached or broke off.
+    pub fn failed(&self, now: Instant) {
+        self.0.circuit().fail(rand::random(), now);
+    }
+}
 
 impl Drop for Running {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
+        self.0.running.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
@@ -72,8 +107,9 @@
             if before.as_ref().is_none_or(|it| it.instance != instance) {
                 changed.push(instance.clone());
             }
-            let running = before.map(|it| it.running).unwrap_or_default();
-            known.insert(instance.name.clone(), Known { instance, running });
+            let same = before.filter(|it| it.instance.address == instance.address);
+            let calls = same.map(|it| it.calls).unwrap_or_default();
+            known.insert(instance.name.clone(), Known { instance, calls });
         }
         (changed, old.into_keys().collect())
     }
@@ -149,23 +185,27 @@
     }
 
     /// Picks the live instance of a plain service with the fewest running calls, one in `domain`
-    /// before others, passing over those in `tried`.
+    /// before others, passing over those in `tried` and those that keep failing.
     pub fn pick(
         &self,
         service: &Service,
         domain: &Domain,
         tried: &[Upstream],
+        now: Instant,
     ) -> Option<(Instance, Running)> {
         let known = self.known.read().expect("list lock is poisoned");
-        let fit = known
+        let mut fit: Vec<&Known> = known
             .values()
-            .filter(|it| serves(it, service) && !tried.contains(&it.instance.name));
-        let best = fit.min_by_key(|it| {
+            .filter(|it| serves(it, service) && !tried.contains(&it.instance.name))
+            .collect();
+        fit.sort_by_key(|it| {
             let elsewhere = it.instance.domain != *domain;
-            (elsewhere, it.running.load(Ordering::Acquire))
-        })?;
-        best.running.fetch_add(1, Ordering::AcqRel);
-        Some((best.instance.clone(), Running(Arc::clone(&best.running))))
+            (elsewhere, it.calls.running.load(Ordering::Acquire))
+        });
+        let closed = |it: &&Known| matches!(it.calls.circuit().pass(now), Gate::Closed(_));
+        let best = fit.into_iter().find(|it| !closed(it))?;
+        best.calls.running.fetch_add(1, Ordering::AcqRel);
+        Some((best.instance.clone(), Running(Arc::clone(&best.calls))))
     }
 }
 
--- /dev/null
+++ b/crates/entry/src/retries.rs
@@ -0,0 +1,55 @@
+//! The retries that each service may still make on this host.
+
+use std::{
+    collections::HashMap,
+    sync::Mutex,
+    time::{Duration, Instant},
+};
+
+use kernel::name::Service;
+use steward::retry::{Attempt, Budget, Decision, Settings};
+
+/// The budgets of all services that were called. Only declared services get one.
+#[derive(Debug, Default)]
+pub struct Retries(Mutex<HashMap<Service, Budget>>);
+
+/// What to do after a failed attempt.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Next {
+    /// Send the request again after this pause.
+    Again(Duration),
+    /// Give up.
+    GiveUp,
+}
+
+impl Retries {
+    /// Notes a new request of a service, which earns a part of a retry.
+    pub fn earn(&self, service: &Service, retry: config::service::Retry) {
+        let mut budgets = self.0.lock().expect("retry lock is poisoned");
+        let budget = budgets.entry(service.clone()).or_insert_with(|| {
+            Budget::new(Settings {
+                earned_per_request: retry.budget,
+                ..Settings::default()
+            })
+        });
+        budget.earn();
+    }
+
+    /// Decides after attempt number `count` (from 1) has failed.
+    pub fn decide(&self, service: &Service, count: u32, deadline: Instant, now: Instant) -> Next {
+        let mut budgets = self.0.lock().expect("retry lock is poisoned");
+        let Some(budget) = budgets.get_mut(service) else {
+            return Next::GiveUp;
+        };
+        let attempt = Attempt {
+            count,
+            deadline,
+            shortest: Duration::ZERO,
+            retry_after: None,
+        };
+        match budget.decide(attempt, rand::random(), now) {
+            Decision::After(pause) => Next::Again(pause),
+            Decision::Exhausted | Decision::OverBudget | Decision::TooLate => Next::GiveUp,
+        }
+    }
+}
