--- a/crates/config/examples/slopes.rs
+++ b/crates/config/examples/config_slopes.rs
@@ -1,5 +1,5 @@
 //! Prints what a text costs by its number of adapters:
-//! `cargo run --release -p config --example slopes`.
+//! `cargo run --release -p config --example config_slopes`.
 
 use std::time::Instant;
 
--- a/crates/journal/examples/slopes.rs
+++ b/crates/journal/examples/journal_slopes.rs
@@ -1,5 +1,5 @@
 //! Prints what keyed calls cost a host, by their number and by how many share a write:
-//! `cargo run --release -p journal --example slopes`.
+//! `cargo run --release -p journal --example journal_slopes`.
 
 use std::time::{Duration, Instant};
 
