--- a/crates/steward/src/adapter.rs
+++ b/crates/steward/src/adapter.rs
@@ -7,7 +7,7 @@
 
 use kernel::{arena::Key, name::Model, reference::Reference, request::Class};
 
-use crate::{engine::Engine, event::Ticket, popularity::Popularity};
+use crate::{congestion::Congestion, engine::Engine, event::Ticket, popularity::Popularity};
 
 /// The place of a request among those that wait for one adapter; the least goes first.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
@@ -60,6 +60,8 @@
     pub coming: u32,
     /// Loads that failed one after another.
     pub failures: u32,
+    /// Whether the queue for its engines does not empty any more.
+    pub congestion: Congestion,
     /// No load before this.
     pub retry_at: Option<Instant>,
 }
@@ -75,6 +77,7 @@
             ready: Vec::new(),
             coming: 0,
             failures: 0,
+            congestion: Congestion::default(),
             retry_at: None,
         }
     }
--- a/crates/steward/src/congestion.rs
+++ b/crates/steward/src/congestion.rs
@@ -1,23 +1,23 @@
-//! Notices a queue at the weight store that does not empty any more.
+//! Notices a queue, at the weight store or for engines, that does not empty any more.
 
 use std::time::{Duration, Instant};
 
 use kernel::request::Class;
 
-/// A wait for the store that is nothing unusual.
+/// A wait that is nothing unusual.
 const USUAL_WAIT: Duration = Duration::from_millis(500);
 
-/// A wait that stays unusual for this long shows that demand exceeds what the store can load.
+/// A wait that stays unusual for this long shows that demand exceeds what can be served.
 const INTERVAL: Duration = Duration::from_secs(10);
 
-/// How long the wait for the store has been unusual.
+/// How long the wait has been unusual.
 #[derive(Clone, Debug, Default)]
 pub struct Congestion {
     since: Option<Instant>,
 }
 
 impl Congestion {
-    /// Takes in the present wait for the store.
+    /// Takes in the present wait.
     pub fn note(&mut self, wait: Option<Duration>, now: Instant) {
         if wait.is_some_and(|it| it <= USUAL_WAIT) {
             self.since = None;
@@ -26,9 +26,9 @@
         }
     }
 
-    /// The longest wait for the store that a new load may have now, if it is limited.
+    /// The longest wait that is admitted now, if it is limited.
     ///
-    /// A longer queue would not let the store load more, only make every request wait longer.
+    /// A longer queue would not let more be served, only make every request wait longer.
     pub fn limit(&self, class: Class, now: Instant) -> Option<Duration> {
         let since = self.since?;
         if now < since + INTERVAL {
--- a/crates/steward/src/state/admission.rs
+++ b/crates/steward/src/state/admission.rs
@@ -125,12 +125,23 @@
         Some(Fault::new(kind, detail).after(wait))
     }
 
-    /// Keeps the queue at the store short when it does not empty by itself. A request that can
-    /// share the load of another one adds nothing to it.
+    /// Keeps a queue short when it does not empty by itself. A request that can share the load of
+    /// another one adds nothing to the queue at the store.
     fn congested(&mut self, key: Key<Adapter>, ask: &Ask, now: Instant) -> Option<Fault> {
+        let wait = self.batch_wait(key);
+        let adapter = self.adapters.get_mut(key)?;
+        if !adapter.ready.is_empty() {
+            adapter.congestion.note(Some(wait), now);
+            let limit = adapter.congestion.limit(ask.class, now)?;
+            let detail = format!(
+                "the queue for {} is {} ms long",
+                ask.reference,
+                wait.as_millis()
+            );
+            return (wait > limit).then(|| Fault::new(Kind::Overloaded, detail).after(wait));
+        }
+        let is_shared = adapter.coming > 0;
         let limit = self.congestion.limit(ask.class, now)?;
-        let adapter = self.adapters.get(key)?;
-        let is_shared = !adapter.ready.is_empty() || adapter.coming > 0;
         if is_shared || self.pending.contains(&key) {
             return None;
         }
