Refuse hopeless requests at the moment that their load fails

A request whose load had failed waited up to a load's time longer before it was refused, more than the 50 ms of the target. Shown by failed_loads_leave_no_hopeless_request_waiting.

--- a/crates/steward/src/state/load.rs
+++ b/crates/steward/src/state/load.rs
@@ -44,6 +44,18 @@
         }
     }
 
+    /// Places the requests anew that wait for an adapter whose load came to nothing, and refuses
+    /// those that have no time left for another.
+    pub(super) fn replan(&mut self, key: Key<Adapter>, now: Instant) {
+        self.requeue(key);
+        let Some(adapter) = self.adapters.get(key) else {
+            return;
+        };
+        for rank in &adapter.waiting {
+            self.waiters.check_at(rank.ticket(), now);
+        }
+    }
+
     /// When the next load can begin, if that depends on time alone.
     pub(super) fn next_load(&self) -> Option<Instant> {
         if let Some(probe) = self.store.probe_at {
@@ -255,13 +267,13 @@
             }
             Settled::Unknown => {
                 self.leave_unsettled(key, index, now);
-                self.requeue(adapter);
+                self.replan(adapter, now);
             }
             _ => {
                 self.drop_slot(key, index);
                 self.close_free_slots(key);
                 self.inspect(key);
-                self.requeue(adapter);
+                self.replan(adapter, now);
             }
         }
     }
@@ -303,7 +315,7 @@
             let detail = format!("{} could not be loaded: {why}", adapter.reference);
             self.refuse_all(key, FaultKind::LoadFailed, &detail);
         }
-        self.requeue(key);
+        self.replan(key, now);
     }
 
     fn note_store_failure(&mut self, key: Key<Adapter>, now: Instant) {
--- a/crates/steward/tests/state.rs
+++ b/crates/steward/tests/state.rs
@@ -423,3 +423,13 @@
         "one of the greedy tenant's requests made room"
     );
 }
+
+/// When a load fails, a request without time for another is refused at that moment.
+#[test]
+fn failed_loads_leave_no_hopeless_request_waiting() {
+    let mut fixture = Fixture::new(&["e1"]);
+    let (order, _) = load_of(&fixture.ask_within("s/a@1", 1_000, "t"));
+    fixture.pass(600);
+    let actions = fixture.end(order, Settled::Failed("the store refused".to_owned()));
+    assert_eq!(refused(&actions), "load-too-late");
+}
