--- a/crates/peer/src/delivery.rs
+++ b/crates/peer/src/delivery.rs
@@ -50,7 +50,7 @@
                 break;
             }
             Err(lost) => {
-                log::debug!(target: "peer", "releases for host {host} have to wait: {lost}");
+                log::debug!(target: "peer", "Releases for host {host} have to wait: {lost}.");
                 tokio::time::sleep(pause).await;
                 pause = LAST_PAUSE.min(pause * 2);
             }
--- a/crates/peer/src/gossip.rs
+++ b/crates/peer/src/gossip.rs
@@ -72,7 +72,7 @@
                 () = context.shared.changed.notified() => self.take_changes(),
                 readable = self.socket.readable() => match readable {
                     Ok(()) => self.read(&mut buffer),
-                    Err(error) => log::warn!(target: "peer", "the datagram socket failed: {error}"),
+                    Err(error) => log::warn!(target: "peer", "The datagram socket failed: {error}."),
                 },
             }
             tokio::task::yield_now().await;
@@ -123,7 +123,7 @@
             Ok(message) => Some(message),
             Err(error) => {
                 counters.datagrams_malformed.add(1);
-                log::debug!(target: "peer", "a datagram from {from} was dropped: {error}");
+                log::debug!(target: "peer", "A datagram from {from} was dropped: {error}.");
                 None
             }
         }
@@ -167,7 +167,7 @@
             Output::Changed(change) => self.change(change),
             Output::Entry { owner, key, value } => handler.entry(owner, &key, value.as_deref()),
             Output::Superseded(by) => {
-                log::error!(target: "peer", "host {} runs as incarnation {} elsewhere; this one is not heard", by.host, by.incarnation);
+                log::error!(target: "peer", "Host {} runs as incarnation {} elsewhere; this one is not heard.", by.host, by.incarnation);
                 handler.superseded(by);
             }
             Output::Revision { revision, holder } => {
@@ -180,7 +180,7 @@
     fn change(&self, change: Change) {
         let member = change.member();
         let host = &member.holder.host;
-        log::info!(target: "peer", "host {host} of domain {} is {}", member.domain, word(&change));
+        log::debug!(target: "peer", "Host {host} of domain {} is {}.", member.domain, word(&change));
         if member.state == Condition::Down {
             self.context.links.close(host);
             self.context.book.borrow_mut().close(host);
@@ -195,7 +195,7 @@
             Ok(payload) => payload,
             Err(error) => {
                 counters.datagrams_unsent.add(1);
-                log::warn!(target: "peer", "a datagram to {to} was not sent: {error}");
+                log::warn!(target: "peer", "A datagram to {to} was not sent: {error}.");
                 return;
             }
         };
--- a/crates/peer/src/link.rs
+++ b/crates/peer/src/link.rs
@@ -181,7 +181,7 @@
     let task = tokio::task::spawn_local(async move {
         let _end = end;
         if let Err(error) = system.await {
-            log::debug!(target: "peer", "a connection broke: {error}");
+            log::debug!(target: "peer", "A connection broke: {error}.");
         }
     });
     let mut abort = Abort(Some(task.abort_handle()));
--- a/crates/peer/src/server.rs
+++ b/crates/peer/src/server.rs
@@ -45,7 +45,7 @@
             accepted = listener.accept() => match accepted {
                 Ok((stream, from)) => admit(&context, &mut tasks, stream, from),
                 Err(error) => {
-                    log::warn!(target: "peer", "a connection could not be accepted: {error}");
+                    log::warn!(target: "peer", "A connection could not be accepted: {error}.");
                     // Out of file descriptors, for one; accepting again at once would spin.
                     tokio::time::sleep(ACCEPT_PAUSE).await;
                 }
@@ -88,7 +88,7 @@
     let network = match network(stream, Side::Server, &context.shared, allowance, bytes) {
         Ok(network) => network,
         Err(error) => {
-            log::debug!(target: "peer", "a connection broke: {error}");
+            log::debug!(target: "peer", "A connection broke: {error}.");
             return;
         }
     };
@@ -106,7 +106,7 @@
         return;
     }
     if let Err(error) = system.await {
-        log::debug!(target: "peer", "the connection of a member broke: {error}");
+        log::debug!(target: "peer", "The connection of a member broke: {error}.");
     }
 }
 
@@ -114,7 +114,7 @@
 fn end(context: &Context, result: Result<(), Error>) {
     context.shared.counters.strangers.add(1);
     if let Err(error) = result {
-        log::debug!(target: "peer", "the connection of a stranger broke: {error}");
+        log::debug!(target: "peer", "The connection of a stranger broke: {error}.");
     }
 }
 
--- a/crates/peer/src/service.rs
+++ b/crates/peer/src/service.rs
@@ -144,7 +144,7 @@
         };
         self.handle.shared.stop.notify_one();
         if thread.join().is_err() {
-            log::error!(target: "peer", "the thread of the sockets panicked");
+            log::error!(target: "peer", "The thread of the sockets panicked.");
         }
     }
 }
@@ -181,7 +181,7 @@
         let (listener, socket) = match register(sockets) {
             Ok(sockets) => sockets,
             Err(error) => {
-                log::error!(target: "peer", "the sockets can't be used: {error}");
+                log::error!(target: "peer", "The sockets can't be used: {error}.");
                 return;
             }
         };
@@ -207,7 +207,7 @@
         tokio::select! {
             () = shared.stop.notified() => drain(&context).await,
             // None of the tasks ends by itself.
-            _ = tasks.join_next() => log::error!(target: "peer", "a task of the sockets panicked"),
+            _ = tasks.join_next() => log::error!(target: "peer", "A task of the sockets panicked."),
         }
         tasks.shutdown().await;
     }
