--- a/crates/entry/src/duty/share.rs
+++ b/crates/entry/src/duty/share.rs
@@ -1,9 +1,14 @@
-//! Tells the steward its floor: its share of the weight store's limits while it has no lender.
+//! Tells the steward what the text says: how the measures weigh, and its floor, which is its share
+//! of the weight store's limits while it has no lender.
 
 use std::{sync::Arc, time::Duration};
 
+use config::{
+    Text,
+    service::{Kind, Weights},
+};
 use kernel::registry::inventory;
-use steward::Event;
+use steward::{Event, Objective};
 
 use crate::{
     host::Host,
@@ -24,8 +29,10 @@
 
 fn run(host: &Arc<Host>, stop: &Stop) {
     while !stop.is_set() {
+        let text = host.text().1;
+        host.inbox.event(Event::Weighed(objective(&text)));
         let hosts = host.listed.entry_count().unwrap_or(1);
-        let division = Division::new(host.text().1.store(), hosts);
+        let division = Division::new(text.store(), hosts);
         host.inbox.event(Event::Share {
             rate_per_second: division.floor,
             full_speed: FLOOR_IN_FLIGHT,
@@ -34,3 +41,23 @@
         stop.sleep(INTERVAL);
     }
 }
+
+/// The mean of the weights that the model services declare: one engine serves them all.
+fn objective(text: &Text) -> Objective {
+    let services = text.services().map(|it| it.1);
+    let weights: Vec<_> = services
+        .filter(|it| matches!(it.kind, Kind::Model(_)))
+        .map(|it| it.weights)
+        .collect();
+    let Ok(count) = u32::try_from(weights.len()) else {
+        return Objective::default();
+    };
+    if count == 0 {
+        return Objective::default();
+    }
+    let mean = |part: fn(&Weights) -> f64| weights.iter().map(part).sum::<f64>() / f64::from(count);
+    Objective {
+        load_stall: mean(|it| it.load_stall),
+        batch_efficiency: mean(|it| it.batch_efficiency),
+    }
+}
--- a/crates/steward/src/event.rs
+++ b/crates/steward/src/event.rs
@@ -11,6 +11,7 @@
 
 use crate::{
     route::{Backlog, Change},
+    settings::Objective,
     share::{Demand, Loan},
 };
 
@@ -154,6 +155,8 @@
         /// Loads that may be in flight.
         in_flight: u32,
     },
+    /// The operators weigh the two measures anew.
+    Weighed(Objective),
     /// The pool of the weight store's limits says how things stand.
     Lent(Loan),
     /// Time has passed.
--- a/crates/steward/src/state.rs
+++ b/crates/steward/src/state.rs
@@ -163,6 +163,7 @@
                 };
                 self.budget.share(limits, now);
             }
+            Event::Weighed(objective) => self.settings.objective = objective,
             Event::Lent(loan) => self.budget.lent(loan, now),
             Event::Tick => {}
         }
