--- a/crates/entry/src/process.rs
+++ b/crates/entry/src/process.rs
@@ -64,6 +64,9 @@
     let metrics = Metrics::new();
     let limits = Limits {
         workers: settings.workers as usize,
+        connections: settings.limits.connections as usize,
+        peer_connections: settings.limits.peer_connections as usize,
+        body_bytes: settings.limits.body_bytes as usize,
         ..Limits::default()
     };
     let drain = Duration::from_secs(u64::from(settings.drain_seconds));
--- a/crates/entry/src/settings.rs
+++ b/crates/entry/src/settings.rs
@@ -35,6 +35,31 @@
     pub drain_seconds: u32,
     /// Requests that this host runs at a time.
     pub workers: u32,
+    /// What callers can occupy.
+    pub limits: Limits,
+}
+
+/// What callers can occupy, in all and from one address. Behind a balancer every caller has the
+/// balancer's address.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+#[serde(deny_unknown_fields, default)]
+pub struct Limits {
+    /// Open connections of all callers.
+    pub connections: u32,
+    /// Open connections of one address.
+    pub peer_connections: u32,
+    /// Size of a request body in bytes.
+    pub body_bytes: u32,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            connections: 4096,
+            peer_connections: 1024,
+            body_bytes: 1 << 20,
+        }
+    }
 }
 
 /// A string that is never printed.
@@ -150,6 +175,8 @@
     drain_seconds: u32,
     #[serde(default = "default_workers")]
     workers: u32,
+    #[serde(default)]
+    limits: Limits,
 }
 
 /// Default of [`Settings::drain_seconds`].
@@ -244,6 +271,7 @@
             log: raw.log,
             drain_seconds: raw.drain_seconds,
             workers: raw.workers.max(1),
+            limits: raw.limits,
         })
     }
 
--- a/crates/entry/tests/settings.rs
+++ b/crates/entry/tests/settings.rs
@@ -33,7 +33,7 @@
     assert_snapshot!(check_with("127.0.0.1:7001", "here"), @r#"entry.yaml:4:8: peers: "here": invalid socket address syntax"#);
     assert_snapshot!(check_with("[127.0.0.1:7002]", "[127.0.0.1:7002, nowhere]"), @r#"entry.yaml:7:25: seeds: "nowhere": invalid socket address syntax"#);
     assert_snapshot!(check_with("0123456789abcdef", "short"), @"entry.yaml:6:14: cluster_key has fewer than 16 bytes");
-    assert_snapshot!(check_with("host:", "hosts:"), @"entry.yaml:1:1: unknown field `hosts`, expected one of host, domain, callers, peers, platform, cluster_key, seeds, log, drain_seconds, workers at line 1, column 1");
+    assert_snapshot!(check_with("host:", "hosts:"), @"entry.yaml:1:1: unknown field `hosts`, expected one of host, domain, callers, peers, platform, cluster_key, seeds, log, drain_seconds, workers, limits at line 1, column 1");
     assert_snapshot!(check_with("debug", "loud"), @"entry.yaml:8:14: unknown variant `loud`, expected one of error, warn, info, debug, trace at line 8, column 14");
     assert_snapshot!(check_with("host: entry-a1\n", ""), @"entry.yaml:7:1: missing field `host` at line 7, column 1");
     assert_snapshot!(check(b"host: \xff"), @"entry.yaml:1:7: the file is not UTF-8");
