Try a stopped steward, and print what the stores were asked

A steward that is stopped, replaced and goes on is the case that a lease alone doesn't cover. The test uses an engine that ignores fencing numbers and would end running requests on an unload: the stream of the new steward stays whole. The demo now also prints the calls of the platform and the breaches of the weight store's limits.

--- a/crates/standin/examples/demo/main.rs
+++ b/crates/standin/examples/demo/main.rs
@@ -14,6 +14,7 @@
 use standin::{
     client::{self, Request},
     fleet::{self, Entry, Fleet, Shape, process::Ended},
+    object, weights,
 };
 
 mod hold;
@@ -89,6 +90,7 @@
     }
     let outcomes = send_all(&fleet, &interrupt)?;
     print!("{}", outcome::table(&outcomes));
+    print_counts(&fleet).map_err(Failure::Ask)?;
     let answers = outcome::verdict(&outcomes);
     if ending == Ending::Hold {
         announce(&fleet);
@@ -172,6 +174,30 @@
     Ok(outcomes)
 }
 
+/// What the platform and the weight store were asked meanwhile.
+fn print_counts(fleet: &Fleet) -> Result<(), client::Failure> {
+    let object::Counts {
+        reads,
+        lists,
+        watches,
+        writes,
+        ..
+    } = fleet.object_counts()?;
+    println!("platform: {reads} reads, {lists} lists, {watches} watches, {writes} writes");
+    let weights::Counts {
+        started,
+        over_rate,
+        over_full_speed,
+        over_cap,
+        ..
+    } = fleet.weight_counts()?;
+    println!(
+        "weight store: {started} loads, {over_rate} refused over the rate, \
+         {over_full_speed} begun over full speed, {over_cap} over the cap in flight"
+    );
+    Ok(())
+}
+
 fn announce(fleet: &Fleet) {
     for entry in fleet.entries() {
         println!("entry {}", entry.address());
--- a/crates/standin/tests/whole/hosts.rs
+++ b/crates/standin/tests/whole/hosts.rs
@@ -3,14 +3,14 @@
 use std::time::Duration;
 
 use standin::{
-    engine::{Pace, Switch},
-    fleet::process::Ended,
+    engine::{Orders, Pace, Settings, Switch, Unload},
+    fleet::{Entry, Shape, process::Ended},
     link, plain,
 };
 
 use crate::support::{
-    Form, REFERENCE, ask, check, expect_answer, open, opening, read, ready, request, runs,
-    set_engines, set_links, set_plains, shape, success, taken, until, whole,
+    Form, REFERENCE, ask, check, engine_counts, expect_answer, open, opening, read, ready, request,
+    runs, set_engines, set_links, set_plains, shape, status, success, taken, until, whole,
 };
 
 // Cut off from the platform, every host answers model requests as before; a keyed call is refused
@@ -150,3 +150,53 @@
         assert_eq!(runs(fleet, "k1"), 1);
     });
 }
+
+// A steward is stopped and another host takes its engine over, an engine that obeys every order.
+// When the first goes on and still believes in its stewardship, it ends nothing that runs there.
+#[test]
+fn a_stopped_steward_ends_nothing() {
+    let obedient = Shape {
+        engines: 1,
+        engine: Settings {
+            slots: 1,
+            fencing: Orders::Ignored,
+            ..Settings::default()
+        },
+        ..shape()
+    };
+    check(&obedient, |fleet| {
+        set_engines(fleet, &Switch::Unload(Unload::Obey));
+        let steward = |entry: &Entry| status(entry)["engines"][0]["steward"].clone();
+        let name = steward(fleet.entry(0));
+        let (old, others): (Vec<&Entry>, Vec<&Entry>) =
+            fleet.entries().iter().partition(|it| name == it.name);
+        until("an answer", || success(&ask(old[0])));
+        old[0].process().pause();
+        until("a new steward", || match steward(others[0]) {
+            it if it == name || it.is_null() => Err(it.to_string()),
+            _ => Ok(()),
+        });
+        until("an answer of the new steward", || success(&ask(others[0])));
+        set_engines(fleet, &Switch::Pace(Pace::Stepped));
+        let before = taken(fleet);
+        std::thread::scope(|scope| {
+            let streamed = scope.spawn(|| {
+                let request = request(REFERENCE, Form::Stream).with("x-deadline-ms", "60000");
+                read(request.stream(others[0].address()).unwrap())
+            });
+            until("a running stream", || match taken(fleet) {
+                it if it == before => Err("none".to_owned()),
+                _ => Ok(()),
+            });
+            old[0].process().resume();
+            // The old steward wants the slot for another adapter.
+            let other = request("signs/bay-summary@6", Form::Whole).with("x-deadline-ms", "1000");
+            other.send(old[0].address()).unwrap();
+            set_engines(fleet, &Switch::Step(8));
+            assert_eq!(streamed.join().unwrap(), whole(REFERENCE));
+        });
+        assert_eq!(engine_counts(fleet)[0].ended_by_unload, 0);
+        set_engines(fleet, &Switch::Pace(Pace::Timed));
+        until("an answer", || success(&ask(old[0])));
+    });
+}
