--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -1,7 +1,7 @@
 //! What the threads of an entry host share.
 
 use std::{
-    collections::BTreeSet,
+    collections::{BTreeMap, BTreeSet},
     sync::{
         Arc, Mutex, OnceLock, RwLock,
         atomic::{AtomicU64, Ordering},
@@ -27,6 +27,7 @@
     listed::Listed,
     readiness::Readiness,
     recent::Recent,
+    retries::Retries,
     running,
     settings::Settings,
     trace::Trace,
@@ -58,8 +59,8 @@
     pub inbox: Inbox,
     /// The division of the weight store's limits.
     pub lending: Lending,
-    /// The engines that this host is steward of.
-    pub held: Mutex<BTreeSet<Upstream>>,
+    /// The engines that this host is steward of, with the fencing number of each.
+    pub held: Mutex<BTreeMap<Upstream, u64>>,
     /// Engines whose exact report is wanted soon.
     pub inspect: Mutex<BTreeSet<Upstream>>,
     /// Held engines that another host may have taken.
@@ -80,6 +81,8 @@
     pub engines: upstream::engine::Client,
     /// The client of plain services.
     pub plain: upstream::plain::Client,
+    /// The retries that services may still make.
+    pub retries: Retries,
     /// The requests that run.
     pub running: running::Counts,
     /// Metrics.
@@ -160,7 +163,7 @@
     /// Whether this host is steward of an engine.
     pub fn holds(&self, engine: &Upstream) -> bool {
         let held = self.held.lock().expect("held lock is poisoned");
-        held.contains(engine)
+        held.contains_key(engine)
     }
 }
 
@@ -207,6 +210,7 @@
             plain: upstream::plain::Client {
                 answer_bytes: MAX_ANSWER_BYTES,
             },
+            retries: Retries::default(),
             running: running::Counts::default(),
             trace: Trace::default(),
             next: AtomicU64::new(1),
--- a/crates/experiment/examples/experiment.rs
+++ b/crates/experiment/examples/experiment.rs
@@ -7,7 +7,8 @@
     cost::{self, Cost},
     deployment::Deployment,
     figures::Figures,
-    fleet, naive, oracle,
+    fleet, naive,
+    oracle::{self, Knowledge},
     recovery::Course,
     report,
     scenario::Scenario,
@@ -35,6 +36,9 @@
     /// how many seeds are run and added up
     #[argh(option, default = "3")]
     seeds: u64,
+    /// leave out what comfreywing is compared with
+    #[argh(switch)]
+    alone: bool,
     /// measure what a decision costs instead
     #[argh(switch)]
     cost: bool,
@@ -129,7 +133,8 @@
 fn compare(deployment: &Deployment, scenario: Scenario, skew: f64, arguments: &Arguments) {
     let mut own = Figures::default();
     let mut reference = Figures::default();
-    let mut bound = Figures::default();
+    let mut hindsight = Figures::default();
+    let mut informed = Figures::default();
     for seed in arguments.seed..arguments.seed + arguments.seeds {
         let trace = scenario.trace(deployment, skew, seed);
         own.merge(fleet::run(
@@ -138,11 +143,16 @@
             scenario,
             &trace,
         ));
+        if arguments.alone {
+            continue;
+        }
         reference.merge(naive::run(deployment, scenario, &trace));
-        bound.merge(oracle::run(deployment, scenario, &trace));
+        let oracle = |it| oracle::run(deployment, it, scenario, &trace);
+        hindsight.merge(oracle(Knowledge::Future));
+        informed.merge(oracle(Knowledge::Popularity));
     }
     println!(
-        "\n{} {} skew {skew}, {:.1} requests/s\n",
+        "\n### {}: {}, skew {skew}, {:.1} requests/s\n",
         deployment.name,
         scenario.name(),
         deployment.capacity(skew) * scenario.load(),
@@ -150,9 +160,14 @@
     print!("{}", report::HEADING);
     print!("{}", report::row("comfreywing", &own));
     print!("{}", report::row("naive", &reference));
-    print!("{}", report::row("hindsight", &bound));
-    println!("refusals: {}", report::refusals(&own));
+    print!("{}", report::row("known popularity", &informed));
+    print!("{}", report::row("known future", &hindsight));
+    println!("\nRefusals: {}.", report::refusals(&own));
     if matches!(scenario, Scenario::Shift | Scenario::Restart) {
-        print!("{}", report::course(&Course::new(&own)));
+        print!("\ncomfreywing: {}", report::course(&Course::new(&own)));
+        print!(
+            "known popularity: {}",
+            report::course(&Course::new(&informed))
+        );
     }
 }
--- a/crates/member/src/sync.rs
+++ b/crates/member/src/sync.rs
@@ -3,11 +3,12 @@
 use std::{collections::BTreeMap, net::SocketAddr, time::Instant};
 
 use crate::{
+    event::Output,
     message::{Body, Delta, Line, Update},
     news::{LARGEST_RECORD_BYTES, LINE_BYTES},
     random,
     record::Record,
-    state::{Output, State, Turn, turn},
+    state::{State, Turn, turn},
     table,
 };
 
@@ -15,7 +16,7 @@
 const DELTA_RECORDS: usize = 3;
 
 /// In one of this many turns a seed is tried although members are known.
-const SEED_TURNS: usize = 8;
+const SEED_TURNS: usize = 32;
 
 /// How often a change is compared with others before it is left to the regular turns.
 const FRESH_REPEATS: u32 = 3;
--- a/crates/steward/src/state.rs
+++ b/crates/steward/src/state.rs
@@ -141,8 +141,11 @@
                 loaded,
             } => self.report(&engine, asked, incarnation, slots, loaded, now),
             Event::Lagging {
-                engine, capacity, ..
-            } => self.lagging(&engine, capacity, now),
+                engine,
+                running,
+                waiting,
+                capacity,
+            } => self.lagging(&engine, running, waiting, capacity, now),
             Event::Ask { ticket, ask } => self.ask(ticket, ask, now),
             Event::Withdraw { ticket } => self.withdraw(ticket),
             Event::Release { number, outcome } => self.release(number, outcome, now),
@@ -160,6 +163,7 @@
                 };
                 self.budget.share(limits, now);
             }
+            Event::Weighed(objective) => self.settings.objective = objective,
             Event::Lent(loan) => self.budget.lent(loan, now),
             Event::Tick => {}
         }
@@ -219,11 +223,7 @@
         if self.pending.is_empty() {
             self.budget.give_back();
         }
-        let wanted = if self.store_is_down(now) {
-            0
-        } else {
-            self.pending.len()
-        };
+        let wanted = self.wanted_loads(now);
         let demand = self.budget.demand(wanted, now);
         self.actions.extend(demand.map(Action::Demand));
         self.contact_at = self.budget.next_contact(now);
--- a/crates/steward/src/state/load.rs
+++ b/crates/steward/src/state/load.rs
@@ -44,6 +44,18 @@
         }
     }
 
+    /// Places the requests anew that wait for an adapter whose load came to nothing, and refuses
+    /// those that have no time left for another.
+    pub(super) fn replan(&mut self, key: Key<Adapter>, now: Instant) {
+        self.requeue(key);
+        let Some(adapter) = self.adapters.get(key) else {
+            return;
+        };
+        for rank in &adapter.waiting {
+            self.waiters.check_at(rank.ticket(), now);
+        }
+    }
+
     /// When the next load can begin, if that depends on time alone.
     pub(super) fn next_load(&self) -> Option<Instant> {
         if let Some(probe) = self.store.probe_at {
@@ -66,6 +78,7 @@
         self.end_backoff(now);
         while !self.pending.is_empty() && self.budget.is_ready(now) && !self.store_is_down(now) {
             let Some((adapter, place)) = self.next_placement(now) else {
+                self.budget.give_back();
                 return;
             };
             self.begin(adapter, place, now);
@@ -82,6 +95,17 @@
         }
     }
 
+    /// Loads that could begin now if the budget allowed them.
+    pub(super) fn wanted_loads(&self, now: Instant) -> usize {
+        let mut first = self.pending.iter().take(MAX_ATTEMPTS);
+        let has_place = first.any(|it| self.may_load(*it, now) && self.place(*it, now).is_some());
+        if has_place && !self.store_is_down(now) {
+            self.pending.len()
+        } else {
+            0
+        }
+    }
+
     fn next_placement(&self, now: Instant) -> Option<(Key<Adapter>, Place)> {
         let mut order: Vec<_> = self
             .pending
@@ -243,13 +267,13 @@
             }
             Settled::Unknown => {
                 self.leave_unsettled(key, index, now);
-                self.requeue(adapter);
+                self.replan(adapter, now);
             }
             _ => {
                 self.drop_slot(key, index);
                 self.close_free_slots(key);
                 self.inspect(key);
-                self.requeue(adapter);
+                self.replan(adapter, now);
             }
         }
     }
@@ -291,7 +315,7 @@
             let detail = format!("{} could not be loaded: {why}", adapter.reference);
             self.refuse_all(key, FaultKind::LoadFailed, &detail);
         }
-        self.requeue(key);
+        self.replan(key, now);
     }
 
     fn note_store_failure(&mut self, key: Key<Adapter>, now: Instant) {
