--- a/crates/standin/tests/whole/engines.rs
+++ b/crates/standin/tests/whole/engines.rs
@@ -1,5 +1,7 @@
 //! Engines that break off, restart, leave, stand still or answer for another adapter.
 
+use std::time::Duration;
+
 use serde_json::json;
 use standin::{
     control::Power,
@@ -13,6 +15,9 @@
     shape, success, taken, until, whole,
 };
 
+/// Time that a faulty steward gets to evict an adapter in use.
+const TIME_TO_EVICT: Duration = Duration::from_secs(1);
+
 fn stream(fleet: &Fleet, entry: usize) -> crate::support::Streamed {
     let request = request(REFERENCE, Form::Stream);
     read(request.stream(fleet.entry(entry).address()).unwrap())
@@ -139,6 +144,8 @@
                 let request = request(other, Form::Stream).with("x-deadline-ms", "60000");
                 read(request.stream(fleet.entry(1).address()).unwrap())
             });
+            // A steward that evicts what is in use does so now; a right one passes at any pace.
+            std::thread::sleep(TIME_TO_EVICT);
             set_engines(fleet, &Switch::Step(8));
             assert_eq!(first.join().unwrap(), whole(REFERENCE));
             set_engines(fleet, &Switch::Step(8));
