--- a/crates/experiment/examples/experiment.rs
+++ b/crates/experiment/examples/experiment.rs
@@ -89,6 +89,7 @@
         print_costs(arguments.seed);
         return;
     }
+    print!("{}", report::PREAMBLE);
     let chosen = |name: &str, word: &str| word == "all" || word == name;
     let deployments = [Deployment::maegesho(), Deployment::institute()];
     let skews = arguments.skew.map_or(vec![0.8, 1.0, 1.2], |it| vec![it]);
@@ -159,9 +160,11 @@
     );
     print!("{}", report::HEADING);
     print!("{}", report::row("comfreywing", &own));
-    print!("{}", report::row("naive", &reference));
-    print!("{}", report::row("known popularity", &informed));
-    print!("{}", report::row("known future", &hindsight));
+    if !arguments.alone {
+        print!("{}", report::row("naive", &reference));
+        print!("{}", report::row("known popularity", &informed));
+        print!("{}", report::row("known future", &hindsight));
+    }
     println!("\nRefusals: {}.", report::refusals(&own));
     if matches!(scenario, Scenario::Shift | Scenario::Restart) {
         print!("\ncomfreywing: {}", report::course(&Course::new(&own)));
--- a/crates/experiment/src/report.rs
+++ b/crates/experiment/src/report.rs
@@ -11,6 +11,14 @@
 /// Windows after an event that are printed.
 const SHOWN_WINDOWS: usize = 12;
 
+/// What stands above the tables.
+pub const PREAMBLE: &str = "\
+# Placement experiments
+
+Printed by `cargo run --release -p experiment --example experiment`; `docs/MEASUREMENTS.md` explains
+the columns and the rows.
+";
+
 /// The heading of a table of figures.
 pub const HEADING: &str = "\
 | policy | requests | stall p50 ms | p95 | p99 | max | stalled % | total stall s | first token p95 ms \
