--- a/crates/member/tests/member/deaths.rs
+++ b/crates/member/tests/member/deaths.rs
@@ -2,9 +2,13 @@
 
 use std::time::Duration;
 
-use member::{Condition, Settings};
+use member::{
+    Condition, Input, Me, Message, Settings,
+    message::Body,
+    record::{Intent, Record, Standing},
+};
 
-use crate::net::{Net, Process, deliver, lossy, me};
+use crate::net::{Net, Node, Process, deliver, lossy, me};
 
 /// Hosts that know one address find each other, and nobody is held dead or suspected.
 #[test]
@@ -101,21 +105,61 @@
     }
 }
 
-/// A host under another name at the same address means that the one before it is gone.
+/// A process that was replaced while it was paused learns so, and is not heard any more.
+#[test]
+fn a_replaced_process_is_told() {
+    let mut net = Net::settled(8, 2, 1);
+    net.nodes[3].process = Process::Stopped;
+    let mut later = me(3, 2, 2);
+    later.address = crate::net::address(8);
+    let eighth = net.join(later.clone());
+    net.run(40);
+    net.nodes[3].process = Process::Running;
+    net.run_until(20, |it| it.nodes[3].superseded_by.is_some());
+    assert_eq!(net.nodes[3].superseded_by, Some(later.holder.clone()));
+    net.run(20);
+    let seen = net.nodes.iter().enumerate().filter(|it| it.0 != 3);
+    assert!(
+        seen.into_iter()
+            .all(|it| it.1.sees(&later.holder).is_some())
+    );
+    assert_eq!(net.nodes[eighth].superseded_by, None);
+}
+
+/// A host under another name at the same address means that the one before it is gone. A datagram
+/// of the earlier one that arrives late takes nothing back.
 #[test]
 fn a_host_takes_over_an_address() {
     for seed in 0..10 {
         let mut net = Net::settled(8, 2, seed);
-        let old = net.nodes[3].me.holder.clone();
+        let old = net.nodes[3].me.clone();
         let mut other = me(3, 2, 1);
         other.holder.host = "another".parse().unwrap();
         net.restart(3, other);
         net.run_until(20, Net::all_up);
-        let down = |it: &crate::net::Node| it.sees(&old) == Some(Condition::Down);
-        let seen = net
-            .nodes
-            .iter()
-            .filter(|it| it.me.address != net.nodes[3].me.address);
-        assert!(seen.into_iter().all(down), "seed {seed}");
+        let down = |it: &Node| it.sees(&old.holder) == Some(Condition::Down);
+        assert!(net.others(3).all(down), "seed {seed}");
+        net.forget_changes();
+        let message = Message {
+            sender: record(&old),
+            revision: 0,
+            records: Vec::new(),
+            body: Body::News,
+        };
+        let from = old.address;
+        net.input(0, Input::Datagram { from, message });
+        net.run(20);
+        assert_eq!(net.deaths(), 0, "seed {seed}");
+    }
+}
+
+fn record(me: &Me) -> Record {
+    Record {
+        holder: me.holder.clone(),
+        refutation: 0,
+        domain: me.domain.clone(),
+        address: me.address,
+        standing: Standing::Alive,
+        intent: Intent::Staying,
     }
 }
--- a/crates/peer/src/service.rs
+++ b/crates/peer/src/service.rs
@@ -20,15 +20,8 @@
 };
 
 use crate::{
-    Handle, Handler, Limits, Settings,
-    auth::Key,
-    client::{self, Links},
-    gossip::Gossip,
-    guest::Book,
-    handle::Call,
-    release::Queues,
-    server,
-    shared::Shared,
+    Handle, Handler, Limits, Settings, auth::Key, client, delivery, gossip::Gossip, guest::Book,
+    handle::Call, link::Links, release::Queues, server, shared::Shared,
 };
 
 /// Why the sockets could not be opened.
@@ -151,7 +144,7 @@
         };
         self.handle.shared.stop.notify_one();
         if thread.join().is_err() {
-            log::error!(target: "peer", "the thread of the sockets panicked");
+            log::error!(target: "peer", "The thread of the sockets panicked.");
         }
     }
 }
@@ -188,7 +181,7 @@
         let (listener, socket) = match register(sockets) {
             Ok(sockets) => sockets,
             Err(error) => {
-                log::error!(target: "peer", "the sockets can't be used: {error}");
+                log::error!(target: "peer", "The sockets can't be used: {error}.");
                 return;
             }
         };
@@ -210,11 +203,11 @@
         tasks.spawn_local(gossip.run());
         tasks.spawn_local(server::listen(Rc::clone(&context), listener));
         tasks.spawn_local(make_calls(Rc::clone(&context), calls));
-        tasks.spawn_local(client::send_releases(Rc::clone(&context)));
+        tasks.spawn_local(delivery::send(Rc::clone(&context)));
         tokio::select! {
             () = shared.stop.notified() => drain(&context).await,
             // None of the tasks ends by itself.
-            _ = tasks.join_next() => log::error!(target: "peer", "a task of the sockets panicked"),
+            _ = tasks.join_next() => log::error!(target: "peer", "A task of the sockets panicked."),
         }
         tasks.shutdown().await;
     }
