--- a/crates/steward/src/state.rs
+++ b/crates/steward/src/state.rs
@@ -4,6 +4,9 @@
 mod eviction;
 mod grant;
 mod load;
+mod report;
+mod result;
+mod slot;
 mod stewardship;
 
 use std::{
