--- a/crates/experiment/src/fleet.rs
+++ b/crates/experiment/src/fleet.rs
@@ -2,18 +2,18 @@
 
 mod entry;
 mod lending;
+mod setup;
 mod upstreams;
 
 use std::time::{Duration, Instant};
 
 use kernel::{
-    name::{Domain, Host, Model, Tenant, Upstream},
+    name::{Host, Model, Tenant, Upstream},
     permit::{Permit, Verdict},
     reference::{Loaded, Reference},
-    service::{Fencing, Instance, Role, State as Availability},
 };
 use steward::{
-    Action, Event, Order, Predecessor, Settings, State, Ticket,
+    Action, Event, Order, Settings, State, Ticket,
     route::{Backlog, Candidate, Change, Directory},
     share::{Demand, Pool},
 };
@@ -23,9 +23,9 @@
     deployment::Deployment,
     figures::Figures,
     machine::Machine,
-    scenario::{EVENT, LENGTH, OUTAGE, Scenario, WARM_UP},
+    scenario::{LENGTH, Scenario},
     store::{Health, Store},
-    trace::{Arrival, TENANTS},
+    trace::Arrival,
 };
 
 /// One way between hosts of one failure domain.
@@ -139,85 +139,7 @@
     fleet.run()
 }
 
-impl<'a> Fleet<'a> {
-    fn new(deployment: &'a Deployment, settings: &Settings, trace: &'a [Arrival]) -> Self {
-        let settings = Settings {
-            objective: deployment.objective,
-            capacity: deployment.batch,
-            ..settings.clone()
-        };
-        let base = Instant::now();
-        let mut fleet = Self {
-            deployment,
-            trace,
-            base,
-            pool: lending::pool(deployment, base),
-            lend_at: None,
-            now: 0,
-            agenda: Agenda::default(),
-            members: (0..deployment.hosts)
-                .map(|it| member(it, it % deployment.domains, &settings))
-                .collect(),
-            machines: (0..deployment.engines)
-                .map(|_| Machine::default())
-                .collect(),
-            loading: vec![0; deployment.engines],
-            store: Store::new(deployment),
-            references: (0..deployment.adapters).map(reference).collect(),
-            tenants: (0..TENANTS)
-                .map(|it| named(&format!("tenant-{it}")))
-                .collect(),
-            model: named("base"),
-            progress: trace.iter().map(|_| Progress::default()).collect(),
-            marked: (0, 0),
-            figures: Figures {
-                batch: deployment.batch,
-                places: deployment.places(),
-                length: LENGTH - WARM_UP,
-                ..Figures::default()
-            },
-        };
-        fleet.assign();
-        fleet
-    }
-
-    /// Makes each engine's steward one of the entry hosts of its failure domain.
-    fn assign(&mut self) {
-        for engine in 0..self.deployment.engines {
-            let event = Event::Took {
-                engine: self.instance(engine),
-                fence: 1,
-                fencing: Fencing::Checked,
-                predecessor: Predecessor::None,
-            };
-            let host = self.steward_of(engine);
-            self.agenda.plan(0, Happening::Tell(host, event));
-        }
-        self.share();
-    }
-
-    fn steward_of(&self, engine: usize) -> usize {
-        let domains = self.deployment.domains;
-        let domain = engine % domains;
-        let hosts: Vec<_> = (0..self.deployment.hosts)
-            .filter(|it| it % domains == domain)
-            .collect();
-        hosts[(engine / domains) % hosts.len()]
-    }
-
-    fn script(&mut self, scenario: Scenario) {
-        match scenario {
-            Scenario::Restart => self.agenda.plan(EVENT, Happening::Restart),
-            Scenario::Outage => {
-                self.agenda.plan(EVENT, Happening::Store(Health::Down));
-                self.agenda
-                    .plan(EVENT + OUTAGE, Happening::Store(Health::Up));
-            }
-            _ => {}
-        }
-        self.agenda.plan(WARM_UP, Happening::Mark);
-    }
-
+impl Fleet<'_> {
     fn run(mut self) -> Figures {
         for (index, arrival) in self.trace.iter().enumerate() {
             self.agenda.plan(arrival.at, Happening::Arrive(index));
@@ -407,30 +329,6 @@
             FAR
         }
     }
-
-    fn instance(&self, engine: usize) -> Instance {
-        Instance {
-            name: named(&format!("engine-{engine}")),
-            address: ([127, 0, 0, 1], 1).into(),
-            domain: domain(engine % self.deployment.domains),
-            role: Role::Engine(self.model.clone()),
-            state: Availability::Live,
-        }
-    }
-}
-
-fn member(index: usize, place: usize, settings: &Settings) -> Member {
-    Member {
-        name: named(&format!("host-{index}")),
-        domain: place,
-        state: State::new(settings.clone()),
-        directory: Directory::new(domain(place)),
-        tick: None,
-    }
-}
-
-fn domain(index: usize) -> Domain {
-    named(&format!("domain-{index}"))
 }
 
 /// The reference of the adapter with an index.
