Try seeded random failures against real processes

Callers send whole and streamed model requests and keyed calls meanwhile; the history is checked against the journals of the engines and the instances.

--- /dev/null
+++ b/crates/entry/tests/chaos/caller.rs
@@ -0,0 +1,167 @@
+//! Threads that send requests and keep what came back.
+
+use std::{
+    net::SocketAddr,
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+use rand::{RngExt, rngs::StdRng};
+use standin::client::{Answer, Request, State, Stream};
+
+use crate::{
+    fixture::{self, Delivery},
+    history::{Ask, Call, End, Life, Outcome, Streamed},
+};
+
+/// Deadline of a request, in milliseconds.
+const DEADLINE_MS: &str = "4000";
+
+/// Time after which a caller gives up.
+const PATIENCE: Duration = Duration::from_secs(6);
+
+/// A request that is to be sent.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    pub id: String,
+    pub life: Life,
+    pub step: usize,
+    pub ask: Ask,
+    pub address: SocketAddr,
+}
+
+/// Sends requests one after the other on a thread of their own.
+pub fn spawn(plans: Vec<Plan>) -> JoinHandle<Vec<Call>> {
+    thread::spawn(move || plans.into_iter().map(send).collect())
+}
+
+/// Chooses what to ask, from few adapters mostly and from few keys.
+pub fn choose(rng: &mut StdRng, references: &[String], step: usize) -> Ask {
+    if rng.random_range(0..3) == 0 {
+        // Keys of earlier steps come again, also while their first call runs.
+        let first = step.saturating_sub(3);
+        let key = format!(
+            "key-{}-{}",
+            rng.random_range(first..=step),
+            rng.random_range(0..4)
+        );
+        return Ask::Keyed { key };
+    }
+    let rank = rng
+        .random_range(0..references.len())
+        .min(rng.random_range(0..references.len()));
+    let delivery = match rng.random_range(0..2) {
+        0 => Delivery::Whole,
+        _ => Delivery::Streamed,
+    };
+    Ask::Model {
+        reference: references[rank].clone(),
+        delivery,
+    }
+}
+
+/// Sends a request and reads what comes back.
+pub fn send(plan: Plan) -> Call {
+    let start = Instant::now();
+    let outcome = match &plan.ask {
+        Ask::Model {
+            reference,
+            delivery,
+        } => model(&plan, reference, *delivery),
+        Ask::Keyed { key } => whole(&fixture::keyed(&plan.id, key), plan.address),
+    };
+    let outcome = match start.elapsed() {
+        it if it >= PATIENCE => given_up(outcome),
+        _ => outcome,
+    };
+    Call {
+        id: plan.id,
+        life: plan.life,
+        step: plan.step,
+        ask: plan.ask,
+        outcome,
+    }
+}
+
+/// Tells an answer that the caller itself cut off from one that broke.
+fn given_up(outcome: Outcome) -> Outcome {
+    match outcome {
+        Outcome::Lost(_) => Outcome::GivenUp,
+        Outcome::Streamed(Streamed {
+            chunks,
+            end: End::Broken,
+        }) => Outcome::Streamed(Streamed {
+            chunks,
+            end: End::GivenUp,
+        }),
+        outcome => outcome,
+    }
+}
+
+fn model(plan: &Plan, reference: &str, delivery: Delivery) -> Outcome {
+    let request = fixture::chat_within(&plan.id, reference, delivery, DEADLINE_MS);
+    match delivery {
+        Delivery::Whole => whole(&request, plan.address),
+        Delivery::Streamed => streamed(&patient(&request), plan.address),
+    }
+}
+
+fn patient(request: &Request) -> Request {
+    Request {
+        timeout: PATIENCE,
+        ..request.clone()
+    }
+}
+
+fn whole(request: &Request, address: SocketAddr) -> Outcome {
+    match patient(request).send(address) {
+        Ok(answer) if answer.status == 200 => Outcome::Whole(answer.text()),
+        Ok(answer) => refused(&answer),
+        Err(failure) => Outcome::Lost(failure.to_string()),
+    }
+}
+
+fn refused(answer: &Answer) -> Outcome {
+    let (kind, ran) = fixture::refusal(answer);
+    Outcome::Refused { kind, ran }
+}
+
+fn streamed(request: &Request, address: SocketAddr) -> Outcome {
+    let stream = match request.stream(address) {
+        Ok(stream) => stream,
+        Err(failure) => return Outcome::Lost(failure.to_string()),
+    };
+    if stream.status == 200 {
+        return Outcome::Streamed(read(stream));
+    }
+    refused(&Answer {
+        status: stream.status,
+        headers: stream.headers.clone(),
+        body: stream.text().into_bytes(),
+    })
+}
+
+fn read(mut stream: Stream) -> Streamed {
+    let mut chunks = Vec::new();
+    let mut end = None;
+    for event in stream.by_ref() {
+        let body = event.json();
+        if event.is_done() {
+            end = Some(End::Done);
+        } else if event.kind == "error" {
+            end = Some(End::Error);
+        } else {
+            let text = body["choices"][0]["delta"]["content"].as_str();
+            let model = body["model"].as_str().unwrap_or_default().to_owned();
+            chunks.push((model, text.unwrap_or_default().to_owned()));
+        }
+    }
+    let end = match (end, stream.state) {
+        // What says that it is whole has to end in order too.
+        (Some(End::Done), State::Broken) => End::Broken,
+        (Some(end), _) => end,
+        (None, State::Ended) => End::Silent,
+        (None, _) => End::Broken,
+    };
+    Streamed { chunks, end }
+}
--- /dev/null
+++ b/crates/entry/tests/chaos/history.rs
@@ -0,0 +1,109 @@
+//! What was asked and what came back.
+
+use crate::fixture::Delivery;
+
+/// A life of an entry host: the host and how often it had been started before.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Life {
+    pub entry: usize,
+    pub number: usize,
+}
+
+/// What a request asks for.
+#[derive(Clone, Debug)]
+pub enum Ask {
+    Model {
+        reference: String,
+        delivery: Delivery,
+    },
+    Keyed {
+        key: String,
+    },
+}
+
+/// What came of a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// A status of 200 and the whole body.
+    Whole(String),
+    /// A stream that began.
+    Streamed(Streamed),
+    /// A refusal.
+    Refused { kind: String, ran: String },
+    /// The connection was refused or broke before the whole answer came.
+    Lost(String),
+    /// The caller did not wait any longer.
+    GivenUp,
+}
+
+/// How a stream ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum End {
+    /// By `[DONE]`.
+    Done,
+    /// By an error event.
+    Error,
+    /// The connection broke.
+    Broken,
+    /// The connection was ended in order, with neither.
+    Silent,
+    /// The caller did not wait any longer.
+    GivenUp,
+}
+
+/// What was read of a stream.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Streamed {
+    /// The model and the text of each chunk.
+    pub chunks: Vec<(String, String)>,
+    pub end: End,
+}
+
+/// A request and what came of it.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub id: String,
+    pub life: Life,
+    /// The step at which it was sent.
+    #[expect(dead_code, reason = "it is printed with the rest")]
+    pub step: usize,
+    pub ask: Ask,
+    pub outcome: Outcome,
+}
+
+/// How the life of an entry host ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Death {
+    Killed,
+    /// After SIGTERM, with this exit code.
+    Terminated(Option<i32>),
+}
+
+/// A revision that an entry host told.
+#[derive(Clone, Copy, Debug)]
+pub struct Seen {
+    pub life: Life,
+    #[expect(dead_code, reason = "it is printed with the rest")]
+    pub step: usize,
+    pub revision: u64,
+}
+
+/// What a leaving engine got after every host knew.
+#[derive(Clone, Debug)]
+pub struct Departure {
+    #[expect(dead_code, reason = "it is printed with the rest")]
+    pub engine: String,
+    #[expect(dead_code, reason = "it is printed with the rest")]
+    pub steps: (usize, usize),
+    /// Requests and loads that came.
+    pub arrivals: u64,
+}
+
+/// Everything that was seen from outside.
+#[derive(Debug, Default)]
+pub struct History {
+    pub calls: Vec<Call>,
+    pub deaths: Vec<(Life, Death)>,
+    pub revisions: Vec<Seen>,
+    pub departures: Vec<Departure>,
+}
--- /dev/null
+++ b/crates/entry/tests/chaos/run.rs
@@ -0,0 +1,170 @@
+//! Drives a run: steps, requests between them, and the check of what came out.
+
+use std::{collections::BTreeSet, fs, thread::JoinHandle};
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+use crate::{
+    caller::{self, Plan},
+    check,
+    fixture::{Delivery, wait},
+    history::{Ask, Call},
+    step::Step,
+    world::World,
+};
+
+/// Steps of a run.
+const STEPS: usize = 25;
+
+/// Threads that send requests at each step.
+const CALLERS: usize = 4;
+
+/// Requests that each of them sends.
+const REQUESTS: usize = 3;
+
+/// Adapters that are asked for, the popular ones first.
+fn references() -> Vec<String> {
+    let named = [
+        "signs/bay-summary@7",
+        "signs/bay-summary@6",
+        "cards/formula-card@12",
+    ];
+    let parks = (1..=9).map(|it| format!("signs/car-park-{it:02}@1"));
+    named.into_iter().map(str::to_owned).chain(parks).collect()
+}
+
+/// Runs a seed and checks its history.
+pub fn run(seed: u64) {
+    println!("seed {seed}");
+    let mut run = Run {
+        world: World::start(seed),
+        rng: StdRng::seed_from_u64(seed),
+        references: references(),
+        sent: 0,
+    };
+    run.steps();
+    run.world.heal();
+    println!(
+        "seed {seed}: healed at revision {}",
+        run.world.accepted.revision
+    );
+    run.last_calls();
+    run.wait_idle();
+    let faults = check::faults(&run.world);
+    if !faults.is_empty() {
+        run.keep_logs(seed);
+    }
+    assert!(faults.is_empty(), "seed {seed}:\n{}", faults.join("\n"));
+}
+
+struct Run {
+    world: World,
+    rng: StdRng,
+    references: Vec<String>,
+    sent: usize,
+}
+
+impl Run {
+    fn steps(&mut self) {
+        let mut before: Vec<JoinHandle<Vec<Call>>> = Vec::new();
+        for number in 0..STEPS {
+            self.world.step = number;
+            let callers = (0..CALLERS).map(|_| caller::spawn(self.plans())).collect();
+            let step = Step::choose(&mut self.rng, self.world.sizes());
+            println!("step {number}: {step:?}");
+            self.world.take(&step);
+            self.world.look();
+            self.collect(std::mem::replace(&mut before, callers));
+        }
+        self.collect(before);
+    }
+
+    fn collect(&mut self, callers: Vec<JoinHandle<Vec<Call>>>) {
+        for caller in callers {
+            self.world.history.calls.extend(caller.join().unwrap());
+        }
+    }
+
+    fn plans(&mut self) -> Vec<Plan> {
+        (0..REQUESTS).map(|_| self.plan()).collect()
+    }
+
+    fn plan(&mut self) -> Plan {
+        let running = self.world.running();
+        // The balancer before the hosts passes few requests on to a host that stands still.
+        let entry = match self.rng.random_range(0..16) {
+            0 => self.rng.random_range(0..self.world.sizes().entries),
+            _ => running[self.rng.random_range(0..running.len())],
+        };
+        let ask = caller::choose(&mut self.rng, &self.references, self.world.step);
+        self.plan_at(entry, ask)
+    }
+
+    fn plan_at(&mut self, entry: usize, ask: Ask) -> Plan {
+        self.sent += 1;
+        Plan {
+            id: format!("call-{}", self.sent),
+            life: self.world.life(entry),
+            step: self.world.step,
+            ask,
+            address: self.world.it.entry(entry).address(),
+        }
+    }
+
+    /// Repeats every key, and asks for every version that has to be in force.
+    fn last_calls(&mut self) {
+        self.world.step = STEPS;
+        let calls = self.world.history.calls.iter();
+        let keys: BTreeSet<String> = calls
+            .filter_map(|it| match &it.ask {
+                Ask::Keyed { key } => Some(key.clone()),
+                Ask::Model { .. } => None,
+            })
+            .collect();
+        let versions = self.world.accepted.versions.iter();
+        let edited = versions.map(|it| Ask::Model {
+            reference: format!("signs/edited@{it}"),
+            delivery: Delivery::Whole,
+        });
+        let asks: Vec<Ask> = edited
+            .chain(keys.into_iter().map(|key| Ask::Keyed { key }))
+            .collect();
+        for ask in asks {
+            let entry = self.rng.random_range(0..self.world.sizes().entries);
+            let plan = self.plan_at(entry, ask);
+            self.world.history.calls.push(caller::send(plan));
+        }
+    }
+
+    fn wait_idle(&self) {
+        wait("every engine is idle", || {
+            self.world
+                .it
+                .engine_counts()
+                .iter()
+                .all(|it| it.active == 0)
+        });
+    }
+
+    fn keep_logs(&self, seed: u64) {
+        let directory = std::env::temp_dir().join(format!("comfreywing-chaos-{seed}"));
+        let _ = fs::remove_dir_all(&directory);
+        fs::create_dir_all(&directory).unwrap();
+        for (life, log) in self.world.logs() {
+            let name = format!(
+                "{}-{}.log",
+                self.world.it.entry(life.entry).name,
+                life.number
+            );
+            fs::write(directory.join(name), log).unwrap();
+        }
+        let calls = self
+            .world
+            .history
+            .calls
+            .iter()
+            .map(|it| format!("{it:?}\n"));
+        fs::write(directory.join("calls"), calls.collect::<String>()).unwrap();
+        println!("logs of seed {seed}: {}", directory.display());
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/chaos/step.rs
@@ -0,0 +1,116 @@
+//! The steps of a run.
+
+use rand::{RngExt, rngs::StdRng};
+use standin::{control::Outage, link::Path, object, plain::Cut};
+
+/// Something that happens to the fleet.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Step {
+    /// SIGKILL and a new start.
+    Kill(usize),
+    /// SIGSTOP, or SIGCONT if it is stopped.
+    Freeze(usize),
+    /// SIGTERM, its end, and a new start.
+    Terminate(usize),
+    /// A change of a host's path to the platform.
+    Link(usize, Path),
+    /// A fault of the object API, or its end.
+    Objects(object::Switch),
+    /// Lag of the host list, in milliseconds.
+    HostLag(u64),
+    /// An outage of the weight store, or its end.
+    Weights(Outage),
+    /// A cold restart of an engine.
+    Restart(usize),
+    /// An engine leaves, or comes back if it is leaving.
+    Leave(usize),
+    /// Streams of an engine break off.
+    BreakStreams { engine: usize, after: u32 },
+    /// Connections of an instance are closed.
+    Cut { plain: usize, at: Cut },
+    /// An instance refuses calls, or takes them again.
+    Refuse(usize),
+    /// An instance takes longer, in milliseconds.
+    Delay { plain: usize, ms: u64 },
+    /// An edit of an operator.
+    Edit,
+    /// Two edits at the same time.
+    Race,
+}
+
+/// How many of each kind there are to act on.
+#[derive(Clone, Copy, Debug)]
+pub struct Sizes {
+    pub entries: usize,
+    pub engines: usize,
+    pub plains: usize,
+}
+
+fn pick<T: Clone>(rng: &mut StdRng, among: &[T]) -> T {
+    among[rng.random_range(0..among.len())].clone()
+}
+
+impl Step {
+    /// Chooses any step.
+    pub fn choose(rng: &mut StdRng, sizes: Sizes) -> Self {
+        let entry = rng.random_range(0..sizes.entries);
+        let engine = rng.random_range(0..sizes.engines);
+        let plain = rng.random_range(0..sizes.plains);
+        match rng.random_range(0..20) {
+            0 | 1 => Self::Kill(entry),
+            2..=4 => Self::Freeze(entry),
+            5 | 6 => Self::Terminate(entry),
+            7 | 8 => Self::Link(entry, path(rng)),
+            9 | 10 => Self::Objects(objects(rng)),
+            11 => Self::HostLag(pick(rng, &[0, 500, 2000])),
+            12 => Self::Weights(pick(rng, &[Outage::None, Outage::Refuse, Outage::Hang])),
+            13 => Self::Restart(engine),
+            14 | 15 => Self::Leave(engine),
+            16 => Self::BreakStreams {
+                engine,
+                after: rng.random_range(0..crate::fixture::TOKENS),
+            },
+            17 => instance(rng, plain),
+            18 => Self::Edit,
+            _ => Self::Race,
+        }
+    }
+}
+
+fn path(rng: &mut StdRng) -> Path {
+    pick(
+        rng,
+        &[Path::Open, Path::Frozen, Path::Closed, Path::AnswersLost],
+    )
+}
+
+fn objects(rng: &mut StdRng) -> object::Switch {
+    let none = object::Switch::Outage(Outage::None);
+    let switches = [
+        none,
+        none,
+        object::Switch::Outage(Outage::Refuse),
+        object::Switch::Outage(Outage::Break),
+        object::Switch::Outage(Outage::Hang),
+        object::Switch::LoseAnswers(3),
+        object::Switch::CallsPerSecond(20.0),
+        object::Switch::CallsPerSecond(0.0),
+        object::Switch::DelayMs(100),
+        object::Switch::DelayMs(0),
+    ];
+    pick(rng, &switches)
+}
+
+fn instance(rng: &mut StdRng, plain: usize) -> Step {
+    match rng.random_range(0..3) {
+        0 => Step::Refuse(plain),
+        1 => Step::Delay {
+            plain,
+            ms: pick(rng, &[0, 300]),
+        },
+        _ => Step::Cut {
+            plain,
+            at: pick(rng, &[Cut::BeforeRun, Cut::BeforeAnswer, Cut::DuringAnswer]),
+        },
+    }
+}
--- a/crates/entry/tests/fleet/fixture.rs
+++ b/crates/entry/tests/fleet/fixture.rs
@@ -177,7 +177,7 @@
 }
 
 /// How an answer is wanted.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug)]
 pub enum Delivery {
     Whole,
     Streamed,
