Bring a newcomer its entries sooner

Cause: the last message of an answer reserved so much room for the hosts that remain that no entry fitted, so that the receiver saw no progress and did not go on. Change: at most eight hosts remain, and for ten seconds after its start a host compares versions every 200 ms.

--- a/crates/member/src/settings.rs
+++ b/crates/member/src/settings.rs
@@ -26,6 +26,8 @@
     pub sync_interval: Duration,
     /// Shortest time between two comparisons after a change.
     pub eager_sync_interval: Duration,
+    /// How long after its start a host compares versions as often as after a change.
+    pub catch_up: Duration,
     /// Time between two tries to reach hosts that are not known to be alive.
     pub reconnect_interval: Duration,
     /// Time between two probes of a contact in another failure domain.
@@ -61,6 +63,7 @@
             suspicion: Duration::from_secs(1),
             sync_interval: Duration::from_secs(1),
             eager_sync_interval: Duration::from_millis(200),
+            catch_up: Duration::from_secs(10),
             reconnect_interval: Duration::from_secs(2),
             contact_interval: Duration::from_secs(2),
             forget: Duration::from_hours(2),
--- a/crates/member/src/state.rs
+++ b/crates/member/src/state.rs
@@ -47,6 +47,7 @@
 /// When each regular duty is next due; none before the first tick.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Due {
+    pub start: Option<Instant>,
     pub tick: Option<Instant>,
     pub period: Option<Instant>,
     pub contact: Option<Instant>,
--- a/crates/member/src/sync.rs
+++ b/crates/member/src/sync.rs
@@ -1,6 +1,10 @@
 //! How hosts find and repair differences between what they know.
 
-use std::{collections::BTreeMap, net::SocketAddr, time::Instant};
+use std::{
+    collections::BTreeMap,
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
 
 use crate::{
     event::Output,
@@ -15,6 +19,10 @@
 /// Most records in one answer to a digest.
 const DELTA_RECORDS: usize = 3;
 
+/// Most hosts that one answer names as remaining. The same message has to have room for an entry,
+/// since only an answer that brings something new is followed by another one.
+const REMAINING_LINES: usize = 8;
+
 /// In one of this many turns a seed is tried although members are known.
 const SEED_TURNS: usize = 32;
 
@@ -60,7 +68,8 @@
     /// Compares versions with a random member when that is due: regularly, and sooner while there
     /// are changes that the others may not have.
     pub(crate) fn sync(&mut self, now: Instant) {
-        let regular = turn(&mut self.due.sync, self.settings.sync_interval, now);
+        let interval = self.regular_interval(now);
+        let regular = turn(&mut self.due.sync, interval, now);
         if regular == Turn::Later && self.fresh.is_empty() {
             return;
         }
@@ -82,6 +91,17 @@
         self.send_to(target, Body::Sync(lines));
     }
 
+    /// The time between two regular comparisons, which is shorter for a host that has just started
+    /// and lacks most entries.
+    fn regular_interval(&mut self, now: Instant) -> Duration {
+        let start = *self.due.start.get_or_insert(now);
+        if now.saturating_duration_since(start) < self.settings.catch_up {
+            self.settings.eager_sync_interval
+        } else {
+            self.settings.sync_interval
+        }
+    }
+
     /// The own host and some of the others in turn, to fill most of a digest.
     fn next_in_turn(&mut self) -> Vec<u64> {
         let cursor = self.cursor;
@@ -186,7 +206,11 @@
         let mut lines = lines.to_vec();
         for last in (0..self.settings.sync_burst).rev() {
             let rest = records.split_off(records.len().min(DELTA_RECORDS));
-            let reserved = if last == 0 { lines.len() } else { 0 };
+            let reserved = if last == 0 {
+                lines.len().min(REMAINING_LINES)
+            } else {
+                0
+            };
             let taken = LINE_BYTES * (wanted.len() + reserved);
             let taken = taken + LARGEST_RECORD_BYTES * records.len();
             let mut room = self.settings.message_bytes.saturating_sub(taken);
@@ -217,7 +241,7 @@
         let behind = pairs.filter(|(theirs, own)| {
             (theirs.incarnation, theirs.version) < (own.incarnation, own.version)
         });
-        behind.map(|it| it.1).collect()
+        behind.map(|it| it.1).take(REMAINING_LINES).collect()
     }
 
     fn is_outdated(&self, line: &Line) -> bool {
--- a/crates/peer/examples/gossip/main.rs
+++ b/crates/peer/examples/gossip/main.rs
@@ -8,7 +8,7 @@
 mod report;
 mod stewards;
 
-use std::{process::ExitCode, time::Duration};
+use std::{process::ExitCode, thread, time::Duration};
 
 use argh::FromArgs;
 
@@ -83,6 +83,8 @@
     let mut fleet = Fleet::start(shape);
     let settled = fleet.settle();
     let memory = cost::memory().saturating_sub(before);
+    // Hosts compare versions more often after their start, which no window should see.
+    thread::sleep(member::Settings::default().catch_up);
     let idle = fleet.observe(window, 0.0);
     let busy = fleet.observe(window, args.changes);
     let rounds = 0..args.rounds;
