--- a/crates/entry/src/duty/claims.rs
+++ b/crates/entry/src/duty/claims.rs
@@ -34,7 +34,7 @@
 }
 
 /// How often the duty looks who should be steward.
-const INTERVAL: Duration = Duration::from_millis(200);
+const INTERVAL: Duration = Duration::from_millis(500);
 
 /// How long the duty waits after the platform failed.
 const BACK_OFF: Duration = Duration::from_secs(1);
@@ -141,9 +141,10 @@
 
 /// The engines that this host should be steward of and is not.
 fn wanted(host: &Host, members: &[Member]) -> Vec<Instance> {
+    let map = member::steward::Map::new(members);
     let mut engines = host.listed.engines();
     engines.retain(|it| {
-        let owner = member::steward::of(&it.name, &it.domain, members);
+        let owner = map.of(&it.name, &it.domain);
         owner.is_some_and(|it| it.holder == host.me) && !host.holds(&it.name)
     });
     engines
