--- a/crates/experiment/tests/unmet.rs
+++ b/crates/experiment/tests/unmet.rs
@@ -47,3 +47,13 @@
     let own = own(&deployment, Scenario::Shift, 0.8).total_stall();
     assert!(own * 3 <= reference, "{own} us against {reference}");
 }
+
+/// Engines that have work are at least as full as the reference's, in overload too.
+#[test]
+fn busy_engines_are_as_full_as_the_reference() {
+    let deployment = Deployment::maegesho();
+    let trace = Scenario::Overload.trace(&deployment, 1.0, SEED);
+    let reference = naive::run(&deployment, Scenario::Overload, &trace).batch_permille();
+    let own = own(&deployment, Scenario::Overload, 1.0).batch_permille();
+    assert!(own >= reference, "{own} against {reference} thousandths");
+}
