Let random steps hold on until they bite, and hung loads end

Steps that changed nothing were common, and a load that met a hung weight store kept its slot for good, because the stand-in's engine never gave the fetch up. It now fails the load after 5 s, as engines do. A freeze can last until the engines of the host are taken. Versions that were accepted are asked of every host until they are served.

--- a/crates/entry/tests/chaos/caller.rs
+++ b/crates/entry/tests/chaos/caller.rs
@@ -15,10 +15,10 @@
 };
 
 /// Deadline of a request, in milliseconds.
-const DEADLINE_MS: &str = "4000";
+const DEADLINE_MS: &str = "2000";
 
 /// Time after which a caller gives up.
-const PATIENCE: Duration = Duration::from_secs(6);
+const PATIENCE: Duration = Duration::from_secs(3);
 
 /// A request that is to be sent.
 #[derive(Clone, Debug)]
@@ -68,7 +68,7 @@
             reference,
             delivery,
         } => model(&plan, reference, *delivery),
-        Ask::Keyed { key } => whole(&fixture::keyed(&plan.id, key), plan.address),
+        Ask::Keyed { key } => whole(&keyed(&plan.id, key), plan.address),
     };
     let outcome = match start.elapsed() {
         it if it >= PATIENCE => given_up(outcome),
@@ -106,6 +106,15 @@
     }
 }
 
+fn keyed(id: &str, key: &str) -> Request {
+    let mut request = fixture::keyed(id, key);
+    let headers = request.headers.iter_mut();
+    for (_, value) in headers.filter(|it| it.0 == "x-deadline-ms") {
+        DEADLINE_MS.clone_into(value);
+    }
+    request
+}
+
 fn patient(request: &Request) -> Request {
     Request {
         timeout: PATIENCE,
--- a/crates/entry/tests/chaos/check.rs
+++ b/crates/entry/tests/chaos/check.rs
@@ -217,6 +217,7 @@
         if let Ask::Model { reference, .. } = &call.ask
             && reference.starts_with("signs/edited@")
             && !matches!(call.outcome, Outcome::Whole(_))
+            && !call.is_to_be_repeated()
         {
             faults.push(fault("an accepted edit is not in force", call));
         }
--- a/crates/entry/tests/chaos/history.rs
+++ b/crates/entry/tests/chaos/history.rs
@@ -71,6 +71,16 @@
     pub outcome: Outcome,
 }
 
+impl Call {
+    /// Whether it was refused for want of capacity or time.
+    pub fn is_to_be_repeated(&self) -> bool {
+        match &self.outcome {
+            Outcome::Refused { kind, ran } => ran == "not-run" && !kind.starts_with("unknown"),
+            _ => false,
+        }
+    }
+}
+
 /// How the life of an entry host ended.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Death {
--- a/crates/entry/tests/chaos/run.rs
+++ b/crates/entry/tests/chaos/run.rs
@@ -17,10 +17,10 @@
 const STEPS: usize = 25;
 
 /// Threads that send requests at each step.
-const CALLERS: usize = 4;
+const CALLERS: usize = 6;
 
 /// Requests that each of them sends.
-const REQUESTS: usize = 3;
+const REQUESTS: usize = 2;
 
 /// Adapters that are asked for, the popular ones first.
 fn references() -> Vec<String> {
@@ -121,19 +121,32 @@
                 Ask::Model { .. } => None,
             })
             .collect();
-        let versions = self.world.accepted.versions.iter();
-        let edited = versions.map(|it| Ask::Model {
-            reference: format!("signs/edited@{it}"),
-            delivery: Delivery::Whole,
-        });
-        let asks: Vec<Ask> = edited
-            .chain(keys.into_iter().map(|key| Ask::Keyed { key }))
-            .collect();
-        for ask in asks {
+        for key in keys {
             let entry = self.rng.random_range(0..self.world.sizes().entries);
-            let plan = self.plan_at(entry, ask);
+            let plan = self.plan_at(entry, Ask::Keyed { key });
             self.world.history.calls.push(caller::send(plan));
         }
+        for version in self.world.accepted.versions.clone() {
+            self.ask_for_edited(version);
+        }
+    }
+
+    /// Asks every host for an accepted version; "not yet" is asked again.
+    fn ask_for_edited(&mut self, version: u32) {
+        for entry in 0..self.world.sizes().entries {
+            wait("an accepted version is served", || {
+                let call = caller::send(self.plan_at(
+                    entry,
+                    Ask::Model {
+                        reference: format!("signs/edited@{version}"),
+                        delivery: Delivery::Whole,
+                    },
+                ));
+                let again = call.is_to_be_repeated();
+                self.world.history.calls.push(call);
+                !again
+            });
+        }
     }
 
     fn wait_idle(&self) {
--- a/crates/entry/tests/chaos/step.rs
+++ b/crates/entry/tests/chaos/step.rs
@@ -8,11 +8,13 @@
 pub enum Step {
     /// SIGKILL and a new start.
     Kill(usize),
-    /// SIGSTOP, or SIGCONT if it is stopped.
+    /// SIGSTOP, or SIGCONT of the host that is stopped.
     Freeze(usize),
+    /// SIGSTOP until others have taken its engines, and SIGCONT at a later step.
+    FreezePastLease(usize),
     /// SIGTERM, its end, and a new start.
     Terminate(usize),
-    /// A change of a host's path to the platform.
+    /// A host's path to the platform is cut, or opened again if it is cut.
     Link(usize, Path),
     /// A fault of the object API, or its end.
     Objects(object::Switch),
@@ -58,11 +60,12 @@
         let plain = rng.random_range(0..sizes.plains);
         match rng.random_range(0..20) {
             0 | 1 => Self::Kill(entry),
-            2..=4 => Self::Freeze(entry),
+            2 | 3 => Self::Freeze(entry),
+            4 => Self::FreezePastLease(entry),
             5 | 6 => Self::Terminate(entry),
             7 | 8 => Self::Link(entry, path(rng)),
             9 | 10 => Self::Objects(objects(rng)),
-            11 => Self::HostLag(pick(rng, &[0, 500, 2000])),
+            11 => Self::HostLag(pick(rng, &[500, 1000, 2000])),
             12 => Self::Weights(pick(rng, &[Outage::None, Outage::Refuse, Outage::Hang])),
             13 => Self::Restart(engine),
             14 | 15 => Self::Leave(engine),
@@ -78,25 +81,20 @@
 }
 
 fn path(rng: &mut StdRng) -> Path {
-    pick(
-        rng,
-        &[Path::Open, Path::Frozen, Path::Closed, Path::AnswersLost],
-    )
+    pick(rng, &[Path::Frozen, Path::Closed, Path::AnswersLost])
 }
 
 fn objects(rng: &mut StdRng) -> object::Switch {
-    let none = object::Switch::Outage(Outage::None);
     let switches = [
-        none,
-        none,
+        object::Switch::Outage(Outage::None),
+        object::Switch::Outage(Outage::None),
         object::Switch::Outage(Outage::Refuse),
         object::Switch::Outage(Outage::Break),
         object::Switch::Outage(Outage::Hang),
         object::Switch::LoseAnswers(3),
-        object::Switch::CallsPerSecond(20.0),
+        object::Switch::CallsPerSecond(60.0),
         object::Switch::CallsPerSecond(0.0),
-        object::Switch::DelayMs(100),
-        object::Switch::DelayMs(0),
+        object::Switch::DelayMs(50),
     ];
     pick(rng, &switches)
 }
@@ -104,10 +102,7 @@
 fn instance(rng: &mut StdRng, plain: usize) -> Step {
     match rng.random_range(0..3) {
         0 => Step::Refuse(plain),
-        1 => Step::Delay {
-            plain,
-            ms: pick(rng, &[0, 300]),
-        },
+        1 => Step::Delay { plain, ms: 300 },
         _ => Step::Cut {
             plain,
             at: pick(rng, &[Cut::BeforeRun, Cut::BeforeAnswer, Cut::DuringAnswer]),
--- a/crates/entry/tests/chaos/world.rs
+++ b/crates/entry/tests/chaos/world.rs
@@ -46,6 +46,7 @@
     lives: Vec<usize>,
     frozen: BTreeSet<usize>,
     links: Vec<Path>,
+    objects_work: bool,
     refusing: BTreeSet<usize>,
     leaving: Option<Leaving>,
     /// Logs of the lives that ended.
@@ -86,6 +87,7 @@
             lives: vec![0; entries],
             frozen: BTreeSet::new(),
             links: vec![Path::Open; entries],
+            objects_work: true,
             refusing: BTreeSet::new(),
             leaving: None,
             logs: Vec::new(),
@@ -118,9 +120,13 @@
         match step {
             Step::Kill(entry) => self.kill(*entry),
             Step::Freeze(entry) => self.freeze(*entry),
+            Step::FreezePastLease(entry) => {
+                self.freeze(*entry);
+                self.wait_taken(*entry);
+            }
             Step::Terminate(entry) => self.terminate(*entry),
             Step::Link(entry, path) => self.link(*entry, *path),
-            Step::Objects(switch) => self.it.fleet.set_objects(switch).unwrap(),
+            Step::Objects(switch) => self.set_objects(switch),
             Step::HostLag(ms) => self.set_hosts(&hosts::Switch::LagMs(*ms)),
             Step::Weights(outage) => self.set_weights(*outage),
             Step::Restart(engine) => self.set_engine(*engine, &engine::Switch::Restart),
@@ -208,10 +214,43 @@
     }
 
     fn link(&mut self, entry: usize, path: Path) {
+        let path = match self.links[entry] {
+            Path::Open => path,
+            _ => Path::Open,
+        };
         self.it.entry(entry).link().unwrap().set(path);
         self.links[entry] = path;
     }
 
+    fn is_connected(&self) -> bool {
+        self.objects_work && self.links.iter().all(|it| *it == Path::Open)
+    }
+
+    fn set_objects(&mut self, switch: &object::Switch) {
+        if let object::Switch::Outage(outage) = switch {
+            self.objects_work = *outage == Outage::None;
+        }
+        self.it.fleet.set_objects(switch).unwrap();
+    }
+
+    /// Waits until no running host takes a frozen one for the steward of an engine. Without the
+    /// platform nobody can take its engines.
+    fn wait_taken(&self, entry: usize) {
+        if !self.frozen.contains(&entry) || !self.is_connected() {
+            return;
+        }
+        let name = self.it.entry(entry).name.as_str();
+        let running = self.running();
+        wait(&format!("the engines of {name} are taken"), || {
+            running.iter().all(|other| {
+                let status = fixture::status(self.it.entry(*other)).unwrap_or_default();
+                let engines = status["engines"].as_array().cloned().unwrap_or_default();
+                engines.len() == self.sizes().engines
+                    && engines.iter().all(|it| it["steward"] != name)
+            })
+        });
+    }
+
     fn refuse(&mut self, plain: usize) {
         let power = if self.refusing.remove(&plain) {
             Power::Off
@@ -273,7 +312,7 @@
 
     fn look_at_leaving(&mut self) {
         let Some(leaving) = &self.leaving else { return };
-        let connected = self.links.iter().all(|it| *it == Path::Open);
+        let connected = self.is_connected();
         if leaving.known.is_some() || self.step < leaving.since + LEAVING_STEPS || !connected {
             return;
         }
@@ -324,7 +363,9 @@
             self.thaw(entry);
         }
         for entry in 0..self.lives.len() {
-            self.link(entry, Path::Open);
+            if self.links[entry] != Path::Open {
+                self.link(entry, Path::Open);
+            }
         }
         self.heal_platform();
         for engine in 0..self.it.fleet.engines().len() {
@@ -341,7 +382,7 @@
         self.look();
     }
 
-    fn heal_platform(&self) {
+    fn heal_platform(&mut self) {
         let switches = [
             object::Switch::Outage(Outage::None),
             object::Switch::LoseAnswers(0),
@@ -349,7 +390,7 @@
             object::Switch::DelayMs(0),
         ];
         for switch in &switches {
-            self.it.fleet.set_objects(switch).unwrap();
+            self.set_objects(switch);
         }
         self.set_hosts(&hosts::Switch::LagMs(0));
         self.set_weights(Outage::None);
--- a/crates/standin/src/engine/adapter.rs
+++ b/crates/standin/src/engine/adapter.rs
@@ -18,6 +18,9 @@
 };
 use crate::http::{Call, Reply};
 
+/// How long the engine waits for the weight store before the load has failed.
+const STORE_TIMEOUT: Duration = Duration::from_secs(5);
+
 #[derive(Clone, Debug, Deserialize)]
 struct LoadOrder {
     lora_name: String,
@@ -167,7 +170,8 @@
 }
 
 async fn fetch(address: SocketAddr, path: &str) -> Loading {
-    match status(address, path).await {
+    let answer = tokio::time::timeout(STORE_TIMEOUT, status(address, path)).await;
+    match answer.unwrap_or_else(|_| Err(io::ErrorKind::TimedOut.into())) {
         Ok(status) if status == "200" => Loading::Done,
         Ok(status) => {
             log::info!(target: "standin", "The weight store answered {status} for {path}.");
