Refuse by the length of answers only while that was learned lately

Cause (found by the stand-ins' author): without max_tokens a request counted as 256 tokens of 20 ms, 5.12 s, so on a fresh fleet it was refused for ever with load-too-late at a deadline of 5 s; and an estimate that was once too high could not be corrected, since nothing ran any more. Ruled out: the store and the lender (they were idle). Change: without an answer in the last 10 s a usual length of 64 tokens counts. After: a_request_without_max_tokens_is_served and old_estimates_do_not_refuse_for_ever pass; the latter fails on the state before.

--- a/crates/standin/tests/whole/engines.rs
+++ b/crates/standin/tests/whole/engines.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
+use serde_json::json;
 use standin::{
+    client::Request,
     control::Power,
     engine::{Pace, Settings, Switch},
     fleet::{Fleet, Shape},
@@ -163,3 +165,17 @@
         assert_eq!(counts.unloads, 1);
     });
 }
+
+// A request that doesn't say how many tokens it wants is served by a fleet that has served none.
+#[test]
+fn a_request_without_max_tokens_is_served() {
+    check(&shape(), |fleet| {
+        let body = json!({
+            "model": REFERENCE,
+            "messages": [{"role": "user", "content": "Which bays are free?"}],
+        });
+        let request = Request::post("/v1/chat/completions", &body);
+        let answer = request.send(fleet.entry(0).address()).unwrap();
+        assert_eq!(answer.status, 200, "{}", answer.text());
+    });
+}
--- a/crates/steward/src/state.rs
+++ b/crates/steward/src/state.rs
@@ -38,7 +38,7 @@
 const AVERAGE_WEIGHT: f64 = 0.1;
 
 /// Length of an answer until answers have been seen, in tokens.
-const INITIAL_TOKENS: u32 = 64;
+const USUAL_TOKENS: u32 = 64;
 
 /// An adapter that is asked for less often than this, in asks a second, is forgotten.
 const FORGOTTEN_RATE: f64 = 1e-5;
@@ -89,6 +89,8 @@
     load_time: Duration,
     token_time: Duration,
     hold_time: Duration,
+    /// When an answer was last learned from.
+    learned: Option<Instant>,
     backlog: Backlog,
     sweep_at: Option<Instant>,
     contact_at: Option<Instant>,
@@ -101,7 +103,8 @@
         Self {
             load_time: settings.load_time,
             token_time: settings.token_time,
-            hold_time: settings.token_time * INITIAL_TOKENS,
+            learned: None,
+            hold_time: settings.token_time * USUAL_TOKENS,
             permits: Permits::new(settings.last_permit),
             settings,
             engines: Arena::default(),
--- a/crates/steward/src/state/admission.rs
+++ b/crates/steward/src/state/admission.rs
@@ -8,7 +8,7 @@
     permit::{Ask, Verdict},
 };
 
-use super::State;
+use super::{State, USUAL_TOKENS};
 use crate::{
     adapter::{Adapter, Rank},
     drift::Hit,
@@ -16,6 +16,9 @@
     waiters::Waiter,
 };
 
+/// How long an estimate counts after the last answer that it was learned from.
+const ESTIMATE_TIME: Duration = Duration::from_secs(10);
+
 /// Whether a waiting request can still be served in time.
 enum Outlook {
     Hopeful(Instant),
@@ -113,7 +116,7 @@
             return Some(fault);
         }
         let wait = self.expected_wait(key, now)?;
-        if wait + self.service_time(ask.max_tokens) <= ask.remaining {
+        if wait + self.service_time(ask.max_tokens, now) <= ask.remaining {
             return None;
         }
         let kind = if is_loaded {
@@ -195,9 +198,18 @@
         self.hold_time.saturating_mul(turns) / capacity.max(1)
     }
 
-    /// How long an answer takes once its request runs.
-    fn service_time(&self, max_tokens: u32) -> Duration {
-        self.token_time.saturating_mul(max_tokens)
+    /// How long an answer takes once its request runs. Callers say how long it may be, not how long
+    /// it will be: without recent answers to learn that from, a usual length counts. Otherwise an
+    /// estimate that is too high would refuse every request, and nothing would correct it.
+    fn service_time(&self, max_tokens: u32, now: Instant) -> Duration {
+        let is_recent = self
+            .learned
+            .is_some_and(|it| now.saturating_duration_since(it) < ESTIMATE_TIME);
+        if is_recent {
+            return self.token_time.saturating_mul(max_tokens);
+        }
+        let tokens = max_tokens.min(USUAL_TOKENS);
+        self.settings.token_time.saturating_mul(tokens)
     }
 
     /// Makes room in the queue at the expense of the tenant that fills it most.
@@ -265,7 +277,7 @@
         let Some(waiter) = self.waiters.get(ticket) else {
             return Outlook::Hopeless(Kind::Internal);
         };
-        let service = self.service_time(waiter.ask.max_tokens);
+        let service = self.service_time(waiter.ask.max_tokens, now);
         let Some(start_by) = waiter.deadline.checked_sub(service) else {
             return Outlook::Hopeless(Kind::DeadlineBeforeStart);
         };
--- a/crates/steward/src/state/grant.rs
+++ b/crates/steward/src/state/grant.rs
@@ -149,6 +149,7 @@
         let held = now.saturating_duration_since(pin.granted);
         self.hold_time = average(self.hold_time, held);
         self.token_time = average(self.token_time, held / pin.max_tokens.max(1));
+        self.learned = Some(now);
     }
 
     /// Ends a pin. What may still run counts as foreign until the engine's next report.
--- a/crates/steward/tests/state.rs
+++ b/crates/steward/tests/state.rs
@@ -433,3 +433,22 @@
     let actions = fixture.end(order, Settled::Failed("the store refused".to_owned()));
     assert_eq!(refused(&actions), "load-too-late");
 }
+
+/// An estimate of long answers refuses requests only while it is recent; otherwise nothing would
+/// run that could correct it.
+#[test]
+fn old_estimates_do_not_refuse_for_ever() {
+    let mut fixture = Fixture::new(&["e1"]);
+    let mut number = fixture.load("s/a@1").number;
+    for _ in 0..40 {
+        fixture.pass(9_000);
+        fixture.release(number);
+        number = granted(&fixture.ask_within("s/a@1", 60_000, "tenant")).number;
+    }
+    fixture.pass(9_000);
+    fixture.release(number);
+    let actions = fixture.ask_within("s/a@1", 1_500, "tenant");
+    assert_eq!(refused(&actions), "overloaded");
+    fixture.pass(10_000);
+    granted(&fixture.ask_within("s/a@1", 1_500, "tenant"));
+}
