--- a/crates/steward/src/state/admission.rs
+++ b/crates/steward/src/state/admission.rs
@@ -116,7 +116,8 @@
             return Some(fault);
         }
         let wait = self.expected_wait(key, now)?;
-        if wait + self.service_time(ask.max_tokens, now) <= ask.remaining {
+        let service = self.service_time(ask.max_tokens, now);
+        if wait + service <= ask.remaining {
             return None;
         }
         let kind = if is_loaded {
@@ -124,8 +125,13 @@
         } else {
             Kind::LoadTooLate
         };
-        let detail = format!("{} would wait {} ms", ask.reference, wait.as_millis());
-        Some(Fault::new(kind, detail).after(wait))
+        let detail = format!(
+            "{} would wait {} ms and take {} ms",
+            ask.reference,
+            wait.as_millis(),
+            service.as_millis()
+        );
+        Some(Fault::new(kind, detail).after(wait.max(self.load_time)))
     }
 
     /// Keeps a queue short when it does not empty by itself. A request that can share the load of
