--- a/crates/entry/src/flow/plain.rs
+++ b/crates/entry/src/flow/plain.rs
@@ -1,19 +1,17 @@
 //! A call to a plain service. A call that may not be repeated is sent at most once; with an
 //! idempotency key it is recorded before it is sent.
 
+mod keyed;
+
 use std::{sync::Arc, time::Instant};
 
 use config::service::{Kind as ServiceKind, Outage, Repeat, Retry};
-use journal::{Outcome, Scope, record::Body};
 use kernel::{
     fault::{Fault, Kind, Ran},
     name::{Service, Upstream},
-    request::Key,
     service::Instance,
 };
-use platform::journal::{Begin, End, First};
 use serve::{Request, Responder, Response};
-use sha2::{Digest, Sha256};
 use upstream::{
     Watch,
     plain::{self, Forward},
@@ -30,12 +28,6 @@
 /// Headers that this host sets itself.
 const OWN_HEADERS: [&str; 2] = [envelope::REQUEST_ID, envelope::DEADLINE];
 
-/// Headers of an answer that belong to one request and not to the call.
-const ANSWER_HEADERS: [&str; 1] = [envelope::REQUEST_ID];
-
-/// Header that marks the answer of an earlier call with the same key.
-const REPEATED: &str = "idempotent-replay";
-
 /// What a call needs on its way.
 struct Way<'a> {
     host: &'a Arc<Host>,
@@ -114,110 +106,6 @@
         self.host.step(&self.admitted.envelope.id, what);
     }
 
-    /// Records the call before it is made, and its end after it.
-    fn keyed(&self, key: Key) -> Result<Response, Fault> {
-        let scope = Scope {
-            service: self.service.clone(),
-            tenant: self.admitted.envelope.tenant.clone(),
-            key,
-        };
-        let journal = &self.host.journal;
-        match journal.begin(&scope, &self.fingerprint(), self.deadline) {
-            Begin::First(first) => self.first(first),
-            Begin::Repeat(outcome) => self.repeat(outcome),
-            Begin::Running => Err(self
-                .key_fault(Kind::KeyRunning, "is running")
-                .after(RETRY_AFTER)),
-            Begin::Unknown => Err(self.key_fault(Kind::KeyUnknown, "has no known outcome")),
-            Begin::Reused => Err(self.key_fault(Kind::KeyReused, "was another call")),
-            Begin::Down(outage) => self.unrecorded(&outage),
-        }
-    }
-
-    fn key_fault(&self, kind: Kind, what: &str) -> Fault {
-        let detail = format!(
-            "the first call of service {} with this key {what}",
-            self.service
-        );
-        Fault::new(kind, detail)
-    }
-
-    fn first(&self, first: First) -> Result<Response, Fault> {
-        self.note("recorded as the first call with its key");
-        let journal = &self.host.journal;
-        // Writing the record takes time, and others count the call as ended soon after its deadline.
-        if self.host.clock.now() >= self.deadline {
-            journal.release(first);
-            let detail = "the deadline passed while the call was recorded";
-            return Err(Fault::new(Kind::DeadlineBeforeStart, detail).after(RETRY_AFTER));
-        }
-        let sent = self.send();
-        let end = match &sent {
-            Ok(it) => journal.finish(first, it.status, it.headers.clone(), &it.body),
-            Err(fault) if fault.kind.answer().ran == Ran::NotRun => journal.release(first),
-            Err(_) => journal.lose(first),
-        };
-        self.note(match end {
-            End::Recorded => "the end of the call is recorded",
-            End::Pending => "the end of the call waits to be recorded",
-        });
-        sent
-    }
-
-    /// Answers a repeat with the first call's answer.
-    fn repeat(&self, outcome: Outcome) -> Result<Response, Fault> {
-        self.note("answered with the first call's answer");
-        let body = match outcome.body {
-            Body::Whole(it) => it,
-            Body::Omitted { bytes } => {
-                let what = format!(
-                    "was answered with {} and {bytes} bytes, too many to be kept",
-                    outcome.status
-                );
-                return Err(self.key_fault(Kind::BadAnswer, &what));
-            }
-        };
-        let mut headers = outcome.headers;
-        headers.retain(|(name, _)| !ANSWER_HEADERS.contains(&name.as_str()));
-        headers.push((REPEATED.to_owned(), "true".to_owned()));
-        headers.push((
-            envelope::REQUEST_ID.to_owned(),
-            self.admitted.envelope.id.to_string(),
-        ));
-        Ok(Response {
-            status: outcome.status,
-            headers,
-            body,
-        })
-    }
-
-    /// The record can't be written: the service's declaration decides.
-    fn unrecorded(&self, outage: &platform::journal::Outage) -> Result<Response, Fault> {
-        if self.outage == Outage::ServeAtRisk {
-            log::warn!(target: "journal", "A call of service {} is made without a record: {outage}.", self.service);
-            self.note(format!("made without a record, as declared: {outage}"));
-            return self.send();
-        }
-        Err(Fault::new(Kind::JournalDown, outage.to_string()).after(RETRY_AFTER))
-    }
-
-    /// What must be the same when a key is used again: everything that the service acts on.
-    fn fingerprint(&self) -> [u8; 32] {
-        let mut hash = Sha256::new();
-        let tenant = self.admitted.envelope.tenant.as_str();
-        let parts = [
-            tenant.as_bytes(),
-            self.request.method.as_bytes(),
-            self.target.as_bytes(),
-            &self.request.body,
-        ];
-        for part in parts {
-            hash.update((part.len() as u64).to_be_bytes());
-            hash.update(part);
-        }
-        hash.finalize().into()
-    }
-
     /// Sends the call until it is answered or may not be sent again.
     fn send(&self) -> Result<Response, Fault> {
         self.host.retries.earn(&self.service, self.retry);
--- a/crates/entry/tests/fleet/eviction.rs
+++ b/crates/entry/tests/fleet/eviction.rs
@@ -1,7 +1,7 @@
 //! An adapter that serves a request is never evicted while the request runs, not even on an engine
 //! that would obey the order.
 
-use std::thread;
+use std::thread::{self, JoinHandle};
 
 use standin::{
     engine::{Orders, Pace, Switch, Unload},
@@ -29,44 +29,72 @@
     let _ = request.send(it.entry(entry).address());
 }
 
-fn check_frozen_steward(fencing: Orders) {
-    let it = Fixture::start(&small(fencing));
-    let engine = &it.fleet.engines()[0];
-    engine.set(&Switch::Pace(Pace::Stepped)).unwrap();
-    engine.set(&Switch::Unload(Unload::Obey)).unwrap();
-    let old = it.index_of(&it.steward(0, &engine.name).unwrap());
-    let other = (old + 1) % it.fleet.entries().len();
-    let request = chat("pinned", REFERENCE, Delivery::Streamed);
-    let reader = {
-        let address = it.entry(other).address();
-        thread::spawn(move || {
-            request
-                .stream(address)
-                .map(|it| check_stream(it, REFERENCE))
-        })
-    };
-    wait("the request runs", || !it.runs("pinned").is_empty());
-    engine.set(&Switch::Step(2)).unwrap();
+/// A request that runs on an engine that stands still, through a host that is not its steward.
+struct Pinned {
+    fixture: Fixture,
+    steward: usize,
+    other: usize,
+    reader: JoinHandle<()>,
+}
+
+impl Pinned {
+    fn start(fencing: Orders) -> Self {
+        let fixture = Fixture::start(&small(fencing));
+        let engine = &fixture.fleet.engines()[0];
+        engine.set(&Switch::Pace(Pace::Stepped)).unwrap();
+        engine.set(&Switch::Unload(Unload::Obey)).unwrap();
+        let steward = fixture.index_of(&fixture.steward(0, &engine.name).unwrap());
+        let other = (steward + 1) % fixture.fleet.entries().len();
+        let request = chat("pinned", REFERENCE, Delivery::Streamed);
+        let address = fixture.entry(other).address();
+        let reader = thread::spawn(move || {
+            check_stream(request.stream(address).unwrap(), REFERENCE);
+        });
+        wait("the request runs", || !fixture.runs("pinned").is_empty());
+        Self {
+            fixture,
+            steward,
+            other,
+            reader,
+        }
+    }
+
+    fn wait_taken(&self) {
+        let it = &self.fixture;
+        let engine = &it.fleet.engines()[0];
+        let old = &it.entry(self.steward).name;
+        wait("another host is steward", || {
+            let steward = it.steward(self.other, &engine.name);
+            steward.is_some_and(|it| it != *old)
+        });
+    }
 
+    /// Lets the request end, and checks that nothing has cut it.
+    fn finish(self) {
+        let engine = &self.fixture.fleet.engines()[0];
+        engine.set(&Switch::Pace(Pace::Timed)).unwrap();
+        engine.set(&Switch::Step(TOKENS)).unwrap();
+        self.reader.join().unwrap();
+        assert_eq!(self.fixture.engine_counts()[0].ended_by_unload, 0);
+    }
+}
+
+fn check_frozen_steward(fencing: Orders) {
+    let pinned = Pinned::start(fencing);
+    let (it, old, other) = (&pinned.fixture, pinned.steward, pinned.other);
+    it.set_engines(&Switch::Step(2));
     it.entry(old).process().pause();
-    wait("another host is steward", || {
-        let steward = it.steward(other, &engine.name);
-        steward.is_some_and(|it_is| it_is != it.entry(old).name)
-    });
+    pinned.wait_taken();
     for number in 1..4 {
-        ask(&it, other, number);
+        ask(it, other, number);
     }
     // The old steward still believes that the engine is its own.
     it.entry(old).process().resume();
     for number in 4..8 {
-        ask(&it, old, number);
-        ask(&it, other, number);
+        ask(it, old, number);
+        ask(it, other, number);
     }
-    engine.set(&Switch::Pace(Pace::Timed)).unwrap();
-    engine.set(&Switch::Step(TOKENS)).unwrap();
-    reader.join().unwrap().unwrap();
-    let counts = it.engine_counts();
-    assert_eq!(counts[0].ended_by_unload, 0);
+    pinned.finish();
 }
 
 /// Covers: two hosts that both believe to be steward, on an engine that checks fencing numbers.
@@ -84,32 +112,11 @@
 /// Covers: the steward is killed with a permit outstanding, and its place is taken.
 #[test]
 fn killed_steward_leaves_the_running_request_alone() {
-    let it = Fixture::start(&small(Orders::Ignored));
-    let engine = &it.fleet.engines()[0];
-    engine.set(&Switch::Pace(Pace::Stepped)).unwrap();
-    engine.set(&Switch::Unload(Unload::Obey)).unwrap();
-    let old = it.index_of(&it.steward(0, &engine.name).unwrap());
-    let other = (old + 1) % it.fleet.entries().len();
-    let request = chat("orphan", REFERENCE, Delivery::Streamed);
-    let reader = {
-        let address = it.entry(other).address();
-        thread::spawn(move || {
-            request
-                .stream(address)
-                .map(|it| check_stream(it, REFERENCE))
-        })
-    };
-    wait("the request runs", || !it.runs("orphan").is_empty());
-    it.entry(old).process().kill();
-    wait("another host is steward", || {
-        let steward = it.steward(other, &engine.name);
-        steward.is_some_and(|it_is| it_is != it.entry(old).name)
-    });
+    let pinned = Pinned::start(Orders::Ignored);
+    pinned.fixture.entry(pinned.steward).process().kill();
+    pinned.wait_taken();
     for number in 1..6 {
-        ask(&it, other, number);
+        ask(&pinned.fixture, pinned.other, number);
     }
-    engine.set(&Switch::Pace(Pace::Timed)).unwrap();
-    engine.set(&Switch::Step(TOKENS)).unwrap();
-    reader.join().unwrap().unwrap();
-    assert_eq!(it.engine_counts()[0].ended_by_unload, 0);
+    pinned.finish();
 }
