Never let a later attempt hide that an earlier one ran

A model request whose first attempt ran and was withheld, or broke, is tried again. If no engine took the next attempt, the caller was told the fault of that one: 'overloaded, not-run', though an engine had run the request. The first fault of an attempt that may have run now decides, unless a later one may have run too.

--- a/crates/entry/src/flow/model.rs
+++ b/crates/entry/src/flow/model.rs
@@ -89,13 +89,30 @@
     })
 }
 
+/// The fault, unless it says that nothing ran.
+fn may_have_run(fault: Fault) -> Option<Fault> {
+    (fault.kind.answer().ran != Ran::NotRun).then_some(fault)
+}
+
+/// What a caller is told after the last attempt: `not-run` only if no attempt ran.
+fn told(begun: Option<Fault>, last: Fault) -> Fault {
+    match begun {
+        Some(begun) if last.kind.answer().ran == Ran::NotRun => begun,
+        _ => last,
+    }
+}
+
 impl Way<'_> {
     fn run(self, mut responder: Responder) {
         let mut avoid = Vec::new();
+        // An attempt that may have run decides what the caller is told, whatever follows it.
+        let mut begun: Option<Fault> = None;
         for attempt in 1..=MAX_ATTEMPTS {
             let place = match self.search(&avoid) {
                 Ok(it) => it,
-                Err(place::Failure::Fault(fault)) => return self.refuse(&fault, responder),
+                Err(place::Failure::Fault(fault)) => {
+                    return self.refuse(&begun.unwrap_or(fault), responder);
+                }
                 Err(place::Failure::CallerGone) => return self.abandoned(),
             };
             self.host
@@ -106,18 +123,21 @@
                 .queue_wait(&self.labels, place.permit.queue_wait);
             match self.attempt(&place, responder) {
                 Attempt::Over => return,
-                Attempt::Refused { fault, responder } => return self.refuse(&fault, responder),
+                Attempt::Refused { fault, responder } => {
+                    return self.refuse(&told(begun, fault), responder);
+                }
                 Attempt::Again {
                     fault,
                     engine,
                     responder: back,
                 } => {
                     if attempt == MAX_ATTEMPTS {
-                        return self.refuse(&fault, back);
+                        return self.refuse(&told(begun, fault), back);
                     }
                     self.note(format!("attempt {attempt} on {engine} ended with {fault}"));
                     self.host.metrics.retry(&self.labels.service);
                     avoid.push(engine);
+                    begun = may_have_run(fault).or(begun);
                     responder = back;
                 }
             }
--- a/crates/entry/tests/fleet/not_run.rs
+++ b/crates/entry/tests/fleet/not_run.rs
@@ -1,8 +1,14 @@
 //! When a caller is told that a request was not run, it was not run.
 
-use standin::plain::{Cut, Switch};
+use std::thread;
 
-use crate::fixture::{Fixture, keyed, refusal, shape};
+use standin::{
+    control::Power,
+    engine::{self, Pace},
+    plain::{Cut, Switch},
+};
+
+use crate::fixture::{Delivery, Fixture, TOKENS, chat, keyed, refusal, shape, wait};
 
 /// Covers: connections closed before, during and after the run of a call that may not be repeated.
 #[test]
@@ -42,3 +48,23 @@
     let answer = keyed("gone", "gone").send(it.entry(1).address()).unwrap();
     assert_eq!(refusal(&answer).1, "not-run");
 }
+
+/// Covers: an attempt that ran and was withheld, with no engine left for another attempt.
+#[test]
+fn later_attempt_does_not_hide_an_earlier_one() {
+    let mut shape = shape();
+    shape.engines = 1;
+    let it = Fixture::start(&shape);
+    let other = "signs/bay-summary@6+1".to_owned();
+    it.set_engines(&engine::Switch::AnswerAs(other));
+    it.set_engines(&engine::Switch::Pace(Pace::Stepped));
+    let request = chat("withheld", "signs/bay-summary@7", Delivery::Whole);
+    let address = it.entry(0).address();
+    let caller = thread::spawn(move || request.send(address).unwrap());
+    wait("the request runs", || !it.runs("withheld").is_empty());
+    it.set_engines(&engine::Switch::Leaving(Power::On));
+    it.set_engines(&engine::Switch::Step(TOKENS));
+    let answer = caller.join().unwrap();
+    assert_eq!(it.runs("withheld").len(), 1);
+    assert_eq!(refusal(&answer), ("wrong-adapter".into(), "ran".into()));
+}
