Never let a refusal hide a plain call that was cut

A call of a plain service that may be repeated and was cut goes to other instances; if they refused it, the caller was told 'not-run'. The rule for model requests now holds here too, in one place.

fleet not_run::refusals_do_not_hide_a_call_that_was_cut before: left ("upstream-refused", "not-run"), right ("upstream-lost", "unknown"); after: the 4 tests of not_run pass.

--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -7,7 +7,7 @@
 
 use config::{Text, revision::Number};
 use kernel::{
-    fault::{Fault, Kind},
+    fault::{Fault, Kind, Ran},
     name::{Service, Tenant},
     request::Class,
 };
@@ -151,6 +151,19 @@
     }
 }
 
+/// The fault, unless it says that nothing ran.
+pub fn may_have_run(fault: Fault) -> Option<Fault> {
+    (fault.kind.answer().ran != Ran::NotRun).then_some(fault)
+}
+
+/// What a caller is told after the last attempt: `not-run` only if no attempt ran.
+pub fn told(begun: Option<Fault>, last: Fault) -> Fault {
+    match begun {
+        Some(begun) if last.kind.answer().ran == Ran::NotRun => begun,
+        _ => last,
+    }
+}
+
 /// Answers with a fault.
 pub fn refuse(host: &Host, envelope: Option<&Envelope>, fault: &Fault, responder: Responder) {
     let id = envelope.map(|it| it.id.as_str());
--- a/crates/entry/src/flow/model.rs
+++ b/crates/entry/src/flow/model.rs
@@ -20,9 +20,9 @@
 use crate::{
     chat::{self, Call, Delivery},
     flow::{
-        Admitted, RETRY_AFTER, check_dependencies, marked,
+        Admitted, RETRY_AFTER, check_dependencies, marked, may_have_run,
         place::{self, Place, Search},
-        refuse, served_by,
+        refuse, served_by, told,
     },
     host::{Host, millis},
 };
@@ -89,19 +89,6 @@
     })
 }
 
-/// The fault, unless it says that nothing ran.
-fn may_have_run(fault: Fault) -> Option<Fault> {
-    (fault.kind.answer().ran != Ran::NotRun).then_some(fault)
-}
-
-/// What a caller is told after the last attempt: `not-run` only if no attempt ran.
-fn told(begun: Option<Fault>, last: Fault) -> Fault {
-    match begun {
-        Some(begun) if last.kind.answer().ran == Ran::NotRun => begun,
-        _ => last,
-    }
-}
-
 impl Way<'_> {
     fn run(self, mut responder: Responder) {
         let mut avoid = Vec::new();
--- a/crates/entry/src/flow/plain.rs
+++ b/crates/entry/src/flow/plain.rs
@@ -21,7 +21,7 @@
 
 use crate::{
     envelope,
-    flow::{Admitted, RETRY_AFTER, check_dependencies, marked, refuse},
+    flow::{Admitted, RETRY_AFTER, check_dependencies, marked, may_have_run, refuse, told},
     host::{Host, millis},
 };
 
@@ -216,11 +216,13 @@
     /// Sends the call until it is answered or may not be sent again.
     fn send(&self) -> Result<Response, Fault> {
         let mut tried: Vec<Upstream> = Vec::new();
+        // An attempt that may have run decides what the caller is told, whatever follows it.
+        let mut begun: Option<Fault> = None;
         loop {
             let domain = &self.host.settings.domain;
             let picked = self.host.listed.pick(&self.service, domain, &tried);
             let Some((instance, _running)) = picked else {
-                return Err(self.no_instance(&tried));
+                return Err(told(begun, self.no_instance(&tried)));
             };
             self.note(format!("sent to {}", instance.name));
             let sent = self.host.plain.call(self.forward(&instance));
@@ -240,8 +242,9 @@
                 fault.kind.answer().ran == Ran::NotRun || self.repeat == Repeat::Allowed;
             let late = self.host.clock.now() >= self.deadline;
             if !may_repeat || late || tried.len() == MAX_ATTEMPTS {
-                return Err(fault);
+                return Err(told(begun, fault));
             }
+            begun = may_have_run(fault).or(begun);
         }
     }
 
--- a/crates/entry/tests/fleet/not_run.rs
+++ b/crates/entry/tests/fleet/not_run.rs
@@ -3,6 +3,7 @@
 use std::thread;
 
 use standin::{
+    client::Request,
     control::Power,
     engine::{self, Pace},
     plain::{Cut, Switch},
@@ -68,3 +69,22 @@
     assert_eq!(it.runs("withheld").len(), 1);
     assert_eq!(refusal(&answer), ("wrong-adapter".into(), "ran".into()));
 }
+
+/// Covers: the same for a plain service whose calls may be repeated.
+#[test]
+fn refusals_do_not_hide_a_call_that_was_cut() {
+    let it = Fixture::start(&shape());
+    let entry = it.entry(0);
+    for plain in it.plains("registry") {
+        if plain.domain == entry.domain {
+            let at = Cut::BeforeAnswer;
+            plain.set(&Switch::Cut { at, times: 1 }).unwrap();
+        } else {
+            plain.process().kill();
+        }
+    }
+    let request = Request::new("GET", "/services/registry/card").with("x-request-id", "cut");
+    let answer = request.send(entry.address()).unwrap();
+    let (kind, ran) = refusal(&answer);
+    assert_eq!((kind.as_str(), ran.as_str()), ("upstream-lost", "unknown"));
+}
