--- a/crates/entry/src/flow/model.rs
+++ b/crates/entry/src/flow/model.rs
@@ -22,9 +22,9 @@
 use crate::{
     chat::{self, Call, Delivery},
     flow::{
-        Admitted, RETRY_AFTER, check_dependencies,
+        Admitted, RETRY_AFTER, check_dependencies, may_have_run,
         place::{self, Place, Search},
-        refuse,
+        refuse, told,
     },
     host::{Host, millis},
     retries::Next,
@@ -94,10 +94,14 @@
         let service = &self.labels.service;
         self.host.retries.earn(service, self.target.retry);
         let mut avoid = Vec::new();
+        // An attempt that may have run decides what the caller is told, whatever follows it.
+        let mut begun: Option<Fault> = None;
         for attempt in 1.. {
             let place = match self.search(&avoid) {
                 Ok(it) => it,
-                Err(place::Failure::Fault(fault)) => return self.refuse(&fault, responder),
+                Err(place::Failure::Fault(fault)) => {
+                    return self.refuse(&told(begun, fault), responder);
+                }
                 Err(place::Failure::CallerGone) => return self.abandoned(),
             };
             self.host
@@ -108,7 +112,9 @@
                 .queue_wait(&self.labels, place.permit.queue_wait);
             match self.attempt(&place, responder) {
                 Attempt::Over => return,
-                Attempt::Refused { fault, responder } => return self.refuse(&fault, responder),
+                Attempt::Refused { fault, responder } => {
+                    return self.refuse(&told(begun, fault), responder);
+                }
                 Attempt::Again {
                     fault,
                     engine,
@@ -121,11 +127,12 @@
                         .retries
                         .decide(service, attempt, self.deadline, now);
                     let Next::Again(pause) = next else {
-                        return self.refuse(&fault, back);
+                        return self.refuse(&told(begun, fault), back);
                     };
                     self.host.metrics.retry(service);
                     std::thread::sleep(pause);
                     avoid.push(engine);
+                    begun = may_have_run(fault).or(begun);
                     responder = back;
                 }
             }
--- a/crates/entry/src/flow/plain.rs
+++ b/crates/entry/src/flow/plain.rs
@@ -19,7 +19,7 @@
 
 use crate::{
     envelope,
-    flow::{Admitted, RETRY_AFTER, check_dependencies, marked, refuse},
+    flow::{Admitted, RETRY_AFTER, check_dependencies, marked, may_have_run, refuse, told},
     host::{Host, millis},
     listed::Running,
     retries::Next,
@@ -110,12 +110,14 @@
     fn send(&self) -> Result<Response, Fault> {
         self.host.retries.earn(&self.service, self.retry);
         let mut tried: Vec<Upstream> = Vec::new();
+        // An attempt that may have run decides what the caller is told, whatever follows it.
+        let mut begun: Option<Fault> = None;
         for attempt in 1.. {
             let now = self.host.clock.now();
             let domain = &self.host.settings.domain;
             let picked = self.host.listed.pick(&self.service, domain, &tried, now);
             let Some((instance, running)) = picked else {
-                return Err(self.no_instance(&tried));
+                return Err(told(begun, self.no_instance(&tried)));
             };
             let fault = match self.send_to(&instance, &running) {
                 Ok(response) => return Ok(response),
@@ -124,14 +126,15 @@
             tried.push(instance.name);
             let ran = fault.kind.answer().ran;
             if ran != Ran::NotRun && self.retry.repeat != Repeat::Allowed {
-                return Err(fault);
+                return Err(told(begun, fault));
             }
             let now = self.host.clock.now();
             let retries = &self.host.retries;
             let next = retries.decide(&self.service, attempt, self.deadline, now);
             let Next::Again(pause) = next else {
-                return Err(fault);
+                return Err(told(begun, fault));
             };
+            begun = may_have_run(fault).or(begun);
             self.host.metrics.retry(&self.service);
             std::thread::sleep(pause);
         }
