--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -19,6 +19,7 @@
     host::Host,
     inbox::{MAX_ASKS, Reply},
     lending,
+    readiness::Stage,
 };
 
 /// Answers other hosts.
@@ -77,6 +78,12 @@
         }
     }
 
+    fn superseded(&self, by: Holder) {
+        let Holder { host, incarnation } = by;
+        log::error!(target: "entry", "Another process of host {host} has started, incarnation {incarnation}. This one takes no more requests.");
+        self.0.readiness.reach(Stage::Leaving);
+    }
+
     fn entry(&self, owner: Holder, key: &str, value: Option<&[u8]>) {
         lending::receive(&self.0, &owner, key, value);
         let news = self.0.directory.receive(&owner, key, value);
