--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -159,6 +159,12 @@
         address.map(hosts::Client::new)
     }
 
+    /// The platform's object API, if a platform is named.
+    pub fn store(&self) -> Option<http::Client> {
+        let address = self.platform.or_else(|| platform_of_environment().ok());
+        address.map(http::Client::new)
+    }
+
     /// The entry hosts to ask.
     pub fn entries(&self) -> Result<Vec<SocketAddr>, Report> {
         if !self.entry.is_empty() {
--- a/crates/cli/src/command/status.rs
+++ b/crates/cli/src/command/status.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use platform::object::{Reason, Store};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
@@ -67,6 +68,9 @@
     revisions: BTreeSet<u64>,
     /// Every host that answered or that another one sees.
     hosts: BTreeSet<String>,
+    /// How many hosts answered.
+    #[serde(skip)]
+    answered: usize,
     /// Hosts that answered and are ready.
     ready: BTreeSet<String>,
     /// Upstreams by the platform's host list, or engines that hosts know if it was not asked.
@@ -98,6 +102,9 @@
         Some(Err(error)) => failed.push(format!("host list: {error}")),
         None => {}
     }
+    if let Some(store) = arguments.store() {
+        read_revisions(&store, &mut domains);
+    }
     let code = match (hosts.is_empty(), failed.is_empty()) {
         (true, _) => Code::Unreachable,
         (false, false) => Code::Failed,
@@ -112,6 +119,7 @@
     let mut domains: BTreeMap<String, Domain> = BTreeMap::new();
     for host in hosts {
         let domain = domains.entry(host.domain.clone()).or_default();
+        domain.answered += 1;
         domain.revisions.insert(host.revision);
         domain.hosts.insert(host.name.clone());
         if host.ready {
@@ -141,6 +149,25 @@
     }
 }
 
+/// What a failure domain has reported to the platform.
+#[derive(Deserialize)]
+struct Reported {
+    revision: u64,
+}
+
+/// Fills in the revision of domains of which no host was asked, as they last reported it.
+fn read_revisions(store: &dyn Store, domains: &mut BTreeMap<String, Domain>) {
+    for (name, domain) in domains {
+        if !domain.revisions.is_empty() {
+            continue;
+        }
+        let object = store.get(Reason::Status, &format!("status/{name}"));
+        let bytes = object.ok().flatten().map(|it| it.value);
+        let reported = bytes.and_then(|it| serde_json::from_slice::<Reported>(&it).ok());
+        domain.revisions.extend(reported.map(|it| it.revision));
+    }
+}
+
 fn keep_newest(engines: &mut BTreeMap<String, Engine>, engine: &Engine) {
     let known = engines.get(&engine.name);
     if known.is_none_or(|it| it.fence < engine.fence) {
@@ -168,7 +195,7 @@
                 name.clone(),
                 revisions(domain),
                 domain.hosts.len().to_string(),
-                domain.ready.len().to_string(),
+                ready(domain),
                 domain.upstreams.to_string(),
                 domain.adapters().to_string(),
             ]
@@ -185,6 +212,14 @@
     table::render(header, &rows)
 }
 
+/// The ready hosts, or a question mark if no host answered.
+fn ready(domain: &Domain) -> String {
+    if domain.answered == 0 {
+        return "?".to_owned();
+    }
+    domain.ready.len().to_string()
+}
+
 /// The revision in force, all of them if hosts differ, or a question mark if no host answered.
 fn revisions(domain: &Domain) -> String {
     if domain.revisions.is_empty() {
