End the process when one of its duties panics

Cause: a duty that panicked left a process that still took requests and held them up to their deadlines. Change: the panic is logged and the process aborts; its engines go to other hosts. Not tested: no duty is known to panic.

--- a/crates/entry/src/plugin.rs
+++ b/crates/entry/src/plugin.rs
@@ -1,6 +1,7 @@
 //! The kinds of plug-in of an entry host: duties and routes.
 
 use std::{
+    panic::{AssertUnwindSafe, catch_unwind},
     sync::{
         Arc,
         atomic::{AtomicBool, Ordering},
@@ -100,7 +101,7 @@
         let stop = self.stop.clone();
         std::thread::Builder::new()
             .name(duty.name.to_owned())
-            .spawn(move || (duty.run)(&host, &stop))
+            .spawn(move || guard(duty, &host, &stop))
     }
 
     /// Tells the duties to end and waits for them.
@@ -115,6 +116,16 @@
     }
 }
 
+/// Runs a duty. Without one of its duties a host would only hold up its callers, so a panic ends the
+/// process, and the others take over.
+fn guard(duty: &Duty, host: &Arc<Host>, stop: &Stop) {
+    let run = AssertUnwindSafe(|| (duty.run)(host, stop));
+    if catch_unwind(run).is_err() {
+        log::error!(target: "entry", "Duty {} panicked; the process ends.", duty.name);
+        std::process::abort();
+    }
+}
+
 /// What answers the requests below a path.
 pub struct Route {
     /// The name of the route.
