Let outages of the object API end within a random run

An outage that lasted to the last step kept keyed calls from being made, so that no fault of an instance was met. It ends after three steps.

--- a/crates/entry/tests/chaos/world.rs
+++ b/crates/entry/tests/chaos/world.rs
@@ -24,6 +24,9 @@
 /// Steps after which every host has to know that an engine is leaving.
 const LEAVING_STEPS: usize = 2;
 
+/// Steps that an outage of the object API lasts, so that keyed calls are made after it.
+const OUTAGE_STEPS: usize = 3;
+
 /// Calls whose connections are closed by one step.
 const CUTS: u64 = 4;
 
@@ -47,6 +50,8 @@
     frozen: BTreeSet<usize>,
     links: Vec<Path>,
     objects_work: bool,
+    /// The step at which an outage of the object API ends.
+    outage_end: usize,
     refusing: BTreeSet<usize>,
     misnaming: BTreeSet<usize>,
     leaving: Option<Leaving>,
@@ -89,6 +94,7 @@
             frozen: BTreeSet::new(),
             links: vec![Path::Open; entries],
             objects_work: true,
+            outage_end: 0,
             refusing: BTreeSet::new(),
             misnaming: BTreeSet::new(),
             leaving: None,
@@ -229,6 +235,7 @@
     fn set_objects(&mut self, switch: &object::Switch) {
         if let object::Switch::Outage(outage) = switch {
             self.objects_work = *outage == Outage::None;
+            self.outage_end = self.step + OUTAGE_STEPS;
         }
         self.it.fleet.set_objects(switch).unwrap();
     }
@@ -313,6 +320,9 @@
 
     /// Looks at what the running hosts say.
     pub fn look(&mut self) {
+        if !self.objects_work && self.step >= self.outage_end {
+            self.set_objects(&object::Switch::Outage(Outage::None));
+        }
         for entry in self.running() {
             let status = fixture::status(self.it.entry(entry));
             let revision = status.and_then(|it| it["revision"].as_u64());
