Show the lower fencing number again, and pass numbers that an unconfirmed steward chose

Cause (by reading, after the random test once hung on engines that were not taken): a view with a lower fencing number was dropped for good while a higher one was known, so an engine vanished from the directory when the host with the higher number went down; and a confirmed steward that heard of a higher unconfirmed number, or was refused by an engine that did, kept its lower number for ever. Ruled out: a lost entry (anti-entropy repairs those). Not shown: that this was the cause of the hang, which left no log. Change: the directory keeps what each host tells and shows the highest; a doubted steward that the object still names takes its engine anew above every number heard of.

--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -114,12 +114,23 @@
     },
 }
 
-/// Decides how `me` takes an engine, given the object found.
-pub fn next(found: Option<(Version, Record)>, me: &Holder, evidence: Evidence) -> Next {
+/// The lowest number that the platform may confirm above `highest`.
+pub fn confirmed_fence(highest: u64) -> u64 {
+    (highest / FENCE_STEP + 1) * FENCE_STEP
+}
+
+/// Decides how `me` takes an engine, given the object found and the highest fencing number that was
+/// heard of, which an unconfirmed steward may have chosen.
+pub fn next(
+    found: Option<(Version, Record)>,
+    me: &Holder,
+    evidence: Evidence,
+    highest: u64,
+) -> Next {
     let Some((version, record)) = found else {
         return Next::Write {
             version: None,
-            record: held(me, FENCE_STEP),
+            record: held(me, confirmed_fence(highest)),
             predecessor: Predecessor::None,
         };
     };
@@ -130,7 +141,7 @@
     }
     Next::Write {
         version: Some(version),
-        record: held(me, (record.fence / FENCE_STEP + 1) * FENCE_STEP),
+        record: held(me, confirmed_fence(highest.max(record.fence))),
         predecessor: predecessor(&record, me, evidence),
     }
 }
--- a/crates/entry/src/directory.rs
+++ b/crates/entry/src/directory.rs
@@ -4,7 +4,7 @@
 //! that receives an entry works out what changed and tells its own directory.
 
 use std::{
-    collections::{BTreeSet, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::{Mutex, RwLock},
 };
 
@@ -92,14 +92,71 @@
     }
 }
 
-/// The directory with what it was last told of each engine.
+/// The directory with what each host tells of each engine.
 pub struct Shared {
     directory: RwLock<Directory>,
-    views: Mutex<HashMap<Upstream, (Host, View)>>,
+    views: Mutex<Views>,
     /// The highest fencing number ever heard of, also of stewards that are gone.
     fences: Mutex<HashMap<Upstream, u64>>,
 }
 
+/// What hosts tell of engines. Two hosts may both believe to be steward of one; the view with the
+/// higher fencing number is shown, and the other one again once that is gone.
+#[derive(Default)]
+struct Views {
+    told: HashMap<Upstream, BTreeMap<Host, View>>,
+    shown: HashMap<Upstream, (Host, View)>,
+}
+
+impl Views {
+    /// Takes over what a host tells of an engine, or that it tells nothing any more. Gives what to
+    /// change in the directory, with the host that each change is from.
+    fn tell(
+        &mut self,
+        steward: &Host,
+        engine: &Upstream,
+        view: Option<View>,
+    ) -> Vec<(Host, Change)> {
+        let told = self.told.entry(engine.clone()).or_default();
+        match view {
+            Some(view) => {
+                told.insert(steward.clone(), view);
+            }
+            None => {
+                told.remove(steward);
+            }
+        }
+        let best = told.iter().max_by_key(|(_, it)| it.fence);
+        let best = best.map(|(host, view)| (host.clone(), view.clone()));
+        if told.is_empty() {
+            self.told.remove(engine);
+        }
+        self.show(engine, best)
+    }
+
+    fn show(&mut self, engine: &Upstream, best: Option<(Host, View)>) -> Vec<(Host, Change)> {
+        let before = match &best {
+            Some(best) => self.shown.insert(engine.clone(), best.clone()),
+            None => self.shown.remove(engine),
+        };
+        match (before, best) {
+            (None, None) => Vec::new(),
+            (Some((host, _)), None) => vec![(host, Change::Gone)],
+            (before, Some((host, view))) => {
+                let mut changes = Vec::new();
+                let same = before.as_ref().filter(|it| it.0 == host).map(|it| &it.1);
+                // The directory hears only the present steward, also of its going.
+                if let Some((other, _)) = before.as_ref().filter(|it| it.0 != host) {
+                    changes.push((other.clone(), Change::Gone));
+                }
+                let new = differences(same, &view).into_iter();
+                changes.extend(new.map(|it| (host.clone(), it)));
+                changes
+            }
+        }
+    }
+}
+
 /// What an entry of another host means for this one.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum News {
@@ -133,7 +190,7 @@
     /// Every engine with its steward and what is known of it, in the order of names.
     pub fn views(&self) -> Vec<(Upstream, Host, View)> {
         let views = self.views.lock().expect("directory lock is poisoned");
-        let all = views.iter();
+        let all = views.shown.iter();
         let mut all: Vec<_> = all
             .map(|(engine, (steward, view))| (engine.clone(), steward.clone(), view.clone()))
             .collect();
@@ -157,51 +214,30 @@
     /// The steward of an engine.
     pub fn steward(&self, engine: &Upstream) -> Option<Host> {
         let views = self.views.lock().expect("directory lock is poisoned");
-        views.get(engine).map(|it| it.0.clone())
+        views.shown.get(engine).map(|it| it.0.clone())
     }
 
     /// Takes over what the own steward decided to publish, and gives the entry for the others.
     pub fn publish(&self, me: &Host, engine: &Upstream, change: Change) -> Entry {
         let mut views = self.views.lock().expect("directory lock is poisoned");
-        let value = match &change {
-            Change::Gone => {
-                views.remove(engine);
-                None
-            }
-            Change::Joined {
-                domain,
-                model,
-                fence,
-                state,
-            } => {
-                let view = View {
-                    domain: domain.clone(),
-                    model: model.clone(),
-                    fence: *fence,
-                    state: *state,
-                    level: Level::default(),
-                    loaded: BTreeSet::new(),
-                };
-                let bytes = view.to_bytes();
-                views.insert(engine.clone(), (me.clone(), view));
-                Some(bytes)
-            }
-            other => match views.get_mut(engine) {
-                Some((steward, view)) if steward == me => {
-                    alter(view, other);
-                    Some(view.to_bytes())
-                }
-                _ => None,
-            },
-        };
-        let mut directory = self.directory.write().expect("directory lock is poisoned");
-        directory.apply(me, engine, change);
+        let told = views.told.get(engine).and_then(|it| it.get(me));
+        let view = altered(told, change);
+        let value = view.as_ref().map(View::to_bytes);
+        let changes = views.tell(me, engine, view);
+        self.apply(engine, changes);
         Entry {
             key: format!("{ENGINE_PREFIX}{engine}"),
             value,
         }
     }
 
+    fn apply(&self, engine: &Upstream, changes: Vec<(Host, Change)>) {
+        let mut directory = self.directory.write().expect("directory lock is poisoned");
+        for (steward, change) in changes {
+            directory.apply(&steward, engine, change);
+        }
+    }
+
     /// Takes over how long new loads wait at the own steward, and gives the entry for the others.
     pub fn publish_backlog(&self, me: &Host, backlog: Backlog) -> Entry {
         let mut directory = self.directory.write().expect("directory lock is poisoned");
@@ -224,43 +260,31 @@
         let Some(engine) = name.and_then(|it| it.parse::<Upstream>().ok()) else {
             return News::None;
         };
-        match value.and_then(View::from_bytes) {
-            Some(view) => self.update(&owner.host, engine, view),
-            None => self.remove(&owner.host, &engine),
-        }
-    }
-
-    fn update(&self, steward: &Host, engine: Upstream, view: View) -> News {
-        let fence = view.fence;
-        self.note_fence(&engine, fence);
+        let view = value.and_then(View::from_bytes);
+        let fence = view.as_ref().map(|it| it.fence);
         let mut views = self.views.lock().expect("directory lock is poisoned");
-        let before = views.get(&engine);
-        if before.is_some_and(|(_, it)| it.fence > fence) {
+        let changes = views.tell(&owner.host, &engine, view);
+        self.apply(&engine, changes);
+        drop(views);
+        let Some(fence) = fence else {
             return News::None;
-        }
-        let changes = differences(before.filter(|it| it.0 == *steward).map(|it| &it.1), &view);
-        let mut directory = self.directory.write().expect("directory lock is poisoned");
-        for change in changes {
-            directory.apply(steward, &engine, change);
-        }
-        views.insert(engine.clone(), (steward.clone(), view));
+        };
+        self.note_fence(&engine, fence);
         News::Steward { engine, fence }
     }
 
-    fn remove(&self, steward: &Host, engine: &Upstream) -> News {
-        let mut views = self.views.lock().expect("directory lock is poisoned");
-        if views.get(engine).is_some_and(|it| it.0 == *steward) {
-            views.remove(engine);
-        }
-        let mut directory = self.directory.write().expect("directory lock is poisoned");
-        directory.apply(steward, engine, Change::Gone);
-        News::None
-    }
-
-    /// Forgets the engines of a host that is down.
+    /// Forgets what a host that is down has told.
     pub fn forget(&self, steward: &Host) {
         let mut views = self.views.lock().expect("directory lock is poisoned");
-        views.retain(|_, it| it.0 != *steward);
+        let told = views.told.iter();
+        let engines: Vec<Upstream> = told
+            .filter(|(_, it)| it.contains_key(steward))
+            .map(|(engine, _)| engine.clone())
+            .collect();
+        for engine in engines {
+            let changes = views.tell(steward, &engine, None);
+            self.apply(&engine, changes);
+        }
         let mut directory = self.directory.write().expect("directory lock is poisoned");
         directory.forget(steward);
     }
@@ -275,18 +299,36 @@
     pub value: Option<Vec<u8>>,
 }
 
-fn alter(view: &mut View, change: &Change) {
+/// The view after a change that its steward tells.
+fn altered(view: Option<&View>, change: Change) -> Option<View> {
+    let mut view = view.cloned();
     match change {
+        Change::Gone => return None,
+        Change::Joined {
+            domain,
+            model,
+            fence,
+            state,
+        } => {
+            return Some(View {
+                domain,
+                model,
+                fence,
+                state,
+                level: Level::default(),
+                loaded: BTreeSet::new(),
+            });
+        }
         Change::Loaded(reference) => {
-            view.loaded.insert(reference.clone());
+            view.as_mut()?.loaded.insert(reference);
         }
         Change::Unloaded(reference) => {
-            view.loaded.remove(reference);
+            view.as_mut()?.loaded.remove(&reference);
         }
-        Change::Level(level) => view.level = *level,
-        Change::State(state) => view.state = *state,
-        Change::Joined { .. } | Change::Gone => {}
+        Change::Level(level) => view.as_mut()?.level = level,
+        Change::State(state) => view.as_mut()?.state = state,
     }
+    view
 }
 
 fn differences(before: Option<&View>, after: &View) -> Vec<Change> {
--- a/crates/entry/src/duty/claims.rs
+++ b/crates/entry/src/duty/claims.rs
@@ -14,11 +14,11 @@
     service::{Fencing, Instance, Role},
 };
 use member::{Condition, Member};
-use platform::object::Failure;
+use platform::object::{Failure, Version};
 use steward::{Event, Predecessor};
 
 use crate::{
-    claim::{self, Confirm, Evidence, Next},
+    claim::{self, Confirm, Evidence, Next, Record},
     evidence,
     host::Host,
     plugin::{Duty, Phase, Stop},
@@ -98,23 +98,29 @@
         Ok(())
     }
 
-    /// Somebody else may have taken an engine; the object tells.
+    /// Somebody else may have taken an engine; the object tells. If it still names this host, an
+    /// unconfirmed steward used a higher number, which this host passes.
     fn check(&self, host: &Host, engine: &Upstream) -> Result<(), Failure> {
         if !host.holds(engine) || self.unconfirmed.contains(engine) {
             return Ok(());
         }
-        match claim::store::read(&host.store, &claim::key(engine)) {
-            Ok(Some((_, record))) if record.holder != host.me => {
+        let key = claim::key(engine);
+        let checked = match claim::store::read(&host.store, &key) {
+            Ok(Some((version, record))) if record.holder == host.me => {
+                raise(host, engine, version, record)
+            }
+            Ok(Some((_, record))) => {
                 log::info!(target: "steward", "Engine {engine} was taken by {} under {}.", record.holder.host, record.fence);
                 lose(host, engine);
                 Ok(())
             }
-            Ok(_) => Ok(()),
-            Err(error) => {
-                host.doubt(engine.clone());
-                Err(error)
-            }
+            Ok(None) => Ok(()),
+            Err(error) => Err(error),
+        };
+        if checked.is_err() {
+            host.doubt(engine.clone());
         }
+        checked
     }
 
     /// While the platform is out, the higher fencing number wins, and engines whose steward is gone
@@ -192,6 +198,24 @@
     members.unwrap_or_default()
 }
 
+/// Takes an engine anew that this host holds, above every number heard of.
+fn raise(
+    host: &Host,
+    engine: &Upstream,
+    version: Version,
+    mut record: Record,
+) -> Result<(), Failure> {
+    let engines = host.listed.engines();
+    let Some(instance) = engines.into_iter().find(|it| it.name == *engine) else {
+        return Ok(());
+    };
+    let highest = host.directory.highest_fence(engine);
+    record.fence = claim::confirmed_fence(highest.max(record.fence));
+    claim::store::write(&host.store, &claim::key(engine), Some(version), &record)?;
+    took(host, &instance, record.fence, Predecessor::Unknown);
+    Ok(())
+}
+
 fn lose(host: &Host, engine: &Upstream) {
     host.held
         .lock()
@@ -214,7 +238,8 @@
     let evidence = holder
         .as_ref()
         .map_or(Evidence::Ended, |it| evidence::of(host, it, members));
-    let (fence, predecessor) = match claim::next(found, &host.me, evidence) {
+    let highest = host.directory.highest_fence(&engine.name);
+    let (fence, predecessor) = match claim::next(found, &host.me, evidence, highest) {
         // This life wrote the object and the answer was lost.
         Next::Held { fence } => (fence, Predecessor::Unknown),
         Next::Write {
--- a/crates/entry/src/duty/lending.rs
+++ b/crates/entry/src/duty/lending.rs
@@ -110,7 +110,7 @@
     let evidence = before.map_or(claim::Evidence::Ended, |it| {
         evidence::of(host, &it, members)
     });
-    let (version, record) = match claim::next(found.clone(), &host.me, evidence) {
+    let (version, record) = match claim::next(found.clone(), &host.me, evidence, 0) {
         Next::Write {
             version, record, ..
         } => (version, record),
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -160,10 +160,15 @@
         doubted.insert(engine);
     }
 
+    /// The fencing number under which this host is steward of an engine, if it is.
+    pub fn held_fence(&self, engine: &Upstream) -> Option<u64> {
+        let held = self.held.lock().expect("held lock is poisoned");
+        held.get(engine).copied()
+    }
+
     /// Whether this host is steward of an engine.
     pub fn holds(&self, engine: &Upstream) -> bool {
-        let held = self.held.lock().expect("held lock is poisoned");
-        held.contains_key(engine)
+        self.held_fence(engine).is_some()
     }
 }
 
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -87,10 +87,10 @@
     fn entry(&self, owner: Holder, key: &str, value: Option<&[u8]>) {
         lending::receive(&self.0, &owner, key, value);
         let news = self.0.directory.receive(&owner, key, value);
-        if let News::Steward { engine, .. } = news
-            && self.0.holds(&engine)
+        if let News::Steward { engine, fence } = news
+            && self.0.held_fence(&engine).is_some_and(|it| it < fence)
         {
-            // The object decides; the duty of claims reads it and gives the engine up.
+            // The object decides; the duty of claims reads it.
             self.0.doubt(engine);
         }
     }
--- a/crates/entry/tests/claim.rs
+++ b/crates/entry/tests/claim.rs
@@ -23,7 +23,7 @@
     let me = holder("me", 2);
     let fence = found.as_ref().map_or(FENCE_STEP, |_| 6 * FENCE_STEP);
     let version = found.as_ref().map(|_| 9);
-    let next = claim::next(found.map(|it| (9, it)), &me, evidence);
+    let next = claim::next(found.map(|it| (9, it)), &me, evidence, 0);
     let record = Record {
         holder: me,
         fence,
@@ -73,7 +73,7 @@
 #[test]
 fn own_record_is_held() {
     let found = Some((9, record("me", 2, State::Held)));
-    let next = claim::next(found, &holder("me", 2), Evidence::MayAct);
+    let next = claim::next(found, &holder("me", 2), Evidence::MayAct, 0);
     let fence = 5 * FENCE_STEP + 7;
     assert_eq!(next, Next::Held { fence });
 }
@@ -117,3 +117,15 @@
     };
     assert_eq!(claim::confirm(Some((9, later)), &me, fence), Confirm::Lost);
 }
+
+/// Covers: a number that an unconfirmed steward chose is passed, though the object doesn't know it.
+#[test]
+fn confirmed_number_passes_every_number_heard_of() {
+    let found = Some((9, record("other", 1, State::Held)));
+    let highest = 7 * FENCE_STEP + 100;
+    let next = claim::next(found, &holder("me", 2), Evidence::MayAct, highest);
+    let Next::Write { record, .. } = next else {
+        panic!("{next:?}");
+    };
+    assert_eq!(record.fence, 8 * FENCE_STEP);
+}
--- /dev/null
+++ b/crates/entry/tests/directory.rs
@@ -0,0 +1,109 @@
+//! What a host knows of engines from what hosts tell.
+
+use std::collections::BTreeMap;
+
+use entry::directory::{News, Shared, View};
+use kernel::{
+    name::{Host, Upstream},
+    permit::Holder,
+    service::State,
+};
+use steward::route::Level;
+
+fn view(fence: u64, loaded: &[&str]) -> View {
+    View {
+        domain: "north".parse().unwrap(),
+        model: "base".parse().unwrap(),
+        fence,
+        state: State::Live,
+        level: Level(0),
+        loaded: loaded.iter().map(|it| it.parse().unwrap()).collect(),
+    }
+}
+
+fn tell(shared: &Shared, host: &str, view: Option<&View>) -> News {
+    let owner = Holder {
+        host: host.parse().unwrap(),
+        incarnation: 1,
+    };
+    let bytes = view.map(View::to_bytes);
+    shared.receive(&owner, "engine/e1", bytes.as_deref())
+}
+
+fn steward(shared: &Shared) -> Option<String> {
+    let engine: Upstream = "e1".parse().unwrap();
+    shared.steward(&engine).map(|it| it.to_string())
+}
+
+/// Covers: the higher fencing number is shown, whatever came last, and the lower one again once the
+/// higher one's host is gone.
+#[test]
+fn lower_number_is_shown_again_after_the_higher_one() {
+    let shared = Shared::new("north".parse().unwrap());
+    tell(&shared, "a", Some(&view(4096, &["s/x@1"])));
+    assert_eq!(steward(&shared).as_deref(), Some("a"));
+    tell(&shared, "b", Some(&view(4100, &[])));
+    tell(&shared, "a", Some(&view(4096, &["s/y@1"])));
+    assert_eq!(steward(&shared).as_deref(), Some("b"));
+    shared.forget(&"b".parse().unwrap());
+    assert_eq!(steward(&shared).as_deref(), Some("a"));
+    assert_eq!(shared.views()[0].2, view(4096, &["s/y@1"]));
+    let engine: Upstream = "e1".parse().unwrap();
+    assert_eq!(shared.highest_fence(&engine), 4100);
+    tell(&shared, "a", None);
+    assert_eq!(steward(&shared), None);
+}
+
+/// Covers: seeded tellings against a naive map from host to view, of which the highest is shown.
+#[test]
+fn shown_views_match_a_naive_map() {
+    for seed in 0..50_u64 {
+        let shared = Shared::new("north".parse().unwrap());
+        let mut naive: BTreeMap<Host, View> = BTreeMap::new();
+        let mut state = seed;
+        for _ in 0..200 {
+            state = state
+                .wrapping_mul(6_364_136_223_846_793_005)
+                .wrapping_add(1_442_695_040_888_963_407);
+            let host = ["a", "b", "c"][usize::try_from(state >> 62).unwrap() % 3];
+            let name: Host = host.parse().unwrap();
+            match (state >> 40) % 4 {
+                0 => {
+                    shared.forget(&name);
+                    naive.remove(&name);
+                }
+                1 => {
+                    tell(&shared, host, None);
+                    naive.remove(&name);
+                }
+                number => {
+                    // Each host has numbers of its own, as the platform gives each only once.
+                    let fence = (state >> 50) % 5 * 3 + u64::from(host.as_bytes()[0]);
+                    let loaded: &[&str] =
+                        [&["s/x@1"][..], &["s/y@1"][..]][usize::try_from(number - 2).unwrap()];
+                    let view = view(fence, loaded);
+                    tell(&shared, host, Some(&view));
+                    naive.insert(name, view);
+                }
+            }
+            let best = naive.iter().max_by_key(|(_, it)| it.fence);
+            let shown = shared.views();
+            let shown = shown.first().map(|(_, host, view)| (host, view));
+            assert_eq!(shown, best, "seed {seed}");
+        }
+    }
+}
+
+/// Covers: a view that is too long for an entry leaves references out, and stays readable.
+#[test]
+fn long_views_fit_an_entry() {
+    let references: Vec<String> = (0..32)
+        .map(|it| format!("{}/{}@{}", "s".repeat(60), "a".repeat(60), it + 1))
+        .collect();
+    let references: Vec<&str> = references.iter().map(String::as_str).collect();
+    let bytes = view(4096, &references).to_bytes();
+    assert!(bytes.len() <= member::entry::MAX_VALUE_BYTES);
+    let read = View::from_bytes(&bytes).unwrap();
+    assert!(!read.loaded.is_empty());
+    assert!(View::from_bytes(b"{}").is_none());
+}
