Lend to the steward whose queue and wait are the greatest together

Cause: on running processes (load 6000 40 1.2 1) 142 of 4500 requests were refused only after up to 4.4 s; the lender served the longest queue first, so a steward with a short queue got nothing while others were longer. Ruled out: the store (its whole rate was used). Change: the greatest product of queue and time since the last loan comes next.

--- a/crates/steward/src/share/pool.rs
+++ b/crates/steward/src/share/pool.rs
@@ -191,7 +191,10 @@
         let waiting = self.borrowers.iter();
         waiting
             .filter(|(_, it)| !it.is_reserved(now) && it.demand() > 0)
-            .max_by_key(|(_, it)| (it.demand(), std::cmp::Reverse(it.served)))
+            .max_by_key(|(_, it)| {
+                let waited = now.saturating_duration_since(it.served);
+                u128::from(it.demand()) * waited.as_micros()
+            })
             .map(|(holder, _)| holder.clone())
     }
 
