Count loads as wanted though the first sixteen are held back

Cause (by reading): sixteen adapters whose loads fail hid every other one that waited, so the lender heard of no need. Change: those are left out before the first sixteen are looked at.

--- a/crates/steward/src/state/load.rs
+++ b/crates/steward/src/state/load.rs
@@ -84,8 +84,9 @@
 
     /// Loads that could begin now if the budget allowed them.
     pub(super) fn wanted_loads(&self, now: Instant) -> usize {
-        let mut first = self.pending.iter().take(MAX_ATTEMPTS);
-        let has_place = first.any(|it| self.may_load(*it, now) && self.place(*it, now).is_some());
+        let ready = self.pending.iter().filter(|it| self.may_load(**it, now));
+        let mut first = ready.take(MAX_ATTEMPTS);
+        let has_place = first.any(|it| self.place(*it, now).is_some());
         if has_place && !self.store_is_down(now) {
             self.pending.len()
         } else {
