Write out the last words of a stream before it is cut

Ruled out: the engine's stream and the flow (the event is written in every case). Change: a cut body stays pending for 50 ms, in which hyper flushes, and only then breaks. Before: last_words_of_a_cut_stream_arrive failed at its first of 50 answers (nothing arrived at all). The fleet test also kills the engine only after its caller has read a chunk; before, a slow machine let the request go to another engine.

--- a/crates/entry/tests/fleet/answer.rs
+++ b/crates/entry/tests/fleet/answer.rs
@@ -1,6 +1,6 @@
 //! Every caller gets the whole answer to its own request, or is told that it did not.
 
-use std::thread;
+use std::{sync::mpsc, thread};
 
 use standin::{
     client::State,
@@ -35,10 +35,13 @@
     let it = Fixture::start(&shape());
     it.set_engines(&Switch::Pace(Pace::Stepped));
     let address = it.entry(0).address();
+    let (sender, first_read) = mpsc::channel();
     let reader = thread::spawn(move || {
         let request = chat_within("lost", REFERENCE, Delivery::Streamed, "8000");
         let mut stream = request.stream(address).unwrap();
-        let events: Vec<_> = stream.by_ref().collect();
+        let mut events: Vec<_> = stream.by_ref().take(1).collect();
+        sender.send(()).unwrap();
+        events.extend(stream.by_ref());
         (events, stream.state)
     });
     wait("the request runs", || !it.runs("lost").is_empty());
@@ -46,9 +49,8 @@
     let index = counts.iter().position(|it| !it.request("lost").is_empty());
     let engine = &it.fleet.engines()[index.unwrap()];
     engine.set(&Switch::Step(2)).unwrap();
-    wait("two tokens are made", || {
-        it.runs("lost").iter().any(|it| it.chunks == 2)
-    });
+    // Before the caller has read anything, the request may be sent to another engine.
+    first_read.recv().unwrap();
     engine.process().kill();
     let (events, state) = reader.join().unwrap();
     assert!(!events.iter().any(standin::client::Event::is_done));
--- a/crates/serve/src/body.rs
+++ b/crates/serve/src/body.rs
@@ -3,11 +3,15 @@
 use std::{
     pin::Pin,
     task::{Context, Poll, ready},
+    time::Duration,
 };
 
 use bytes::Bytes;
 use hyper::body::{Body, Frame, SizeHint};
-use tokio::sync::mpsc;
+use tokio::{
+    sync::mpsc,
+    time::{Sleep, sleep},
+};
 
 use crate::{exchange::Exchange, responder::Piece};
 
@@ -16,10 +20,15 @@
 #[display("the answer was cut")]
 pub(crate) struct Cut;
 
+/// How long a cut answer stays open, so that the connection writes out what came before the cut: an
+/// error discards what it has not written yet.
+const CUT_DELAY: Duration = Duration::from_millis(50);
+
 #[derive(Debug)]
 enum Source {
     Whole(Option<Bytes>),
     Stream(mpsc::Receiver<Piece>),
+    Cutting(Pin<Box<Sleep>>),
     Ended,
 }
 
@@ -57,6 +66,11 @@
         let piece = match &mut self.source {
             Source::Whole(body) => return Poll::Ready(body.take().map(|it| Ok(Frame::data(it)))),
             Source::Stream(pieces) => ready!(pieces.poll_recv(cx)),
+            Source::Cutting(delay) => {
+                ready!(delay.as_mut().poll(cx));
+                self.exchange.cut();
+                return Poll::Ready(Some(Err(Cut)));
+            }
             Source::Ended => return Poll::Ready(None),
         };
         match piece {
@@ -66,8 +80,8 @@
                 Poll::Ready(None)
             }
             None => {
-                self.exchange.cut();
-                Poll::Ready(Some(Err(Cut)))
+                self.source = Source::Cutting(Box::pin(sleep(CUT_DELAY)));
+                self.poll_frame(cx)
             }
         }
     }
@@ -80,7 +94,7 @@
         match &self.source {
             Source::Whole(Some(body)) => SizeHint::with_exact(body.len() as u64),
             Source::Whole(None) => SizeHint::with_exact(0),
-            Source::Stream(_) | Source::Ended => SizeHint::default(),
+            Source::Stream(_) | Source::Cutting(_) | Source::Ended => SizeHint::default(),
         }
     }
 }
--- a/crates/serve/tests/server.rs
+++ b/crates/serve/tests/server.rs
@@ -205,6 +205,22 @@
     server.stop();
 }
 
+/// Covers what was written just before a stream is dropped: it arrives, and then the answer breaks.
+#[test]
+fn last_words_of_a_cut_stream_arrive() {
+    let server = start(patient(), |_: Request, responder: Responder| {
+        let mut stream = responder.stream(200, Vec::new());
+        stream.write(b"first").unwrap();
+        stream.write(b"why it broke").unwrap();
+    });
+    for _ in 0..50 {
+        let answer = read_cut(connect_and_send(&server, &get("/")));
+        assert!(answer.contains("why it broke"), "{answer:?}");
+        assert!(!answer.ends_with("0\r\n\r\n"));
+    }
+    server.stop();
+}
+
 /// Covers a stream that its handler drops: the last chunk never comes.
 #[test]
 fn unfinished_stream_is_no_whole_answer() {
