--- a/crates/config/src/problem.rs
+++ b/crates/config/src/problem.rs
@@ -35,7 +35,7 @@
 }
 
 /// The problems of one file, in the order of their places.
-#[derive(Clone, Debug, Error, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Eq, Error, PartialEq, Serialize)]
 #[serde(transparent)]
 pub struct List {
     problems: Vec<Problem>,
--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -151,21 +151,29 @@
         });
         self.journal.push(run.clone());
         self.by_id.insert(run.id.clone(), run.clone());
-        let turn = self.place(&run, order.priority, fits);
+        let place = if fits {
+            Place::Batch
+        } else {
+            Place::Queue(order.priority)
+        };
+        let turn = self.place(&run, place);
         Ok((run, turn))
     }
 
-    fn place(&mut self, run: &Arc<Run>, priority: i64, fits: bool) -> Turn {
-        if fits {
-            self.places.insert(run.number, (run.clone(), Place::Batch));
-            self.grow_batch();
-            return Turn::Now;
-        }
-        let (sender, receiver) = oneshot::channel();
-        self.queue.insert((priority, run.number), sender);
-        let place = Place::Queue(priority);
+    fn place(&mut self, run: &Arc<Run>, place: Place) -> Turn {
+        let turn = match &place {
+            Place::Batch => {
+                self.grow_batch();
+                Turn::Now
+            }
+            Place::Queue(priority) => {
+                let (sender, receiver) = oneshot::channel();
+                self.queue.insert((*priority, run.number), sender);
+                Turn::Later(receiver)
+            }
+        };
         self.places.insert(run.number, (run.clone(), place));
-        Turn::Later(receiver)
+        turn
     }
 
     fn grow_batch(&mut self) {
