--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -180,7 +180,9 @@
                 .link(shape.links)
                 .map_err(|it| start_failure("a link", it))?;
             let platform = link.as_ref().map_or(self.platform(), link::Server::address);
+            let callers = port::reserve().map_err(|it| start_failure(&place.name, it))?;
             let settings = settings::Entry {
+                callers: callers.address,
                 host: &place.name,
                 domain: &place.domain,
                 peers: *address,
@@ -193,6 +195,7 @@
             };
             let file = self.directory.0.join(format!("{}.yaml", place.name));
             fs::write(&file, settings.to_string()).map_err(|it| start_failure(&place.name, it))?;
+            drop(callers);
             let process = self.spawn_entry(&place.name, &file)?;
             pending.push((place, *address, file, link, process));
         }
--- a/crates/standin/src/fleet/settings.rs
+++ b/crates/standin/src/fleet/settings.rs
@@ -2,8 +2,6 @@
 
 use std::{fmt, net::SocketAddr};
 
-use crate::http::ANY_PORT;
-
 /// The cluster key of every fleet. It protects nothing.
 pub const CLUSTER_KEY: &str = "demo-key-not-secret-0123456789abcdef";
 
@@ -14,6 +12,9 @@
     pub host: &'a str,
     /// Its failure domain.
     pub domain: &'a str,
+    /// Where its callers connect, also after a restart: a test that connects to a host that is gone
+    /// must not meet another process.
+    pub callers: SocketAddr,
     /// Its peer address.
     pub peers: SocketAddr,
     /// The platform.
@@ -26,7 +27,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "host: {}", self.host)?;
         writeln!(f, "domain: {}", self.domain)?;
-        writeln!(f, "callers: \"{ANY_PORT}\"")?;
+        writeln!(f, "callers: \"{}\"", self.callers)?;
         writeln!(f, "peers: \"{}\"", self.peers)?;
         writeln!(f, "platform: \"{}\"", self.platform)?;
         writeln!(f, "cluster_key: {CLUSTER_KEY}")?;
