--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -4,7 +4,7 @@
 
 use argh::{FromArgValue, FromArgs};
 use kernel::request::Id;
-use platform::{hosts, http, log::Log};
+use objects::{hosts, http, log::Log};
 
 use crate::report::Report;
 
--- a/crates/cli/src/command/apply.rs
+++ b/crates/cli/src/command/apply.rs
@@ -5,7 +5,7 @@
     change::{Change, diff},
     revision::{EditId, Number, Record, State},
 };
-use platform::log::{Appended, Log};
+use objects::log::{Appended, Log};
 use serde_json::json;
 
 use super::{count, list};
--- a/crates/cli/src/command/status.rs
+++ b/crates/cli/src/command/status.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use platform::object::{Reason, Store};
+use objects::object::{Reason, Store};
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
@@ -139,11 +139,11 @@
 }
 
 /// Counts the upstreams of each domain as the platform's host list has them.
-fn count_listed(domains: &mut BTreeMap<String, Domain>, listed: &[platform::hosts::Host]) {
+fn count_listed(domains: &mut BTreeMap<String, Domain>, listed: &[objects::hosts::Host]) {
     for domain in domains.values_mut() {
         domain.upstreams = 0;
     }
-    for instance in platform::hosts::instances(listed) {
+    for instance in objects::hosts::instances(listed) {
         let domain = domains.entry(instance.domain.to_string()).or_default();
         domain.upstreams += 1;
     }
--- a/crates/cli/src/report.rs
+++ b/crates/cli/src/report.rs
@@ -6,7 +6,7 @@
 };
 
 use config::problem::List;
-use platform::{log, object::Failure};
+use objects::{log, object::Failure};
 use serde_json::{Value, json};
 
 use crate::args::Output;
--- a/crates/entry/src/adoption.rs
+++ b/crates/entry/src/adoption.rs
@@ -2,7 +2,7 @@
 
 use config::revision::{Next, Number, Record, State};
 use kernel::name::Host as HostName;
-use platform::log;
+use objects::log;
 
 use crate::{
     host::Host,
--- a/crates/entry/src/claim.rs
+++ b/crates/entry/src/claim.rs
@@ -9,7 +9,7 @@
     name::{Host, Upstream},
     permit::Holder,
 };
-use platform::object::Version;
+use objects::object::Version;
 use serde::{Deserialize, Serialize};
 use steward::Predecessor;
 
--- a/crates/entry/src/claim/store.rs
+++ b/crates/entry/src/claim/store.rs
@@ -1,6 +1,6 @@
 //! Reading and writing claim records in the platform's objects.
 
-use platform::object::{Failure, Reason, Store, Version};
+use objects::object::{Failure, Reason, Store, Version};
 
 use super::Record;
 
--- a/crates/entry/src/duty/claims.rs
+++ b/crates/entry/src/duty/claims.rs
@@ -14,7 +14,7 @@
     service::{Fencing, Instance, Role},
 };
 use member::{Condition, Member};
-use platform::object::{Failure, Version};
+use objects::object::{Failure, Version};
 use steward::{Event, Predecessor};
 
 use crate::{
--- a/crates/entry/src/duty/configuration.rs
+++ b/crates/entry/src/duty/configuration.rs
@@ -5,7 +5,7 @@
 
 use kernel::registry::inventory;
 use member::{Condition, Member};
-use platform::{
+use objects::{
     log::Error,
     object::{Failure, Reason, Store, Version},
 };
--- a/crates/entry/src/duty/hosts.rs
+++ b/crates/entry/src/duty/hosts.rs
@@ -10,7 +10,7 @@
     registry::inventory,
 };
 use member::{Condition, Listing};
-use platform::hosts::{self, Client};
+use objects::hosts::{self, Client};
 use steward::Event;
 
 use crate::{
--- a/crates/entry/src/duty/journal.rs
+++ b/crates/entry/src/duty/journal.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use kernel::registry::inventory;
-use platform::journal::End;
+use objects::journal::End;
 
 use crate::{
     host::Host,
--- a/crates/entry/src/duty/lending.rs
+++ b/crates/entry/src/duty/lending.rs
@@ -7,7 +7,7 @@
     registry::inventory,
 };
 use member::{Condition, Member};
-use platform::object::Failure;
+use objects::object::Failure;
 
 use crate::{
     claim::{self, Next},
--- a/crates/entry/src/duty/status.rs
+++ b/crates/entry/src/duty/status.rs
@@ -4,7 +4,7 @@
 
 use kernel::registry::inventory;
 use member::{Condition, Member};
-use platform::object::{Failure, Reason, Store};
+use objects::object::{Failure, Reason, Store};
 use serde_json::{Value, json};
 
 use crate::{
--- a/crates/entry/src/flow/plain/keyed.rs
+++ b/crates/entry/src/flow/plain/keyed.rs
@@ -6,7 +6,7 @@
     fault::{Fault, Kind, Ran},
     request::Key,
 };
-use platform::journal::{Begin, End, First};
+use objects::journal::{Begin, End, First};
 use serve::Response;
 use sha2::{Digest, Sha256};
 
@@ -98,7 +98,7 @@
     }
 
     /// The record can't be written: the service's declaration decides.
-    fn unrecorded(&self, outage: &platform::journal::Outage) -> Result<Response, Fault> {
+    fn unrecorded(&self, outage: &objects::journal::Outage) -> Result<Response, Fault> {
         if self.outage == Outage::ServeAtRisk {
             log::warn!(target: "journal", "A call of service {} is made without a record: {outage}.", self.service);
             self.note(format!("made without a record, as declared: {outage}"));
--- a/crates/entry/src/host.rs
+++ b/crates/entry/src/host.rs
@@ -16,7 +16,7 @@
     permit::{Ask, Holder},
     request::Id,
 };
-use platform::{http, journal::Journal, log::Log};
+use objects::{http, journal::Journal, log::Log};
 use steward::Ticket;
 use telemetry::metrics::Metrics;
 
@@ -195,7 +195,7 @@
             incarnation: incarnation(&*clock),
         };
         let store = http::Client::new(settings.platform);
-        let shared: Arc<dyn platform::object::Store> = Arc::new(store.clone());
+        let shared: Arc<dyn objects::object::Store> = Arc::new(store.clone());
         Self {
             readiness: Readiness::default(),
             revision: RwLock::default(),
--- a/crates/entry/src/listed.rs
+++ b/crates/entry/src/listed.rs
@@ -59,7 +59,7 @@
     /// Those on the last list.
     now: Option<BTreeSet<String>>,
     /// The whole last list and when the platform gave it.
-    list: Option<(Instant, Vec<platform::hosts::Host>)>,
+    list: Option<(Instant, Vec<objects::hosts::Host>)>,
     /// Those that were ever on a list that this host has read.
     ever: BTreeSet<String>,
 }
@@ -91,10 +91,10 @@
     /// those that are gone.
     pub fn replace(
         &self,
-        hosts: &[platform::hosts::Host],
+        hosts: &[objects::hosts::Host],
         read: Instant,
     ) -> (Vec<Instance>, Vec<Upstream>) {
-        let instances = platform::hosts::instances(hosts);
+        let instances = objects::hosts::instances(hosts);
         self.note_entries(hosts, read);
         let mut known = self.known.write().expect("list lock is poisoned");
         let mut old = std::mem::take(&mut *known);
@@ -114,8 +114,8 @@
         (changed, old.into_keys().collect())
     }
 
-    fn note_entries(&self, hosts: &[platform::hosts::Host], read: Instant) {
-        let entry = |it: &&platform::hosts::Host| it.role == platform::hosts::Role::Entry;
+    fn note_entries(&self, hosts: &[objects::hosts::Host], read: Instant) {
+        let entry = |it: &&objects::hosts::Host| it.role == objects::hosts::Role::Entry;
         let names = hosts.iter().filter(entry).map(|it| it.name.to_string());
         let now: BTreeSet<String> = names.collect();
         let mut entries = self.entries.write().expect("list lock is poisoned");
@@ -125,7 +125,7 @@
     }
 
     /// The last list and when the platform gave it.
-    pub fn last(&self) -> Option<(Instant, Vec<platform::hosts::Host>)> {
+    pub fn last(&self) -> Option<(Instant, Vec<objects::hosts::Host>)> {
         let entries = self.entries.read().expect("list lock is poisoned");
         entries.list.clone()
     }
--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -1,9 +1,22 @@
 //! The process on an entry host: `comfreywing-entry --settings FILE`.
+//!
+//! Settings with `mode: gateway` run a host of a fleet that shares its engines through a platform;
+//! others run a host that keeps its own fleet.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::{
+    env,
+    fmt::Display,
+    path::{Path, PathBuf},
+    process::ExitCode,
+};
 
 use argh::FromArgs;
 use entry::{process, settings};
+// Linked for the dialect that it registers.
+use platform as _;
+
+/// The variable that names the settings file where the command line doesn't.
+const SETTINGS: &str = "COMFREYWING_CONFIG";
 
 /// Exit code for bad input, the same as of `comfreywing`.
 const BAD_INPUT: u8 = 2;
@@ -11,9 +24,9 @@
 /// Serves callers' requests from model engines and plain services.
 #[derive(FromArgs)]
 struct Args {
-    /// the settings file
+    /// the settings file; without it, the one that COMFREYWING_CONFIG names
     #[argh(option)]
-    settings: PathBuf,
+    settings: Option<PathBuf>,
 
     /// only check the settings
     #[argh(switch)]
@@ -22,18 +35,36 @@
 
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    let settings = match settings::read(&args.settings) {
+    let named = args.settings.or_else(|| env::var_os(SETTINGS).map(PathBuf::from));
+    let Some(file) = named else {
+        eprintln!("comfreywing-entry: give --settings FILE or set {SETTINGS}");
+        return ExitCode::from(BAD_INPUT);
+    };
+    if gateway::settings::applies(&file) {
+        start(&file, gateway::settings::read, gateway::process::run, args.check_only)
+    } else {
+        start(&file, settings::read, process::run, args.check_only)
+    }
+}
+
+fn start<S, I: Display, F: Display>(
+    file: &Path,
+    read: impl FnOnce(&Path) -> Result<S, I>,
+    run: impl FnOnce(S) -> Result<(), F>,
+    check_only: bool,
+) -> ExitCode {
+    let settings = match read(file) {
         Ok(it) => it,
         Err(error) => {
             eprintln!("{error}");
             return ExitCode::from(BAD_INPUT);
         }
     };
-    if args.check_only {
-        println!("{}: the settings are valid", args.settings.display());
+    if check_only {
+        println!("{}: the settings are valid", file.display());
         return ExitCode::SUCCESS;
     }
-    match process::run(settings) {
+    match run(settings) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("comfreywing-entry: {error}");
--- a/crates/entry/src/peers.rs
+++ b/crates/entry/src/peers.rs
@@ -49,7 +49,7 @@
     fn hosts(&self) -> Option<peer::List> {
         let (read, list) = self.0.listed.last()?;
         Some(peer::List {
-            json: platform::hosts::to_json(&list),
+            json: objects::hosts::to_json(&list),
             age: self.0.clock.now().saturating_duration_since(read),
         })
     }
--- /dev/null
+++ b/crates/fleet/src/circuit.rs
@@ -0,0 +1,89 @@
+//! Puts an upstream aside by what its answers show, and tries it again.
+
+use std::time::Duration;
+
+use crate::Time;
+
+/// Weight of the newest answer in the share of failures.
+const NEWEST: f64 = 0.15;
+
+/// Share of failures at which an upstream is put aside.
+const OPEN_AT: f64 = 0.35;
+
+/// First time aside; it doubles with each failed trial.
+const FIRST_PAUSE: Duration = Duration::from_millis(700);
+
+/// Longest time aside.
+const LONGEST_PAUSE: Duration = Duration::from_secs(4);
+
+/// What the answers of an upstream show.
+#[derive(Clone, Debug, Default)]
+pub struct Circuit {
+    failures: f64,
+    in_a_row: u32,
+    pause: Duration,
+    until: Time,
+}
+
+/// Whether an upstream is to be used.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Use {
+    /// Like any other.
+    Normal,
+    /// Its answers were bad a while ago; it gets a request now and then.
+    Trial,
+    /// Not now.
+    Aside,
+}
+
+impl Circuit {
+    /// Counts a good answer.
+    pub fn success(&mut self) {
+        self.failures *= 1.0 - NEWEST;
+        self.in_a_row = 0;
+        if self.failures < OPEN_AT {
+            self.pause = Duration::ZERO;
+            self.until = Time::ZERO;
+        }
+    }
+
+    /// Counts an answer that shows a fault of the upstream.
+    pub fn failure(&mut self, now: Time) {
+        self.failures = self.failures * (1.0 - NEWEST) + NEWEST;
+        self.in_a_row += 1;
+        if now >= self.until && (self.failures > OPEN_AT || self.in_a_row >= 3) {
+            self.pause = (self.pause * 2).clamp(FIRST_PAUSE, LONGEST_PAUSE);
+            self.until = now + self.pause;
+        }
+    }
+
+    /// Puts the upstream aside at once, since it can't be reached.
+    pub fn unreachable(&mut self, now: Time) {
+        self.in_a_row += 1;
+        self.pause = (self.pause * 2).clamp(FIRST_PAUSE, LONGEST_PAUSE);
+        self.until = now + self.pause;
+    }
+
+    /// Whether to use the upstream now.
+    pub fn state(&self, now: Time) -> Use {
+        if now < self.until {
+            Use::Aside
+        } else if self.pause > Duration::ZERO {
+            Use::Trial
+        } else {
+            Use::Normal
+        }
+    }
+
+    /// Share of failures among recent answers.
+    pub fn failures(&self) -> f64 {
+        self.failures
+    }
+
+    /// Notes that a trial was sent: until its answer is there, no other is.
+    pub fn tried(&mut self, now: Time) {
+        if self.state(now) == Use::Trial {
+            self.until = now + self.pause.max(FIRST_PAUSE);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/engine.rs
@@ -0,0 +1,189 @@
+//! What this host believes of one engine or instance of a plain service.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use crate::{
+    Time,
+    circuit::Circuit,
+    listing::{Hold, Listing, Name, State},
+    prefix::Kept,
+};
+
+/// Time for which news of a load or an unload goes before the list, which lags behind by a heartbeat
+/// and a watch.
+const NEWS_HOLDS: Duration = Duration::from_millis(3500);
+
+/// Time after which another host's word on its own load is dropped.
+const OTHERS_HOLD: Duration = Duration::from_millis(1500);
+
+/// Half-life of the count of uses of an adapter, by which victims are chosen. Demand moves within
+/// seconds, and an adapter that is fetched again costs a third of a second.
+const USES_HALVE: Duration = Duration::from_secs(8);
+
+/// Weight of the newest first event in the slowness of an engine.
+const NEWEST: f64 = 0.1;
+
+/// Work of one host at one engine.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Load {
+    /// Requests sent and not ended.
+    pub running: u32,
+    /// Prompt tokens of requests whose first event isn't there.
+    pub unread: u32,
+}
+
+/// What is known of one adapter or base model at an engine.
+#[derive(Clone, Debug, Default)]
+pub struct Belief {
+    /// Its version.
+    pub version: u64,
+    /// When a load by order was learned of; zero if only the list says it.
+    pub since: Time,
+    /// Requests of this host that run with it.
+    pub running: u32,
+    /// Requests of other hosts that run with it, as they said last.
+    pub others: HashMap<Arc<str>, (Time, u32)>,
+    uses: f64,
+    used: Time,
+}
+
+impl Belief {
+    /// Counts requests that began.
+    pub fn use_it(&mut self, now: Time, count: u32) {
+        self.uses = self.uses(now) + f64::from(count);
+        self.used = now;
+    }
+
+    /// Decayed count of uses.
+    pub fn uses(&self, now: Time) -> f64 {
+        let age = now.saturating_sub(self.used).as_secs_f64();
+        self.uses * (-age / USES_HALVE.as_secs_f64()).exp2()
+    }
+
+    /// When it was used last.
+    pub fn used(&self) -> Time {
+        self.used.max(self.since)
+    }
+
+    /// Requests that run with it, of all hosts.
+    pub fn busy(&self, now: Time) -> u32 {
+        let fresh = |it: &&(Time, u32)| it.0 + OTHERS_HOLD > now;
+        let others: u32 = self.others.values().filter(fresh).map(|it| it.1).sum();
+        self.running + others
+    }
+}
+
+/// An engine or an instance of a plain service.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    /// What the list said last.
+    pub listing: Listing,
+    /// The base models and adapters that it is believed to hold.
+    pub held: HashMap<Name, Belief>,
+    dropped: HashMap<Name, Time>,
+    /// Work of this host.
+    pub own: Load,
+    others: HashMap<Arc<str>, (Time, Load)>,
+    /// What its answers show.
+    pub circuit: Circuit,
+    /// Parts of prompts that it is believed to keep.
+    pub kept: Kept,
+    /// Time to the first event against the expected time, smoothed.
+    pub slowness: f64,
+    /// When its entry vanished, if it may only have lapsed.
+    pub lapsed: Option<Time>,
+    /// When the last good answer came.
+    pub answered: Time,
+}
+
+impl Engine {
+    /// An engine as the list describes it.
+    pub fn new(listing: Listing, now: Time) -> Self {
+        let mut engine = Self {
+            listing: Listing {
+                holds: Vec::new(),
+                ..listing.clone()
+            },
+            held: HashMap::new(),
+            dropped: HashMap::new(),
+            own: Load::default(),
+            others: HashMap::new(),
+            circuit: Circuit::default(),
+            kept: Kept::default(),
+            slowness: 1.0,
+            lapsed: None,
+            answered: Time::ZERO,
+        };
+        engine.adopt(listing, now);
+        engine
+    }
+
+    /// Takes over what the list says now. A later life under the same id holds nothing of before.
+    pub fn adopt(&mut self, listing: Listing, now: Time) {
+        if listing.born != self.listing.born {
+            self.held.clear();
+            self.dropped.clear();
+            self.kept.clear();
+            self.circuit = Circuit::default();
+            self.slowness = 1.0;
+        }
+        self.lapsed = None;
+        self.dropped.retain(|_, at| *at + NEWS_HOLDS > now);
+        for Hold { name, version } in &listing.holds {
+            if self.dropped.contains_key(name) {
+                continue;
+            }
+            let belief = self.held.entry(name.clone()).or_default();
+            if belief.since.is_zero() || belief.since + NEWS_HOLDS < now {
+                belief.version = *version;
+                belief.since = Time::ZERO;
+            }
+        }
+        let listed = |name: &Name| listing.holds.iter().any(|it| it.name == *name);
+        self.held.retain(|name, belief| {
+            listed(name) || (!belief.since.is_zero() && belief.since + NEWS_HOLDS > now)
+        });
+        self.listing = listing;
+    }
+
+    /// Notes that it holds an adapter or a base model now.
+    pub fn load(&mut self, name: &Name, version: u64, now: Time) {
+        self.dropped.remove(name);
+        let belief = self.held.entry(name.clone()).or_default();
+        belief.version = version;
+        belief.since = now;
+    }
+
+    /// Notes that it doesn't hold it, or not for long.
+    pub fn drop_hold(&mut self, name: &str, now: Time) {
+        if let Some((name, _)) = self.held.remove_entry(name) {
+            self.dropped.insert(name, now);
+        }
+    }
+
+    /// Notes the load that another host puts on it.
+    pub fn heard(&mut self, host: &Arc<str>, load: Load, now: Time) {
+        self.others.insert(host.clone(), (now, load));
+    }
+
+    /// The load of all hosts.
+    pub fn load_of_all(&self, now: Time) -> Load {
+        let fresh = |it: &&(Time, Load)| it.0 + OTHERS_HOLD > now;
+        let others = self.others.values().filter(fresh);
+        others.fold(self.own, |sum, (_, it)| Load {
+            running: sum.running + it.running,
+            unread: sum.unread + it.unread,
+        })
+    }
+
+    /// Notes how long the first event took, against what was expected.
+    pub fn first_event(&mut self, took: Duration, expected: Duration) {
+        let ratio = took.as_secs_f64() / expected.as_secs_f64().max(0.02);
+        self.slowness = (self.slowness * (1.0 - NEWEST) + ratio * NEWEST).clamp(0.5, 20.0);
+    }
+
+    /// Whether new work may go to it.
+    pub fn takes_work(&self) -> bool {
+        self.listing.state == State::Ready
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/loader.rs
@@ -0,0 +1,603 @@
+//! Which adapters and base models this host's own engines load and evict.
+//!
+//! Load pattern that this answers: a tenth of the requests name an adapter that no engine holds, demand
+//! moves to others within seconds, and engines come back empty. One load serves all who wait for an
+//! adapter; a victim is what was used least, and never what runs.
+
+use std::{
+    collections::{HashMap, HashSet, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
+
+use crate::{
+    Time,
+    catalog::{Catalog, Shape},
+    ceiling::{self, Ceiling},
+    circuit::Use,
+    engine::Engine,
+    listing::{Name, is_adapter, model},
+    table::{Age, Key, Table},
+};
+
+/// Adapters that may be on their way to one engine at a time (the platform's limit).
+const IN_TRANSIT: usize = 4;
+
+/// Time after which a load of an adapter is taken as done, until slower ones were seen.
+const ADAPTER_LOADS: Duration = Duration::from_millis(262);
+
+/// The same for one that the engine held not long ago: a tenth, and a little more.
+const ADAPTER_RELOADS: Duration = Duration::from_millis(45);
+
+/// Names that an engine is believed to reload fast.
+const RELOADS: usize = 60;
+
+/// Time for which an ask for a load is kept without being asked again.
+const WANT_HOLDS: Duration = Duration::from_millis(1500);
+
+/// An adapter that was loaded or used more recently isn't evicted.
+const SETTLES: Duration = Duration::from_millis(700);
+
+/// Decayed uses of an adapter from which its older copy is replaced without being asked for.
+const REFRESH_FROM: f64 = 0.5;
+
+/// Pause after an order that was refused, before the engine is asked what it does: what it reports is
+/// some hundred ms old.
+const REFUSED_PAUSE: Duration = Duration::from_millis(350);
+
+/// Pause after an order without an answer; what an engine reports is some hundred ms old.
+const SILENT_PAUSE: Duration = Duration::from_millis(500);
+
+/// Pause between two looks at an engine that loads a base model.
+const LOOK_PAUSE: Duration = Duration::from_millis(400);
+
+/// What an order does.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Op {
+    /// Load this version, or the newest.
+    Load(Option<u64>),
+    /// Unload.
+    Unload,
+}
+
+/// An order to one engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Order {
+    /// The engine.
+    pub key: Key,
+    /// The adapter or base model.
+    pub name: Name,
+    /// What is to be done.
+    pub op: Op,
+    /// Orders that the engine must have accepted before.
+    pub expected: u64,
+}
+
+/// What to do next at an engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// Send an order.
+    Send(Order),
+    /// Ask the engine what it holds and does.
+    Look(Key),
+}
+
+/// What came of an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Outcome {
+    /// It is being carried out.
+    Accepted,
+    /// It holds already.
+    Holds,
+    /// Another order is under way, or the expected number differs.
+    Conflict,
+    /// The engine can't do it.
+    Refused,
+    /// Unknown: there was no answer. It may yet be carried out.
+    Silent,
+}
+
+/// What an engine says of itself.
+#[derive(Clone, Debug, Default)]
+pub struct Report {
+    /// Orders that it has accepted.
+    pub orders: u64,
+    /// What it holds.
+    pub holds: Vec<crate::listing::Hold>,
+    /// Adapters on their way.
+    pub pending: Vec<Name>,
+}
+
+#[derive(Clone, Debug)]
+struct Want {
+    service: Arc<str>,
+    since: Time,
+    last: Time,
+    spread: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Transit {
+    name: Name,
+    version: u64,
+    done: Time,
+}
+
+/// The orders of one life of one engine.
+#[derive(Clone, Debug, Default)]
+struct Works {
+    born: u64,
+    /// Orders that the engine has accepted; unknown until it was asked.
+    orders: Option<u64>,
+    asked: bool,
+    /// What it holds by its own word and by the orders since. The list may be old, so it doesn't count
+    /// for the limits.
+    ledger: HashSet<Name>,
+    transit: Vec<Transit>,
+    leaving: Vec<(Name, Time)>,
+    /// An order without an answer, which may still be carried out until a later one is accepted.
+    ghost: Option<(Name, Op)>,
+    look: bool,
+    pause: Time,
+    reloads: VecDeque<Name>,
+}
+
+/// The loads of this host's own engines.
+#[derive(Clone, Debug, Default)]
+pub struct Loader {
+    wants: HashMap<Name, Want>,
+    works: HashMap<Key, Works>,
+    ceiling: Ceiling,
+}
+
+/// What a decision rests on.
+pub struct View<'a> {
+    /// The engines.
+    pub table: &'a Table,
+    /// The operator's configuration.
+    pub catalog: &'a Catalog,
+    /// The engines that this host may order now.
+    pub mine: &'a [Key],
+    /// Hosts that may order loads.
+    pub hosts: usize,
+    /// Length of the window of the weight store's limit.
+    pub window: Time,
+    /// The time.
+    pub now: Time,
+}
+
+/// A load that is done.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Done {
+    /// The engine.
+    pub key: Key,
+    /// What it holds now.
+    pub name: Name,
+    /// The version that was loaded; 0 if the engine chose it.
+    pub version: u64,
+}
+
+impl Loader {
+    /// Asks for an adapter on one of this host's engines; `spread` for one more copy.
+    pub fn want(&mut self, service: &Arc<str>, name: &Name, spread: bool, now: Time) {
+        let want = self.wants.entry(name.clone()).or_insert_with(|| Want {
+            service: service.clone(),
+            since: now,
+            last: now,
+            spread,
+        });
+        want.last = now;
+        want.spread &= spread;
+    }
+
+    /// Whether a load of it is wanted or under way.
+    pub fn loads(&self, name: &str) -> bool {
+        self.wants.contains_key(name)
+            || (self.works.values()).any(|it| it.transit.iter().any(|it| &*it.name == name))
+    }
+
+    /// Loads that are on their way.
+    pub fn in_transit(&self) -> usize {
+        self.works.values().map(|it| it.transit.len()).sum()
+    }
+
+    /// The loads that are done by now. The caller enters them in the table.
+    pub fn done(&mut self, now: Time) -> Vec<Done> {
+        let mut done = Vec::new();
+        for (key, works) in &mut self.works {
+            works.transit.retain(|it| {
+                let over = is_adapter(&it.name) && it.done <= now;
+                if over {
+                    done.push(Done {
+                        key: *key,
+                        name: it.name.clone(),
+                        version: it.version,
+                    });
+                }
+                !over
+            });
+        }
+        done
+    }
+
+    /// What to do next at the engines that may be ordered. Each engine has one order at a time.
+    pub fn next(&mut self, view: &View) -> Vec<Step> {
+        let now = view.now;
+        self.wants.retain(|_, it| it.last + WANT_HOLDS > now);
+        self.works.retain(|key, _| view.table.get(*key).is_some());
+        for (key, works) in &mut self.works {
+            if !view.mine.contains(key) {
+                // Another host may order it meanwhile.
+                works.orders = None;
+            }
+        }
+        let mut steps = Vec::new();
+        let mut free = Vec::new();
+        for key in view.mine {
+            let Some(engine) = view.table.get(*key) else {
+                continue;
+            };
+            let works = self.works.entry(*key).or_default();
+            works.meet(engine);
+            if works.asked || works.pause > now || !engine.takes_work() {
+                continue;
+            }
+            if works.look || works.orders.is_none() {
+                works.asked = true;
+                steps.push(Step::Look(*key));
+                continue;
+            }
+            free.push(*key);
+        }
+        self.load_models(view, &mut free, &mut steps);
+        self.refresh(view, &mut free, &mut steps);
+        self.load_adapters(view, &mut free, &mut steps);
+        steps
+    }
+
+    /// Has empty engines load a base model.
+    fn load_models(&mut self, view: &View, free: &mut Vec<Key>, steps: &mut Vec<Step>) {
+        free.retain(|key| {
+            let Some((engine, shape)) = shaped(view, *key) else {
+                return false;
+            };
+            let Some(works) = self.works.get_mut(key) else {
+                return false;
+            };
+            if engine.held.keys().any(|it| !is_adapter(it)) {
+                return true;
+            }
+            if !works.transit.is_empty() {
+                return false;
+            }
+            let wanted = |it: &&crate::catalog::Model| {
+                self.wants.keys().any(|name| model(name) == &*it.name)
+            };
+            let models = &shape.models;
+            let Some(it) = models.iter().find(wanted).or_else(|| models.first()) else {
+                return false;
+            };
+            let rule = ceiling::Rule {
+                per_s: shape.loads_per_s,
+                window: view.window,
+            };
+            if it.weights_mb <= shape.weights_mb && self.ceiling.load(view.now, rule, view.hosts) {
+                steps.push(works.ask(*key, it.name.clone(), Op::Load(None)));
+            }
+            false
+        });
+    }
+
+    /// Replaces older versions of adapters that are in use but don't run just now.
+    fn refresh(&mut self, view: &View, free: &mut Vec<Key>, steps: &mut Vec<Step>) {
+        let now = view.now;
+        free.retain(|key| {
+            let Some(engine) = view.table.get(*key) else {
+                return false;
+            };
+            let Some(works) = self.works.get_mut(key) else {
+                return false;
+            };
+            if works.transit.len() >= IN_TRANSIT {
+                return false;
+            }
+            let old = engine.held.iter().find(|(name, it)| {
+                is_adapter(name)
+                    && view.table.age(name, it.version, now) != Age::Newest
+                    && it.busy(now) == 0
+                    && it.uses(now) >= REFRESH_FROM
+                    && !works.moves(name)
+            });
+            let Some((name, _)) = old else { return true };
+            let version = view.table.newest(name).map(|it| it.version);
+            steps.push(works.ask(*key, name.clone(), Op::Load(version)));
+            false
+        });
+    }
+
+    /// Loads the adapters that are asked for, oldest ask first, and makes room for them.
+    fn load_adapters(&mut self, view: &View, free: &mut Vec<Key>, steps: &mut Vec<Step>) {
+        let mut wants: Vec<(Name, Want)> = (self.wants.iter())
+            .map(|(name, it)| (name.clone(), it.clone()))
+            .collect();
+        wants.sort_by_key(|(_, it)| (it.spread, it.since));
+        for (name, want) in wants {
+            if free.is_empty() {
+                return;
+            }
+            if self.served(view, &name, &want) {
+                self.wants.remove(&name);
+                continue;
+            }
+            let room = |key: &Key| self.room(view, *key, &name, &want);
+            let best = free
+                .iter()
+                .filter_map(|key| room(key).map(|it| (it, *key)))
+                .min_by(|a, b| a.0.cost.total_cmp(&b.0.cost));
+            let Some((room, key)) = best else { continue };
+            free.retain(|it| *it != key);
+            let Some(works) = self.works.get_mut(&key) else {
+                continue;
+            };
+            if let Some(victim) = room.victim {
+                steps.push(works.ask(key, victim, Op::Unload));
+            } else {
+                let version = view.table.newest(&name).map(|it| it.version);
+                steps.push(works.ask(key, name.clone(), Op::Load(version)));
+                self.wants.remove(&name);
+            }
+        }
+    }
+
+    /// Whether the ask is met: a load is on its way, or an engine of this host holds it.
+    fn served(&self, view: &View, name: &Name, want: &Want) -> bool {
+        let on_its_way = (self.works.values()).any(|it| it.transit.iter().any(|it| it.name == *name));
+        if on_its_way || want.spread {
+            return on_its_way;
+        }
+        view.mine.iter().any(|key| {
+            view.table.get(*key).is_some_and(|it| {
+                it.takes_work()
+                    && it.circuit.state(view.now) != Use::Aside
+                    && it.held.get(name).is_some_and(|belief| {
+                        view.table.age(name, belief.version, view.now) == Age::Newest
+                    })
+            })
+        })
+    }
+
+    fn room(&self, view: &View, key: Key, name: &Name, want: &Want) -> Option<Room> {
+        let now = view.now;
+        let (engine, shape) = shaped(view, key)?;
+        let works = self.works.get(&key)?;
+        let model = shape.model(model(name))?;
+        if engine.listing.service != want.service
+            || !engine.held.contains_key(&model.name)
+            || works.transit.len() >= IN_TRANSIT
+            || works.moves(name)
+            || engine.circuit.state(now) == Use::Aside
+        {
+            return None;
+        }
+        if let Some(belief) = engine.held.get(name) {
+            let newest = view.table.age(name, belief.version, now) == Age::Newest;
+            // An older copy is replaced in place once nothing runs with it.
+            return (!newest && belief.busy(now) == 0).then(|| Room::free(engine, now));
+        }
+        if works.fits(engine, shape, model.adapter_mb) {
+            return Some(Room::free(engine, now));
+        }
+        let victims = engine.held.iter().filter(|(name, it)| {
+            is_adapter(name)
+                && it.busy(now) == 0
+                && it.used() + SETTLES < now
+                && !works.moves(name)
+        });
+        let value = |name: &Name, it: &crate::engine::Belief| {
+            let old = view.table.age(name, it.version, now) != Age::Newest;
+            if old { -1.0 } else { it.uses(now) }
+        };
+        let (victim, uses) = victims
+            .map(|(name, it)| (name, value(name, it)))
+            .min_by(|a, b| a.1.total_cmp(&b.1).then_with(|| a.0.cmp(b.0)))?;
+        // What this host's steward would miss itself isn't given up for one more copy.
+        if want.spread && uses > 1.5 {
+            return None;
+        }
+        let mut room = Room::free(engine, now);
+        room.cost += 5.0 + 40.0 * uses.max(0.0);
+        room.victim = Some(victim.clone());
+        Some(room)
+    }
+
+    /// Takes in what came of an order.
+    pub fn answered(&mut self, order: &Order, outcome: Outcome, now: Time) {
+        let Some(works) = self.works.get_mut(&order.key) else {
+            return;
+        };
+        works.asked = false;
+        match (outcome, order.op) {
+            (Outcome::Accepted, Op::Load(version)) => {
+                works.accept();
+                let again = works.reloads.contains(&order.name);
+                let takes = match (is_adapter(&order.name), again) {
+                    (true, true) => ADAPTER_RELOADS,
+                    (true, false) => ADAPTER_LOADS,
+                    (false, _) => {
+                        works.look = true;
+                        works.pause = now + LOOK_PAUSE;
+                        Duration::MAX / 4
+                    }
+                };
+                works.ledger.insert(order.name.clone());
+                works.transit.push(Transit {
+                    name: order.name.clone(),
+                    version: version.unwrap_or(0),
+                    done: now + takes,
+                });
+            }
+            (Outcome::Accepted, Op::Unload) => {
+                works.accept();
+                works.leaving.push((order.name.clone(), now));
+                works.look = true;
+                works.pause = now + REFUSED_PAUSE;
+            }
+            (Outcome::Holds, Op::Load(version)) => works.transit.push(Transit {
+                name: order.name.clone(),
+                version: version.unwrap_or(0),
+                done: now,
+            }),
+            (Outcome::Holds, Op::Unload) => {
+                works.accept();
+                works.gone(&order.name);
+            }
+            (Outcome::Conflict | Outcome::Refused, _) => {
+                works.look = true;
+                works.pause = now + REFUSED_PAUSE;
+            }
+            (Outcome::Silent, op) => {
+                works.ghost = Some((order.name.clone(), op));
+                works.look = true;
+                works.pause = now + SILENT_PAUSE;
+            }
+        }
+    }
+
+    /// Takes in what an engine said of itself; `None` if it didn't answer.
+    pub fn looked(&mut self, key: Key, report: Option<&Report>, now: Time) {
+        let Some(works) = self.works.get_mut(&key) else {
+            return;
+        };
+        works.asked = false;
+        let Some(report) = report else {
+            works.pause = now + LOOK_PAUSE;
+            return;
+        };
+        if works.orders.is_some_and(|it| it != report.orders) {
+            // An order without an answer was accepted, or can't be any more.
+            works.ghost = None;
+        }
+        works.orders = Some(report.orders);
+        works.ledger = report.holds.iter().map(|it| it.name.clone()).collect();
+        works.ledger.extend(report.pending.iter().cloned());
+        let holds = |name: &Name| report.holds.iter().any(|it| it.name == *name);
+        works.transit.retain(|it| is_adapter(&it.name) || !holds(&it.name));
+        for name in &report.pending {
+            if !works.transit.iter().any(|it| it.name == *name) {
+                works.transit.push(Transit {
+                    name: name.clone(),
+                    version: 0,
+                    done: now + ADAPTER_LOADS,
+                });
+            }
+        }
+        let left: Vec<Name> = (works.leaving.iter())
+            .filter(|(name, at)| !holds(name) && *at + SILENT_PAUSE <= now)
+            .map(|it| it.0.clone())
+            .collect();
+        left.iter().for_each(|it| works.gone(it));
+        let model_comes = works.transit.iter().any(|it| !is_adapter(&it.name));
+        works.look = model_comes || !works.leaving.is_empty();
+        works.pause = if works.look { now + LOOK_PAUSE } else { now };
+    }
+
+    /// Notes that an adapter which was taken as loaded isn't there yet.
+    pub fn not_yet(&mut self, key: Key) {
+        if let Some(works) = self.works.get_mut(&key) {
+            works.look = true;
+        }
+    }
+}
+
+struct Room {
+    cost: f64,
+    victim: Option<Name>,
+}
+
+impl Room {
+    fn free(engine: &Engine, now: Time) -> Self {
+        let load = engine.load_of_all(now);
+        Self {
+            cost: (f64::from(load.unread) / 16.0 + f64::from(load.running)) * engine.slowness,
+            victim: None,
+        }
+    }
+}
+
+impl Works {
+    /// Begins anew with a later life of the engine.
+    fn meet(&mut self, engine: &Engine) {
+        if self.born != engine.listing.born {
+            *self = Self {
+                born: engine.listing.born,
+                asked: self.asked,
+                ..Self::default()
+            };
+        }
+    }
+
+    fn ask(&mut self, key: Key, name: Name, op: Op) -> Step {
+        self.asked = true;
+        Step::Send(Order {
+            key,
+            name,
+            op,
+            expected: self.orders.unwrap_or(0),
+        })
+    }
+
+    /// An accepted order moves the count on, so that an earlier one without an answer can't be
+    /// carried out any more.
+    fn accept(&mut self) {
+        self.orders = self.orders.map(|it| it + 1);
+        self.ghost = None;
+    }
+
+    fn gone(&mut self, name: &Name) {
+        self.ledger.remove(name);
+        self.leaving.retain(|it| it.0 != *name);
+        self.reloads.retain(|it| it != name);
+        self.reloads.push_back(name.clone());
+        if self.reloads.len() > RELOADS {
+            self.reloads.pop_front();
+        }
+    }
+
+    /// Whether an order on it is under way.
+    fn moves(&self, name: &str) -> bool {
+        self.transit.iter().any(|it| &*it.name == name)
+            || self.leaving.iter().any(|it| &*it.0 == name)
+    }
+
+    /// Whether one more adapter of that size is within the limits, counting all that may be there.
+    fn fits(&self, engine: &Engine, shape: &Shape, adapter_mb: f64) -> bool {
+        let mut names: Vec<&Name> = engine.held.keys().collect();
+        names.extend(&self.ledger);
+        names.extend(self.transit.iter().map(|it| &it.name));
+        names.extend(self.leaving.iter().map(|it| &it.0));
+        if let Some((name, Op::Load(_))) = &self.ghost {
+            names.push(name);
+        }
+        names.sort();
+        names.dedup();
+        let adapters = names.iter().filter(|it| is_adapter(it)).count();
+        let mb: f64 = names
+            .iter()
+            .map(|it| {
+                let known = shape.model(model(it));
+                match known {
+                    Some(model) if is_adapter(it) => model.adapter_mb,
+                    Some(model) => model.weights_mb,
+                    None => 0.0,
+                }
+            })
+            .sum();
+        adapters < shape.adapter_slots && mb + adapter_mb <= shape.weights_mb
+    }
+}
+
+fn shaped<'a>(view: &View<'a>, key: Key) -> Option<(&'a Engine, &'a Shape)> {
+    let engine = view.table.get(key)?;
+    let service = view.catalog.services.get(&engine.listing.service)?;
+    Some((engine, service.engine.as_ref()?))
+}
--- /dev/null
+++ b/crates/fleet/src/table.rs
@@ -0,0 +1,165 @@
+//! All engines and instances that this host knows, and the newest versions of adapters.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use crate::{
+    Time,
+    engine::Engine,
+    listing::{Listing, Name},
+};
+
+/// Key of an engine in a [`Table`]. A later life under the same id keeps the key.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Key(u32);
+
+/// Time for which an engine whose entry vanished is still used if it has answered a moment ago: the
+/// entry may have lapsed while the store was away, and work must end before the drain time is over.
+pub const LAPSE: Duration = Duration::from_millis(900);
+
+/// The same after the store was away: entries of living engines are back about two seconds after it.
+pub const LAPSE_AFTER_OUTAGE: Duration = Duration::from_millis(2300);
+
+/// A good answer that is younger than this says that an engine lives.
+const LIVELY: Duration = Duration::from_millis(1500);
+
+/// Time from the announcement of a version after which older copies aren't used any more. The
+/// platform's bound is 5 s; a request may wait in an engine's queue before it begins.
+const OLD_VERSIONS_SERVE: Duration = Duration::from_millis(2800);
+
+/// How an entry left the list.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Removal {
+    /// The store has answered all along.
+    Known,
+    /// The store was away.
+    AfterOutage,
+}
+
+/// Engines by key and by id.
+#[derive(Clone, Debug, Default)]
+pub struct Table {
+    engines: BTreeMap<Key, Engine>,
+    ids: HashMap<Arc<str>, Key>,
+    next: u32,
+    versions: HashMap<Name, Announced>,
+}
+
+/// The newest version of an adapter that was announced.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Announced {
+    /// Its number.
+    pub version: u64,
+    /// When this host learned of it.
+    pub at: Time,
+}
+
+impl Table {
+    /// Adds an engine or takes over what the list says of it.
+    pub fn adopt(&mut self, listing: Listing, now: Time) -> Key {
+        if let Some(key) = self.ids.get(&listing.id) {
+            if let Some(engine) = self.engines.get_mut(key) {
+                engine.adopt(listing, now);
+            }
+            return *key;
+        }
+        let key = Key(self.next);
+        self.next += 1;
+        self.ids.insert(listing.id.clone(), key);
+        self.engines.insert(key, Engine::new(listing, now));
+        key
+    }
+
+    /// Notes that the entry of an engine has vanished. It is dropped now or, if it may live, by a
+    /// later [`Table::expire`].
+    pub fn remove(&mut self, id: &str, removal: Removal, now: Time) {
+        let Some(key) = self.ids.get(id) else { return };
+        let Some(engine) = self.engines.get_mut(key) else {
+            return;
+        };
+        let hold = match removal {
+            Removal::AfterOutage => LAPSE_AFTER_OUTAGE,
+            Removal::Known if engine.answered + LIVELY > now && engine.takes_work() => LAPSE,
+            Removal::Known => Duration::ZERO,
+        };
+        engine.lapsed.get_or_insert(now + hold);
+        self.expire(now);
+    }
+
+    /// Drops the engines whose time to come back is over.
+    pub fn expire(&mut self, now: Time) -> Vec<Arc<str>> {
+        let over = |it: &Engine| it.lapsed.is_some_and(|at| at <= now);
+        let gone: Vec<Arc<str>> = (self.engines.values())
+            .filter(|it| over(it))
+            .map(|it| it.listing.id.clone())
+            .collect();
+        for id in &gone {
+            if let Some(key) = self.ids.remove(id) {
+                self.engines.remove(&key);
+            }
+        }
+        gone
+    }
+
+    /// The engine of that key, if it still exists.
+    pub fn get(&self, key: Key) -> Option<&Engine> {
+        self.engines.get(&key)
+    }
+
+    /// The engine of that key, if it still exists.
+    pub fn get_mut(&mut self, key: Key) -> Option<&mut Engine> {
+        self.engines.get_mut(&key)
+    }
+
+    /// The key of an id.
+    pub fn find(&self, id: &str) -> Option<Key> {
+        self.ids.get(id).copied()
+    }
+
+    /// All engines.
+    pub fn iter(&self) -> impl Iterator<Item = (Key, &Engine)> {
+        self.engines.iter().map(|(key, it)| (*key, it))
+    }
+
+    /// Ids that are known.
+    pub fn ids(&self) -> Vec<Arc<str>> {
+        self.ids.keys().cloned().collect()
+    }
+
+    /// Notes an announced version; older ones than the known are passed over.
+    pub fn announce(&mut self, name: Name, version: u64, now: Time) -> bool {
+        let newer = (self.versions.get(&name)).is_none_or(|it| it.version < version);
+        if newer {
+            self.versions.insert(name, Announced { version, at: now });
+        }
+        newer
+    }
+
+    /// The newest announced version.
+    pub fn newest(&self, name: &str) -> Option<Announced> {
+        self.versions.get(name).copied()
+    }
+
+    /// How a copy of that version stands to what was announced.
+    pub fn age(&self, name: &str, version: u64, now: Time) -> Age {
+        match self.versions.get(name) {
+            Some(it) if version < it.version && it.at + OLD_VERSIONS_SERVE <= now => Age::Stale,
+            Some(it) if version < it.version => Age::Older,
+            _ => Age::Newest,
+        }
+    }
+}
+
+/// How a copy of an adapter stands to the newest version.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Age {
+    /// It is the newest that is known.
+    Newest,
+    /// There is a newer one, which may not be in place yet.
+    Older,
+    /// It must not be used any more.
+    Stale,
+}
--- /dev/null
+++ b/crates/gateway/src/event.rs
@@ -0,0 +1,27 @@
+//! Events of a `text/event-stream`, as far as passing them on needs it.
+
+/// Length of the whole events at the beginning of `bytes`: up to the last empty line.
+pub fn whole(bytes: &[u8]) -> usize {
+    let mut end = 0;
+    let mut line = 0;
+    for (at, byte) in bytes.iter().enumerate() {
+        if *byte != b'\n' {
+            continue;
+        }
+        let text = &bytes[line..at];
+        if text.is_empty() || text == b"\r" {
+            end = at + 1;
+        }
+        line = at + 1;
+    }
+    end
+}
+
+/// The id of the last event that has one.
+pub fn last_id(events: &[u8]) -> Option<String> {
+    let lines = events.split(|it| *it == b'\n');
+    let ids = lines.filter_map(|it| it.strip_prefix(b"id:"));
+    let id = ids.last()?;
+    let text = std::str::from_utf8(id).ok()?;
+    Some(text.trim().to_owned())
+}
--- /dev/null
+++ b/crates/gateway/src/forward.rs
@@ -0,0 +1,712 @@
+//! The way of a request: route, place, engine, answer.
+
+use std::{
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use bytes::Bytes;
+use fleet::{
+    Time,
+    catalog::{Kind, Route},
+    listing::Name,
+    place::{Choice, Place},
+    prefix::Chain,
+    table::Key,
+};
+use http_body_util::{BodyExt, Limited};
+use hyper::{
+    HeaderMap, Method, Request, Response,
+    body::Incoming,
+    header::{CONTENT_LENGTH, HOST, HeaderValue},
+    http::{StatusCode, Uri, response},
+};
+use tokio::time;
+
+use crate::{
+    call,
+    channel::{Channel, Failure},
+    clock,
+    dialect::{Envelope, Mark, Stamp},
+    gateway::{Gateway, WAITERS},
+    gossip::Gossip,
+    relay::Relay,
+    reply::{self, Body, Fault},
+};
+
+/// Part of the caller's time after which a request that has no place is refused: the rest is for the
+/// caller's next try.
+const HOLD_PART: f64 = 0.3;
+
+/// Longest time that a request without a place is held.
+const HOLD: Duration = Duration::from_millis(2200);
+
+/// Time after which a load is asked for again at the same host, since datagrams get lost.
+const ASK_AGAIN: Duration = Duration::from_millis(90);
+
+/// Asks to one host before the next in line is asked.
+const ASKS: u32 = 5;
+
+/// Connections for requests that must not run twice are used again only when they were idle for less:
+/// a close that crosses the request would leave open whether it ran.
+const FRESH: Duration = Duration::from_millis(800);
+
+/// The same for other requests.
+const IDLE: Duration = Duration::from_secs(4);
+
+/// Time beyond a request's own for the engine's answer that its time is over.
+const LATE_ANSWER: Duration = Duration::from_millis(120);
+
+/// Silence of an engine on all its connections after which it may hang.
+const SILENT: Duration = Duration::from_millis(900);
+
+/// Wait for the first byte after which a request that may be repeated is taken from a silent engine.
+const HUNG: Duration = Duration::from_millis(1500);
+
+/// Pause before a request is sent again to an engine that was just about to have the adapter.
+const ALMOST: Duration = Duration::from_millis(40);
+
+/// A caller's request on its way, with all that was learned of it.
+pub struct Job {
+    pub(crate) gateway: Rc<Gateway>,
+    pub(crate) gossip: Rc<Gossip>,
+    method: Method,
+    uri: Uri,
+    head: HeaderMap,
+    body: Bytes,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: Arc<str>,
+    pub(crate) envelope: Envelope,
+    chain: Chain,
+    pub(crate) began: Time,
+    pub(crate) deadline: Time,
+    tried: Vec<Key>,
+    sent: u32,
+    /// Whether an engine may have run it.
+    ran: bool,
+}
+
+/// A request that runs at an engine. Dropping it ends it there.
+pub struct Run {
+    job: Rc<Gateway>,
+    pub(crate) key: Key,
+    name: Option<Name>,
+    unread: u32,
+    channel: Option<Channel>,
+    sent: Time,
+    expected: Duration,
+}
+
+/// What came of sending a request to one engine.
+pub enum Sent {
+    /// The engine's answer.
+    Answer(Box<(response::Parts, Incoming, Mark, Run)>),
+    /// It was not run.
+    NotRun(Option<StatusCode>),
+    /// It may have run; there is no whole answer.
+    Lost,
+    /// The time is over.
+    Late,
+    /// The retry budget is spent.
+    NoBudget,
+}
+
+/// Serves one request.
+pub async fn serve(
+    gateway: Rc<Gateway>,
+    gossip: Rc<Gossip>,
+    request: Request<Incoming>,
+) -> Response<Body> {
+    gateway.running.set(gateway.running.get() + 1);
+    let _running = Count(gateway.clone());
+    let job = match accept(&gateway, &gossip, request).await {
+        Ok(it) => it,
+        Err(answer) => return answer,
+    };
+    gateway.count_request(&job.service);
+    job.run().await
+}
+
+struct Count(Rc<Gateway>);
+
+impl Drop for Count {
+    fn drop(&mut self) {
+        self.0.running.set(self.0.running.get() - 1);
+    }
+}
+
+/// Reads a request and finds its route.
+async fn accept(
+    gateway: &Rc<Gateway>,
+    gossip: &Rc<Gossip>,
+    request: Request<Incoming>,
+) -> Result<Job, Response<Body>> {
+    let began = clock::now();
+    let Some(catalog) = gateway.catalog() else {
+        return Err(reply::fault(Fault::NoConfig, Some(Duration::from_millis(400))));
+    };
+    let (parts, body) = request.into_parts();
+    let host = parts.headers.get(HOST).and_then(|it| it.to_str().ok());
+    let host = host.or(parts.uri.host()).unwrap_or_default();
+    let Some(route) = catalog.route(host, parts.uri.path()).cloned() else {
+        return Err(reply::fault(Fault::NoRoute, None));
+    };
+    let envelope = gateway.dialect.envelope(&parts.headers).map_err(|it| {
+        log::info!("request refused: {it}");
+        reply::fault(Fault::BadRequest, None)
+    })?;
+    let limit = catalog.limits.body_bytes;
+    let patience = envelope.patience.unwrap_or(route.timeout);
+    let deadline = began + patience.min(route.timeout);
+    let within = deadline.saturating_sub(began);
+    let body = match time::timeout(within, Limited::new(body, limit).collect()).await {
+        Ok(Ok(it)) => it.to_bytes(),
+        Ok(Err(_)) => return Err(reply::fault(Fault::TooLarge, None)),
+        Err(_) => return Err(reply::fault(Fault::Timeout, None)),
+    };
+    let mut head = parts.headers;
+    reply::strip(&mut head);
+    let ours: Vec<_> = head.keys().filter(|it| gateway.dialect.is_ours(it)).cloned().collect();
+    for name in ours {
+        head.remove(name);
+    }
+    head.remove(CONTENT_LENGTH);
+    if !body.is_empty() || parts.method == Method::POST || parts.method == Method::PUT {
+        head.insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
+    }
+    let service = route.service(fleet::rendezvous::weight(&envelope.id, "")).clone();
+    let name = envelope.name.as_deref().unwrap_or_default();
+    let mut chain = Chain::new(name, &envelope.parts);
+    if envelope.parts.is_empty() && envelope.tokens > 0 {
+        let whole = fleet::prefix::Part {
+            id: rand::random(),
+            tokens: envelope.tokens,
+        };
+        chain = Chain::new(name, &[whole]);
+    }
+    Ok(Job {
+        gateway: gateway.clone(),
+        gossip: gossip.clone(),
+        method: parts.method,
+        uri: parts.uri,
+        head,
+        body,
+        route,
+        service,
+        envelope,
+        chain,
+        began,
+        deadline,
+        tried: Vec::new(),
+        sent: 0,
+        ran: false,
+    })
+}
+
+impl Job {
+    async fn run(mut self) -> Response<Body> {
+        loop {
+            let choice = match self.place(self.hold()).await {
+                Ok(it) => it,
+                Err(fault) => return self.fail(fault),
+            };
+            let last_event = self.envelope.last_event.clone();
+            match self.send(choice, last_event.as_deref()).await {
+                Sent::Answer(it) => {
+                    let (head, body, mark, run) = *it;
+                    match self.answer(head, body, &mark, run).await {
+                        Ok(answer) => return answer,
+                        Err(job) => self = job,
+                    }
+                }
+                Sent::NotRun(status) => {
+                    log::debug!("request {} not run: {status:?}", self.envelope.id);
+                }
+                Sent::Lost if self.route.kind.repeats() => {}
+                Sent::Lost => return self.fail(Fault::UpstreamLost),
+                Sent::Late => return self.fail(Fault::Timeout),
+                Sent::NoBudget => return self.fail(Fault::NoBudget),
+            }
+            if self.tried.len() >= self.route.attempts {
+                let fault = if self.ran {
+                    Fault::UpstreamLost
+                } else {
+                    Fault::Overload
+                };
+                return self.fail(fault);
+            }
+        }
+    }
+
+    /// How long it may be held without a place.
+    fn hold(&self) -> Duration {
+        let whole = self.deadline.saturating_sub(self.began);
+        whole.mul_f64(HOLD_PART).min(HOLD)
+    }
+
+    /// Finds a place, and waits for the adapter's load if there is none.
+    pub(crate) async fn place(&mut self, hold: Duration) -> Result<Choice, Fault> {
+        let name = self.envelope.name.clone();
+        let until = (clock::now() + hold).min(self.deadline);
+        let mut waiting: Option<Waiting> = None;
+        loop {
+            let place = self
+                .gateway
+                .place(&self.service, name.as_ref(), &self.chain, &self.tried);
+            let now = clock::now();
+            match place {
+                Place::At(choice) => {
+                    if choice.spread {
+                        self.spread(name.as_ref()).await;
+                    }
+                    if now + choice.wait > self.deadline {
+                        return Err(Fault::Overload);
+                    }
+                    return Ok(choice);
+                }
+                Place::Nowhere | Place::Load if now >= until => {
+                    return Err(match place {
+                        Place::Load => Fault::AdapterLoad,
+                        _ => Fault::NoEngine,
+                    });
+                }
+                Place::Nowhere => time::sleep(Duration::from_millis(50)).await,
+                Place::Load => {
+                    let Some(name) = &name else {
+                        return Err(Fault::NoEngine);
+                    };
+                    if waiting.is_none() {
+                        let it = Waiting::new(&self.gateway, name);
+                        if it.wait.count.get() > WAITERS {
+                            return Err(Fault::Overload);
+                        }
+                        waiting = Some(it);
+                    }
+                    let Some(waiting) = &waiting else { continue };
+                    self.ask(name, waiting, now).await;
+                    let there = waiting.wait.there.notified();
+                    let pause = ASK_AGAIN.min(until.saturating_sub(now));
+                    let _ = time::timeout(pause, there).await;
+                }
+            }
+        }
+    }
+
+    /// Asks for a load, unless another request has just done so.
+    async fn ask(&self, name: &Name, waiting: &Waiting, now: Time) {
+        let wait = &waiting.wait;
+        if wait.asked.get().is_some_and(|it| it + ASK_AGAIN > now) {
+            return;
+        }
+        wait.asked.set(Some(now));
+        let asks = wait.asks.get();
+        wait.asks.set(asks + 1);
+        let nth = usize::try_from(asks / ASKS).unwrap_or(0);
+        if !self.gossip.want(&self.service, name, false, nth).await {
+            log::debug!("nobody orders engines that could load {name}");
+        }
+    }
+
+    /// Asks for one more copy of an adapter that is in demand.
+    async fn spread(&self, name: Option<&Name>) {
+        let Some(name) = name.filter(|it| fleet::listing::is_adapter(it)) else {
+            return;
+        };
+        let wait = self.gateway.wait(name);
+        let now = clock::now();
+        if wait.asked.get().is_some_and(|it| it + Duration::from_millis(400) > now) {
+            return;
+        }
+        wait.asked.set(Some(now));
+        self.gossip.want(&self.service, name, true, 0).await;
+    }
+
+    /// Sends it to an engine and reads the head of the answer.
+    pub(crate) async fn send(&mut self, choice: Choice, last_event: Option<&str>) -> Sent {
+        let now = clock::now();
+        if now >= self.deadline {
+            return Sent::Late;
+        }
+        let key = choice.key;
+        let Some((addr, instance, version)) = self.target(key) else {
+            return Sent::NotRun(None);
+        };
+        let mut run = Run::begin(&self.gateway, key, self.envelope.name.clone(), &self.chain);
+        run.expected = choice.wait;
+        let idle = if self.route.kind.repeats() { IDLE } else { FRESH };
+        let channel = match self.gateway.pool.channel(addr, idle).await {
+            Ok(it) => it,
+            Err(error) => {
+                log::debug!("engine {instance}: {error}");
+                self.unreachable(key);
+                return Sent::NotRun(None);
+            }
+        };
+        if self.sent > 0 && !self.gateway.may_repeat(&self.service) {
+            return Sent::NoBudget;
+        }
+        self.sent += 1;
+        if !self.tried.contains(&key) {
+            self.tried.push(key);
+        }
+        let request = self.request(&instance, version, last_event);
+        let used = channel.used;
+        let channel = run.channel.insert(channel);
+        let answer = wait(&self.gateway, key, self.route.kind, self.deadline, channel.send(request)).await;
+        match answer {
+            Waited::There(Ok(answer)) => self.sort(answer, &instance, run).await,
+            Waited::There(Err(Failure::Unreachable(error))) => {
+                log::debug!("engine {instance}: not sent: {error}");
+                self.tried.retain(|it| *it != key || !used);
+                Sent::NotRun(None)
+            }
+            Waited::There(Err(Failure::Broken(error))) => {
+                log::debug!("engine {instance}: request {}: {error}", self.envelope.id);
+                if !used {
+                    self.failed(key);
+                }
+                self.ran = true;
+                Sent::Lost
+            }
+            Waited::Hung => {
+                log::info!("engine {instance}: hangs on request {}", self.envelope.id);
+                self.failed(key);
+                self.ran = true;
+                Sent::Lost
+            }
+            Waited::Late => {
+                self.ran = true;
+                Sent::Late
+            }
+        }
+    }
+
+    /// Sorts an answer by its head.
+    async fn sort(&mut self, answer: Response<Incoming>, instance: &str, run: Run) -> Sent {
+        let mark = self.gateway.dialect.mark(answer.headers());
+        let status = answer.status();
+        let key = run.key;
+        if status == StatusCode::MISDIRECTED_REQUEST && !mark.sealed {
+            self.misdirected(key, instance, &mark);
+            run.finish(answer).await;
+            return Sent::NotRun(Some(status));
+        }
+        if mark.not_run {
+            self.refused(key);
+            run.finish(answer).await;
+            return Sent::NotRun(Some(status));
+        }
+        let other = mark.id.as_ref().is_some_and(|it| *it != self.envelope.id);
+        if other || !mark.sealed {
+            log::info!(
+                "engine {instance}: answer to {} refused: status {status}, sealed {}, id {:?}",
+                self.envelope.id,
+                mark.sealed,
+                mark.id
+            );
+            self.failed(key);
+            self.ran = true;
+            return Sent::Lost;
+        }
+        let (head, body) = answer.into_parts();
+        Sent::Answer(Box::new((head, body, mark, run)))
+    }
+
+    /// Passes an answer back, or returns the job if it is to be sent again.
+    async fn answer(
+        mut self,
+        mut head: response::Parts,
+        body: Incoming,
+        mark: &Mark,
+        run: Run,
+    ) -> Result<Response<Body>, Self> {
+        let key = run.key;
+        debug_assert!(mark.sealed);
+        if head.status.is_server_error() {
+            self.failed(key);
+            self.ran = true;
+            let again = self.route.kind.repeats()
+                && self.tried.len() < self.route.attempts
+                && clock::now() + Duration::from_millis(50) < self.deadline;
+            if again && self.gateway.has_repeat(&self.service) {
+                return Err(self);
+            }
+        }
+        let kept = call::kept_for(&head.headers);
+        reply::strip(&mut head.headers);
+        if head.status.is_success() && self.route.kind.streams() {
+            head.headers.remove(CONTENT_LENGTH);
+            let relay = Relay::new(self, body, run, kept);
+            return Ok(Response::from_parts(head, relay.body()));
+        }
+        let left = self.deadline.saturating_sub(clock::now()) + LATE_ANSWER;
+        match time::timeout(left, body.collect()).await {
+            Ok(Ok(body)) => {
+                let body = body.to_bytes();
+                head.headers.remove(CONTENT_LENGTH);
+                if !head.status.is_server_error() {
+                    self.succeeded(key);
+                }
+                run.keep(kept);
+                Ok(Response::from_parts(head, reply::whole(body)))
+            }
+            Ok(Err(error)) => {
+                log::debug!("request {}: answer broke off: {error}", self.envelope.id);
+                self.failed(key);
+                self.ran = true;
+                if self.route.kind.repeats() && self.tried.len() < self.route.attempts {
+                    return Err(self);
+                }
+                Ok(self.fail(Fault::UpstreamLost))
+            }
+            Err(_) => Ok(self.fail(Fault::Timeout)),
+        }
+    }
+
+    fn target(&self, key: Key) -> Option<(std::net::SocketAddr, Arc<str>, Option<u64>)> {
+        let table = self.gateway.table.borrow();
+        let engine = table.get(key)?;
+        let name = self.envelope.name.as_deref();
+        let newest = name.and_then(|it| table.newest(it));
+        let held = name.and_then(|it| engine.held.get(it)).map(|it| it.version);
+        let version = newest.map(|it| it.version).filter(|it| held == Some(*it));
+        let listing = &engine.listing;
+        Some((listing.addr, listing.id.clone(), version))
+    }
+
+    fn request(
+        &self,
+        instance: &str,
+        version: Option<u64>,
+        last_event: Option<&str>,
+    ) -> Request<Bytes> {
+        let mut request = Request::new(self.body.clone());
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = self.uri.clone();
+        *request.headers_mut() = self.head.clone();
+        let stamp = Stamp {
+            left: self.deadline.saturating_sub(clock::now()),
+            instance,
+            version,
+            priority: self.envelope.name.as_ref().map(|_| self.route.priority),
+            last_event,
+        };
+        self.gateway.dialect.stamp(request.headers_mut(), &stamp);
+        request
+    }
+
+    fn misdirected(&mut self, key: Key, instance: &str, mark: &Mark) {
+        let other = mark.instance.as_ref().is_some_and(|it| it != instance);
+        let mut table = self.gateway.table.borrow_mut();
+        let Some(engine) = table.get_mut(key) else {
+            return;
+        };
+        if other {
+            log::info!("engine {instance}: another one has its address");
+            engine.circuit.unreachable(clock::now());
+            return;
+        }
+        if let Some(name) = &self.envelope.name {
+            log::debug!("engine {instance}: doesn't hold {name}");
+            engine.drop_hold(name, clock::now());
+        }
+    }
+
+    fn refused(&self, key: Key) {
+        self.gateway.loader.borrow_mut().not_yet(key);
+    }
+
+    fn unreachable(&mut self, key: Key) {
+        if let Some(engine) = self.gateway.table.borrow_mut().get_mut(key) {
+            engine.circuit.unreachable(clock::now());
+            self.gateway.pool.forget(engine.listing.addr);
+        }
+    }
+
+    pub(crate) fn failed(&self, key: Key) {
+        if let Some(engine) = self.gateway.table.borrow_mut().get_mut(key) {
+            engine.circuit.failure(clock::now());
+        }
+    }
+
+    pub(crate) fn succeeded(&self, key: Key) {
+        if let Some(engine) = self.gateway.table.borrow_mut().get_mut(key) {
+            engine.circuit.success();
+            engine.answered = clock::now();
+        }
+    }
+
+    /// Whether a stream may be resumed at one more engine.
+    pub(crate) fn may_resume(&self) -> bool {
+        self.route.kind == Kind::Resumable
+            && self.tried.len() < self.route.attempts
+            && clock::now() + Duration::from_millis(50) < self.deadline
+    }
+
+    fn fail(&self, fault: Fault) -> Response<Body> {
+        // "Not run" must be true.
+        let fault = match fault {
+            Fault::Overload | Fault::NoEngine | Fault::AdapterLoad | Fault::NoBudget
+                if self.ran =>
+            {
+                Fault::UpstreamLost
+            }
+            Fault::Timeout if self.sent == 0 => Fault::Overload,
+            it => it,
+        };
+        log::info!(
+            "request {} refused: {fault}, route {}, service {}, adapter {}, sent {}, after {} ms",
+            self.envelope.id,
+            self.route.name,
+            self.service,
+            self.envelope.name.as_deref().unwrap_or("-"),
+            self.sent,
+            clock::now().saturating_sub(self.began).as_millis(),
+        );
+        let after = match fault {
+            Fault::AdapterLoad => Some(Duration::from_millis(300)),
+            Fault::NoBudget => Some(Duration::from_millis(500)),
+            Fault::Overload | Fault::NoEngine => Some(Duration::from_millis(700)),
+            _ => None,
+        };
+        reply::fault(fault, after)
+    }
+}
+
+/// One more request that waits for an adapter.
+struct Waiting {
+    gateway: Rc<Gateway>,
+    name: Name,
+    wait: Rc<crate::gateway::Wait>,
+}
+
+impl Waiting {
+    fn new(gateway: &Rc<Gateway>, name: &Name) -> Self {
+        let wait = gateway.wait(name);
+        wait.count.set(wait.count.get() + 1);
+        Self {
+            gateway: gateway.clone(),
+            name: name.clone(),
+            wait,
+        }
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.wait.count.set(self.wait.count.get() - 1);
+        self.gateway.waited(&self.name);
+    }
+}
+
+impl Run {
+    fn begin(gateway: &Rc<Gateway>, key: Key, name: Option<Name>, chain: &Chain) -> Self {
+        let now = clock::now();
+        let mut unread = 0;
+        if let Some(engine) = gateway.table.borrow_mut().get_mut(key) {
+            unread = chain.tokens().saturating_sub(engine.kept.tokens(chain));
+            engine.own.running += 1;
+            engine.own.unread += unread;
+            engine.kept.read(chain);
+            if let Some(belief) = name.as_ref().and_then(|it| engine.held.get_mut(it)) {
+                belief.running += 1;
+                belief.use_it(now, 1);
+            }
+        }
+        if let Some(name) = &name {
+            gateway.peers.borrow_mut().began(key, name);
+        }
+        Self {
+            job: gateway.clone(),
+            key,
+            name,
+            unread,
+            channel: None,
+            sent: now,
+            expected: Duration::ZERO,
+        }
+    }
+
+    /// Notes that the first event is there.
+    pub(crate) fn first_event(&mut self) {
+        let took = clock::now().saturating_sub(self.sent);
+        if let Some(engine) = self.job.table.borrow_mut().get_mut(self.key) {
+            engine.own.unread = engine.own.unread.saturating_sub(self.unread);
+            if self.unread > 0 {
+                engine.first_event(took, self.expected);
+            }
+        }
+        self.unread = 0;
+    }
+
+    /// Keeps the connection after the whole answer was read.
+    pub(crate) fn keep(mut self, named: Option<Duration>) {
+        if let Some(channel) = self.channel.take() {
+            channel.keep(named);
+        }
+    }
+
+    /// Reads an answer that isn't passed on, so that the connection can be kept.
+    async fn finish(self, answer: Response<Incoming>) {
+        let within = Duration::from_millis(50);
+        if let Ok(Ok((head, _))) = time::timeout(within, call::read(answer)).await {
+            self.keep(call::kept_for(&head.headers));
+        }
+    }
+}
+
+impl Drop for Run {
+    fn drop(&mut self) {
+        let mut table = self.job.table.borrow_mut();
+        let Some(engine) = table.get_mut(self.key) else {
+            return;
+        };
+        engine.own.running = engine.own.running.saturating_sub(1);
+        engine.own.unread = engine.own.unread.saturating_sub(self.unread);
+        if let Some(belief) = self.name.as_ref().and_then(|it| engine.held.get_mut(it)) {
+            belief.running = belief.running.saturating_sub(1);
+        }
+    }
+}
+
+/// What came of a wait for an engine.
+pub(crate) enum Waited<T> {
+    There(T),
+    /// The engine says nothing to anyone.
+    Hung,
+    /// The time is over.
+    Late,
+}
+
+/// Waits for an engine. A request that may be repeated is taken from an engine that has fallen silent.
+pub(crate) async fn wait<T>(
+    gateway: &Rc<Gateway>,
+    key: Key,
+    kind: Kind,
+    deadline: Time,
+    what: impl Future<Output = T>,
+) -> Waited<T> {
+    let began = clock::now();
+    let end = deadline + LATE_ANSWER;
+    tokio::pin!(what);
+    loop {
+        let now = clock::now();
+        if now >= end {
+            return Waited::Late;
+        }
+        let mut step = end - now;
+        if kind.repeats() {
+            let since = now - began;
+            let answered = gateway.table.borrow().get(key).map(|it| it.answered);
+            let silent = answered.is_none_or(|it| it + SILENT < now);
+            if since >= HUNG && silent {
+                return Waited::Hung;
+            }
+            step = step.min(if since < HUNG { HUNG - since } else { SILENT });
+        }
+        if let Ok(it) = time::timeout(step, &mut what).await {
+            return Waited::There(it);
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,236 @@
+//! What the parts of one host share. All of it belongs to one thread; no borrow is held across a wait.
+
+use std::{
+    cell::{Cell, RefCell},
+    collections::{HashMap, VecDeque},
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use fleet::{
+    Time,
+    budget::Budget,
+    catalog::Catalog,
+    listing::Name,
+    loader::Loader,
+    place::{self, Ask, Place},
+    prefix::Chain,
+    table::{Key, Removal, Table},
+};
+use tokio::sync::Notify;
+
+use crate::{
+    channel::Pool, claims::Claims, clock, dialect::Dialect, gossip::Peers, settings::Settings,
+};
+
+/// Time after the store's return for which vanished entries may come back.
+const ENTRIES_RETURN: Duration = Duration::from_millis(2500);
+
+/// Requests that may wait for one adapter at this host.
+pub const WAITERS: usize = 400;
+
+/// One host.
+pub struct Gateway {
+    /// Its settings.
+    pub settings: Settings,
+    /// Who it is for engines and the store.
+    pub holder: Arc<str>,
+    /// The start of this process, which tells its lives apart.
+    pub life: u64,
+    /// The platform's names and formats.
+    pub dialect: Arc<dyn Dialect>,
+    /// Connections to upstreams.
+    pub pool: Pool,
+    /// The operator's configuration, once one is known.
+    pub catalog: RefCell<Option<Rc<Catalog>>>,
+    /// Engines.
+    pub table: RefCell<Table>,
+    /// Whether the engines have been listed.
+    pub listed: Cell<bool>,
+    /// Loads of this host's engines.
+    pub loader: RefCell<Loader>,
+    /// Who orders which engine.
+    pub claims: RefCell<Claims>,
+    /// Other hosts.
+    pub peers: RefCell<Peers>,
+    /// Whether this host is to end.
+    pub stopping: Cell<bool>,
+    /// Requests that run.
+    pub running: Cell<usize>,
+    /// Wakes the sender of orders.
+    pub order: Notify,
+    store: RefCell<Store>,
+    budgets: RefCell<HashMap<Arc<str>, Budget>>,
+    waits: RefCell<HashMap<Name, Rc<Wait>>>,
+    /// News for other hosts that wasn't sent yet.
+    pub news: RefCell<VecDeque<crate::gossip::News>>,
+}
+
+/// How the store has answered.
+#[derive(Default)]
+struct Store {
+    away: bool,
+    back: Option<Time>,
+}
+
+/// Requests that wait for one adapter.
+#[derive(Default)]
+pub struct Wait {
+    /// Wakes them.
+    pub there: Notify,
+    /// How many there are.
+    pub count: Cell<usize>,
+    /// Asks that were sent for it.
+    pub asks: Cell<u32>,
+    /// When the last one was sent.
+    pub asked: Cell<Option<Time>>,
+}
+
+impl Gateway {
+    /// A host that knows nothing yet.
+    pub fn new(settings: Settings, dialect: Arc<dyn Dialect>, life: u64) -> Self {
+        Self {
+            holder: settings.holder().into(),
+            settings,
+            life,
+            dialect,
+            pool: Pool::default(),
+            catalog: RefCell::default(),
+            table: RefCell::default(),
+            listed: Cell::default(),
+            loader: RefCell::default(),
+            claims: RefCell::default(),
+            peers: RefCell::default(),
+            stopping: Cell::default(),
+            running: Cell::default(),
+            order: Notify::new(),
+            store: RefCell::default(),
+            budgets: RefCell::default(),
+            waits: RefCell::default(),
+            news: RefCell::default(),
+        }
+    }
+
+    /// Whether the balancer may send callers here.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.get() && self.listed.get() && self.catalog.borrow().is_some()
+    }
+
+    /// The present configuration.
+    pub fn catalog(&self) -> Option<Rc<Catalog>> {
+        self.catalog.borrow().clone()
+    }
+
+    /// Adopts a configuration if it is newer.
+    pub fn adopt(&self, catalog: Catalog) {
+        let newer = self
+            .catalog
+            .borrow()
+            .as_ref()
+            .is_none_or(|it| it.version < catalog.version);
+        if newer {
+            log::info!("config adopted: version {}", catalog.version);
+            *self.catalog.borrow_mut() = Some(Rc::new(catalog));
+        }
+    }
+
+    /// Notes whether the store answers.
+    pub fn store_answers(&self, answers: bool) {
+        let mut store = self.store.borrow_mut();
+        if store.away && answers {
+            store.back = Some(clock::now());
+            log::info!("store regained");
+        } else if !store.away && !answers {
+            log::warn!("store lost");
+        }
+        store.away = !answers;
+    }
+
+    /// Whether the store answered last time.
+    pub fn store_is_away(&self) -> bool {
+        self.store.borrow().away
+    }
+
+    /// How an entry that vanished now is to be taken.
+    pub fn removal(&self) -> Removal {
+        let store = self.store.borrow();
+        let now = clock::now();
+        if store.away || store.back.is_some_and(|it| it + ENTRIES_RETURN > now) {
+            Removal::AfterOutage
+        } else {
+            Removal::Known
+        }
+    }
+
+    /// Counts a caller's request to a service.
+    pub fn count_request(&self, service: &Arc<str>) {
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_default();
+        budget.request(clock::now(), self.settings.budget());
+    }
+
+    /// Takes one repeat of the budget of a service.
+    pub fn may_repeat(&self, service: &Arc<str>) -> bool {
+        let hosts = self.peers.borrow().hosts();
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_default();
+        budget.repeat(clock::now(), self.settings.budget(), hosts)
+    }
+
+    /// Whether the budget of a service has a repeat left.
+    pub fn has_repeat(&self, service: &Arc<str>) -> bool {
+        let hosts = self.peers.borrow().hosts();
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.clone()).or_default();
+        budget.has_repeat(clock::now(), self.settings.budget(), hosts)
+    }
+
+    /// Finds a place for a request.
+    pub fn place(
+        &self,
+        service: &Arc<str>,
+        name: Option<&Name>,
+        chain: &Chain,
+        tried: &[Key],
+    ) -> Place {
+        let ask = Ask {
+            service,
+            name,
+            chain,
+            domain: &self.settings.domain,
+            tried,
+            draw: rand::random(),
+        };
+        place::place(&self.table.borrow(), &ask, clock::now())
+    }
+
+    /// The requests that wait for an adapter.
+    pub fn wait(&self, name: &Name) -> Rc<Wait> {
+        let mut waits = self.waits.borrow_mut();
+        waits.entry(name.clone()).or_default().clone()
+    }
+
+    /// Forgets who waits for an adapter once nobody does.
+    pub fn waited(&self, name: &Name) {
+        let mut waits = self.waits.borrow_mut();
+        if waits.get(name).is_some_and(|it| it.count.get() == 0) {
+            waits.remove(name);
+        }
+    }
+
+    /// Wakes the requests that wait for an adapter.
+    pub fn wake(&self, name: &Name) {
+        if let Some(wait) = self.waits.borrow().get(name) {
+            wait.there.notify_waiters();
+        }
+    }
+
+    /// The engines that this host may order now.
+    pub fn mine(&self) -> Vec<Key> {
+        let table = self.table.borrow();
+        let claims = self.claims.borrow();
+        let ids = claims.orderable(clock::now());
+        ids.filter_map(|id| table.find(id)).collect()
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/gossip.rs
@@ -0,0 +1,497 @@
+//! What hosts tell each other, in datagrams: that they live, which engines they order, the load that
+//! they put on engines, and loads of adapters that are done. Datagrams get lost; everything is told
+//! again or is in the store's list soon.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
+
+use fleet::{Time, engine::Load, listing::Name, rendezvous, table::Key};
+use serde::{Deserialize, Serialize};
+use tokio::{net::UdpSocket, time};
+
+use crate::{clock, gateway::Gateway};
+
+/// Time between two words to each other host.
+const HELLO: Duration = Duration::from_millis(200);
+
+/// A host that was heard within this time lives.
+const LIVES: Duration = Duration::from_millis(1500);
+
+/// A host that wasn't heard for this long isn't told anything any more, unless the store lists it.
+const FORGOTTEN: Duration = Duration::from_secs(60);
+
+/// Largest datagram; the links' limit is 1,500 bytes with all heads.
+const DATAGRAM: usize = 1400;
+
+/// Adapters that one word names at most, so that it fits a datagram.
+const NAMED: usize = 40;
+
+/// An engine's id in a datagram.
+type Short = u32;
+
+/// A message between hosts.
+#[derive(Debug, Deserialize, Serialize)]
+enum Message {
+    Hello(Hello),
+    Want(Want),
+    News(Vec<News>),
+}
+
+/// The regular word of a host.
+#[derive(Debug, Default, Deserialize, Serialize)]
+struct Hello {
+    host: String,
+    domain: String,
+    leaving: bool,
+    claims: Vec<Short>,
+    loads: Vec<(Short, u32, u32)>,
+    runs: Vec<Run>,
+}
+
+/// Requests of a host that run with an adapter, told to the engine's steward only.
+#[derive(Debug, Deserialize, Serialize)]
+struct Run {
+    engine: Short,
+    name: String,
+    running: u32,
+    began: u32,
+}
+
+/// An ask for a load.
+#[derive(Debug, Deserialize, Serialize)]
+struct Want {
+    service: String,
+    name: String,
+    spread: bool,
+}
+
+/// An adapter that came to an engine or left it.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct News {
+    engine: Short,
+    name: String,
+    version: Option<u64>,
+}
+
+#[derive(Debug)]
+struct Peer {
+    addr: SocketAddr,
+    heard: Option<Time>,
+    told: Time,
+    domain: Arc<str>,
+    leaving: bool,
+    claims: Vec<Short>,
+}
+
+/// Other hosts.
+#[derive(Default)]
+pub struct Peers {
+    by_name: HashMap<Arc<str>, Peer>,
+    seeds: Vec<SocketAddr>,
+    /// Starts since the last word, by engine and adapter.
+    began: HashMap<(Key, Name), u32>,
+}
+
+impl Peers {
+    /// Notes the address of a host from the store.
+    pub fn learn(&mut self, name: &str, addr: SocketAddr, now: Time) {
+        let entry = self.by_name.entry(name.into());
+        let peer = entry.or_insert_with(|| Peer::new(addr, now));
+        peer.addr = addr;
+        peer.told = now;
+    }
+
+    /// Hosts that may spend the budgets of all: those that are known, and this one.
+    pub fn hosts(&self) -> usize {
+        self.by_name.len().max(1)
+    }
+
+    /// Names and failure domains of the hosts that live and stay.
+    pub fn live(&self, now: Time) -> Vec<(Arc<str>, Arc<str>)> {
+        let lives = |it: &(&Arc<str>, &Peer)| it.1.lives(now);
+        self.by_name
+            .iter()
+            .filter(lives)
+            .map(|(name, it)| (name.clone(), it.domain.clone()))
+            .collect()
+    }
+
+    /// Whether a host lives and stays.
+    pub fn is_live(&self, name: &str, now: Time) -> bool {
+        self.by_name.get(name).is_some_and(|it| it.lives(now))
+    }
+
+    /// The living host that says it orders an engine.
+    pub fn steward(&self, id: &str, now: Time) -> Option<&Arc<str>> {
+        let short = short(id);
+        let claims = |it: &(&Arc<str>, &Peer)| it.1.lives(now) && it.1.claims.contains(&short);
+        self.by_name.iter().find(claims).map(|it| it.0)
+    }
+
+    /// Counts a request that began with an adapter.
+    pub fn began(&mut self, key: Key, name: &Name) {
+        *self.began.entry((key, name.clone())).or_default() += 1;
+    }
+
+    fn addr(&self, name: &str) -> Option<SocketAddr> {
+        self.by_name.get(name).map(|it| it.addr)
+    }
+}
+
+impl Peer {
+    fn new(addr: SocketAddr, now: Time) -> Self {
+        Self {
+            addr,
+            heard: None,
+            told: now,
+            domain: "".into(),
+            leaving: false,
+            claims: Vec::new(),
+        }
+    }
+
+    fn lives(&self, now: Time) -> bool {
+        !self.leaving && self.heard.is_some_and(|it| it + LIVES > now)
+    }
+}
+
+fn short(id: &str) -> Short {
+    u32::try_from(rendezvous::weight(id, "") >> 32).unwrap_or(0)
+}
+
+/// The socket between hosts.
+pub struct Gossip {
+    gateway: Rc<Gateway>,
+    socket: UdpSocket,
+}
+
+impl Gossip {
+    /// Binds the socket.
+    pub async fn bind(gateway: Rc<Gateway>) -> std::io::Result<Rc<Self>> {
+        let socket = UdpSocket::bind(gateway.settings.peers).await?;
+        let port = gateway.settings.peers.port();
+        let seeds = gateway.settings.seeds.iter();
+        let seeds = seeds.map(|it| SocketAddr::new(it.ip(), port)).collect();
+        gateway.peers.borrow_mut().seeds = seeds;
+        Ok(Rc::new(Self { gateway, socket }))
+    }
+
+    /// Tells the others how this host does until the process ends.
+    pub async fn tell(self: Rc<Self>) {
+        loop {
+            self.hello().await;
+            time::sleep(HELLO).await;
+        }
+    }
+
+    /// Hears the others until the process ends.
+    pub async fn hear(self: Rc<Self>) {
+        let mut buffer = vec![0; 64 << 10];
+        loop {
+            let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else {
+                time::sleep(HELLO).await;
+                continue;
+            };
+            match postcard::from_bytes(&buffer[..length]) {
+                Ok(Message::Hello(it)) => self.heard(&it, from),
+                Ok(Message::Want(it)) => self.wanted(&it, from).await,
+                Ok(Message::News(it)) => self.news(&it),
+                Err(error) => log::debug!("datagram from {from} can't be read: {error}"),
+            }
+        }
+    }
+
+    /// Sends the news that has gathered to all others.
+    pub async fn spread(&self) {
+        let news: Vec<News> = self.gateway.news.borrow_mut().drain(..).collect();
+        if news.is_empty() {
+            return;
+        }
+        for part in news.chunks(NAMED) {
+            let message = Message::News(part.to_vec());
+            for addr in self.audience() {
+                self.send(&message, addr).await;
+            }
+        }
+    }
+
+    /// Asks the host that orders suitable engines for a load: the `nth` in line for this adapter.
+    /// Returns whether there is one.
+    pub async fn want(&self, service: &Arc<str>, name: &Name, spread: bool, nth: usize) -> bool {
+        let Some(steward) = self.steward(service, name, spread, nth) else {
+            return false;
+        };
+        let now = clock::now();
+        if *steward == *self.gateway.holder {
+            self.gateway
+                .loader
+                .borrow_mut()
+                .want(service, name, spread, now);
+            self.gateway.order.notify_one();
+            return true;
+        }
+        let Some(addr) = self.gateway.peers.borrow().addr(&steward) else {
+            return false;
+        };
+        let want = Want {
+            service: service.to_string(),
+            name: name.to_string(),
+            spread,
+        };
+        self.send(&Message::Want(want), addr).await;
+        true
+    }
+
+    /// Hosts in line to load an adapter: every host computes the same order, so that one adapter isn't
+    /// loaded twice.
+    fn steward(
+        &self,
+        service: &Arc<str>,
+        name: &Name,
+        spread: bool,
+        nth: usize,
+    ) -> Option<Arc<str>> {
+        let now = clock::now();
+        let table = self.gateway.table.borrow();
+        let claims = self.gateway.claims.borrow();
+        let peers = self.gateway.peers.borrow();
+        let own: Vec<&Arc<str>> = claims.orderable(now).collect();
+        let mut line: Vec<(u64, Arc<str>)> = Vec::new();
+        for (_, engine) in table.iter() {
+            let listing = &engine.listing;
+            let holds = engine.held.contains_key(name);
+            if listing.service != *service || !engine.takes_work() || (spread && holds) {
+                continue;
+            }
+            let steward = if own.contains(&&listing.id) {
+                Some(&self.gateway.holder)
+            } else {
+                peers.steward(&listing.id, now)
+            };
+            if let Some(host) = steward {
+                line.push((rendezvous::weight(name, &listing.id), host.clone()));
+            }
+        }
+        line.sort_unstable();
+        let mut hosts: Vec<Arc<str>> = Vec::new();
+        for (_, host) in line.into_iter().rev() {
+            if !hosts.contains(&host) {
+                hosts.push(host);
+            }
+        }
+        if hosts.is_empty() {
+            return None;
+        }
+        Some(hosts[nth % hosts.len()].clone())
+    }
+
+    async fn hello(&self) {
+        let now = clock::now();
+        let base = self.word(now);
+        let mut runs = self.runs();
+        let audience: Vec<(Option<Arc<str>>, SocketAddr)> = {
+            let mut peers = self.gateway.peers.borrow_mut();
+            let own = &*self.gateway.holder;
+            peers.by_name.retain(|_, it| {
+                it.heard.unwrap_or(it.told).max(it.told) + FORGOTTEN > now
+            });
+            let known = peers.by_name.iter().filter(|it| **it.0 != *own);
+            let mut audience: Vec<_> = known.map(|it| (Some(it.0.clone()), it.1.addr)).collect();
+            let silent = peers.by_name.values().all(|it| it.heard.is_none());
+            if silent {
+                audience.extend(peers.seeds.iter().map(|it| (None, *it)));
+            }
+            audience
+        };
+        for (name, addr) in audience {
+            if addr == self.gateway.settings.peers {
+                continue;
+            }
+            let runs = name.and_then(|it| runs.remove(&it)).unwrap_or_default();
+            let hello = Hello {
+                runs,
+                host: base.host.clone(),
+                domain: base.domain.clone(),
+                leaving: base.leaving,
+                claims: base.claims.clone(),
+                loads: base.loads.clone(),
+            };
+            self.send(&Message::Hello(hello), addr).await;
+        }
+    }
+
+    fn word(&self, now: Time) -> Hello {
+        let table = self.gateway.table.borrow();
+        let claims = self.gateway.claims.borrow();
+        let busy = table.iter().filter(|it| it.1.own != Load::default());
+        Hello {
+            host: self.gateway.holder.to_string(),
+            domain: self.gateway.settings.domain.clone(),
+            leaving: self.gateway.stopping.get(),
+            claims: claims.orderable(now).map(|it| short(it)).collect(),
+            loads: busy
+                .map(|(_, it)| (short(&it.listing.id), it.own.running, it.own.unread))
+                .collect(),
+            runs: Vec::new(),
+        }
+    }
+
+    /// What runs or began at engines of other stewards, by steward.
+    fn runs(&self) -> HashMap<Arc<str>, Vec<Run>> {
+        let now = clock::now();
+        let mut peers = self.gateway.peers.borrow_mut();
+        let mut began = std::mem::take(&mut peers.began);
+        let table = self.gateway.table.borrow();
+        let mut runs: HashMap<Arc<str>, Vec<Run>> = HashMap::new();
+        for (key, engine) in table.iter() {
+            let Some(steward) = peers.steward(&engine.listing.id, now) else {
+                continue;
+            };
+            for (name, belief) in &engine.held {
+                let began = began.remove(&(key, name.clone())).unwrap_or(0);
+                if began == 0 && belief.running == 0 {
+                    continue;
+                }
+                let list = runs.entry(steward.clone()).or_default();
+                if list.len() < NAMED {
+                    list.push(Run {
+                        engine: short(&engine.listing.id),
+                        name: name.to_string(),
+                        running: belief.running,
+                        began,
+                    });
+                }
+            }
+        }
+        runs
+    }
+
+    fn heard(&self, hello: &Hello, from: SocketAddr) {
+        let now = clock::now();
+        let host: Arc<str> = hello.host.as_str().into();
+        let keys = self.keys();
+        {
+            let mut peers = self.gateway.peers.borrow_mut();
+            let entry = peers.by_name.entry(host.clone());
+            let peer = entry.or_insert_with(|| Peer::new(from, now));
+            if !peer.lives(now) && !hello.leaving {
+                log::info!("host heard: {host} at {from}");
+            }
+            peer.addr = from;
+            peer.heard = Some(now);
+            peer.leaving = hello.leaving;
+            peer.domain = hello.domain.as_str().into();
+            peer.claims.clone_from(&hello.claims);
+        }
+        let mut table = self.gateway.table.borrow_mut();
+        for (engine, running, unread) in &hello.loads {
+            let key = keys.get(engine).copied();
+            if let Some(engine) = key.and_then(|it| table.get_mut(it)) {
+                let load = Load {
+                    running: *running,
+                    unread: *unread,
+                };
+                engine.heard(&host, load, now);
+            }
+        }
+        for run in &hello.runs {
+            let key = keys.get(&run.engine).copied();
+            let Some(engine) = key.and_then(|it| table.get_mut(it)) else {
+                continue;
+            };
+            if let Some(belief) = engine.held.get_mut(run.name.as_str()) {
+                belief.others.insert(host.clone(), (now, run.running));
+                belief.use_it(now, run.began);
+            }
+        }
+    }
+
+    async fn wanted(&self, want: &Want, from: SocketAddr) {
+        let service: Arc<str> = want.service.as_str().into();
+        let name: Name = want.name.as_str().into();
+        let now = clock::now();
+        let there: Vec<News> = {
+            let table = self.gateway.table.borrow();
+            let mine = self.gateway.mine();
+            let holds = |key: &Key| {
+                let engine = table.get(*key)?;
+                let version = engine.held.get(&name)?.version;
+                let newest = table.age(&name, version, now) == fleet::table::Age::Newest;
+                newest.then(|| News {
+                    engine: short(&engine.listing.id),
+                    name: name.to_string(),
+                    version: Some(version),
+                })
+            };
+            mine.iter().filter_map(holds).collect()
+        };
+        if !there.is_empty() && !want.spread {
+            self.send(&Message::News(there), from).await;
+            return;
+        }
+        self.gateway
+            .loader
+            .borrow_mut()
+            .want(&service, &name, want.spread, now);
+        self.gateway.order.notify_one();
+    }
+
+    fn news(&self, news: &[News]) {
+        let keys = self.keys();
+        let now = clock::now();
+        for it in news {
+            let name: Name = it.name.as_str().into();
+            let Some(key) = keys.get(&it.engine) else {
+                continue;
+            };
+            if let Some(engine) = self.gateway.table.borrow_mut().get_mut(*key) {
+                match it.version {
+                    Some(version) => engine.load(&name, version, now),
+                    None => engine.drop_hold(&name, now),
+                }
+            }
+            if it.version.is_some() {
+                self.gateway.wake(&name);
+            }
+        }
+    }
+
+    fn keys(&self) -> HashMap<Short, Key> {
+        let table = self.gateway.table.borrow();
+        let named = table.iter().map(|(key, it)| (short(&it.listing.id), key));
+        named.collect()
+    }
+
+    fn audience(&self) -> Vec<SocketAddr> {
+        let now = clock::now();
+        let peers = self.gateway.peers.borrow();
+        let heard = peers.by_name.values().filter(|it| it.lives(now));
+        heard.map(|it| it.addr).collect()
+    }
+
+    async fn send(&self, message: &Message, to: SocketAddr) {
+        let Ok(bytes) = postcard::to_stdvec(message) else {
+            return;
+        };
+        if bytes.len() > DATAGRAM {
+            log::debug!("datagram of {} bytes to {to}", bytes.len());
+        }
+        if let Err(error) = self.socket.send_to(&bytes, to).await {
+            log::debug!("datagram to {to} not sent: {error}");
+        }
+    }
+}
+
+/// News that an engine holds an adapter now, or that it doesn't hold it any more.
+pub fn news(id: &str, name: &Name, version: Option<u64>) -> News {
+    News {
+        engine: short(id),
+        name: name.to_string(),
+        version,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/lib.rs
@@ -0,0 +1,24 @@
+//! One host of a fleet that shares its engines: callers' requests are passed on as they came, to an
+//! engine that holds the adapter, and answers are passed back unchanged.
+//!
+//! The decisions are those of the crate `fleet`. Here are the sockets, the clock and one event loop
+//! for all of them: a host has a part of one core, and each wake-up of another thread costs more than
+//! the step it would run. What speaks to the platform is a [`dialect::Dialect`] that registers itself.
+
+pub mod call;
+pub mod channel;
+pub mod claims;
+pub mod clock;
+pub mod dialect;
+pub mod event;
+pub mod forward;
+pub mod gateway;
+pub mod gossip;
+pub mod orders;
+pub mod process;
+pub mod relay;
+pub mod reply;
+pub mod server;
+pub mod settings;
+pub mod store;
+pub mod watch;
--- /dev/null
+++ b/crates/gateway/src/orders.rs
@@ -0,0 +1,179 @@
+//! Sends the orders that `fleet::loader` decides on.
+
+use std::{rc::Rc, time::Duration};
+
+use bytes::Bytes;
+use fleet::{
+    listing::is_adapter,
+    loader::{Op, Order, Outcome, Step, View},
+    table::Key,
+};
+use hyper::{Request, http::StatusCode};
+use tokio::time;
+
+use crate::{
+    call, clock,
+    dialect::Command,
+    gateway::Gateway,
+    gossip::{self, Gossip},
+};
+
+/// Time for an engine's answer to an order or a look; one that is lost never comes.
+const ANSWER: Duration = Duration::from_millis(600);
+
+/// Time between two rounds while loads are on their way.
+const BUSY: Duration = Duration::from_millis(12);
+
+/// Time between two rounds when nothing happens.
+const IDLE: Duration = Duration::from_millis(250);
+
+/// Gives orders until the process ends.
+pub async fn give(gateway: Rc<Gateway>, gossip: Rc<Gossip>) {
+    loop {
+        let pause = if gateway.loader.borrow().in_transit() > 0 {
+            BUSY
+        } else {
+            IDLE
+        };
+        let _ = time::timeout(pause, gateway.order.notified()).await;
+        enter_done(&gateway);
+        for step in decide(&gateway) {
+            let gateway = gateway.clone();
+            tokio::task::spawn_local(async move {
+                match step {
+                    Step::Send(order) => send(&gateway, &order).await,
+                    Step::Look(key) => look(&gateway, key).await,
+                }
+                gateway.order.notify_one();
+            });
+        }
+        gossip.spread().await;
+        expire(&gateway);
+    }
+}
+
+fn expire(gateway: &Rc<Gateway>) {
+    let gone = gateway.table.borrow_mut().expire(clock::now());
+    for id in gone {
+        log::info!("engine gone: {id}");
+    }
+}
+
+fn enter_done(gateway: &Rc<Gateway>) {
+    let now = clock::now();
+    let done = gateway.loader.borrow_mut().done(now);
+    for it in done {
+        if let Some(engine) = gateway.table.borrow_mut().get_mut(it.key) {
+            engine.load(&it.name, it.version, now);
+            let news = gossip::news(&engine.listing.id, &it.name, Some(it.version));
+            gateway.news.borrow_mut().push_back(news);
+        }
+        gateway.wake(&it.name);
+    }
+}
+
+fn decide(gateway: &Rc<Gateway>) -> Vec<Step> {
+    let Some(catalog) = gateway.catalog() else {
+        return Vec::new();
+    };
+    if gateway.stopping.get() {
+        return Vec::new();
+    }
+    let mine = gateway.mine();
+    let hosts = gateway.peers.borrow().hosts();
+    let table = gateway.table.borrow();
+    let view = View {
+        table: &table,
+        catalog: &catalog,
+        mine: &mine,
+        hosts,
+        window: gateway.settings.load_window(),
+        now: clock::now(),
+    };
+    gateway.loader.borrow_mut().next(&view)
+}
+
+async fn send(gateway: &Rc<Gateway>, order: &Order) {
+    let outcome = match target(gateway, order.key) {
+        Some((id, addr, fence)) => {
+            leave(gateway, order, &id);
+            let command = Command {
+                name: &order.name,
+                op: order.op,
+                holder: &gateway.holder,
+                fence,
+                expected: order.expected,
+                instance: &id,
+            };
+            let request = gateway.dialect.order(&command);
+            let outcome = match call::call(&gateway.pool, addr, request, ANSWER).await {
+                Ok((status, _)) => gateway.dialect.outcome(status),
+                Err(_) => Outcome::Silent,
+            };
+            log::debug!("order: {id} {} {:?}: {outcome:?}", order.name, order.op);
+            outcome
+        }
+        None => Outcome::Refused,
+    };
+    let now = clock::now();
+    gateway.loader.borrow_mut().answered(order, outcome, now);
+    let kept = matches!(outcome, Outcome::Conflict | Outcome::Refused);
+    if kept && order.op == Op::Unload {
+        if let Some(engine) = gateway.table.borrow_mut().get_mut(order.key) {
+            engine.load(&order.name, 0, now);
+        }
+    }
+}
+
+/// Takes an adapter out of use before the order that unloads or replaces it.
+fn leave(gateway: &Rc<Gateway>, order: &Order, id: &str) {
+    let mut table = gateway.table.borrow_mut();
+    let Some(engine) = table.get_mut(order.key) else {
+        return;
+    };
+    if engine.held.contains_key(&order.name) && is_adapter(&order.name) {
+        engine.drop_hold(&order.name, clock::now());
+        let news = gossip::news(id, &order.name, None);
+        gateway.news.borrow_mut().push_back(news);
+    }
+}
+
+async fn look(gateway: &Rc<Gateway>, key: Key) {
+    let report = match target(gateway, key) {
+        Some((id, addr, _)) => {
+            let request: Request<Bytes> = gateway.dialect.look(&id);
+            match call::call(&gateway.pool, addr, request, ANSWER).await {
+                Ok((StatusCode::OK, body)) => gateway.dialect.report(&body),
+                _ => None,
+            }
+        }
+        None => None,
+    };
+    let now = clock::now();
+    let mut loader = gateway.loader.borrow_mut();
+    loader.looked(key, report.as_ref(), now);
+    let Some(report) = report else { return };
+    let mut table = gateway.table.borrow_mut();
+    let Some(engine) = table.get_mut(key) else {
+        return;
+    };
+    for hold in &report.holds {
+        let known = engine.held.contains_key(&hold.name);
+        if !known && !is_adapter(&hold.name) {
+            engine.load(&hold.name, hold.version, now);
+            let news = gossip::news(&engine.listing.id, &hold.name, Some(hold.version));
+            gateway.news.borrow_mut().push_back(news);
+            gateway.wake(&hold.name);
+        }
+    }
+}
+
+fn target(
+    gateway: &Rc<Gateway>,
+    key: Key,
+) -> Option<(std::sync::Arc<str>, std::net::SocketAddr, u64)> {
+    let table = gateway.table.borrow();
+    let listing = &table.get(key)?.listing;
+    let fence = gateway.claims.borrow().fence(&listing.id, clock::now())?;
+    Some((listing.id.clone(), listing.addr, fence))
+}
--- /dev/null
+++ b/crates/gateway/src/process.rs
@@ -0,0 +1,141 @@
+//! Starts and ends one host.
+
+use std::{
+    io,
+    rc::Rc,
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+
+use derive_more::{Display, Error, From};
+use log::LevelFilter;
+use tokio::{
+    runtime::Builder,
+    signal::unix::{Signal, SignalKind, signal},
+    sync::watch,
+    task::{LocalSet, spawn_local},
+    time,
+};
+
+use crate::{
+    claims, clock,
+    dialect::{self, Kind},
+    gateway::Gateway,
+    gossip::Gossip,
+    orders, server,
+    settings::{Log, Settings},
+    watch::follow,
+};
+
+/// Time from the signal to stop until kept connections are closed: the balancer leaves a host after two
+/// questions, one a second.
+const LEAVES: Duration = Duration::from_millis(2500);
+
+/// Time before the end of the grace in which nothing is waited for any more.
+const LAST: Duration = Duration::from_millis(400);
+
+/// Time between two sweeps of idle connections.
+const SWEEP: Duration = Duration::from_secs(1);
+
+/// Why a host could not start.
+#[derive(Debug, Display, Error, From)]
+pub enum Failure {
+    /// The log can't be started.
+    #[display("{_0}")]
+    Log(telemetry::log::Failure),
+    /// A port can't be opened, or another resource of the machine can't be had.
+    #[display("{_0}")]
+    Machine(io::Error),
+    /// The dialect isn't known.
+    #[display("dialect {_0} is not known")]
+    #[from(ignore)]
+    Dialect(#[error(not(source))] String),
+}
+
+/// Runs one host until it is told to stop.
+pub fn run(settings: Settings) -> Result<(), Failure> {
+    let level = match settings.log {
+        Log::Warn => LevelFilter::Warn,
+        Log::Info => LevelFilter::Info,
+        Log::Debug => LevelFilter::Debug,
+    };
+    let _log = telemetry::log::start(telemetry::log::Settings {
+        level,
+        form: telemetry::log::Form::Json,
+    })?;
+    let dialect = dialect::find(&settings.dialect)
+        .ok_or_else(|| Failure::Dialect(settings.dialect.clone()))?;
+    let life = SystemTime::now().duration_since(UNIX_EPOCH);
+    let life = life.map_or(0, |it| u64::try_from(it.as_millis()).unwrap_or(0));
+    let gateway = Rc::new(Gateway::new(settings, dialect, life));
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    LocalSet::new().block_on(&runtime, host(gateway))?;
+    Ok(())
+}
+
+async fn host(gateway: Rc<Gateway>) -> io::Result<()> {
+    let settings = &gateway.settings;
+    let callers = server::listen(settings.callers)?;
+    let ready = server::listen(settings.ready)?;
+    let gossip = Gossip::bind(gateway.clone()).await?;
+    let (close, closing) = watch::channel(false);
+    let mut stop = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let reload = signal(SignalKind::hangup())?;
+    log::info!("start: host {}, life {}", gateway.holder, gateway.life);
+    spawn_local(server::ready(ready, gateway.clone()));
+    spawn_local(server::callers(
+        callers,
+        gateway.clone(),
+        gossip.clone(),
+        closing,
+    ));
+    for kind in [Kind::Config, Kind::Engines, Kind::Versions] {
+        spawn_local(follow(gateway.clone(), kind));
+    }
+    spawn_local(claims::keep(gateway.clone()));
+    spawn_local(gossip.clone().hear());
+    spawn_local(gossip.clone().tell());
+    spawn_local(orders::give(gateway.clone(), gossip));
+    spawn_local(sweep(gateway.clone()));
+    spawn_local(reloads(reload));
+    tokio::select! {
+        _ = stop.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    leave(&gateway, &close).await;
+    Ok(())
+}
+
+/// Ends without cutting anything: the balancer leaves first, then kept connections are closed, then
+/// what still runs is waited for.
+async fn leave(gateway: &Rc<Gateway>, close: &watch::Sender<bool>) {
+    let began = clock::now();
+    let grace = Duration::from_secs_f64(gateway.settings.grace_seconds);
+    let end = began + grace.saturating_sub(LAST);
+    log::info!("stop: {} requests run", gateway.running.get());
+    gateway.stopping.set(true);
+    claims::release(gateway).await;
+    time::sleep((began + LEAVES).saturating_sub(clock::now())).await;
+    let _ = close.send(true);
+    time::sleep(Duration::from_millis(100)).await;
+    while gateway.running.get() > 0 && clock::now() < end {
+        time::sleep(Duration::from_millis(20)).await;
+    }
+    // The last bytes are in the sockets' buffers; a moment lets the connections close in order.
+    time::sleep(Duration::from_millis(50)).await;
+    log::info!("end: {} requests cut", gateway.running.get());
+}
+
+async fn sweep(gateway: Rc<Gateway>) {
+    loop {
+        time::sleep(SWEEP).await;
+        gateway.pool.sweep();
+    }
+}
+
+/// Settings that can change while a process runs are none; the signal must not end it.
+async fn reloads(mut signal: Signal) {
+    while signal.recv().await.is_some() {
+        log::info!("reload: no setting that is in use can change");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/reply.rs
@@ -0,0 +1,129 @@
+//! Answers of this host's own. There is one closed list of them.
+
+use std::{pin::Pin, time::Duration};
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use futures::{Stream, TryStreamExt};
+use http_body_util::{BodyExt, Full, StreamBody};
+use hyper::{
+    HeaderMap, Response,
+    body::Frame,
+    header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER},
+    http::StatusCode,
+};
+
+/// Body of an answer. An error breaks the connection, so that the answer doesn't look complete. It stays
+/// in the thread of the event loop.
+pub type Body = Pin<Box<dyn hyper::body::Body<Data = Bytes, Error = Cut>>>;
+
+/// An answer that ends before its time.
+#[derive(Clone, Copy, Debug, Display, Error, Eq, PartialEq)]
+#[display("the answer was cut: {_0}")]
+pub struct Cut(#[error(not(source))] pub &'static str);
+
+/// Why this host answers by itself.
+#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+pub enum Fault {
+    /// No configuration is known yet.
+    #[display("no-config")]
+    NoConfig,
+    /// No route has this host name and path.
+    #[display("no-route")]
+    NoRoute,
+    /// The head of the request is wrong.
+    #[display("bad-request")]
+    BadRequest,
+    /// The body is larger than the operator allows.
+    #[display("too-large")]
+    TooLarge,
+    /// No engine of the service can be used.
+    #[display("no-engine")]
+    NoEngine,
+    /// The engines can't answer in time.
+    #[display("overload")]
+    Overload,
+    /// The adapter wasn't loaded in time.
+    #[display("adapter-load")]
+    AdapterLoad,
+    /// The retry budget is spent, and the request has not run.
+    #[display("no-budget")]
+    NoBudget,
+    /// The request may have run, and there is no whole answer.
+    #[display("upstream-lost")]
+    UpstreamLost,
+    /// The time is over.
+    #[display("timeout")]
+    Timeout,
+}
+
+impl Fault {
+    /// The status of the answer. 503 says that the request has not run and never will.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::NoConfig
+            | Self::NoEngine
+            | Self::Overload
+            | Self::AdapterLoad
+            | Self::NoBudget => StatusCode::SERVICE_UNAVAILABLE,
+            Self::UpstreamLost => StatusCode::BAD_GATEWAY,
+            Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+}
+
+/// An answer of this host; `after` says when to come back.
+pub fn fault(fault: Fault, after: Option<Duration>) -> Response<Body> {
+    let text = format!("{{\"error\":\"{fault}\"}}\n");
+    let mut answer = Response::new(whole(text.into()));
+    *answer.status_mut() = fault.status();
+    let head = answer.headers_mut();
+    head.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Some(after) = after {
+        let text = format!("{:.2}", after.as_secs_f64());
+        if let Ok(value) = HeaderValue::from_str(&text) {
+            head.insert(RETRY_AFTER, value);
+        }
+    }
+    answer
+}
+
+/// A whole body.
+pub fn whole(bytes: Bytes) -> Body {
+    Box::pin(Full::new(bytes).map_err(|it| match it {}))
+}
+
+/// A body that is written as it comes.
+pub fn stream(parts: impl Stream<Item = Result<Bytes, Cut>> + 'static) -> Body {
+    Box::pin(StreamBody::new(parts.map_ok(Frame::data)))
+}
+
+/// Headers that concern one connection only, with those that `Connection` names.
+pub fn strip(head: &mut HeaderMap) {
+    let named: Vec<String> = head
+        .get_all("connection")
+        .iter()
+        .filter_map(|it| it.to_str().ok())
+        .flat_map(|it| it.split(',').map(|it| it.trim().to_ascii_lowercase()))
+        .collect();
+    for name in named {
+        head.remove(name.as_str());
+    }
+    for name in [
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "expect",
+    ] {
+        head.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/server.rs
@@ -0,0 +1,120 @@
+//! Takes callers' connections.
+
+use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    header::{CONNECTION, HeaderValue},
+    http::StatusCode,
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{
+    net::{TcpListener, TcpSocket, TcpStream},
+    sync::watch,
+    time,
+};
+
+use crate::{channel, forward, gateway::Gateway, gossip::Gossip, reply};
+
+/// New connections that may wait to be taken.
+const BACKLOG: u32 = 1024;
+
+/// Pause after a connection that could not be taken, for instance for want of descriptors.
+const PAUSE: Duration = Duration::from_millis(20);
+
+/// Opens a port.
+pub fn listen(addr: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(addr)?;
+    socket.listen(BACKLOG)
+}
+
+/// Serves callers until the process ends. Connections close after their request once `closing` says so.
+pub async fn callers(
+    listener: TcpListener,
+    gateway: Rc<Gateway>,
+    gossip: Rc<Gossip>,
+    closing: watch::Receiver<bool>,
+) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((it, _)) => it,
+            Err(error) => {
+                log::warn!("no connection taken: {error}");
+                time::sleep(PAUSE).await;
+                continue;
+            }
+        };
+        let served = caller(stream, gateway.clone(), gossip.clone(), closing.clone());
+        tokio::task::spawn_local(served);
+    }
+}
+
+async fn caller(
+    stream: TcpStream,
+    gateway: Rc<Gateway>,
+    gossip: Rc<Gossip>,
+    mut closing: watch::Receiver<bool>,
+) {
+    if let Err(error) = channel::tune(&stream) {
+        log::debug!("connection of a caller: {error}");
+        return;
+    }
+    let limits = gateway.catalog().map(|it| it.limits).unwrap_or_default();
+    let service = service_fn(|request: Request<Incoming>| {
+        let gateway = gateway.clone();
+        let gossip = gossip.clone();
+        async move {
+            let stopping = gateway.clone();
+            let mut answer = forward::serve(gateway, gossip, request).await;
+            if stopping.stopping.get() {
+                let close = HeaderValue::from_static("close");
+                answer.headers_mut().insert(CONNECTION, close);
+            }
+            Ok::<_, Infallible>(answer)
+        }
+    });
+    // The time for a head runs from the end of the request before it, so it covers idle times too.
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(limits.idle_time.max(limits.header_time))
+        .max_buf_size(limits.header_bytes.max(8 << 10) * 2)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        it = connection.as_mut() => it,
+        _ = closing.wait_for(|it| *it) => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("connection of a caller ended: {error}");
+    }
+}
+
+/// Tells the balancer whether this host is ready, until the process ends.
+pub async fn ready(listener: TcpListener, gateway: Rc<Gateway>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            time::sleep(PAUSE).await;
+            continue;
+        };
+        let gateway = gateway.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|_: Request<Incoming>| {
+                let mut answer = Response::new(reply::whole("".into()));
+                if !gateway.is_ready() {
+                    *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+                }
+                async { Ok::<_, Infallible>(answer) }
+            });
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let _ = connection.await;
+        });
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/store.rs
@@ -0,0 +1,129 @@
+//! Calls to the platform's store.
+
+use std::{rc::Rc, time::Duration};
+
+use hyper::{Request, http::StatusCode};
+
+use bytes::Bytes;
+
+use crate::{
+    call,
+    dialect::{Kind, Object},
+    gateway::Gateway,
+};
+
+/// Time for a call that doesn't wait for a change. A slow store takes some hundred ms.
+const ANSWER: Duration = Duration::from_millis(1800);
+
+/// What came of a write.
+#[derive(Clone, Debug)]
+pub enum Written {
+    /// It was done; this is the object now.
+    Done(Object),
+    /// The condition doesn't hold; this is the object as it is.
+    Other(Object),
+    /// There is no such object.
+    Missing,
+    /// Nothing was done.
+    Refused,
+    /// Unknown: it may have been done, or may yet be.
+    Unknown,
+}
+
+/// Sends a call; `None` if the store didn't answer as it should.
+pub async fn send(
+    gateway: &Rc<Gateway>,
+    request: Request<Bytes>,
+    within: Duration,
+) -> Option<(StatusCode, Bytes)> {
+    let answer = call::call(&gateway.pool, gateway.settings.store, request, within).await;
+    match answer {
+        Ok((status, body)) => {
+            let well = !status.is_server_error() && status != StatusCode::TOO_MANY_REQUESTS;
+            if !well {
+                log::debug!("store refused: {status}");
+            }
+            gateway.store_answers(well);
+            well.then_some((status, body))
+        }
+        Err(error) => {
+            log::debug!("store call failed: {error}");
+            gateway.store_answers(false);
+            None
+        }
+    }
+}
+
+/// Reads one object: `Some(None)` if there is none, `None` if the store didn't answer.
+pub async fn get(gateway: &Rc<Gateway>, kind: Kind, name: &str) -> Option<Option<Object>> {
+    let request = gateway.dialect.get(kind, name);
+    let (status, body) = send(gateway, request, ANSWER).await?;
+    if status == StatusCode::NOT_FOUND {
+        return Some(None);
+    }
+    gateway.dialect.object(&body).map(Some)
+}
+
+/// Creates an object, or replaces it if it still has the revision.
+pub async fn put(
+    gateway: &Rc<Gateway>,
+    kind: Kind,
+    name: &str,
+    spec: &serde_json::Value,
+    rev: Option<u64>,
+) -> Written {
+    let request = gateway.dialect.put(kind, name, spec, rev);
+    let answer = call::call(&gateway.pool, gateway.settings.store, request, ANSWER).await;
+    let Ok((status, body)) = answer else {
+        gateway.store_answers(false);
+        return Written::Unknown;
+    };
+    written(gateway, status, &body)
+}
+
+/// Deletes an object if it still has the revision.
+pub async fn delete(gateway: &Rc<Gateway>, kind: Kind, name: &str, rev: Option<u64>) -> Written {
+    let request = gateway.dialect.delete(kind, name, rev);
+    let answer = call::call(&gateway.pool, gateway.settings.store, request, ANSWER).await;
+    let Ok((status, body)) = answer else {
+        return Written::Unknown;
+    };
+    written(gateway, status, &body)
+}
+
+fn written(gateway: &Rc<Gateway>, status: StatusCode, body: &[u8]) -> Written {
+    let object = gateway.dialect.object(body);
+    match (status, object) {
+        (StatusCode::CONFLICT, Some(it)) => Written::Other(it),
+        (StatusCode::NOT_FOUND, _) => Written::Missing,
+        (it, Some(object)) if it.is_success() => Written::Done(object),
+        (it, None) if it.is_success() => Written::Unknown,
+        (StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS, _) => Written::Refused,
+        _ => {
+            log::warn!("store refused a write: {status}");
+            Written::Refused
+        }
+    }
+}
+
+/// Reads all pages of a kind, and the revision to watch from.
+pub async fn list(gateway: &Rc<Gateway>, kind: Kind, stale: bool) -> Option<(Vec<Object>, u64)> {
+    let mut objects: Vec<Object> = Vec::new();
+    let mut first = None;
+    loop {
+        let after = objects.last().map(|it| it.name.clone());
+        let request = gateway.dialect.list(kind, after.as_deref(), stale);
+        let (status, body) = send(gateway, request, ANSWER).await?;
+        if !status.is_success() {
+            return (status == StatusCode::NOT_FOUND).then_some((objects, 0));
+        }
+        let page = gateway.dialect.page(&body)?;
+        // Changes during the pages are in the watch from the first page on.
+        let as_of = *first.get_or_insert(page.as_of);
+        let more = page.more && !page.objects.is_empty();
+        objects.extend(page.objects);
+        if !more {
+            return Some((objects, as_of));
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/watch.rs
@@ -0,0 +1,142 @@
+//! Follows the configuration, the engines and the announced versions in the store.
+
+use std::{collections::HashSet, rc::Rc, time::Duration};
+
+use hyper::http::StatusCode;
+use tokio::time;
+
+use crate::{
+    clock,
+    dialect::{Change, Changes, Kind, Object},
+    gateway::Gateway,
+    store,
+};
+
+/// Longest time that a watch waits for a change. A store that has fallen silent is noticed after it.
+const WAIT: Duration = Duration::from_secs(4);
+
+/// Time for the answer beyond the wait.
+const ANSWER: Duration = Duration::from_millis(1500);
+
+/// First pause after a failed call; it doubles up to [`LONGEST_PAUSE`].
+const FIRST_PAUSE: Duration = Duration::from_millis(150);
+
+/// Longest pause between failed calls; the store's return is noticed within it.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
+/// Follows one kind until the process ends.
+pub async fn follow(gateway: Rc<Gateway>, kind: Kind) {
+    let mut pause = FIRST_PAUSE;
+    loop {
+        let Some((objects, mut rev)) = store::list(&gateway, kind, false).await else {
+            rest(&mut pause).await;
+            continue;
+        };
+        listed(&gateway, kind, &objects);
+        loop {
+            let request = gateway.dialect.watch(kind, rev, WAIT);
+            match store::send(&gateway, request, WAIT + ANSWER).await {
+                Some((StatusCode::GONE, _)) => break,
+                Some((status, body)) if status.is_success() => {
+                    let Some(Changes { events, as_of }) = gateway.dialect.changes(&body) else {
+                        log::warn!("store: changes of {kind:?} can't be read");
+                        rest(&mut pause).await;
+                        break;
+                    };
+                    rev = rev.max(as_of);
+                    pause = FIRST_PAUSE;
+                    if events.is_empty() {
+                        continue;
+                    }
+                    changed(&gateway, kind, &events);
+                    time::sleep(gather(kind)).await;
+                }
+                Some((status, _)) => {
+                    log::warn!("store: watch of {kind:?} refused: {status}");
+                    rest(&mut pause).await;
+                    break;
+                }
+                None => rest(&mut pause).await,
+            }
+        }
+    }
+}
+
+/// Time for which changes gather before the next call, since each call is paid for. Engines have to be
+/// left within two seconds of the change.
+fn gather(kind: Kind) -> Duration {
+    match kind {
+        Kind::Engines => Duration::from_millis(700),
+        Kind::Versions => Duration::from_millis(500),
+        Kind::Config | Kind::Hosts | Kind::Claims => Duration::from_millis(50),
+    }
+}
+
+async fn rest(pause: &mut Duration) {
+    let jitter = rand::random_range(0.7..1.3);
+    time::sleep(pause.mul_f64(jitter)).await;
+    *pause = (*pause * 2).min(LONGEST_PAUSE);
+}
+
+fn listed(gateway: &Rc<Gateway>, kind: Kind, objects: &[Object]) {
+    for object in objects {
+        put(gateway, kind, object);
+    }
+    if kind == Kind::Engines {
+        let now = clock::now();
+        let names: HashSet<&str> = objects.iter().map(|it| it.name.as_str()).collect();
+        let removal = gateway.removal();
+        let mut table = gateway.table.borrow_mut();
+        for id in table.ids() {
+            if !names.contains(&*id) {
+                table.remove(&id, removal, now);
+            }
+        }
+        gateway.listed.set(true);
+    }
+}
+
+fn changed(gateway: &Rc<Gateway>, kind: Kind, events: &[Change]) {
+    for event in events {
+        match event {
+            Change::Put(object) => put(gateway, kind, object),
+            Change::Gone(name) if kind == Kind::Engines => {
+                log::info!("engine {name}: its entry is gone");
+                let removal = gateway.removal();
+                let mut table = gateway.table.borrow_mut();
+                table.remove(name, removal, clock::now());
+            }
+            Change::Gone(_) => {}
+        }
+    }
+}
+
+fn put(gateway: &Rc<Gateway>, kind: Kind, object: &Object) {
+    let now = clock::now();
+    match kind {
+        Kind::Config => match gateway.dialect.catalog(object) {
+            Ok(catalog) => gateway.adopt(catalog),
+            Err(error) => log::warn!("config of revision {} refused: {error}", object.rev),
+        },
+        Kind::Engines => {
+            let Some(listing) = gateway.dialect.listing(object) else {
+                log::warn!("engine {}: its entry can't be read", object.name);
+                return;
+            };
+            let names: Vec<_> = listing.holds.iter().map(|it| it.name.clone()).collect();
+            gateway.table.borrow_mut().adopt(listing, now);
+            names.iter().for_each(|it| gateway.wake(it));
+            gateway.order.notify_one();
+        }
+        Kind::Versions => {
+            if let Some((name, version)) = gateway.dialect.announced(object) {
+                let mut table = gateway.table.borrow_mut();
+                if table.announce(name.clone(), version, now) {
+                    log::info!("version announced: {name} {version}");
+                    gateway.order.notify_one();
+                }
+            }
+        }
+        Kind::Hosts | Kind::Claims => {}
+    }
+}
--- a/crates/platform/tests/budget.rs
+++ b/crates/objects/tests/budget.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use kernel::clock::Manual;
-use platform::{
+use objects::{
     budget::{Budget, Importance, Rate, Verdict},
     http::Client,
     object::{Failure, Reason, Store},
--- a/crates/platform/tests/client.rs
+++ b/crates/objects/tests/client.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use platform::{
+use objects::{
     http::Client,
     object::{Continuation, Failure, Kind, Reason, Store},
 };
@@ -131,7 +131,7 @@
 #[test]
 fn values_have_a_limit() {
     check(|server, client| {
-        let value = vec![b'x'; platform::object::MAX_VALUE_BYTES + 1];
+        let value = vec![b'x'; objects::object::MAX_VALUE_BYTES + 1];
         client.create(R, "a", &value[1..]).unwrap();
         let key = "b".to_owned();
         let bytes = value.len();
--- a/crates/platform/tests/failures.rs
+++ b/crates/objects/tests/failures.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use platform::{
+use objects::{
     http::Client,
     object::{Failure, Reason, Store},
 };
--- a/crates/platform/tests/hosts.rs
+++ b/crates/objects/tests/hosts.rs
@@ -1,7 +1,7 @@
 //! The client of the host list against the stand-in.
 
 use kernel::service::{self, State};
-use platform::{
+use objects::{
     hosts::{Client, Role, instances},
     object::Failure,
 };
--- a/crates/platform/tests/store/fake.rs
+++ b/crates/objects/tests/store/fake.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use platform::object::{
+use objects::object::{
     Continuation, Events, Failure, Item, MAX_VALUE_BYTES, Object, Page, Reason, Store, Version,
 };
 
--- a/crates/platform/tests/store/journal.rs
+++ b/crates/objects/tests/store/journal.rs
@@ -13,7 +13,7 @@
     clock::{Clock, Manual, System},
     permit::Holder,
 };
-use platform::journal::{Begin, End, Journal};
+use objects::journal::{Begin, End, Journal};
 
 use crate::fake::{Fake, Trouble};
 
@@ -212,7 +212,7 @@
 fn over_http() {
     let server = standin::object::Server::start();
     let open = |host: &str| {
-        let store = Arc::new(platform::http::Client::new(server.address()));
+        let store = Arc::new(objects::http::Client::new(server.address()));
         let host = host.parse().expect("a name");
         let me = Holder {
             host,
--- a/crates/platform/tests/store/log.rs
+++ b/crates/objects/tests/store/log.rs
@@ -8,7 +8,7 @@
     revision::{EditId, Number, Record, State},
     text,
 };
-use platform::{
+use objects::{
     log::{Appended, Error, Log, SNAPSHOT_REVISIONS, Snapshot},
     object::MAX_VALUE_BYTES,
 };
--- a/crates/platform/tests/store/race.rs
+++ b/crates/objects/tests/store/race.rs
@@ -8,7 +8,7 @@
     revision::{EditId, Next, Number, Record, State},
     text,
 };
-use platform::log::{Appended, Log};
+use objects::log::{Appended, Log};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 use crate::fake::{Fake, Trouble};
@@ -39,7 +39,7 @@
         let fake = Arc::new(Fake::default());
         Self {
             rng: StdRng::seed_from_u64(seed),
-            log: Log::new(Arc::clone(&fake) as Arc<dyn platform::object::Store>),
+            log: Log::new(Arc::clone(&fake) as Arc<dyn objects::object::Store>),
             fake,
             writers: vec![State::default(); WRITERS],
             watcher: State::default(),
--- a/crates/standin/tests/link.rs
+++ b/crates/standin/tests/link.rs
@@ -1,6 +1,6 @@
 //! The path that can be cut, in front of the object stand-in.
 
-use platform::{
+use objects::{
     http::Client,
     object::{Failure, Reason, Store},
 };
--- a/crates/standin/tests/object.rs
+++ b/crates/standin/tests/object.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use platform::{
+use objects::{
     http::Client,
     object::{Continuation, Failure, Kind, Reason, Store},
 };
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -16,7 +16,7 @@
     metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
-use platform::object::Reason;
+use objects::object::Reason;
 use prometheus::{Encoder, Registry, TextEncoder};
 
 pub use label::{Direction, Ending, Labels, MAX_SERVICES, MAX_TENANTS, Medium};
--- a/crates/telemetry/tests/metrics.rs
+++ b/crates/telemetry/tests/metrics.rs
@@ -4,7 +4,7 @@
 
 use kernel::{fault::Kind, request::Class};
 use member::Condition;
-use platform::object::Reason;
+use objects::object::Reason;
 use telemetry::metrics::{Direction, Ending, Labels, MAX_TENANTS, Medium, Metrics};
 
 fn labels(tenant: &str) -> Labels {
