Wait for callers' connections before a host ends

Connections of callers are counted now, to the last byte. An engine's own failure is passed back when no repeat did better.

--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -495,7 +495,9 @@
             .filter(|(name, at)| !holds(name) && *at + SILENT_PAUSE <= now)
             .map(|it| it.0.clone())
             .collect();
-        left.iter().for_each(|it| works.gone(it));
+        for name in &left {
+            works.gone(name);
+        }
         let model_comes = works.transit.iter().any(|it| !is_adapter(&it.name));
         works.look = model_comes || !works.leaving.is_empty();
         works.pause = if works.look { now + LOOK_PAUSE } else { now };
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -64,9 +64,6 @@
 /// Wait for the first byte after which a request that may be repeated is taken from a silent engine.
 const HUNG: Duration = Duration::from_millis(1500);
 
-/// Pause before a request is sent again to an engine that was just about to have the adapter.
-const ALMOST: Duration = Duration::from_millis(40);
-
 /// A caller's request on its way, with all that was learned of it.
 pub struct Job {
     pub(crate) gateway: Rc<Gateway>,
@@ -85,6 +82,8 @@
     sent: u32,
     /// Whether an engine may have run it.
     ran: bool,
+    /// An engine's failure, which is the answer if no other engine does better.
+    failure: Option<Response<Body>>,
 }
 
 /// A request that runs at an engine. Dropping it ends it there.
@@ -118,8 +117,6 @@
     gossip: Rc<Gossip>,
     request: Request<Incoming>,
 ) -> Response<Body> {
-    gateway.running.set(gateway.running.get() + 1);
-    let _running = Count(gateway.clone());
     let job = match accept(&gateway, &gossip, request).await {
         Ok(it) => it,
         Err(answer) => return answer,
@@ -128,14 +125,6 @@
     job.run().await
 }
 
-struct Count(Rc<Gateway>);
-
-impl Drop for Count {
-    fn drop(&mut self) {
-        self.0.running.set(self.0.running.get() - 1);
-    }
-}
-
 /// Reads a request and finds its route.
 async fn accept(
     gateway: &Rc<Gateway>,
@@ -201,6 +190,7 @@
         tried: Vec::new(),
         sent: 0,
         ran: false,
+        failure: None,
     })
 }
 
@@ -430,6 +420,14 @@
                 && self.tried.len() < self.route.attempts
                 && clock::now() + Duration::from_millis(50) < self.deadline;
             if again && self.gateway.has_repeat(&self.service) {
+                let within = self.deadline.saturating_sub(clock::now());
+                if let Ok(Ok(body)) = time::timeout(within, body.collect()).await {
+                    run.keep(call::kept_for(&head.headers));
+                    reply::strip(&mut head.headers);
+                    head.headers.remove(CONTENT_LENGTH);
+                    let body = reply::whole(body.to_bytes());
+                    self.failure = Some(Response::from_parts(head, body));
+                }
                 return Err(self);
             }
         }
@@ -544,7 +542,10 @@
             && clock::now() + Duration::from_millis(50) < self.deadline
     }
 
-    fn fail(&self, fault: Fault) -> Response<Body> {
+    fn fail(&mut self, fault: Fault) -> Response<Body> {
+        if let Some(answer) = self.failure.take() {
+            return answer;
+        }
         // "Not run" must be true.
         let fault = match fault {
             Fault::Overload | Fault::NoEngine | Fault::AdapterLoad | Fault::NoBudget
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -56,8 +56,8 @@
     pub peers: RefCell<Peers>,
     /// Whether this host is to end.
     pub stopping: Cell<bool>,
-    /// Requests that run.
-    pub running: Cell<usize>,
+    /// Open connections of callers.
+    pub callers: Cell<usize>,
     /// Wakes the sender of orders.
     pub order: Notify,
     store: RefCell<Store>,
@@ -103,7 +103,7 @@
             claims: RefCell::default(),
             peers: RefCell::default(),
             stopping: Cell::default(),
-            running: Cell::default(),
+            callers: Cell::default(),
             order: Notify::new(),
             store: RefCell::default(),
             budgets: RefCell::default(),
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -33,6 +33,9 @@
 /// Time before the end of the grace in which nothing is waited for any more.
 const LAST: Duration = Duration::from_millis(400);
 
+/// Time between two looks at whether the last connection is closed.
+const STEP: Duration = Duration::from_millis(20);
+
 /// Time between two sweeps of idle connections.
 const SWEEP: Duration = Duration::from_secs(1);
 
@@ -112,18 +115,16 @@
     let began = clock::now();
     let grace = Duration::from_secs_f64(gateway.settings.grace_seconds);
     let end = began + grace.saturating_sub(LAST);
-    log::info!("stop: {} requests run", gateway.running.get());
+    log::info!("stop: {} connections of callers", gateway.callers.get());
     gateway.stopping.set(true);
     claims::release(gateway).await;
     time::sleep((began + LEAVES).saturating_sub(clock::now())).await;
     let _ = close.send(true);
-    time::sleep(Duration::from_millis(100)).await;
-    while gateway.running.get() > 0 && clock::now() < end {
-        time::sleep(Duration::from_millis(20)).await;
+    time::sleep(STEP).await;
+    while gateway.callers.get() > 0 && clock::now() < end {
+        time::sleep(STEP).await;
     }
-    // The last bytes are in the sockets' buffers; a moment lets the connections close in order.
-    time::sleep(Duration::from_millis(50)).await;
-    log::info!("end: {} requests cut", gateway.running.get());
+    log::info!("end: {} connections cut", gateway.callers.get());
 }
 
 async fn sweep(gateway: Rc<Gateway>) {
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -54,12 +54,23 @@
     }
 }
 
+/// A connection of a caller, counted until its last answer is written.
+struct Open(Rc<Gateway>);
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.callers.set(self.0.callers.get() - 1);
+    }
+}
+
 async fn caller(
     stream: TcpStream,
     gateway: Rc<Gateway>,
     gossip: Rc<Gossip>,
     mut closing: watch::Receiver<bool>,
 ) {
+    gateway.callers.set(gateway.callers.get() + 1);
+    let _open = Open(gateway.clone());
     if let Err(error) = channel::tune(&stream) {
         log::debug!("connection of a caller: {error}");
         return;
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -125,7 +125,9 @@
             };
             let names: Vec<_> = listing.holds.iter().map(|it| it.name.clone()).collect();
             gateway.table.borrow_mut().adopt(listing, now);
-            names.iter().for_each(|it| gateway.wake(it));
+            for name in &names {
+                gateway.wake(name);
+            }
             gateway.order.notify_one();
         }
         Kind::Versions => {
