--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -35,6 +35,9 @@
     reply::{self, Body, Fault},
 };
 
+/// Time after which a caller may come back where another host serves it.
+const ELSEWHERE: Duration = Duration::from_millis(50);
+
 /// Part of the caller's time after which a request that has no place is refused: the rest is for the
 /// caller's next try.
 const HOLD_PART: f64 = 0.3;
@@ -132,6 +135,10 @@
     request: Request<Incoming>,
 ) -> Result<Job, Response<Body>> {
     let began = clock::now();
+    if gateway.closing.get() {
+        // It might not be done before the end; another host takes it at once.
+        return Err(reply::fault(Fault::Stopping, Some(ELSEWHERE)));
+    }
     let Some(catalog) = gateway.catalog() else {
         return Err(reply::fault(Fault::NoConfig, Some(Duration::from_millis(400))));
     };
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -56,6 +56,8 @@
     pub peers: RefCell<Peers>,
     /// Whether this host is to end.
     pub stopping: Cell<bool>,
+    /// Whether this host takes no new requests, since it is about to end.
+    pub closing: Cell<bool>,
     /// Open connections of callers.
     pub callers: Cell<usize>,
     /// Wakes the sender of orders.
@@ -103,6 +105,7 @@
             claims: RefCell::default(),
             peers: RefCell::default(),
             stopping: Cell::default(),
+            closing: Cell::default(),
             callers: Cell::default(),
             order: Notify::new(),
             store: RefCell::default(),
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -119,6 +119,7 @@
     gateway.stopping.set(true);
     claims::release(gateway).await;
     time::sleep((began + LEAVES).saturating_sub(clock::now())).await;
+    gateway.closing.set(true);
     let _ = close.send(true);
     time::sleep(STEP).await;
     while gateway.callers.get() > 0 && clock::now() < end {
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -52,6 +52,9 @@
     /// The request may have run, and there is no whole answer.
     #[display("upstream-lost")]
     UpstreamLost,
+    /// This host is about to end.
+    #[display("stopping")]
+    Stopping,
     /// The time is over.
     #[display("timeout")]
     Timeout,
@@ -68,7 +71,8 @@
             | Self::NoEngine
             | Self::Overload
             | Self::AdapterLoad
-            | Self::NoBudget => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::NoBudget
+            | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::UpstreamLost => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
         }
