Take the time of adapter loads from their number on the way; use what is put aside if there is no other

One request tries a load first now, and the expected time follows the loads on the way over all hosts. Ruled out: loads slowed by the engine's own transit (no relation to it in the log).

--- a/crates/fleet/src/circuit.rs
+++ b/crates/fleet/src/circuit.rs
@@ -8,7 +8,10 @@
 const NEWEST: f64 = 0.15;
 
 /// Share of failures at which an upstream is put aside.
-const OPEN_AT: f64 = 0.35;
+const OPEN_AT: f64 = 0.45;
+
+/// Failures in a row at which it is, whatever was before.
+const IN_A_ROW: u32 = 5;
 
 /// First time aside; it doubles with each failed trial.
 const FIRST_PAUSE: Duration = Duration::from_millis(700);
@@ -23,6 +26,7 @@
     in_a_row: u32,
     pause: Duration,
     until: Time,
+    unreachable: bool,
 }
 
 /// Whether an upstream is to be used.
@@ -32,8 +36,10 @@
     Normal,
     /// Its answers were bad a while ago; it gets a request now and then.
     Trial,
-    /// Not now.
+    /// Only if there is no other.
     Aside,
+    /// Not now: it could not be reached.
+    Unreachable,
 }
 
 impl Circuit {
@@ -51,7 +57,8 @@
     pub fn failure(&mut self, now: Time) {
         self.failures = self.failures * (1.0 - NEWEST) + NEWEST;
         self.in_a_row += 1;
-        if now >= self.until && (self.failures > OPEN_AT || self.in_a_row >= 3) {
+        self.unreachable = false;
+        if now >= self.until && (self.failures > OPEN_AT || self.in_a_row >= IN_A_ROW) {
             self.pause = (self.pause * 2).clamp(FIRST_PAUSE, LONGEST_PAUSE);
             self.until = now + self.pause;
         }
@@ -59,14 +66,16 @@
 
     /// Puts the upstream aside at once, since it can't be reached.
     pub fn unreachable(&mut self, now: Time) {
-        self.in_a_row += 1;
+        self.unreachable = true;
         self.pause = (self.pause * 2).clamp(FIRST_PAUSE, LONGEST_PAUSE);
         self.until = now + self.pause;
     }
 
     /// Whether to use the upstream now.
     pub fn state(&self, now: Time) -> Use {
-        if now < self.until {
+        if now < self.until && self.unreachable {
+            Use::Unreachable
+        } else if now < self.until {
             Use::Aside
         } else if self.pause > Duration::ZERO {
             Use::Trial
@@ -79,11 +88,4 @@
     pub fn failures(&self) -> f64 {
         self.failures
     }
-
-    /// Notes that a trial was sent: until its answer is there, no other is.
-    pub fn tried(&mut self, now: Time) {
-        if self.state(now) == Use::Trial {
-            self.until = now + self.pause.max(FIRST_PAUSE);
-        }
-    }
 }
--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -20,6 +20,12 @@
 /// seconds, and an adapter that is fetched again costs a third of a second.
 const USES_HALVE: Duration = Duration::from_secs(8);
 
+/// Pause after a request that came before the adapter.
+const TRY_AGAIN: Duration = Duration::from_millis(30);
+
+/// Requests that may come before the adapter until it isn't expected any more.
+const TRIALS: u32 = 8;
+
 /// Weight of the newest first event in the slowness of an engine.
 const NEWEST: f64 = 0.1;
 
@@ -43,11 +49,49 @@
     pub running: u32,
     /// Requests of other hosts that run with it, as they said last.
     pub others: HashMap<Arc<str>, (Time, u32)>,
+    /// Whether a load is only believed to be done: the time that it takes isn't known exactly, so one
+    /// request tries it first.
+    trial: Option<Trial>,
     uses: f64,
     used: Time,
 }
 
+/// The trial of a load that should be done.
+#[derive(Clone, Copy, Debug, Default)]
+struct Trial {
+    /// Refusals so far.
+    refused: u32,
+    /// When the next request may try.
+    next: Time,
+}
+
 impl Belief {
+    /// Whether a request may go to it: any, or the one that tries a load which should be done.
+    pub fn is_open(&self, now: Time) -> bool {
+        self.trial
+            .is_none_or(|it| self.running == 0 && it.next <= now)
+    }
+
+    /// Whether no request has been answered since a load that should be done.
+    pub fn is_tried(&self) -> bool {
+        self.trial.is_some()
+    }
+
+    /// Notes that a request was taken. Returns whether the load was on trial.
+    pub fn confirm(&mut self) -> bool {
+        self.trial.take().is_some()
+    }
+
+    /// Notes that a request was refused since the adapter isn't there; false if it isn't coming.
+    fn refuse(&mut self, now: Time) -> bool {
+        let Some(trial) = &mut self.trial else {
+            return false;
+        };
+        trial.refused += 1;
+        trial.next = now + TRY_AGAIN;
+        trial.refused <= TRIALS
+    }
+
     /// Counts requests that began.
     pub fn use_it(&mut self, now: Time, count: u32) {
         self.uses = self.uses(now) + f64::from(count);
@@ -137,6 +181,7 @@
             if belief.since.is_zero() || belief.since + NEWS_HOLDS < now {
                 belief.version = *version;
                 belief.since = Time::ZERO;
+                belief.trial = None;
             }
         }
         let listed = |name: &Name| listing.holds.iter().any(|it| it.name == *name);
@@ -152,6 +197,20 @@
         let belief = self.held.entry(name.clone()).or_default();
         belief.version = version;
         belief.since = now;
+        belief.trial = Some(Trial::default());
+    }
+
+    /// Notes that it refused a request since it doesn't hold the adapter. Returns whether the adapter
+    /// was expected just now.
+    pub fn misses(&mut self, name: &str, now: Time) -> bool {
+        let Some(belief) = self.held.get_mut(name) else {
+            return false;
+        };
+        let expected = belief.is_tried();
+        if !belief.refuse(now) {
+            self.drop_hold(name, now);
+        }
+        expected
     }
 
     /// Notes that it doesn't hold it, or not for long.
--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -17,6 +17,7 @@
     circuit::Use,
     engine::Engine,
     listing::{Name, is_adapter, model},
+    rendezvous,
     table::{Age, Key, Table},
 };
 
@@ -30,7 +31,7 @@
 const ADAPTER_RELOADS: Duration = Duration::from_millis(45);
 
 /// Names that an engine is believed to reload fast.
-const RELOADS: usize = 60;
+const RELOADS: usize = 110;
 
 /// Time for which an ask for a load is kept without being asked again.
 const WANT_HOLDS: Duration = Duration::from_millis(1500);
@@ -41,6 +42,38 @@
 /// Decayed uses of an adapter from which its older copy is replaced without being asked for.
 const REFRESH_FROM: f64 = 0.5;
 
+/// Pause after an order that met another one or too many on their way.
+const CONFLICT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Conflicts in a row after which the engine is asked what it does.
+const CONFLICTS: u32 = 3;
+
+/// Loads of adapters at once at full speed, for each engine, until more was learned: the users'
+/// platforms have 0.8 to 0.9.
+const AT_ONCE: f64 = 0.85;
+
+/// Step of what is learned of the loads at once: a load that wasn't there in time, and one that was.
+const FEWER: f64 = 0.95;
+const MORE: f64 = 1.01;
+
+/// Bounds of what is learned, for each engine.
+const LEAST: f64 = 0.2;
+const MOST: f64 = 4.0;
+
+/// Loads that this host has on their way, against its share of those at full speed: more would only
+/// delay each other.
+const SHARE_OVER: f64 = 1.5;
+
+/// Time for which a load counts among those on their way beyond the expected.
+const STILL: Duration = Duration::from_millis(30);
+
+/// What an engine is worth less, in ms, for each engine that is better placed for an adapter: an
+/// adapter that always comes to the same engine is still in that engine's memory.
+const RANK_MS: f64 = 3.0;
+
+/// What a load from the weight store counts like against one from the engine's memory, in ms.
+const FETCH_MS: f64 = 250.0;
+
 /// Pause after an order that was refused, before the engine is asked what it does: what it reports is
 /// some hundred ms old.
 const REFUSED_PAUSE: Duration = Duration::from_millis(350);
@@ -121,6 +154,7 @@
     name: Name,
     version: u64,
     done: Time,
+    told: bool,
 }
 
 /// The orders of one life of one engine.
@@ -137,6 +171,7 @@
     leaving: Vec<(Name, Time)>,
     /// An order without an answer, which may still be carried out until a later one is accepted.
     ghost: Option<(Name, Op)>,
+    conflicts: u32,
     look: bool,
     pause: Time,
     reloads: VecDeque<Name>,
@@ -148,6 +183,12 @@
     wants: HashMap<Name, Want>,
     works: HashMap<Key, Works>,
     ceiling: Ceiling,
+    /// Loads at once at full speed, for each engine; 0 until one was seen.
+    at_once: f64,
+    /// Loads of other hosts that are on their way.
+    pub elsewhere: usize,
+    /// Engines that load adapters.
+    engines: usize,
 }
 
 /// What a decision rests on.
@@ -205,16 +246,16 @@
     pub fn done(&mut self, now: Time) -> Vec<Done> {
         let mut done = Vec::new();
         for (key, works) in &mut self.works {
-            works.transit.retain(|it| {
-                let over = is_adapter(&it.name) && it.done <= now;
-                if over {
+            works.transit.retain_mut(|it| {
+                if is_adapter(&it.name) && it.done <= now && !it.told {
+                    it.told = true;
                     done.push(Done {
                         key: *key,
                         name: it.name.clone(),
                         version: it.version,
                     });
                 }
-                !over
+                !it.told || it.done + STILL > now
             });
         }
         done
@@ -231,6 +272,11 @@
                 works.orders = None;
             }
         }
+        let orders = |it: &&Engine| {
+            let service = view.catalog.services.get(&it.listing.service);
+            service.is_some_and(|it| it.engine.is_some())
+        };
+        self.engines = view.table.iter().map(|it| it.1).filter(orders).count();
         let mut steps = Vec::new();
         let mut free = Vec::new();
         for key in view.mine {
@@ -321,8 +367,10 @@
             .map(|(name, it)| (name.clone(), it.clone()))
             .collect();
         wants.sort_by_key(|(_, it)| (it.spread, it.since));
+        let share = count(view.mine.len()) * self.at_once() * SHARE_OVER;
+        let share = share.max(2.0);
         for (name, want) in wants {
-            if free.is_empty() {
+            if free.is_empty() || count(self.in_transit()) >= share {
                 return;
             }
             if self.served(view, &name, &want) {
@@ -358,7 +406,7 @@
         view.mine.iter().any(|key| {
             view.table.get(*key).is_some_and(|it| {
                 it.takes_work()
-                    && it.circuit.state(view.now) != Use::Aside
+                    && it.circuit.state(view.now) != Use::Unreachable
                     && it.held.get(name).is_some_and(|belief| {
                         view.table.age(name, belief.version, view.now) == Age::Newest
                     })
@@ -375,7 +423,7 @@
             || !engine.held.contains_key(&model.name)
             || works.transit.len() >= IN_TRANSIT
             || works.moves(name)
-            || engine.circuit.state(now) == Use::Aside
+            || matches!(engine.circuit.state(now), Use::Aside | Use::Unreachable)
         {
             return None;
         }
@@ -384,8 +432,12 @@
             // An older copy is replaced in place once nothing runs with it.
             return (!newest && belief.busy(now) == 0).then(|| Room::free(engine, now));
         }
+        let mut room = Room::free(engine, now);
+        if !works.reloads.contains(name) {
+            room.cost += FETCH_MS + RANK_MS * rank(view, engine, name);
+        }
         if works.fits(engine, shape, model.adapter_mb) {
-            return Some(Room::free(engine, now));
+            return Some(room);
         }
         let victims = engine.held.iter().filter(|(name, it)| {
             is_adapter(name)
@@ -404,7 +456,6 @@
         if want.spread && uses > 1.5 {
             return None;
         }
-        let mut room = Room::free(engine, now);
         room.cost += 5.0 + 40.0 * uses.max(0.0);
         room.victim = Some(victim.clone());
         Some(room)
@@ -412,6 +463,7 @@
 
     /// Takes in what came of an order.
     pub fn answered(&mut self, order: &Order, outcome: Outcome, now: Time) {
+        let load_time = self.load_time();
         let Some(works) = self.works.get_mut(&order.key) else {
             return;
         };
@@ -422,7 +474,7 @@
                 let again = works.reloads.contains(&order.name);
                 let takes = match (is_adapter(&order.name), again) {
                     (true, true) => ADAPTER_RELOADS,
-                    (true, false) => ADAPTER_LOADS,
+                    (true, false) => load_time,
                     (false, _) => {
                         works.look = true;
                         works.pause = now + LOOK_PAUSE;
@@ -434,6 +486,7 @@
                     name: order.name.clone(),
                     version: version.unwrap_or(0),
                     done: now + takes,
+                    told: false,
                 });
             }
             (Outcome::Accepted, Op::Unload) => {
@@ -446,12 +499,21 @@
                 name: order.name.clone(),
                 version: version.unwrap_or(0),
                 done: now,
+                told: false,
             }),
             (Outcome::Holds, Op::Unload) => {
                 works.accept();
                 works.gone(&order.name);
             }
-            (Outcome::Conflict | Outcome::Refused, _) => {
+            (Outcome::Conflict, _) => {
+                works.conflicts += 1;
+                works.pause = now + CONFLICT_PAUSE;
+                if works.conflicts >= CONFLICTS {
+                    works.look = true;
+                    works.pause = now + REFUSED_PAUSE;
+                }
+            }
+            (Outcome::Refused, _) => {
                 works.look = true;
                 works.pause = now + REFUSED_PAUSE;
             }
@@ -478,6 +540,7 @@
             works.ghost = None;
         }
         works.orders = Some(report.orders);
+        works.conflicts = 0;
         works.ledger = report.holds.iter().map(|it| it.name.clone()).collect();
         works.ledger.extend(report.pending.iter().cloned());
         let holds = |name: &Name| report.holds.iter().any(|it| it.name == *name);
@@ -488,6 +551,7 @@
                     name: name.clone(),
                     version: 0,
                     done: now + ADAPTER_LOADS,
+                    told: false,
                 });
             }
         }
@@ -503,12 +567,26 @@
         works.pause = if works.look { now + LOOK_PAUSE } else { now };
     }
 
-    /// Notes that an adapter which was taken as loaded isn't there yet.
-    pub fn not_yet(&mut self, key: Key) {
-        if let Some(works) = self.works.get_mut(&key) {
-            works.look = true;
+    /// Notes whether an adapter was there when its load should have been done.
+    pub fn arrived(&mut self, in_time: bool) {
+        let step = if in_time { MORE } else { FEWER };
+        self.at_once = (self.at_once() * step).clamp(LEAST, MOST);
+    }
+
+    fn at_once(&self) -> f64 {
+        if self.at_once > 0.0 {
+            self.at_once
+        } else {
+            AT_ONCE
         }
     }
+
+    /// Expected time of one more load from the weight store, as `engines` share its speed.
+    fn load_time(&self) -> Duration {
+        let loads = count(self.in_transit() + self.elsewhere + 1);
+        let full_speed = (self.at_once() * count(self.engines)).max(1.0);
+        ADAPTER_LOADS.mul_f64((loads / full_speed).max(1.0))
+    }
 }
 
 struct Room {
@@ -553,6 +631,7 @@
     fn accept(&mut self) {
         self.orders = self.orders.map(|it| it + 1);
         self.ghost = None;
+        self.conflicts = 0;
     }
 
     fn gone(&mut self, name: &Name) {
@@ -598,6 +677,22 @@
     }
 }
 
+/// How many engines of the service are better placed for an adapter.
+fn rank(view: &View, engine: &Engine, name: &Name) -> f64 {
+    let listing = &engine.listing;
+    let own = rendezvous::weight(name, &listing.id);
+    let better = view.table.iter().filter(|(_, it)| {
+        it.listing.service == listing.service
+            && it.takes_work()
+            && rendezvous::weight(name, &it.listing.id) > own
+    });
+    count(better.count())
+}
+
+fn count(number: usize) -> f64 {
+    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
+}
+
 fn shaped<'a>(view: &View<'a>, key: Key) -> Option<(&'a Engine, &'a Shape)> {
     let engine = view.table.get(key)?;
     let service = view.catalog.services.get(&engine.listing.service)?;
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -24,12 +24,25 @@
 /// Expected time until a place is free in a full engine, for each request over its places, in ms.
 const FULL_MS: f64 = 30.0;
 
+/// Wait at a full instance of a plain service, in ms.
+const PLAIN_MS: f64 = 20.0;
+
 /// Way to another failure domain and back, and its price, in ms.
 const AWAY_MS: f64 = 6.0;
 
-/// What a share of failures of 1 counts like, in ms.
+/// What a share of failures of 1 counts like, in ms; it counts with its square, since a few failures
+/// are usual.
 const FAILING_MS: f64 = 2500.0;
 
+/// What an upstream counts like that was put aside, in ms.
+const ASIDE_MS: f64 = 1500.0;
+
+/// The same for an instance of a plain service that could not be reached.
+const UNREACHABLE_MS: f64 = 5000.0;
+
+/// What an upstream counts like whose answers were bad a while ago, in ms.
+const TRIAL_MS: f64 = 30.0;
+
 /// What an older version counts like, in ms: the newest copy goes first unless it is full.
 const OLDER_MS: f64 = 400.0;
 
@@ -90,24 +103,24 @@
     if usable.is_empty() {
         return Place::Nowhere;
     }
-    let aside = |it: &Engine| it.circuit.state(now) == Use::Aside;
-    let mut best: Option<(f64, Key)> = None;
+    let mut best: Option<(f64, f64, Key)> = None;
     let mut emptiest = f64::INFINITY;
     let mut draw = ask.draw;
     for (key, engine) in &usable {
-        // An upstream that is put aside is still better than none for a plain service.
-        let mut cost = cost(engine, ask, now);
-        if aside(engine) {
-            if ask.name.is_some() {
-                continue;
-            }
-            cost += 5000.0;
+        let unreachable = engine.circuit.state(now) == Use::Unreachable;
+        if unreachable && ask.name.is_some() {
+            continue;
         }
+        let wait = wait(engine, ask, now);
+        let mut cost = wait + penalty(engine, ask, now);
         emptiest = emptiest.min(cost);
         if let Some(name) = ask.name {
             let Some(belief) = engine.held.get(name) else {
                 continue;
             };
+            if !belief.is_open(now) {
+                continue;
+            }
             match table.age(name, belief.version, now) {
                 Age::Newest => {}
                 Age::Older => cost += OLDER_MS,
@@ -120,13 +133,13 @@
             .wrapping_add(1_442_695_040_888_963_407);
         let drawn = cost + f64::from(u16::try_from(draw >> 48).unwrap_or(0)) / 65536.0 * DRAW_MS;
         if best.is_none_or(|it| drawn < it.0) {
-            best = Some((drawn, *key));
+            best = Some((drawn, wait, *key));
         }
     }
     match best {
-        Some((cost, key)) => Place::At(Choice {
+        Some((cost, wait, key)) => Place::At(Choice {
             key,
-            wait: Duration::from_secs_f64(cost.max(0.0) / 1000.0),
+            wait: Duration::from_secs_f64(wait.max(0.0) / 1000.0),
             spread: cost > SPREAD_FROM_MS && emptiest < cost / 2.0,
         }),
         None if ask.name.is_some() => Place::Load,
@@ -134,8 +147,8 @@
     }
 }
 
-/// Expected time to the first event at an engine, in ms, with what makes it less wanted.
-fn cost(engine: &Engine, ask: &Ask, now: Time) -> f64 {
+/// Expected time to the first event at an engine, in ms.
+fn wait(engine: &Engine, ask: &Ask, now: Time) -> f64 {
     let load = engine.load_of_all(now);
     let slots = u32::try_from(engine.listing.slots.max(1)).unwrap_or(u32::MAX);
     let over = (load.running + 1).saturating_sub(slots);
@@ -143,20 +156,28 @@
         .chain
         .tokens()
         .saturating_sub(engine.kept.tokens(ask.chain));
-    let mut cost = if ask.name.is_some() {
+    let wait = if ask.name.is_some() {
         f64::from(load.unread + new) / TOKENS_PER_MS + f64::from(load.running) * RUNNING_MS
     } else {
-        f64::from(load.running) / f64::from(slots) * 20.0
+        f64::from(load.running) / f64::from(slots) * PLAIN_MS
     };
-    cost += f64::from(over) * FULL_MS;
-    cost *= engine.slowness.max(0.8);
+    (wait + f64::from(over) * FULL_MS) * engine.slowness.max(0.8)
+}
+
+/// What makes an engine less wanted beside the wait, in ms.
+fn penalty(engine: &Engine, ask: &Ask, now: Time) -> f64 {
+    let failures = engine.circuit.failures();
+    let mut penalty = failures * failures * FAILING_MS;
     if &*engine.listing.domain != ask.domain {
-        cost += AWAY_MS;
-    }
-    if engine.circuit.state(now) == Use::Trial {
-        cost += 30.0;
+        penalty += AWAY_MS;
     }
-    cost + engine.circuit.failures() * FAILING_MS
+    penalty
+        + match engine.circuit.state(now) {
+            Use::Normal => 0.0,
+            Use::Trial => TRIAL_MS,
+            Use::Aside => ASIDE_MS,
+            Use::Unreachable => UNREACHABLE_MS,
+        }
 }
 
 /// How full the engines of a service are that take work: running requests and places.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -390,7 +390,6 @@
             return Sent::NotRun(Some(status));
         }
         if mark.not_run {
-            self.refused(key);
             run.finish(answer).await;
             return Sent::NotRun(Some(status));
         }
@@ -406,6 +405,7 @@
             self.ran = true;
             return Sent::Lost;
         }
+        self.confirm(key);
         let (head, body) = answer.into_parts();
         Sent::Answer(Box::new((head, body, mark, run)))
     }
@@ -513,13 +513,27 @@
             return;
         }
         if let Some(name) = &self.envelope.name {
-            log::debug!("engine {instance}: doesn't hold {name}");
-            engine.drop_hold(name, clock::now());
+            let expected = engine.misses(name, clock::now());
+            log::debug!("engine {instance}: doesn't hold {name}, expected {expected}");
+            if expected {
+                self.gateway.loader.borrow_mut().arrived(false);
+                // It is on its way: the next try goes there again.
+                self.tried.retain(|it| *it != key);
+            }
         }
     }
 
-    fn refused(&self, key: Key) {
-        self.gateway.loader.borrow_mut().not_yet(key);
+    /// Notes that the engine holds the adapter.
+    fn confirm(&self, key: Key) {
+        let Some(name) = &self.envelope.name else {
+            return;
+        };
+        let mut table = self.gateway.table.borrow_mut();
+        let belief = table.get_mut(key).and_then(|it| it.held.get_mut(name));
+        if belief.is_some_and(fleet::engine::Belief::confirm) {
+            self.gateway.loader.borrow_mut().arrived(true);
+            self.gateway.wake(name);
+        }
     }
 
     fn unreachable(&mut self, key: Key) {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -48,6 +48,7 @@
     host: String,
     domain: String,
     leaving: bool,
+    transit: u32,
     claims: Vec<Short>,
     loads: Vec<(Short, u32, u32)>,
     runs: Vec<Run>,
@@ -85,6 +86,7 @@
     told: Time,
     domain: Arc<str>,
     leaving: bool,
+    transit: u32,
     claims: Vec<Short>,
 }
 
@@ -151,6 +153,7 @@
             told: now,
             domain: "".into(),
             leaving: false,
+            transit: 0,
             claims: Vec::new(),
         }
     }
@@ -318,6 +321,7 @@
                 host: base.host.clone(),
                 domain: base.domain.clone(),
                 leaving: base.leaving,
+                transit: base.transit,
                 claims: base.claims.clone(),
                 loads: base.loads.clone(),
             };
@@ -333,6 +337,7 @@
             host: self.gateway.holder.to_string(),
             domain: self.gateway.settings.domain.clone(),
             leaving: self.gateway.stopping.get(),
+            transit: u32::try_from(self.gateway.loader.borrow().in_transit()).unwrap_or(0),
             claims: claims.orderable(now).map(|it| short(it)).collect(),
             loads: busy
                 .map(|(_, it)| (short(&it.listing.id), it.own.running, it.own.unread))
@@ -385,8 +390,12 @@
             peer.addr = from;
             peer.heard = Some(now);
             peer.leaving = hello.leaving;
+            peer.transit = hello.transit;
             peer.domain = hello.domain.as_str().into();
             peer.claims.clone_from(&hello.claims);
+            let live = peers.by_name.values().filter(|it| it.lives(now));
+            let elsewhere = live.map(|it| usize::try_from(it.transit).unwrap_or(0)).sum();
+            self.gateway.loader.borrow_mut().elsewhere = elsewhere;
         }
         let mut table = self.gateway.table.borrow_mut();
         for (engine, running, unread) in &hello.loads {
