Let prompts wait here while an engine has enough to read; spread copies over hosts

One engine ran 68 requests with one adapter while others had 7: asks for a copy always went to the same host, which found no victim. Change: hosts tell each other each prompt at once, an engine's unread prompts are known from that and from first events, and a prompt waits at the host while too much is unread. Asks for copies go to one host after the other and push out what is used less.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -1,6 +1,10 @@
 //! What this host believes of one engine or instance of a plain service.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, VecDeque},
+    sync::Arc,
+    time::Duration,
+};
 
 use crate::{
     Time,
@@ -20,6 +24,13 @@
 /// seconds, and an adapter that is fetched again costs a third of a second.
 const USES_HALVE: Duration = Duration::from_secs(8);
 
+/// Prompt tokens that an engine is expected to read in a millisecond while it also generates; its own
+/// slowness corrects it.
+pub const TOKENS_PER_MS: f64 = 22.0;
+
+/// Prompts that are remembered as sent to an engine.
+const SENDS: usize = 256;
+
 /// Pause after a request that came before the adapter.
 const TRY_AGAIN: Duration = Duration::from_millis(30);
 
@@ -130,6 +141,10 @@
     others: HashMap<Arc<str>, (Time, Load)>,
     /// What its answers show.
     pub circuit: Circuit,
+    /// When it will have read all prompts that hosts have sent it, as far as they told.
+    read_by: Time,
+    /// Prompts that were sent to it, with when, as far as it isn't known that they are read.
+    sends: VecDeque<(Time, u32)>,
     /// Parts of prompts that it is believed to keep.
     pub kept: Kept,
     /// Time to the first event against the expected time, smoothed.
@@ -153,6 +168,8 @@
             own: Load::default(),
             others: HashMap::new(),
             circuit: Circuit::default(),
+            read_by: Time::ZERO,
+            sends: VecDeque::new(),
             kept: Kept::default(),
             slowness: 1.0,
             lapsed: None,
@@ -235,10 +252,40 @@
         })
     }
 
-    /// Notes how long the first event took, against what was expected.
-    pub fn first_event(&mut self, took: Duration, expected: Duration) {
+    /// Notes that a host has sent it a prompt of which it has to read so many tokens.
+    pub fn reads(&mut self, tokens: u32, now: Time) {
+        self.sends.push_back((now, tokens));
+        if self.sends.len() > SENDS {
+            self.sends.pop_front();
+        }
+        self.read_by = self.read_by.max(now) + self.reading(f64::from(tokens));
+    }
+
+    /// Notes that it has read a prompt that was sent at `sent`, and with it those before.
+    fn has_read(&mut self, sent: Time, now: Time) {
+        while self.sends.front().is_some_and(|it| it.0 <= sent) {
+            self.sends.pop_front();
+        }
+        let left: f64 = self.sends.iter().map(|it| f64::from(it.1)).sum();
+        self.read_by = self.read_by.min(now + self.reading(left));
+    }
+
+    fn reading(&self, tokens: f64) -> Duration {
+        Duration::from_secs_f64(tokens / TOKENS_PER_MS / 1000.0 * self.slowness)
+    }
+
+    /// Prompt tokens that it has yet to read.
+    pub fn unread(&self, now: Time) -> f64 {
+        let left = self.read_by.saturating_sub(now).as_secs_f64();
+        left * 1000.0 * TOKENS_PER_MS / self.slowness
+    }
+
+    /// Notes that the first event came for a request that was sent at `sent`, against what was expected.
+    pub fn first_event(&mut self, sent: Time, expected: Duration, now: Time) {
+        self.has_read(sent, now);
+        let took = now.saturating_sub(sent);
         let ratio = took.as_secs_f64() / expected.as_secs_f64().max(0.02);
-        self.slowness = (self.slowness * (1.0 - NEWEST) + ratio * NEWEST).clamp(0.5, 20.0);
+        self.slowness = (self.slowness * (1.0 - NEWEST) + ratio * NEWEST).clamp(0.8, 20.0);
     }
 
     /// Whether new work may go to it.
--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -64,6 +64,10 @@
 /// delay each other.
 const SHARE_OVER: f64 = 1.5;
 
+/// Part of the uses that one more copy would take, up to which it is worth more than its victim: those
+/// who use the victim wait for its load, the others only for their turn.
+const COPY_WORTH: f64 = 0.2;
+
 /// Time for which a load counts among those on their way beyond the expected.
 const STILL: Duration = Duration::from_millis(30);
 
@@ -146,7 +150,8 @@
     service: Arc<str>,
     since: Time,
     last: Time,
-    spread: bool,
+    /// For one more copy: the decayed uses that it would take.
+    spread: Option<f64>,
 }
 
 #[derive(Clone, Debug)]
@@ -219,8 +224,9 @@
 }
 
 impl Loader {
-    /// Asks for an adapter on one of this host's engines; `spread` for one more copy.
-    pub fn want(&mut self, service: &Arc<str>, name: &Name, spread: bool, now: Time) {
+    /// Asks for an adapter on one of this host's engines; for one more copy, `spread` says how many of
+    /// the decayed uses it would take.
+    pub fn want(&mut self, service: &Arc<str>, name: &Name, spread: Option<f64>, now: Time) {
         let want = self.wants.entry(name.clone()).or_insert_with(|| Want {
             service: service.clone(),
             since: now,
@@ -228,7 +234,9 @@
             spread,
         });
         want.last = now;
-        want.spread &= spread;
+        if spread.is_none() {
+            want.spread = None;
+        }
     }
 
     /// Whether a load of it is wanted or under way.
@@ -366,7 +374,7 @@
         let mut wants: Vec<(Name, Want)> = (self.wants.iter())
             .map(|(name, it)| (name.clone(), it.clone()))
             .collect();
-        wants.sort_by_key(|(_, it)| (it.spread, it.since));
+        wants.sort_by_key(|(_, it)| (it.spread.is_some(), it.since));
         let share = count(view.mine.len()) * self.at_once() * SHARE_OVER;
         let share = share.max(2.0);
         for (name, want) in wants {
@@ -400,7 +408,7 @@
     /// Whether the ask is met: a load is on its way, or an engine of this host holds it.
     fn served(&self, view: &View, name: &Name, want: &Want) -> bool {
         let on_its_way = (self.works.values()).any(|it| it.transit.iter().any(|it| it.name == *name));
-        if on_its_way || want.spread {
+        if on_its_way || want.spread.is_some() {
             return on_its_way;
         }
         view.mine.iter().any(|key| {
@@ -452,8 +460,8 @@
         let (victim, uses) = victims
             .map(|(name, it)| (name, value(name, it)))
             .min_by(|a, b| a.1.total_cmp(&b.1).then_with(|| a.0.cmp(b.0)))?;
-        // What this host's steward would miss itself isn't given up for one more copy.
-        if want.spread && uses > 1.5 {
+        // What is used as much isn't given up for one more copy.
+        if want.spread.is_some_and(|it| uses > it * COPY_WORTH) {
             return None;
         }
         room.cost += 5.0 + 40.0 * uses.max(0.0);
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -8,16 +8,12 @@
 use crate::{
     Time,
     circuit::Use,
-    engine::Engine,
+    engine::{Engine, TOKENS_PER_MS},
     listing::Name,
     prefix::Chain,
     table::{Age, Key, Table},
 };
 
-/// Prompt tokens that an engine is expected to read in a millisecond while it also generates; its own
-/// slowness corrects it.
-const TOKENS_PER_MS: f64 = 16.0;
-
 /// Expected part of the wait that each running request adds, in ms.
 const RUNNING_MS: f64 = 0.35;
 
@@ -30,6 +26,14 @@
 /// Way to another failure domain and back, and its price, in ms.
 const AWAY_MS: f64 = 6.0;
 
+/// Prompt tokens that may wait at an engine. An engine reads a piece of a prompt in each step, and an
+/// event has the tokens of a few steps, so more than this at once makes a pause of all its streams that
+/// is longer than they may have.
+const PACE_TOKENS: f64 = 4200.0;
+
+/// What each running stream counts like at an engine where too much would wait, in ms.
+const PAUSES_MS: f64 = 8.0;
+
 /// What a share of failures of 1 counts like, in ms; it counts with its square, since a few failures
 /// are usual.
 const FAILING_MS: f64 = 2500.0;
@@ -75,6 +79,8 @@
 pub enum Place {
     /// Send it there.
     At(Choice),
+    /// All engines that hold the adapter have enough to read for this long.
+    Later(Choice),
     /// No engine that can be used holds the adapter.
     Load,
     /// No engine of the service can be used.
@@ -103,7 +109,7 @@
     if usable.is_empty() {
         return Place::Nowhere;
     }
-    let mut best: Option<(f64, f64, Key)> = None;
+    let mut best: Option<(f64, f64, Key, bool)> = None;
     let mut emptiest = f64::INFINITY;
     let mut draw = ask.draw;
     for (key, engine) in &usable {
@@ -133,15 +139,22 @@
             .wrapping_add(1_442_695_040_888_963_407);
         let drawn = cost + f64::from(u16::try_from(draw >> 48).unwrap_or(0)) / 65536.0 * DRAW_MS;
         if best.is_none_or(|it| drawn < it.0) {
-            best = Some((drawn, wait, *key));
+            best = Some((drawn, wait, *key, is_paced(engine, ask, now)));
         }
     }
     match best {
-        Some((cost, wait, key)) => Place::At(Choice {
-            key,
-            wait: Duration::from_secs_f64(wait.max(0.0) / 1000.0),
-            spread: cost > SPREAD_FROM_MS && emptiest < cost / 2.0,
-        }),
+        Some((cost, wait, key, paced)) => {
+            let choice = Choice {
+                key,
+                wait: Duration::from_secs_f64(wait.max(0.0) / 1000.0),
+                spread: cost > SPREAD_FROM_MS && emptiest < cost / 2.0,
+            };
+            if paced {
+                Place::Later(choice)
+            } else {
+                Place::At(choice)
+            }
+        }
         None if ask.name.is_some() => Place::Load,
         None => Place::Nowhere,
     }
@@ -152,22 +165,34 @@
     let load = engine.load_of_all(now);
     let slots = u32::try_from(engine.listing.slots.max(1)).unwrap_or(u32::MAX);
     let over = (load.running + 1).saturating_sub(slots);
-    let new = ask
-        .chain
-        .tokens()
-        .saturating_sub(engine.kept.tokens(ask.chain));
     let wait = if ask.name.is_some() {
-        f64::from(load.unread + new) / TOKENS_PER_MS + f64::from(load.running) * RUNNING_MS
+        (engine.unread(now) + new_tokens(engine, ask)) / TOKENS_PER_MS
+            + f64::from(load.running) * RUNNING_MS
     } else {
         f64::from(load.running) / f64::from(slots) * PLAIN_MS
     };
     (wait + f64::from(over) * FULL_MS) * engine.slowness.max(0.8)
 }
 
+/// Tokens of the prompt that the engine doesn't keep.
+fn new_tokens(engine: &Engine, ask: &Ask) -> f64 {
+    let kept = engine.kept.tokens(ask.chain);
+    f64::from(ask.chain.tokens().saturating_sub(kept))
+}
+
+/// Whether the prompt should wait here until the engine has read others.
+fn is_paced(engine: &Engine, ask: &Ask, now: Time) -> bool {
+    let unread = engine.unread(now);
+    ask.name.is_some() && unread > 0.0 && unread + new_tokens(engine, ask) > PACE_TOKENS
+}
+
 /// What makes an engine less wanted beside the wait, in ms.
 fn penalty(engine: &Engine, ask: &Ask, now: Time) -> f64 {
     let failures = engine.circuit.failures();
     let mut penalty = failures * failures * FAILING_MS;
+    if is_paced(engine, ask, now) {
+        penalty += f64::from(engine.load_of_all(now).running) * PAUSES_MS;
+    }
     if &*engine.listing.domain != ask.domain {
         penalty += AWAY_MS;
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -42,6 +42,12 @@
 /// caller's next try.
 const HOLD_PART: f64 = 0.3;
 
+/// Part of the time for the first event for which a prompt waits here for its turn at an engine.
+const PACED_PART: f64 = 0.6;
+
+/// Pause between two looks at whether an engine has read enough.
+const PACED: Duration = Duration::from_millis(15);
+
 /// Longest time that a request without a place is held.
 const HOLD: Duration = Duration::from_millis(2200);
 
@@ -255,13 +261,25 @@
             match place {
                 Place::At(choice) => {
                     if choice.spread {
-                        self.spread(name.as_ref()).await;
+                        self.spread(name.as_ref(), choice.key).await;
                     }
                     if now + choice.wait > self.deadline {
                         return Err(Fault::Overload);
                     }
                     return Ok(choice);
                 }
+                Place::Later(choice) => {
+                    // Waiting here costs nothing that waiting at the engine doesn't, and spares the
+                    // streams that run there.
+                    let paced = now < self.began + self.route.target.mul_f64(PACED_PART);
+                    if choice.spread {
+                        self.spread(name.as_ref(), choice.key).await;
+                    }
+                    if !paced {
+                        return Ok(choice);
+                    }
+                    time::sleep(PACED).await;
+                }
                 Place::Nowhere | Place::Load if now >= until => {
                     return Err(match place {
                         Place::Load => Fault::AdapterLoad,
@@ -300,23 +318,21 @@
         let asks = wait.asks.get();
         wait.asks.set(asks + 1);
         let nth = usize::try_from(asks / ASKS).unwrap_or(0);
-        if !self.gossip.want(&self.service, name, false, nth).await {
+        if !self.gossip.want(&self.service, name, None, nth).await {
             log::debug!("nobody orders engines that could load {name}");
         }
     }
 
-    /// Asks for one more copy of an adapter that is in demand.
-    async fn spread(&self, name: Option<&Name>) {
+    /// Asks for one more copy of an adapter that is in demand, of one host after the other.
+    async fn spread(&self, name: Option<&Name>, from: Key) {
         let Some(name) = name.filter(|it| fleet::listing::is_adapter(it)) else {
             return;
         };
-        let wait = self.gateway.wait(name);
         let now = clock::now();
-        if wait.asked.get().is_some_and(|it| it + Duration::from_millis(400) > now) {
+        let Some((nth, uses)) = self.gateway.spreads(name, from, now) else {
             return;
-        }
-        wait.asked.set(Some(now));
-        self.gossip.want(&self.service, name, true, 0).await;
+        };
+        self.gossip.want(&self.service, name, Some(uses), nth).await;
     }
 
     /// Sends it to an engine and reads the head of the answer.
@@ -329,8 +345,12 @@
         let Some((addr, instance, version)) = self.target(key) else {
             return Sent::NotRun(None);
         };
+        self.log_choice(&choice, &instance);
         let mut run = Run::begin(&self.gateway, key, self.envelope.name.clone(), &self.chain);
         run.expected = choice.wait;
+        if run.unread > 0 {
+            self.gossip.tell_sent(&instance, run.unread);
+        }
         let idle = if self.route.kind.repeats() { IDLE } else { FRESH };
         let channel = match self.gateway.pool.channel(addr, idle).await {
             Ok(it) => it,
@@ -379,6 +399,31 @@
         }
     }
 
+    fn log_choice(&self, choice: &Choice, instance: &str) {
+        if !log::log_enabled!(log::Level::Debug) {
+            return;
+        }
+        let now = clock::now();
+        let table = self.gateway.table.borrow();
+        let Some(engine) = table.get(choice.key) else {
+            return;
+        };
+        log::debug!(
+            "request {}: placed on engine {instance}, adapter {}, prompt {} tokens, {} kept, \
+             unread {:.0}, running {}, slowness {:.2}, expected wait {} ms, held {} ms, try {}",
+            self.envelope.id,
+            self.envelope.name.as_deref().unwrap_or("-"),
+            self.chain.tokens(),
+            engine.kept.tokens(&self.chain),
+            engine.unread(now),
+            engine.load_of_all(now).running,
+            engine.slowness,
+            choice.wait.as_millis(),
+            now.saturating_sub(self.began).as_millis(),
+            self.sent + 1,
+        );
+    }
+
     /// Sorts an answer by its head.
     async fn sort(&mut self, answer: Response<Incoming>, instance: &str, run: Run) -> Sent {
         let mark = self.gateway.dialect.mark(answer.headers());
@@ -556,6 +601,14 @@
         }
     }
 
+    /// The id of an engine, for the log.
+    pub(crate) fn id_of(&self, key: Key) -> Arc<str> {
+        let table = self.gateway.table.borrow();
+        table
+            .get(key)
+            .map_or_else(|| "gone".into(), |it| it.listing.id.clone())
+    }
+
     /// Whether a stream may be resumed at one more engine.
     pub(crate) fn may_resume(&self) -> bool {
         self.route.kind == Kind::Resumable
@@ -630,6 +683,7 @@
             unread = chain.tokens().saturating_sub(engine.kept.tokens(chain));
             engine.own.running += 1;
             engine.own.unread += unread;
+            engine.reads(unread, now);
             engine.kept.read(chain);
             if let Some(belief) = name.as_ref().and_then(|it| engine.held.get_mut(it)) {
                 belief.running += 1;
@@ -652,11 +706,11 @@
 
     /// Notes that the first event is there.
     pub(crate) fn first_event(&mut self) {
-        let took = clock::now().saturating_sub(self.sent);
+        let now = clock::now();
         if let Some(engine) = self.job.table.borrow_mut().get_mut(self.key) {
             engine.own.unread = engine.own.unread.saturating_sub(self.unread);
             if self.unread > 0 {
-                engine.first_event(took, self.expected);
+                engine.first_event(self.sent, self.expected, now);
             }
         }
         self.unread = 0;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,6 +27,12 @@
 /// Time after the store's return for which vanished entries may come back.
 const ENTRIES_RETURN: Duration = Duration::from_millis(2500);
 
+/// Time between two asks of this host for one more copy of an adapter: a copy is there after some 300 ms.
+const SPREAD_PAUSE: Duration = Duration::from_millis(300);
+
+/// Time after which the count of these asks begins anew.
+const SPREAD_FORGETS: Duration = Duration::from_secs(5);
+
 /// Requests that may wait for one adapter at this host.
 pub const WAITERS: usize = 400;
 
@@ -65,6 +71,8 @@
     store: RefCell<Store>,
     budgets: RefCell<HashMap<Arc<str>, Budget>>,
     waits: RefCell<HashMap<Name, Rc<Wait>>>,
+    /// When one more copy of an adapter was asked for last, and how often.
+    spreads: RefCell<HashMap<Name, (Time, usize)>>,
     /// News for other hosts that wasn't sent yet.
     pub news: RefCell<VecDeque<crate::gossip::News>>,
 }
@@ -111,6 +119,7 @@
             store: RefCell::default(),
             budgets: RefCell::default(),
             waits: RefCell::default(),
+            spreads: RefCell::default(),
             news: RefCell::default(),
         }
     }
@@ -208,6 +217,22 @@
         place::place(&self.table.borrow(), &ask, clock::now())
     }
 
+    /// Whether to ask for one more copy of an adapter now: how many were asked for, and the decayed uses
+    /// that the copy would take from the engine that has it.
+    pub fn spreads(&self, name: &Name, from: Key, now: Time) -> Option<(usize, f64)> {
+        let hosts = u32::try_from(self.peers.borrow().hosts()).unwrap_or(u32::MAX);
+        let table = self.table.borrow();
+        let belief = table.get(from)?.held.get(name)?;
+        let mut spreads = self.spreads.borrow_mut();
+        spreads.retain(|_, it| it.0 + SPREAD_FORGETS > now);
+        let entry = spreads.entry(name.clone()).or_insert((Time::ZERO, 0));
+        if entry.0 + SPREAD_PAUSE > now {
+            return None;
+        }
+        *entry = (now, entry.1 + 1);
+        Some((entry.1 - 1, belief.uses(now) * f64::from(hosts) / 2.0))
+    }
+
     /// The requests that wait for an adapter.
     pub fn wait(&self, name: &Name) -> Rc<Wait> {
         let mut waits = self.waits.borrow_mut();
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -40,6 +40,7 @@
     Hello(Hello),
     Want(Want),
     News(Vec<News>),
+    Sent(Short, u32),
 }
 
 /// The regular word of a host.
@@ -68,7 +69,8 @@
 struct Want {
     service: String,
     name: String,
-    spread: bool,
+    /// For one more copy: the decayed uses that it would take.
+    spread: Option<f64>,
 }
 
 /// An adapter that came to an engine or left it.
@@ -204,6 +206,7 @@
                 Ok(Message::Hello(it)) => self.heard(&it, from),
                 Ok(Message::Want(it)) => self.wanted(&it, from).await,
                 Ok(Message::News(it)) => self.news(&it),
+                Ok(Message::Sent(engine, tokens)) => self.sent(engine, tokens),
                 Err(error) => log::debug!("datagram from {from} can't be read: {error}"),
             }
         }
@@ -223,10 +226,38 @@
         }
     }
 
+    /// Tells the others at once that an engine has a prompt to read: it is read before the next regular
+    /// word.
+    pub fn tell_sent(&self, id: &str, tokens: u32) {
+        let Ok(bytes) = postcard::to_stdvec(&Message::Sent(short(id), tokens)) else {
+            return;
+        };
+        for addr in self.audience() {
+            if let Err(error) = self.socket.try_send_to(&bytes, addr) {
+                log::debug!("datagram to {addr} not sent: {error}");
+            }
+        }
+    }
+
+    fn sent(&self, engine: Short, tokens: u32) {
+        let mut table = self.gateway.table.borrow_mut();
+        let found = table.iter().find(|it| short(&it.1.listing.id) == engine);
+        let key = found.map(|it| it.0);
+        if let Some(engine) = key.and_then(|it| table.get_mut(it)) {
+            engine.reads(tokens, clock::now());
+        }
+    }
+
     /// Asks the host that orders suitable engines for a load: the `nth` in line for this adapter.
     /// Returns whether there is one.
-    pub async fn want(&self, service: &Arc<str>, name: &Name, spread: bool, nth: usize) -> bool {
-        let Some(steward) = self.steward(service, name, spread, nth) else {
+    pub async fn want(
+        &self,
+        service: &Arc<str>,
+        name: &Name,
+        spread: Option<f64>,
+        nth: usize,
+    ) -> bool {
+        let Some(steward) = self.steward(service, name, spread.is_some(), nth) else {
             return false;
         };
         let now = clock::now();
@@ -439,7 +470,7 @@
             };
             mine.iter().filter_map(holds).collect()
         };
-        if !there.is_empty() && !want.spread {
+        if !there.is_empty() && want.spread.is_none() {
             self.send(&Message::News(there), from).await;
             return;
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -26,6 +26,27 @@
     last: Option<String>,
     first: bool,
     ended: bool,
+    times: Times,
+}
+
+/// What the caller sees of the pace.
+#[derive(Default)]
+struct Times {
+    first: Option<Duration>,
+    last: Duration,
+    gap: Duration,
+}
+
+impl Times {
+    /// Notes that events were passed on, `at` after the request came.
+    fn pass(&mut self, at: Duration) {
+        if self.first.is_none() {
+            self.first = Some(at);
+        } else {
+            self.gap = self.gap.max(at.saturating_sub(self.last));
+        }
+        self.last = at;
+    }
 }
 
 enum Next {
@@ -47,6 +68,7 @@
             last,
             first: true,
             ended: false,
+            times: Times::default(),
         }
     }
 
@@ -65,7 +87,10 @@
             }
             match self.step().await {
                 Next::Pass(bytes) if bytes.is_empty() => {}
-                Next::Pass(bytes) => return Some(Ok(bytes)),
+                Next::Pass(bytes) => {
+                    self.times.pass(clock::now().saturating_sub(self.job.began));
+                    return Some(Ok(bytes));
+                }
                 Next::End => {
                     self.ended = true;
                     return None;
@@ -122,6 +147,14 @@
             }
             Waited::There(None) if self.buffer.is_empty() => {
                 if let Some((_, run)) = self.source.take() {
+                    log::debug!(
+                        "request {}: done by engine {}, first event {} ms, worst gap {} ms, in all {} ms",
+                        self.job.envelope.id,
+                        self.job.id_of(run.key),
+                        self.times.first.unwrap_or_default().as_millis(),
+                        self.times.gap.as_millis(),
+                        self.times.last.as_millis()
+                    );
                     run.keep(self.kept);
                 }
                 Next::End
