--- a/crates/entry/src/main.rs
+++ b/crates/entry/src/main.rs
@@ -24,7 +24,7 @@
 /// Serves callers' requests from model engines and plain services.
 #[derive(FromArgs)]
 struct Args {
-    /// the settings file; without it, the one that COMFREYWING_CONFIG names
+    /// the settings file; without it, the one that the variable `COMFREYWING_CONFIG` names
     #[argh(option)]
     settings: Option<PathBuf>,
 
@@ -35,13 +35,20 @@
 
 fn main() -> ExitCode {
     let args: Args = argh::from_env();
-    let named = args.settings.or_else(|| env::var_os(SETTINGS).map(PathBuf::from));
+    let named = args
+        .settings
+        .or_else(|| env::var_os(SETTINGS).map(PathBuf::from));
     let Some(file) = named else {
         eprintln!("comfreywing-entry: give --settings FILE or set {SETTINGS}");
         return ExitCode::from(BAD_INPUT);
     };
     if gateway::settings::applies(&file) {
-        start(&file, gateway::settings::read, gateway::process::run, args.check_only)
+        start(
+            &file,
+            gateway::settings::read,
+            gateway::process::run,
+            args.check_only,
+        )
     } else {
         start(&file, settings::read, process::run, args.check_only)
     }
--- a/crates/fleet/src/ceiling.rs
+++ b/crates/fleet/src/ceiling.rs
@@ -23,11 +23,7 @@
 impl Ceiling {
     /// Takes one load, if this host's share has one left.
     pub fn load(&mut self, now: Time, rule: Rule, hosts: usize) -> bool {
-        while self
-            .loads
-            .front()
-            .is_some_and(|it| *it + rule.window < now)
-        {
+        while self.loads.front().is_some_and(|it| *it + rule.window < now) {
             self.loads.pop_front();
         }
         let hosts = f64::from(u32::try_from(hosts.max(1)).unwrap_or(u32::MAX));
--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -407,7 +407,8 @@
 
     /// Whether the ask is met: a load is on its way, or an engine of this host holds it.
     fn served(&self, view: &View, name: &Name, want: &Want) -> bool {
-        let on_its_way = (self.works.values()).any(|it| it.transit.iter().any(|it| it.name == *name));
+        let on_its_way =
+            (self.works.values()).any(|it| it.transit.iter().any(|it| it.name == *name));
         if on_its_way || want.spread.is_some() {
             return on_its_way;
         }
@@ -448,10 +449,7 @@
             return Some(room);
         }
         let victims = engine.held.iter().filter(|(name, it)| {
-            is_adapter(name)
-                && it.busy(now) == 0
-                && it.used() + SETTLES < now
-                && !works.moves(name)
+            is_adapter(name) && it.busy(now) == 0 && it.used() + SETTLES < now && !works.moves(name)
         });
         let value = |name: &Name, it: &crate::engine::Belief| {
             let old = view.table.age(name, it.version, now) != Age::Newest;
@@ -552,7 +550,9 @@
         works.ledger = report.holds.iter().map(|it| it.name.clone()).collect();
         works.ledger.extend(report.pending.iter().cloned());
         let holds = |name: &Name| report.holds.iter().any(|it| it.name == *name);
-        works.transit.retain(|it| is_adapter(&it.name) || !holds(&it.name));
+        works
+            .transit
+            .retain(|it| is_adapter(&it.name) || !holds(&it.name));
         for name in &report.pending {
             if !works.transit.iter().any(|it| it.name == *name) {
                 works.transit.push(Transit {
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -207,7 +207,9 @@
 
 /// How full the engines of a service are that take work: running requests and places.
 pub fn fullness(table: &Table, service: &Arc<str>, now: Time) -> (u32, u32) {
-    let of_service = table.iter().filter(|(_, it)| it.listing.service == *service);
+    let of_service = table
+        .iter()
+        .filter(|(_, it)| it.listing.service == *service);
     let mut sum = (0, 0);
     for (_, engine) in of_service.filter(|(_, it)| it.takes_work()) {
         sum.0 += engine.load_of_all(now).running;
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -24,7 +24,9 @@
 ) -> Result<(StatusCode, Bytes), Failure> {
     request.headers_mut().insert(
         hyper::header::HOST,
-        addr.to_string().parse().expect("an address is a valid host"),
+        addr.to_string()
+            .parse()
+            .expect("an address is a valid host"),
     );
     let whole = async {
         let mut channel = pool.channel(addr, IDLE).await?;
--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -1,11 +1,6 @@
 //! Keeps this host's lease and its claims on engines in the store, by the rules of `fleet::lease`.
 
-use std::{
-    collections::HashMap,
-    rc::Rc,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashMap, rc::Rc, sync::Arc, time::Duration};
 
 use fleet::{
     Time,
@@ -182,7 +177,9 @@
         rev: object.rev,
     };
     let mut claims = gateway.claims.borrow_mut();
-    claims.known.insert(object.name.as_str().into(), known.clone());
+    claims
+        .known
+        .insert(object.name.as_str().into(), known.clone());
     Some(known)
 }
 
@@ -265,7 +262,8 @@
         return;
     }
     let last = gateway.claims.borrow().suspects.get(&known.holder).copied();
-    let due = last.is_none_or(|(suspect, read)| suspect.ends() <= now || read + SUSPECT_READ <= now);
+    let due =
+        last.is_none_or(|(suspect, read)| suspect.ends() <= now || read + SUSPECT_READ <= now);
     if !due {
         return;
     }
--- a/crates/gateway/src/event.rs
+++ b/crates/gateway/src/event.rs
@@ -20,8 +20,8 @@
 /// The id of the last event that has one.
 pub fn last_id(events: &[u8]) -> Option<String> {
     let lines = events.split(|it| *it == b'\n');
-    let ids = lines.filter_map(|it| it.strip_prefix(b"id:"));
-    let id = ids.last()?;
+    let mut ids = lines.filter_map(|it| it.strip_prefix(b"id:"));
+    let id = ids.next_back()?;
     let text = std::str::from_utf8(id).ok()?;
     Some(text.trim().to_owned())
 }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,10 +1,6 @@
 //! The way of a request: route, place, engine, answer.
 
-use std::{
-    rc::Rc,
-    sync::Arc,
-    time::Duration,
-};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use fleet::{
@@ -146,7 +142,10 @@
         return Err(reply::fault(Fault::Stopping, Some(ELSEWHERE)));
     }
     let Some(catalog) = gateway.catalog() else {
-        return Err(reply::fault(Fault::NoConfig, Some(Duration::from_millis(400))));
+        return Err(reply::fault(
+            Fault::NoConfig,
+            Some(Duration::from_millis(400)),
+        ));
     };
     let (parts, body) = request.into_parts();
     let host = parts.headers.get(HOST).and_then(|it| it.to_str().ok());
@@ -169,7 +168,11 @@
     };
     let mut head = parts.headers;
     reply::strip(&mut head);
-    let ours: Vec<_> = head.keys().filter(|it| gateway.dialect.is_ours(it)).cloned().collect();
+    let ours: Vec<_> = head
+        .keys()
+        .filter(|it| gateway.dialect.is_ours(it))
+        .cloned()
+        .collect();
     for name in ours {
         head.remove(name);
     }
@@ -177,7 +180,9 @@
     if !body.is_empty() || parts.method == Method::POST || parts.method == Method::PUT {
         head.insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
     }
-    let service = route.service(fleet::rendezvous::weight(&envelope.id, "")).clone();
+    let service = route
+        .service(fleet::rendezvous::weight(&envelope.id, ""))
+        .clone();
     let name = envelope.name.as_deref().unwrap_or_default();
     let mut chain = Chain::new(name, &envelope.parts);
     if envelope.parts.is_empty() && envelope.tokens > 0 {
@@ -351,7 +356,11 @@
         if run.unread > 0 {
             self.gossip.tell_sent(&instance, run.unread);
         }
-        let idle = if self.route.kind.repeats() { IDLE } else { FRESH };
+        let idle = if self.route.kind.repeats() {
+            IDLE
+        } else {
+            FRESH
+        };
         let channel = match self.gateway.pool.channel(addr, idle).await {
             Ok(it) => it,
             Err(error) => {
@@ -370,7 +379,14 @@
         let request = self.request(&instance, version, last_event);
         let used = channel.used;
         let channel = run.channel.insert(channel);
-        let answer = wait(&self.gateway, key, self.route.kind, self.deadline, channel.send(request)).await;
+        let answer = wait(
+            &self.gateway,
+            key,
+            self.route.kind,
+            self.deadline,
+            channel.send(request),
+        )
+        .await;
         match answer {
             Waited::There(Ok(answer)) => self.sort(answer, &instance, run).await,
             Waited::There(Err(Failure::Unreachable(error))) => {
@@ -771,15 +787,19 @@
         if now >= end {
             return Waited::Late;
         }
-        let mut step = end - now;
+        let mut step = end.saturating_sub(now);
         if kind.repeats() {
-            let since = now - began;
+            let since = now.saturating_sub(began);
             let answered = gateway.table.borrow().get(key).map(|it| it.answered);
             let silent = answered.is_none_or(|it| it + SILENT < now);
             if since >= HUNG && silent {
                 return Waited::Hung;
             }
-            step = step.min(if since < HUNG { HUNG - since } else { SILENT });
+            step = step.min(if since < HUNG {
+                HUNG.saturating_sub(since)
+            } else {
+                SILENT
+            });
         }
         if let Ok(it) = time::timeout(step, &mut what).await {
             return Waited::There(it);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -2,13 +2,7 @@
 //! they put on engines, and loads of adapters that are done. Datagrams get lost; everything is told
 //! again or is in the store's list soon.
 
-use std::{
-    collections::HashMap,
-    net::SocketAddr,
-    rc::Rc,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use fleet::{Time, engine::Load, listing::Name, rendezvous, table::Key};
 use serde::{Deserialize, Serialize};
@@ -23,7 +17,7 @@
 const LIVES: Duration = Duration::from_millis(1500);
 
 /// A host that wasn't heard for this long isn't told anything any more, unless the store lists it.
-const FORGOTTEN: Duration = Duration::from_secs(60);
+const FORGOTTEN: Duration = Duration::from_mins(1);
 
 /// Largest datagram; the links' limit is 1,500 bytes with all heads.
 const DATAGRAM: usize = 1400;
@@ -331,9 +325,9 @@
         let audience: Vec<(Option<Arc<str>>, SocketAddr)> = {
             let mut peers = self.gateway.peers.borrow_mut();
             let own = &*self.gateway.holder;
-            peers.by_name.retain(|_, it| {
-                it.heard.unwrap_or(it.told).max(it.told) + FORGOTTEN > now
-            });
+            peers
+                .by_name
+                .retain(|_, it| it.heard.unwrap_or(it.told).max(it.told) + FORGOTTEN > now);
             let known = peers.by_name.iter().filter(|it| **it.0 != *own);
             let mut audience: Vec<_> = known.map(|it| (Some(it.0.clone()), it.1.addr)).collect();
             let silent = peers.by_name.values().all(|it| it.heard.is_none());
@@ -425,7 +419,9 @@
             peer.domain = hello.domain.as_str().into();
             peer.claims.clone_from(&hello.claims);
             let live = peers.by_name.values().filter(|it| it.lives(now));
-            let elsewhere = live.map(|it| usize::try_from(it.transit).unwrap_or(0)).sum();
+            let elsewhere = live
+                .map(|it| usize::try_from(it.transit).unwrap_or(0))
+                .sum();
             self.gateway.loader.borrow_mut().elsewhere = elsewhere;
         }
         let mut table = self.gateway.table.borrow_mut();
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -118,10 +118,11 @@
     let now = clock::now();
     gateway.loader.borrow_mut().answered(order, outcome, now);
     let kept = matches!(outcome, Outcome::Conflict | Outcome::Refused);
-    if kept && order.op == Op::Unload {
-        if let Some(engine) = gateway.table.borrow_mut().get_mut(order.key) {
-            engine.load(&order.name, 0, now);
-        }
+    if kept
+        && order.op == Op::Unload
+        && let Some(engine) = gateway.table.borrow_mut().get_mut(order.key)
+    {
+        engine.load(&order.name, 0, now);
     }
 }
 
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -65,25 +65,34 @@
         level,
         form: telemetry::log::Form::Json,
     })?;
+    let runtime = Builder::new_current_thread().enable_all().build()?;
+    let host = async {
+        let mut stop = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        spawn_local(reloads(signal(SignalKind::hangup())?));
+        let told = async move {
+            tokio::select! {
+                _ = stop.recv() => {}
+                _ = interrupt.recv() => {}
+            }
+        };
+        serve(settings, told).await
+    };
+    LocalSet::new().block_on(&runtime, host)
+}
+
+/// Serves until `stop` is there, and then ends in order. It must run within a [`LocalSet`].
+pub async fn serve(settings: Settings, stop: impl Future<Output = ()>) -> Result<(), Failure> {
     let dialect = dialect::find(&settings.dialect)
         .ok_or_else(|| Failure::Dialect(settings.dialect.clone()))?;
     let life = SystemTime::now().duration_since(UNIX_EPOCH);
     let life = life.map_or(0, |it| u64::try_from(it.as_millis()).unwrap_or(0));
     let gateway = Rc::new(Gateway::new(settings, dialect, life));
-    let runtime = Builder::new_current_thread().enable_all().build()?;
-    LocalSet::new().block_on(&runtime, host(gateway))?;
-    Ok(())
-}
-
-async fn host(gateway: Rc<Gateway>) -> io::Result<()> {
     let settings = &gateway.settings;
     let callers = server::listen(settings.callers)?;
     let ready = server::listen(settings.ready)?;
     let gossip = Gossip::bind(gateway.clone()).await?;
     let (close, closing) = watch::channel(false);
-    let mut stop = signal(SignalKind::terminate())?;
-    let mut interrupt = signal(SignalKind::interrupt())?;
-    let reload = signal(SignalKind::hangup())?;
     log::info!("start: host {}, life {}", gateway.holder, gateway.life);
     spawn_local(server::ready(ready, gateway.clone()));
     spawn_local(server::callers(
@@ -100,11 +109,7 @@
     spawn_local(gossip.clone().tell());
     spawn_local(orders::give(gateway.clone(), gossip));
     spawn_local(sweep(gateway.clone()));
-    spawn_local(reloads(reload));
-    tokio::select! {
-        _ = stop.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    stop.await;
     leave(&gateway, &close).await;
     Ok(())
 }
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -11,12 +11,12 @@
     name::{Model, Service},
 };
 use member::Condition;
+use objects::object::Reason;
 use opentelemetry::{
     KeyValue,
     metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
 };
 use opentelemetry_sdk::metrics::SdkMeterProvider;
-use objects::object::Reason;
 use prometheus::{Encoder, Registry, TextEncoder};
 
 pub use label::{Direction, Ending, Labels, MAX_SERVICES, MAX_TENANTS, Medium};
