Take a request from an engine that hangs on it alone

Ruled out: slow engines (the runs' other streams had gaps of 0.3 s at most). Change: fleet::stall judges each wait by the time to the expected event; a stream is resumed elsewhere, a read is asked again.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod place;
 pub mod prefix;
 pub mod rendezvous;
+pub mod stall;
 pub mod table;
 
 /// Time since an origin of the process. It must go on while the host is suspended.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -9,6 +9,7 @@
     listing::Name,
     place::{Choice, Place},
     prefix::Chain,
+    stall::{self, Stage, Verdict},
     table::Key,
 };
 use http_body_util::{BodyExt, Limited};
@@ -63,12 +64,6 @@
 /// Time beyond a request's own for the engine's answer that its time is over.
 const LATE_ANSWER: Duration = Duration::from_millis(120);
 
-/// Silence of an engine on all its connections after which it may hang.
-const SILENT: Duration = Duration::from_millis(900);
-
-/// Wait for the first byte after which a request that may be repeated is taken from a silent engine.
-const HUNG: Duration = Duration::from_millis(1500);
-
 /// A caller's request on its way, with all that was learned of it.
 pub struct Job {
     pub(crate) gateway: Rc<Gateway>,
@@ -99,7 +94,7 @@
     unread: u32,
     channel: Option<Channel>,
     sent: Time,
-    expected: Duration,
+    pub(crate) expected: Duration,
 }
 
 /// What came of sending a request to one engine.
@@ -379,14 +374,8 @@
         let request = self.request(&instance, version, last_event);
         let used = channel.used;
         let channel = run.channel.insert(channel);
-        let answer = wait(
-            &self.gateway,
-            key,
-            self.route.kind,
-            self.deadline,
-            channel.send(request),
-        )
-        .await;
+        let stage = Stage::Head(choice.wait);
+        let answer = wait(&self.waiter(), key, stage, channel.send(request)).await;
         match answer {
             Waited::There(Ok(answer)) => self.sort(answer, &instance, run).await,
             Waited::There(Err(Failure::Unreachable(error))) => {
@@ -506,9 +495,9 @@
             let relay = Relay::new(self, body, run, kept);
             return Ok(Response::from_parts(head, relay.body()));
         }
-        let left = self.deadline.saturating_sub(clock::now()) + LATE_ANSWER;
-        match time::timeout(left, body.collect()).await {
-            Ok(Ok(body)) => {
+        let whole = wait(&self.waiter(), key, Stage::Next, body.collect()).await;
+        match whole {
+            Waited::There(Ok(body)) => {
                 let body = body.to_bytes();
                 head.headers.remove(CONTENT_LENGTH);
                 if !head.status.is_server_error() {
@@ -517,8 +506,8 @@
                 run.keep(kept);
                 Ok(Response::from_parts(head, reply::whole(body)))
             }
-            Ok(Err(error)) => {
-                log::debug!("request {}: answer broke off: {error}", self.envelope.id);
+            Waited::There(Err(_)) | Waited::Hung => {
+                log::debug!("request {}: its answer broke off", self.envelope.id);
                 self.failed(key);
                 self.ran = true;
                 if self.route.kind.repeats() && self.tried.len() < self.route.attempts {
@@ -526,7 +515,7 @@
                 }
                 Ok(self.fail(Fault::UpstreamLost))
             }
-            Err(_) => Ok(self.fail(Fault::Timeout)),
+            Waited::Late => Ok(self.fail(Fault::Timeout)),
         }
     }
 
@@ -617,6 +606,14 @@
         }
     }
 
+    pub(crate) fn waiter(&self) -> Waiter {
+        Waiter {
+            gateway: self.gateway.clone(),
+            route: self.route.clone(),
+            deadline: self.deadline,
+        }
+    }
+
     /// The id of an engine, for the log.
     pub(crate) fn id_of(&self, key: Key) -> Arc<str> {
         let table = self.gateway.table.borrow();
@@ -762,6 +759,13 @@
     }
 }
 
+/// What a wait for an engine needs to know of a request.
+pub(crate) struct Waiter {
+    gateway: Rc<Gateway>,
+    route: Arc<Route>,
+    deadline: Time,
+}
+
 /// What came of a wait for an engine.
 pub(crate) enum Waited<T> {
     There(T),
@@ -771,36 +775,28 @@
     Late,
 }
 
-/// Waits for an engine. A request that may be repeated is taken from an engine that has fallen silent.
+/// Waits for an engine. A request that may be repeated is taken from one that hangs.
 pub(crate) async fn wait<T>(
-    gateway: &Rc<Gateway>,
+    job: &Waiter,
     key: Key,
-    kind: Kind,
-    deadline: Time,
+    stage: Stage,
     what: impl Future<Output = T>,
 ) -> Waited<T> {
     let began = clock::now();
-    let end = deadline + LATE_ANSWER;
+    let end = job.deadline + LATE_ANSWER;
     tokio::pin!(what);
     loop {
         let now = clock::now();
         if now >= end {
             return Waited::Late;
         }
-        let mut step = end.saturating_sub(now);
-        if kind.repeats() {
-            let since = now.saturating_sub(began);
-            let answered = gateway.table.borrow().get(key).map(|it| it.answered);
-            let silent = answered.is_none_or(|it| it + SILENT < now);
-            if since >= HUNG && silent {
-                return Waited::Hung;
-            }
-            step = step.min(if since < HUNG {
-                HUNG.saturating_sub(since)
-            } else {
-                SILENT
-            });
-        }
+        let answered = job.gateway.table.borrow().get(key).map(|it| it.answered);
+        let silence = answered.map_or(Duration::MAX, |it| now.saturating_sub(it));
+        let waited = now.saturating_sub(began);
+        let step = match stall::judge(&job.route, stage, waited, silence) {
+            Verdict::Hung => return Waited::Hung,
+            Verdict::Wait(step) => step.min(end.saturating_sub(now)),
+        };
         if let Ok(it) = time::timeout(step, &mut what).await {
             return Waited::There(it);
         }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -1,8 +1,9 @@
 //! Passes the events of a stream on, and resumes it at another engine where that is allowed.
 
-use std::{rc::Rc, time::Duration};
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use fleet::stall::Stage;
 use futures::stream;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -121,9 +122,12 @@
         let Some((body, run)) = &mut self.source else {
             return Next::Broken("no engine");
         };
-        let gateway = Rc::clone(&self.job.gateway);
-        let kind = self.job.route.kind;
-        let frame = wait(&gateway, run.key, kind, self.job.deadline, body.frame()).await;
+        let stage = if self.first {
+            Stage::First(run.expected)
+        } else {
+            Stage::Next
+        };
+        let frame = wait(&self.job.waiter(), run.key, stage, body.frame()).await;
         match frame {
             Waited::There(Some(Ok(frame))) => {
                 let Ok(data) = frame.into_data() else {
