Tell other hosts at once which engine leaves

Hosts that see an engine leave or go tell the others by datagram, with the start of its life, so that a later life isn't meant.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -288,6 +288,13 @@
         self.slowness = (self.slowness * (1.0 - NEWEST) + ratio * NEWEST).clamp(0.8, 20.0);
     }
 
+    /// Notes another host's word that this life of it takes no more work.
+    pub fn leaves(&mut self, born: u64) {
+        if self.listing.born == born && self.takes_work() {
+            self.listing.state = State::Leaving(None);
+        }
+    }
+
     /// Whether new work may go to it.
     pub fn takes_work(&self) -> bool {
         self.listing.state == State::Ready
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -86,18 +86,17 @@
             Removal::Known => Duration::ZERO,
         };
         engine.lapsed.get_or_insert(now + hold);
-        self.expire(now);
     }
 
     /// Drops the engines whose time to come back is over.
-    pub fn expire(&mut self, now: Time) -> Vec<Arc<str>> {
+    pub fn expire(&mut self, now: Time) -> Vec<Listing> {
         let over = |it: &Engine| it.lapsed.is_some_and(|at| at <= now);
-        let gone: Vec<Arc<str>> = (self.engines.values())
+        let gone: Vec<Listing> = (self.engines.values())
             .filter(|it| over(it))
-            .map(|it| it.listing.id.clone())
+            .map(|it| it.listing.clone())
             .collect();
-        for id in &gone {
-            if let Some(key) = self.ids.remove(id) {
+        for listing in &gone {
+            if let Some(key) = self.ids.remove(&listing.id) {
                 self.engines.remove(&key);
             }
         }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -75,6 +75,8 @@
     spreads: RefCell<HashMap<Name, (Time, usize)>>,
     /// News for other hosts that wasn't sent yet.
     pub news: RefCell<VecDeque<crate::gossip::News>>,
+    /// Engines that take no more work, of which other hosts weren't told yet.
+    pub leaving: RefCell<Vec<crate::gossip::Life>>,
 }
 
 /// How the store has answered.
@@ -121,6 +123,7 @@
             waits: RefCell::default(),
             spreads: RefCell::default(),
             news: RefCell::default(),
+            leaving: RefCell::default(),
         }
     }
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -35,6 +35,14 @@
     Want(Want),
     News(Vec<News>),
     Sent(Short, u32),
+    Leaving(Vec<Life>),
+}
+
+/// One life of an engine.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct Life {
+    engine: Short,
+    born: u64,
 }
 
 /// The regular word of a host.
@@ -201,6 +209,7 @@
                 Ok(Message::Want(it)) => self.wanted(&it, from).await,
                 Ok(Message::News(it)) => self.news(&it),
                 Ok(Message::Sent(engine, tokens)) => self.sent(engine, tokens),
+                Ok(Message::Leaving(it)) => self.left(&it),
                 Err(error) => log::debug!("datagram from {from} can't be read: {error}"),
             }
         }
@@ -208,6 +217,12 @@
 
     /// Sends the news that has gathered to all others.
     pub async fn spread(&self) {
+        let leaving: Vec<Life> = self.gateway.leaving.borrow_mut().drain(..).collect();
+        if !leaving.is_empty() {
+            for addr in self.audience() {
+                self.send(&Message::Leaving(leaving.clone()), addr).await;
+            }
+        }
         let news: Vec<News> = self.gateway.news.borrow_mut().drain(..).collect();
         if news.is_empty() {
             return;
@@ -233,6 +248,17 @@
         }
     }
 
+    fn left(&self, lives: &[Life]) {
+        let keys = self.keys();
+        let mut table = self.gateway.table.borrow_mut();
+        for life in lives {
+            let key = keys.get(&life.engine).copied();
+            if let Some(engine) = key.and_then(|it| table.get_mut(it)) {
+                engine.leaves(life.born);
+            }
+        }
+    }
+
     fn sent(&self, engine: Short, tokens: u32) {
         let mut table = self.gateway.table.borrow_mut();
         let found = table.iter().find(|it| short(&it.1.listing.id) == engine);
@@ -523,6 +549,14 @@
     }
 }
 
+/// Word that one life of an engine takes no more work.
+pub fn life(id: &str, born: u64) -> Life {
+    Life {
+        engine: short(id),
+        born,
+    }
+}
+
 /// News that an engine holds an adapter now, or that it doesn't hold it any more.
 pub fn news(id: &str, name: &Name, version: Option<u64>) -> News {
     News {
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -54,8 +54,11 @@
 
 fn expire(gateway: &Rc<Gateway>) {
     let gone = gateway.table.borrow_mut().expire(clock::now());
-    for id in gone {
-        log::info!("engine gone: {id}");
+    for listing in gone {
+        log::info!("engine gone: {}", listing.id);
+        let life = gossip::life(&listing.id, listing.born);
+        gateway.leaving.borrow_mut().push(life);
+        gateway.order.notify_one();
     }
 }
 
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -2,6 +2,7 @@
 
 use std::{collections::HashSet, rc::Rc, time::Duration};
 
+use fleet::listing::State;
 use hyper::http::StatusCode;
 use tokio::time;
 
@@ -9,7 +10,7 @@
     clock,
     dialect::{Change, Changes, Kind, Object},
     gateway::Gateway,
-    store,
+    gossip, store,
 };
 
 /// Longest time that a watch waits for a change. A store that has fallen silent is noticed after it.
@@ -105,6 +106,7 @@
                 let removal = gateway.removal();
                 let mut table = gateway.table.borrow_mut();
                 table.remove(name, removal, clock::now());
+                gateway.order.notify_one();
             }
             Change::Gone(_) => {}
         }
@@ -123,6 +125,10 @@
                 log::warn!("engine {}: its entry can't be read", object.name);
                 return;
             };
+            if listing.state != State::Ready {
+                let life = gossip::life(&listing.id, listing.born);
+                gateway.leaving.borrow_mut().push(life);
+            }
             let names: Vec<_> = listing.holds.iter().map(|it| it.name.clone()).collect();
             gateway.table.borrow_mut().adopt(listing, now);
             for name in &names {
