--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod lease;
 pub mod listing;
 pub mod loader;
+pub mod outage;
 pub mod place;
 pub mod prefix;
 pub mod rendezvous;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -66,6 +66,8 @@
     pub closing: Cell<bool>,
     /// Open connections of callers.
     pub callers: Cell<usize>,
+    /// Says that the store answers again.
+    pub store_regained: Notify,
     /// Wakes the sender of orders.
     pub order: Notify,
     store: RefCell<Store>,
@@ -117,6 +119,7 @@
             stopping: Cell::default(),
             closing: Cell::default(),
             callers: Cell::default(),
+            store_regained: Notify::new(),
             order: Notify::new(),
             store: RefCell::default(),
             budgets: RefCell::default(),
@@ -156,6 +159,7 @@
         if store.away && answers {
             store.back = Some(clock::now());
             log::info!("store regained");
+            self.store_regained.notify_waiters();
         } else if !store.away && !answers {
             log::warn!("store lost");
         }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -27,6 +27,8 @@
     pub metrics: SocketAddr,
     /// The platform's store.
     pub store: SocketAddr,
+    /// Longest time for which this host may not notice that the store answers again, in milliseconds.
+    pub store_blind_milliseconds: u64,
     /// Addresses of other hosts, to find the first ones while the store is away.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
@@ -168,6 +170,11 @@
         }
     }
 
+    /// Longest time for which this host may not notice that the store answers again.
+    pub fn store_blind(&self) -> Duration {
+        Duration::from_millis(self.store_blind_milliseconds)
+    }
+
     /// Length of the window of the weight store's limit.
     pub fn load_window(&self) -> Duration {
         Duration::from_secs_f64(self.orders.window_seconds)
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -2,7 +2,10 @@
 
 use std::{collections::HashSet, rc::Rc, time::Duration};
 
-use fleet::listing::State;
+use fleet::{
+    listing::State,
+    outage::{self, Blind, Call},
+};
 use hyper::http::StatusCode;
 use tokio::time;
 
@@ -13,21 +16,19 @@
     gossip, store,
 };
 
-/// Longest time that a watch waits for a change. A store that has fallen silent is noticed after it.
-const WAIT: Duration = Duration::from_secs(4);
-
-/// Time for the answer beyond the wait.
-const ANSWER: Duration = Duration::from_millis(1500);
+/// The object that holds the configuration.
+const CONFIG: &str = "main";
 
 /// First pause after a failed call; it doubles up to [`LONGEST_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 
 /// Longest pause between failed calls; the store's return is noticed within it.
-const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 
 /// Follows one kind until the process ends.
 pub async fn follow(gateway: Rc<Gateway>, kind: Kind) {
     let mut pause = FIRST_PAUSE;
+    let blind = Blind(gateway.settings.store_blind());
     loop {
         let Some((objects, mut rev)) = store::list(&gateway, kind, false).await else {
             rest(&mut pause).await;
@@ -35,8 +36,22 @@
         };
         listed(&gateway, kind, &objects);
         loop {
-            let request = gateway.dialect.watch(kind, rev, WAIT);
-            match store::send(&gateway, request, WAIT + ANSWER).await {
+            let (request, within) = match outage::next(blind, !gateway.store_is_away()) {
+                Call::Watch(wait, within) => (gateway.dialect.watch(kind, rev, wait), within),
+                Call::Probe(within) => {
+                    let request = gateway.dialect.get(Kind::Config, CONFIG);
+                    if store::send(&gateway, request, within).await.is_none() {
+                        rest(&mut pause).await;
+                    }
+                    continue;
+                }
+            };
+            let answer = tokio::select! {
+                it = store::send(&gateway, request, within) => it,
+                // A call from before the silence may never be answered.
+                () = gateway.store_regained.notified() => continue,
+            };
+            match answer {
                 Some((StatusCode::GONE, _)) => break,
                 Some((status, body)) if status.is_success() => {
                     let Some(Changes { events, as_of }) = gateway.dialect.changes(&body) else {
