Let a host that starts while the store is away learn from others

Hosts keep the objects as they came from the store and tell them over TCP on the peers' port; a host that knows nothing asks the hosts it knows or its seeds. Test: config::a_host_that_starts_without_the_store_learns_from_others, failed before.

--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -11,9 +11,10 @@
     prefix::Part,
 };
 use hyper::{HeaderMap, Request, http};
+use serde::{Deserialize, Serialize};
 
 /// Kinds of objects in the platform's store.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum Kind {
     /// The operator's configuration, one object.
     Config,
@@ -73,7 +74,7 @@
 }
 
 /// An object of the store.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct Object {
     /// Its name.
     pub name: String,
@@ -143,6 +144,8 @@
     /// Reads the head of an engine's answer.
     fn mark(&self, head: &HeaderMap) -> Mark;
 
+    /// A cheap question that tells whether the store answers.
+    fn probe(&self) -> Request<Bytes>;
     /// One object.
     fn get(&self, kind: Kind, name: &str) -> Request<Bytes>;
     /// A page of the objects of a kind, after a name. A stale one is cheaper and seconds old.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -75,6 +75,8 @@
     waits: RefCell<HashMap<Name, Rc<Wait>>>,
     /// When one more copy of an adapter was asked for last, and how often.
     spreads: RefCell<HashMap<Name, (Time, usize)>>,
+    /// Objects as they came from the store, for hosts that start without it.
+    pub kept: crate::handover::Kept,
     /// News for other hosts that wasn't sent yet.
     pub news: RefCell<VecDeque<crate::gossip::News>>,
     /// Engines that take no more work, of which other hosts weren't told yet.
@@ -125,6 +127,7 @@
             budgets: RefCell::default(),
             waits: RefCell::default(),
             spreads: RefCell::default(),
+            kept: crate::handover::Kept::default(),
             news: RefCell::default(),
             leaving: RefCell::default(),
         }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -144,6 +144,14 @@
         *self.began.entry((key, name.clone())).or_default() += 1;
     }
 
+    /// Addresses of other hosts, living ones first, and the seeds.
+    pub fn addresses(&self) -> Vec<SocketAddr> {
+        let mut known: Vec<&Peer> = self.by_name.values().collect();
+        known.sort_by_key(|it| std::cmp::Reverse(it.heard));
+        let known = known.into_iter().map(|it| it.addr);
+        known.chain(self.seeds.iter().copied()).collect()
+    }
+
     fn addr(&self, name: &str) -> Option<SocketAddr> {
         self.by_name.get(name).map(|it| it.addr)
     }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod forward;
 pub mod gateway;
 pub mod gossip;
+pub mod handover;
 pub mod orders;
 pub mod process;
 pub mod relay;
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -21,7 +21,7 @@
     dialect::{self, Kind},
     gateway::Gateway,
     gossip::Gossip,
-    orders, server,
+    handover, orders, server,
     settings::{Log, Settings},
     watch::follow,
 };
@@ -91,6 +91,7 @@
     let settings = &gateway.settings;
     let callers = server::listen(settings.callers)?;
     let ready = server::listen(settings.ready)?;
+    let handover = server::listen(settings.peers)?;
     let gossip = Gossip::bind(gateway.clone()).await?;
     let (close, closing) = watch::channel(false);
     log::info!("start: host {}, life {}", gateway.holder, gateway.life);
@@ -108,6 +109,8 @@
     spawn_local(gossip.clone().hear());
     spawn_local(gossip.clone().tell());
     spawn_local(orders::give(gateway.clone(), gossip));
+    spawn_local(handover::tell(handover, gateway.clone()));
+    spawn_local(handover::ask(gateway.clone()));
     spawn_local(sweep(gateway.clone()));
     stop.await;
     leave(&gateway, &close).await;
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -16,9 +16,6 @@
     gossip, store,
 };
 
-/// The object that holds the configuration.
-const CONFIG: &str = "main";
-
 /// First pause after a failed call; it doubles up to [`LONGEST_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 
@@ -39,7 +36,7 @@
             let (request, within) = match outage::next(blind, !gateway.store_is_away()) {
                 Call::Watch(wait, within) => (gateway.dialect.watch(kind, rev, wait), within),
                 Call::Probe(within) => {
-                    let request = gateway.dialect.get(Kind::Config, CONFIG);
+                    let request = gateway.dialect.probe();
                     if store::send(&gateway, request, within).await.is_none() {
                         rest(&mut pause).await;
                     }
@@ -94,7 +91,8 @@
     *pause = (*pause * 2).min(LONGEST_PAUSE);
 }
 
-fn listed(gateway: &Rc<Gateway>, kind: Kind, objects: &[Object]) {
+/// Takes in a whole list.
+pub fn listed(gateway: &Rc<Gateway>, kind: Kind, objects: &[Object]) {
     for object in objects {
         put(gateway, kind, object);
     }
@@ -105,6 +103,7 @@
         let mut table = gateway.table.borrow_mut();
         for id in table.ids() {
             if !names.contains(&*id) {
+                gateway.kept.remove(kind, &id);
                 table.remove(&id, removal, now);
             }
         }
@@ -114,6 +113,9 @@
 
 fn changed(gateway: &Rc<Gateway>, kind: Kind, events: &[Change]) {
     for event in events {
+        if let Change::Gone(name) = event {
+            gateway.kept.remove(kind, name);
+        }
         match event {
             Change::Put(object) => put(gateway, kind, object),
             Change::Gone(name) if kind == Kind::Engines => {
@@ -128,7 +130,9 @@
     }
 }
 
-fn put(gateway: &Rc<Gateway>, kind: Kind, object: &Object) {
+/// Takes in one object.
+pub fn put(gateway: &Rc<Gateway>, kind: Kind, object: &Object) {
+    gateway.kept.put(kind, object);
     let now = clock::now();
     match kind {
         Kind::Config => match gateway.dialect.catalog(object) {
