Write one line and count metrics for each request; log through a ring that never blocks

JSON lines with fields on standard output; docs/operating/gateway.md lists settings, events and metrics, and tests compare it with the code.

--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -123,7 +123,7 @@
         Written::Done(object) => {
             // A lease that had ended may have been followed by another host's claims.
             if !claims.lease.holds(sent) && !claims.held.is_empty() {
-                log::warn!("lease had ended: claims are made again");
+                log::warn!(event = "lease-lapsed"; "the lease had ended: claims are made again");
                 claims.held.clear();
             }
             claims.rev = Some(object.rev);
@@ -135,7 +135,7 @@
             false
         }
         Written::Missing => {
-            log::warn!("lease was ended by another host");
+            log::warn!(event = "lease-ended"; "another host ended the lease");
             claims.rev = None;
             claims.lease.release();
             claims.held.clear();
@@ -236,7 +236,7 @@
     let spec = json!({ "holder": &*gateway.holder, "life": gateway.life });
     match store::put(gateway, Kind::Claims, id, &spec, rev).await {
         Written::Done(object) => {
-            log::info!("claim taken: engine {id}, fence {}", object.rev);
+            log::info!(event = "claim", engine = &**id, fence = object.rev; "claim on engine {id} taken");
             note(gateway, &object);
             let claim = Claim {
                 fence: object.rev,
@@ -291,7 +291,7 @@
         if !matches!(ended, Written::Done(_) | Written::Missing) {
             return;
         }
-        log::warn!("lease of {} ended: it was not renewed", known.holder);
+        log::warn!(event = "takeover", host = &*known.holder; "lease of {} ended: it was not renewed", known.holder);
     }
     let turn = Duration::from_millis(gateway.settings.orders.turn_milliseconds);
     claim(gateway, id, Some(known.rev), clock::now() + turn).await;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -30,6 +30,7 @@
     gossip::Gossip,
     relay::Relay,
     reply::{self, Body, Fault},
+    story::{End, Story},
 };
 
 /// Time after which a caller may come back where another host serves it.
@@ -82,6 +83,10 @@
     sent: u32,
     /// Whether an engine may have run it.
     ran: bool,
+    /// What happened so far.
+    pub(crate) story: Story,
+    /// Whether the end has been told.
+    ended: bool,
     /// An engine's failure, which is the answer if no other engine does better.
     failure: Option<Response<Body>>,
 }
@@ -149,7 +154,7 @@
         return Err(reply::fault(Fault::NoRoute, None));
     };
     let envelope = gateway.dialect.envelope(&parts.headers).map_err(|it| {
-        log::info!("request refused: {it}");
+        log::info!(event = "bad-request", why = it; "a request can't be read: {it}");
         reply::fault(Fault::BadRequest, None)
     })?;
     let limit = catalog.limits.body_bytes;
@@ -203,6 +208,8 @@
         tried: Vec::new(),
         sent: 0,
         ran: false,
+        story: Story::new(began, catalog.version),
+        ended: false,
         failure: None,
     })
 }
@@ -279,6 +286,7 @@
                         return Ok(choice);
                     }
                     time::sleep(PACED).await;
+                    self.story.paced += PACED;
                 }
                 Place::Nowhere | Place::Load if now >= until => {
                     return Err(match place {
@@ -303,6 +311,7 @@
                     let there = waiting.wait.there.notified();
                     let pause = ASK_AGAIN.min(until.saturating_sub(now));
                     let _ = time::timeout(pause, there).await;
+                    self.story.load += clock::now().saturating_sub(now);
                 }
             }
         }
@@ -345,7 +354,6 @@
         let Some((addr, instance, version)) = self.target(key) else {
             return Sent::NotRun(None);
         };
-        self.log_choice(&choice, &instance);
         let mut run = Run::begin(&self.gateway, key, self.envelope.name.clone(), &self.chain);
         run.expected = choice.wait;
         if run.unread > 0 {
@@ -368,6 +376,9 @@
             return Sent::NoBudget;
         }
         self.sent += 1;
+        self.story.tried(&instance, &choice);
+        let kind = if channel.used { "kept" } else { "new" };
+        self.gateway.metrics.connection(kind);
         if !self.tried.contains(&key) {
             self.tried.push(key);
         }
@@ -380,11 +391,13 @@
             Waited::There(Ok(answer)) => self.sort(answer, &instance, run).await,
             Waited::There(Err(Failure::Unreachable(error))) => {
                 log::debug!("engine {instance}: not sent: {error}");
+                self.story.outcome("not sent");
                 self.tried.retain(|it| *it != key || !used);
                 Sent::NotRun(None)
             }
             Waited::There(Err(Failure::Broken(error))) => {
                 log::debug!("engine {instance}: request {}: {error}", self.envelope.id);
+                self.story.outcome("connection broke");
                 if !used {
                     self.failed(key);
                 }
@@ -392,7 +405,7 @@
                 Sent::Lost
             }
             Waited::Hung => {
-                log::info!("engine {instance}: hangs on request {}", self.envelope.id);
+                self.story.outcome("hung");
                 self.failed(key);
                 self.ran = true;
                 Sent::Lost
@@ -404,31 +417,6 @@
         }
     }
 
-    fn log_choice(&self, choice: &Choice, instance: &str) {
-        if !log::log_enabled!(log::Level::Debug) {
-            return;
-        }
-        let now = clock::now();
-        let table = self.gateway.table.borrow();
-        let Some(engine) = table.get(choice.key) else {
-            return;
-        };
-        log::debug!(
-            "request {}: placed on engine {instance}, adapter {}, prompt {} tokens, {} kept, \
-             unread {:.0}, running {}, slowness {:.2}, expected wait {} ms, held {} ms, try {}",
-            self.envelope.id,
-            self.envelope.name.as_deref().unwrap_or("-"),
-            self.chain.tokens(),
-            engine.kept.tokens(&self.chain),
-            engine.unread(now),
-            engine.load_of_all(now).running,
-            engine.slowness,
-            choice.wait.as_millis(),
-            now.saturating_sub(self.began).as_millis(),
-            self.sent + 1,
-        );
-    }
-
     /// Sorts an answer by its head.
     async fn sort(&mut self, answer: Response<Incoming>, instance: &str, run: Run) -> Sent {
         let mark = self.gateway.dialect.mark(answer.headers());
@@ -436,25 +424,28 @@
         let key = run.key;
         if status == StatusCode::MISDIRECTED_REQUEST && !mark.sealed {
             self.misdirected(key, instance, &mark);
+            self.story.outcome("421 not held");
             run.finish(answer).await;
             return Sent::NotRun(Some(status));
         }
         if mark.not_run {
+            self.story.outcome("not run");
             run.finish(answer).await;
             return Sent::NotRun(Some(status));
         }
         let other = mark.id.as_ref().is_some_and(|it| *it != self.envelope.id);
         if other || !mark.sealed {
             log::info!(
-                "engine {instance}: answer to {} refused: status {status}, sealed {}, id {:?}",
-                self.envelope.id,
-                mark.sealed,
-                mark.id
+                event = "answer-refused", request = &*self.envelope.id, engine = instance,
+                status = status.as_u16(), sealed = mark.sealed, id = mark.id.as_deref().unwrap_or("-");
+                "the answer of engine {instance} is not that of request {}", self.envelope.id
             );
+            self.story.outcome("answer not its own");
             self.failed(key);
             self.ran = true;
             return Sent::Lost;
         }
+        self.story.outcome("answers");
         self.confirm(key);
         let (head, body) = answer.into_parts();
         Sent::Answer(Box::new((head, body, mark, run)))
@@ -503,6 +494,13 @@
                 if !head.status.is_server_error() {
                     self.succeeded(key);
                 }
+                self.story.passed();
+                let end = if head.status.is_success() {
+                    End::Served
+                } else {
+                    End::Failed
+                };
+                self.end(end);
                 run.keep(kept);
                 Ok(Response::from_parts(head, reply::whole(body)))
             }
@@ -558,7 +556,7 @@
             return;
         };
         if other {
-            log::info!("engine {instance}: another one has its address");
+            log::info!(event = "engine-stranger", engine = instance; "another has the address of engine {instance}");
             engine.circuit.unreachable(clock::now());
             return;
         }
@@ -566,6 +564,7 @@
             let expected = engine.misses(name, clock::now());
             log::debug!("engine {instance}: doesn't hold {name}, expected {expected}");
             if expected {
+                self.gateway.metrics.load("early");
                 self.gateway.loader.borrow_mut().arrived(false);
                 // It is on its way: the next try goes there again.
                 self.tried.retain(|it| *it != key);
@@ -581,6 +580,7 @@
         let mut table = self.gateway.table.borrow_mut();
         let belief = table.get_mut(key).and_then(|it| it.held.get_mut(name));
         if belief.is_some_and(fleet::engine::Belief::confirm) {
+            self.gateway.metrics.load("in-time");
             self.gateway.loader.borrow_mut().arrived(true);
             self.gateway.wake(name);
         }
@@ -606,6 +606,15 @@
         }
     }
 
+    /// Tells how it ended, once.
+    pub(crate) fn end(&mut self, end: End) {
+        if !std::mem::replace(&mut self.ended, true) {
+            let metrics = &self.gateway.metrics;
+            self.story
+                .end(&self.envelope, &self.route, &self.service, end, metrics);
+        }
+    }
+
     pub(crate) fn waiter(&self) -> Waiter {
         Waiter {
             gateway: self.gateway.clone(),
@@ -614,14 +623,6 @@
         }
     }
 
-    /// The id of an engine, for the log.
-    pub(crate) fn id_of(&self, key: Key) -> Arc<str> {
-        let table = self.gateway.table.borrow();
-        table
-            .get(key)
-            .map_or_else(|| "gone".into(), |it| it.listing.id.clone())
-    }
-
     /// Whether a stream may be resumed at one more engine.
     pub(crate) fn may_resume(&self) -> bool {
         self.route.kind == Kind::Resumable
@@ -631,6 +632,7 @@
 
     fn fail(&mut self, fault: Fault) -> Response<Body> {
         if let Some(answer) = self.failure.take() {
+            self.end(End::Failed);
             return answer;
         }
         // "Not run" must be true.
@@ -643,15 +645,7 @@
             Fault::Timeout if self.sent == 0 => Fault::Overload,
             it => it,
         };
-        log::info!(
-            "request {} refused: {fault}, route {}, service {}, adapter {}, sent {}, after {} ms",
-            self.envelope.id,
-            self.route.name,
-            self.service,
-            self.envelope.name.as_deref().unwrap_or("-"),
-            self.sent,
-            clock::now().saturating_sub(self.began).as_millis(),
-        );
+        self.end(End::Refused(fault.name()));
         let after = match fault {
             Fault::AdapterLoad => Some(Duration::from_millis(300)),
             Fault::NoBudget => Some(Duration::from_millis(500)),
@@ -662,6 +656,13 @@
     }
 }
 
+impl Drop for Job {
+    /// A job that is dropped before its end belongs to a caller that left.
+    fn drop(&mut self) {
+        self.end(End::Left);
+    }
+}
+
 /// One more request that waits for an adapter.
 struct Waiting {
     gateway: Rc<Gateway>,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,7 +21,8 @@
 use tokio::sync::Notify;
 
 use crate::{
-    channel::Pool, claims::Claims, clock, dialect::Dialect, gossip::Peers, settings::Settings,
+    channel::Pool, claims::Claims, clock, dialect::Dialect, gossip::Peers, metrics::Metrics,
+    settings::Settings,
 };
 
 /// Time after the store's return for which vanished entries may come back.
@@ -44,6 +45,8 @@
     pub holder: Arc<str>,
     /// The start of this process, which tells its lives apart.
     pub life: u64,
+    /// What it counts.
+    pub metrics: Metrics,
     /// The platform's names and formats.
     pub dialect: Arc<dyn Dialect>,
     /// Connections to upstreams.
@@ -110,6 +113,7 @@
             holder: settings.holder().into(),
             settings,
             life,
+            metrics: Metrics::new(),
             dialect,
             pool: Pool::default(),
             catalog: RefCell::default(),
@@ -151,7 +155,8 @@
             .as_ref()
             .is_none_or(|it| it.version < catalog.version);
         if newer {
-            log::info!("config adopted: version {}", catalog.version);
+            let version = catalog.version;
+            log::info!(event = "config", version; "config of version {version} adopted");
             *self.catalog.borrow_mut() = Some(Rc::new(catalog));
         }
     }
@@ -161,10 +166,10 @@
         let mut store = self.store.borrow_mut();
         if store.away && answers {
             store.back = Some(clock::now());
-            log::info!("store regained");
+            log::info!(event = "store-regained"; "the store answers again");
             self.store_regained.notify_waiters();
         } else if !store.away && !answers {
-            log::warn!("store lost");
+            log::warn!(event = "store-lost"; "the store doesn't answer");
         }
         store.away = !answers;
     }
@@ -197,7 +202,10 @@
         let hosts = self.peers.borrow().hosts();
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_default();
-        budget.repeat(clock::now(), self.settings.budget(), hosts)
+        let may = budget.repeat(clock::now(), self.settings.budget(), hosts);
+        let outcome = if may { "sent" } else { "refused" };
+        self.metrics.repeat(service, outcome);
+        may
     }
 
     /// Whether the budget of a service has a repeat left.
@@ -264,6 +272,15 @@
         }
     }
 
+    /// Brings the metrics of what is known up to date.
+    pub fn count_state(&self) {
+        let config = self.catalog().map_or(0, |it| it.version);
+        let engines = self.table.borrow().iter().count();
+        let hosts = self.peers.borrow().live(clock::now()).len();
+        self.metrics
+            .state(config, engines, hosts, self.mine().len());
+    }
+
     /// The engines that this host may order now.
     pub fn mine(&self) -> Vec<Key> {
         let table = self.table.borrow();
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -444,7 +444,7 @@
             let entry = peers.by_name.entry(host.clone());
             let peer = entry.or_insert_with(|| Peer::new(from, now));
             if !peer.lives(now) && !hello.leaving {
-                log::info!("host heard: {host} at {from}");
+                log::info!(event = "host", host = &*host; "host {host} heard at {from}");
             }
             peer.addr = from;
             peer.heard = Some(now);
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -89,7 +89,7 @@
                 if let Ok(Some(told)) = time::timeout(ANSWER, read(addr)).await
                     && take(&gateway, told)
                 {
-                    log::warn!("configuration and engines taken from host {addr}: store away");
+                    log::warn!(event = "handover"; "config and engines taken from {addr}: the store is away");
                     return;
                 }
             }
--- /dev/null
+++ b/crates/gateway/src/metrics.rs
@@ -0,0 +1,195 @@
+//! Metrics of a host, in the Prometheus text format. Each is described in `docs/operating/gateway.md`.
+
+use std::{fmt, time::Duration};
+
+use opentelemetry::{
+    KeyValue,
+    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
+};
+use opentelemetry_sdk::metrics::SdkMeterProvider;
+use prometheus::{Encoder, Registry, TextEncoder};
+
+/// Prefix of every metric.
+const NAMESPACE: &str = "comfreywing_gateway";
+
+/// Bounds of histograms of time in seconds; the callers' targets are among them.
+const SECONDS: [f64; 14] = [
+    0.005, 0.02, 0.05, 0.1, 0.15, 0.25, 0.3, 0.5, 0.8, 1.0, 1.5, 2.5, 5.0, 10.0,
+];
+
+/// Every metric of a host.
+pub struct Metrics {
+    registry: Registry,
+    _provider: SdkMeterProvider,
+    requests: Counter<u64>,
+    first: Histogram<f64>,
+    gap: Histogram<f64>,
+    load_wait: Histogram<f64>,
+    paced: Histogram<f64>,
+    repeats: Counter<u64>,
+    connections: Counter<u64>,
+    orders: Counter<u64>,
+    loads: Counter<u64>,
+    store_calls: Counter<u64>,
+    config: Gauge<u64>,
+    engines: Gauge<u64>,
+    hosts: Gauge<u64>,
+    claims: Gauge<u64>,
+}
+
+impl fmt::Debug for Metrics {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("Metrics")
+    }
+}
+
+impl Default for Metrics {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl Metrics {
+    /// Metrics that have counted nothing yet.
+    pub fn new() -> Self {
+        let registry = Registry::new();
+        let exporter = opentelemetry_prometheus::exporter()
+            .with_registry(registry.clone())
+            .with_namespace(NAMESPACE)
+            .scope_info_enabled(false)
+            .without_target_info()
+            .build()
+            .expect("a new registry takes the exporter");
+        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
+        let meter = provider.meter(NAMESPACE);
+        let counter = |name: &'static str, what: &'static str| {
+            meter.u64_counter(name).with_description(what).build()
+        };
+        let gauge = |name: &'static str, what: &'static str| {
+            meter.u64_gauge(name).with_description(what).build()
+        };
+        Self {
+            requests: counter("requests", "Requests that ended, by how"),
+            first: seconds(
+                &meter,
+                "first_event",
+                "Arrival to the first event or the answer",
+            ),
+            gap: seconds(
+                &meter,
+                "event_gap",
+                "Longest pause between events of a stream",
+            ),
+            load_wait: seconds(&meter, "load_wait", "Wait for the load of an adapter"),
+            paced: seconds(
+                &meter,
+                "turn_wait",
+                "Wait for the turn of a prompt at an engine",
+            ),
+            repeats: counter(
+                "repeats",
+                "Requests sent once more, and those the budget refused",
+            ),
+            connections: counter("connections", "Connections to upstreams that were used"),
+            orders: counter("orders", "Orders to engines, by what came of them"),
+            loads: counter(
+                "loads",
+                "Loads of adapters that should be done, by whether they were",
+            ),
+            store_calls: counter("store_calls", "Calls to the store"),
+            config: gauge("config_version", "Version of the configuration in force"),
+            engines: gauge("engines", "Engines and instances that are known"),
+            hosts: gauge("hosts", "Other hosts that live"),
+            claims: gauge("claims", "Engines that this host may order"),
+            registry,
+            _provider: provider,
+        }
+    }
+
+    /// A request ended.
+    pub fn ended(&self, service: &str, route: &str, outcome: &'static str, why: &'static str) {
+        let labels = [
+            label("service", service),
+            label("route", route),
+            KeyValue::new("outcome", outcome),
+            KeyValue::new("why", why),
+        ];
+        self.requests.add(1, &labels);
+    }
+
+    /// A request was placed after these waits.
+    pub fn waited(&self, service: &str, load: Duration, paced: Duration) {
+        let labels = [label("service", service)];
+        self.load_wait.record(load.as_secs_f64(), &labels);
+        self.paced.record(paced.as_secs_f64(), &labels);
+    }
+
+    /// An answer had this pace.
+    pub fn paced(&self, service: &str, first: Duration, gap: Duration) {
+        let labels = [label("service", service)];
+        self.first.record(first.as_secs_f64(), &labels);
+        self.gap.record(gap.as_secs_f64(), &labels);
+    }
+
+    /// A repeat was sent, or refused by the budget.
+    pub fn repeat(&self, service: &str, outcome: &'static str) {
+        let labels = [label("service", service), KeyValue::new("outcome", outcome)];
+        self.repeats.add(1, &labels);
+    }
+
+    /// A connection to an upstream was used, new or kept.
+    pub fn connection(&self, kind: &'static str) {
+        self.connections.add(1, &[KeyValue::new("kind", kind)]);
+    }
+
+    /// An order was given.
+    pub fn order(&self, op: &'static str, outcome: &'static str) {
+        let labels = [KeyValue::new("op", op), KeyValue::new("outcome", outcome)];
+        self.orders.add(1, &labels);
+    }
+
+    /// A load should be done: was it?
+    pub fn load(&self, outcome: &'static str) {
+        self.loads.add(1, &[KeyValue::new("outcome", outcome)]);
+    }
+
+    /// The store was called.
+    pub fn store_call(&self, reason: &'static str, outcome: &'static str) {
+        let labels = [
+            KeyValue::new("reason", reason),
+            KeyValue::new("outcome", outcome),
+        ];
+        self.store_calls.add(1, &labels);
+    }
+
+    /// What is known now.
+    pub fn state(&self, config: u64, engines: usize, hosts: usize, claims: usize) {
+        let number = |it: usize| u64::try_from(it).unwrap_or(u64::MAX);
+        self.config.record(config, &[]);
+        self.engines.record(number(engines), &[]);
+        self.hosts.record(number(hosts), &[]);
+        self.claims.record(number(claims), &[]);
+    }
+
+    /// All metrics as text.
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::warn!(event = "metrics-failed"; "metrics can't be written: {error}");
+        }
+        text
+    }
+}
+
+fn label(key: &'static str, value: &str) -> KeyValue {
+    KeyValue::new(key, value.to_owned())
+}
+
+fn seconds(meter: &Meter, name: &'static str, what: &'static str) -> Histogram<f64> {
+    meter
+        .f64_histogram(name)
+        .with_description(what)
+        .with_unit("s")
+        .with_boundaries(SECONDS.to_vec())
+        .build()
+}
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -55,7 +55,7 @@
 fn expire(gateway: &Rc<Gateway>) {
     let gone = gateway.table.borrow_mut().expire(clock::now());
     for listing in gone {
-        log::info!("engine gone: {}", listing.id);
+        log::info!(event = "engine-gone", engine = &*listing.id; "engine {} is gone", listing.id);
         let life = gossip::life(&listing.id, listing.born);
         gateway.leaving.borrow_mut().push(life);
         gateway.order.notify_one();
@@ -113,7 +113,7 @@
                 Ok((status, _)) => gateway.dialect.outcome(status),
                 Err(_) => Outcome::Silent,
             };
-            log::debug!("order: {id} {} {:?}: {outcome:?}", order.name, order.op);
+            told(gateway, order, &id, fence, outcome);
             outcome
         }
         None => Outcome::Refused,
@@ -129,6 +129,31 @@
     }
 }
 
+fn told(gateway: &Rc<Gateway>, order: &Order, id: &str, fence: u64, outcome: Outcome) {
+    let op = match order.op {
+        Op::Load(_) => "load",
+        Op::Unload => "unload",
+    };
+    let outcome = match outcome {
+        Outcome::Accepted => "accepted",
+        Outcome::Holds => "holds",
+        Outcome::Conflict => "conflict",
+        Outcome::Refused => "refused",
+        Outcome::Silent => "silent",
+    };
+    gateway.metrics.order(op, outcome);
+    let level = match outcome {
+        "accepted" | "holds" => log::Level::Debug,
+        _ => log::Level::Info,
+    };
+    log::log!(
+        level,
+        event = "order", engine = id, name = &*order.name, op, outcome, fence,
+        expected = order.expected;
+        "order {op} to engine {id}: {outcome}"
+    );
+}
+
 /// Takes an adapter out of use before the order that unloads or replaces it.
 fn leave(gateway: &Rc<Gateway>, order: &Order, id: &str) {
     let mut table = gateway.table.borrow_mut();
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -61,10 +61,7 @@
         Log::Info => LevelFilter::Info,
         Log::Debug => LevelFilter::Debug,
     };
-    let _log = telemetry::log::start(telemetry::log::Settings {
-        level,
-        form: telemetry::log::Form::Json,
-    })?;
+    let _log = telemetry::log::start_ring(level)?;
     let runtime = Builder::new_current_thread().enable_all().build()?;
     let host = async {
         let mut stop = signal(SignalKind::terminate())?;
@@ -91,11 +88,13 @@
     let settings = &gateway.settings;
     let callers = server::listen(settings.callers)?;
     let ready = server::listen(settings.ready)?;
+    let metrics = server::listen(settings.metrics)?;
     let handover = server::listen(settings.peers)?;
     let gossip = Gossip::bind(gateway.clone()).await?;
     let (close, closing) = watch::channel(false);
-    log::info!("start: host {}, life {}", gateway.holder, gateway.life);
+    log::info!(event = "start", host = &*gateway.holder, life = gateway.life; "host starts");
     spawn_local(server::ready(ready, gateway.clone()));
+    spawn_local(server::metrics(metrics, gateway.clone()));
     spawn_local(server::callers(
         callers,
         gateway.clone(),
@@ -123,7 +122,7 @@
     let began = clock::now();
     let grace = Duration::from_secs_f64(gateway.settings.grace_seconds);
     let end = began + grace.saturating_sub(LAST);
-    log::info!("stop: {} connections of callers", gateway.callers.get());
+    log::info!(event = "stop", callers = gateway.callers.get(); "host stops");
     gateway.stopping.set(true);
     claims::release(gateway).await;
     time::sleep((began + LEAVES).saturating_sub(clock::now())).await;
@@ -133,7 +132,7 @@
     while gateway.callers.get() > 0 && clock::now() < end {
         time::sleep(STEP).await;
     }
-    log::info!("end: {} connections cut", gateway.callers.get());
+    log::info!(event = "end", cut = gateway.callers.get(); "host ends");
 }
 
 async fn sweep(gateway: Rc<Gateway>) {
@@ -146,6 +145,6 @@
 /// Settings that can change while a process runs are none; the signal must not end it.
 async fn reloads(mut signal: Signal) {
     while signal.recv().await.is_some() {
-        log::info!("reload: no setting that is in use can change");
+        log::info!(event = "reload"; "no setting that is in use can change");
     }
 }
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,9 +9,10 @@
 use hyper::body::Incoming;
 
 use crate::{
-    clock, event,
+    event,
     forward::{Job, Run, Sent, Waited, wait},
     reply::{self, Body, Cut},
+    story::End,
 };
 
 /// Time for a place at another engine when a stream broke; the caller leaves after a gap of some
@@ -27,27 +28,6 @@
     last: Option<String>,
     first: bool,
     ended: bool,
-    times: Times,
-}
-
-/// What the caller sees of the pace.
-#[derive(Default)]
-struct Times {
-    first: Option<Duration>,
-    last: Duration,
-    gap: Duration,
-}
-
-impl Times {
-    /// Notes that events were passed on, `at` after the request came.
-    fn pass(&mut self, at: Duration) {
-        if self.first.is_none() {
-            self.first = Some(at);
-        } else {
-            self.gap = self.gap.max(at.saturating_sub(self.last));
-        }
-        self.last = at;
-    }
 }
 
 enum Next {
@@ -69,7 +49,6 @@
             last,
             first: true,
             ended: false,
-            times: Times::default(),
         }
     }
 
@@ -89,7 +68,7 @@
             match self.step().await {
                 Next::Pass(bytes) if bytes.is_empty() => {}
                 Next::Pass(bytes) => {
-                    self.times.pass(clock::now().saturating_sub(self.job.began));
+                    self.job.story.passed();
                     return Some(Ok(bytes));
                 }
                 Next::End => {
@@ -107,12 +86,7 @@
     }
 
     fn cut(&mut self, why: &'static str) -> Cut {
-        log::info!(
-            "request {}: stream cut: {why}, last event {:?}, after {} ms",
-            self.job.envelope.id,
-            self.last,
-            clock::now().saturating_sub(self.job.began).as_millis()
-        );
+        self.job.end(End::Cut(why));
         self.ended = true;
         self.source = None;
         Cut(why)
@@ -151,14 +125,7 @@
             }
             Waited::There(None) if self.buffer.is_empty() => {
                 if let Some((_, run)) = self.source.take() {
-                    log::debug!(
-                        "request {}: done by engine {}, first event {} ms, worst gap {} ms, in all {} ms",
-                        self.job.envelope.id,
-                        self.job.id_of(run.key),
-                        self.times.first.unwrap_or_default().as_millis(),
-                        self.times.gap.as_millis(),
-                        self.times.last.as_millis()
-                    );
+                    self.job.end(End::Served);
                     run.keep(self.kept);
                 }
                 Next::End
@@ -178,6 +145,7 @@
         if let Some((_, run)) = self.source.take() {
             self.job.failed(run.key);
         }
+        self.job.story.outcome(why);
         self.buffer.clear();
         while self.job.may_resume() {
             let Ok(choice) = self.job.place(RESUME).await else {
@@ -188,10 +156,6 @@
                 Sent::Answer(it) => {
                     let (head, body, _, run) = *it;
                     if head.status.is_success() {
-                        log::info!(
-                            "request {}: resumed after event {last:?}: {why}",
-                            self.job.envelope.id
-                        );
                         self.kept = crate::call::kept_for(&head.headers);
                         self.first = true;
                         self.source = Some((body, run));
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -23,44 +23,65 @@
 pub struct Cut(#[error(not(source))] pub &'static str);
 
 /// Why this host answers by itself.
-#[derive(Clone, Copy, Debug, Display, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Fault {
     /// No configuration is known yet.
-    #[display("no-config")]
     NoConfig,
     /// No route has this host name and path.
-    #[display("no-route")]
     NoRoute,
     /// The head of the request is wrong.
-    #[display("bad-request")]
     BadRequest,
     /// The body is larger than the operator allows.
-    #[display("too-large")]
     TooLarge,
     /// No engine of the service can be used.
-    #[display("no-engine")]
     NoEngine,
     /// The engines can't answer in time.
-    #[display("overload")]
     Overload,
     /// The adapter wasn't loaded in time.
-    #[display("adapter-load")]
     AdapterLoad,
     /// The retry budget is spent, and the request has not run.
-    #[display("no-budget")]
     NoBudget,
     /// The request may have run, and there is no whole answer.
-    #[display("upstream-lost")]
     UpstreamLost,
     /// This host is about to end.
-    #[display("stopping")]
     Stopping,
     /// The time is over.
-    #[display("timeout")]
     Timeout,
 }
 
 impl Fault {
+    /// All of them.
+    pub const ALL: [Self; 11] = [
+        Self::NoConfig,
+        Self::NoRoute,
+        Self::BadRequest,
+        Self::TooLarge,
+        Self::NoEngine,
+        Self::Overload,
+        Self::AdapterLoad,
+        Self::NoBudget,
+        Self::UpstreamLost,
+        Self::Stopping,
+        Self::Timeout,
+    ];
+
+    /// Its name in answers, logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoConfig => "no-config",
+            Self::NoRoute => "no-route",
+            Self::BadRequest => "bad-request",
+            Self::TooLarge => "too-large",
+            Self::NoEngine => "no-engine",
+            Self::Overload => "overload",
+            Self::AdapterLoad => "adapter-load",
+            Self::NoBudget => "no-budget",
+            Self::UpstreamLost => "upstream-lost",
+            Self::Stopping => "stopping",
+            Self::Timeout => "timeout",
+        }
+    }
+
     /// The status of the answer. 503 says that the request has not run and never will.
     pub fn status(self) -> StatusCode {
         match self {
@@ -81,7 +102,7 @@
 
 /// An answer of this host; `after` says when to come back.
 pub fn fault(fault: Fault, after: Option<Duration>) -> Response<Body> {
-    let text = format!("{{\"error\":\"{fault}\"}}\n");
+    let text = format!("{{\"error\":\"{}\"}}\n", fault.name());
     let mut answer = Response::new(whole(text.into()));
     *answer.status_mut() = fault.status();
     let head = answer.headers_mut();
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -44,7 +44,7 @@
         let stream = match listener.accept().await {
             Ok((it, _)) => it,
             Err(error) => {
-                log::warn!("no connection taken: {error}");
+                log::warn!(event = "no-connection"; "no connection taken: {error}");
                 time::sleep(PAUSE).await;
                 continue;
             }
@@ -108,6 +108,26 @@
     }
 }
 
+/// Shows the metrics until the process ends.
+pub async fn metrics(listener: TcpListener, gateway: Rc<Gateway>) {
+    loop {
+        let Ok((stream, _)) = listener.accept().await else {
+            time::sleep(PAUSE).await;
+            continue;
+        };
+        let gateway = gateway.clone();
+        tokio::task::spawn_local(async move {
+            let service = service_fn(|_: Request<Incoming>| {
+                gateway.count_state();
+                let text = gateway.metrics.text();
+                async { Ok::<_, Infallible>(Response::new(reply::whole(text.into()))) }
+            });
+            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+            let _ = connection.await;
+        });
+    }
+}
+
 /// Tells the balancer whether this host is ready, until the process ends.
 pub async fn ready(listener: TcpListener, gateway: Rc<Gateway>) {
     loop {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -2,12 +2,13 @@
 
 use std::{rc::Rc, time::Duration};
 
-use hyper::{Request, http::StatusCode};
+use hyper::{Method, Request, http::StatusCode};
 
 use bytes::Bytes;
 
 use crate::{
     call,
+    channel::Failure,
     dialect::{Kind, Object},
     gateway::Gateway,
 };
@@ -30,14 +31,34 @@
     Unknown,
 }
 
+/// Sends a call and counts it.
+async fn call(
+    gateway: &Rc<Gateway>,
+    request: Request<Bytes>,
+    within: Duration,
+) -> Result<(StatusCode, Bytes), Failure> {
+    let reason = match *request.method() {
+        Method::GET => "read",
+        Method::DELETE => "delete",
+        _ => "write",
+    };
+    let answer = call::call(&gateway.pool, gateway.settings.store, request, within).await;
+    let outcome = match &answer {
+        Ok((status, _)) if status.is_success() => "done",
+        Ok(_) => "refused",
+        Err(_) => "silent",
+    };
+    gateway.metrics.store_call(reason, outcome);
+    answer
+}
+
 /// Sends a call; `None` if the store didn't answer as it should.
 pub async fn send(
     gateway: &Rc<Gateway>,
     request: Request<Bytes>,
     within: Duration,
 ) -> Option<(StatusCode, Bytes)> {
-    let answer = call::call(&gateway.pool, gateway.settings.store, request, within).await;
-    match answer {
+    match call(gateway, request, within).await {
         Ok((status, body)) => {
             let well = !status.is_server_error() && status != StatusCode::TOO_MANY_REQUESTS;
             if !well {
@@ -73,8 +94,7 @@
     rev: Option<u64>,
 ) -> Written {
     let request = gateway.dialect.put(kind, name, spec, rev);
-    let answer = call::call(&gateway.pool, gateway.settings.store, request, ANSWER).await;
-    let Ok((status, body)) = answer else {
+    let Ok((status, body)) = call(gateway, request, ANSWER).await else {
         gateway.store_answers(false);
         return Written::Unknown;
     };
@@ -84,8 +104,7 @@
 /// Deletes an object if it still has the revision.
 pub async fn delete(gateway: &Rc<Gateway>, kind: Kind, name: &str, rev: Option<u64>) -> Written {
     let request = gateway.dialect.delete(kind, name, rev);
-    let answer = call::call(&gateway.pool, gateway.settings.store, request, ANSWER).await;
-    let Ok((status, body)) = answer else {
+    let Ok((status, body)) = call(gateway, request, ANSWER).await else {
         return Written::Unknown;
     };
     written(gateway, status, &body)
@@ -100,7 +119,7 @@
         (it, None) if it.is_success() => Written::Unknown,
         (StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS, _) => Written::Refused,
         _ => {
-            log::warn!("store refused a write: {status}");
+            log::warn!(event = "store-write-refused", status = status.as_u16(); "the store refused a write");
             Written::Refused
         }
     }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -52,7 +52,7 @@
                 Some((StatusCode::GONE, _)) => break,
                 Some((status, body)) if status.is_success() => {
                     let Some(Changes { events, as_of }) = gateway.dialect.changes(&body) else {
-                        log::warn!("store: changes of {kind:?} can't be read");
+                        log::warn!(event = "store-unreadable"; "changes of {kind:?} can't be read");
                         rest(&mut pause).await;
                         break;
                     };
@@ -65,7 +65,7 @@
                     time::sleep(gather(kind)).await;
                 }
                 Some((status, _)) => {
-                    log::warn!("store: watch of {kind:?} refused: {status}");
+                    log::warn!(event = "watch-refused", status = status.as_u16(); "watch of {kind:?} refused");
                     rest(&mut pause).await;
                     break;
                 }
@@ -119,7 +119,7 @@
         match event {
             Change::Put(object) => put(gateway, kind, object),
             Change::Gone(name) if kind == Kind::Engines => {
-                log::info!("engine {name}: its entry is gone");
+                log::info!(event = "entry-gone", engine = &**name; "the entry of engine {name} is gone");
                 let removal = gateway.removal();
                 let mut table = gateway.table.borrow_mut();
                 table.remove(name, removal, clock::now());
@@ -137,11 +137,17 @@
     match kind {
         Kind::Config => match gateway.dialect.catalog(object) {
             Ok(catalog) => gateway.adopt(catalog),
-            Err(error) => log::warn!("config of revision {} refused: {error}", object.rev),
+            Err(error) => log::warn!(
+                event = "config-refused", rev = object.rev;
+                "config refused: {error}"
+            ),
         },
         Kind::Engines => {
             let Some(listing) = gateway.dialect.listing(object) else {
-                log::warn!("engine {}: its entry can't be read", object.name);
+                log::warn!(
+                    event = "entry-unreadable", engine = &*object.name;
+                    "the entry of engine {} can't be read", object.name
+                );
                 return;
             };
             if listing.state != State::Ready {
@@ -159,7 +165,7 @@
             if let Some((name, version)) = gateway.dialect.announced(object) {
                 let mut table = gateway.table.borrow_mut();
                 if table.announce(name.clone(), version, now) {
-                    log::info!("version announced: {name} {version}");
+                    log::info!(event = "version", adapter = &*name, version; "a version is announced");
                     gateway.order.notify_one();
                 }
             }
--- /dev/null
+++ b/crates/gateway/tests/page.rs
@@ -0,0 +1,92 @@
+//! The operators' page names every event, metric, fault and setting, and no others.
+
+use std::{collections::BTreeSet, fs, path::Path, time::Duration};
+
+use gateway::{metrics::Metrics, reply::Fault};
+
+const PAGE: &str = include_str!("../../../docs/operating/gateway.md");
+const TEMPLATE: &str = include_str!("../../../deploy/settings.yaml");
+
+/// Words in code marks of the rows between two headings.
+fn listed(from: &str, to: &str) -> BTreeSet<String> {
+    let part = PAGE.split(from).nth(1).expect("the heading is there");
+    let part = part.split(to).next().expect("there is a part");
+    let rows = part.lines().filter(|it| it.starts_with("| `"));
+    let firsts = rows.filter_map(|it| it.split(" | ").next());
+    firsts
+        .flat_map(|it| it.split('`').skip(1).step_by(2))
+        .map(str::to_owned)
+        .collect()
+}
+
+fn events() -> BTreeSet<String> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
+    let mut events: BTreeSet<String> = [
+        "served",
+        "failed",
+        "refused",
+        "cut",
+        "left",
+        "lines-dropped",
+    ]
+    .map(str::to_owned)
+    .into();
+    for file in fs::read_dir(folder).expect("the sources are there") {
+        let path = file.expect("it can be read").path();
+        let text = fs::read_to_string(path).expect("it is text");
+        let names = text.split("event = \"").skip(1);
+        events.extend(
+            names
+                .filter_map(|it| it.split('"').next())
+                .map(str::to_owned),
+        );
+    }
+    events
+}
+
+#[test]
+fn every_event_is_listed() {
+    assert_eq!(listed("## Events", "## Metrics"), events());
+}
+
+#[test]
+fn every_metric_is_listed() {
+    let metrics = Metrics::new();
+    let second = Duration::from_secs(1);
+    metrics.ended("s", "r", "served", "");
+    metrics.waited("s", second, second);
+    metrics.paced("s", second, second);
+    metrics.repeat("s", "sent");
+    metrics.connection("new");
+    metrics.order("load", "accepted");
+    metrics.load("early");
+    metrics.store_call("watch", "ok");
+    metrics.state(1, 1, 1, 1);
+    let text = String::from_utf8(metrics.text()).expect("it is text");
+    let types = text.lines().filter_map(|it| it.strip_prefix("# TYPE "));
+    let names = types.filter_map(|it| it.split(' ').next());
+    let names: BTreeSet<String> = names.map(str::to_owned).collect();
+    assert_eq!(listed("## Metrics", "## End"), names);
+}
+
+#[test]
+fn every_fault_has_a_name_and_only_those_that_did_not_run_say_so() {
+    let names: BTreeSet<&str> = Fault::ALL.map(Fault::name).into();
+    assert_eq!(names.len(), Fault::ALL.len());
+    for fault in [Fault::UpstreamLost, Fault::Timeout] {
+        assert!(![408, 421, 429, 503].contains(&fault.status().as_u16()));
+    }
+}
+
+#[test]
+fn every_setting_of_the_template_is_listed() {
+    let fields = listed("## Settings", "## From").into_iter();
+    let listed: BTreeSet<String> = fields
+        .filter_map(|it| it.split('.').next().map(str::to_owned))
+        .filter(|it| !it.is_empty())
+        .collect();
+    let lines = TEMPLATE.lines().filter(|it| !it.starts_with(' '));
+    let fields = lines.filter_map(|it| it.split(':').next());
+    let fields: BTreeSet<String> = fields.map(str::to_owned).collect();
+    assert_eq!(listed, fields);
+}
--- a/crates/telemetry/src/log.rs
+++ b/crates/telemetry/src/log.rs
@@ -1,4 +1,7 @@
-//! Logs: one line a record on the standard error stream, each with the prefix of its part.
+//! Logs: one line a record, each with the prefix of its part, on the standard error stream, or through
+//! a bounded ring on standard output, so that a reader that doesn't read never holds up a request.
+
+pub mod ring;
 
 #[cfg(test)]
 mod tests;
@@ -7,7 +10,10 @@
 
 use derive_more::{Display, Error};
 use flexi_logger::{DeferredNow, ErrorChannel, LogSpecification, Logger, LoggerHandle};
-use log::{LevelFilter, Record};
+use log::{
+    LevelFilter, Record,
+    kv::{Key, Value, VisitSource},
+};
 use serde_json::json;
 
 /// Libraries that are kept to warnings, since they log each call at lower levels.
@@ -52,6 +58,19 @@
         .map_err(Failure)
 }
 
+/// Starts to log to standard output through a ring that never blocks. Lines are JSON.
+pub fn start_ring(level: LevelFilter) -> Result<LoggerHandle, Failure> {
+    let ring = ring::Ring::start(io::stdout()).map_err(|_| {
+        // The only cause is that no thread can be started.
+        Failure(flexi_logger::FlexiLoggerError::Poison)
+    })?;
+    Logger::with(specification(level))
+        .log_to_writer(Box::new(ring))
+        .error_channel(ErrorChannel::DevNull)
+        .start()
+        .map_err(Failure)
+}
+
 fn specification(level: LevelFilter) -> LogSpecification {
     let mut builder = LogSpecification::builder();
     builder.default(level);
@@ -92,11 +111,30 @@
 }
 
 fn json_line(time: &str, record: &Record) -> String {
-    json!({
+    let mut line = json!({
         "ts": time,
         "level": record.level().as_str().to_ascii_lowercase(),
         "part": part(record),
         "message": record.args().to_string(),
-    })
-    .to_string()
+    });
+    let _ = record.key_values().visit(&mut Fields(&mut line));
+    line.to_string()
+}
+
+/// Adds the fields of a record to its line.
+struct Fields<'a>(&'a mut serde_json::Value);
+
+impl<'kvs> VisitSource<'kvs> for Fields<'_> {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        self.0[key.as_str()] = if let Some(number) = value.to_u64() {
+            json!(number)
+        } else if let Some(number) = value.to_f64() {
+            json!(number)
+        } else if let Some(is) = value.to_bool() {
+            json!(is)
+        } else {
+            json!(value.to_string())
+        };
+        Ok(())
+    }
 }
