--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -45,6 +45,9 @@
 /// Pause after an order that met another one or too many on their way.
 const CONFLICT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Orders without an answer in a row after which the engine is asked what it does.
+const SILENCES: u32 = 3;
+
 /// Conflicts in a row after which the engine is asked what it does.
 const CONFLICTS: u32 = 3;
 
@@ -177,6 +180,7 @@
     /// An order without an answer, which may still be carried out until a later one is accepted.
     ghost: Option<(Name, Op)>,
     conflicts: u32,
+    silences: u32,
     look: bool,
     pause: Time,
     reloads: VecDeque<Name>,
@@ -514,7 +518,7 @@
             (Outcome::Conflict, _) => {
                 works.conflicts += 1;
                 works.pause = now + CONFLICT_PAUSE;
-                if works.conflicts >= CONFLICTS {
+                if works.conflicts >= CONFLICTS || works.ghost.is_some() {
                     works.look = true;
                     works.pause = now + REFUSED_PAUSE;
                 }
@@ -525,8 +529,13 @@
             }
             (Outcome::Silent, op) => {
                 works.ghost = Some((order.name.clone(), op));
-                works.look = true;
-                works.pause = now + SILENT_PAUSE;
+                works.silences += 1;
+                // The next order has the same expected number: it is accepted only if this one was
+                // not, and this one can't be carried out any more after it.
+                if works.silences >= SILENCES {
+                    works.look = true;
+                    works.pause = now + SILENT_PAUSE;
+                }
             }
         }
     }
@@ -547,6 +556,7 @@
         }
         works.orders = Some(report.orders);
         works.conflicts = 0;
+        works.silences = 0;
         works.ledger = report.holds.iter().map(|it| it.name.clone()).collect();
         works.ledger.extend(report.pending.iter().cloned());
         let holds = |name: &Name| report.holds.iter().any(|it| it.name == *name);
@@ -640,6 +650,7 @@
         self.orders = self.orders.map(|it| it + 1);
         self.ghost = None;
         self.conflicts = 0;
+        self.silences = 0;
     }
 
     fn gone(&mut self, name: &Name) {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -217,7 +217,8 @@
 impl Job {
     async fn run(mut self) -> Response<Body> {
         loop {
-            let choice = match self.place(self.hold()).await {
+            let until = self.began + self.hold();
+            let choice = match self.place(until).await {
                 Ok(it) => it,
                 Err(fault) => return self.fail(fault),
             };
@@ -255,10 +256,10 @@
         whole.mul_f64(HOLD_PART).min(HOLD)
     }
 
-    /// Finds a place, and waits for the adapter's load if there is none.
-    pub(crate) async fn place(&mut self, hold: Duration) -> Result<Choice, Fault> {
+    /// Finds a place, and waits for the adapter's load until then if there is none.
+    pub(crate) async fn place(&mut self, until: Time) -> Result<Choice, Fault> {
         let name = self.envelope.name.clone();
-        let until = (clock::now() + hold).min(self.deadline);
+        let until = until.min(self.deadline);
         let mut waiting: Option<Waiting> = None;
         loop {
             let place = self
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -19,7 +19,7 @@
 };
 
 /// Time for an engine's answer to an order or a look; one that is lost never comes.
-const ANSWER: Duration = Duration::from_millis(600);
+const ANSWER: Duration = Duration::from_millis(300);
 
 /// Time between two rounds while loads are on their way.
 const BUSY: Duration = Duration::from_millis(12);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 
 use crate::{
-    event,
+    clock, event,
     forward::{Job, Run, Sent, Waited, wait},
     reply::{self, Body, Cut},
     story::End,
@@ -148,7 +148,7 @@
         self.job.story.outcome(why);
         self.buffer.clear();
         while self.job.may_resume() {
-            let Ok(choice) = self.job.place(RESUME).await else {
+            let Ok(choice) = self.job.place(clock::now() + RESUME).await else {
                 return false;
             };
             let last = self.last.clone();
