--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -71,6 +71,12 @@
 /// who use the victim wait for its load, the others only for their turn.
 const COPY_WORTH: f64 = 0.2;
 
+/// Time of waiting that counts as much as one more request that waits.
+const WAITER_AGE: Duration = Duration::from_millis(300);
+
+/// Part of the loads at full speed from which no copies are loaded: they would delay those who wait.
+const COPIES_BELOW: f64 = 0.7;
+
 /// Time for which a load counts among those on their way beyond the expected.
 const STILL: Duration = Duration::from_millis(30);
 
@@ -155,6 +161,22 @@
     last: Time,
     /// For one more copy: the decayed uses that it would take.
     spread: Option<f64>,
+    /// Requests that wait for it, by host.
+    waiting: HashMap<Arc<str>, u32>,
+}
+
+impl Want {
+    /// What goes first: many who wait, and those who wait long, so that rare adapters aren't starved.
+    /// Copies go last.
+    fn urgency(&self, now: Time) -> f64 {
+        let waiting: u32 = self.waiting.values().sum();
+        let age = now.saturating_sub(self.since).as_secs_f64() / WAITER_AGE.as_secs_f64();
+        if self.spread.is_some() {
+            age - 1000.0
+        } else {
+            f64::from(waiting) + age
+        }
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -200,6 +222,21 @@
     engines: usize,
 }
 
+/// An ask for an adapter.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// The host that asks.
+    pub host: Arc<str>,
+    /// The service.
+    pub service: Arc<str>,
+    /// The adapter.
+    pub name: Name,
+    /// For one more copy: the decayed uses that it would take.
+    pub spread: Option<f64>,
+    /// Requests that wait for it at that host.
+    pub waiting: u32,
+}
+
 /// What a decision rests on.
 pub struct View<'a> {
     /// The engines.
@@ -228,15 +265,23 @@
 }
 
 impl Loader {
-    /// Asks for an adapter on one of this host's engines; for one more copy, `spread` says how many of
-    /// the decayed uses it would take.
-    pub fn want(&mut self, service: &Arc<str>, name: &Name, spread: Option<f64>, now: Time) {
+    /// Takes in an ask for an adapter on one of this host's engines.
+    pub fn want(&mut self, ask: &Ask, now: Time) {
+        let Ask {
+            service,
+            name,
+            spread,
+            ..
+        } = ask;
+        let spread = *spread;
         let want = self.wants.entry(name.clone()).or_insert_with(|| Want {
             service: service.clone(),
             since: now,
             last: now,
             spread,
+            waiting: HashMap::new(),
         });
+        want.waiting.insert(ask.host.clone(), ask.waiting);
         want.last = now;
         if spread.is_none() {
             want.spread = None;
@@ -378,13 +423,21 @@
         let mut wants: Vec<(Name, Want)> = (self.wants.iter())
             .map(|(name, it)| (name.clone(), it.clone()))
             .collect();
-        wants.sort_by_key(|(_, it)| (it.spread.is_some(), it.since));
+        wants.sort_by(|a, b| {
+            let order = b.1.urgency(view.now).total_cmp(&a.1.urgency(view.now));
+            order.then_with(|| a.0.cmp(&b.0))
+        });
+        let full_speed = self.at_once() * count(self.engines);
+        let copies = count(self.in_transit() + self.elsewhere) < full_speed * COPIES_BELOW;
         let share = count(view.mine.len()) * self.at_once() * SHARE_OVER;
         let share = share.max(2.0);
         for (name, want) in wants {
             if free.is_empty() || count(self.in_transit()) >= share {
                 return;
             }
+            if want.spread.is_some() && !copies {
+                return;
+            }
             if self.served(view, &name, &want) {
                 self.wants.remove(&name);
                 continue;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -328,7 +328,12 @@
         let asks = wait.asks.get();
         wait.asks.set(asks + 1);
         let nth = usize::try_from(asks / ASKS).unwrap_or(0);
-        if !self.gossip.want(&self.service, name, None, nth).await {
+        let waiting = u32::try_from(wait.count.get()).unwrap_or(u32::MAX);
+        if !self
+            .gossip
+            .want(&self.service, name, None, waiting, nth)
+            .await
+        {
             log::debug!("nobody orders engines that could load {name}");
         }
     }
@@ -342,7 +347,9 @@
         let Some((nth, uses)) = self.gateway.spreads(name, from, now) else {
             return;
         };
-        self.gossip.want(&self.service, name, Some(uses), nth).await;
+        self.gossip
+            .want(&self.service, name, Some(uses), 0, nth)
+            .await;
     }
 
     /// Sends it to an engine and reads the head of the answer.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -4,7 +4,7 @@
 
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
-use fleet::{Time, engine::Load, listing::Name, rendezvous, table::Key};
+use fleet::{Time, engine::Load, listing::Name, loader, rendezvous, table::Key};
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time};
 
@@ -73,6 +73,8 @@
     name: String,
     /// For one more copy: the decayed uses that it would take.
     spread: Option<f64>,
+    /// Requests that wait for it.
+    waiting: u32,
 }
 
 /// An adapter that came to an engine or left it.
@@ -283,6 +285,7 @@
         service: &Arc<str>,
         name: &Name,
         spread: Option<f64>,
+        waiting: u32,
         nth: usize,
     ) -> bool {
         let Some(steward) = self.steward(service, name, spread.is_some(), nth) else {
@@ -290,10 +293,14 @@
         };
         let now = clock::now();
         if *steward == *self.gateway.holder {
-            self.gateway
-                .loader
-                .borrow_mut()
-                .want(service, name, spread, now);
+            let ask = loader::Ask {
+                host: self.gateway.holder.clone(),
+                service: service.clone(),
+                name: name.clone(),
+                spread,
+                waiting,
+            };
+            self.gateway.loader.borrow_mut().want(&ask, now);
             self.gateway.order.notify_one();
             return true;
         }
@@ -304,6 +311,7 @@
             service: service.to_string(),
             name: name.to_string(),
             spread,
+            waiting,
         };
         self.send(&Message::Want(want), addr).await;
         true
@@ -504,10 +512,14 @@
             self.send(&Message::News(there), from).await;
             return;
         }
-        self.gateway
-            .loader
-            .borrow_mut()
-            .want(&service, &name, want.spread, now);
+        let ask = loader::Ask {
+            host: from.to_string().into(),
+            service,
+            name,
+            spread: want.spread,
+            waiting: want.waiting,
+        };
+        self.gateway.loader.borrow_mut().want(&ask, now);
         self.gateway.order.notify_one();
     }
 
