--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -29,7 +29,7 @@
 /// Prompt tokens that may wait at an engine. An engine reads a piece of a prompt in each step, and an
 /// event has the tokens of a few steps, so more than this at once makes a pause of all its streams that
 /// is longer than they may have.
-const PACE_TOKENS: f64 = 4200.0;
+const PACE_TOKENS: f64 = 2800.0;
 
 /// What each running stream counts like at an engine where too much would wait, in ms.
 const PAUSES_MS: f64 = 8.0;
