--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -15,7 +15,7 @@
 
 /// Time for which news of a load or an unload goes before the list, which lags behind by a heartbeat
 /// and a watch.
-const NEWS_HOLDS: Duration = Duration::from_millis(3500);
+const NEWS_HOLDS: Duration = Duration::from_millis(4500);
 
 /// Time after which another host's word on its own load is dropped.
 const OTHERS_HOLD: Duration = Duration::from_millis(1500);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -29,6 +29,8 @@
     pub store: SocketAddr,
     /// Longest time for which this host may not notice that the store answers again, in milliseconds.
     pub store_blind_milliseconds: u64,
+    /// Time after which an engine that leaves must get no more work, in milliseconds.
+    pub drain_milliseconds: u64,
     /// Addresses of other hosts, to find the first ones while the store is away.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
@@ -170,6 +172,11 @@
         }
     }
 
+    /// Time after which an engine that leaves must get no more work.
+    pub fn drain(&self) -> Duration {
+        Duration::from_millis(self.drain_milliseconds)
+    }
+
     /// Longest time for which this host may not notice that the store answers again.
     pub fn store_blind(&self) -> Duration {
         Duration::from_millis(self.store_blind_milliseconds)
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -16,6 +16,12 @@
     gossip, store,
 };
 
+/// Time for which versions gather at least.
+const GATHER: Duration = Duration::from_millis(500);
+
+/// Part of the drain time that is kept for the call, and for requests on their way to the engine.
+const LEAVING: Duration = Duration::from_millis(1150);
+
 /// First pause after a failed call; it doubles up to [`LONGEST_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 
@@ -62,7 +68,7 @@
                         continue;
                     }
                     changed(&gateway, kind, &events);
-                    time::sleep(gather(kind)).await;
+                    time::sleep(gather(&gateway, kind)).await;
                 }
                 Some((status, _)) => {
                     log::warn!(event = "watch-refused", status = status.as_u16(); "watch of {kind:?} refused");
@@ -75,12 +81,11 @@
     }
 }
 
-/// Time for which changes gather before the next call, since each call is paid for. Engines have to be
-/// left within two seconds of the change.
-fn gather(kind: Kind) -> Duration {
+/// Time for which changes gather before the next call, since each call is paid for.
+fn gather(gateway: &Rc<Gateway>, kind: Kind) -> Duration {
     match kind {
-        Kind::Engines => Duration::from_millis(700),
-        Kind::Versions => Duration::from_millis(500),
+        Kind::Engines => gateway.settings.drain().saturating_sub(LEAVING).max(GATHER),
+        Kind::Versions => GATHER,
         Kind::Config | Kind::Hosts | Kind::Claims => Duration::from_millis(50),
     }
 }
