Test the decisions of the fleet without sockets

38 tests of budgets, leases, loads, places, stalls and beliefs, among them 300 random sequences of lost and late orders against an engine that counts its places.

--- /dev/null
+++ b/crates/fleet/tests/it/loads.rs
@@ -0,0 +1,358 @@
+//! Loads and evictions: never too many, whatever is late, lost or old.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use fleet::{
+    Time,
+    catalog::Catalog,
+    listing::{Hold, Name},
+    loader::{Ask, Loader, Op, Order, Outcome, Report, Step, View},
+    table::{Key, Table},
+};
+
+use crate::fixture::{at, catalog, hold, table};
+
+struct Steward {
+    table: Table,
+    keys: Vec<Key>,
+    catalog: Catalog,
+    loader: Loader,
+}
+
+impl Steward {
+    /// A steward that has asked its engines what they hold.
+    fn new(engines: &[(&str, &[&str])]) -> Self {
+        let (table, keys) = table(engines);
+        let mut it = Self {
+            table,
+            keys,
+            catalog: catalog(),
+            loader: Loader::default(),
+        };
+        for step in it.next(at(0)) {
+            let Step::Look(key) = step else {
+                panic!("an engine is asked before it is ordered");
+            };
+            let engine = it.table.get(key).expect("it is there");
+            let holds: Vec<Hold> = (engine.held.iter())
+                .map(|(name, belief)| hold(name, belief.version))
+                .collect();
+            let report = Report {
+                orders: 0,
+                holds,
+                pending: Vec::new(),
+            };
+            it.loader.looked(key, Some(&report), at(0));
+        }
+        it
+    }
+
+    fn next(&mut self, now: Time) -> Vec<Step> {
+        let view = View {
+            table: &self.table,
+            catalog: &self.catalog,
+            mine: &self.keys,
+            hosts: 1,
+            window: Duration::from_secs(5),
+            now,
+        };
+        self.loader.next(&view)
+    }
+
+    fn want(&mut self, name: &str, waiting: u32, now: Time) {
+        let ask = Ask {
+            host: "h-1".into(),
+            service: "chat".into(),
+            name: name.into(),
+            spread: None,
+            waiting,
+        };
+        self.loader.want(&ask, now);
+    }
+
+    /// The orders that are given, each answered so.
+    fn orders(&mut self, now: Time, outcome: Outcome) -> Vec<Order> {
+        let mut orders = Vec::new();
+        for step in self.next(now) {
+            if let Step::Send(order) = step {
+                self.loader.answered(&order, outcome, now);
+                if order.op == Op::Unload && outcome == Outcome::Holds {
+                    let engine = self.table.get_mut(order.key).expect("it is there");
+                    engine.drop_hold(&order.name, now);
+                }
+                orders.push(order);
+            }
+        }
+        orders
+    }
+}
+
+fn names(orders: &[Order]) -> Vec<(&str, Op)> {
+    orders.iter().map(|it| (&*it.name, it.op)).collect()
+}
+
+#[test]
+fn one_load_serves_all_who_ask() {
+    let mut it = Steward::new(&[("i-1", &[]), ("i-2", &[])]);
+    it.want("m/a1", 3, at(1));
+    it.want("m/a1", 5, at(2));
+    assert_eq!(
+        names(&it.orders(at(3), Outcome::Accepted)),
+        [("m/a1", Op::Load(None))]
+    );
+    it.want("m/a1", 5, at(4));
+    assert!(it.orders(at(5), Outcome::Accepted).is_empty());
+    let done = it.loader.done(at(600));
+    assert_eq!(done.len(), 1);
+    assert!(it.loader.done(at(601)).is_empty(), "it is told once");
+}
+
+#[test]
+fn a_full_engine_first_gives_up_what_is_used_least() {
+    let mut it = Steward::new(&[("i-1", &["a1", "a2"])]);
+    let engine = it.table.get_mut(it.keys[0]).expect("it is there");
+    engine.held.get_mut("m/a1").expect("held").use_it(at(0), 5);
+    it.want("m/a3", 1, at(5000));
+    assert_eq!(
+        names(&it.orders(at(5000), Outcome::Holds)),
+        [("m/a2", Op::Unload)]
+    );
+    it.want("m/a3", 1, at(5010));
+    let orders = it.orders(at(5010), Outcome::Accepted);
+    assert_eq!(names(&orders), [("m/a3", Op::Load(None))]);
+    assert_eq!(orders[0].expected, 1, "the unload counts");
+}
+
+#[test]
+fn what_runs_is_no_victim() {
+    let mut it = Steward::new(&[("i-1", &["a1", "a2"])]);
+    let engine = it.table.get_mut(it.keys[0]).expect("it is there");
+    engine.held.get_mut("m/a1").expect("held").running = 1;
+    let others = &mut engine.held.get_mut("m/a2").expect("held").others;
+    others.insert("h-2".into(), (at(4900), 2));
+    it.want("m/a3", 1, at(5000));
+    assert!(it.orders(at(5000), Outcome::Holds).is_empty());
+}
+
+#[test]
+fn an_order_without_an_answer_keeps_its_place_until_a_later_one_is_accepted() {
+    let mut it = Steward::new(&[("i-1", &["a1"])]);
+    it.want("m/a2", 1, at(1));
+    let first = it.orders(at(1), Outcome::Silent);
+    assert_eq!(names(&first), [("m/a2", Op::Load(None))]);
+    // Its place is taken, so another adapter needs a victim.
+    it.want("m/a3", 1, at(3000));
+    let second = it.orders(at(3000), Outcome::Holds);
+    assert_eq!(names(&second), [("m/a1", Op::Unload)]);
+    assert_eq!(
+        second[0].expected, first[0].expected,
+        "only one of the two can be accepted"
+    );
+    it.want("m/a3", 1, at(3001));
+    it.want("m/a4", 1, at(3001));
+    assert_eq!(it.orders(at(3001), Outcome::Accepted).len(), 1);
+    assert_eq!(
+        it.orders(at(3002), Outcome::Accepted).len(),
+        1,
+        "the silent one is void"
+    );
+}
+
+#[test]
+fn many_waiters_go_first_and_a_long_wait_is_not_forgotten() {
+    let mut it = Steward::new(&[("i-1", &[])]);
+    it.want("m/rare", 1, at(0));
+    it.want("m/busy", 9, at(900));
+    it.want("m/rare", 1, at(900));
+    assert_eq!(names(&it.orders(at(900), Outcome::Accepted))[0].0, "m/busy");
+    let mut it = Steward::new(&[("i-1", &[])]);
+    it.want("m/rare", 1, at(0));
+    for step in 1..40 {
+        it.want("m/rare", 1, at(step * 100));
+    }
+    it.want("m/busy", 9, at(3900));
+    assert_eq!(
+        names(&it.orders(at(3900), Outcome::Accepted))[0].0,
+        "m/rare"
+    );
+}
+
+#[test]
+fn an_older_version_that_is_in_use_is_replaced_when_it_does_not_run() {
+    let mut it = Steward::new(&[("i-1", &["a1"])]);
+    let engine = it.table.get_mut(it.keys[0]).expect("it is there");
+    engine.held.get_mut("m/a1").expect("held").use_it(at(0), 4);
+    engine.held.get_mut("m/a1").expect("held").running = 1;
+    it.table.announce("m/a1".into(), 2, at(0));
+    assert!(it.orders(at(1), Outcome::Accepted).is_empty());
+    let engine = it.table.get_mut(it.keys[0]).expect("it is there");
+    engine.held.get_mut("m/a1").expect("held").running = 0;
+    assert_eq!(
+        names(&it.orders(at(2), Outcome::Accepted)),
+        [("m/a1", Op::Load(Some(2)))]
+    );
+}
+
+#[test]
+fn engines_that_came_back_empty_get_their_base_model_within_the_ceiling() {
+    let ids: Vec<String> = (0..20).map(|it| format!("i-{it}")).collect();
+    let mut table = Table::default();
+    let mut keys = Vec::new();
+    for id in &ids {
+        let mut listing = crate::fixture::listing(id, &[]);
+        listing.holds.clear();
+        keys.push(table.adopt(listing, at(0)));
+    }
+    let mut it = Steward {
+        table,
+        keys: keys.clone(),
+        catalog: catalog(),
+        loader: Loader::default(),
+    };
+    it.next(at(0));
+    for key in keys {
+        it.loader.looked(key, Some(&Report::default()), at(0));
+    }
+    let mut loads = 0;
+    for step in 0..50 {
+        let orders = it.orders(at(step * 100), Outcome::Accepted);
+        assert!(orders.iter().all(|it| &*it.name == "m"));
+        loads += orders.len();
+    }
+    // One load a second in a window of five.
+    assert_eq!(loads, 5);
+}
+
+#[test]
+fn an_engine_that_others_may_have_ordered_is_asked_before_the_next_order() {
+    let mut it = Steward::new(&[("i-1", &[])]);
+    let mine = std::mem::take(&mut it.keys);
+    it.next(at(10));
+    it.keys = mine;
+    it.want("m/a1", 1, at(20));
+    assert!(matches!(it.next(at(20))[..], [Step::Look(_)]));
+}
+
+/// Random orders, outcomes and late executions against an engine that counts: it is never overfull.
+#[test]
+fn no_sequence_of_lost_and_late_orders_overfills_an_engine() {
+    for seed in 0..300_u64 {
+        Trial::new(seed).play();
+    }
+}
+
+struct Trial {
+    it: Steward,
+    draw: u64,
+    held: BTreeSet<Name>,
+    pending: Vec<(Name, Time)>,
+    orders: u64,
+    late: Vec<(Order, Time)>,
+}
+
+impl Trial {
+    fn new(seed: u64) -> Self {
+        Self {
+            it: Steward::new(&[("i-1", &[])]),
+            draw: seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1,
+            held: BTreeSet::new(),
+            pending: Vec::new(),
+            orders: 0,
+            late: Vec::new(),
+        }
+    }
+
+    fn draw(&mut self, below: u64) -> u64 {
+        self.draw ^= self.draw << 13;
+        self.draw ^= self.draw >> 7;
+        self.draw ^= self.draw << 17;
+        self.draw % below
+    }
+
+    fn play(&mut self) {
+        let mut now = at(0);
+        for _ in 0..400 {
+            now += Duration::from_millis(20 + self.draw(60));
+            self.arrive(now);
+            let name = format!("m/a{}", self.draw(6));
+            self.it.want(&name, 1, now);
+            for done in self.it.loader.done(now) {
+                let engine = self.it.table.get_mut(done.key).expect("it is there");
+                engine.load(&done.name, done.version, now);
+            }
+            for step in self.it.next(now) {
+                self.step(step, now);
+            }
+        }
+    }
+
+    /// Loads end, and late orders are carried out if they still fit.
+    fn arrive(&mut self, now: Time) {
+        let over: Vec<Order> = (self.late.iter())
+            .filter(|it| it.1 <= now)
+            .map(|it| it.0.clone())
+            .collect();
+        self.late.retain(|it| it.1 > now);
+        for order in over {
+            self.execute(&order, now);
+        }
+        let done = self.pending.iter().filter(|it| it.1 <= now);
+        self.held.extend(done.map(|it| it.0.clone()));
+        self.pending.retain(|it| it.1 > now);
+    }
+
+    fn execute(&mut self, order: &Order, now: Time) -> Outcome {
+        if order.expected != self.orders {
+            return Outcome::Conflict;
+        }
+        self.orders += 1;
+        match order.op {
+            Op::Unload => {
+                self.held.remove(&order.name);
+                Outcome::Holds
+            }
+            Op::Load(_) => {
+                self.held.remove(&order.name);
+                let places = self.held.len() + self.pending.len();
+                assert!(places < 2, "the engine is overfull");
+                let end = now + Duration::from_millis(250);
+                self.pending.push((order.name.clone(), end));
+                Outcome::Accepted
+            }
+        }
+    }
+
+    fn step(&mut self, step: Step, now: Time) {
+        match step {
+            Step::Look(key) => {
+                let holds = self.held.iter().map(|it| hold(it, 1));
+                let report = Report {
+                    orders: self.orders,
+                    holds: holds.chain([hold("m", 1)]).collect(),
+                    pending: self.pending.iter().map(|it| it.0.clone()).collect(),
+                };
+                let report = (self.draw(5) > 0).then_some(report);
+                self.it.loader.looked(key, report.as_ref(), now);
+            }
+            Step::Send(order) => {
+                let silent = self.draw(4) == 0;
+                let outcome = if silent {
+                    let wait = Duration::from_millis(self.draw(4000));
+                    if self.draw(2) == 0 {
+                        self.execute(&order, now);
+                    } else {
+                        self.late.push((order.clone(), now + wait));
+                    }
+                    Outcome::Silent
+                } else {
+                    self.execute(&order, now)
+                };
+                if order.op == Op::Unload {
+                    let engine = self.it.table.get_mut(order.key).expect("it is there");
+                    engine.drop_hold(&order.name, now);
+                }
+                self.it.loader.answered(&order, outcome, now);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fleet/tests/it/main.rs
@@ -0,0 +1,9 @@
+//! The decisions, without sockets and clocks.
+
+mod budgets;
+mod fixture;
+mod leases;
+mod loads;
+mod places;
+mod stalls;
+mod tables;
--- /dev/null
+++ b/crates/fleet/tests/it/places.rs
@@ -0,0 +1,179 @@
+//! Where requests go.
+
+use fleet::{
+    circuit::{Circuit, Use},
+    listing::State,
+    place::{Ask, Place, fullness, place},
+    prefix::Chain,
+    table::{Key, Table},
+};
+
+use crate::fixture::{at, listing, prompt, table};
+
+fn ask(table: &Table, name: Option<&str>, chain: &Chain, tried: &[Key]) -> Place {
+    let name = name.map(Into::into);
+    let ask = Ask {
+        service: "chat",
+        name: name.as_ref(),
+        chain,
+        domain: "z-1",
+        tried,
+        draw: 5,
+    };
+    place(table, &ask, at(0))
+}
+
+fn chosen(place: Place) -> Option<Key> {
+    match place {
+        Place::At(it) | Place::Later(it) => Some(it.key),
+        Place::Load | Place::Nowhere => None,
+    }
+}
+
+#[test]
+fn only_a_holder_of_the_adapter_is_chosen() {
+    let (table, keys) = table(&[("i-1", &["a1"]), ("i-2", &["a2"])]);
+    let chain = prompt(100);
+    assert_eq!(
+        chosen(ask(&table, Some("m/a2"), &chain, &[])),
+        Some(keys[1])
+    );
+    assert_eq!(ask(&table, Some("m/a3"), &chain, &[]), Place::Load);
+    assert_eq!(ask(&table, Some("m/a2"), &chain, &[keys[1]]), Place::Load);
+}
+
+#[test]
+fn engines_that_leave_or_cannot_be_reached_are_not_chosen() {
+    let (mut table, keys) = table(&[("i-1", &["a1"]), ("i-2", &["a1"])]);
+    let mut leaving = listing("i-1", &["a1"]);
+    leaving.state = State::Leaving(None);
+    table.adopt(leaving, at(0));
+    let chain = prompt(100);
+    assert_eq!(
+        chosen(ask(&table, Some("m/a1"), &chain, &[])),
+        Some(keys[1])
+    );
+    let engine = table.get_mut(keys[1]).expect("it is there");
+    engine.circuit.unreachable(at(0));
+    assert_eq!(ask(&table, Some("m/a1"), &chain, &[]), Place::Load);
+}
+
+#[test]
+fn what_fails_often_is_the_last_choice_but_still_one() {
+    let (mut table, keys) = table(&[("i-1", &["a1"]), ("i-2", &["a1"])]);
+    let chain = prompt(100);
+    for _ in 0..10 {
+        table
+            .get_mut(keys[0])
+            .expect("it is there")
+            .circuit
+            .failure(at(0));
+    }
+    for draw in 0..20 {
+        let name = "m/a1".into();
+        let ask = Ask {
+            service: "chat",
+            name: Some(&name),
+            chain: &chain,
+            domain: "z-1",
+            tried: &[],
+            draw,
+        };
+        assert_eq!(chosen(place(&table, &ask, at(0))), Some(keys[1]));
+    }
+    assert_eq!(
+        chosen(ask(&table, Some("m/a1"), &chain, &[keys[1]])),
+        Some(keys[0])
+    );
+}
+
+#[test]
+fn a_kept_prompt_and_an_idle_engine_are_preferred() {
+    let (mut table, keys) = table(&[("i-1", &["a1"]), ("i-2", &["a1"])]);
+    let chain = prompt(2000);
+    table
+        .get_mut(keys[1])
+        .expect("it is there")
+        .kept
+        .read(&chain);
+    assert_eq!(
+        chosen(ask(&table, Some("m/a1"), &chain, &[])),
+        Some(keys[1])
+    );
+    table
+        .get_mut(keys[1])
+        .expect("it is there")
+        .reads(9000, at(0));
+    assert_eq!(
+        chosen(ask(&table, Some("m/a1"), &chain, &[])),
+        Some(keys[0])
+    );
+}
+
+/// Load pattern: prompts arrive faster than an engine reads them while streams run there.
+#[test]
+fn a_prompt_waits_while_the_engine_has_enough_to_read_but_never_before_an_idle_one() {
+    let (mut table, keys) = table(&[("i-1", &["a1"])]);
+    assert!(matches!(
+        ask(&table, Some("m/a1"), &prompt(9000), &[]),
+        Place::At(_)
+    ));
+    table
+        .get_mut(keys[0])
+        .expect("it is there")
+        .reads(2500, at(0));
+    assert!(matches!(
+        ask(&table, Some("m/a1"), &prompt(1000), &[]),
+        Place::Later(_)
+    ));
+    assert!(matches!(
+        ask(&table, Some("m/a1"), &prompt(100), &[]),
+        Place::At(_)
+    ));
+}
+
+#[test]
+fn demand_that_one_engine_cannot_carry_asks_for_a_copy() {
+    let (mut table, keys) = table(&[("i-1", &["a1"]), ("i-2", &[])]);
+    table
+        .get_mut(keys[0])
+        .expect("it is there")
+        .reads(20_000, at(0));
+    let Place::Later(choice) = ask(&table, Some("m/a1"), &prompt(1000), &[]) else {
+        panic!("it waits");
+    };
+    assert!(choice.spread);
+}
+
+#[test]
+fn fullness_counts_engines_that_take_work() {
+    let (mut table, keys) = table(&[("i-1", &[]), ("i-2", &[])]);
+    table.get_mut(keys[0]).expect("it is there").own.running = 3;
+    assert_eq!(fullness(&table, &"chat".into(), at(0)), (3, 16));
+}
+
+#[test]
+fn a_circuit_opens_on_failures_and_closes_on_answers() {
+    let mut circuit = Circuit::default();
+    circuit.failure(at(0));
+    assert_eq!(circuit.state(at(0)), Use::Normal, "one failure is usual");
+    for _ in 0..5 {
+        circuit.failure(at(0));
+    }
+    assert_eq!(circuit.state(at(1)), Use::Aside);
+    assert_eq!(circuit.state(at(2000)), Use::Trial);
+    for _ in 0..10 {
+        circuit.success();
+    }
+    assert_eq!(circuit.state(at(2000)), Use::Normal);
+    // One failure in ten, as a plain service has on any day, keeps it closed.
+    let mut usual = Circuit::default();
+    for number in 0..1000 {
+        if number % 10 == 0 {
+            usual.failure(at(number));
+        } else {
+            usual.success();
+        }
+        assert_eq!(usual.state(at(number)), Use::Normal);
+    }
+}
