Let the slack of a host that starts grow over a window; load base models that nobody holds

Read with stricter accounting in mind: a host that restarts had its whole share of the slack anew, and before it knew others the share of all; slack grows over the first window now, and the seeds count as hosts. A site with several base models could not get one back that no engine holds: it is loaded beside others where there is room, never in place of one. Datagrams name 24 adapters at most, so that they fit.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -22,11 +22,21 @@
 /// What this host has sent to one service within a window.
 #[derive(Clone, Debug, Default)]
 pub struct Budget {
+    /// Start of this process: what the one before has spent isn't known.
+    started: Time,
     requests: VecDeque<Time>,
     repeats: VecDeque<Time>,
 }
 
 impl Budget {
+    /// The budget of a process that started then.
+    pub fn new(started: Time) -> Self {
+        Self {
+            started,
+            ..Self::default()
+        }
+    }
+
     /// Counts a request of a caller.
     pub fn request(&mut self, now: Time, rule: Rule) {
         trim(&mut self.requests, now, rule.window);
@@ -50,7 +60,9 @@
         let requests = f64::from(u32::try_from(self.requests.len()).unwrap_or(u32::MAX));
         let repeats = f64::from(u32::try_from(self.repeats.len()).unwrap_or(u32::MAX));
         let hosts = f64::from(u32::try_from(hosts.max(1)).unwrap_or(u32::MAX));
-        repeats + 1.0 <= USED * (rule.ratio * requests + rule.slack / hosts)
+        let age = now.saturating_sub(self.started).as_secs_f64();
+        let grown = (age / rule.window.as_secs_f64()).min(1.0);
+        repeats + 1.0 <= USED * (rule.ratio * requests + rule.slack * grown / hosts)
     }
 }
 
--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -442,6 +442,9 @@
                 self.wants.remove(&name);
                 continue;
             }
+            if self.load_base(view, &name, &want, free, steps) {
+                continue;
+            }
             let room = |key: &Key| self.room(view, *key, &name, &want);
             let best = free
                 .iter()
@@ -462,6 +465,50 @@
         }
     }
 
+    /// Has a base model loaded that no engine of the service holds, where there is room beside others;
+    /// a base model is never given up for another. Returns whether the ask waits for that.
+    fn load_base(
+        &mut self,
+        view: &View,
+        name: &Name,
+        want: &Want,
+        free: &mut Vec<Key>,
+        steps: &mut Vec<Step>,
+    ) -> bool {
+        let base = model(name);
+        let of_service = |it: &&Engine| it.listing.service == want.service && it.takes_work();
+        let mut engines = view.table.iter().map(|it| it.1).filter(of_service);
+        if engines.any(|it| it.held.contains_key(base)) {
+            return false;
+        }
+        let comes = |it: &Works| it.moves(base);
+        if self.works.values().any(comes) {
+            return true;
+        }
+        let found = free.iter().copied().find_map(|key| {
+            let (engine, shape) = shaped(view, key)?;
+            let model = shape.model(base)?;
+            let works = self.works.get(&key)?;
+            let fits = works.megabytes(engine, shape) + model.weights_mb <= shape.weights_mb;
+            let rule = ceiling::Rule {
+                per_s: shape.loads_per_s,
+                window: view.window,
+            };
+            let fits = fits && engine.listing.service == want.service;
+            fits.then(|| (key, model.name.clone(), rule))
+        });
+        let Some((key, base, rule)) = found else {
+            return true;
+        };
+        if self.ceiling.load(view.now, rule, view.hosts)
+            && let Some(works) = self.works.get_mut(&key)
+        {
+            free.retain(|it| *it != key);
+            steps.push(works.ask(key, base, Op::Load(None)));
+        }
+        true
+    }
+
     /// Whether the ask is met: a load is on its way, or an engine of this host holds it.
     fn served(&self, view: &View, name: &Name, want: &Want) -> bool {
         let on_its_way =
@@ -722,8 +769,8 @@
             || self.leaving.iter().any(|it| &*it.0 == name)
     }
 
-    /// Whether one more adapter of that size is within the limits, counting all that may be there.
-    fn fits(&self, engine: &Engine, shape: &Shape, adapter_mb: f64) -> bool {
+    /// All names that may be there.
+    fn names<'a>(&'a self, engine: &'a Engine) -> Vec<&'a Name> {
         let mut names: Vec<&Name> = engine.held.keys().collect();
         names.extend(&self.ledger);
         names.extend(self.transit.iter().map(|it| &it.name));
@@ -733,8 +780,12 @@
         }
         names.sort();
         names.dedup();
-        let adapters = names.iter().filter(|it| is_adapter(it)).count();
-        let mb: f64 = names
+        names
+    }
+
+    /// Size of all that may be there, in MB.
+    fn megabytes(&self, engine: &Engine, shape: &Shape) -> f64 {
+        self.names(engine)
             .iter()
             .map(|it| {
                 let known = shape.model(model(it));
@@ -744,7 +795,14 @@
                     None => 0.0,
                 }
             })
-            .sum();
+            .sum()
+    }
+
+    /// Whether one more adapter of that size is within the limits, counting all that may be there.
+    fn fits(&self, engine: &Engine, shape: &Shape, adapter_mb: f64) -> bool {
+        let names = self.names(engine);
+        let adapters = names.iter().filter(|it| is_adapter(it)).count();
+        let mb = self.megabytes(engine, shape);
         adapters < shape.adapter_slots && mb + adapter_mb <= shape.weights_mb
     }
 }
--- a/crates/fleet/tests/it/budgets.rs
+++ b/crates/fleet/tests/it/budgets.rs
@@ -48,6 +48,23 @@
     assert!(repeats.len() > 100, "the budget is used");
 }
 
+/// What the process before had spent may lie in the same window.
+#[test]
+fn a_host_that_has_just_started_spends_its_slack_over_a_window() {
+    let spent = |upto: u64| {
+        let mut budget = Budget::new(at(0));
+        (0..upto)
+            .filter(|it| budget.repeat(at(*it), RULE, 1))
+            .count()
+    };
+    assert_eq!(spent(100), 0);
+    assert!(
+        spent(2000) <= 11,
+        "a fifth of the slack after a fifth of the window"
+    );
+    assert!(spent(9999) > 40);
+}
+
 #[test]
 fn a_repeat_that_is_asked_for_only_is_not_spent() {
     let rule = budget::Rule { slack: 1.2, ..RULE };
--- a/crates/fleet/tests/it/loads.rs
+++ b/crates/fleet/tests/it/loads.rs
@@ -223,6 +223,42 @@
     assert_eq!(loads, 5);
 }
 
+#[test]
+fn a_base_model_that_nobody_holds_is_loaded_where_there_is_room() {
+    let mut it = Steward::new(&[("i-1", &[]), ("i-2", &[])]);
+    let mut shape = (*it.catalog.services["chat"]).clone();
+    let engine = shape.engine.as_mut().expect("it has engines");
+    engine.models.push(fleet::catalog::Model {
+        name: "small".into(),
+        weights_mb: 90.0,
+        adapter_mb: 5.0,
+        load: Duration::from_secs(1),
+    });
+    it.catalog.services.insert("chat".into(), shape.into());
+    it.want("small/a1", 1, at(1));
+    let orders = it.orders(at(1), Outcome::Accepted);
+    assert_eq!(names(&orders), [("small", Op::Load(None))]);
+    it.want("small/a1", 1, at(2));
+    assert!(
+        it.orders(at(2), Outcome::Accepted).is_empty(),
+        "it is on its way"
+    );
+    let key = orders[0].key;
+    let report = Report {
+        orders: 1,
+        holds: vec![hold("m", 1), hold("small", 1)],
+        pending: Vec::new(),
+    };
+    it.loader.looked(key, Some(&report), at(1000));
+    let engine = it.table.get_mut(key).expect("it is there");
+    engine.load(&"small".into(), 1, at(1000));
+    it.want("small/a1", 1, at(1001));
+    assert_eq!(
+        names(&it.orders(at(1001), Outcome::Accepted)),
+        [("small/a1", Op::Load(None))]
+    );
+}
+
 #[test]
 fn an_engine_that_others_may_have_ordered_is_asked_before_the_next_order() {
     let mut it = Steward::new(&[("i-1", &[])]);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -45,6 +45,8 @@
     pub holder: Arc<str>,
     /// The start of this process, which tells its lives apart.
     pub life: u64,
+    /// When this process started.
+    started: Time,
     /// What it counts.
     pub metrics: Metrics,
     /// The platform's names and formats.
@@ -113,6 +115,7 @@
             holder: settings.holder().into(),
             settings,
             life,
+            started: clock::now(),
             metrics: Metrics::new(),
             dialect,
             pool: Pool::default(),
@@ -193,7 +196,9 @@
     /// Counts a caller's request to a service.
     pub fn count_request(&self, service: &Arc<str>) {
         let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(service.clone()).or_default();
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| Budget::new(self.started));
         budget.request(clock::now(), self.settings.budget());
     }
 
@@ -201,7 +206,9 @@
     pub fn may_repeat(&self, service: &Arc<str>) -> bool {
         let hosts = self.peers.borrow().hosts();
         let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(service.clone()).or_default();
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| Budget::new(self.started));
         let may = budget.repeat(clock::now(), self.settings.budget(), hosts);
         let outcome = if may { "sent" } else { "refused" };
         self.metrics.repeat(service, outcome);
@@ -212,7 +219,9 @@
     pub fn has_repeat(&self, service: &Arc<str>) -> bool {
         let hosts = self.peers.borrow().hosts();
         let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets.entry(service.clone()).or_default();
+        let budget = budgets
+            .entry(service.clone())
+            .or_insert_with(|| Budget::new(self.started));
         budget.has_repeat(clock::now(), self.settings.budget(), hosts)
     }
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -23,7 +23,7 @@
 const DATAGRAM: usize = 1400;
 
 /// Adapters that one word names at most, so that it fits a datagram.
-const NAMED: usize = 40;
+const NAMED: usize = 24;
 
 /// An engine's id in a datagram.
 type Short = u32;
@@ -114,9 +114,10 @@
         peer.told = now;
     }
 
-    /// Hosts that may spend the budgets of all: those that are known, and this one.
+    /// Hosts that may spend the budgets of all: those that are known, this one, and the seeds before
+    /// any is known.
     pub fn hosts(&self) -> usize {
-        self.by_name.len().max(1)
+        self.by_name.len().max(self.seeds.len()).max(1)
     }
 
     /// Names and failure domains of the hosts that live and stay.
