Place no request on an older version where a queue would make it begin too late

Ruled out: a late word of the version (the request was placed as an older copy within its time). The expected wait at the engine now counts twice against a limit of 2.5 s (2.8 s before).

--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -127,7 +127,8 @@
             if !belief.is_open(now) {
                 continue;
             }
-            match table.age(name, belief.version, now) {
+            let ahead = Duration::from_secs_f64(wait.max(0.0) / 1000.0);
+            match table.age_after(name, belief.version, now, ahead) {
                 Age::Newest => {}
                 Age::Older => cost += OLDER_MS,
                 Age::Stale => continue,
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -26,9 +26,9 @@
 /// A good answer that is younger than this says that an engine lives.
 const LIVELY: Duration = Duration::from_millis(1500);
 
-/// Time from the announcement of a version after which older copies aren't used any more. The
-/// platform's bound is 5 s; a request may wait in an engine's queue before it begins.
-const OLD_VERSIONS_SERVE: Duration = Duration::from_millis(2800);
+/// Time from the announcement of a version after which no request may begin on older copies. The
+/// platform's bound is 5 s, of which up to one passes before the announcement is read.
+const OLD_VERSIONS_SERVE: Duration = Duration::from_millis(2500);
 
 /// How an entry left the list.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -150,6 +150,12 @@
             _ => Age::Newest,
         }
     }
+
+    /// The same for a request that has to wait at the engine before it begins. The wait counts twice,
+    /// since it is an estimate.
+    pub fn age_after(&self, name: &str, version: u64, now: Time, wait: Duration) -> Age {
+        self.age(name, version, now + wait * 2)
+    }
 }
 
 /// How a copy of an adapter stands to the newest version.
--- a/crates/fleet/tests/it/places.rs
+++ b/crates/fleet/tests/it/places.rs
@@ -177,3 +177,24 @@
         assert_eq!(usual.state(at(number)), Use::Normal);
     }
 }
+
+/// A request begins when the engine has read what came before it, and that must still be in time.
+#[test]
+fn an_older_version_is_not_used_where_a_queue_would_make_it_too_old() {
+    let (mut table, keys) = table(&[("i-1", &["a1"])]);
+    let chain = prompt(100);
+    table.announce(
+        "m/a1".into(),
+        2,
+        at(0).saturating_sub(std::time::Duration::from_millis(1500)),
+    );
+    assert_eq!(
+        chosen(ask(&table, Some("m/a1"), &chain, &[])),
+        Some(keys[0])
+    );
+    table
+        .get_mut(keys[0])
+        .expect("it is there")
+        .reads(58_000, at(0));
+    assert_eq!(ask(&table, Some("m/a1"), &chain, &[]), Place::Load);
+}
