Let few hosts of a domain read the store and hand its lists on

Ruled out: longer waits of the watches (an outage's end has to be seen in contact_ms, and a leaving engine in drain_ms), stale lists (seconds old). Change: fleet::reader (pure) names two readers a domain, one more for each ten hosts; the others ask them over TCP for what is new since a revision. A reader that is away, silent or older than its pause + 350 ms isn't relied on. The hand-over of a start without the store uses the same call. The regular word slows down among more than 40 hosts, prompts are told to 40 hosts at most, and loads go in words that fit a datagram.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod outage;
 pub mod place;
 pub mod prefix;
+pub mod reader;
 pub mod rendezvous;
 pub mod stall;
 pub mod table;
--- a/crates/fleet/src/outage.rs
+++ b/crates/fleet/src/outage.rs
@@ -25,10 +25,15 @@
 /// Part of the blind time for the answer to a probe.
 const PROBE_PART: f64 = 0.2;
 
+/// Longest time that a watch waits.
+pub fn longest(blind: Blind) -> Duration {
+    blind.0.mul_f64(WATCH_PART)
+}
+
 /// The next call, after the last one was answered or not.
 pub fn next(blind: Blind, answered: bool) -> Call {
     if answered {
-        Call::Watch(blind.0.mul_f64(WATCH_PART), blind.0.mul_f64(WHOLE_PART))
+        Call::Watch(longest(blind), blind.0.mul_f64(WHOLE_PART))
     } else {
         Call::Probe(blind.0.mul_f64(PROBE_PART))
     }
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -10,6 +10,7 @@
     Time,
     engine::Engine,
     listing::{Listing, Name},
+    rendezvous::short,
 };
 
 /// Key of an engine in a [`Table`]. A later life under the same id keeps the key.
@@ -44,6 +45,7 @@
 pub struct Table {
     engines: BTreeMap<Key, Engine>,
     ids: HashMap<Arc<str>, Key>,
+    shorts: HashMap<u32, Key>,
     next: u32,
     versions: HashMap<Name, Announced>,
 }
@@ -69,6 +71,7 @@
         let key = Key(self.next);
         self.next += 1;
         self.ids.insert(listing.id.clone(), key);
+        self.shorts.insert(short(&listing.id), key);
         self.engines.insert(key, Engine::new(listing, now));
         key
     }
@@ -98,6 +101,7 @@
         for listing in &gone {
             if let Some(key) = self.ids.remove(&listing.id) {
                 self.engines.remove(&key);
+                self.shorts.retain(|_, it| *it != key);
             }
         }
         gone
@@ -118,6 +122,11 @@
         self.ids.get(id).copied()
     }
 
+    /// The key of an id's short form.
+    pub fn find_short(&self, short: u32) -> Option<Key> {
+        self.shorts.get(&short).copied()
+    }
+
     /// All engines.
     pub fn iter(&self) -> impl Iterator<Item = (Key, &Engine)> {
         self.engines.iter().map(|(key, it)| (*key, it))
--- a/crates/fleet/tests/it/main.rs
+++ b/crates/fleet/tests/it/main.rs
@@ -5,5 +5,6 @@
 mod leases;
 mod loads;
 mod places;
+mod readers;
 mod stalls;
 mod tables;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -21,7 +21,14 @@
 use tokio::sync::Notify;
 
 use crate::{
-    channel::Pool, claims::Claims, clock, dialect::Dialect, gossip::Peers, metrics::Metrics,
+    channel::Pool,
+    claims::Claims,
+    clock,
+    dialect::{Dialect, Kind},
+    feed,
+    gossip::Peers,
+    kept::Kept,
+    metrics::Metrics,
     settings::Settings,
 };
 
@@ -75,13 +82,19 @@
     pub store_regained: Notify,
     /// Wakes the sender of orders.
     pub order: Notify,
+    /// Wakes the sender of words to other hosts: a list has changed.
+    pub tell: Notify,
+    /// Says that another host has told how far it knows the lists.
+    pub heard: Notify,
+    /// When this host read each list last, if it reads it.
+    reads: [Cell<Option<Time>>; 3],
     store: RefCell<Store>,
     budgets: RefCell<HashMap<Arc<str>, Budget>>,
     waits: RefCell<HashMap<Name, Rc<Wait>>>,
     /// When one more copy of an adapter was asked for last, and how often.
     spreads: RefCell<HashMap<Name, (Time, usize)>>,
     /// Objects as they came from the store, for hosts that start without it.
-    pub kept: crate::handover::Kept,
+    pub kept: Kept,
     /// News for other hosts that wasn't sent yet.
     pub news: RefCell<VecDeque<crate::gossip::News>>,
     /// Engines that take no more work, of which other hosts weren't told yet.
@@ -130,11 +143,14 @@
             callers: Cell::default(),
             store_regained: Notify::new(),
             order: Notify::new(),
+            tell: Notify::new(),
+            heard: Notify::new(),
+            reads: Default::default(),
             store: RefCell::default(),
             budgets: RefCell::default(),
             waits: RefCell::default(),
             spreads: RefCell::default(),
-            kept: crate::handover::Kept::default(),
+            kept: Kept::default(),
             news: RefCell::default(),
             leaving: RefCell::default(),
         }
@@ -182,6 +198,28 @@
         self.store.borrow().away
     }
 
+    /// How long ago this host read a list, if it reads it.
+    pub fn read_age(&self, kind: Kind) -> Option<Duration> {
+        let read = self.reads[feed::index(kind)].get()?;
+        Some(clock::now().saturating_sub(read))
+    }
+
+    /// Notes that this host has read all of a list.
+    pub fn has_read(&self, kind: Kind) {
+        self.reads[feed::index(kind)].set(Some(clock::now()));
+    }
+
+    /// Notes that this host doesn't read a list itself.
+    pub fn forget_read(&self, kind: Kind) {
+        self.reads[feed::index(kind)].set(None);
+    }
+
+    /// Whether other hosts of the domain take their lists from those that read.
+    pub fn is_followed(&self) -> bool {
+        let peers = self.peers.borrow();
+        peers.has_followers(&self.settings.domain, clock::now())
+    }
+
     /// How an entry that vanished now is to be taken.
     pub fn removal(&self) -> Removal {
         let store = self.store.borrow();
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -4,18 +4,36 @@
 
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
-use fleet::{Time, engine::Load, listing::Name, loader, rendezvous, table::Key};
+use fleet::{
+    Time,
+    engine::Load,
+    listing::Name,
+    loader,
+    reader::{Other, Sight},
+    rendezvous::{self, short},
+    table::Key,
+};
 use serde::{Deserialize, Serialize};
 use tokio::{net::UdpSocket, time};
 
-use crate::{clock, gateway::Gateway};
+use crate::{
+    clock,
+    dialect::Kind,
+    feed::{self, Word},
+    gateway::Gateway,
+    kept::Reach,
+};
 
-/// Time between two words to each other host.
+/// Time between two words to each other host, up to [`HOSTS`] of them. Among more hosts it grows, so that
+/// a host's words cost it the same.
 const HELLO: Duration = Duration::from_millis(200);
 
-/// A host that was heard within this time lives.
+/// A host that was heard within this time lives; it grows as [`HELLO`] does.
 const LIVES: Duration = Duration::from_millis(1500);
 
+/// Hosts to which each prompt is told at once, and to which the regular word goes at its full pace.
+const HOSTS: usize = 40;
+
 /// A host that wasn't heard for this long isn't told anything any more, unless the store lists it.
 const FORGOTTEN: Duration = Duration::from_mins(1);
 
@@ -25,6 +43,9 @@
 /// Adapters that one word names at most, so that it fits a datagram.
 const NAMED: usize = 24;
 
+/// Engines whose load one word tells at most, so that it fits a datagram.
+const LOADED: usize = 100;
+
 /// An engine's id in a datagram.
 type Short = u32;
 
@@ -36,6 +57,8 @@
     News(Vec<News>),
     Sent(Short, u32),
     Leaving(Vec<Life>),
+    Lists(Word),
+    Loads(Loads),
 }
 
 /// One life of an engine.
@@ -53,10 +76,17 @@
     leaving: bool,
     transit: u32,
     claims: Vec<Short>,
-    loads: Vec<(Short, u32, u32)>,
+    lists: Word,
     runs: Vec<Run>,
 }
 
+/// The load that a host puts on engines: requests that run, and prompt tokens to be read.
+#[derive(Debug, Default, Deserialize, Serialize)]
+struct Loads {
+    host: String,
+    loads: Vec<(Short, u32, u32)>,
+}
+
 /// Requests of a host that run with an adapter, told to the engine's steward only.
 #[derive(Debug, Deserialize, Serialize)]
 struct Run {
@@ -94,12 +124,17 @@
     leaving: bool,
     transit: u32,
     claims: Vec<Short>,
+    lists: Word,
+    /// Until when it isn't asked for lists, since it didn't answer.
+    distrusted: Time,
 }
 
 /// Other hosts.
 #[derive(Default)]
 pub struct Peers {
     by_name: HashMap<Arc<str>, Peer>,
+    /// Which host said last that it orders an engine.
+    stewards: HashMap<Short, Arc<str>>,
     seeds: Vec<SocketAddr>,
     /// Starts since the last word, by engine and adapter.
     began: HashMap<(Key, Name), u32>,
@@ -122,24 +157,87 @@
 
     /// Names and failure domains of the hosts that live and stay.
     pub fn live(&self, now: Time) -> Vec<(Arc<str>, Arc<str>)> {
-        let lives = |it: &(&Arc<str>, &Peer)| it.1.lives(now);
-        self.by_name
-            .iter()
-            .filter(lives)
+        self.living(now)
             .map(|(name, it)| (name.clone(), it.domain.clone()))
             .collect()
     }
 
+    fn living(&self, now: Time) -> impl Iterator<Item = (&Arc<str>, &Peer)> {
+        let lives = LIVES.mul_f64(slower(self.by_name.len()));
+        self.by_name.iter().filter(move |it| it.1.lives(lives, now))
+    }
+
+    /// How the other living hosts of a domain see a list.
+    pub fn sights(&self, domain: &str, kind: Kind, now: Time) -> Vec<Other> {
+        let near = self.living(now).filter(|it| *it.1.domain == *domain);
+        near.map(|(name, it)| Other {
+            name: name.clone(),
+            sight: it.sight(kind, now),
+        })
+        .collect()
+    }
+
+    /// Whether another living host of a domain takes its lists from others.
+    pub fn has_followers(&self, domain: &str, now: Time) -> bool {
+        let mut near = self.living(now).filter(|it| *it.1.domain == *domain);
+        near.any(|it| it.1.sight(Kind::Engines, now) == Sight::Follows)
+    }
+
+    /// The host to take a list from, its address and how far it knows the list: the reader, or for the
+    /// configuration any host that knows a newer one.
+    pub fn source(
+        &self,
+        reader: &Arc<str>,
+        kind: Kind,
+        own: Reach,
+    ) -> Option<(Arc<str>, SocketAddr, Reach)> {
+        let now = clock::now();
+        let reach = |it: &Peer| it.lists.lists[feed::index(kind)].0;
+        let newer = |it: &(&Arc<str>, &Peer)| {
+            kind == Kind::Config && it.1.distrusted <= now && reach(it.1).last > own.last
+        };
+        let newer = self.living(now).find(newer);
+        let (name, peer) = newer.or_else(|| self.by_name.get_key_value(reader))?;
+        Some((name.clone(), peer.addr, reach(peer)))
+    }
+
+    /// Doesn't ask a host for lists for a while.
+    pub fn distrust(&mut self, name: &str, until: Time) {
+        if let Some(it) = self.by_name.get_mut(name) {
+            it.distrusted = until;
+        }
+    }
+
     /// Whether a host lives and stays.
     pub fn is_live(&self, name: &str, now: Time) -> bool {
-        self.by_name.get(name).is_some_and(|it| it.lives(now))
+        let lives = LIVES.mul_f64(slower(self.by_name.len()));
+        let peer = self.by_name.get(name);
+        peer.is_some_and(|it| it.lives(lives, now))
     }
 
     /// The living host that says it orders an engine.
     pub fn steward(&self, id: &str, now: Time) -> Option<&Arc<str>> {
-        let short = short(id);
-        let claims = |it: &(&Arc<str>, &Peer)| it.1.lives(now) && it.1.claims.contains(&short);
-        self.by_name.iter().find(claims).map(|it| it.0)
+        let host = self.stewards.get(&short(id))?;
+        self.is_live(host, now).then_some(host)
+    }
+
+    /// Enters which engines a host says it orders.
+    fn steer(&mut self, host: &Arc<str>, claims: &[Short]) {
+        let Some(peer) = self.by_name.get_mut(host) else {
+            return;
+        };
+        if peer.claims == claims {
+            return;
+        }
+        for it in std::mem::take(&mut peer.claims) {
+            if self.stewards.get(&it) == Some(host) {
+                self.stewards.remove(&it);
+            }
+        }
+        peer.claims = claims.to_vec();
+        for it in claims {
+            self.stewards.insert(*it, host.clone());
+        }
     }
 
     /// Counts a request that began with an adapter.
@@ -170,16 +268,31 @@
             leaving: false,
             transit: 0,
             claims: Vec::new(),
+            lists: Word::default(),
+            distrusted: Time::ZERO,
         }
     }
 
-    fn lives(&self, now: Time) -> bool {
-        !self.leaving && self.heard.is_some_and(|it| it + LIVES > now)
+    fn lives(&self, within: Duration, now: Time) -> bool {
+        !self.leaving && self.heard.is_some_and(|it| it + within > now)
+    }
+
+    fn sight(&self, kind: Kind, now: Time) -> Sight {
+        if self.lists.away || self.distrusted > now {
+            return Sight::Away;
+        }
+        let silent = self.heard.map_or(now, |it| now.saturating_sub(it));
+        match self.lists.lists[feed::index(kind)].1 {
+            Some(age) => Sight::Reads(Duration::from_millis(age.into()) + silent),
+            None => Sight::Follows,
+        }
     }
 }
 
-fn short(id: &str) -> Short {
-    u32::try_from(rendezvous::weight(id, "") >> 32).unwrap_or(0)
+/// How much slower the regular word is among so many hosts.
+fn slower(hosts: usize) -> f64 {
+    let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+    (f64::from(hosts) / 40.0).max(1.0)
 }
 
 /// The socket between hosts.
@@ -201,9 +314,19 @@
 
     /// Tells the others how this host does until the process ends.
     pub async fn tell(self: Rc<Self>) {
+        let mut next = clock::now();
         loop {
+            let wait = next.saturating_sub(clock::now());
+            if time::timeout(wait, self.gateway.tell.notified())
+                .await
+                .is_ok()
+            {
+                self.tell_lists().await;
+                continue;
+            }
             self.hello().await;
-            time::sleep(HELLO).await;
+            let hosts = self.gateway.peers.borrow().by_name.len();
+            next = clock::now() + HELLO.mul_f64(slower(hosts));
         }
     }
 
@@ -221,6 +344,8 @@
                 Ok(Message::News(it)) => self.news(&it),
                 Ok(Message::Sent(engine, tokens)) => self.sent(engine, tokens),
                 Ok(Message::Leaving(it)) => self.left(&it),
+                Ok(Message::Lists(it)) => self.lists(it, from),
+                Ok(Message::Loads(it)) => self.loads(&it),
                 Err(error) => log::debug!("datagram from {from} can't be read: {error}"),
             }
         }
@@ -252,7 +377,7 @@
         let Ok(bytes) = postcard::to_stdvec(&Message::Sent(short(id), tokens)) else {
             return;
         };
-        for addr in self.audience() {
+        for addr in self.nearest(id) {
             if let Err(error) = self.socket.try_send_to(&bytes, addr) {
                 log::debug!("datagram to {addr} not sent: {error}");
             }
@@ -260,10 +385,9 @@
     }
 
     fn left(&self, lives: &[Life]) {
-        let keys = self.keys();
         let mut table = self.gateway.table.borrow_mut();
         for life in lives {
-            let key = keys.get(&life.engine).copied();
+            let key = table.find_short(life.engine);
             if let Some(engine) = key.and_then(|it| table.get_mut(it)) {
                 engine.leaves(life.born);
             }
@@ -272,8 +396,7 @@
 
     fn sent(&self, engine: Short, tokens: u32) {
         let mut table = self.gateway.table.borrow_mut();
-        let found = table.iter().find(|it| short(&it.1.listing.id) == engine);
-        let key = found.map(|it| it.0);
+        let key = table.find_short(engine);
         if let Some(engine) = key.and_then(|it| table.get_mut(it)) {
             engine.reads(tokens, clock::now());
         }
@@ -363,7 +486,8 @@
 
     async fn hello(&self) {
         let now = clock::now();
-        let base = self.word(now);
+        let mut hello = self.word(now);
+        let loads = self.own_loads();
         let mut runs = self.runs();
         let audience: Vec<(Option<Arc<str>>, SocketAddr)> = {
             let mut peers = self.gateway.peers.borrow_mut();
@@ -383,33 +507,82 @@
             if addr == self.gateway.settings.peers {
                 continue;
             }
-            let runs = name.and_then(|it| runs.remove(&it)).unwrap_or_default();
-            let hello = Hello {
-                runs,
-                host: base.host.clone(),
-                domain: base.domain.clone(),
-                leaving: base.leaving,
-                transit: base.transit,
-                claims: base.claims.clone(),
-                loads: base.loads.clone(),
-            };
-            self.send(&Message::Hello(hello), addr).await;
+            hello.runs = name.and_then(|it| runs.remove(&it)).unwrap_or_default();
+            let message = Message::Hello(hello);
+            self.send(&message, addr).await;
+            let Message::Hello(it) = message else { return };
+            hello = it;
+            for part in &loads {
+                self.send(part, addr).await;
+            }
         }
     }
 
-    fn word(&self, now: Time) -> Hello {
+    /// Tells the hosts of the domain at once how far this host knows the lists.
+    async fn tell_lists(&self) {
+        let message = Message::Lists(feed::word(&self.gateway));
+        let near: Vec<SocketAddr> = {
+            let peers = self.gateway.peers.borrow();
+            let domain = &*self.gateway.settings.domain;
+            let near = peers.living(clock::now());
+            let near = near.filter(|it| *it.1.domain == *domain);
+            near.map(|it| it.1.addr).collect()
+        };
+        for addr in near {
+            self.send(&message, addr).await;
+        }
+    }
+
+    fn lists(&self, word: Word, from: SocketAddr) {
+        let mut peers = self.gateway.peers.borrow_mut();
+        if let Some(peer) = peers.by_name.values_mut().find(|it| it.addr == from) {
+            peer.lists = word;
+            peer.heard = Some(clock::now());
+            self.gateway.heard.notify_waiters();
+        }
+    }
+
+    /// The load that this host puts on engines, in words that fit a datagram.
+    fn own_loads(&self) -> Vec<Message> {
         let table = self.gateway.table.borrow();
-        let claims = self.gateway.claims.borrow();
         let busy = table.iter().filter(|it| it.1.own != Load::default());
+        let loads: Vec<_> = busy
+            .map(|(_, it)| (short(&it.listing.id), it.own.running, it.own.unread))
+            .collect();
+        let part = |it: &[(Short, u32, u32)]| {
+            Message::Loads(Loads {
+                host: self.gateway.holder.to_string(),
+                loads: it.to_vec(),
+            })
+        };
+        loads.chunks(LOADED).map(part).collect()
+    }
+
+    fn loads(&self, loads: &Loads) {
+        let now = clock::now();
+        let host: Arc<str> = loads.host.as_str().into();
+        let mut table = self.gateway.table.borrow_mut();
+        for (engine, running, unread) in &loads.loads {
+            let key = table.find_short(*engine);
+            if let Some(engine) = key.and_then(|it| table.get_mut(it)) {
+                let load = Load {
+                    running: *running,
+                    unread: *unread,
+                };
+                engine.heard(&host, load, now);
+            }
+        }
+    }
+
+    fn word(&self, now: Time) -> Hello {
+        let claims = self.gateway.claims.borrow();
         Hello {
             host: self.gateway.holder.to_string(),
             domain: self.gateway.settings.domain.clone(),
             leaving: self.gateway.stopping.get(),
             transit: u32::try_from(self.gateway.loader.borrow().in_transit()).unwrap_or(0),
             claims: claims.orderable(now).map(|it| short(it)).collect(),
-            loads: busy
-                .map(|(_, it)| (short(&it.listing.id), it.own.running, it.own.unread))
-                .collect(),
+            lists: feed::word(&self.gateway),
             runs: Vec::new(),
         }
     }
@@ -447,12 +620,12 @@
     fn heard(&self, hello: &Hello, from: SocketAddr) {
         let now = clock::now();
         let host: Arc<str> = hello.host.as_str().into();
-        let keys = self.keys();
         {
             let mut peers = self.gateway.peers.borrow_mut();
+            let lived = peers.is_live(&host, now);
             let entry = peers.by_name.entry(host.clone());
             let peer = entry.or_insert_with(|| Peer::new(from, now));
-            if !peer.lives(now) && !hello.leaving {
+            if !lived && !hello.leaving {
                 log::info!(event = "host", host = &*host; "host {host} heard at {from}");
             }
             peer.addr = from;
@@ -460,26 +633,18 @@
             peer.leaving = hello.leaving;
             peer.transit = hello.transit;
             peer.domain = hello.domain.as_str().into();
-            peer.claims.clone_from(&hello.claims);
-            let live = peers.by_name.values().filter(|it| it.lives(now));
+            peer.lists = hello.lists;
+            peers.steer(&host, &hello.claims);
+            let live = peers.living(now);
             let elsewhere = live
-                .map(|it| usize::try_from(it.transit).unwrap_or(0))
+                .map(|it| usize::try_from(it.1.transit).unwrap_or(0))
                 .sum();
             self.gateway.loader.borrow_mut().elsewhere = elsewhere;
         }
+        self.gateway.heard.notify_waiters();
         let mut table = self.gateway.table.borrow_mut();
-        for (engine, running, unread) in &hello.loads {
-            let key = keys.get(engine).copied();
-            if let Some(engine) = key.and_then(|it| table.get_mut(it)) {
-                let load = Load {
-                    running: *running,
-                    unread: *unread,
-                };
-                engine.heard(&host, load, now);
-            }
-        }
         for run in &hello.runs {
-            let key = keys.get(&run.engine).copied();
+            let key = table.find_short(run.engine);
             let Some(engine) = key.and_then(|it| table.get_mut(it)) else {
                 continue;
             };
@@ -525,36 +690,42 @@
     }
 
     fn news(&self, news: &[News]) {
-        let keys = self.keys();
         let now = clock::now();
         for it in news {
             let name: Name = it.name.as_str().into();
-            let Some(key) = keys.get(&it.engine) else {
-                continue;
-            };
-            if let Some(engine) = self.gateway.table.borrow_mut().get_mut(*key) {
+            let mut table = self.gateway.table.borrow_mut();
+            let key = table.find_short(it.engine);
+            if let Some(engine) = key.and_then(|it| table.get_mut(it)) {
                 match it.version {
                     Some(version) => engine.load(&name, version, now),
                     None => engine.drop_hold(&name, now),
                 }
             }
+            drop(table);
             if it.version.is_some() {
                 self.gateway.wake(&name);
             }
         }
     }
 
-    fn keys(&self) -> HashMap<Short, Key> {
-        let table = self.gateway.table.borrow();
-        let named = table.iter().map(|(key, it)| (short(&it.listing.id), key));
-        named.collect()
+    fn audience(&self) -> Vec<SocketAddr> {
+        let peers = self.gateway.peers.borrow();
+        let living = peers.living(clock::now());
+        living.map(|it| it.1.addr).collect()
     }
 
-    fn audience(&self) -> Vec<SocketAddr> {
-        let now = clock::now();
+    /// The hosts that hear of each prompt at an engine: all of them, or a common part of many.
+    fn nearest(&self, id: &str) -> Vec<SocketAddr> {
         let peers = self.gateway.peers.borrow();
-        let heard = peers.by_name.values().filter(|it| it.lives(now));
-        heard.map(|it| it.addr).collect()
+        let mut living: Vec<_> = peers
+            .living(clock::now())
+            .map(|(name, it)| (name, it.addr))
+            .collect();
+        if living.len() > HOSTS {
+            living.sort_by_cached_key(|it| rendezvous::weight(id, it.0));
+            living.truncate(HOSTS);
+        }
+        living.into_iter().map(|it| it.1).collect()
     }
 
     async fn send(&self, message: &Message, to: SocketAddr) {
--- /dev/null
+++ b/crates/gateway/src/kept.rs
@@ -0,0 +1,128 @@
+//! Objects of the store as they were read, with revisions, so that another host can ask what is new since
+//! one of them.
+
+use std::{cell::RefCell, collections::BTreeMap};
+
+use serde::{Deserialize, Serialize};
+
+use crate::dialect::{Kind, Object};
+
+/// Names that are gone and are remembered at most, of one kind.
+const GONE: usize = 4096;
+
+/// What a host knows of the store's lists.
+#[derive(Debug, Default)]
+pub struct Kept(RefCell<BTreeMap<Kind, List>>);
+
+#[derive(Debug, Default)]
+struct List {
+    objects: BTreeMap<String, Object>,
+    /// Names that are gone, with the revision at which that was read.
+    gone: BTreeMap<String, u64>,
+    /// Names that were gone at this revision may be forgotten.
+    forgotten: u64,
+    /// The last change that is known.
+    last: u64,
+    /// Everything up to this revision is known.
+    as_of: u64,
+}
+
+/// How far a host knows a list.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Reach {
+    /// Revision of the last change that is known; 0 if nothing is.
+    pub last: u64,
+    /// Everything up to this revision is known.
+    pub as_of: u64,
+}
+
+/// What is new in a list since a revision.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct Part {
+    /// Whether these are all objects there are, and not only the new ones.
+    pub whole: bool,
+    /// Names that are gone, with the revision at which that was read.
+    pub gone: Vec<(String, u64)>,
+    /// New and changed objects.
+    pub objects: Vec<Object>,
+    /// How far it reaches.
+    pub reach: Reach,
+    /// Whether the store was away a moment ago, so that entries that are gone may come back.
+    pub outage: bool,
+}
+
+impl Kept {
+    /// Keeps an object.
+    pub fn put(&self, kind: Kind, object: &Object) {
+        let mut lists = self.0.borrow_mut();
+        let list = lists.entry(kind).or_default();
+        list.gone.remove(&object.name);
+        list.last = list.last.max(object.rev);
+        list.objects.insert(object.name.clone(), object.clone());
+    }
+
+    /// Notes that an object was gone at a revision.
+    pub fn remove(&self, kind: Kind, name: &str, at: u64) {
+        let mut lists = self.0.borrow_mut();
+        let list = lists.entry(kind).or_default();
+        if list.objects.remove(name).is_none() {
+            return;
+        }
+        list.last = list.last.max(at);
+        list.gone.insert(name.to_owned(), at);
+        while list.gone.len() > GONE {
+            let oldest = list.gone.iter().min_by_key(|it| *it.1);
+            let Some((name, at)) = oldest.map(|it| (it.0.clone(), *it.1)) else {
+                return;
+            };
+            list.gone.remove(&name);
+            list.forgotten = list.forgotten.max(at);
+        }
+    }
+
+    /// Notes that everything up to a revision is known.
+    pub fn reach_to(&self, kind: Kind, as_of: u64) {
+        let mut lists = self.0.borrow_mut();
+        let list = lists.entry(kind).or_default();
+        list.as_of = list.as_of.max(as_of);
+        list.last = list.last.max(1);
+    }
+
+    /// How far a list is known.
+    pub fn reach(&self, kind: Kind) -> Reach {
+        let lists = self.0.borrow();
+        lists.get(&kind).map_or_else(Reach::default, |it| Reach {
+            last: it.last,
+            as_of: it.as_of,
+        })
+    }
+
+    /// Names of a list.
+    pub fn names(&self, kind: Kind) -> Vec<String> {
+        let lists = self.0.borrow();
+        let list = lists.get(&kind);
+        list.map_or_else(Vec::new, |it| it.objects.keys().cloned().collect())
+    }
+
+    /// What is new since a revision.
+    pub fn since(&self, kind: Kind, since: u64) -> Part {
+        let lists = self.0.borrow();
+        let Some(list) = lists.get(&kind) else {
+            return Part::default();
+        };
+        let whole = since == 0 || since < list.forgotten;
+        let since = if whole { 0 } else { since };
+        let objects = list.objects.values().filter(|it| it.rev > since);
+        let gone = list.gone.iter().filter(|it| !whole && *it.1 > since);
+        Part {
+            whole,
+            gone: gone.map(|(name, at)| (name.clone(), *at)).collect(),
+            objects: objects.cloned().collect(),
+            reach: Reach {
+                last: list.last,
+                as_of: list.as_of,
+            },
+            outage: false,
+        }
+    }
+}
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -17,11 +17,11 @@
 };
 
 use crate::{
-    claims, clock,
-    dialect::{self, Kind},
+    claims, clock, dialect,
+    feed::{self, LISTS},
     gateway::Gateway,
     gossip::Gossip,
-    handover, orders, server,
+    orders, server,
     settings::{Log, Settings},
     watch::follow,
 };
@@ -89,7 +89,7 @@
     let callers = server::listen(settings.callers)?;
     let ready = server::listen(settings.ready)?;
     let metrics = server::listen(settings.metrics)?;
-    let handover = server::listen(settings.peers)?;
+    let lists = server::listen(settings.peers)?;
     let gossip = Gossip::bind(gateway.clone()).await?;
     let (close, closing) = watch::channel(false);
     log::info!(event = "start", host = &*gateway.holder, life = gateway.life; "host starts");
@@ -101,15 +101,15 @@
         gossip.clone(),
         closing,
     ));
-    for kind in [Kind::Config, Kind::Engines, Kind::Versions] {
+    for kind in LISTS {
         spawn_local(follow(gateway.clone(), kind));
     }
     spawn_local(claims::keep(gateway.clone()));
     spawn_local(gossip.clone().hear());
     spawn_local(gossip.clone().tell());
     spawn_local(orders::give(gateway.clone(), gossip));
-    spawn_local(handover::tell(handover, gateway.clone()));
-    spawn_local(handover::ask(gateway.clone()));
+    spawn_local(feed::tell(lists, gateway.clone()));
+    spawn_local(feed::start(gateway.clone()));
     spawn_local(sweep(gateway.clone()));
     stop.await;
     leave(&gateway, &close).await;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use hyper::{Method, Request, http::StatusCode};
+use hyper::{Request, http::StatusCode};
 
 use bytes::Bytes;
 
@@ -31,17 +31,22 @@
     Unknown,
 }
 
+/// Why the store is called, for the metric.
+fn reason(kind: Kind, what: &'static str) -> &'static str {
+    match (kind, what) {
+        (Kind::Hosts, "write" | "delete") => "lease",
+        (Kind::Claims, "write") => "claim",
+        _ => what,
+    }
+}
+
 /// Sends a call and counts it.
 async fn call(
     gateway: &Rc<Gateway>,
     request: Request<Bytes>,
     within: Duration,
+    reason: &'static str,
 ) -> Result<(StatusCode, Bytes), Failure> {
-    let reason = match *request.method() {
-        Method::GET => "read",
-        Method::DELETE => "delete",
-        _ => "write",
-    };
     let answer = call::call(&gateway.pool, gateway.settings.store, request, within).await;
     let outcome = match &answer {
         Ok((status, _)) if status.is_success() => "done",
@@ -57,8 +62,9 @@
     gateway: &Rc<Gateway>,
     request: Request<Bytes>,
     within: Duration,
+    reason: &'static str,
 ) -> Option<(StatusCode, Bytes)> {
-    match call(gateway, request, within).await {
+    match call(gateway, request, within, reason).await {
         Ok((status, body)) => {
             let well = !status.is_server_error() && status != StatusCode::TOO_MANY_REQUESTS;
             if !well {
@@ -78,7 +84,7 @@
 /// Reads one object: `Some(None)` if there is none, `None` if the store didn't answer.
 pub async fn get(gateway: &Rc<Gateway>, kind: Kind, name: &str) -> Option<Option<Object>> {
     let request = gateway.dialect.get(kind, name);
-    let (status, body) = send(gateway, request, ANSWER).await?;
+    let (status, body) = send(gateway, request, ANSWER, reason(kind, "read")).await?;
     if status == StatusCode::NOT_FOUND {
         return Some(None);
     }
@@ -94,7 +100,7 @@
     rev: Option<u64>,
 ) -> Written {
     let request = gateway.dialect.put(kind, name, spec, rev);
-    let Ok((status, body)) = call(gateway, request, ANSWER).await else {
+    let Ok((status, body)) = call(gateway, request, ANSWER, reason(kind, "write")).await else {
         gateway.store_answers(false);
         return Written::Unknown;
     };
@@ -104,7 +110,7 @@
 /// Deletes an object if it still has the revision.
 pub async fn delete(gateway: &Rc<Gateway>, kind: Kind, name: &str, rev: Option<u64>) -> Written {
     let request = gateway.dialect.delete(kind, name, rev);
-    let Ok((status, body)) = call(gateway, request, ANSWER).await else {
+    let Ok((status, body)) = call(gateway, request, ANSWER, reason(kind, "delete")).await else {
         return Written::Unknown;
     };
     written(gateway, status, &body)
@@ -132,7 +138,7 @@
     loop {
         let after = objects.last().map(|it| it.name.clone());
         let request = gateway.dialect.list(kind, after.as_deref(), stale);
-        let (status, body) = send(gateway, request, ANSWER).await?;
+        let (status, body) = send(gateway, request, ANSWER, reason(kind, "list")).await?;
         if !status.is_success() {
             return (status == StatusCode::NOT_FOUND).then_some((objects, 0));
         }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -5,6 +5,8 @@
 use fleet::{
     listing::State,
     outage::{self, Blind, Call},
+    reader::Role,
+    table::Removal,
 };
 use hyper::http::StatusCode;
 use tokio::time;
@@ -12,8 +14,11 @@
 use crate::{
     clock,
     dialect::{Change, Changes, Kind, Object},
+    feed,
     gateway::Gateway,
-    gossip, store,
+    gossip,
+    kept::Part,
+    store,
 };
 
 /// Time for which versions gather at least.
@@ -28,61 +33,102 @@
 /// Longest pause between failed calls; the store's return is noticed within it.
 const LONGEST_PAUSE: Duration = Duration::from_millis(600);
 
-/// Follows one kind until the process ends.
+/// Follows one kind until the process ends: from the store, or from a host that reads it for the domain.
 pub async fn follow(gateway: Rc<Gateway>, kind: Kind) {
     let mut pause = FIRST_PAUSE;
-    let blind = Blind(gateway.settings.store_blind());
+    let mut last = None;
     loop {
-        let Some((objects, mut rev)) = store::list(&gateway, kind, false).await else {
-            rest(&mut pause).await;
-            continue;
-        };
-        listed(&gateway, kind, &objects);
-        loop {
-            let (request, within) = match outage::next(blind, !gateway.store_is_away()) {
-                Call::Watch(wait, within) => (gateway.dialect.watch(kind, rev, wait), within),
-                Call::Probe(within) => {
-                    let request = gateway.dialect.probe();
-                    if store::send(&gateway, request, within).await.is_none() {
-                        rest(&mut pause).await;
-                    }
-                    continue;
-                }
+        let role = feed::role(&gateway, kind);
+        if kind == Kind::Engines && last.as_ref() != Some(&role) {
+            let reader = match &role {
+                Role::Read => &gateway.holder,
+                Role::Follow(it) => it,
             };
-            let answer = tokio::select! {
-                it = store::send(&gateway, request, within) => it,
-                // A call from before the silence may never be answered.
-                () = gateway.store_regained.notified() => continue,
+            log::info!(event = "reader", host = &**reader; "the engines are read by host {reader}");
+        }
+        match &role {
+            Role::Read => read(&gateway, kind, &mut pause).await,
+            Role::Follow(reader) => {
+                gateway.forget_read(kind);
+                feed::take(&gateway, kind, reader).await;
+            }
+        }
+        last = Some(role);
+    }
+}
+
+/// Reads what is new from the store.
+async fn read(gateway: &Rc<Gateway>, kind: Kind, pause: &mut Duration) {
+    let since = gateway.kept.reach(kind).as_of;
+    if since == 0 {
+        relist(gateway, kind, pause).await;
+        return;
+    }
+    let blind = Blind(gateway.settings.store_blind());
+    let (request, within) = match outage::next(blind, !gateway.store_is_away()) {
+        Call::Watch(wait, within) => {
+            let wait = if gateway.is_followed() {
+                wait.min(longest(gateway, kind))
+            } else {
+                wait
             };
-            match answer {
-                Some((StatusCode::GONE, _)) => break,
-                Some((status, body)) if status.is_success() => {
-                    let Some(Changes { events, as_of }) = gateway.dialect.changes(&body) else {
-                        log::warn!(event = "store-unreadable"; "changes of {kind:?} can't be read");
-                        rest(&mut pause).await;
-                        break;
-                    };
-                    rev = rev.max(as_of);
-                    pause = FIRST_PAUSE;
-                    if events.is_empty() {
-                        continue;
-                    }
-                    changed(&gateway, kind, &events);
-                    time::sleep(gather(&gateway, kind)).await;
-                }
-                Some((status, _)) => {
-                    log::warn!(event = "watch-refused", status = status.as_u16(); "watch of {kind:?} refused");
-                    rest(&mut pause).await;
-                    break;
-                }
-                None => rest(&mut pause).await,
+            (gateway.dialect.watch(kind, since, wait), within)
+        }
+        Call::Probe(within) => {
+            let request = gateway.dialect.probe();
+            if store::send(gateway, request, within, "probe")
+                .await
+                .is_none()
+            {
+                rest(pause).await;
+            }
+            return;
+        }
+    };
+    let answer = tokio::select! {
+        it = store::send(gateway, request, within, "watch") => it,
+        // A call from before the silence may never be answered.
+        () = gateway.store_regained.notified() => return,
+    };
+    match answer {
+        Some((StatusCode::GONE, _)) => relist(gateway, kind, pause).await,
+        Some((status, body)) if status.is_success() => {
+            let Some(changes) = gateway.dialect.changes(&body) else {
+                log::warn!(event = "store-unreadable"; "changes of {kind:?} can't be read");
+                rest(pause).await;
+                relist(gateway, kind, pause).await;
+                return;
+            };
+            *pause = FIRST_PAUSE;
+            changed(gateway, kind, &changes);
+            gateway.has_read(kind);
+            if !changes.events.is_empty() {
+                gateway.tell.notify_one();
+                time::sleep(gather(gateway, kind)).await;
             }
         }
+        Some((status, _)) => {
+            log::warn!(event = "watch-refused", status = status.as_u16(); "watch of {kind:?} refused");
+            rest(pause).await;
+            relist(gateway, kind, pause).await;
+        }
+        None => rest(pause).await,
     }
 }
 
+/// Reads a whole list.
+async fn relist(gateway: &Rc<Gateway>, kind: Kind, pause: &mut Duration) {
+    let Some((objects, as_of)) = store::list(gateway, kind, false).await else {
+        rest(pause).await;
+        return;
+    };
+    listed(gateway, kind, &objects, as_of, gateway.removal());
+    gateway.has_read(kind);
+    gateway.tell.notify_one();
+}
+
 /// Time for which changes gather before the next call, since each call is paid for.
-fn gather(gateway: &Rc<Gateway>, kind: Kind) -> Duration {
+fn gather(gateway: &Gateway, kind: Kind) -> Duration {
     match kind {
         Kind::Engines => gateway.settings.drain().saturating_sub(LEAVING).max(GATHER),
         Kind::Versions => GATHER,
@@ -90,53 +136,81 @@
     }
 }
 
+/// Longest time between two answers of the store to a host that reads a kind for others. It has to show in
+/// time that it still sees engines leave.
+pub fn longest(gateway: &Gateway, kind: Kind) -> Duration {
+    match kind {
+        Kind::Engines => gather(gateway, kind),
+        _ => outage::longest(Blind(gateway.settings.store_blind())),
+    }
+}
+
 async fn rest(pause: &mut Duration) {
     let jitter = rand::random_range(0.7..1.3);
     time::sleep(pause.mul_f64(jitter)).await;
     *pause = (*pause * 2).min(LONGEST_PAUSE);
 }
 
-/// Takes in a whole list.
-pub fn listed(gateway: &Rc<Gateway>, kind: Kind, objects: &[Object]) {
+/// Takes in a whole list as of a revision.
+fn listed(gateway: &Rc<Gateway>, kind: Kind, objects: &[Object], as_of: u64, removal: Removal) {
+    let names: HashSet<&str> = objects.iter().map(|it| it.name.as_str()).collect();
+    for name in gateway.kept.names(kind) {
+        if !names.contains(&*name) {
+            gone(gateway, kind, &name, as_of, removal);
+        }
+    }
     for object in objects {
         put(gateway, kind, object);
     }
+    gateway.kept.reach_to(kind, as_of);
     if kind == Kind::Engines {
-        let now = clock::now();
-        let names: HashSet<&str> = objects.iter().map(|it| it.name.as_str()).collect();
-        let removal = gateway.removal();
-        let mut table = gateway.table.borrow_mut();
-        for id in table.ids() {
-            if !names.contains(&*id) {
-                gateway.kept.remove(kind, &id);
-                table.remove(&id, removal, now);
-            }
-        }
         gateway.listed.set(true);
     }
 }
 
-fn changed(gateway: &Rc<Gateway>, kind: Kind, events: &[Change]) {
-    for event in events {
-        if let Change::Gone(name) = event {
-            gateway.kept.remove(kind, name);
-        }
+fn changed(gateway: &Rc<Gateway>, kind: Kind, changes: &Changes) {
+    for event in &changes.events {
         match event {
             Change::Put(object) => put(gateway, kind, object),
-            Change::Gone(name) if kind == Kind::Engines => {
-                log::info!(event = "entry-gone", engine = &**name; "the entry of engine {name} is gone");
-                let removal = gateway.removal();
-                let mut table = gateway.table.borrow_mut();
-                table.remove(name, removal, clock::now());
-                gateway.order.notify_one();
-            }
-            Change::Gone(_) => {}
+            Change::Gone(name) => gone(gateway, kind, name, changes.as_of, gateway.removal()),
         }
     }
+    gateway.kept.reach_to(kind, changes.as_of);
+}
+
+/// Takes in what another host handed on.
+pub fn take(gateway: &Rc<Gateway>, kind: Kind, part: &Part) {
+    let removal = if part.outage {
+        Removal::AfterOutage
+    } else {
+        gateway.removal()
+    };
+    if part.whole {
+        listed(gateway, kind, &part.objects, part.reach.as_of, removal);
+        return;
+    }
+    for (name, at) in &part.gone {
+        gone(gateway, kind, name, *at, removal);
+    }
+    for object in &part.objects {
+        put(gateway, kind, object);
+    }
+    gateway.kept.reach_to(kind, part.reach.as_of);
+}
+
+/// Takes in that an object is gone.
+fn gone(gateway: &Rc<Gateway>, kind: Kind, name: &str, at: u64, removal: Removal) {
+    gateway.kept.remove(kind, name, at);
+    if kind == Kind::Engines {
+        log::info!(event = "entry-gone", engine = name; "the entry of engine {name} is gone");
+        let mut table = gateway.table.borrow_mut();
+        table.remove(name, removal, clock::now());
+        gateway.order.notify_one();
+    }
 }
 
 /// Takes in one object.
-pub fn put(gateway: &Rc<Gateway>, kind: Kind, object: &Object) {
+fn put(gateway: &Rc<Gateway>, kind: Kind, object: &Object) {
     gateway.kept.put(kind, object);
     let now = clock::now();
     match kind {
