Check the deploy file and its templates offline; label times by route; show age of lists, late timers, repeats left

Cause: a misspelled placeholder of the template showed only on the platform, where it is filled in with nothing; metrics were per service only, and neither the age of the lists nor the loop's lateness could be read. Change: comfreywing deploy fills each role's template in from example fields and checks the settings that come out, with file and line for each error (platform/src/deploy: formats only). The two set-ups of metrics and the two accept loops became one each. Metrics whose port is taken no longer keep a host from starting. Before: no such command.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -66,6 +66,8 @@
     Status(Status),
     /// Explain a request.
     Explain(Explain),
+    /// Check a deploy file.
+    Deploy(Deploy),
 }
 
 /// check a file offline and print every problem with its place
@@ -126,6 +128,19 @@
     pub logs: Vec<PathBuf>,
 }
 
+/// check a deploy file of the users' platform offline, with the templates of its roles
+#[derive(FromArgs)]
+#[argh(subcommand, name = "deploy")]
+pub struct Deploy {
+    /// the deploy file, deploy/system.toml by default; its paths start at the working directory
+    #[argh(positional, default = "PathBuf::from(\"deploy/system.toml\")")]
+    pub file: PathBuf,
+
+    /// also print each role's settings, filled in with example fields
+    #[argh(switch)]
+    pub show: bool,
+}
+
 fn user() -> String {
     std::env::var("USER").unwrap_or_else(|_| "unknown".to_owned())
 }
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -2,6 +2,7 @@
 
 pub mod apply;
 pub mod check;
+pub mod deploy;
 pub mod diff;
 pub mod explain;
 pub mod show;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -47,6 +47,7 @@
         Command::Show(_) => command::show::run(arguments),
         Command::Diff(it) => command::diff::run(arguments, it),
         Command::Status(_) => command::status::run(arguments),
+        Command::Deploy(it) => command::deploy::run(it),
         Command::Explain(it) => command::explain::run(arguments, it),
     };
     result.unwrap_or_else(|report| report)
--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -55,6 +55,11 @@
 
     /// Whether a repeat is left.
     pub fn has_repeat(&mut self, now: Time, rule: Rule, hosts: usize) -> bool {
+        self.left(now, rule, hosts) >= 1.0
+    }
+
+    /// Repeats that are left now.
+    pub fn left(&mut self, now: Time, rule: Rule, hosts: usize) -> f64 {
         trim(&mut self.requests, now, rule.window);
         trim(&mut self.repeats, now, rule.window);
         let requests = f64::from(u32::try_from(self.requests.len()).unwrap_or(u32::MAX));
@@ -62,7 +67,7 @@
         let hosts = f64::from(u32::try_from(hosts.max(1)).unwrap_or(u32::MAX));
         let age = now.saturating_sub(self.started).as_secs_f64();
         let grown = (age / rule.window.as_secs_f64()).min(1.0);
-        repeats + 1.0 <= USED * (rule.ratio * requests + rule.slack * grown / hosts)
+        USED * (rule.ratio * requests + rule.slack * grown / hosts) - repeats
     }
 }
 
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -28,6 +28,19 @@
     Claims,
 }
 
+impl Kind {
+    /// The word for it in logs and metrics.
+    pub fn word(self) -> &'static str {
+        match self {
+            Self::Config => "config",
+            Self::Engines => "engines",
+            Self::Versions => "versions",
+            Self::Hosts => "hosts",
+            Self::Claims => "claims",
+        }
+    }
+}
+
 /// What the head of a caller's request says.
 #[derive(Clone, Debug, Default)]
 pub struct Envelope {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -204,6 +204,12 @@
         Some(clock::now().saturating_sub(read))
     }
 
+    /// How long ago the store gave the answer that this host's view of a list rests on, as far as known.
+    fn list_age(&self, kind: Kind) -> Option<Duration> {
+        let followed = || self.peers.borrow().youngest(kind, clock::now());
+        self.read_age(kind).or_else(followed)
+    }
+
     /// Notes that this host has read all of a list.
     pub fn has_read(&self, kind: Kind) {
         self.reads[feed::index(kind)].set(Some(clock::now()));
@@ -326,6 +332,16 @@
         let hosts = self.peers.borrow().live(clock::now()).len();
         self.metrics
             .state(config, engines, hosts, self.mine().len());
+        for kind in feed::LISTS {
+            if let Some(age) = self.list_age(kind) {
+                self.metrics.list_age(kind.word(), age);
+            }
+        }
+        let hosts = self.peers.borrow().hosts();
+        for (service, budget) in &mut *self.budgets.borrow_mut() {
+            let left = budget.left(clock::now(), self.settings.budget(), hosts);
+            self.metrics.repeats_left(service, left);
+        }
     }
 
     /// The engines that this host may order now.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -183,6 +183,17 @@
         near.any(|it| it.1.sight(Kind::Engines, now) == Sight::Follows)
     }
 
+    /// The least age of a list that another living host has read.
+    pub fn youngest(&self, kind: Kind, now: Time) -> Option<Duration> {
+        let ages = self
+            .living(now)
+            .filter_map(|it| match it.1.sight(kind, now) {
+                Sight::Reads(age) => Some(age),
+                Sight::Follows | Sight::Away => None,
+            });
+        ages.min()
+    }
+
     /// The host to take a list from, its address and how far it knows the list: the reader, or for the
     /// configuration any host that knows a newer one.
     pub fn source(
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,13 +1,12 @@
 //! Metrics of a host, in the Prometheus text format. Each is described in `docs/operating/gateway.md`.
 
-use std::{fmt, time::Duration};
+use std::time::Duration;
 
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
+    metrics::{Counter, Gauge, Histogram, Meter},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
+use telemetry::exposition::Exposition;
 
 /// Prefix of every metric.
 const NAMESPACE: &str = "comfreywing_gateway";
@@ -18,9 +17,9 @@
 ];
 
 /// Every metric of a host.
+#[derive(Debug)]
 pub struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    exposition: Exposition,
     requests: Counter<u64>,
     first: Histogram<f64>,
     gap: Histogram<f64>,
@@ -35,12 +34,9 @@
     engines: Gauge<u64>,
     hosts: Gauge<u64>,
     claims: Gauge<u64>,
-}
-
-impl fmt::Debug for Metrics {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("Metrics")
-    }
+    repeats_left: Gauge<f64>,
+    list_age: Gauge<f64>,
+    loop_delay: Histogram<f64>,
 }
 
 impl Default for Metrics {
@@ -52,16 +48,8 @@
 impl Metrics {
     /// Metrics that have counted nothing yet.
     pub fn new() -> Self {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .with_namespace(NAMESPACE)
-            .scope_info_enabled(false)
-            .without_target_info()
-            .build()
-            .expect("a new registry takes the exporter");
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter(NAMESPACE);
+        let exposition = Exposition::new(NAMESPACE);
+        let meter = exposition.meter();
         let counter = |name: &'static str, what: &'static str| {
             meter.u64_counter(name).with_description(what).build()
         };
@@ -101,8 +89,19 @@
             engines: gauge("engines", "Engines and instances that are known"),
             hosts: gauge("hosts", "Other hosts that live"),
             claims: gauge("claims", "Engines that this host may order"),
-            registry,
-            _provider: provider,
+            repeats_left: (meter.f64_gauge("repeats_left"))
+                .with_description("Repeats that the budget has left at this host")
+                .build(),
+            list_age: (meter.f64_gauge("list_age"))
+                .with_description("Time since the store's answer that a list rests on")
+                .with_unit("s")
+                .build(),
+            loop_delay: seconds(
+                &meter,
+                "loop_delay",
+                "Time by which a timer of the event loop was late",
+            ),
+            exposition,
         }
     }
 
@@ -118,15 +117,15 @@
     }
 
     /// A request was placed after these waits.
-    pub fn waited(&self, service: &str, load: Duration, paced: Duration) {
-        let labels = [label("service", service)];
+    pub fn waited(&self, service: &str, route: &str, load: Duration, paced: Duration) {
+        let labels = [label("service", service), label("route", route)];
         self.load_wait.record(load.as_secs_f64(), &labels);
         self.paced.record(paced.as_secs_f64(), &labels);
     }
 
     /// An answer had this pace.
-    pub fn paced(&self, service: &str, first: Duration, gap: Duration) {
-        let labels = [label("service", service)];
+    pub fn paced(&self, service: &str, route: &str, first: Duration, gap: Duration) {
+        let labels = [label("service", service), label("route", route)];
         self.first.record(first.as_secs_f64(), &labels);
         self.gap.record(gap.as_secs_f64(), &labels);
     }
@@ -171,13 +170,25 @@
         self.claims.record(number(claims), &[]);
     }
 
+    /// Repeats that the budget of a service has left.
+    pub fn repeats_left(&self, service: &str, left: f64) {
+        self.repeats_left.record(left, &[label("service", service)]);
+    }
+
+    /// How old a list of the store is.
+    pub fn list_age(&self, list: &'static str, age: Duration) {
+        let labels = [KeyValue::new("list", list)];
+        self.list_age.record(age.as_secs_f64(), &labels);
+    }
+
+    /// A timer of the event loop was so late.
+    pub fn loop_delay(&self, delay: Duration) {
+        self.loop_delay.record(delay.as_secs_f64(), &[]);
+    }
+
     /// All metrics as text.
     pub fn text(&self) -> Vec<u8> {
-        let mut text = Vec::new();
-        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
-            log::warn!(event = "metrics-failed"; "metrics can't be written: {error}");
-        }
-        text
+        self.exposition.text()
     }
 }
 
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -88,13 +88,20 @@
     let settings = &gateway.settings;
     let callers = server::listen(settings.callers)?;
     let ready = server::listen(settings.ready)?;
-    let metrics = server::listen(settings.metrics)?;
     let lists = server::listen(settings.peers)?;
     let gossip = Gossip::bind(gateway.clone()).await?;
     let (close, closing) = watch::channel(false);
     log::info!(event = "start", host = &*gateway.holder, life = gateway.life; "host starts");
     spawn_local(server::ready(ready, gateway.clone()));
-    spawn_local(server::metrics(metrics, gateway.clone()));
+    match server::listen(settings.metrics) {
+        Ok(it) => {
+            spawn_local(server::metrics(it, gateway.clone()));
+        }
+        // Callers can be served without.
+        Err(error) => {
+            log::warn!(event = "no-metrics"; "metrics can't be shown at {}: {error}", settings.metrics);
+        }
+    }
     spawn_local(server::callers(
         callers,
         gateway.clone(),
@@ -137,7 +144,9 @@
 
 async fn sweep(gateway: Rc<Gateway>) {
     loop {
+        let due = clock::now() + SWEEP;
         time::sleep(SWEEP).await;
+        gateway.metrics.loop_delay(clock::now().saturating_sub(due));
         gateway.pool.sweep();
     }
 }
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -17,7 +17,12 @@
     time,
 };
 
-use crate::{channel, forward, gateway::Gateway, gossip::Gossip, reply};
+use crate::{
+    channel, forward,
+    gateway::Gateway,
+    gossip::Gossip,
+    reply::{self, Body},
+};
 
 /// New connections that may wait to be taken.
 const BACKLOG: u32 = 1024;
@@ -110,26 +115,27 @@
 
 /// Shows the metrics until the process ends.
 pub async fn metrics(listener: TcpListener, gateway: Rc<Gateway>) {
-    loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            time::sleep(PAUSE).await;
-            continue;
-        };
-        let gateway = gateway.clone();
-        tokio::task::spawn_local(async move {
-            let service = service_fn(|_: Request<Incoming>| {
-                gateway.count_state();
-                let text = gateway.metrics.text();
-                async { Ok::<_, Infallible>(Response::new(reply::whole(text.into()))) }
-            });
-            let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
-            let _ = connection.await;
-        });
-    }
+    answer(listener, gateway, |gateway| {
+        gateway.count_state();
+        Response::new(reply::whole(gateway.metrics.text().into()))
+    })
+    .await;
 }
 
 /// Tells the balancer whether this host is ready, until the process ends.
 pub async fn ready(listener: TcpListener, gateway: Rc<Gateway>) {
+    answer(listener, gateway, |gateway| {
+        let mut answer = Response::new(reply::whole("".into()));
+        if !gateway.is_ready() {
+            *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        answer
+    })
+    .await;
+}
+
+/// Answers every request on a port alike, as things stand at that moment.
+async fn answer(listener: TcpListener, gateway: Rc<Gateway>, say: fn(&Gateway) -> Response<Body>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             time::sleep(PAUSE).await;
@@ -138,10 +144,7 @@
         let gateway = gateway.clone();
         tokio::task::spawn_local(async move {
             let service = service_fn(|_: Request<Incoming>| {
-                let mut answer = Response::new(reply::whole("".into()));
-                if !gateway.is_ready() {
-                    *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-                }
+                let answer = say(&gateway);
                 async { Ok::<_, Infallible>(answer) }
             });
             let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
--- a/crates/gateway/src/story.rs
+++ b/crates/gateway/src/story.rs
@@ -137,9 +137,9 @@
         let took = self.age();
         let (event, why) = end.words();
         to.ended(service, &route.name, event, why);
-        to.waited(service, self.load, self.paced);
+        to.waited(service, &route.name, self.load, self.paced);
         if let Some(first) = self.first {
-            to.paced(service, first, self.gap);
+            to.paced(service, &route.name, first, self.gap);
         }
         let late = self.first.is_some_and(|it| it > route.target)
             || (!route.gap.is_zero() && self.gap > route.gap);
--- a/crates/gateway/tests/page.rs
+++ b/crates/gateway/tests/page.rs
@@ -22,7 +22,8 @@
 fn events() -> BTreeSet<String> {
     let ends = ["served", "failed", "refused", "cut", "left"];
     let mut events: BTreeSet<String> = ends.map(str::to_owned).into();
-    events.insert("lines-dropped".to_owned());
+    // Written by the crate `telemetry`.
+    events.extend(["lines-dropped", "metrics-failed"].map(str::to_owned));
     let mut folders = vec![Path::new(env!("CARGO_MANIFEST_DIR")).join("src")];
     while let Some(folder) = folders.pop() {
         for entry in fs::read_dir(folder).expect("the sources are there") {
@@ -53,8 +54,11 @@
     let metrics = Metrics::new();
     let second = Duration::from_secs(1);
     metrics.ended("s", "r", "served", "");
-    metrics.waited("s", second, second);
-    metrics.paced("s", second, second);
+    metrics.waited("s", "r", second, second);
+    metrics.paced("s", "r", second, second);
+    metrics.repeats_left("s", 1.0);
+    metrics.list_age("engines", second);
+    metrics.loop_delay(second);
     metrics.repeat("s", "sent");
     metrics.connection("new");
     metrics.order("load", "accepted");
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -1,4 +1,5 @@
 //! Logs and metrics of an entry host.
 
+pub mod exposition;
 pub mod log;
 pub mod metrics;
--- a/crates/telemetry/src/metrics.rs
+++ b/crates/telemetry/src/metrics.rs
@@ -14,22 +14,21 @@
 use objects::object::Reason;
 use opentelemetry::{
     KeyValue,
-    metrics::{Counter, Gauge, Histogram, Meter, MeterProvider},
+    metrics::{Counter, Gauge, Histogram, Meter},
 };
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
 
 pub use label::{Direction, Ending, Labels, MAX_SERVICES, MAX_TENANTS, Medium};
 use label::{Roster, word};
 use total::Totals;
 
+use crate::exposition::Exposition;
+
 /// Prefix of every metric.
 const NAMESPACE: &str = "comfreywing";
 
 /// Every metric of an entry host.
 pub struct Metrics {
-    registry: Registry,
-    provider: SdkMeterProvider,
+    exposition: Exposition,
     tenants: Roster,
     services: Roster,
     load_stall: Histogram<f64>,
@@ -54,19 +53,10 @@
 impl Metrics {
     /// Metrics that have counted nothing yet.
     pub fn new() -> Self {
-        let registry = Registry::new();
-        let exporter = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .with_namespace(NAMESPACE)
-            .scope_info_enabled(false)
-            .without_target_info()
-            .build()
-            .expect("a new registry takes the exporter");
-        let provider = SdkMeterProvider::builder().with_reader(exporter).build();
-        let meter = provider.meter(NAMESPACE);
+        let exposition = Exposition::new(NAMESPACE);
+        let meter = exposition.meter();
         Self {
-            registry,
-            provider,
+            exposition,
             tenants: Roster::new(MAX_TENANTS),
             services: Roster::new(MAX_SERVICES),
             load_stall: seconds(
@@ -136,11 +126,7 @@
 
     /// The metrics in the Prometheus text format.
     pub fn render(&self) -> String {
-        let mut text = Vec::new();
-        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
-            log::error!(target: "telemetry", "The metrics can't be written: {error}.");
-        }
-        String::from_utf8_lossy(&text).into_owned()
+        String::from_utf8_lossy(&self.exposition.text()).into_owned()
     }
 
     /// A request waited so long for its adapter to arrive.
@@ -265,9 +251,7 @@
 
 impl Drop for Metrics {
     fn drop(&mut self) {
-        if let Err(error) = self.provider.shutdown() {
-            log::debug!(target: "telemetry", "The metrics did not end properly: {error}.");
-        }
+        self.exposition.shut_down();
     }
 }
 
