Order each adapter once: tell a load when it is ordered, not when it is done

Change: fleet::coming; the word on a load goes out with the accepted order and says when it is due; whoever is asked for that adapter meanwhile answers with it and orders nothing. Test: fleet loads::what_another_host_has_ordered_is_not_loaded_again (failed before: no such knowledge).

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod catalog;
 pub mod ceiling;
 pub mod circuit;
+pub mod coming;
 pub mod engine;
 pub mod lease;
 pub mod listing;
--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -15,6 +15,7 @@
     catalog::{Catalog, Shape},
     ceiling::{self, Ceiling},
     circuit::Use,
+    coming::{self, Coming},
     engine::Engine,
     listing::{Name, is_adapter, model},
     rendezvous,
@@ -249,6 +250,8 @@
     pub hosts: usize,
     /// Length of the window of the weight store's limit.
     pub window: Time,
+    /// Loads that other hosts have ordered.
+    pub coming: &'a Coming,
     /// The time.
     pub now: Time,
 }
@@ -516,6 +519,9 @@
         if on_its_way || want.spread.is_some() {
             return on_its_way;
         }
+        if view.coming.load(name, view.table, view.now).is_some() {
+            return true;
+        }
         view.mine.iter().any(|key| {
             view.table.get(*key).is_some_and(|it| {
                 it.takes_work()
@@ -571,13 +577,12 @@
         Some(room)
     }
 
-    /// Takes in what came of an order.
-    pub fn answered(&mut self, order: &Order, outcome: Outcome, now: Time) {
+    /// Takes in what came of an order. Returns the load of an adapter that it began.
+    pub fn answered(&mut self, order: &Order, outcome: Outcome, now: Time) -> Option<coming::Load> {
         let load_time = self.load_time();
-        let Some(works) = self.works.get_mut(&order.key) else {
-            return;
-        };
+        let works = self.works.get_mut(&order.key)?;
         works.asked = false;
+        let mut begun = None;
         match (outcome, order.op) {
             (Outcome::Accepted, Op::Load(version)) => {
                 works.accept();
@@ -591,6 +596,13 @@
                         Duration::MAX / 4
                     }
                 };
+                if is_adapter(&order.name) {
+                    begun = Some(coming::Load {
+                        key: order.key,
+                        version: version.unwrap_or(0),
+                        due: now + takes,
+                    });
+                }
                 works.ledger.insert(order.name.clone());
                 works.transit.push(Transit {
                     name: order.name.clone(),
@@ -638,6 +650,7 @@
                 }
             }
         }
+        begun
     }
 
     /// Takes in what an engine said of itself; `None` if it didn't answer.
--- a/crates/fleet/tests/it/loads.rs
+++ b/crates/fleet/tests/it/loads.rs
@@ -5,18 +5,20 @@
 use fleet::{
     Time,
     catalog::Catalog,
+    coming::{self, Coming},
     listing::{Hold, Name},
     loader::{Ask, Loader, Op, Order, Outcome, Report, Step, View},
     table::{Key, Table},
 };
 
-use crate::fixture::{at, catalog, hold, table};
+use crate::fixture::{at, catalog, hold, listing, table};
 
 struct Steward {
     table: Table,
     keys: Vec<Key>,
     catalog: Catalog,
     loader: Loader,
+    coming: Coming,
 }
 
 impl Steward {
@@ -28,6 +30,7 @@
             keys,
             catalog: catalog(),
             loader: Loader::default(),
+            coming: Coming::default(),
         };
         for step in it.next(at(0)) {
             let Step::Look(key) = step else {
@@ -54,6 +57,7 @@
             mine: &self.keys,
             hosts: 1,
             window: Duration::from_secs(5),
+            coming: &self.coming,
             now,
         };
         self.loader.next(&view)
@@ -208,6 +212,7 @@
         keys: keys.clone(),
         catalog: catalog(),
         loader: Loader::default(),
+        coming: Coming::default(),
     };
     it.next(at(0));
     for key in keys {
@@ -392,3 +397,46 @@
         }
     }
 }
+
+/// A load that another host has ordered.
+fn elsewhere(steward: &mut Steward, name: &str, version: u64, due: Time) {
+    let key = steward.table.adopt(listing("i-z", &[]), at(0));
+    let load = coming::Load { key, version, due };
+    steward.coming.announce(name.into(), load);
+}
+
+#[test]
+fn what_another_host_has_ordered_is_not_loaded_again() {
+    let mut steward = Steward::new(&[("i-a", &[])]);
+    elsewhere(&mut steward, "m/x", 0, at(300));
+    steward.want("m/x", 3, at(10));
+    assert!(steward.orders(at(10), Outcome::Accepted).is_empty());
+    // It isn't there a good while after it should have been.
+    steward.want("m/x", 3, at(1000));
+    assert_eq!(steward.orders(at(1000), Outcome::Accepted).len(), 1);
+}
+
+#[test]
+fn a_load_elsewhere_that_failed_or_is_of_an_older_version_is_made_up_for() {
+    let mut steward = Steward::new(&[("i-a", &[]), ("i-b", &[])]);
+    elsewhere(&mut steward, "m/x", 1, at(300));
+    let key = steward.table.find("i-z").expect("it is there");
+    steward.coming.forget("m/x", key);
+    steward.want("m/x", 1, at(10));
+    assert_eq!(steward.orders(at(10), Outcome::Accepted).len(), 1);
+    elsewhere(&mut steward, "m/y", 1, at(300));
+    steward.table.announce("m/y".into(), 2, at(10));
+    steward.want("m/y", 1, at(20));
+    assert_eq!(steward.orders(at(20), Outcome::Accepted).len(), 1);
+}
+
+#[test]
+fn loads_elsewhere_are_entered_once_when_they_are_due() {
+    let mut steward = Steward::new(&[("i-a", &[])]);
+    elsewhere(&mut steward, "m/x", 2, at(300));
+    assert!(steward.coming.settle(at(299)).is_empty());
+    let settled = steward.coming.settle(at(300));
+    assert_eq!(settled.len(), 1);
+    assert_eq!((&*settled[0].0, settled[0].1.version), ("m/x", 2));
+    assert!(steward.coming.settle(at(301)).is_empty());
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -12,6 +12,7 @@
     Time,
     budget::Budget,
     catalog::Catalog,
+    coming::Coming,
     listing::Name,
     loader::Loader,
     place::{self, Ask, Place},
@@ -68,6 +69,8 @@
     pub listed: Cell<bool>,
     /// Loads of this host's engines.
     pub loader: RefCell<Loader>,
+    /// Loads that other hosts have ordered.
+    pub coming: RefCell<Coming>,
     /// Who orders which engine.
     pub claims: RefCell<Claims>,
     /// Other hosts.
@@ -136,6 +139,7 @@
             table: RefCell::default(),
             listed: Cell::default(),
             loader: RefCell::default(),
+            coming: RefCell::default(),
             claims: RefCell::default(),
             peers: RefCell::default(),
             stopping: Cell::default(),
@@ -318,6 +322,26 @@
         }
     }
 
+    /// Enters the loads of other hosts that should be done by now.
+    pub fn settle(&self) {
+        let now = clock::now();
+        let done = self.coming.borrow_mut().settle(now);
+        for (name, load) in done {
+            if let Some(engine) = self.table.borrow_mut().get_mut(load.key) {
+                engine.load(&name, load.version, now);
+            }
+            self.wake(&name);
+        }
+    }
+
+    /// When the load of an adapter that another host has ordered is due, or was a moment ago.
+    pub fn comes(&self, name: &Name) -> Option<Time> {
+        let now = clock::now();
+        let table = self.table.borrow();
+        let load = self.coming.borrow().load(name, &table, now)?;
+        Some(load.due)
+    }
+
     /// Wakes the requests that wait for an adapter.
     pub fn wake(&self, name: &Name) {
         if let Some(wait) = self.waits.borrow().get(name) {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -5,7 +5,7 @@
 use std::{collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use fleet::{
-    Time,
+    Time, coming,
     engine::Load,
     listing::Name,
     loader,
@@ -107,12 +107,13 @@
     waiting: u32,
 }
 
-/// An adapter that came to an engine or left it.
+/// An adapter that comes to an engine or left it.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct News {
     engine: Short,
     name: String,
-    version: Option<u64>,
+    /// The version, and in how many ms it should be there.
+    comes: Option<(u64, u32)>,
 }
 
 #[derive(Debug)]
@@ -677,13 +678,17 @@
                 let engine = table.get(*key)?;
                 let version = engine.held.get(&name)?.version;
                 let newest = table.age(&name, version, now) == fleet::table::Age::Newest;
-                newest.then(|| News {
-                    engine: short(&engine.listing.id),
-                    name: name.to_string(),
-                    version: Some(version),
-                })
+                let there = Some((version, Duration::ZERO));
+                newest.then(|| self::news(&engine.listing.id, &name, there))
             };
-            mine.iter().filter_map(holds).collect()
+            let comes = || {
+                let load = self.gateway.coming.borrow().load(&name, &table, now)?;
+                let engine = table.get(load.key)?;
+                let comes = Some((load.version, load.due.saturating_sub(now)));
+                Some(self::news(&engine.listing.id, &name, comes))
+            };
+            let held = mine.iter().filter_map(holds);
+            held.chain(comes()).collect()
         };
         if !there.is_empty() && want.spread.is_none() {
             self.send(&Message::News(there), from).await;
@@ -704,19 +709,24 @@
         let now = clock::now();
         for it in news {
             let name: Name = it.name.as_str().into();
-            let mut table = self.gateway.table.borrow_mut();
-            let key = table.find_short(it.engine);
-            if let Some(engine) = key.and_then(|it| table.get_mut(it)) {
-                match it.version {
-                    Some(version) => engine.load(&name, version, now),
-                    None => engine.drop_hold(&name, now),
-                }
-            }
-            drop(table);
-            if it.version.is_some() {
+            let Some(key) = self.gateway.table.borrow().find_short(it.engine) else {
+                continue;
+            };
+            if let Some((version, due)) = it.comes {
+                let due = now + Duration::from_millis(due.into());
+                let load = coming::Load { key, version, due };
+                self.gateway
+                    .coming
+                    .borrow_mut()
+                    .announce(name.clone(), load);
+                // Those who wait for it know now how long.
                 self.gateway.wake(&name);
+            } else if let Some(engine) = self.gateway.table.borrow_mut().get_mut(key) {
+                engine.drop_hold(&name, now);
+                self.gateway.coming.borrow_mut().forget(&name, key);
             }
         }
+        self.gateway.settle();
     }
 
     fn audience(&self) -> Vec<SocketAddr> {
@@ -760,11 +770,12 @@
     }
 }
 
-/// News that an engine holds an adapter now, or that it doesn't hold it any more.
-pub fn news(id: &str, name: &Name, version: Option<u64>) -> News {
+/// News that an engine will hold a version of an adapter after some time, or doesn't hold it any more.
+pub fn news(id: &str, name: &Name, comes: Option<(u64, Duration)>) -> News {
+    let millis = |it: Duration| u32::try_from(it.as_millis()).unwrap_or(u32::MAX);
     News {
         engine: short(id),
         name: name.to_string(),
-        version,
+        comes: comes.map(|(version, due)| (version, millis(due))),
     }
 }
--- a/crates/gateway/src/job/place.rs
+++ b/crates/gateway/src/job/place.rs
@@ -49,6 +49,7 @@
         let until = until.min(self.deadline);
         let mut waiting: Option<Waiting> = None;
         loop {
+            self.gateway.settle();
             let place = self
                 .gateway
                 .place(&self.service, name.as_ref(), &self.chain, &self.tried);
@@ -95,9 +96,13 @@
                         waiting = Some(it);
                     }
                     let Some(waiting) = &waiting else { continue };
-                    self.ask(name, waiting, now).await;
+                    let due = self.gateway.comes(name);
+                    if due.is_none() {
+                        self.ask(name, waiting, now).await;
+                    }
                     let there = waiting.wait.there.notified();
-                    let pause = ASK_AGAIN.min(until.saturating_sub(now));
+                    let soon = due.filter(|it| *it > now).map(|it| it.saturating_sub(now));
+                    let pause = soon.unwrap_or(ASK_AGAIN).min(until.saturating_sub(now));
                     let _ = time::timeout(pause, there).await;
                     self.story.load += clock::now().saturating_sub(now);
                 }
--- a/crates/gateway/src/job/send.rs
+++ b/crates/gateway/src/job/send.rs
@@ -199,6 +199,9 @@
                 // It is on its way: the next try goes there again.
                 self.tried.retain(|it| *it != key);
             }
+            if !engine.held.contains_key(name) {
+                self.gateway.coming.borrow_mut().forget(name, key);
+            }
         }
     }
 
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -68,8 +68,6 @@
     for it in done {
         if let Some(engine) = gateway.table.borrow_mut().get_mut(it.key) {
             engine.load(&it.name, it.version, now);
-            let news = gossip::news(&engine.listing.id, &it.name, Some(it.version));
-            gateway.news.borrow_mut().push_back(news);
         }
         gateway.wake(&it.name);
     }
@@ -85,12 +83,14 @@
     let mine = gateway.mine();
     let hosts = gateway.peers.borrow().hosts();
     let table = gateway.table.borrow();
+    let coming = gateway.coming.borrow();
     let view = View {
         table: &table,
         catalog: &catalog,
         mine: &mine,
         hosts,
         window: gateway.settings.load_window(),
+        coming: &coming,
         now: clock::now(),
     };
     gateway.loader.borrow_mut().next(&view)
@@ -119,7 +119,14 @@
         None => Outcome::Refused,
     };
     let now = clock::now();
-    gateway.loader.borrow_mut().answered(order, outcome, now);
+    let begun = gateway.loader.borrow_mut().answered(order, outcome, now);
+    if let Some(load) = begun
+        && let Some(engine) = gateway.table.borrow().get(order.key)
+    {
+        let due = load.due.saturating_sub(now);
+        let news = gossip::news(&engine.listing.id, &order.name, Some((load.version, due)));
+        gateway.news.borrow_mut().push_back(news);
+    }
     let kept = matches!(outcome, Outcome::Conflict | Outcome::Refused);
     if kept
         && order.op == Op::Unload
@@ -190,7 +197,8 @@
         let known = engine.held.contains_key(&hold.name);
         if !known && !is_adapter(&hold.name) {
             engine.load(&hold.name, hold.version, now);
-            let news = gossip::news(&engine.listing.id, &hold.name, Some(hold.version));
+            let there = Some((hold.version, Duration::ZERO));
+            let news = gossip::news(&engine.listing.id, &hold.name, there);
             gateway.news.borrow_mut().push_back(news);
             gateway.wake(&hold.name);
         }
