--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -31,6 +31,9 @@
 /// Prompts that are remembered as sent to an engine.
 const SENDS: usize = 256;
 
+/// Time for which sent prompts are remembered, read or not: longer than any pause that a stream may have.
+const RECENT: Duration = Duration::from_millis(600);
+
 /// Pause after a request that came before the adapter.
 const TRY_AGAIN: Duration = Duration::from_millis(30);
 
@@ -145,6 +148,8 @@
     read_by: Time,
     /// Prompts that were sent to it, with when, as far as it isn't known that they are read.
     sends: VecDeque<(Time, u32)>,
+    /// Prompts that were sent to it a moment ago, read or not.
+    recent: VecDeque<(Time, u32)>,
     /// Parts of prompts that it is believed to keep.
     pub kept: Kept,
     /// Time to the first event against the expected time, smoothed.
@@ -170,6 +175,7 @@
             circuit: Circuit::default(),
             read_by: Time::ZERO,
             sends: VecDeque::new(),
+            recent: VecDeque::new(),
             kept: Kept::default(),
             slowness: 1.0,
             lapsed: None,
@@ -254,6 +260,10 @@
 
     /// Notes that a host has sent it a prompt of which it has to read so many tokens.
     pub fn reads(&mut self, tokens: u32, now: Time) {
+        self.recent.push_back((now, tokens));
+        while self.recent.front().is_some_and(|it| it.0 + RECENT < now) {
+            self.recent.pop_front();
+        }
         self.sends.push_back((now, tokens));
         if self.sends.len() > SENDS {
             self.sends.pop_front();
@@ -261,6 +271,15 @@
         self.read_by = self.read_by.max(now) + self.reading(f64::from(tokens));
     }
 
+    /// Prompt tokens that were sent to it within this time.
+    pub fn sent_within(&self, window: Duration, now: Time) -> f64 {
+        let recent = self.recent.iter().rev();
+        recent
+            .take_while(|it| it.0 + window > now)
+            .map(|it| f64::from(it.1))
+            .sum()
+    }
+
     /// Notes that it has read a prompt that was sent at `sent`, and with it those before.
     fn has_read(&mut self, sent: Time, now: Time) {
         while self.sends.front().is_some_and(|it| it.0 <= sent) {
--- a/crates/fleet/src/place.rs
+++ b/crates/fleet/src/place.rs
@@ -31,6 +31,10 @@
 /// is longer than they may have.
 const PACE_TOKENS: f64 = 2800.0;
 
+/// Part of the longest pause between events that the steps of an engine take without any prompt, in ms: an
+/// event has the tokens of three or four steps of some 10 ms.
+const STEPS_MS: f64 = 45.0;
+
 /// What each running stream counts like at an engine where too much would wait, in ms.
 const PAUSES_MS: f64 = 8.0;
 
@@ -66,6 +70,8 @@
     pub name: Option<&'a Name>,
     /// The prompt.
     pub chain: &'a Chain,
+    /// The longest pause that its stream may have; 0 if it has none.
+    pub gap: Duration,
     /// The failure domain of this host.
     pub domain: &'a str,
     /// Engines that it was sent to already.
@@ -181,10 +187,17 @@
     f64::from(ask.chain.tokens().saturating_sub(kept))
 }
 
-/// Whether the prompt should wait here until the engine has read others.
+/// Whether the prompt should wait here until the engine has read others. The streams that run there pause as
+/// long as it reads without a break, so within the pause that they may have it is sent less than it can read.
 fn is_paced(engine: &Engine, ask: &Ask, now: Time) -> bool {
+    if ask.name.is_none() {
+        return false;
+    }
+    let new = new_tokens(engine, ask);
     let unread = engine.unread(now);
-    ask.name.is_some() && unread > 0.0 && unread + new_tokens(engine, ask) > PACE_TOKENS
+    let sent = engine.sent_within(ask.gap, now);
+    let readable = (ask.gap.as_secs_f64() * 1000.0 - STEPS_MS) * TOKENS_PER_MS;
+    (unread > 0.0 && unread + new > PACE_TOKENS) || (sent > 0.0 && sent + new > readable)
 }
 
 /// What makes an engine less wanted beside the wait, in ms.
--- a/crates/fleet/tests/it/places.rs
+++ b/crates/fleet/tests/it/places.rs
@@ -8,7 +8,7 @@
     table::{Key, Table},
 };
 
-use crate::fixture::{at, listing, prompt, table};
+use crate::fixture::{at, listing, ms, prompt, table};
 
 fn ask(table: &Table, name: Option<&str>, chain: &Chain, tried: &[Key]) -> Place {
     let name = name.map(Into::into);
@@ -16,6 +16,7 @@
         service: "chat",
         name: name.as_ref(),
         chain,
+        gap: ms(300),
         domain: "z-1",
         tried,
         draw: 5,
@@ -75,6 +76,7 @@
             service: "chat",
             name: Some(&name),
             chain: &chain,
+            gap: ms(300),
             domain: "z-1",
             tried: &[],
             draw,
@@ -198,3 +200,20 @@
         .reads(58_000, at(0));
     assert_eq!(ask(&table, Some("m/a1"), &chain, &[]), Place::Load);
 }
+
+/// An engine that reads one prompt after the other, as fast as it can, pauses all its streams for too long.
+#[test]
+fn prompts_that_would_keep_an_engine_reading_through_a_whole_pause_wait() {
+    let (mut table, keys) = table(&[("i-1", &["a1"])]);
+    let engine = table.get_mut(keys[0]).expect("it is there");
+    // All of them were read as they came.
+    for number in 0..5 {
+        engine.reads(1000, at(0) - ms(250 - number * 50));
+    }
+    let paced = ask(&table, Some("m/a1"), &prompt(1000), &[]);
+    assert!(matches!(paced, Place::Later(_)), "{paced:?}");
+    let sent = ask(&table, Some("m/a1"), &prompt(300), &[]);
+    assert!(matches!(sent, Place::At(_)), "{sent:?}");
+    let engine = table.get(keys[0]).expect("it is there");
+    assert!(engine.sent_within(ms(300), at(100)) < 4000.0);
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -279,12 +279,14 @@
         service: &Arc<str>,
         name: Option<&Name>,
         chain: &Chain,
+        gap: Duration,
         tried: &[Key],
     ) -> Place {
         let ask = Ask {
             service,
             name,
             chain,
+            gap,
             domain: &self.settings.domain,
             tried,
             draw: rand::random(),
--- a/crates/gateway/src/job/place.rs
+++ b/crates/gateway/src/job/place.rs
@@ -50,9 +50,13 @@
         let mut waiting: Option<Waiting> = None;
         loop {
             self.gateway.settle();
-            let place = self
-                .gateway
-                .place(&self.service, name.as_ref(), &self.chain, &self.tried);
+            let place = self.gateway.place(
+                &self.service,
+                name.as_ref(),
+                &self.chain,
+                self.route.gap,
+                &self.tried,
+            );
             let now = clock::now();
             match place {
                 Place::At(choice) => {
