Add a fault soak of hosts on a platform: real processes, harmed connections, promises checked from outside

A seeded run with overlapping kills, freezes, stops, cuts and slow or silent ways to the store and the engines, wrong answers, late orders, restarts, changes of the list, the configuration and versions; then a calm end in which drain, configuration and SIGTERM are looked at in time (not judged when the machine starved the run). The chaos test of the product's own fleets stays.

--- /dev/null
+++ b/crates/entry/tests/soak/caller.rs
@@ -0,0 +1,174 @@
+//! Callers that keep their connections as long as they work, and what they saw.
+
+use std::{
+    net::{SocketAddr, TcpStream},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+
+use crate::world::client::{Answer, Ask, read};
+
+/// Requests on one connection at most.
+const ON_ONE: usize = 6;
+
+/// Adapters that are asked for.
+const ADAPTERS: usize = 12;
+
+/// Time for which a caller waits.
+const PATIENCE_MS: &str = "4000";
+
+/// The routes of the stand-in's configuration.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Route {
+    /// A stream that may be resumed.
+    Stream,
+    /// A stream that may run once.
+    Once,
+    /// A plain request that may run once.
+    Write,
+    /// A plain request that may be repeated.
+    Read,
+}
+
+impl Route {
+    pub const ALL: [Self; 4] = [Self::Stream, Self::Once, Self::Write, Self::Read];
+
+    pub fn path(self) -> &'static str {
+        match self {
+            Self::Stream => "/stream/x",
+            Self::Once => "/once/x",
+            Self::Write => "/write/x",
+            Self::Read => "/read/x",
+        }
+    }
+
+    pub fn streams(self) -> bool {
+        matches!(self, Self::Stream | Self::Once)
+    }
+
+    pub fn runs_once(self) -> bool {
+        matches!(self, Self::Once | Self::Write)
+    }
+
+    /// Engines to which it may be sent.
+    pub fn attempts(self) -> usize {
+        if self == Self::Once { 1 } else { 2 }
+    }
+}
+
+/// A request and what came back.
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub id: String,
+    pub route: Route,
+    pub model: String,
+    pub host: usize,
+    pub sent: Instant,
+    pub answer: Answer,
+}
+
+/// What all callers share.
+pub struct Shared {
+    /// Where the hosts take callers.
+    pub hosts: Vec<SocketAddr>,
+    pub calls: Mutex<Vec<Call>>,
+    pub stop: AtomicBool,
+    next: AtomicUsize,
+}
+
+impl Shared {
+    pub fn new(hosts: Vec<SocketAddr>) -> Arc<Self> {
+        Arc::new(Self {
+            hosts,
+            calls: Mutex::default(),
+            stop: AtomicBool::new(false),
+            next: AtomicUsize::new(0),
+        })
+    }
+
+    /// A request with a new id.
+    pub fn ask(&self, rng: &mut StdRng, route: Route) -> (String, String, Ask) {
+        let id = format!("r-{}", self.next.fetch_add(1, Ordering::Relaxed));
+        let rank = rng
+            .random_range(0..ADAPTERS)
+            .min(rng.random_range(0..ADAPTERS));
+        let model = format!("m/a{rank}");
+        let ask = if route.streams() {
+            Ask::prompt(route.path(), &id, &model)
+        } else {
+            Ask::post(route.path(), &id, &format!("body of {id}"))
+        };
+        (id, model, ask)
+    }
+
+    /// Sends one request on a connection of its own.
+    pub fn send(&self, rng: &mut StdRng, route: Route, host: usize) -> Answer {
+        let mut connection = None;
+        self.send_on(rng, route, host, &mut connection)
+    }
+
+    fn send_on(
+        &self,
+        rng: &mut StdRng,
+        route: Route,
+        host: usize,
+        connection: &mut Option<TcpStream>,
+    ) -> Answer {
+        let (id, model, ask) = self.ask(rng, route);
+        let ask = ask.with("Timeout-Ms", PATIENCE_MS);
+        let sent = Instant::now();
+        let answer = match connection {
+            Some(it) => ask.send_on(it),
+            None => match TcpStream::connect(self.hosts[host]) {
+                Ok(_) => {
+                    let mut stream = ask.open(self.hosts[host]);
+                    let answer = read(&mut stream);
+                    *connection = Some(stream);
+                    answer
+                }
+                Err(_) => Answer::default(),
+            },
+        };
+        let closes = answer.header("connection") == Some("close");
+        if answer.status == 0 || !answer.whole || closes {
+            *connection = None;
+        }
+        let call = Call {
+            id,
+            route,
+            model,
+            host,
+            sent,
+            answer: answer.clone(),
+        };
+        self.calls.lock().expect("no holder panics").push(call);
+        answer
+    }
+}
+
+/// Asks until it is told to stop.
+pub fn spawn(shared: &Arc<Shared>, seed: u64) -> JoinHandle<()> {
+    let shared = shared.clone();
+    thread::spawn(move || {
+        let mut rng = StdRng::seed_from_u64(seed);
+        while !shared.stop.load(Ordering::Relaxed) {
+            let host = rng.random_range(0..shared.hosts.len());
+            let mut connection = None;
+            for _ in 0..rng.random_range(1..=ON_ONE) {
+                let route = Route::ALL[rng.random_range(0..Route::ALL.len())];
+                let answer = shared.send_on(&mut rng, route, host, &mut connection);
+                let pause = if answer.status == 0 { 50 } else { 10 };
+                thread::sleep(Duration::from_millis(rng.random_range(0..pause)));
+                if connection.is_none() || shared.stop.load(Ordering::Relaxed) {
+                    break;
+                }
+            }
+        }
+    })
+}
--- /dev/null
+++ b/crates/entry/tests/soak/host.rs
@@ -0,0 +1,167 @@
+//! A host as a process of its own, which ends with the soak whatever becomes of that.
+
+use std::{
+    fs,
+    io::{BufRead, BufReader},
+    net::SocketAddr,
+    path::PathBuf,
+    process::{Child, ChildStdin, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use crate::world::{
+    client::Ask,
+    free_addr,
+    host::{Place, settings_text},
+};
+
+/// Starts the program and kills it when the pipe to the soak closes, so that it never outlives the soak.
+/// Ends with the program's status.
+const KEEPER: &str = "exec 3<&0; \"$0\" --settings \"$1\" </dev/null >>\"$2\" 2>&1 & p=$!; echo $p; \
+     { read -r _ <&3; kill -9 $p 2>/dev/null; } & w=$!; wait $p; s=$?; kill $w 2>/dev/null; exit $s";
+
+/// Longest wait for the end of a process that was told to end; it only ends a hang.
+const END: Duration = Duration::from_secs(30);
+
+/// A host.
+pub struct Host {
+    pub callers: SocketAddr,
+    pub frozen: bool,
+    /// Starts of it so far.
+    pub life: usize,
+    ready: SocketAddr,
+    settings: PathBuf,
+    pub log: PathBuf,
+    running: Option<Running>,
+}
+
+struct Running {
+    keeper: Child,
+    /// Closing it ends the program.
+    _pipe: Option<ChildStdin>,
+    id: String,
+}
+
+impl Host {
+    /// Writes the settings of a host and starts it.
+    pub fn start(
+        seed: u64,
+        number: usize,
+        peers: SocketAddr,
+        store: SocketAddr,
+        seeds: &[SocketAddr],
+    ) -> Self {
+        let callers = free_addr();
+        let ready = free_addr();
+        let place = Place {
+            number,
+            callers,
+            ready,
+            peers,
+            store,
+            seeds,
+            slack: crate::check::SLACK,
+        };
+        let folder =
+            std::env::temp_dir().join(format!("comfreywing-soak-{}-{seed}", std::process::id()));
+        fs::create_dir_all(&folder).expect("the temporary folder can be written");
+        let settings = folder.join(format!("h-{number}.yaml"));
+        fs::write(&settings, settings_text(&place)).expect("it can be written");
+        let mut host = Self {
+            callers,
+            frozen: false,
+            life: 0,
+            ready,
+            log: settings.with_extension("log"),
+            settings,
+            running: None,
+        };
+        host.spawn();
+        host
+    }
+
+    fn spawn(&mut self) {
+        let mut keeper = Command::new("/bin/sh")
+            .args(["-c", KEEPER])
+            .arg(env!("CARGO_BIN_EXE_comfreywing-entry"))
+            .args([&self.settings, &self.log])
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("a shell starts");
+        let mut id = String::new();
+        let output = keeper.stdout.take().expect("it is piped");
+        BufReader::new(output)
+            .read_line(&mut id)
+            .expect("the shell tells the id");
+        self.running = Some(Running {
+            _pipe: keeper.stdin.take(),
+            keeper,
+            id: id.trim().to_owned(),
+        });
+        self.life += 1;
+        self.frozen = false;
+    }
+
+    pub fn is_ready(&self) -> bool {
+        !self.frozen
+            && std::net::TcpStream::connect(self.ready).is_ok()
+            && Ask::get("/-/readyz").send(self.ready).status == 200
+    }
+
+    fn signal(&self, flag: &str) {
+        if let Some(it) = &self.running {
+            let _ = Command::new("/bin/kill").args([flag, &it.id]).status();
+        }
+    }
+
+    pub fn freeze(&mut self) {
+        self.signal("-STOP");
+        self.frozen = true;
+    }
+
+    pub fn thaw(&mut self) {
+        self.signal("-CONT");
+        self.frozen = false;
+    }
+
+    /// Kills it and starts it again.
+    pub fn kill(&mut self) {
+        self.signal("-KILL");
+        self.end();
+        self.spawn();
+    }
+
+    /// Tells it to end, and returns its exit code once it has.
+    pub fn terminate(&mut self) -> Option<i32> {
+        if self.frozen {
+            self.thaw();
+        }
+        self.signal("-TERM");
+        self.end()
+    }
+
+    /// Starts it again.
+    pub fn restart(&mut self) {
+        self.spawn();
+    }
+
+    fn end(&mut self) -> Option<i32> {
+        let mut running = self.running.take()?;
+        let end = Instant::now() + END;
+        while Instant::now() < end {
+            if let Ok(Some(status)) = running.keeper.try_wait() {
+                return status.code();
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        None
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.signal("-KILL");
+        self.end();
+    }
+}
--- /dev/null
+++ b/crates/entry/tests/soak/main.rs
@@ -0,0 +1,61 @@
+//! Seeded random failures against hosts on a stand-in of the users' platform: real processes, faults from
+//! outside, and promises checked from what callers and engines saw. `docs/SOAK.md` says how to run it.
+
+mod caller;
+mod check;
+mod host;
+mod proxy;
+mod run;
+mod step;
+/// The stand-in of the platform belongs to the folder that knows the platform's words.
+#[allow(dead_code, reason = "the tests of the platform use the rest of it")]
+#[path = "../../../../platform/tests/it"]
+mod platform_tests {
+    pub mod world;
+}
+
+use std::thread;
+
+use platform_tests::world;
+
+/// The seeds that every build runs; each that ever failed stands here with its cause.
+const SEEDS: [u64; 3] = [1, 2, 3];
+
+/// Seeds that run at the same time.
+const AT_ONCE: u64 = 3;
+
+/// Covers: the promises of `docs/GUARANTEES.md` about hosts on a platform, under failures that overlap.
+#[test]
+fn promises_hold_on_a_platform_under_random_failures() {
+    let number = |name: &str| -> Option<u64> {
+        let text = std::env::var(name).ok()?;
+        Some(text.parse().expect("the variable is a number"))
+    };
+    let seeds: Vec<u64> = match (number("SOAK_SEED"), number("SOAK_COUNT")) {
+        (Some(first), count) => (first..first + count.unwrap_or(1)).collect(),
+        (None, _) => SEEDS.to_vec(),
+    };
+    let mut failed = Vec::new();
+    for part in seeds.chunks(usize::try_from(AT_ONCE).expect("it is small")) {
+        let runs: Vec<_> = part
+            .iter()
+            .map(|seed| {
+                (
+                    *seed,
+                    thread::spawn({
+                        let seed = *seed;
+                        move || run::run(seed)
+                    }),
+                )
+            })
+            .collect();
+        for (seed, run) in runs {
+            match run.join() {
+                Ok(faults) if faults.is_empty() => {}
+                Ok(faults) => failed.push(format!("seed {seed}:\n  {}", faults.join("\n  "))),
+                Err(_) => failed.push(format!("seed {seed}: the run itself failed")),
+            }
+        }
+    }
+    assert!(failed.is_empty(), "{}", failed.join("\n"));
+}
