Bound the use of engines whose entries vanished by the age of the list; let large domains meet before they read

An entry that vanishes is noticed up to the gathering time of 1.85 s later and was then used for 0.9 s more; after a fall of all, every host of 100 in a domain read all lists at once. Ruled out: processor time (15% at most), the size of what is handed on (850 KB/s at most). Change: the 0.9 s end at the last complete list + drain - 0.5 s; readers tell their domain after each read, with changes or not; a host of a domain of more than 6 waits 450 ms for readers to be heard before it reads; a part that is handed on is made once for all that ask. Test: fleet tables::an_engine_whose_entry_vanished_is_not_used_beyond_the_time_that_is_left (didn't compile before).

--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -77,15 +77,17 @@
     }
 
     /// Notes that the entry of an engine has vanished. It is dropped now or, if it may live, by a
-    /// later [`Table::expire`].
-    pub fn remove(&mut self, id: &str, removal: Removal, now: Time) {
+    /// later [`Table::expire`]: at `latest` if the store has answered all along.
+    pub fn remove(&mut self, id: &str, removal: Removal, latest: Time, now: Time) {
         let Some(key) = self.ids.get(id) else { return };
         let Some(engine) = self.engines.get_mut(key) else {
             return;
         };
         let hold = match removal {
             Removal::AfterOutage => LAPSE_AFTER_OUTAGE,
-            Removal::Known if engine.answered + LIVELY > now && engine.takes_work() => LAPSE,
+            Removal::Known if engine.answered + LIVELY > now && engine.takes_work() => {
+                LAPSE.min(latest.saturating_sub(now))
+            }
             Removal::Known => Duration::ZERO,
         };
         engine.lapsed.get_or_insert(now + hold);
--- a/crates/fleet/tests/it/tables.rs
+++ b/crates/fleet/tests/it/tables.rs
@@ -60,14 +60,14 @@
 fn an_engine_whose_entry_lapsed_is_used_until_it_should_be_back() {
     for (removal, still) in [(Removal::Known, 0), (Removal::AfterOutage, 2000)] {
         let (mut table, keys) = table(&[("i-1", &[])]);
-        table.remove("i-1", removal, at(0));
+        table.remove("i-1", removal, at(5000), at(0));
         table.expire(at(still));
         assert_eq!(table.get(keys[0]).is_some(), still > 0, "{removal:?}");
         table.expire(at(2400));
         assert!(table.get(keys[0]).is_none());
     }
     let (mut table, keys) = table(&[("i-1", &[])]);
-    table.remove("i-1", Removal::AfterOutage, at(0));
+    table.remove("i-1", Removal::AfterOutage, at(5000), at(0));
     table.adopt(listing("i-1", &[]), at(1000));
     table.expire(at(9000));
     assert!(table.get(keys[0]).is_some(), "it came back");
@@ -78,7 +78,7 @@
 fn a_lively_engine_whose_entry_vanished_is_left_within_the_drain_time() {
     let (mut table, keys) = table(&[("i-1", &[])]);
     table.get_mut(keys[0]).expect("it is there").answered = at(0);
-    table.remove("i-1", Removal::Known, at(100));
+    table.remove("i-1", Removal::Known, at(5000), at(100));
     table.expire(at(1100));
     assert!(table.get(keys[0]).is_none());
 }
@@ -163,3 +163,13 @@
         7
     );
 }
+
+/// The time that is left may be shorter than the time in which an entry that only lapsed comes back.
+#[test]
+fn an_engine_whose_entry_vanished_is_not_used_beyond_the_time_that_is_left() {
+    let (mut table, keys) = table(&[("i-1", &[])]);
+    table.get_mut(keys[0]).expect("it is there").answered = at(0);
+    table.remove("i-1", Removal::Known, at(150), at(100));
+    assert!(table.expire(at(149)).is_empty());
+    assert_eq!(table.expire(at(150)).len(), 1);
+}
--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -151,11 +151,13 @@
     };
     let mut peers = gateway.peers.borrow_mut();
     for object in &objects {
-        let addr = object.spec.get("peers").and_then(|it| it.as_str());
-        if let Some(addr) = addr.and_then(|it| it.parse().ok()) {
-            peers.learn(&object.name, addr, clock::now());
+        let text = |field: &str| object.spec.get(field).and_then(|it| it.as_str());
+        if let Some(addr) = text("peers").and_then(|it| it.parse().ok()) {
+            let domain = text("domain").unwrap_or_default();
+            peers.learn(&object.name, addr, domain, clock::now());
         }
     }
+    gateway.hosts_listed.notify_waiters();
     true
 }
 
--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -5,6 +5,7 @@
 
 use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
+use bytes::Bytes;
 use fleet::reader::Role;
 use serde::{Deserialize, Serialize};
 use tokio::{
@@ -45,6 +46,15 @@
 /// Largest answer in bytes: a configuration has 1 MB at most, an entry of an engine some hundred bytes.
 const LARGEST: u64 = 16 << 20;
 
+/// Time for the first list of the hosts.
+const LISTED: Duration = Duration::from_millis(300);
+
+/// Hosts of a domain up to which all read the store at their start.
+const FEW: usize = 6;
+
+/// Time in which all hosts that live are heard.
+const HEARD: Duration = Duration::from_millis(450);
+
 /// Longest question in bytes.
 const QUESTION: u64 = 100;
 
@@ -57,6 +67,13 @@
     pub lists: [(Reach, Option<u32>); 3],
 }
 
+/// A part of a list as it was handed on.
+pub struct Told {
+    /// Since when, how far, and whether the store was away a moment ago.
+    key: (u64, Reach, bool),
+    text: Bytes,
+}
+
 #[derive(Debug, Deserialize, Serialize)]
 struct Question {
     kind: Kind,
@@ -96,6 +113,10 @@
     };
     if reach.last <= own.last && own.as_of > 0 {
         gateway.kept.reach_to(kind, reach.as_of);
+        let now = crate::clock::now();
+        if let Some(age) = gateway.peers.borrow().age(reader, kind, now) {
+            gateway.knows(kind, now.saturating_sub(age));
+        }
         let _ = time::timeout(LOOK, gateway.heard.notified()).await;
         return;
     }
@@ -111,6 +132,16 @@
     }
 }
 
+/// Waits until the hosts of the domain were heard, where there are many: after a fall of all of them most
+/// find a reader then, and the store isn't asked for everything by everyone.
+pub async fn meet(gateway: &Rc<Gateway>) {
+    let _ = time::timeout(LISTED, gateway.hosts_listed.notified()).await;
+    let many = gateway.peers.borrow().of_domain(&gateway.settings.domain) > FEW;
+    if many {
+        time::sleep(HEARD).await;
+    }
+}
+
 /// What this host does for a list now.
 pub fn role(gateway: &Gateway, kind: Kind) -> Role {
     let now = crate::clock::now();
@@ -140,12 +171,32 @@
         .read_line(&mut line)
         .await?;
     let question: Question = serde_json::from_str(&line)?;
-    let mut part = gateway.kept.since(question.kind, question.since);
-    part.outage = gateway.removal() == fleet::table::Removal::AfterOutage;
-    write.write_all(&serde_json::to_vec(&part)?).await?;
+    let text = told(gateway, &question)?;
+    write.write_all(&text).await?;
     write.shutdown().await
 }
 
+/// The answer to a question, made once for all that ask the same.
+fn told(gateway: &Rc<Gateway>, question: &Question) -> std::io::Result<Bytes> {
+    let outage = gateway.removal() == fleet::table::Removal::AfterOutage;
+    let reach = gateway.kept.reach(question.kind);
+    let key = (question.since, reach, outage);
+    if let Some(told) = gateway.parts.borrow().get(&question.kind)
+        && told.key == key
+    {
+        return Ok(told.text.clone());
+    }
+    let mut part = gateway.kept.since(question.kind, question.since);
+    part.outage = outage;
+    let text: Bytes = serde_json::to_vec(&part)?.into();
+    let told = Told {
+        key,
+        text: text.clone(),
+    };
+    gateway.parts.borrow_mut().insert(question.kind, told);
+    Ok(text)
+}
+
 /// Asks one host what is new in a list.
 async fn ask(addr: SocketAddr, kind: Kind, since: u64) -> Option<Part> {
     let mut stream = TcpStream::connect(addr).await.ok()?;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -91,6 +91,12 @@
     pub heard: Notify,
     /// When this host read each list last, if it reads it.
     reads: [Cell<Option<Time>>; 3],
+    /// When each list was known to be complete last.
+    known: [Cell<Time>; 3],
+    /// Parts of lists as they were handed on last, since many ask for the same.
+    pub parts: RefCell<HashMap<Kind, feed::Told>>,
+    /// Says that the store has told the hosts' addresses.
+    pub hosts_listed: Notify,
     store: RefCell<Store>,
     budgets: RefCell<HashMap<Arc<str>, Budget>>,
     waits: RefCell<HashMap<Name, Rc<Wait>>>,
@@ -150,6 +156,9 @@
             tell: Notify::new(),
             heard: Notify::new(),
             reads: Default::default(),
+            known: Default::default(),
+            parts: RefCell::default(),
+            hosts_listed: Notify::new(),
             store: RefCell::default(),
             budgets: RefCell::default(),
             waits: RefCell::default(),
@@ -214,6 +223,17 @@
         self.read_age(kind).or_else(followed)
     }
 
+    /// When a list was known to be complete last.
+    pub fn known(&self, kind: Kind) -> Time {
+        self.known[feed::index(kind)].get()
+    }
+
+    /// Notes that a list was complete then.
+    pub fn knows(&self, kind: Kind, at: Time) {
+        let known = &self.known[feed::index(kind)];
+        known.set(known.get().max(at));
+    }
+
     /// Notes that this host has read all of a list.
     pub fn has_read(&self, kind: Kind) {
         self.reads[feed::index(kind)].set(Some(clock::now()));
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -143,10 +143,11 @@
 
 impl Peers {
     /// Notes the address of a host from the store.
-    pub fn learn(&mut self, name: &str, addr: SocketAddr, now: Time) {
+    pub fn learn(&mut self, name: &str, addr: SocketAddr, domain: &str, now: Time) {
         let entry = self.by_name.entry(name.into());
         let peer = entry.or_insert_with(|| Peer::new(addr, now));
         peer.addr = addr;
+        peer.domain = domain.into();
         peer.told = now;
     }
 
@@ -184,6 +185,20 @@
         near.any(|it| it.1.sight(Kind::Engines, now) == Sight::Follows)
     }
 
+    /// Other hosts of a domain, living or not.
+    pub fn of_domain(&self, domain: &str) -> usize {
+        let near = self.by_name.values().filter(|it| *it.domain == *domain);
+        near.count()
+    }
+
+    /// How long ago a reader read a list.
+    pub fn age(&self, reader: &str, kind: Kind, now: Time) -> Option<Duration> {
+        match self.by_name.get(reader)?.sight(kind, now) {
+            Sight::Reads(age) => Some(age),
+            Sight::Follows | Sight::Away => None,
+        }
+    }
+
     /// The least age of a list that another living host has read.
     pub fn youngest(&self, kind: Kind, now: Time) -> Option<Duration> {
         let ages = self
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -27,6 +27,9 @@
 /// Part of the drain time that is kept for the call, and for requests on their way to the engine.
 const LEAVING: Duration = Duration::from_millis(1150);
 
+/// Part of the drain time that is kept for requests on their way to an engine whose entry has vanished.
+const ON_THE_WAY: Duration = Duration::from_millis(500);
+
 /// First pause after a failed call; it doubles up to [`LONGEST_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 
@@ -35,6 +38,7 @@
 
 /// Follows one kind until the process ends: from the store, or from a host that reads it for the domain.
 pub async fn follow(gateway: Rc<Gateway>, kind: Kind) {
+    feed::meet(&gateway).await;
     let mut pause = FIRST_PAUSE;
     let mut last = None;
     loop {
@@ -102,8 +106,8 @@
             *pause = FIRST_PAUSE;
             changed(gateway, kind, &changes);
             gateway.has_read(kind);
+            gateway.tell.notify_one();
             if !changes.events.is_empty() {
-                gateway.tell.notify_one();
                 time::sleep(gather(gateway, kind)).await;
             }
         }
@@ -163,6 +167,7 @@
         put(gateway, kind, object);
     }
     gateway.kept.reach_to(kind, as_of);
+    gateway.knows(kind, clock::now());
     if kind == Kind::Engines {
         gateway.listed.set(true);
     }
@@ -176,6 +181,7 @@
         }
     }
     gateway.kept.reach_to(kind, changes.as_of);
+    gateway.knows(kind, clock::now());
 }
 
 /// Takes in what another host handed on.
@@ -196,6 +202,7 @@
         put(gateway, kind, object);
     }
     gateway.kept.reach_to(kind, part.reach.as_of);
+    gateway.knows(kind, clock::now());
 }
 
 /// Takes in that an object is gone.
@@ -203,8 +210,10 @@
     gateway.kept.remove(kind, name, at);
     if kind == Kind::Engines {
         log::info!(event = "entry-gone", engine = name; "the entry of engine {name} is gone");
+        // It vanished after the list was known before.
+        let latest = gateway.known(kind) + gateway.settings.drain().saturating_sub(ON_THE_WAY);
         let mut table = gateway.table.borrow_mut();
-        table.remove(name, removal, clock::now());
+        table.remove(name, removal, latest, clock::now());
         gateway.order.notify_one();
     }
 }
