--- a/crates/gateway/src/job/place.rs
+++ b/crates/gateway/src/job/place.rs
@@ -21,12 +21,8 @@
 /// caller's next try.
 const HOLD_PART: f64 = 0.3;
 
-/// Time for the way of a prompt to its engine and of the first event back, which a prompt that waits here for
-/// its turn has to have left.
-const WAY: Duration = Duration::from_millis(80);
-
-/// What the expected time at the engine is taken for in that: it is an estimate.
-const EXPECTED: f64 = 1.25;
+/// Part of the time for the first event for which a prompt waits here for its turn at an engine.
+const PACED_PART: f64 = 0.6;
 
 /// Pause between two looks at whether an engine has read enough.
 const PACED: Duration = Duration::from_millis(15);
@@ -75,8 +71,7 @@
                 Place::Later(choice) => {
                     // Waiting here costs nothing that waiting at the engine doesn't, and spares the
                     // streams that run there.
-                    let first = now + choice.wait.mul_f64(EXPECTED) + WAY;
-                    let paced = first < self.began + self.route.target;
+                    let paced = now < self.began + self.route.target.mul_f64(PACED_PART);
                     if choice.spread {
                         self.spread(name.as_ref(), choice.key).await;
                     }
