Send a request to one more engine where the one that was meant has ended

Change: an engine that another at its address says has ended doesn't count among those that may run the request. Test: answers::an_engine_that_has_ended_does_not_count_among_those_that_may_run_a_request (503 before).

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -113,6 +113,7 @@
         began,
         deadline,
         tried: Vec::new(),
+        strangers: 0,
         sent: 0,
         ran: false,
         story: Story::new(began, catalog.version),
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -51,6 +51,8 @@
     pub(crate) began: Time,
     pub(crate) deadline: Time,
     pub(crate) tried: Vec<Key>,
+    /// How many of these have ended, as another engine at their address said: they don't count.
+    pub(crate) strangers: usize,
     pub(crate) sent: u32,
     /// Whether an engine may have run it.
     pub(crate) ran: bool,
@@ -88,7 +90,7 @@
                 Sent::Late => return self.fail(Fault::Timeout),
                 Sent::NoBudget => return self.fail(Fault::NoBudget),
             }
-            if self.tried.len() >= self.route.attempts {
+            if !self.has_attempts() {
                 let fault = if self.ran {
                     Fault::UpstreamLost
                 } else {
@@ -113,7 +115,7 @@
             self.failed(key);
             self.ran = true;
             let again = self.route.kind.repeats()
-                && self.tried.len() < self.route.attempts
+                && self.has_attempts()
                 && clock::now() + Duration::from_millis(50) < self.deadline;
             if again && self.gateway.has_repeat(&self.service) {
                 let within = self.deadline.saturating_sub(clock::now());
@@ -156,7 +158,7 @@
                 log::debug!("request {}: its answer broke off", self.envelope.id);
                 self.failed(key);
                 self.ran = true;
-                if self.route.kind.repeats() && self.tried.len() < self.route.attempts {
+                if self.route.kind.repeats() && self.has_attempts() {
                     return Err(self);
                 }
                 Ok(self.fail(Fault::UpstreamLost))
@@ -194,10 +196,15 @@
         }
     }
 
+    /// Whether it may be sent to one more engine.
+    fn has_attempts(&self) -> bool {
+        self.tried.len() < self.route.attempts + self.strangers
+    }
+
     /// Whether a stream may be resumed at one more engine.
     pub(crate) fn may_resume(&self) -> bool {
         self.route.kind == Kind::Resumable
-            && self.tried.len() < self.route.attempts
+            && self.has_attempts()
             && clock::now() + Duration::from_millis(50) < self.deadline
     }
 
--- a/crates/gateway/src/job/send.rs
+++ b/crates/gateway/src/job/send.rs
@@ -188,6 +188,7 @@
         if other {
             log::info!(event = "engine-stranger", engine = instance; "another has the address of engine {instance}");
             engine.circuit.unreachable(clock::now());
+            self.strangers += 1;
             return;
         }
         if let Some(name) = &self.envelope.name {
