--- a/crates/cli/src/command/deploy.rs
+++ b/crates/cli/src/command/deploy.rs
@@ -17,7 +17,9 @@
             let mut human = format!("{file} is right: {} roles with settings", settings.len());
             if options.show {
                 for (role, text) in &settings {
-                    human += &format!("\n\n# settings of {role}\n{text}");
+                    for part in ["\n\n# settings of ", role, "\n", text] {
+                        human.push_str(part);
+                    }
                 }
             }
             Ok(Report::ok(human, json!({ "settings": settings })))
--- a/crates/entry/tests/soak/check.rs
+++ b/crates/entry/tests/soak/check.rs
@@ -97,9 +97,8 @@
 
 /// The events of a stream from the first on; all of them where it ended as whole.
 fn is_in_order(call: &Call) -> bool {
-    let expected: String = (0..EVENTS)
-        .map(|at| format!("id: {at}\ndata: token {at}\n\n"))
-        .collect();
+    let events = (0..EVENTS).map(|at| format!("id: {at}\ndata: token {at}\n\n"));
+    let expected = events.collect::<Vec<_>>().concat();
     let body = &call.answer.body;
     if call.answer.whole {
         *body == expected || body == "whole to the end"
--- a/crates/fleet/src/coming.rs
+++ b/crates/fleet/src/coming.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     Time,
+    engine::Engine,
     listing::Name,
     table::{Age, Key, Table},
 };
@@ -71,7 +72,7 @@
     pub fn load(&self, name: &str, table: &Table, now: Time) -> Option<Load> {
         let load = *self.loads.get(name)?;
         let newest = load.version == 0 || table.age(name, load.version, now) == Age::Newest;
-        let usable = table.get(load.key).is_some_and(|it| it.takes_work());
+        let usable = table.get(load.key).is_some_and(Engine::takes_work);
         (newest && usable && load.due + RECENT > now).then_some(load)
     }
 }
--- a/crates/fleet/tests/it/places.rs
+++ b/crates/fleet/tests/it/places.rs
@@ -8,7 +8,7 @@
     table::{Key, Table},
 };
 
-use crate::fixture::{at, listing, ms, prompt, table};
+use crate::fixture::{NOW, at, listing, ms, prompt, table};
 
 fn ask(table: &Table, name: Option<&str>, chain: &Chain, tried: &[Key]) -> Place {
     let name = name.map(Into::into);
@@ -208,7 +208,7 @@
     let engine = table.get_mut(keys[0]).expect("it is there");
     // All of them were read as they came.
     for number in 0..5 {
-        engine.reads(1000, at(0) - ms(250 - number * 50));
+        engine.reads(1000, NOW.saturating_sub(ms(250 - number * 50)));
     }
     let paced = ask(&table, Some("m/a1"), &prompt(1000), &[]);
     assert!(matches!(paced, Place::Later(_)), "{paced:?}");
--- a/crates/fleet/tests/it/readers.rs
+++ b/crates/fleet/tests/it/readers.rs
@@ -6,7 +6,7 @@
 
 use crate::fixture::ms;
 
-const BOUND: Duration = Duration::from_millis(2000);
+const BOUND: Duration = Duration::from_secs(2);
 
 fn name(number: usize) -> String {
     format!("h-{number}")
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -18,7 +18,7 @@
     HeaderMap, Method, Response,
     body::Incoming,
     header::CONTENT_LENGTH,
-    http::{Uri, response},
+    http::{StatusCode, Uri, response},
 };
 use tokio::time;
 
@@ -67,6 +67,8 @@
 impl Job {
     /// Tries until there is an answer.
     pub(crate) async fn run(mut self) -> Response<Body> {
+        // Whether the last engine didn't hold the adapter.
+        let mut missed = false;
         loop {
             let until = self.began + self.hold();
             let choice = match self.place(until).await {
@@ -84,6 +86,7 @@
                 }
                 Sent::NotRun(status) => {
                     log::debug!("request {} not run: {status:?}", self.envelope.id);
+                    missed = status == Some(StatusCode::MISDIRECTED_REQUEST);
                 }
                 Sent::Lost if self.route.kind.repeats() => {}
                 Sent::Lost => return self.fail(Fault::UpstreamLost),
@@ -91,10 +94,10 @@
                 Sent::NoBudget => return self.fail(Fault::NoBudget),
             }
             if !self.has_attempts() {
-                let fault = if self.ran {
-                    Fault::UpstreamLost
-                } else {
-                    Fault::Overload
+                let fault = match (self.ran, missed) {
+                    (true, _) => Fault::UpstreamLost,
+                    (false, true) => Fault::AdapterLoad,
+                    (false, false) => Fault::Overload,
                 };
                 return self.fail(fault);
             }
