--- /dev/null
+++ b/crates/entry/benches/path/main.rs
@@ -0,0 +1,190 @@
+//! What one request and one event of a stream cost a host, on the path of the product's own interface and
+//! on the path through a platform: processor time, system calls that read or write, wake-ups, and memory
+//! with many open streams.
+//!
+//!     cargo bench -p entry --bench path
+//!
+//! Each path runs as a process of its own before stand-ins. What the host does without requests is
+//! measured first and taken off.
+
+#[allow(dead_code, reason = "the tests of whole fleets use the rest of it")]
+#[path = "../../tests/fleet/fixture.rs"]
+mod fixture;
+#[allow(dead_code, reason = "the soak uses the rest of it")]
+#[path = "../../tests/soak/host.rs"]
+mod host;
+/// The stand-in of the platform belongs to the folder that knows the platform's words.
+#[allow(dead_code, reason = "the tests of the platform use the rest of it")]
+#[path = "../../../../platform/tests/it"]
+mod platform_tests {
+    pub mod world;
+}
+mod usage;
+
+use std::{net::SocketAddr, thread, time::Duration};
+
+use platform_tests::world;
+use standin::{client::Stream, fleet::Shape};
+use usage::{Cost, Usage};
+use world::{
+    client::Ask,
+    config,
+    engine::{EVENTS, Engine, Script},
+    free_addr,
+    store::Store,
+    until,
+};
+
+/// Repeats of the retry budget in the settings of the platform's host.
+mod check {
+    pub const SLACK: u32 = 60;
+}
+
+/// Requests of each kind.
+const REQUESTS: u32 = 400;
+
+/// Open streams whose memory is measured.
+const OPEN: usize = 500;
+
+/// Time without requests.
+const IDLE: Duration = Duration::from_secs(4);
+
+fn main() {
+    println!("| path | | processor µs | reads and writes | wake-ups | threads | MB |");
+    println!("| --- | --- | --: | --: | --: | --: | --: |");
+    own();
+    platform();
+}
+
+/// Measures one kind of request and prints a row.
+fn row(path: &str, id: u32, idle: &Cost, what: &str, parts: u32, mut ask: impl FnMut(u32)) {
+    let before = Usage::of(id);
+    for number in 0..REQUESTS {
+        ask(number);
+    }
+    let after = Usage::of(id);
+    let cost = after.since(&before).without(idle);
+    println!("| {path} | {what} | {}", cost.per(REQUESTS * parts));
+}
+
+fn memory(path: &str, id: u32, before: &Usage) {
+    let now = Usage::of(id);
+    println!(
+        "| {path} | {OPEN} open streams | | | | {} | {:.1} more |",
+        now.threads,
+        now.megabytes - before.megabytes
+    );
+}
+
+fn idle(id: u32) -> Cost {
+    let before = Usage::of(id);
+    thread::sleep(IDLE);
+    Usage::of(id).since(&before)
+}
+
+/// The product's own interface, by `serve` and `upstream`.
+fn own() {
+    let mut shape: Shape = fixture::shape();
+    shape.engine.slots = 600;
+    let fixture = fixture::Fixture::start(&shape);
+    let entry = fixture.entry(0);
+    let id = entry.process().id();
+    let stream = |name: &str| -> Stream {
+        let ask = fixture::chat(name, "signs/bay-summary@7", fixture::Delivery::Streamed);
+        ask.stream(entry.address()).expect("it is served")
+    };
+    for number in 0..20 {
+        fixture::check_stream(stream(&format!("warm-{number}")), "signs/bay-summary@7");
+    }
+    let idle = idle(id);
+    row("own", id, &idle, "plain request", 1, |number| {
+        let ask = fixture::keyed(&format!("plain-{number}"), &format!("key-{number}"));
+        assert_eq!(ask.send(entry.address()).expect("it is served").status, 200);
+    });
+    row(
+        "own",
+        id,
+        &idle,
+        "event of a stream",
+        fixture::TOKENS,
+        |number| {
+            fixture::check_stream(stream(&format!("stream-{number}")), "signs/bay-summary@7");
+        },
+    );
+    drop(fixture);
+    open();
+}
+
+fn open() {
+    let mut shape: Shape = fixture::shape();
+    shape.engine.slots = 600;
+    shape.engine.token_us = 60_000_000;
+    let fixture = fixture::Fixture::start(&shape);
+    let entry = fixture.entry(0);
+    let id = entry.process().id();
+    let before = Usage::of(id);
+    let asks: Vec<_> = (0..OPEN)
+        .map(|number| {
+            let name = format!("open-{number}");
+            let ask = fixture::chat(&name, "signs/bay-summary@7", fixture::Delivery::Streamed);
+            let address = entry.address();
+            thread::spawn(move || ask.stream(address))
+        })
+        .collect();
+    thread::sleep(Duration::from_secs(5));
+    memory("own", id, &before);
+    drop(fixture);
+    drop(asks);
+}
+
+/// The path through a platform, by `gateway`.
+fn platform() {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(2)
+        .enable_all()
+        .build()
+        .expect("a runtime starts");
+    let store = Store::start(&runtime);
+    store.put("config", "main", &config(1));
+    let engines = ["chat", "desk"].map(|it| Engine::start(&runtime, &format!("i-{it}"), it));
+    for it in &engines {
+        store.put("servers", &it.id, &it.entry("ready"));
+    }
+    let peers = SocketAddr::from(([127, 0, 0, 9], free_addr().port()));
+    let host = host::Host::start(0, 0, peers, store.addr, &[]);
+    until("the host is ready", || host.is_ready());
+    let id = host.id().parse().expect("it is a number");
+    let stream = |name: &str| {
+        let answer = Ask::prompt("/stream/x", name, "m").send(host.callers);
+        assert!(answer.status == 200 && answer.whole);
+    };
+    for number in 0..20 {
+        stream(&format!("warm-{number}"));
+    }
+    let idle = idle(id);
+    row("platform", id, &idle, "plain request", 1, |number| {
+        let ask = Ask::post("/write/x", &format!("plain-{number}"), "gate 3");
+        assert_eq!(ask.send(host.callers).status, 200);
+    });
+    let events = u32::try_from(EVENTS).expect("it is small");
+    row(
+        "platform",
+        id,
+        &idle,
+        "event of a stream",
+        events,
+        |number| {
+            stream(&format!("stream-{number}"));
+        },
+    );
+    engines[0].answers_all(Script::Stalls(1));
+    let before = Usage::of(id);
+    let open: Vec<_> = (0..OPEN)
+        .map(|number| Ask::prompt("/once/x", &format!("open-{number}"), "m").open(host.callers))
+        .collect();
+    until("the streams are open", || {
+        usize::try_from(engines[0].running()).expect("it fits") == OPEN
+    });
+    memory("platform", id, &before);
+    drop(open);
+}
--- a/crates/entry/tests/soak/host.rs
+++ b/crates/entry/tests/soak/host.rs
@@ -103,6 +103,11 @@
         self.frozen = false;
     }
 
+    /// The id of its process.
+    pub fn id(&self) -> &str {
+        self.running.as_ref().map_or("", |it| &it.id)
+    }
+
     pub fn is_ready(&self) -> bool {
         !self.frozen
             && std::net::TcpStream::connect(self.ready).is_ok()
