--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,9 +27,9 @@
     clock,
     dialect::{Dialect, Kind},
     feed,
-    gossip::Peers,
     kept::Kept,
     metrics::Metrics,
+    peers::Peers,
     settings::Settings,
 };
 
@@ -105,9 +105,9 @@
     /// Objects as they came from the store, for hosts that start without it.
     pub kept: Kept,
     /// News for other hosts that wasn't sent yet.
-    pub news: RefCell<VecDeque<crate::gossip::News>>,
+    pub news: RefCell<VecDeque<crate::message::News>>,
     /// Engines that take no more work, of which other hosts weren't told yet.
-    pub leaving: RefCell<Vec<crate::gossip::Life>>,
+    pub leaving: RefCell<Vec<crate::message::Life>>,
 }
 
 /// How the store has answered.
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -11,12 +11,7 @@
 use hyper::{Request, http::StatusCode};
 use tokio::time;
 
-use crate::{
-    call, clock,
-    dialect::Command,
-    gateway::Gateway,
-    gossip::{self, Gossip},
-};
+use crate::{call, clock, dialect::Command, gateway::Gateway, gossip::Gossip, message};
 
 /// Time for an engine's answer to an order or a look; one that is lost never comes.
 const ANSWER: Duration = Duration::from_millis(300);
@@ -56,7 +51,7 @@
     let gone = gateway.table.borrow_mut().expire(clock::now());
     for listing in gone {
         log::info!(event = "engine-gone", engine = &*listing.id; "engine {} is gone", listing.id);
-        let life = gossip::life(&listing.id, listing.born);
+        let life = message::life(&listing.id, listing.born);
         gateway.leaving.borrow_mut().push(life);
         gateway.order.notify_one();
     }
@@ -124,7 +119,7 @@
         && let Some(engine) = gateway.table.borrow().get(order.key)
     {
         let due = load.due.saturating_sub(now);
-        let news = gossip::news(&engine.listing.id, &order.name, Some((load.version, due)));
+        let news = message::news(&engine.listing.id, &order.name, Some((load.version, due)));
         gateway.news.borrow_mut().push_back(news);
     }
     let kept = matches!(outcome, Outcome::Conflict | Outcome::Refused);
@@ -169,7 +164,7 @@
     };
     if engine.held.contains_key(&order.name) && is_adapter(&order.name) {
         engine.drop_hold(&order.name, clock::now());
-        let news = gossip::news(id, &order.name, None);
+        let news = message::news(id, &order.name, None);
         gateway.news.borrow_mut().push_back(news);
     }
 }
@@ -198,7 +193,7 @@
         if !known && !is_adapter(&hold.name) {
             engine.load(&hold.name, hold.version, now);
             let there = Some((hold.version, Duration::ZERO));
-            let news = gossip::news(&engine.listing.id, &hold.name, there);
+            let news = message::news(&engine.listing.id, &hold.name, there);
             gateway.news.borrow_mut().push_back(news);
             gateway.wake(&hold.name);
         }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -16,9 +16,8 @@
     dialect::{Change, Changes, Kind, Object},
     feed,
     gateway::Gateway,
-    gossip,
     kept::Part,
-    store,
+    message, store,
 };
 
 /// Time for which versions gather at least.
@@ -239,7 +238,7 @@
                 return;
             };
             if listing.state != State::Ready {
-                let life = gossip::life(&listing.id, listing.born);
+                let life = message::life(&listing.id, listing.born);
                 gateway.leaving.borrow_mut().push(life);
             }
             let names: Vec<_> = listing.holds.iter().map(|it| it.name.clone()).collect();
