--- a/crates/entry/tests/soak/check.rs
+++ b/crates/entry/tests/soak/check.rs
@@ -188,9 +188,8 @@
 /// Orders: one holder a token, tokens that rise, a turn between two holders, and never too many loads.
 fn orders(engine: &Engine, frozen: &[(usize, Instant, Instant)]) -> Vec<String> {
     let mut faults = Vec::new();
-    if engine.overfull() > 0 {
-        faults.push(format!("engine {} was overfilled", engine.id));
-    }
+    let over = engine.overfull().into_iter();
+    faults.extend(over.map(|it| format!("engine {} was overfilled: {it}", engine.id)));
     let late = |holder: &str, at: Instant| {
         frozen.iter().any(|(host, from, to)| {
             holder.starts_with(&format!("h-{host}-")) && *from <= at && at <= *to
--- a/crates/experiment/src/lib.rs
+++ b/crates/experiment/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod machine;
 pub mod naive;
 pub mod oracle;
+pub mod platform;
 pub mod recovery;
 pub mod report;
 pub mod scenario;
