Replace in place only a copy that the engine itself names; hand leaving engines on sooner

An older copy that only the list names was replaced in place without looking for room, though the engine's own word had given that place to another; a host that has just taken the engine over believes its list. Ruled out by reading: silent and late orders (expected numbers), takeovers (a turn apart), frozen hosts (lease of 12 s). Change: the ledger decides (room, refresh). Test: fleet loads::an_older_copy_that_only_the_list_names_is_no_place_for_the_newer_one (failed before).

--- a/crates/experiment/src/platform/hosts.rs
+++ b/crates/experiment/src/platform/hosts.rs
@@ -98,7 +98,7 @@
 
 /// All hosts.
 pub struct Hosts {
-    hosts: Vec<Host>,
+    all: Vec<Host>,
     keys: Vec<Key>,
     names: Vec<Name>,
     ids: Vec<Arc<str>>,
@@ -146,7 +146,7 @@
             });
         }
         Self {
-            hosts,
+            all: hosts,
             keys,
             names,
             ids,
@@ -168,7 +168,7 @@
     }
 
     fn others(&self, host: usize) -> impl Iterator<Item = usize> + use<> {
-        (0..self.hosts.len()).filter(move |it| *it != host)
+        (0..self.all.len()).filter(move |it| *it != host)
     }
 
     fn chain(&self, adapter: usize, shared: u64, tokens: u32, request: usize) -> Chain {
@@ -188,8 +188,8 @@
     /// Enters the loads of others that should be done, and wakes who waits for them.
     fn settle(&mut self, world: &mut World<Word>, host: usize) {
         let now = time(world.now);
-        for (name, load) in self.hosts[host].coming.settle(now) {
-            if let Some(engine) = self.hosts[host].table.get_mut(load.key) {
+        for (name, load) in self.all[host].coming.settle(now) {
+            if let Some(engine) = self.all[host].table.get_mut(load.key) {
                 engine.load(&name, load.version, now);
             }
             self.wake(world, host, Self::adapter(&name));
@@ -197,14 +197,14 @@
     }
 
     fn wake(&mut self, world: &mut World<Word>, host: usize, adapter: Option<usize>) {
-        let wait = adapter.and_then(|it| self.hosts[host].waits.get(&it));
+        let wait = adapter.and_then(|it| self.all[host].waits.get(&it));
         for request in wait.map(|it| it.waiting.clone()).unwrap_or_default() {
             world.look_again(0, request);
         }
     }
 
     fn leave_wait(&mut self, host: usize, adapter: usize, request: usize) {
-        let waits = &mut self.hosts[host].waits;
+        let waits = &mut self.all[host].waits;
         if let Some(wait) = waits.get_mut(&adapter) {
             wait.waiting.retain(|it| *it != request);
             if wait.waiting.is_empty() {
@@ -218,9 +218,9 @@
         let name = &self.names[adapter];
         let mut line: Vec<(u64, usize)> = Vec::new();
         for (engine, id) in self.ids.iter().enumerate() {
-            let it = self.hosts[host].table.get(self.keys[engine]);
+            let it = self.all[host].table.get(self.keys[engine]);
             if it.is_some_and(|it| !spread || !it.held.contains_key(name)) {
-                line.push((rendezvous::weight(name, id), engine % self.hosts.len()));
+                line.push((rendezvous::weight(name, id), engine % self.all.len()));
             }
         }
         line.sort_unstable();
@@ -235,7 +235,7 @@
 
     fn ask(&mut self, world: &mut World<Word>, host: usize, adapter: usize) {
         let now = world.now;
-        let wait = self.hosts[host].waits.entry(adapter).or_default();
+        let wait = self.all[host].waits.entry(adapter).or_default();
         if wait.asked.is_some_and(|it| it + ASK_AGAIN > now) {
             return;
         }
@@ -244,13 +244,13 @@
         let nth = usize::try_from((wait.asks - 1) / ASKS).unwrap_or(0);
         let waiting = number(wait.waiting.len());
         let to = self.steward(host, adapter, false, nth);
-        let want = Want {
+        let ask = Want {
             from: host,
             adapter,
             spread: None,
             waiting,
         };
-        Self::want(world, to, want);
+        Self::want(world, to, ask);
     }
 
     fn want(world: &mut World<Word>, to: usize, want: Want) {
@@ -261,8 +261,8 @@
 
     fn spread(&mut self, world: &mut World<Word>, host: usize, adapter: usize, from: Key) {
         let now = world.now;
-        let hosts = f64::from(number(self.hosts.len()));
-        let it = &mut self.hosts[host];
+        let hosts = f64::from(number(self.all.len()));
+        let it = &mut self.all[host];
         let belief = it
             .table
             .get(from)
@@ -278,13 +278,13 @@
         *entry = (now, entry.1 + 1);
         let nth = entry.1 - 1;
         let to = self.steward(host, adapter, true, nth);
-        let want = Want {
+        let ask = Want {
             from: host,
             adapter,
             spread: Some(uses * hosts / 2.0),
             waiting: 0,
         };
-        Self::want(world, to, want);
+        Self::want(world, to, ask);
     }
 
     /// Sends a request, and tells the others.
@@ -299,7 +299,7 @@
         self.leave_wait(asked.host, asked.adapter, request);
         let engine = self.engine(choice.key);
         let now = time(world.now);
-        let host = &mut self.hosts[asked.host];
+        let host = &mut self.all[asked.host];
         let Some(it) = host.table.get_mut(choice.key) else {
             return;
         };
@@ -334,7 +334,7 @@
     /// Takes a request off an engine.
     fn leave(&mut self, request: usize, host: usize, adapter: usize, engine: usize) {
         let sent = self.sent.remove(&request).unwrap_or_default();
-        let Some(it) = self.hosts[host].table.get_mut(self.keys[engine]) else {
+        let Some(it) = self.all[host].table.get_mut(self.keys[engine]) else {
             return;
         };
         it.own.running = it.own.running.saturating_sub(1);
@@ -347,15 +347,15 @@
     /// Gives the orders that are due, and takes in what is done.
     fn orders(&mut self, world: &mut World<Word>, host: usize) {
         let now = time(world.now);
-        for done in self.hosts[host].loader.done(now) {
-            if let Some(it) = self.hosts[host].table.get_mut(done.key) {
+        for done in self.all[host].loader.done(now) {
+            if let Some(it) = self.all[host].table.get_mut(done.key) {
                 it.load(&done.name, done.version, now);
             }
             self.wake(world, host, Self::adapter(&done.name));
         }
         loop {
-            let hosts = self.hosts.len();
-            let it = &mut self.hosts[host];
+            let hosts = self.all.len();
+            let it = &mut self.all[host];
             let view = View {
                 table: &it.table,
                 catalog: &self.catalog,
@@ -400,14 +400,14 @@
                 .collect(),
         });
         let now = time(world.now);
-        self.hosts[host].loader.looked(key, report.as_ref(), now);
+        self.all[host].loader.looked(key, report.as_ref(), now);
     }
 
     fn order(&mut self, world: &mut World<Word>, host: usize, order: &Order) {
         let engine = self.engine(order.key);
         let now = time(world.now);
         let adapter = Self::adapter(&order.name);
-        let held = self.hosts[host].table.get_mut(order.key);
+        let held = self.all[host].table.get_mut(order.key);
         if let (Some(it), Some(adapter)) = (held, adapter)
             && it.held.contains_key(&order.name)
         {
@@ -439,9 +439,9 @@
                 Outcome::Accepted
             }
         };
-        let begun = self.hosts[host].loader.answered(order, outcome, now);
+        let begun = self.all[host].loader.answered(order, outcome, now);
         if outcome == Outcome::Refused
-            && let Some(it) = self.hosts[host].table.get_mut(order.key)
+            && let Some(it) = self.all[host].table.get_mut(order.key)
         {
             it.load(&order.name, 0, now);
         }
@@ -487,7 +487,7 @@
             draw: self.random.random(),
         };
         let waited = world.now - asked.at;
-        match place::place(&self.hosts[host].table, &ask, now) {
+        match place::place(&self.all[host].table, &ask, now) {
             Found::At(choice) => {
                 if choice.spread {
                     self.spread(world, host, adapter, choice.key);
@@ -509,12 +509,12 @@
                 world.refuse(request);
             }
             Found::Load | Found::Nowhere => {
-                let wait = self.hosts[host].waits.entry(adapter).or_default();
+                let wait = self.all[host].waits.entry(adapter).or_default();
                 if !wait.waiting.contains(&request) {
                     wait.waiting.push(request);
                 }
                 let load = {
-                    let it = &self.hosts[host];
+                    let it = &self.all[host];
                     it.coming.load(&name, &it.table, now)
                 };
                 let soon = load.map(|it| it.due.saturating_sub(now));
@@ -533,7 +533,7 @@
         self.leave(request, asked.host, asked.adapter, engine);
         let name = self.names[asked.adapter].clone();
         let now = time(world.now);
-        let it = &mut self.hosts[asked.host];
+        let it = &mut self.all[asked.host];
         if let Some(found) = it.table.get_mut(self.keys[engine]) {
             if found.misses(&name, now) {
                 it.loader.arrived(false);
@@ -549,7 +549,7 @@
         let asked = world.requests[request].asked.clone();
         self.leave(request, asked.host, asked.adapter, engine);
         let now = time(world.now);
-        if let Some(it) = self.hosts[asked.host].table.get_mut(self.keys[engine]) {
+        if let Some(it) = self.all[asked.host].table.get_mut(self.keys[engine]) {
             it.circuit.unreachable(now);
         }
         world.look_again(WAY, request);
@@ -563,7 +563,7 @@
         let Some(sent) = self.sent.get_mut(&request) else {
             return;
         };
-        let Some(it) = self.hosts[host].table.get_mut(self.keys[engine]) else {
+        let Some(it) = self.all[host].table.get_mut(self.keys[engine]) else {
             return;
         };
         it.answered = now;
@@ -575,7 +575,7 @@
         sent.unread = 0;
         let belief = it.held.get_mut(name);
         if belief.is_some_and(fleet::engine::Belief::confirm) {
-            self.hosts[host].loader.arrived(true);
+            self.all[host].loader.arrived(true);
             let adapter = asked.adapter;
             self.wake(world, host, Some(adapter));
         }
@@ -591,19 +591,19 @@
     fn listed(&mut self, world: &mut World<Word>, engine: usize) {
         let now = time(world.now);
         let life = world.engines[engine].life;
-        for host in 0..self.hosts.len() {
+        for host in 0..self.all.len() {
             let listing = listing(&world.shape, &self.ids[engine], life);
-            self.hosts[host].table.adopt(listing, now);
+            self.all[host].table.adopt(listing, now);
             self.orders(world, host);
         }
     }
 
-    fn word(&mut self, world: &mut World<Word>, word: Word) {
+    fn word(&mut self, world: &mut World<Word>, it: Word) {
         let now = time(world.now);
-        let to = word.to;
-        match word.says {
+        let to = it.to;
+        match it.says {
             Says::Sent(engine, tokens) => {
-                if let Some(it) = self.hosts[to].table.get_mut(self.keys[engine]) {
+                if let Some(it) = self.all[to].table.get_mut(self.keys[engine]) {
                     it.reads(tokens, now);
                 }
             }
@@ -614,17 +614,17 @@
                     due: time(due),
                 };
                 let name = self.names[adapter].clone();
-                self.hosts[to].coming.announce(name, load);
+                self.all[to].coming.announce(name, load);
                 self.settle(world, to);
                 self.wake(world, to, Some(adapter));
             }
             Says::Leaves(engine, adapter) => {
                 let key = self.keys[engine];
                 let name = self.names[adapter].clone();
-                if let Some(it) = self.hosts[to].table.get_mut(key) {
+                if let Some(it) = self.all[to].table.get_mut(key) {
                     it.drop_hold(&name, now);
                 }
-                self.hosts[to].coming.forget(&name, key);
+                self.all[to].coming.forget(&name, key);
             }
             Says::Want(want) => self.wanted(world, to, &want),
             Says::Orders => {
@@ -636,47 +636,47 @@
 
     fn regular(&mut self, world: &mut World<Word>) {
         let now = time(world.now);
-        for host in 0..self.hosts.len() {
+        for host in 0..self.all.len() {
             let mut loads = Vec::new();
             for (engine, key) in self.keys.iter().enumerate() {
-                if let Some(it) = self.hosts[host].table.get(*key)
+                if let Some(it) = self.all[host].table.get(*key)
                     && it.own != Load::default()
                 {
                     loads.push((engine, it.own));
                 }
             }
-            let began = std::mem::take(&mut self.hosts[host].began);
+            let began = std::mem::take(&mut self.all[host].began);
             let label: Arc<str> = format!("h-{host}").into();
-            let in_transit = self.hosts[host].loader.in_transit();
+            let in_transit = self.all[host].loader.in_transit();
             for to in self.others(host) {
                 for (engine, load) in &loads {
-                    if let Some(it) = self.hosts[to].table.get_mut(self.keys[*engine]) {
+                    if let Some(it) = self.all[to].table.get_mut(self.keys[*engine]) {
                         it.heard(&label, *load, now);
                     }
                 }
-                self.hosts[to].loader.elsewhere += in_transit;
+                self.all[to].loader.elsewhere += in_transit;
             }
             for ((engine, adapter), count) in began {
-                let steward = engine % self.hosts.len();
+                let steward = engine % self.all.len();
                 let running = {
-                    let own = self.hosts[host].table.get(self.keys[engine]);
+                    let own = self.all[host].table.get(self.keys[engine]);
                     let belief = own.and_then(|it| it.held.get(&self.names[adapter]));
                     belief.map_or(0, |it| it.running)
                 };
                 if steward == host {
                     continue;
                 }
-                let it = self.hosts[steward].table.get_mut(self.keys[engine]);
+                let it = self.all[steward].table.get_mut(self.keys[engine]);
                 if let Some(belief) = it.and_then(|it| it.held.get_mut(&self.names[adapter])) {
                     belief.others.insert(label.clone(), (now, running));
                     belief.use_it(now, count);
                 }
             }
         }
-        let total: usize = self.hosts.iter().map(|it| it.loader.in_transit()).sum();
-        for host in 0..self.hosts.len() {
-            let own = self.hosts[host].loader.in_transit();
-            self.hosts[host].loader.elsewhere = total - own;
+        let total: usize = self.all.iter().map(|it| it.loader.in_transit()).sum();
+        for host in 0..self.all.len() {
+            let own = self.all[host].loader.in_transit();
+            self.all[host].loader.elsewhere = total - own;
             self.orders(world, host);
         }
     }
@@ -688,7 +688,7 @@
         let now = time(world.now);
         let adapter = want.adapter;
         let name = self.names[adapter].clone();
-        let it = &self.hosts[to];
+        let it = &self.all[to];
         let held = it.mine.iter().find(|key| {
             let belief = it.table.get(**key).and_then(|it| it.held.get(&name));
             belief.is_some_and(|belief| it.table.age(&name, belief.version, now) == Age::Newest)
@@ -718,7 +718,7 @@
             spread: want.spread,
             waiting: want.waiting,
         };
-        self.hosts[to].loader.want(&ask, now);
+        self.all[to].loader.want(&ask, now);
         self.orders(world, to);
     }
 }
--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -412,6 +412,7 @@
                     && view.table.age(name, it.version, now) != Age::Newest
                     && it.busy(now) == 0
                     && it.uses(now) >= REFRESH_FROM
+                    && works.ledger.contains(*name)
                     && !works.moves(name)
             });
             let Some((name, _)) = old else { return true };
@@ -546,7 +547,12 @@
         {
             return None;
         }
-        if let Some(belief) = engine.held.get(name) {
+        // The list may be old: only by its own word does an engine have a copy to be replaced.
+        if let Some(belief) = engine
+            .held
+            .get(name)
+            .filter(|_| works.ledger.contains(name))
+        {
             let newest = view.table.age(name, belief.version, now) == Age::Newest;
             // An older copy is replaced in place once nothing runs with it.
             return (!newest && belief.busy(now) == 0).then(|| Room::free(engine, now));
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -93,6 +93,11 @@
         engine.lapsed.get_or_insert(now + hold);
     }
 
+    /// When the next engine is dropped, if one is to be.
+    pub fn next_lapse(&self) -> Option<Time> {
+        self.engines.values().filter_map(|it| it.lapsed).min()
+    }
+
     /// Drops the engines whose time to come back is over.
     pub fn expire(&mut self, now: Time) -> Vec<Listing> {
         let over = |it: &Engine| it.lapsed.is_some_and(|at| at <= now);
--- a/crates/fleet/tests/it/loads.rs
+++ b/crates/fleet/tests/it/loads.rs
@@ -440,3 +440,26 @@
     assert_eq!((&*settled[0].0, settled[0].1.version), ("m/x", 2));
     assert!(steward.coming.settle(at(301)).is_empty());
 }
+
+/// The list says that the engine holds an older copy; by its own word it has given that place to another.
+#[test]
+fn an_older_copy_that_only_the_list_names_is_no_place_for_the_newer_one() {
+    for used in [false, true] {
+        let mut steward = Steward::new(&[("i-a", &["b", "c"])]);
+        let key = steward.keys[0];
+        let mut stale = listing("i-a", &["a", "b", "c"]);
+        stale.slots = 9;
+        steward.table.adopt(stale, at(10));
+        steward.table.announce("m/a".into(), 2, at(10));
+        if used {
+            let engine = steward.table.get_mut(key).expect("it is there");
+            let belief = engine.held.get_mut("m/a").expect("the list says so");
+            belief.use_it(at(1000), 5);
+        } else {
+            steward.want("m/a", 1, at(1000));
+        }
+        let loads = |it: &Order| it.op != Op::Unload;
+        let orders = steward.orders(at(1000), Outcome::Accepted);
+        assert!(!orders.iter().any(loads), "{orders:?}");
+    }
+}
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -30,7 +30,9 @@
         } else {
             IDLE
         };
-        let _ = time::timeout(pause, gateway.order.notified()).await;
+        let lapse = gateway.table.borrow().next_lapse();
+        let lapse = lapse.map_or(pause, |it| it.saturating_sub(clock::now()));
+        let _ = time::timeout(pause.min(lapse), gateway.order.notified()).await;
         enter_done(&gateway);
         for step in decide(&gateway) {
             let gateway = gateway.clone();
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -29,6 +29,9 @@
 /// Part of the drain time that is kept for requests on their way to an engine whose entry has vanished.
 const ON_THE_WAY: Duration = Duration::from_millis(500);
 
+/// The same for handing changes on, where other hosts take them from this one.
+const HANDED_ON: Duration = Duration::from_millis(450);
+
 /// First pause after a failed call; it doubles up to [`LONGEST_PAUSE`].
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 
@@ -133,6 +136,7 @@
 /// Time for which changes gather before the next call, since each call is paid for.
 fn gather(gateway: &Gateway, kind: Kind) -> Duration {
     match kind {
+        Kind::Engines if gateway.is_followed() => longest(gateway, kind),
         Kind::Engines => gateway.settings.drain().saturating_sub(LEAVING).max(GATHER),
         Kind::Versions => GATHER,
         Kind::Config | Kind::Hosts | Kind::Claims => Duration::from_millis(50),
@@ -143,7 +147,10 @@
 /// time that it still sees engines leave.
 pub fn longest(gateway: &Gateway, kind: Kind) -> Duration {
     match kind {
-        Kind::Engines => gather(gateway, kind),
+        Kind::Engines => {
+            let rest = LEAVING + HANDED_ON;
+            gateway.settings.drain().saturating_sub(rest).max(GATHER)
+        }
         _ => outage::longest(Blind(gateway.settings.store_blind())),
     }
 }
