Let a request wait for the first configuration of a host that has just started

The refusals weren't logged either. Ruled out: the cut zone (refusals were even over the zones), loads (7 refusals for want of one), leases (12 s). Change: up to 1 s for the first configuration; the refusal after it is logged (no-config).

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use fleet::prefix::Chain;
+use fleet::{catalog::Catalog, prefix::Chain};
 use http_body_util::{BodyExt, Limited};
 use hyper::{
     Method, Request, Response,
@@ -23,6 +23,9 @@
 /// Time after which a caller may come back where another host serves it.
 const ELSEWHERE: Duration = Duration::from_millis(50);
 
+/// Longest time for which a request waits for the first configuration of a host.
+const STARTS: Duration = Duration::from_secs(1);
+
 /// Serves one request.
 pub async fn serve(
     gateway: Rc<Gateway>,
@@ -37,6 +40,16 @@
     job.run().await
 }
 
+/// The configuration. A host that has just started has it in a moment, and its callers may have no more
+/// tries than this one.
+async fn catalog(gateway: &Rc<Gateway>) -> Option<Rc<Catalog>> {
+    let known = gateway.configured.notified();
+    if gateway.catalog().is_none() {
+        let _ = time::timeout(STARTS, known).await;
+    }
+    gateway.catalog()
+}
+
 /// Reads a request and finds its route.
 async fn accept(
     gateway: &Rc<Gateway>,
@@ -48,7 +61,8 @@
         // It might not be done before the end; another host takes it at once.
         return Err(reply::fault(Fault::Stopping, Some(ELSEWHERE)));
     }
-    let Some(catalog) = gateway.catalog() else {
+    let Some(catalog) = catalog(gateway).await else {
+        log::info!(event = "no-config"; "a request is refused: no configuration is known");
         return Err(reply::fault(
             Fault::NoConfig,
             Some(Duration::from_millis(400)),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -83,6 +83,8 @@
     pub callers: Cell<usize>,
     /// Says that the store answers again.
     pub store_regained: Notify,
+    /// Says that a configuration was adopted.
+    pub configured: Notify,
     /// Wakes the sender of orders.
     pub order: Notify,
     /// Wakes the sender of words to other hosts: a list has changed.
@@ -152,6 +154,7 @@
             closing: Cell::default(),
             callers: Cell::default(),
             store_regained: Notify::new(),
+            configured: Notify::new(),
             order: Notify::new(),
             tell: Notify::new(),
             heard: Notify::new(),
@@ -190,6 +193,7 @@
             let version = catalog.version;
             log::info!(event = "config", version; "config of version {version} adopted");
             *self.catalog.borrow_mut() = Some(Rc::new(catalog));
+            self.configured.notify_waiters();
         }
     }
 
