--- a/crates/entry/benches/path/main.rs
+++ b/crates/entry/benches/path/main.rs
@@ -96,10 +96,14 @@
     for number in 0..20 {
         fixture::check_stream(stream(&format!("warm-{number}")), "signs/bay-summary@7");
     }
+    let served = |name: &str| {
+        let ask = fixture::keyed(name, &format!("key-{name}"));
+        ask.send(entry.address()).is_ok_and(|it| it.status == 200)
+    };
+    fixture::wait("keyed calls are served", || served("warm-plain"));
     let idle = idle(id);
     row("own", id, &idle, "plain request", 1, |number| {
-        let ask = fixture::keyed(&format!("plain-{number}"), &format!("key-{number}"));
-        assert_eq!(ask.send(entry.address()).expect("it is served").status, 200);
+        assert!(served(&format!("plain-{number}")), "{number}");
     });
     row(
         "own",
