Mark datagrams with the format of their build

Hosts of two builds stand side by side during a roll-out, and the messages have changed: a datagram of the other build could be read as something else. What must hold between hosts is in the store; advice that can't be read is passed over.

--- a/crates/gateway/src/feed.rs
+++ b/crates/gateway/src/feed.rs
@@ -15,6 +15,7 @@
 };
 
 use crate::{
+    clock,
     dialect::Kind,
     gateway::Gateway,
     kept::{Part, Reach},
@@ -99,7 +100,7 @@
 }
 
 /// The age up to which a reader's view of a list is relied on.
-pub fn bound(gateway: &Gateway, kind: Kind) -> Duration {
+fn bound(gateway: &Gateway, kind: Kind) -> Duration {
     watch::longest(gateway, kind) + LAG
 }
 
@@ -113,7 +114,7 @@
     };
     if reach.last <= own.last && own.as_of > 0 {
         gateway.kept.reach_to(kind, reach.as_of);
-        let now = crate::clock::now();
+        let now = clock::now();
         if let Some(age) = gateway.peers.borrow().age(reader, kind, now) {
             gateway.knows(kind, now.saturating_sub(age));
         }
@@ -126,7 +127,7 @@
         }
         _ => {
             log::info!(event = "reader-failed", host = &*name; "host {name} didn't hand {kind:?} on");
-            let until = crate::clock::now() + READER_FAILED;
+            let until = clock::now() + READER_FAILED;
             gateway.peers.borrow_mut().distrust(&name, until);
         }
     }
@@ -144,7 +145,7 @@
 
 /// What this host does for a list now.
 pub fn role(gateway: &Gateway, kind: Kind) -> Role {
-    let now = crate::clock::now();
+    let now = clock::now();
     let domain = &gateway.settings.domain;
     let others = gateway.peers.borrow().sights(domain, kind, now);
     fleet::reader::role(&gateway.holder, domain, &others, bound(gateway, kind))
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -73,15 +73,15 @@
                 time::sleep(HELLO).await;
                 continue;
             };
-            match postcard::from_bytes(&buffer[..length]) {
-                Ok(Message::Hello(it)) => self.heard(&it, from),
-                Ok(Message::Want(it)) => self.wanted(&it, from).await,
-                Ok(Message::News(it)) => self.news(&it),
-                Ok(Message::Sent(engine, tokens)) => self.sent(engine, tokens),
-                Ok(Message::Leaving(it)) => self.left(&it),
-                Ok(Message::Lists(it)) => self.lists(it, from),
-                Ok(Message::Loads(it)) => self.loads(&it),
-                Err(error) => log::debug!("datagram from {from} can't be read: {error}"),
+            match message::read(&buffer[..length]) {
+                Some(Message::Hello(it)) => self.heard(&it, from),
+                Some(Message::Want(it)) => self.wanted(&it, from).await,
+                Some(Message::News(it)) => self.news(&it),
+                Some(Message::Sent(engine, tokens)) => self.sent(engine, tokens),
+                Some(Message::Leaving(it)) => self.left(&it),
+                Some(Message::Lists(it)) => self.lists(it, from),
+                Some(Message::Loads(it)) => self.loads(&it),
+                None => log::debug!("datagram from {from} can't be read"),
             }
         }
     }
@@ -109,9 +109,7 @@
     /// Tells the others at once that an engine has a prompt to read: it is read before the next regular
     /// word.
     pub fn tell_sent(&self, id: &str, tokens: u32) {
-        let Ok(bytes) = postcard::to_stdvec(&Message::Sent(short(id), tokens)) else {
-            return;
-        };
+        let bytes = message::write(&Message::Sent(short(id), tokens));
         for addr in self.nearest(id) {
             if let Err(error) = self.socket.try_send_to(&bytes, addr) {
                 log::debug!("datagram to {addr} not sent: {error}");
@@ -437,9 +435,7 @@
     }
 
     async fn send(&self, message: &Message, to: SocketAddr) {
-        let Ok(bytes) = postcard::to_stdvec(message) else {
-            return;
-        };
+        let bytes = message::write(message);
         if bytes.len() > DATAGRAM {
             log::debug!("datagram of {} bytes to {to}", bytes.len());
         }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -15,6 +15,24 @@
 /// An engine's id in a datagram.
 pub type Short = u32;
 
+/// First byte of each datagram. It changes with the messages, so that hosts of two builds, side by side
+/// during a roll-out, don't misread each other: what must hold between them is in the store.
+const FORMAT: u8 = 2;
+
+/// The datagram of a message.
+pub fn write(message: &Message) -> Vec<u8> {
+    postcard::to_extend(message, vec![FORMAT]).expect("memory takes any message")
+}
+
+/// Reads a datagram; `None` if it is of another build, or no message.
+pub fn read(datagram: &[u8]) -> Option<Message> {
+    let (format, rest) = datagram.split_first()?;
+    if *format != FORMAT {
+        return None;
+    }
+    postcard::from_bytes(rest).ok()
+}
+
 /// A message between hosts.
 #[derive(Debug, Deserialize, Serialize)]
 pub enum Message {
