Log engines that become ready, leave or are put aside, and hosts that are lost

On-call engineers had a line when an engine's entry was gone, but none for these changes of belief. One line a change.

--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -222,6 +222,9 @@
         let mut hello = self.word(now);
         let loads = self.own_loads();
         let mut runs = self.runs();
+        for host in self.gateway.peers.borrow_mut().lost(now) {
+            log::info!(event = "host-lost", host = &*host; "host {host} is silent or leaves");
+        }
         let known = self.gateway.peers.borrow_mut().known(now);
         for (name, addr) in known {
             if addr == self.gateway.settings.peers {
--- a/crates/gateway/src/job.rs
+++ b/crates/gateway/src/job.rs
@@ -9,6 +9,7 @@
 use fleet::{
     Time,
     catalog::{Kind, Route},
+    circuit::Use,
     prefix::Chain,
     stall::Stage,
     table::Key,
@@ -170,8 +171,15 @@
         }
     }
     pub(crate) fn failed(&self, key: Key) {
+        let now = clock::now();
         if let Some(engine) = self.gateway.table.borrow_mut().get_mut(key) {
-            engine.circuit.failure(clock::now());
+            let before = engine.circuit.state(now);
+            engine.circuit.failure(now);
+            if before != Use::Aside && engine.circuit.state(now) == Use::Aside {
+                let id = &*engine.listing.id;
+                let failures = engine.circuit.failures();
+                log::info!(event = "engine-aside", engine = id, failures; "engine {id} is put aside");
+            }
         }
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -40,6 +40,8 @@
     lists: Word,
     /// Until when it isn't asked for lists, since it didn't answer.
     distrusted: Time,
+    /// Whether it lived when that was looked at last.
+    lived: bool,
 }
 
 /// Other hosts.
@@ -101,6 +103,19 @@
         known
     }
 
+    /// The hosts that lived when this was asked last and don't any more.
+    pub fn lost(&mut self, now: Time) -> Vec<Arc<str>> {
+        let within = LIVES.mul_f64(self.slower());
+        let mut lost = Vec::new();
+        for (name, peer) in &mut self.by_name {
+            let lives = peer.lives(within, now);
+            if std::mem::replace(&mut peer.lived, lives) && !lives {
+                lost.push(name.clone());
+            }
+        }
+        lost
+    }
+
     /// Sets the addresses that the settings name.
     pub fn seed(&mut self, seeds: Vec<SocketAddr>) {
         self.seeds = seeds;
@@ -280,6 +295,7 @@
             claims: Vec::new(),
             lists: Word::default(),
             distrusted: Time::ZERO,
+            lived: false,
         }
     }
 
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -3,7 +3,8 @@
 use std::{collections::HashSet, rc::Rc, time::Duration};
 
 use fleet::{
-    listing::State,
+    engine::Engine,
+    listing::{Listing, State},
     outage::{self, Blind, Call},
     reader::Role,
     table::Removal,
@@ -224,6 +225,24 @@
     }
 }
 
+/// Logs an engine that can be used from now on, or no more.
+fn tell_change(gateway: &Gateway, listing: &Listing) {
+    let table = gateway.table.borrow();
+    let known = table.find(&listing.id).and_then(|it| table.get(it));
+    let same = known.filter(|it| it.listing.born == listing.born);
+    let used = same.is_some_and(Engine::takes_work);
+    let id = &*listing.id;
+    match (used, listing.state == State::Ready) {
+        (false, true) => {
+            log::info!(event = "engine-ready", engine = id, born = listing.born; "engine {id} is ready");
+        }
+        (true, false) => {
+            log::info!(event = "engine-leaving", engine = id; "engine {id} takes no more work");
+        }
+        (true, true) | (false, false) => {}
+    }
+}
+
 /// Takes in one object.
 fn put(gateway: &Rc<Gateway>, kind: Kind, object: &Object) {
     gateway.kept.put(kind, object);
@@ -249,6 +268,7 @@
                 gateway.leaving.borrow_mut().push(life);
             }
             let names: Vec<_> = listing.holds.iter().map(|it| it.name.clone()).collect();
+            tell_change(gateway, &listing);
             gateway.table.borrow_mut().adopt(listing, now);
             for name in &names {
                 gateway.wake(name);
