Write what the gateway, its tests and the soak do twice in one place

Found on reading the whole change: a message to many hosts was encoded once for each of them, the holders of an adapter were looked up for asks that don't use them, the soak opened a connection to see whether it could open one.

--- a/crates/entry/tests/soak/caller.rs
+++ b/crates/entry/tests/soak/caller.rs
@@ -12,7 +12,10 @@
 
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 
-use crate::world::client::{Answer, Ask, read};
+use crate::world::{
+    PATIENCE,
+    client::{Answer, Ask},
+};
 
 /// Requests on one connection at most.
 const ON_ONE: usize = 6;
@@ -123,17 +126,12 @@
         let (id, model, ask) = self.ask(rng, route);
         let ask = ask.within(PATIENCE_MS);
         let sent = Instant::now();
+        if connection.is_none() {
+            *connection = connect(self.hosts[host]);
+        }
         let answer = match connection {
             Some(it) => ask.send_on(it),
-            None => match TcpStream::connect(self.hosts[host]) {
-                Ok(_) => {
-                    let mut stream = ask.open(self.hosts[host]);
-                    let answer = read(&mut stream);
-                    *connection = Some(stream);
-                    answer
-                }
-                Err(_) => Answer::default(),
-            },
+            None => Answer::default(),
         };
         let closes = answer.header("connection") == Some("close");
         if answer.status == 0 || !answer.whole || closes {
@@ -152,6 +150,13 @@
     }
 }
 
+/// A connection to a host, if it takes any.
+fn connect(host: SocketAddr) -> Option<TcpStream> {
+    let stream = TcpStream::connect(host).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).ok()?;
+    Some(stream)
+}
+
 /// Asks until it is told to stop.
 pub fn spawn(shared: &Arc<Shared>, seed: u64) -> JoinHandle<()> {
     let shared = shared.clone();
--- a/crates/fleet/src/reader.rs
+++ b/crates/fleet/src/reader.rs
@@ -25,6 +25,16 @@
     Away,
 }
 
+impl Sight {
+    /// How long ago its lists were complete, if it reads them.
+    pub fn age(self) -> Option<Duration> {
+        match self {
+            Self::Reads(age) => Some(age),
+            Self::Follows | Self::Away => None,
+        }
+    }
+}
+
 /// Another host of the domain that lives.
 #[derive(Clone, Debug)]
 pub struct Other {
@@ -61,7 +71,7 @@
     if before < readers {
         return Role::Read;
     }
-    let fresh = |it: &&Other| matches!(it.sight, Sight::Reads(age) if age <= bound);
+    let fresh = |it: &&Other| it.sight.age().is_some_and(|age| age <= bound);
     others
         .iter()
         .filter(fresh)
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -134,6 +134,12 @@
         self.shorts.get(&short).copied()
     }
 
+    /// The engine of an id's short form.
+    pub fn get_short(&mut self, short: u32) -> Option<&mut Engine> {
+        let key = self.find_short(short)?;
+        self.engines.get_mut(&key)
+    }
+
     /// All engines.
     pub fn iter(&self) -> impl Iterator<Item = (Key, &Engine)> {
         self.engines.iter().map(|(key, it)| (*key, it))
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -1,7 +1,7 @@
 //! What the parts of one host share. All of it belongs to one thread; no borrow is held across a wait.
 
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, RefCell, RefMut},
     collections::{HashMap, VecDeque},
     rc::Rc,
     sync::Arc,
@@ -14,7 +14,7 @@
     catalog::Catalog,
     coming::Coming,
     listing::Name,
-    loader::Loader,
+    loader::{self, Loader},
     place::{self, Ask, Place},
     prefix::Chain,
     table::{Key, Removal, Table},
@@ -265,23 +265,25 @@
         }
     }
 
+    /// The budget of a service.
+    fn budget(&self, service: &Arc<str>) -> RefMut<'_, Budget> {
+        RefMut::map(self.budgets.borrow_mut(), |it| {
+            let budget = it.entry(service.clone());
+            budget.or_insert_with(|| Budget::new(self.started))
+        })
+    }
+
     /// Counts a caller's request to a service.
     pub fn count_request(&self, service: &Arc<str>) {
-        let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets
-            .entry(service.clone())
-            .or_insert_with(|| Budget::new(self.started));
-        budget.request(clock::now(), self.settings.budget());
+        let rule = self.settings.budget();
+        self.budget(service).request(clock::now(), rule);
     }
 
     /// Takes one repeat of the budget of a service.
     pub fn may_repeat(&self, service: &Arc<str>) -> bool {
         let hosts = self.peers.borrow().hosts();
-        let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets
-            .entry(service.clone())
-            .or_insert_with(|| Budget::new(self.started));
-        let may = budget.repeat(clock::now(), self.settings.budget(), hosts);
+        let rule = self.settings.budget();
+        let may = self.budget(service).repeat(clock::now(), rule, hosts);
         let outcome = if may { "sent" } else { "refused" };
         self.metrics.repeat(service, outcome);
         may
@@ -290,11 +292,8 @@
     /// Whether the budget of a service has a repeat left.
     pub fn has_repeat(&self, service: &Arc<str>) -> bool {
         let hosts = self.peers.borrow().hosts();
-        let mut budgets = self.budgets.borrow_mut();
-        let budget = budgets
-            .entry(service.clone())
-            .or_insert_with(|| Budget::new(self.started));
-        budget.has_repeat(clock::now(), self.settings.budget(), hosts)
+        let rule = self.settings.budget();
+        self.budget(service).has_repeat(clock::now(), rule, hosts)
     }
 
     /// Finds a place for a request.
@@ -318,6 +317,12 @@
         place::place(&self.table.borrow(), &ask, clock::now())
     }
 
+    /// Takes in an ask for a load at one of this host's own engines.
+    pub fn want(&self, ask: &loader::Ask) {
+        self.loader.borrow_mut().want(ask, clock::now());
+        self.order.notify_one();
+    }
+
     /// Whether to ask for one more copy of an adapter now: how many were asked for, and the decayed uses
     /// that the copy would take from the engine that has it.
     pub fn spreads(&self, name: &Name, from: Key, now: Time) -> Option<(usize, f64)> {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -10,7 +10,7 @@
     listing::Name,
     loader,
     rendezvous::{self, short},
-    table::Key,
+    table::{Age, Key},
 };
 use tokio::{net::UdpSocket, time};
 
@@ -90,19 +90,13 @@
     pub async fn spread(&self) {
         let leaving: Vec<Life> = self.gateway.leaving.borrow_mut().drain(..).collect();
         if !leaving.is_empty() {
-            for addr in self.audience() {
-                self.send(&Message::Leaving(leaving.clone()), addr).await;
-            }
+            self.send_all(&Message::Leaving(leaving), &self.audience())
+                .await;
         }
         let news: Vec<News> = self.gateway.news.borrow_mut().drain(..).collect();
-        if news.is_empty() {
-            return;
-        }
         for part in news.chunks(NAMED) {
             let message = Message::News(part.to_vec());
-            for addr in self.audience() {
-                self.send(&message, addr).await;
-            }
+            self.send_all(&message, &self.audience()).await;
         }
     }
 
@@ -120,8 +114,7 @@
     fn left(&self, lives: &[Life]) {
         let mut table = self.gateway.table.borrow_mut();
         for life in lives {
-            let key = table.find_short(life.engine);
-            if let Some(engine) = key.and_then(|it| table.get_mut(it)) {
+            if let Some(engine) = table.get_short(life.engine) {
                 engine.leaves(life.born);
             }
         }
@@ -129,8 +122,7 @@
 
     fn sent(&self, engine: Short, tokens: u32) {
         let mut table = self.gateway.table.borrow_mut();
-        let key = table.find_short(engine);
-        if let Some(engine) = key.and_then(|it| table.get_mut(it)) {
+        if let Some(engine) = table.get_short(engine) {
             engine.reads(tokens, clock::now());
         }
     }
@@ -148,7 +140,6 @@
         let Some(steward) = self.steward(service, name, spread.is_some(), nth) else {
             return false;
         };
-        let now = clock::now();
         if *steward == *self.gateway.holder {
             let ask = loader::Ask {
                 host: self.gateway.holder.clone(),
@@ -157,8 +148,7 @@
                 spread,
                 waiting,
             };
-            self.gateway.loader.borrow_mut().want(&ask, now);
-            self.gateway.order.notify_one();
+            self.gateway.want(&ask);
             return true;
         }
         let Some(addr) = self.gateway.peers.borrow().addr(&steward) else {
@@ -246,9 +236,7 @@
         let message = Message::Lists(feed::word(&self.gateway));
         let domain = &self.gateway.settings.domain;
         let near = self.gateway.peers.borrow().near(domain, clock::now());
-        for addr in near {
-            self.send(&message, addr).await;
-        }
+        self.send_all(&message, &near).await;
     }
 
     fn lists(&self, word: Word, from: SocketAddr) {
@@ -279,8 +267,7 @@
         let host: Arc<str> = loads.host.as_str().into();
         let mut table = self.gateway.table.borrow_mut();
         for (engine, running, unread) in &loads.loads {
-            let key = table.find_short(*engine);
-            if let Some(engine) = key.and_then(|it| table.get_mut(it)) {
+            if let Some(engine) = table.get_short(*engine) {
                 let load = Load {
                     running: *running,
                     unread: *unread,
@@ -347,8 +334,7 @@
         self.gateway.heard.notify_waiters();
         let mut table = self.gateway.table.borrow_mut();
         for run in &hello.runs {
-            let key = table.find_short(run.engine);
-            let Some(engine) = key.and_then(|it| table.get_mut(it)) else {
+            let Some(engine) = table.get_short(run.engine) else {
                 continue;
             };
             if let Some(belief) = engine.held.get_mut(run.name.as_str()) {
@@ -359,41 +345,44 @@
     }
 
     async fn wanted(&self, want: &Want, from: SocketAddr) {
-        let service: Arc<str> = want.service.as_str().into();
         let name: Name = want.name.as_str().into();
-        let now = clock::now();
-        let there: Vec<News> = {
-            let table = self.gateway.table.borrow();
-            let mine = self.gateway.mine();
-            let holds = |key: &Key| {
-                let engine = table.get(*key)?;
-                let version = engine.held.get(&name)?.version;
-                let newest = table.age(&name, version, now) == fleet::table::Age::Newest;
-                let there = Some((version, Duration::ZERO));
-                newest.then(|| message::news(&engine.listing.id, &name, there))
-            };
-            let comes = || {
-                let load = self.gateway.coming.borrow().load(&name, &table, now)?;
-                let engine = table.get(load.key)?;
-                let comes = Some((load.version, load.due.saturating_sub(now)));
-                Some(message::news(&engine.listing.id, &name, comes))
-            };
-            let held = mine.iter().filter_map(holds);
-            held.chain(comes()).collect()
-        };
-        if !there.is_empty() && want.spread.is_none() {
-            self.send(&Message::News(there), from).await;
-            return;
+        if want.spread.is_none() {
+            let there = self.holders(&name);
+            if !there.is_empty() {
+                self.send(&Message::News(there), from).await;
+                return;
+            }
         }
         let ask = loader::Ask {
             host: from.to_string().into(),
-            service,
+            service: want.service.as_str().into(),
             name,
             spread: want.spread,
             waiting: want.waiting,
         };
-        self.gateway.loader.borrow_mut().want(&ask, now);
-        self.gateway.order.notify_one();
+        self.gateway.want(&ask);
+    }
+
+    /// The engines of this host that hold the newest version of an adapter, and a load of it elsewhere.
+    fn holders(&self, name: &Name) -> Vec<News> {
+        let now = clock::now();
+        let mine = self.gateway.mine();
+        let table = self.gateway.table.borrow();
+        let holds = |key: &Key| {
+            let engine = table.get(*key)?;
+            let version = engine.held.get(name)?.version;
+            let newest = table.age(name, version, now) == Age::Newest;
+            let there = Some((version, Duration::ZERO));
+            newest.then(|| message::news(&engine.listing.id, name, there))
+        };
+        let comes = || {
+            let load = self.gateway.coming.borrow().load(name, &table, now)?;
+            let engine = table.get(load.key)?;
+            let comes = Some((load.version, load.due.saturating_sub(now)));
+            Some(message::news(&engine.listing.id, name, comes))
+        };
+        let held = mine.iter().filter_map(holds);
+        held.chain(comes()).collect()
     }
 
     fn news(&self, news: &[News]) {
@@ -438,12 +427,19 @@
     }
 
     async fn send(&self, message: &Message, to: SocketAddr) {
+        self.send_all(message, &[to]).await;
+    }
+
+    /// Sends the same message to many, written once.
+    async fn send_all(&self, message: &Message, to: &[SocketAddr]) {
         let bytes = message::write(message);
         if bytes.len() > DATAGRAM {
-            log::debug!("datagram of {} bytes to {to}", bytes.len());
+            log::debug!("datagram of {} bytes", bytes.len());
         }
-        if let Err(error) = self.socket.send_to(&bytes, to).await {
-            log::debug!("datagram to {to} not sent: {error}");
+        for addr in to {
+            if let Err(error) = self.socket.send_to(&bytes, addr).await {
+                log::debug!("datagram to {addr} not sent: {error}");
+            }
         }
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -86,7 +86,7 @@
 
     /// Addresses of the hosts of a domain that live and stay.
     pub fn near(&self, domain: &str, now: Time) -> Vec<SocketAddr> {
-        let near = self.alive(now).filter(|it| *it.1.domain == *domain);
+        let near = self.neighbours(domain, now);
         near.map(|it| it.1.addr).collect()
     }
 
@@ -105,7 +105,7 @@
 
     /// The hosts that lived when this was asked last and don't any more.
     pub fn lost(&mut self, now: Time) -> Vec<Arc<str>> {
-        let within = LIVES.mul_f64(self.slower());
+        let within = self.within();
         let mut lost = Vec::new();
         for (name, peer) in &mut self.by_name {
             let lives = peer.lives(within, now);
@@ -160,15 +160,25 @@
         std::mem::take(&mut self.began)
     }
 
+    /// A host that was heard within this time lives.
+    fn within(&self) -> Duration {
+        LIVES.mul_f64(self.slower())
+    }
+
     fn alive(&self, now: Time) -> impl Iterator<Item = (&Arc<str>, &Peer)> {
-        let within = LIVES.mul_f64(self.slower());
+        let within = self.within();
         let hosts = self.by_name.iter();
         hosts.filter(move |it| it.1.lives(within, now))
     }
 
+    /// The hosts of a domain that live and stay.
+    fn neighbours(&self, domain: &str, now: Time) -> impl Iterator<Item = (&Arc<str>, &Peer)> {
+        self.alive(now).filter(move |it| *it.1.domain == *domain)
+    }
+
     /// How the other living hosts of a domain see a list.
     pub fn sights(&self, domain: &str, kind: Kind, now: Time) -> Vec<Other> {
-        let near = self.alive(now).filter(|it| *it.1.domain == *domain);
+        let near = self.neighbours(domain, now);
         near.map(|(name, it)| Other {
             name: name.clone(),
             sight: it.sight(kind, now),
@@ -178,7 +188,7 @@
 
     /// Whether another living host of a domain takes its lists from others.
     pub fn has_followers(&self, domain: &str, now: Time) -> bool {
-        let mut near = self.alive(now).filter(|it| *it.1.domain == *domain);
+        let mut near = self.neighbours(domain, now);
         near.any(|it| it.1.sight(Kind::Engines, now) == Sight::Follows)
     }
 
@@ -190,20 +200,12 @@
 
     /// How long ago a reader read a list.
     pub fn age(&self, reader: &str, kind: Kind, now: Time) -> Option<Duration> {
-        match self.by_name.get(reader)?.sight(kind, now) {
-            Sight::Reads(age) => Some(age),
-            Sight::Follows | Sight::Away => None,
-        }
+        self.by_name.get(reader)?.sight(kind, now).age()
     }
 
     /// The least age of a list that another living host has read.
     pub fn youngest(&self, kind: Kind, now: Time) -> Option<Duration> {
-        let ages = self
-            .alive(now)
-            .filter_map(|it| match it.1.sight(kind, now) {
-                Sight::Reads(age) => Some(age),
-                Sight::Follows | Sight::Away => None,
-            });
+        let ages = self.alive(now).filter_map(|it| it.1.sight(kind, now).age());
         ages.min()
     }
 
@@ -234,9 +236,8 @@
 
     /// Whether a host lives and stays.
     pub fn is_live(&self, name: &str, now: Time) -> bool {
-        let within = LIVES.mul_f64(self.slower());
         let peer = self.by_name.get(name);
-        peer.is_some_and(|it| it.lives(within, now))
+        peer.is_some_and(|it| it.lives(self.within(), now))
     }
 
     /// The living host that says it orders an engine.
