Bound the batch of the log's writer, so that drops are counted exactly

Cause: the writer took all waiting lines into one batch while producers went on, so a batch had no limit, and it reset the count of dropped lines before the blocked write. The batch now has at most MAX_LINES lines and the count is reported after the write, also when no line follows.

Ruled out: a wrong bound in the test; check and bound are unchanged.

--- a/crates/telemetry/src/log/ring.rs
+++ b/crates/telemetry/src/log/ring.rs
@@ -75,25 +75,35 @@
     }
 }
 
-/// Writes lines in batches until all producers are dropped or a write fails.
+/// Writes lines in batches until all producers are dropped or a write fails. A batch has at most
+/// [`MAX_LINES`] lines, so a blocked reader holds up no more than that beside a full buffer.
 fn write_batches(receiver: &Receiver<String>, dropped: &AtomicU64, mut out: impl Write) {
     while let Ok(line) = receiver.recv() {
         let mut text = line + "\n";
-        for line in receiver.try_iter() {
+        for line in receiver.try_iter().take(MAX_LINES - 1) {
             text.push_str(&line);
             text.push('\n');
         }
-        let count = dropped.swap(0, Ordering::Relaxed);
-        if count > 0 {
-            text.push_str(&format_dropped(count));
+        if out.write_all(text.as_bytes()).is_err() {
+            return;
         }
-        if out.write_all(text.as_bytes()).is_err() || out.flush().is_err() {
+        // Lines that were dropped during a blocked write are reported right after it, since no
+        // later line may follow.
+        if write_drop_count(dropped, &mut out).is_err() || out.flush().is_err() {
             return;
         }
         thread::sleep(BATCH_INTERVAL);
     }
 }
 
+/// Writes and resets the number of dropped lines, if there are any.
+fn write_drop_count(dropped: &AtomicU64, out: &mut impl Write) -> io::Result<()> {
+    match dropped.swap(0, Ordering::Relaxed) {
+        0 => Ok(()),
+        count => out.write_all(format_dropped(count).as_bytes()),
+    }
+}
+
 /// Formats the log line that reports dropped lines.
 fn format_dropped(count: u64) -> String {
     let line = serde_json::json!({
