--- a/crates/experiment/src/platform/hosts.rs
+++ b/crates/experiment/src/platform/hosts.rs
@@ -585,11 +585,14 @@
                     self.send_request(simulation, request, &choice, &chain);
                 }
             }
-            Placement::Load | Placement::Unavailable if waited > MAX_HOLD => {
+            // The modelled engines ask for no back-off.
+            Placement::BackOff(..) | Placement::Load | Placement::Unavailable
+                if waited > MAX_HOLD =>
+            {
                 self.remove_waiter(host, adapter, request);
                 simulation.refuse(request);
             }
-            Placement::Load | Placement::Unavailable => {
+            Placement::BackOff(..) | Placement::Load | Placement::Unavailable => {
                 let wait = self.states[host].waits.entry(adapter).or_default();
                 if !wait.requests.contains(&request) {
                     wait.requests.push(request);
--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     Time,
+    backoff::Backoff,
     circuit::Circuit,
     listing::{Held, Listing, Name, State},
     prefix::Cache,
@@ -153,6 +154,10 @@
     remote_work: HashMap<Arc<str>, (Time, Workload)>,
     /// Circuit breaker, fed by the responses of the engine.
     pub circuit: Circuit,
+    /// Back-off that the engine has asked this host for.
+    pub backoff: Backoff,
+    /// True once this incarnation is known to accept no more work, whatever its entry says later.
+    leaving: bool,
     /// When the engine is expected to finish the prefill of all prompts that are known to be sent.
     prefill_end: Time,
     /// Send time and tokens of the prompts whose prefill isn't known to be done.
@@ -182,6 +187,8 @@
             local_work: Workload::default(),
             remote_work: HashMap::new(),
             circuit: Circuit::default(),
+            backoff: Backoff::default(),
+            leaving: false,
             prefill_end: Time::ZERO,
             pending_prompts: VecDeque::new(),
             recent_prompts: VecDeque::new(),
@@ -195,8 +202,14 @@
     }
 
     /// Adopts the current entry of the platform's list. A new incarnation holds nothing of the previous one.
+    /// An entry of an earlier incarnation comes from an older copy of the store and is ignored.
     pub fn update(&mut self, listing: Listing, now: Time) {
+        if listing.incarnation < self.listing.incarnation {
+            return;
+        }
         if listing.incarnation != self.listing.incarnation {
+            self.leaving = false;
+            self.backoff = Backoff::default();
             self.held.clear();
             self.recently_removed.clear();
             self.prefix_cache.clear();
@@ -222,6 +235,7 @@
             listed(name)
                 || (!estimate.loaded_at.is_zero() && estimate.loaded_at + OBSERVATION_TTL > now)
         });
+        self.leaving |= listing.state != State::Ready;
         self.listing = listing;
     }
 
@@ -326,15 +340,29 @@
             .clamp(0.8, 20.0);
     }
 
-    /// Records another host's report that an incarnation of the engine accepts no more work.
-    pub fn mark_leaving(&mut self, incarnation: u64) {
+    /// Records that an incarnation of the engine accepts no more work. Only a new incarnation undoes this.
+    /// Returns whether it was not known before.
+    pub fn mark_leaving(&mut self, incarnation: u64) -> bool {
+        let is_news = self.listing.incarnation == incarnation && !self.leaving;
+        self.leaving |= is_news;
+        is_news
+    }
+
+    /// Records another host's report that the entry of an incarnation has vanished. A later entry undoes
+    /// this, since entries of live engines also lapse.
+    pub fn mark_vanished(&mut self, incarnation: u64) {
         if self.listing.incarnation == incarnation && self.accepts_work() {
             self.listing.state = State::Leaving(None);
         }
     }
 
+    /// Returns whether this incarnation is known to accept no more work for good.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving
+    }
+
     /// Returns whether the engine accepts new work.
     pub fn accepts_work(&self) -> bool {
-        self.listing.state == State::Ready
+        self.listing.state == State::Ready && !self.leaving
     }
 }
--- a/crates/fleet/src/lease.rs
+++ b/crates/fleet/src/lease.rs
@@ -7,7 +7,7 @@
 
 use std::time::Duration;
 
-use crate::Time;
+use crate::{Time, era::Position};
 
 /// Time from the sending of a renewal to the end of the lease. It exceeds the usual outages of the store,
 /// so that engines still get orders during them. On the other hand, the engines of a crashed host get no new
@@ -38,26 +38,55 @@
 
     /// Returns whether orders may be sent now.
     pub fn is_valid(self, now: Time) -> bool {
-        self.0.is_some_and(|it| now + SAFETY_MARGIN < it + TERM)
+        self.orders_end().is_some_and(|it| now < it)
+    }
+
+    /// Returns when orders have to stop unless the lease is renewed.
+    pub fn orders_end(self) -> Option<Time> {
+        self.0.map(|it| it + TERM.saturating_sub(SAFETY_MARGIN))
     }
 }
 
 /// A confirmed claim of this host on an engine.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Claim {
-    /// Fencing token: the store's revision of the write that created the claim.
+    /// Fencing token, from the position of the write that created the claim
+    /// ([`crate::era::fencing_token`]).
     pub fence: u64,
     /// Earliest time at which this host may send orders to the engine.
     pub valid_from: Time,
+    /// Set if the store has lost the claim since: the end of the lease at that time. Renewals of the lease
+    /// don't extend it, since other hosts don't see the claim any more.
+    pub valid_until: Option<Time>,
+}
+
+impl Claim {
+    /// Returns whether orders may be sent now.
+    pub fn is_valid(self, lease: Lease, now: Time) -> bool {
+        self.valid_from <= now
+            && match self.valid_until {
+                Some(it) => now < it,
+                None => lease.is_valid(now),
+            }
+    }
+
+    /// Records that the store may have lost the claim. Orders may be sent until the lease would have ended
+    /// without further renewals.
+    pub fn mark_lost(&mut self, lease: Lease) {
+        let end = lease.orders_end().unwrap_or_default();
+        self.valid_until = Some(self.valid_until.map_or(end, |it| it.min(end)));
+    }
 }
 
 /// State of another host's lease, as read from the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Observation {
-    /// The lease was last renewed at this revision of the store.
-    Renewed(u64),
+    /// The lease was last renewed at this position of the store's history.
+    Renewed(Position),
     /// The lease was released, or never existed.
     Released,
+    /// There is no lease, but the store may have lost it.
+    MaybeLost,
 }
 
 /// Tracks the lease of a host that sends no heartbeats.
@@ -87,7 +116,7 @@
     /// Returns the time by which the lease is certain to have ended.
     pub fn latest_end(&self) -> Time {
         match self.observation {
-            Observation::Renewed(_) => self.since + TERM,
+            Observation::Renewed(_) | Observation::MaybeLost => self.since + TERM,
             Observation::Released => self.since,
         }
     }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,10 +10,12 @@
 //!
 //! This crate has no I/O, threads or clock. The time is an argument: a [`Time`] since an arbitrary origin.
 
+pub mod backoff;
 pub mod budget;
 pub mod catalog;
 pub mod circuit;
 pub mod engine;
+pub mod era;
 pub mod in_flight;
 pub mod lease;
 pub mod listing;
--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -594,6 +594,7 @@
             || state.in_flight.len() >= MAX_IN_FLIGHT
             || state.is_changing(name)
             || matches!(engine.circuit.state(now), State::Open | State::Unreachable)
+            || engine.backoff.closed_until(now).is_some()
         {
             return None;
         }
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -92,6 +92,9 @@
     Delay(Choice),
     /// No usable engine holds the adapter.
     Load,
+    /// The engines that could serve the request have asked this host for a back-off, which ends at this time
+    /// at the first of them.
+    BackOff(Key, Time),
     /// No engine of the service is usable.
     Unavailable,
 }
@@ -121,6 +124,7 @@
         return Placement::Unavailable;
     }
     let mut best: Option<(f64, f64, Key, bool)> = None;
+    let mut first_open: Option<(Time, Key)> = None;
     let mut lowest_cost = f64::INFINITY;
     let mut random = request.random;
     for (key, engine) in &usable {
@@ -128,6 +132,12 @@
         if unreachable && request.name.is_some() {
             continue;
         }
+        if let Some(until) = engine.backoff.closed_until(now) {
+            if request.name.is_none_or(|it| engine.held.contains_key(it)) {
+                first_open = Some(first_open.map_or((until, *key), |it| it.min((until, *key))));
+            }
+            continue;
+        }
         let wait_ms = expected_wait_ms(engine, request, now);
         let mut cost = wait_ms + extra_cost_ms(engine, request, now);
         lowest_cost = lowest_cost.min(cost);
@@ -168,8 +178,11 @@
                 Placement::Send(choice)
             }
         }
-        None if request.name.is_some() => Placement::Load,
-        None => Placement::Unavailable,
+        None => match first_open {
+            Some((until, key)) => Placement::BackOff(key, until),
+            None if request.name.is_some() => Placement::Load,
+            None => Placement::Unavailable,
+        },
     }
 }
 
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -1,7 +1,7 @@
 //! All engines and instances of plain services that this host knows, and the newest versions of adapters.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, VecDeque},
     sync::Arc,
     time::Duration,
 };
@@ -33,6 +33,9 @@
 /// platform's limit is 5 s, of which up to 1 s passes before the announcement is read.
 const OLDER_VERSION_TTL: Duration = Duration::from_millis(2500);
 
+/// Maximum number of removed engines that are remembered.
+const MAX_DEPARTED: usize = 16_384;
+
 /// Condition of the store when an entry vanished from the platform's list.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Removal {
@@ -49,9 +52,21 @@
     ids: HashMap<Arc<str>, Key>,
     short_ids: HashMap<u32, Key>,
     next_key: u32,
+    /// The last incarnations of removed engines.
+    departed: HashMap<Arc<str>, Departed>,
+    /// Ids of the removed engines, oldest first.
+    departed_order: VecDeque<Arc<str>>,
     versions: HashMap<Name, Announced>,
 }
 
+/// A removed engine.
+#[derive(Clone, Copy, Debug)]
+struct Departed {
+    incarnation: u64,
+    /// True if it was known to accept no more work, so that it can't come back.
+    leaving: bool,
+}
+
 /// The newest announced version of an adapter.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Announced {
@@ -74,10 +89,36 @@
         self.next_key += 1;
         self.ids.insert(listing.id.clone(), key);
         self.short_ids.insert(short_id(&listing.id), key);
-        self.engines.insert(key, Engine::new(listing, now));
+        let departed = self.departed.get(&listing.id).copied();
+        let mut engine = Engine::new(listing, now);
+        if let Some(it) = departed.filter(|it| it.leaving) {
+            engine.mark_leaving(it.incarnation);
+        }
+        self.engines.insert(key, engine);
         key
     }
 
+    /// Returns whether this incarnation, or a later one, was removed. The entry may then come from an older
+    /// copy of the store.
+    pub fn has_departed(&self, listing: &Listing) -> bool {
+        let departed = self.departed.get(&listing.id);
+        !self.ids.contains_key(&listing.id)
+            && departed.is_some_and(|it| listing.incarnation <= it.incarnation)
+    }
+
+    /// Remembers a removed engine.
+    fn record_departure(&mut self, id: &Arc<str>, departed: Departed) {
+        if self.departed.insert(id.clone(), departed).is_some() {
+            return;
+        }
+        self.departed_order.push_back(id.clone());
+        if self.departed_order.len() > MAX_DEPARTED
+            && let Some(oldest) = self.departed_order.pop_front()
+        {
+            self.departed.remove(&oldest);
+        }
+    }
+
     /// Records that the entry of an engine has vanished. [`Table::remove_expired`] removes the engine, after
     /// a grace period if it may still be alive. If the store has answered throughout, that period ends at
     /// `latest`.
@@ -112,7 +153,12 @@
             .collect();
         for listing in &removed {
             if let Some(key) = self.ids.remove(&listing.id) {
-                self.engines.remove(&key);
+                let engine = self.engines.remove(&key);
+                let departed = Departed {
+                    incarnation: listing.incarnation,
+                    leaving: engine.is_some_and(|it| it.is_leaving()),
+                };
+                self.record_departure(&listing.id, departed);
                 self.short_ids.retain(|_, it| *it != key);
             }
         }
--- a/crates/fleet/tests/it/leases.rs
+++ b/crates/fleet/tests/it/leases.rs
@@ -1,9 +1,17 @@
 //! Tests that two hosts never send orders to the same engine at the same time.
 
-use fleet::lease::{Lease, LeaseWatch, Observation, SAFETY_MARGIN, TERM};
+use fleet::{
+    era::{Era, Position},
+    lease::{Claim, Lease, LeaseWatch, Observation, SAFETY_MARGIN, TERM},
+};
 
 use crate::fixture::{at, ms};
 
+/// Observation of a lease that was renewed at this revision of the first era.
+fn renewed(rev: u64) -> Observation {
+    Observation::Renewed(Position { era: Era(1), rev })
+}
+
 /// Returns when the holder must stop ordering after a renewal that was sent at `sent`.
 fn holder_end(sent: u64) -> fleet::Time {
     (at(sent) + TERM).saturating_sub(SAFETY_MARGIN)
@@ -32,8 +40,8 @@
         for read in [0, 100, 5000] {
             let mut lease = Lease::default();
             lease.renew(at(0));
-            let mut watch = LeaseWatch::new(Observation::Renewed(7), at(effect + read));
-            watch.observe(Observation::Renewed(7), at(effect + read + 3000));
+            let mut watch = LeaseWatch::new(renewed(7), at(effect + read));
+            watch.observe(renewed(7), at(effect + read + 3000));
             assert!(!lease.is_valid(watch.latest_end()));
         }
     }
@@ -41,9 +49,45 @@
 
 #[test]
 fn an_observed_renewal_restarts_the_wait_and_a_release_ends_it() {
-    let mut watch = LeaseWatch::new(Observation::Renewed(7), at(0));
-    watch.observe(Observation::Renewed(9), at(5000));
+    let mut watch = LeaseWatch::new(renewed(7), at(0));
+    watch.observe(renewed(9), at(5000));
     assert_eq!(watch.latest_end(), at(5000) + TERM);
     watch.observe(Observation::Released, at(6000));
     assert_eq!(watch.latest_end(), at(6000));
 }
+
+/// The store has lost the claim of a host that still gives orders: another host that finds neither claim nor
+/// lease in the new era waits until the lease has ended, even if the holder never hears of the new era.
+#[test]
+fn a_lost_claim_is_not_extended_and_a_missing_lease_is_waited_for() {
+    let mut lease = Lease::default();
+    lease.renew(at(0));
+    let mut claim = Claim {
+        fence: 7,
+        valid_from: at(100),
+        valid_until: None,
+    };
+    assert!(!claim.is_valid(lease, at(99)));
+    claim.mark_lost(lease);
+    lease.renew(at(3000));
+    claim.mark_lost(lease);
+    assert!(claim.is_valid(lease, holder_end(0).saturating_sub(ms(1))));
+    assert!(!claim.is_valid(lease, holder_end(0)));
+    // The last renewal before the rollback may have been sent just before it.
+    let rolled_back = 0;
+    let mut watch = LeaseWatch::new(Observation::MaybeLost, at(rolled_back));
+    watch.observe(Observation::MaybeLost, at(rolled_back + 3000));
+    assert!(!claim.is_valid(lease, watch.latest_end()));
+    assert_eq!(watch.latest_end(), at(rolled_back) + TERM);
+}
+
+#[test]
+fn the_same_revision_of_another_era_is_another_renewal() {
+    let position = |era| Position {
+        era: Era(era),
+        rev: 7,
+    };
+    let mut watch = LeaseWatch::new(Observation::Renewed(position(1)), at(0));
+    watch.observe(Observation::Renewed(position(2)), at(5000));
+    assert_eq!(watch.latest_end(), at(5000) + TERM);
+}
--- a/crates/fleet/tests/it/main.rs
+++ b/crates/fleet/tests/it/main.rs
@@ -1,6 +1,8 @@
 //! Tests of the decisions, without sockets or clocks.
 
+mod backoffs;
 mod budgets;
+mod eras;
 mod fixture;
 mod leases;
 mod loads;
--- a/crates/fleet/tests/it/placements.rs
+++ b/crates/fleet/tests/it/placements.rs
@@ -28,7 +28,7 @@
 fn chosen(placement: Placement) -> Option<Key> {
     match placement {
         Placement::Send(it) | Placement::Delay(it) => Some(it.key),
-        Placement::Load | Placement::Unavailable => None,
+        Placement::BackOff(..) | Placement::Load | Placement::Unavailable => None,
     }
 }
 
--- a/crates/fleet/tests/it/tables.rs
+++ b/crates/fleet/tests/it/tables.rs
@@ -1,7 +1,7 @@
 //! Tests of the estimated state of engines.
 
 use fleet::{
-    listing::State,
+    listing::{Listing, State},
     prefix::{Cache, Chain, Part},
     table::{Freshness, Removal},
 };
@@ -102,10 +102,10 @@
 fn a_report_about_one_incarnation_does_not_apply_to_another() {
     let (mut table, keys) = table(&[("i-1", &[])]);
     let engine = table.get_mut(keys[0]).expect("the engine exists");
-    engine.mark_leaving(9);
+    assert!(!engine.mark_leaving(9));
     assert!(engine.accepts_work());
-    engine.mark_leaving(1);
-    assert_eq!(engine.listing.state, State::Leaving(None));
+    assert!(engine.mark_leaving(1));
+    assert!(!engine.accepts_work());
 }
 
 #[test]
@@ -194,3 +194,67 @@
     assert!(table.remove_expired(at(149)).is_empty());
     assert_eq!(table.remove_expired(at(150)).len(), 1);
 }
+
+/// Time after which a scheduled removal is certain to be due.
+const LATER: u64 = 10_000;
+
+#[test]
+fn an_engine_that_drains_stays_unusable_until_a_new_incarnation() {
+    let (mut table, keys) = table(&[("i-1", &[])]);
+    let leaving = Listing {
+        state: State::Leaving(None),
+        ..listing("i-1", &[])
+    };
+    let is_used = |table: &fleet::table::Table| {
+        table
+            .get(keys[0])
+            .is_some_and(fleet::engine::Engine::accepts_work)
+    };
+    table.upsert(leaving, at(1));
+    // The store came back from a copy that still says ready.
+    table.upsert(listing("i-1", &[]), at(2));
+    assert!(!is_used(&table));
+    let later = |incarnation| Listing {
+        incarnation,
+        ..listing("i-1", &[])
+    };
+    table.upsert(later(2), at(3));
+    assert!(is_used(&table));
+    // An entry of an earlier incarnation comes from an older copy.
+    table.upsert(listing("i-1", &["a"]), at(4));
+    let engine = table.get(keys[0]).expect("the engine exists");
+    assert_eq!(engine.listing, later(2));
+}
+
+#[test]
+fn a_removed_engine_that_drained_does_not_come_back() {
+    let (mut table, keys) = table(&[("i-1", &[]), ("i-2", &[])]);
+    let drained = table.get_mut(keys[0]).expect("the engine exists");
+    drained.mark_leaving(1);
+    for id in ["i-1", "i-2"] {
+        table.schedule_removal(id, Removal::StoreAvailable, at(0), at(0));
+    }
+    assert!(!table.has_departed(&listing("i-1", &[])));
+    assert_eq!(table.remove_expired(at(LATER)).len(), 2);
+    let next = Listing {
+        incarnation: 2,
+        ..listing("i-1", &[])
+    };
+    assert!(table.has_departed(&listing("i-1", &[])));
+    assert!(table.has_departed(&listing("i-2", &[])));
+    assert!(!table.has_departed(&next));
+    // Only a lapsed entry may come back: the engine that drained has ended.
+    let keys = ["i-1", "i-2"].map(|it| table.upsert(listing(it, &[]), at(LATER)));
+    let used = keys.map(|it| {
+        table
+            .get(it)
+            .is_some_and(fleet::engine::Engine::accepts_work)
+    });
+    assert_eq!(used, [false, true]);
+    let key = table.upsert(next, at(LATER));
+    assert!(
+        table
+            .get(key)
+            .is_some_and(fleet::engine::Engine::accepts_work)
+    );
+}
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -4,7 +4,7 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
-use hyper::{HeaderMap, Request, Response, http::StatusCode};
+use hyper::{HeaderMap, Request, Response, http::response::Parts};
 use tokio::time;
 
 use crate::connection::{Failure, Pool};
@@ -22,7 +22,7 @@
     addr: SocketAddr,
     mut request: Request<Bytes>,
     timeout: Duration,
-) -> Result<(StatusCode, Bytes), Failure> {
+) -> Result<(Parts, Bytes), Failure> {
     request.headers_mut().insert(
         hyper::header::HOST,
         addr.to_string()
@@ -34,7 +34,7 @@
         let response = connection.send(request).await?;
         let (head, body) = read_response(response).await?;
         connection.release(keep_alive_timeout(&head.headers));
-        Ok((head.status, body))
+        Ok((head, body))
     };
     match time::timeout(timeout, exchange).await {
         Ok(it) => it,
@@ -45,7 +45,7 @@
 /// Reads a response to its end.
 pub async fn read_response(
     response: Response<hyper::body::Incoming>,
-) -> Result<(hyper::http::response::Parts, Bytes), Failure> {
+) -> Result<(Parts, Bytes), Failure> {
     let (head, body) = response.into_parts();
     let body = Limited::new(body, MAX_RESPONSE_BYTES)
         .collect()
--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -5,6 +5,7 @@
 
 use fleet::{
     Time,
+    era::{self, Era, Position},
     lease::{Claim, Lease, LeaseWatch, Observation, RENEWAL_INTERVAL},
     rendezvous,
 };
@@ -28,6 +29,10 @@
 /// Time between two reads of the lease of a silent host.
 const SUSPECT_READ_INTERVAL: Duration = Duration::from_secs(3);
 
+/// Maximum delay before each claim that is written again after the store has lost changes. All hosts write
+/// theirs at the same time, and the rate of writes is limited.
+const MAX_RESTORE_DELAY: Duration = Duration::from_millis(60);
+
 /// Time between two reads of the list of hosts.
 const HOSTS_READ_INTERVAL: Duration = Duration::from_secs(8);
 
@@ -35,8 +40,10 @@
 #[derive(Default)]
 pub struct Claims {
     lease: Lease,
-    /// Revision of the lease object in the store, if it exists.
-    lease_rev: Option<u64>,
+    /// Era of the store in which the positions below were read.
+    era: Era,
+    /// Position of the lease object in the store, if it exists.
+    lease_position: Option<Position>,
     /// Claims of this host, by engine.
     held: HashMap<Arc<str>, Claim>,
     /// Claims of all hosts as last seen in the store, by engine.
@@ -49,14 +56,16 @@
 #[derive(Clone)]
 struct StoredClaim {
     holder: String,
-    rev: u64,
+    position: Position,
+    /// Era of the store as known to the holder when it wrote the claim.
+    written_in: Era,
 }
 
 impl Claims {
     /// Ids of the engines to which this host may send orders.
     pub fn orderable(&self, now: Time) -> impl Iterator<Item = &Arc<str>> {
-        let lease_valid = self.lease.is_valid(now);
-        let is_orderable = move |it: &(&Arc<str>, &Claim)| lease_valid && it.1.valid_from <= now;
+        let lease = self.lease;
+        let is_orderable = move |it: &(&Arc<str>, &Claim)| it.1.is_valid(lease, now);
         self.held.iter().filter(is_orderable).map(|it| it.0)
     }
 
@@ -68,7 +77,18 @@
     /// Fencing token for an engine, if this host may send it orders now.
     pub fn fence(&self, id: &str, now: Time) -> Option<u64> {
         let claim = self.held.get(id)?;
-        (self.lease.is_valid(now) && claim.valid_from <= now).then_some(claim.fence)
+        claim.is_valid(self.lease, now).then_some(claim.fence)
+    }
+
+    /// Starts anew in a later era of the store, which may have lost the lease and the claims of this host.
+    fn begin_era(&mut self, era: Era) {
+        self.era = era;
+        self.lease_position = None;
+        self.stored.clear();
+        self.suspects.clear();
+        for claim in self.held.values_mut() {
+            claim.mark_lost(self.lease);
+        }
     }
 }
 
@@ -80,6 +100,12 @@
     let mut claims_read = false;
     while !gateway.stopping.get() {
         let now = clock::now();
+        let era = gateway.store_era();
+        if gateway.claims.borrow().era != era {
+            gateway.claims.borrow_mut().begin_era(era);
+            renewed_at = None;
+            claims_read = false;
+        }
         if renewed_at.is_none_or(|it| it + RENEWAL_INTERVAL <= now) {
             let renewed = renew(&gateway).await;
             renewed_at = renewed.then_some(now);
@@ -99,23 +125,24 @@
             claims_read = read_claims(&gateway).await;
         }
         if claims_read && renewed_at.is_some() {
+            restore_claims(&gateway).await;
             let stabilized = clock::now() > started + STABILIZATION_PERIOD && listed_at.is_some();
             claim_all(&gateway, stabilized).await;
         }
-        time::sleep(CLAIM_INTERVAL).await;
+        let _ = time::timeout(CLAIM_INTERVAL, gateway.claims_wakeup.notified()).await;
     }
 }
 
 /// Releases the lease and the claims, so that other hosts need not wait for the lease to expire.
 pub async fn release(gateway: &Rc<Gateway>) {
-    let rev = {
+    let position = {
         let mut claims = gateway.claims.borrow_mut();
         claims.lease.release();
         claims.held.clear();
-        claims.lease_rev.take()
+        claims.lease_position.take()
     };
-    if rev.is_some() {
-        store::delete(gateway, Kind::Hosts, &gateway.holder, rev).await;
+    if let Some(it) = position {
+        store::delete(gateway, Kind::Hosts, &gateway.holder, it).await;
     }
 }
 
@@ -128,27 +155,31 @@
         "life": gateway.incarnation,
         "renewed": u64::try_from(sent.as_millis()).unwrap_or(0),
     });
-    let rev = gateway.claims.borrow().lease_rev;
-    let result = store::put(gateway, Kind::Hosts, &gateway.holder, &spec, rev).await;
+    let position = gateway.claims.borrow().lease_position;
+    let result = store::put(gateway, Kind::Hosts, &gateway.holder, &spec, position).await;
     let mut claims = gateway.claims.borrow_mut();
     match result {
-        WriteResult::Written(object) => {
+        WriteResult::Written(_, position) if position.era != claims.era => {
+            // The store began a new era during the call. The next round starts anew in it.
+            false
+        }
+        WriteResult::Written(_, position) => {
             // Another host may have claimed the engines after the lease expired.
             if !claims.lease.is_valid(sent) && !claims.held.is_empty() {
                 log::warn!(event = "lease-lapsed"; "the lease expired before its renewal: claiming engines again");
                 claims.held.clear();
             }
-            claims.lease_rev = Some(object.rev);
+            claims.lease_position = Some(position);
             claims.lease.renew(sent);
             true
         }
-        WriteResult::Conflict(object) => {
-            claims.lease_rev = Some(object.rev);
+        WriteResult::Conflict(_, position) => {
+            claims.lease_position = Some(position);
             false
         }
         WriteResult::NotFound => {
             log::warn!(event = "lease-ended"; "another host deleted the lease");
-            claims.lease_rev = None;
+            claims.lease_position = None;
             claims.lease.release();
             claims.held.clear();
             false
@@ -176,40 +207,97 @@
 
 /// Reads the claims of all hosts.
 async fn read_claims(gateway: &Rc<Gateway>) -> bool {
-    let Some((objects, _)) = store::list(gateway, Kind::Claims, false).await else {
+    let Some((objects, as_of)) = store::list(gateway, Kind::Claims, false).await else {
         return false;
     };
+    if as_of.era != gateway.claims.borrow().era {
+        return false;
+    }
     for object in &objects {
-        record_claim(gateway, object);
+        let position = Position {
+            era: as_of.era,
+            rev: object.rev,
+        };
+        record_claim(gateway, object, position);
     }
     true
 }
 
 /// Records a claim as stored.
-fn record_claim(gateway: &Rc<Gateway>, object: &Object) -> Option<StoredClaim> {
-    let holder = object.spec.get("holder")?.as_str()?.to_owned();
+fn record_claim(gateway: &Rc<Gateway>, object: &Object, position: Position) {
+    let holder = object.spec.get("holder").and_then(|it| it.as_str());
+    let Some(holder) = holder else { return };
+    let era = object.spec.get("era").and_then(serde_json::Value::as_u64);
     let stored = StoredClaim {
-        holder,
-        rev: object.rev,
+        holder: holder.to_owned(),
+        position,
+        written_in: Era(era.unwrap_or(0)),
     };
     let mut claims = gateway.claims.borrow_mut();
-    claims
-        .stored
-        .insert(object.name.as_str().into(), stored.clone());
-    Some(stored)
+    if position.era == claims.era {
+        claims.stored.insert(object.name.as_str().into(), stored);
+    }
+}
+
+/// Writes again the claims of this host that the store may have lost. This host is their last holder, so it
+/// needs not wait for other leases to end.
+async fn restore_claims(gateway: &Rc<Gateway>) {
+    let now = clock::now();
+    let era = gateway.claims.borrow().era;
+    let lost: Vec<Arc<str>> = {
+        let mut claims = gateway.claims.borrow_mut();
+        claims
+            .held
+            .retain(|_, it| it.valid_until.is_none_or(|end| now < end));
+        let held = claims.held.iter();
+        let lost = held.filter(|it| it.1.valid_until.is_some());
+        lost.map(|it| it.0.clone()).collect()
+    };
+    let mut restored = 0;
+    for id in &lost {
+        if gateway.table.borrow().find(id).is_none() {
+            gateway.claims.borrow_mut().held.remove(id);
+            continue;
+        }
+        let stored = gateway.claims.borrow().stored.get(id).cloned();
+        if (stored.as_ref()).is_some_and(|it| it.written_in == era && it.holder != *gateway.holder)
+        {
+            log::warn!(event = "claim-lost", engine = &**id; "another host claimed engine {id} after the store lost changes");
+            gateway.claims.borrow_mut().held.remove(id);
+            continue;
+        }
+        time::sleep(rand::random_range(Duration::ZERO..MAX_RESTORE_DELAY)).await;
+        if gateway.stopping.get() || gateway.store_era() != era {
+            return;
+        }
+        let position = stored.map(|it| it.position);
+        claim_engine(gateway, id, position, clock::now()).await;
+        restored += 1;
+    }
+    if restored > 0 {
+        log::info!(event = "claims-restored", count = restored, era = era.0; "wrote {restored} claims again in era {} of the store", era.0);
+    }
 }
 
 /// Claims the engines of which this host should be the steward.
 async fn claim_all(gateway: &Rc<Gateway>, stabilized: bool) {
     let unclaimed = unclaimed_engines(gateway);
+    // A newer claim may be among the changes that the store lost.
+    let settled = gateway.is_era_settled();
     for (id, is_first) in unclaimed {
-        let stored = gateway.claims.borrow().stored.get(&id).cloned();
+        let (stored, era) = {
+            let claims = gateway.claims.borrow();
+            (claims.stored.get(&id).cloned(), claims.era)
+        };
         match stored {
-            Some(it) if it.holder == *gateway.holder => {
-                claim_engine(gateway, &id, Some(it.rev), clock::now()).await;
+            Some(it) if it.holder == *gateway.holder && (settled || it.written_in == era) => {
+                claim_engine(gateway, &id, Some(it.position), clock::now()).await;
             }
+            Some(it) if it.holder == *gateway.holder => {}
             Some(it) if is_first && stabilized => take_over(gateway, &id, &it).await,
-            None if is_first && stabilized => claim_engine(gateway, &id, None, clock::now()).await,
+            None if is_first && stabilized && settled => {
+                claim_engine(gateway, &id, None, clock::now()).await;
+            }
             _ => {}
         }
         if gateway.stopping.get() {
@@ -252,24 +340,39 @@
     unclaimed
 }
 
-/// Claims an engine: creates the claim, or replaces it if it still has revision `rev`. Orders are
+/// Claims an engine: creates the claim, or replaces it if it was last changed at `position`. Orders are
 /// allowed from `from` on.
-async fn claim_engine(gateway: &Rc<Gateway>, id: &Arc<str>, rev: Option<u64>, from: Time) {
-    let spec = json!({ "holder": &*gateway.holder, "life": gateway.incarnation });
-    match store::put(gateway, Kind::Claims, id, &spec, rev).await {
-        WriteResult::Written(object) => {
-            log::info!(event = "claim", engine = &**id, fence = object.rev; "claimed engine {id}");
-            record_claim(gateway, &object);
+async fn claim_engine(
+    gateway: &Rc<Gateway>,
+    id: &Arc<str>,
+    position: Option<Position>,
+    from: Time,
+) {
+    let era = gateway.claims.borrow().era;
+    let spec = json!({
+        "holder": &*gateway.holder,
+        "life": gateway.incarnation,
+        "era": era.0,
+    });
+    match store::put(gateway, Kind::Claims, id, &spec, position).await {
+        // The store began a new era during the call.
+        WriteResult::Written(_, position) if position.era != era => {}
+        WriteResult::Written(object, position) => {
+            record_claim(gateway, &object, position);
+            let Some(fence) = era::fencing_token(position) else {
+                log::error!(event = "fence-range", engine = &**id, era = position.era.0, rev = position.rev; "no fencing token can be made for engine {id}: it gets no orders");
+                return;
+            };
+            log::info!(event = "claim", engine = &**id, fence, era = era.0; "claimed engine {id}");
             let claim = Claim {
-                fence: object.rev,
+                fence,
                 valid_from: from,
+                valid_until: None,
             };
             gateway.claims.borrow_mut().held.insert(id.clone(), claim);
             gateway.orders_wakeup.notify_one();
         }
-        WriteResult::Conflict(object) => {
-            record_claim(gateway, &object);
-        }
+        WriteResult::Conflict(object, position) => record_claim(gateway, &object, position),
         WriteResult::NotFound => {
             gateway.claims.borrow_mut().stored.remove(id);
         }
@@ -299,9 +402,11 @@
         return;
     };
     let now = clock::now();
-    let observation = object
-        .as_ref()
-        .map_or(Observation::Released, |it| Observation::Renewed(it.rev));
+    let observation = match object {
+        Some((_, position)) => Observation::Renewed(position),
+        None if gateway.is_era_settled() => Observation::Released,
+        None => Observation::MaybeLost,
+    };
     let mut suspect = previous.map_or_else(|| LeaseWatch::new(observation, now), |it| it.0);
     suspect.observe(observation, now);
     let entry = (suspect, now);
@@ -313,15 +418,16 @@
     if suspect.latest_end() > now {
         return;
     }
-    if let Observation::Renewed(rev) = observation {
+    if let Observation::Renewed(position) = observation {
         // Deleting the lease makes the renewals of that host fail, so it learns that it lost its
         // claims.
-        let deleted = store::delete(gateway, Kind::Hosts, &stored.holder, Some(rev)).await;
-        if !matches!(deleted, WriteResult::Written(_) | WriteResult::NotFound) {
+        let deleted = store::delete(gateway, Kind::Hosts, &stored.holder, position).await;
+        if !matches!(deleted, WriteResult::Written(..) | WriteResult::NotFound) {
             return;
         }
         log::warn!(event = "takeover", host = &*stored.holder; "deleted the lease of host {}: it was not renewed", stored.holder);
     }
     let order_delay = Duration::from_millis(gateway.settings.orders.turn_milliseconds);
-    claim_engine(gateway, id, Some(stored.rev), clock::now() + order_delay).await;
+    let from = clock::now() + order_delay;
+    claim_engine(gateway, id, Some(stored.position), from).await;
 }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use fleet::{
     catalog::Catalog,
+    era::Statement,
     listing::{Listing, Name},
     loader::{Op, Outcome, Status},
     prefix::Part,
@@ -84,6 +85,12 @@
     pub not_executed: bool,
     /// Id of the engine that answered, if the response names it.
     pub instance: Option<String>,
+    /// True if the engine announces that it accepts no more work.
+    pub leaving: bool,
+    /// Time for which the engine wants no requests from this host.
+    pub retry_after: Option<Duration>,
+    /// Name of a header whose value can't be parsed, and that is treated as absent.
+    pub invalid_header: Option<&'static str>,
 }
 
 /// Object of the store.
@@ -176,6 +183,8 @@
     ) -> Request<Bytes>;
     /// Builds a request that deletes an object, if it still has the given revision.
     fn delete(&self, kind: Kind, name: &str, rev: Option<u64>) -> Request<Bytes>;
+    /// Parses the era that the headers of an answer of the store state.
+    fn parse_era(&self, headers: &HeaderMap) -> Statement;
     /// Parses one object.
     fn parse_object(&self, body: &[u8]) -> Option<Object>;
     /// Parses a page.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -67,6 +67,8 @@
     pub(crate) trace: Trace,
     /// True once the end of the request has been recorded.
     pub(crate) end_recorded: bool,
+    /// Time after which a refused request may be sent again, if it is known.
+    pub(crate) retry_after: Option<Duration>,
     /// Failure response of an engine, returned to the caller if no other engine succeeds.
     pub(crate) fallback_response: Option<Response<Body>>,
 }
@@ -260,6 +262,7 @@
             Fault::Overload | Fault::NoEngine => Some(Duration::from_millis(700)),
             _ => None,
         };
+        let retry_after = retry_after.map(|it| self.retry_after.unwrap_or(it));
         reply::fault_response(fault, retry_after)
     }
 }
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -137,6 +137,12 @@
         let response_head = self.gateway.dialect.parse_response_head(response.headers());
         let status = response.status();
         let key = in_flight.key;
+        self.gateway.observe_engine(key, &response_head);
+        if status == StatusCode::SERVICE_UNAVAILABLE
+            && let Some(time) = response_head.retry_after
+        {
+            self.gateway.back_off_engine(key, time);
+        }
         if status == StatusCode::MISDIRECTED_REQUEST && !response_head.sealed {
             self.handle_misdirected(key, instance, &response_head);
             self.trace.record_outcome("421 not held");
--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -4,7 +4,7 @@
 
 use fleet::{
     Time,
-    listing::Name,
+    listing::{Name, is_adapter},
     placement::{Choice, Placement},
     table::Key,
 };
@@ -28,6 +28,9 @@
 /// Time between two checks whether an engine has prefilled enough of its queued prompts.
 const PACING_INTERVAL: Duration = Duration::from_millis(15);
 
+/// Maximum time between two checks whether an engine accepts requests again after a back-off.
+const BACKOFF_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Maximum time for which a request without a placement is held.
 const MAX_HOLD: Duration = Duration::from_millis(2200);
 
@@ -85,6 +88,16 @@
                     time::sleep(PACING_INTERVAL).await;
                     self.trace.pacing_wait += PACING_INTERVAL;
                 }
+                Placement::BackOff(key, open_at) => {
+                    if let Some(fault) = self.back_off_fault(name.as_ref(), open_at, now, until) {
+                        self.retry_after = Some(open_at.saturating_sub(now));
+                        return Err(fault);
+                    }
+                    self.request_replica(name.as_ref(), key).await;
+                    let pause = open_at.saturating_sub(now).min(BACKOFF_CHECK_INTERVAL);
+                    time::sleep(pause).await;
+                    self.trace.load_wait += pause;
+                }
                 Placement::Unavailable | Placement::Load if now >= until => {
                     return Err(match placement {
                         Placement::Load => Fault::AdapterLoad,
@@ -120,6 +133,28 @@
         }
     }
 
+    /// Fault of a request whose engines want no requests before `open_at`, unless it may wait. An adapter can
+    /// be loaded on another engine meanwhile if there is one that accepts requests.
+    fn back_off_fault(
+        &self,
+        name: Option<&Name>,
+        open_at: Time,
+        now: Time,
+        until: Time,
+    ) -> Option<Fault> {
+        let other_engine = || {
+            let table = self.gateway.table.borrow();
+            table.iter().any(|(_, it)| {
+                it.listing.service == self.service
+                    && it.accepts_work()
+                    && it.backoff.closed_until(now).is_none()
+            })
+        };
+        let may_load = name.is_some_and(|it| is_adapter(it)) && other_engine();
+        let is_hopeless = open_at >= until && !may_load;
+        (is_hopeless || now >= until).then_some(Fault::Overload)
+    }
+
     /// Requests the load of an adapter, unless another request has just done so.
     async fn request_load(&self, name: &Name, waiting: &WaitGuard, now: Time) {
         let wait = &waiting.wait;
@@ -147,7 +182,7 @@
     /// Requests one more replica of an adapter in demand. Successive requests go to successive
     /// stewards.
     async fn request_replica(&self, name: Option<&Name>, from: Key) {
-        let Some(name) = name.filter(|it| fleet::listing::is_adapter(it)) else {
+        let Some(name) = name.filter(|it| is_adapter(it)) else {
             return;
         };
         let now = clock::now();
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -138,6 +138,7 @@
         may_have_run: false,
         trace: Trace::new(started, catalog.revision),
         end_recorded: false,
+        retry_after: None,
         fallback_response: None,
     })
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,6 +13,7 @@
     Time,
     budget::Budget,
     catalog::Catalog,
+    era::{self, Era, Statement, Verdict},
     in_flight::InFlightLoads,
     listing::Name,
     loader::{self, Loader},
@@ -26,9 +27,9 @@
     claims::Claims,
     clock,
     connection::Pool,
-    dialect::{Dialect, Kind},
+    dialect::{Dialect, Kind, ResponseHead},
     list_cache::ListCache,
-    list_sync,
+    list_sync, message,
     metrics::Metrics,
     peers::Peers,
     settings::Settings,
@@ -45,6 +46,9 @@
 /// zero.
 const REPLICA_COUNT_TTL: Duration = Duration::from_secs(5);
 
+/// Minimum time between two log lines about invalid headers of engines.
+const INVALID_HEADER_LOG_INTERVAL: Duration = Duration::from_secs(10);
+
 /// Maximum number of requests that wait for the load of one adapter at this host.
 pub const MAX_WAITERS: usize = 400;
 
@@ -84,10 +88,12 @@
     pub closing: Cell<bool>,
     /// Number of open caller connections.
     pub open_connections: Cell<usize>,
-    /// Notified when the store is available again after an outage.
+    /// Notified when the store is available again after an outage, or has begun a new era.
     pub store_recovered: Notify,
     /// Notified when a configuration was adopted.
     pub config_adopted: Notify,
+    /// Wakes the task that maintains the lease and the claims.
+    pub claims_wakeup: Notify,
     /// Wakes the task that decides on orders and sends them to engines.
     pub orders_wakeup: Notify,
     /// Notified when a list was read from the store. The heartbeat task then sends this host's list
@@ -119,6 +125,14 @@
     pub adapter_updates: RefCell<VecDeque<crate::message::AdapterUpdate>>,
     /// Engines that accept no more work, not yet announced to other hosts.
     pub leaving_engines: RefCell<Vec<crate::message::EngineIncarnation>>,
+    /// Engines whose entry has vanished, not yet announced to other hosts.
+    pub vanished_engines: RefCell<Vec<crate::message::EngineIncarnation>>,
+    /// Era of the store.
+    era: RefCell<era::Tracker>,
+    /// True while the store's answers state no readable era.
+    is_era_unknown: Cell<bool>,
+    /// Time of the last log line about an invalid header of an engine.
+    invalid_header_logged_at: Cell<Option<Time>>,
 }
 
 /// Availability of the store, from its last responses.
@@ -166,6 +180,7 @@
             open_connections: Cell::default(),
             store_recovered: Notify::new(),
             config_adopted: Notify::new(),
+            claims_wakeup: Notify::new(),
             orders_wakeup: Notify::new(),
             lists_read: Notify::new(),
             lists_received: Notify::new(),
@@ -180,6 +195,10 @@
             list_cache: ListCache::default(),
             adapter_updates: RefCell::default(),
             leaving_engines: RefCell::default(),
+            vanished_engines: RefCell::default(),
+            era: RefCell::default(),
+            is_era_unknown: Cell::default(),
+            invalid_header_logged_at: Cell::default(),
         }
     }
 
@@ -221,6 +240,93 @@
         store.unavailable = !available;
     }
 
+    /// Records the era that an answer of the store states.
+    pub fn observe_era(&self, statement: Statement) -> Verdict {
+        let start = self.settings.start();
+        let verdict = (self.era.borrow_mut()).observe(statement, start, clock::now());
+        let is_unknown = verdict == Verdict::Unknown;
+        if is_unknown && !self.is_era_unknown.get() {
+            log::warn!(event = "store-era-unknown"; "the store states no readable era: nothing is claimed by its answers");
+        }
+        self.is_era_unknown.set(is_unknown);
+        if let Verdict::Advanced { from, to } = verdict {
+            log::warn!(event = "store-rolled-back", from = from.0, to = to.0; "the store came back from an older copy: era {} follows {}", to.0, from.0);
+            // Engines write their entries again, as after an outage.
+            self.store.borrow_mut().recovered_at = Some(clock::now());
+            self.store_recovered.notify_waiters();
+            self.claims_wakeup.notify_one();
+        }
+        verdict
+    }
+
+    /// Records for how long another host has known an era of the store.
+    pub fn observe_era_age(&self, era: Era, age: Duration) {
+        let current = self.era.borrow().current();
+        (self.era.borrow_mut()).observe_age(era, age, clock::now());
+        if current.is_some_and(|it| it < era) {
+            // The next call to the store confirms the new era.
+            self.claims_wakeup.notify_one();
+        }
+    }
+
+    /// Current era of the store; 0 if it is unknown or the store states none.
+    pub fn store_era(&self) -> Era {
+        self.era.borrow().current().unwrap_or_default()
+    }
+
+    /// Time since the beginning of the store's era, as far as it is known.
+    pub fn store_era_age(&self) -> Duration {
+        self.era.borrow().age(clock::now())
+    }
+
+    /// Returns whether all leases of the store's earlier eras have ended.
+    pub fn is_era_settled(&self) -> bool {
+        self.era.borrow().is_settled(clock::now())
+    }
+
+    /// Applies what the headers of any answer of an engine say about the engine.
+    pub fn observe_engine(&self, key: Key, head: &ResponseHead) {
+        let now = clock::now();
+        if let Some(header) = head.invalid_header {
+            self.log_invalid_header(header, now);
+        }
+        let mut table = self.table.borrow_mut();
+        let Some(engine) = table.get_mut(key) else {
+            return;
+        };
+        let incarnation = engine.listing.incarnation;
+        if head.leaving && engine.mark_leaving(incarnation) {
+            let id = &*engine.listing.id;
+            log::info!(event = "engine-leaving", engine = id; "engine {id} announces that it accepts no more work");
+            let it = message::make_incarnation(id, incarnation);
+            self.leaving_engines.borrow_mut().push(it);
+            self.orders_wakeup.notify_one();
+        }
+    }
+
+    /// Records that an engine rejected a request and wants no others from this host for some time.
+    pub fn back_off_engine(&self, key: Key, time: Duration) {
+        if let Some(engine) = self.table.borrow_mut().get_mut(key) {
+            let id = &*engine.listing.id;
+            let seconds = time.as_secs_f64();
+            log::info!(event = "engine-backoff", engine = id, seconds; "engine {id} asks for a back-off of {seconds} s");
+            let random = rand::random_range(0.0..1.0);
+            engine.backoff.close(time, random, clock::now());
+        }
+    }
+
+    /// Logs an invalid header of an engine, at a limited rate.
+    fn log_invalid_header(&self, header: &str, now: Time) {
+        let logged_at = &self.invalid_header_logged_at;
+        if logged_at
+            .get()
+            .is_none_or(|it| it + INVALID_HEADER_LOG_INTERVAL <= now)
+        {
+            logged_at.set(Some(now));
+            log::warn!(event = "header-invalid", header; "ignoring an invalid value of the header {header} of an engine");
+        }
+    }
+
     /// Returns whether the last store call failed.
     pub fn is_store_unavailable(&self) -> bool {
         self.store.borrow().unavailable
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -7,8 +7,9 @@
 use fleet::{
     Time,
     engine::Workload,
+    era::Era,
     in_flight,
-    listing::Name,
+    listing::{Name, State},
     loader,
     rendezvous::{self, short_id},
     table::{Freshness, Key},
@@ -85,6 +86,7 @@
                 Some(Message::AdapterUpdates(it)) => self.handle_updates(&it),
                 Some(Message::PromptSent(engine, tokens)) => self.handle_prompt(engine, tokens),
                 Some(Message::Leaving(it)) => self.handle_leaving(&it),
+                Some(Message::Vanished(it)) => self.handle_vanished(&it),
                 Some(Message::ListState(it)) => self.handle_list_state(it, from),
                 Some(Message::Workloads(it)) => self.handle_workloads(&it),
                 None => log::debug!("cannot decode datagram from {from}"),
@@ -104,6 +106,12 @@
             self.send_all(&Message::Leaving(leaving), &self.live_addresses())
                 .await;
         }
+        let vanished: Vec<EngineIncarnation> =
+            (self.gateway.vanished_engines.borrow_mut().drain(..)).collect();
+        if !vanished.is_empty() {
+            self.send_all(&Message::Vanished(vanished), &self.live_addresses())
+                .await;
+        }
         let updates: Vec<AdapterUpdate> = self
             .gateway
             .adapter_updates
@@ -132,7 +140,21 @@
         let mut table = self.gateway.table.borrow_mut();
         for it in incarnations {
             if let Some(engine) = table.get_by_short_id(it.engine) {
-                engine.mark_leaving(it.incarnation);
+                let is_news = engine.mark_leaving(it.incarnation);
+                if is_news {
+                    let id = &*engine.listing.id;
+                    log::info!(event = "engine-leaving", engine = id; "another host reports that engine {id} accepts no more work");
+                }
+            }
+        }
+    }
+
+    /// Marks engines whose entry has vanished.
+    fn handle_vanished(&self, incarnations: &[EngineIncarnation]) {
+        let mut table = self.gateway.table.borrow_mut();
+        for it in incarnations {
+            if let Some(engine) = table.get_by_short_id(it.engine) {
+                engine.mark_vanished(it.incarnation);
             }
         }
     }
@@ -230,6 +252,7 @@
         let now = clock::now();
         let mut heartbeat = self.build_heartbeat(now);
         let workloads = self.workload_messages();
+        let drains = self.drain_messages();
         let mut usage = self.usage_by_steward();
         for host in self.gateway.peers.borrow_mut().take_lost(now) {
             log::info!(event = "host-lost", host = &*host; "host {host} is silent or shutting down");
@@ -246,7 +269,7 @@
                 return;
             };
             heartbeat = it;
-            for part in &workloads {
+            for part in workloads.iter().chain(&drains) {
                 self.send(part, addr).await;
             }
         }
@@ -299,6 +322,22 @@
             .collect()
     }
 
+    /// Engines that are known to accept no more work while the platform's list says otherwise. They are
+    /// announced with each heartbeat, since the first announcement may have been lost.
+    fn drain_messages(&self) -> Vec<Message> {
+        let table = self.gateway.table.borrow();
+        let unlisted = table
+            .iter()
+            .filter(|(_, it)| it.is_leaving() && it.listing.state == State::Ready);
+        let incarnations: Vec<EngineIncarnation> = unlisted
+            .map(|(_, it)| message::make_incarnation(&it.listing.id, it.listing.incarnation))
+            .collect();
+        incarnations
+            .chunks(MAX_WORKLOADS_PER_MESSAGE)
+            .map(|it| Message::Leaving(it.to_vec()))
+            .collect()
+    }
+
     /// Records the workload that another host puts on engines.
     fn handle_workloads(&self, message: &Workloads) {
         let now = clock::now();
@@ -370,6 +409,9 @@
                 log::info!(event = "host", host = &*host; "received a heartbeat of host {host} from {from}");
             }
             peers.receive_heartbeat(&host, heartbeat, from, now);
+            let ListState { era, era_age, .. } = heartbeat.list_state;
+            let age = Duration::from_millis(era_age.into());
+            self.gateway.observe_era_age(Era(era), age);
             self.gateway.loader.borrow_mut().remote_loads = peers.in_flight_loads(now);
         }
         self.gateway.lists_received.notify_waiters();
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -36,6 +36,7 @@
             prefill_tokens = chain
                 .tokens()
                 .saturating_sub(engine.prefix_cache.cached_tokens(chain));
+            engine.backoff.record_start(now);
             engine.local_work.running += 1;
             engine.local_work.prefill_tokens += prefill_tokens;
             engine.record_prompt(prefill_tokens, now);
--- a/crates/gateway/src/list_cache.rs
+++ b/crates/gateway/src/list_cache.rs
@@ -3,6 +3,8 @@
 
 use std::{cell::RefCell, collections::BTreeMap};
 
+use fleet::era::{Era, Position};
+
 use serde::{Deserialize, Serialize};
 
 use crate::dialect::{Kind, Object};
@@ -17,6 +19,8 @@
 /// Cached list of one kind.
 #[derive(Debug, Default)]
 struct List {
+    /// Era of the store in which the list was read.
+    era: Era,
     objects: BTreeMap<String, Object>,
     /// Removed names, with the revision at which the removal was read.
     removed: BTreeMap<String, u64>,
@@ -31,12 +35,33 @@
 /// Revisions up to which a host knows a list.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Watermark {
+    /// Number of the store's era in which the revisions were assigned.
+    #[serde(default)]
+    pub era: u64,
     /// Revision of the last known change; 0 if the list is unknown.
     pub last: u64,
     /// Every change up to this revision is known.
     pub as_of: u64,
 }
 
+impl Watermark {
+    /// Position of the last known change.
+    pub fn last(self) -> Position {
+        Position {
+            era: Era(self.era),
+            rev: self.last,
+        }
+    }
+
+    /// Position up to which every change is known.
+    pub fn as_of(self) -> Position {
+        Position {
+            era: Era(self.era),
+            rev: self.as_of,
+        }
+    }
+}
+
 /// Changes of a list since a revision.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Delta {
@@ -84,6 +109,25 @@
         }
     }
 
+    /// Starts a list anew in a later era, whose revisions are unrelated to the earlier ones. The objects stay
+    /// until the whole list is applied.
+    pub fn begin_era(&self, kind: Kind, era: Era) {
+        let mut lists = self.0.borrow_mut();
+        let list = lists.entry(kind).or_default();
+        if list.era < era {
+            *list = List {
+                era,
+                objects: std::mem::take(&mut list.objects),
+                ..List::default()
+            };
+        }
+    }
+
+    /// Object with this name, as last stored.
+    pub fn get(&self, kind: Kind, name: &str) -> Option<Object> {
+        self.0.borrow().get(&kind)?.objects.get(name).cloned()
+    }
+
     /// Records that every change up to a revision is known.
     pub fn advance(&self, kind: Kind, as_of: u64) {
         let mut lists = self.0.borrow_mut();
@@ -98,10 +142,7 @@
         let lists = self.0.borrow();
         lists
             .get(&kind)
-            .map_or_else(Watermark::default, |it| Watermark {
-                last: it.last,
-                as_of: it.as_of,
-            })
+            .map_or_else(Watermark::default, List::watermark)
     }
 
     /// Names of the objects in a list.
@@ -111,25 +152,32 @@
         list.map_or_else(Vec::new, |it| it.objects.keys().cloned().collect())
     }
 
-    /// Changes since a revision, or the whole list if that revision is too old.
-    pub fn delta_since(&self, kind: Kind, since: u64) -> Delta {
+    /// Changes since a position, or the whole list if that position is too old or in another era.
+    pub fn delta_since(&self, kind: Kind, since: Position) -> Delta {
         let lists = self.0.borrow();
         let Some(list) = lists.get(&kind) else {
             return Delta::default();
         };
-        let full = since == 0 || since < list.forgotten_up_to;
-        let since = if full { 0 } else { since };
-        let objects = list.objects.values().filter(|it| it.rev > since);
+        let full = since.rev == 0 || since.era != list.era || since.rev < list.forgotten_up_to;
+        let since = if full { 0 } else { since.rev };
+        let objects = list.objects.values().filter(|it| full || it.rev > since);
         let removed = list.removed.iter().filter(|it| !full && *it.1 > since);
         Delta {
             full,
             removed: removed.map(|(name, at)| (name.clone(), *at)).collect(),
             objects: objects.cloned().collect(),
-            watermark: Watermark {
-                last: list.last,
-                as_of: list.as_of,
-            },
+            watermark: list.watermark(),
             outage: false,
         }
     }
 }
+
+impl List {
+    fn watermark(&self) -> Watermark {
+        Watermark {
+            era: self.era.0,
+            last: self.last,
+            as_of: self.as_of,
+        }
+    }
+}
--- a/crates/gateway/src/list_sync.rs
+++ b/crates/gateway/src/list_sync.rs
@@ -7,7 +7,10 @@
 use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use fleet::reader::Role;
+use fleet::{
+    era::{Era, Position},
+    reader::Role,
+};
 use serde::{Deserialize, Serialize};
 use tokio::{
     io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
@@ -67,6 +70,12 @@
     /// True if the store does not answer the host.
     #[serde(rename = "away")]
     pub store_unavailable: bool,
+    /// Number of the store's era, as known to the host.
+    pub era: u64,
+    /// Time in ms since the beginning of that era, as far as the host knows.
+    pub era_age: u32,
+    /// Revision of the host's configuration; 0 if it has none.
+    pub config: u64,
     /// For each list, in the order of [`LISTS`]: the watermark, and the time in ms since the host
     /// read the list; `None` if the host does not read it from the store.
     pub lists: [(Watermark, Option<u32>); 3],
@@ -74,8 +83,8 @@
 
 /// Response with a delta of a list, kept for hosts that request the same one.
 pub struct CachedResponse {
-    /// Start revision of the delta, watermark, and true if the store was unavailable a moment ago.
-    key: (u64, Watermark, bool),
+    /// Start of the delta, watermark, and true if the store was unavailable a moment ago.
+    key: (Position, Watermark, bool),
     body: Bytes,
 }
 
@@ -84,6 +93,9 @@
 struct ListRequest {
     kind: Kind,
     since: u64,
+    /// Number of the era that assigned the revision.
+    #[serde(default)]
+    era: u64,
 }
 
 /// Index of a list in [`LISTS`].
@@ -93,13 +105,16 @@
 
 /// State of this host's lists.
 pub fn list_state(gateway: &Gateway) -> ListState {
+    let millis = |it: Duration| u32::try_from(it.as_millis()).unwrap_or(u32::MAX);
     let list = |kind: Kind| {
-        let age = gateway.read_age(kind);
-        let age = age.map(|it| u32::try_from(it.as_millis()).unwrap_or(u32::MAX));
+        let age = gateway.read_age(kind).map(millis);
         (gateway.list_cache.watermark(kind), age)
     };
     ListState {
         store_unavailable: gateway.is_store_unavailable(),
+        era: gateway.store_era().0,
+        era_age: millis(gateway.store_era_age()),
+        config: gateway.catalog().map_or(0, |it| it.revision),
         lists: LISTS.map(list),
     }
 }
@@ -117,17 +132,19 @@
         time::sleep(FRESHNESS_CHECK_INTERVAL).await;
         return;
     };
-    if watermark.last <= own.last && own.as_of > 0 {
-        gateway.list_cache.advance(kind, watermark.as_of);
-        let now = clock::now();
-        if let Some(age) = gateway.peers.borrow().list_age(reader, kind, now) {
-            gateway.mark_complete(kind, now.saturating_sub(age));
+    if watermark.last() <= own.last() && own.as_of > 0 {
+        if watermark.era == own.era {
+            gateway.list_cache.advance(kind, watermark.as_of);
+            let now = clock::now();
+            if let Some(age) = gateway.peers.borrow().list_age(reader, kind, now) {
+                gateway.mark_complete(kind, now.saturating_sub(age));
+            }
         }
         let _ = time::timeout(FRESHNESS_CHECK_INTERVAL, gateway.lists_received.notified()).await;
         return;
     }
-    match time::timeout(READER_TIMEOUT, fetch(addr, kind, own.as_of)).await {
-        Ok(Some(delta)) if delta.watermark.as_of >= own.as_of && delta.watermark.as_of > 0 => {
+    match time::timeout(READER_TIMEOUT, fetch(addr, kind, own.as_of())).await {
+        Ok(Some(delta)) if delta.watermark.as_of() >= own.as_of() && delta.watermark.as_of > 0 => {
             watch::apply_delta(gateway, kind, &delta);
         }
         _ => {
@@ -138,6 +155,22 @@
     }
 }
 
+/// Takes the configuration from another host that has adopted a newer one than this host. The store may have
+/// lost it, until the operator writes it again.
+pub async fn adopt_newer_config(gateway: &Rc<Gateway>) {
+    let own = gateway.catalog().map_or(0, |it| it.revision);
+    let source = gateway.peers.borrow().newer_config(own, clock::now());
+    let Some((name, addr)) = source else { return };
+    let fetched = fetch(addr, Kind::Config, Position::default());
+    match time::timeout(READER_TIMEOUT, fetched).await {
+        Ok(Some(delta)) => watch::adopt_configs(gateway, &delta.objects),
+        _ => gateway
+            .peers
+            .borrow_mut()
+            .distrust(&name, clock::now() + READER_RETRY_DELAY),
+    }
+}
+
 /// Waits for heartbeats of the domain's hosts, if the domain is large. After a restart of all
 /// hosts, most of them then find a reader, and do not all read whole lists from the store.
 pub async fn wait_for_peers(gateway: &Rc<Gateway>) {
@@ -156,7 +189,8 @@
 pub fn current_role(gateway: &Gateway, kind: Kind) -> Role {
     let now = clock::now();
     let domain = &gateway.settings.domain;
-    let others = gateway.peers.borrow().domain_hosts(domain, kind, now);
+    let era = gateway.list_cache.watermark(kind).era;
+    let others = (gateway.peers.borrow()).domain_hosts(domain, kind, Era(era), now);
     fleet::reader::choose_role(
         &gateway.holder,
         domain,
@@ -196,13 +230,17 @@
 fn cached_response(gateway: &Rc<Gateway>, request: &ListRequest) -> std::io::Result<Bytes> {
     let outage = gateway.removal_kind() == fleet::table::Removal::AfterOutage;
     let watermark = gateway.list_cache.watermark(request.kind);
-    let key = (request.since, watermark, outage);
+    let since = Position {
+        era: Era(request.era),
+        rev: request.since,
+    };
+    let key = (since, watermark, outage);
     if let Some(cached) = gateway.list_responses.borrow().get(&request.kind)
         && cached.key == key
     {
         return Ok(cached.body.clone());
     }
-    let mut delta = gateway.list_cache.delta_since(request.kind, request.since);
+    let mut delta = gateway.list_cache.delta_since(request.kind, since);
     delta.outage = outage;
     let body: Bytes = serde_json::to_vec(&delta)?.into();
     let cached = CachedResponse {
@@ -217,9 +255,13 @@
 }
 
 /// Requests the changes of a list from one host.
-async fn fetch(addr: SocketAddr, kind: Kind, since: u64) -> Option<Delta> {
+async fn fetch(addr: SocketAddr, kind: Kind, since: Position) -> Option<Delta> {
     let mut stream = TcpStream::connect(addr).await.ok()?;
-    let request = ListRequest { kind, since };
+    let request = ListRequest {
+        kind,
+        since: since.rev,
+        era: since.era.0,
+    };
     let mut line = serde_json::to_vec(&request).ok()?;
     line.push(b'\n');
     stream.write_all(&line).await.ok()?;
@@ -253,14 +295,16 @@
 /// Takes all lists from another host. Returns false if that host has no configuration.
 async fn bootstrap_from(gateway: &Rc<Gateway>, addr: SocketAddr) -> bool {
     for kind in LISTS {
-        let Ok(Some(delta)) = time::timeout(RESPONSE_TIMEOUT, fetch(addr, kind, 0)).await else {
+        let Ok(Some(delta)) =
+            time::timeout(RESPONSE_TIMEOUT, fetch(addr, kind, Position::default())).await
+        else {
             return false;
         };
         if kind == Kind::Config && delta.objects.is_empty() {
             return false;
         }
-        let known = gateway.list_cache.watermark(kind).as_of;
-        if delta.watermark.as_of > known {
+        let known = gateway.list_cache.watermark(kind).as_of();
+        if delta.watermark.as_of() > known {
             watch::apply_delta(gateway, kind, &delta);
         }
     }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -19,7 +19,7 @@
 /// Version of the message format, the first byte of each datagram. It changes with the messages, so
 /// that two builds running side by side during a rollout do not misread each other. State that must
 /// survive between builds is in the store.
-const FORMAT_VERSION: u8 = 2;
+const FORMAT_VERSION: u8 = 3;
 
 /// Encodes a message as a datagram.
 pub fn encode(message: &Message) -> Vec<u8> {
@@ -52,8 +52,10 @@
     /// prefill.
     #[serde(rename = "Sent")]
     PromptSent(ShortId, u32),
-    /// Engines that accept no more work.
+    /// Engines that accept no more work, for good.
     Leaving(Vec<EngineIncarnation>),
+    /// Engines whose entry has vanished. They may come back.
+    Vanished(Vec<EngineIncarnation>),
     /// State of the host's lists.
     #[serde(rename = "Lists")]
     ListState(ListState),
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -55,7 +55,7 @@
     for listing in removed {
         log::info!(event = "engine-gone", engine = &*listing.id; "engine {} was removed", listing.id);
         let incarnation = message::make_incarnation(&listing.id, listing.incarnation);
-        gateway.leaving_engines.borrow_mut().push(incarnation);
+        gateway.vanished_engines.borrow_mut().push(incarnation);
         gateway.orders_wakeup.notify_one();
     }
 }
@@ -111,7 +111,11 @@
             };
             let request = gateway.dialect.build_order(&command);
             let outcome = match call::send(&gateway.pool, addr, request, RESPONSE_TIMEOUT).await {
-                Ok((status, _)) => gateway.dialect.classify_outcome(status),
+                Ok((head, _)) => {
+                    let response_head = gateway.dialect.parse_response_head(&head.headers);
+                    gateway.observe_engine(order.key, &response_head);
+                    gateway.dialect.classify_outcome(head.status)
+                }
                 Err(_) => Outcome::NoAnswer,
             };
             record_order(gateway, order, &id, fence, outcome);
@@ -191,8 +195,13 @@
         Some((id, addr, _)) => {
             let request: Request<Bytes> = gateway.dialect.build_status_query(&id);
             match call::send(&gateway.pool, addr, request, RESPONSE_TIMEOUT).await {
-                Ok((StatusCode::OK, body)) => gateway.dialect.parse_status(&body),
-                _ => None,
+                Ok((head, body)) => {
+                    let response_head = gateway.dialect.parse_response_head(&head.headers);
+                    gateway.observe_engine(key, &response_head);
+                    let is_ok = head.status == StatusCode::OK;
+                    is_ok.then(|| gateway.dialect.parse_status(&body)).flatten()
+                }
+                Err(_) => None,
             }
         }
         None => None,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -4,6 +4,7 @@
 
 use fleet::{
     Time,
+    era::Era,
     listing::Name,
     reader::{DomainHost, ReadState},
     rendezvous::short_id,
@@ -202,17 +203,29 @@
             .filter(move |it| *it.1.domain == *domain)
     }
 
-    /// Other live hosts of a domain, with how each of them gets a list.
-    pub fn domain_hosts(&self, domain: &str, kind: Kind, now: Time) -> Vec<DomainHost> {
+    /// Other live hosts of a domain, with how each of them gets a list. A list from an earlier era than `era`
+    /// counts as infinitely old: its reader will notice soon that the store came back from a copy.
+    pub fn domain_hosts(&self, domain: &str, kind: Kind, era: Era, now: Time) -> Vec<DomainHost> {
         let peers = self.domain_peers(domain, now);
+        let is_behind = |it: &Peer| Era(it.watermark(kind).era) < era;
         peers
             .map(|(name, it)| DomainHost {
                 name: name.clone(),
-                read_state: it.read_state(kind, now),
+                read_state: match it.read_state(kind, now) {
+                    ReadState::Reading(_) if is_behind(it) => ReadState::Reading(Duration::MAX),
+                    it => it,
+                },
             })
             .collect()
     }
 
+    /// Live host that has adopted a newer configuration than revision `own`, with its address.
+    pub fn newer_config(&self, own: u64, now: Time) -> Option<(Arc<str>, SocketAddr)> {
+        let newer = |it: &&Peer| it.list_state.config > own && it.distrusted_until <= now;
+        let mut peers = self.live_peers(now).filter(|it| newer(&it.1));
+        peers.next().map(|(name, it)| (name.clone(), it.addr))
+    }
+
     /// Returns whether another live host of a domain takes its lists from readers.
     pub fn has_followers(&self, domain: &str, now: Time) -> bool {
         let mut peers = self.domain_peers(domain, now);
@@ -247,13 +260,14 @@
         own: Watermark,
     ) -> Option<(Arc<str>, SocketAddr, Watermark)> {
         let now = clock::now();
-        let watermark = |it: &Peer| it.list_state.lists[list_sync::list_index(kind)].0;
         let newer = |it: &(&Arc<str>, &Peer)| {
-            kind == Kind::Config && it.1.distrusted_until <= now && watermark(it.1).last > own.last
+            kind == Kind::Config
+                && it.1.distrusted_until <= now
+                && it.1.watermark(kind).last() > own.last()
         };
         let newer = self.live_peers(now).find(newer);
         let (name, peer) = newer.or_else(|| self.by_name.get_key_value(reader))?;
-        Some((name.clone(), peer.addr, watermark(peer)))
+        Some((name.clone(), peer.addr, peer.watermark(kind)))
     }
 
     /// Stops asking a host for lists until `until`.
@@ -338,6 +352,11 @@
         !self.leaving && self.last_received.is_some_and(|it| it + timeout > now)
     }
 
+    /// Revisions up to which the host knows a list.
+    fn watermark(&self, kind: Kind) -> Watermark {
+        self.list_state.lists[list_sync::list_index(kind)].0
+    }
+
     /// How the host gets a list.
     fn read_state(&self, kind: Kind, now: Time) -> ReadState {
         if self.list_state.store_unavailable || self.distrusted_until > now {
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,6 +3,7 @@
 use std::{fs, net::SocketAddr, path::Path, time::Duration};
 
 use derive_more::{Display, Error};
+use fleet::era::Start;
 use serde::Deserialize;
 
 /// Settings as written in the file. Unknown fields are errors.
@@ -34,6 +35,9 @@
     /// Addresses of other hosts, used to find the first peers while the store is unavailable.
     #[serde(default)]
     pub seeds: Vec<SocketAddr>,
+    /// True if the whole fleet starts for the first time, so that no host can have a lease or claims.
+    #[serde(default)]
+    pub first_start: bool,
     /// Retry budget.
     pub retries: Retries,
     /// Settings for orders to engines.
@@ -183,6 +187,15 @@
         Duration::from_millis(self.store_blind_milliseconds)
     }
 
+    /// Origin of the fleet at the start of this host.
+    pub fn start(&self) -> Start {
+        if self.first_start {
+            Start::First
+        } else {
+            Start::Later
+        }
+    }
+
     /// Length of the window for the load limit of the weight store.
     pub fn load_window(&self) -> Duration {
         Duration::from_secs_f64(self.orders.window_seconds)
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -2,6 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use fleet::era::{Era, Position, Verdict};
 use hyper::{Request, http::StatusCode};
 
 use bytes::Bytes;
@@ -19,18 +20,30 @@
 /// Result of a write.
 #[derive(Clone, Debug)]
 pub enum WriteResult {
-    /// The write was applied; holds the object as written.
-    Written(Object),
-    /// The condition on the revision failed; holds the current object.
-    Conflict(Object),
+    /// The write was applied; holds the object as written, and its position.
+    Written(Object, Position),
+    /// The condition on the revision failed; holds the current object, and its position.
+    Conflict(Object, Position),
     /// The object does not exist.
     NotFound,
     /// The store refused the write without applying it.
     Refused,
-    /// No response: the write may have been applied, or may still be applied.
+    /// No response, or one of another era than the request: the write may have been applied, or may still
+    /// be applied.
     Unknown,
 }
 
+/// An answer of the store that belongs to the current era.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Status of the response.
+    pub status: StatusCode,
+    /// Body of the response.
+    pub body: Bytes,
+    /// The current era, or the last known one if the answer doesn't state any.
+    pub era: Era,
+}
+
 /// Reason of a call, as a metric label.
 fn call_reason(kind: Kind, operation: &'static str) -> &'static str {
     match (kind, operation) {
@@ -46,32 +59,37 @@
     request: Request<Bytes>,
     timeout: Duration,
     reason: &'static str,
-) -> Result<(StatusCode, Bytes), Failure> {
+) -> Result<(StatusCode, Bytes, Verdict), Failure> {
     let response = call::send(&gateway.pool, gateway.settings.store, request, timeout).await;
     let outcome = match &response {
-        Ok((status, _)) if status.is_success() => "done",
+        Ok((head, _)) if head.status.is_success() => "done",
         Ok(_) => "refused",
         Err(_) => "silent",
     };
     gateway.metrics.count_store_call(reason, outcome);
-    response
+    let (head, body) = response?;
+    let verdict = gateway.observe_era(gateway.dialect.parse_era(&head.headers));
+    Ok((head.status, body, verdict))
 }
 
-/// Sends a call. Returns `None` if the store did not answer or answered with an error of its own.
+/// Sends a call. Returns `None` if the store did not answer, answered with an error of its own, or if the
+/// answer is outdated.
 pub async fn send(
     gateway: &Rc<Gateway>,
     request: Request<Bytes>,
     timeout: Duration,
     reason: &'static str,
-) -> Option<(StatusCode, Bytes)> {
+) -> Option<Answer> {
     match send_counted(gateway, request, timeout, reason).await {
-        Ok((status, body)) => {
+        Ok((_, _, Verdict::Outdated)) => None,
+        Ok((status, body, _)) => {
+            let era = gateway.store_era();
             let available = !status.is_server_error() && status != StatusCode::TOO_MANY_REQUESTS;
             if !available {
                 log::debug!("store refused the call: {status}");
             }
             gateway.set_store_available(available);
-            available.then_some((status, body))
+            available.then_some(Answer { status, body, era })
         }
         Err(error) => {
             log::debug!("store call failed: {error}");
@@ -81,58 +99,97 @@
     }
 }
 
-/// Reads one object. Returns `Some(None)` if the object does not exist, and `None` if the store did
-/// not answer.
-pub async fn get(gateway: &Rc<Gateway>, kind: Kind, name: &str) -> Option<Option<Object>> {
+/// Reads one object, with its position. Returns `Some(None)` if the object does not exist, and `None` if
+/// the store did not answer.
+pub async fn get(
+    gateway: &Rc<Gateway>,
+    kind: Kind,
+    name: &str,
+) -> Option<Option<(Object, Position)>> {
     let request = gateway.dialect.get(kind, name);
-    let (status, body) = send(gateway, request, CALL_TIMEOUT, call_reason(kind, "read")).await?;
-    if status == StatusCode::NOT_FOUND {
+    let answer = send(gateway, request, CALL_TIMEOUT, call_reason(kind, "read")).await?;
+    if answer.status == StatusCode::NOT_FOUND {
         return Some(None);
     }
-    gateway.dialect.parse_object(&body).map(Some)
+    let object = gateway.dialect.parse_object(&answer.body)?;
+    let position = Position {
+        era: answer.era,
+        rev: object.rev,
+    };
+    Some(Some((object, position)))
 }
 
-/// Creates an object, or replaces it if it still has the given revision.
+/// Creates an object, or replaces it if it was last changed at the given position.
 pub async fn put(
     gateway: &Rc<Gateway>,
     kind: Kind,
     name: &str,
     spec: &serde_json::Value,
-    rev: Option<u64>,
+    position: Option<Position>,
 ) -> WriteResult {
+    let rev = position.map(|it| it.rev);
     let request = gateway.dialect.put(kind, name, spec, rev);
-    let Ok((status, body)) =
-        send_counted(gateway, request, CALL_TIMEOUT, call_reason(kind, "write")).await
-    else {
-        gateway.set_store_available(false);
-        return WriteResult::Unknown;
-    };
-    write_result(gateway, status, &body)
+    write(gateway, request, position, call_reason(kind, "write")).await
 }
 
-/// Deletes an object, if it still has the given revision.
+/// Deletes an object, if it was last changed at the given position.
 pub async fn delete(
     gateway: &Rc<Gateway>,
     kind: Kind,
     name: &str,
-    rev: Option<u64>,
+    position: Position,
 ) -> WriteResult {
-    let request = gateway.dialect.delete(kind, name, rev);
-    let Ok((status, body)) =
-        send_counted(gateway, request, CALL_TIMEOUT, call_reason(kind, "delete")).await
-    else {
-        return WriteResult::Unknown;
-    };
-    write_result(gateway, status, &body)
+    let request = gateway.dialect.delete(kind, name, Some(position.rev));
+    write(
+        gateway,
+        request,
+        Some(position),
+        call_reason(kind, "delete"),
+    )
+    .await
+}
+
+/// Sends a write. A condition on a position of an earlier era is not sent: its revision may have been
+/// assigned again, to another change.
+async fn write(
+    gateway: &Rc<Gateway>,
+    request: Request<Bytes>,
+    position: Option<Position>,
+    reason: &'static str,
+) -> WriteResult {
+    let era = gateway.store_era();
+    if position.is_some_and(|it| it.era != era) {
+        return WriteResult::Refused;
+    }
+    match send_counted(gateway, request, CALL_TIMEOUT, reason).await {
+        Ok((status, body, Verdict::Current(answer_era))) => {
+            // Before the first answer of the store, there is no era to compare with.
+            if position.is_some() && answer_era != era {
+                return WriteResult::Unknown;
+            }
+            write_result(gateway, status, &body, answer_era)
+        }
+        Ok((_, _, Verdict::Advanced { .. } | Verdict::Outdated | Verdict::Unknown)) => {
+            WriteResult::Unknown
+        }
+        Err(error) => {
+            log::debug!("store write failed: {error}");
+            gateway.set_store_available(false);
+            WriteResult::Unknown
+        }
+    }
 }
 
 /// Determines the result of a write from the response.
-fn write_result(gateway: &Rc<Gateway>, status: StatusCode, body: &[u8]) -> WriteResult {
-    let object = gateway.dialect.parse_object(body);
+fn write_result(gateway: &Rc<Gateway>, status: StatusCode, body: &[u8], era: Era) -> WriteResult {
+    let object = gateway.dialect.parse_object(body).map(|it| {
+        let rev = it.rev;
+        (it, Position { era, rev })
+    });
     match (status, object) {
-        (StatusCode::CONFLICT, Some(it)) => WriteResult::Conflict(it),
+        (StatusCode::CONFLICT, Some((it, position))) => WriteResult::Conflict(it, position),
         (StatusCode::NOT_FOUND, _) => WriteResult::NotFound,
-        (it, Some(object)) if it.is_success() => WriteResult::Written(object),
+        (it, Some((object, position))) if it.is_success() => WriteResult::Written(object, position),
         (it, None) if it.is_success() => WriteResult::Unknown,
         (StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS, _) => {
             WriteResult::Refused
@@ -144,22 +201,32 @@
     }
 }
 
-/// Reads all objects of a kind, page by page. Also returns the revision to watch from.
-pub async fn list(gateway: &Rc<Gateway>, kind: Kind, stale: bool) -> Option<(Vec<Object>, u64)> {
+/// Reads all objects of a kind, page by page. Also returns the position to watch from.
+pub async fn list(
+    gateway: &Rc<Gateway>,
+    kind: Kind,
+    stale: bool,
+) -> Option<(Vec<Object>, Position)> {
     let mut objects: Vec<Object> = Vec::new();
-    let mut first_as_of = None;
+    let mut first: Option<Position> = None;
     loop {
         let after = objects.last().map(|it| it.name.clone());
         let request = gateway.dialect.list(kind, after.as_deref(), stale);
-        let (status, body) =
-            send(gateway, request, CALL_TIMEOUT, call_reason(kind, "list")).await?;
-        if !status.is_success() {
-            return (status == StatusCode::NOT_FOUND).then_some((objects, 0));
+        let answer = send(gateway, request, CALL_TIMEOUT, call_reason(kind, "list")).await?;
+        let era = answer.era;
+        if !answer.status.is_success() {
+            let nothing = answer.status == StatusCode::NOT_FOUND;
+            return nothing.then_some((objects, Position { era, rev: 0 }));
         }
-        let page = gateway.dialect.parse_page(&body)?;
+        let page = gateway.dialect.parse_page(&answer.body)?;
         // Changes made while the pages are read are delivered by a watch from the first page's
         // revision.
-        let as_of = *first_as_of.get_or_insert(page.as_of);
+        let rev = page.as_of;
+        let as_of = *first.get_or_insert(Position { era, rev });
+        if as_of.era != era {
+            log::debug!("the era changed while a list was read");
+            return None;
+        }
         let more = page.has_more && !page.objects.is_empty();
         objects.extend(page.objects);
         if !more {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -4,6 +4,7 @@
 
 use fleet::{
     engine::Engine,
+    era::{Era, Position},
     listing::{Listing, State},
     reader::Role,
     store_call::{self, Call, RecoveryBound},
@@ -45,6 +46,9 @@
     let mut backoff = MIN_BACKOFF;
     let mut last_role = None;
     loop {
+        if kind == Kind::Config && !gateway.is_era_settled() {
+            list_sync::adopt_newer_config(&gateway).await;
+        }
         let role = list_sync::current_role(&gateway, kind);
         if kind == Kind::Engines && last_role.as_ref() != Some(&role) {
             let reader = match &role {
@@ -66,8 +70,8 @@
 
 /// Reads the changes of a list from the store.
 async fn read_changes(gateway: &Rc<Gateway>, kind: Kind, backoff: &mut Duration) {
-    let since = gateway.list_cache.watermark(kind).as_of;
-    if since == 0 {
+    let since = gateway.list_cache.watermark(kind).as_of();
+    if since.rev == 0 || since.era != gateway.store_era() {
         relist(gateway, kind, backoff).await;
         return;
     }
@@ -80,7 +84,7 @@
                 } else {
                     wait
                 };
-                (gateway.dialect.watch(kind, since, wait), timeout)
+                (gateway.dialect.watch(kind, since.rev, wait), timeout)
             }
             Call::Probe(timeout) => {
                 let request = gateway.dialect.probe();
@@ -99,9 +103,12 @@
         () = gateway.store_recovered.notified() => return,
     };
     match response {
-        Some((StatusCode::GONE, _)) => relist(gateway, kind, backoff).await,
-        Some((status, body)) if status.is_success() => {
-            let Some(changes) = gateway.dialect.parse_changes(&body) else {
+        // The revision that the watch began from may have been assigned again in the new era.
+        Some(it) if it.status == StatusCode::GONE || it.era != since.era => {
+            relist(gateway, kind, backoff).await;
+        }
+        Some(it) if it.status.is_success() => {
+            let Some(changes) = gateway.dialect.parse_changes(&it.body) else {
                 log::warn!(event = "store-unreadable"; "cannot parse changes of {kind:?}");
                 back_off(backoff).await;
                 relist(gateway, kind, backoff).await;
@@ -115,8 +122,8 @@
                 time::sleep(batch_time(gateway, kind)).await;
             }
         }
-        Some((status, _)) => {
-            log::warn!(event = "watch-refused", status = status.as_u16(); "the store refused to watch {kind:?}");
+        Some(it) => {
+            log::warn!(event = "watch-refused", status = it.status.as_u16(); "the store refused to watch {kind:?}");
             back_off(backoff).await;
             relist(gateway, kind, backoff).await;
         }
@@ -172,16 +179,41 @@
     *backoff = (*backoff * 2).min(MAX_BACKOFF);
 }
 
-/// Applies a whole list as of a revision.
-fn apply_list(gateway: &Rc<Gateway>, kind: Kind, objects: &[Object], as_of: u64, removal: Removal) {
+/// Applies a whole list as of a position.
+fn apply_list(
+    gateway: &Rc<Gateway>,
+    kind: Kind,
+    objects: &[Object],
+    as_of: Position,
+    removal: Removal,
+) {
+    let Position { era, rev: as_of } = as_of;
+    let known_era = gateway.list_cache.watermark(kind).as_of().era;
+    if era < known_era {
+        return;
+    }
+    let is_older_copy = known_era < era;
+    if is_older_copy {
+        gateway.list_cache.begin_era(kind, era);
+    }
     let names: HashSet<&str> = objects.iter().map(|it| it.name.as_str()).collect();
+    let mut removed = 0;
     for name in gateway.list_cache.names(kind) {
         if !names.contains(&*name) {
             remove_object(gateway, kind, &name, as_of, removal);
+            removed += 1;
         }
     }
+    if is_older_copy && known_era > Era(0) {
+        let list = kind.name();
+        log::warn!(event = "list-rolled-back", list, era = era.0, removed; "read the list {list} again in era {} of the store: {removed} objects are missing", era.0);
+    }
     for object in objects {
-        apply_object(gateway, kind, object);
+        if is_older_copy && kind == Kind::Engines && has_departed(gateway, object) {
+            gateway.list_cache.put(kind, object);
+        } else {
+            apply_object(gateway, kind, object);
+        }
     }
     gateway.list_cache.advance(kind, as_of);
     gateway.mark_complete(kind, clock::now());
@@ -190,6 +222,26 @@
     }
 }
 
+/// Returns whether an entry names an engine that this host has seen leave. In an older copy of the store it
+/// shows nothing; a living engine writes its entry again.
+fn has_departed(gateway: &Gateway, object: &Object) -> bool {
+    let listing = gateway.dialect.parse_listing(object);
+    listing.is_some_and(|it| gateway.table.borrow().has_departed(&it))
+}
+
+/// Adopts the configuration among these objects if it is newer than the current one.
+pub fn adopt_configs(gateway: &Rc<Gateway>, objects: &[Object]) {
+    // The revision of the object may be from another era than this host's list.
+    let rev = gateway.list_cache.watermark(Kind::Config).last;
+    for object in objects {
+        let object = Object {
+            rev,
+            ..object.clone()
+        };
+        apply_config(gateway, &object);
+    }
+}
+
 /// Applies the changes of a watch.
 fn apply_changes(gateway: &Rc<Gateway>, kind: Kind, changes: &Changes) {
     for event in &changes.events {
@@ -216,7 +268,7 @@
             gateway,
             kind,
             &delta.objects,
-            delta.watermark.as_of,
+            delta.watermark.as_of(),
             removal,
         );
         return;
@@ -233,6 +285,10 @@
 
 /// Applies the removal of an object.
 fn remove_object(gateway: &Rc<Gateway>, kind: Kind, name: &str, at: u64, removal: Removal) {
+    if kind == Kind::Config {
+        // An adopted configuration stays in force, and other hosts may have to take it from here.
+        return;
+    }
     gateway.list_cache.remove(kind, name, at);
     if kind == Kind::Engines {
         log::info!(event = "entry-gone", engine = name; "the entry of engine {name} was removed");
@@ -266,18 +322,49 @@
     }
 }
 
+/// Applies a new or changed configuration. While the store has an older one than was adopted, this host keeps
+/// and passes on the newer one.
+fn apply_config(gateway: &Rc<Gateway>, object: &Object) {
+    let adopted = gateway.catalog().map_or(0, |it| it.revision);
+    match gateway.dialect.parse_catalog(object) {
+        Ok(catalog) if catalog.revision >= adopted => {
+            gateway.list_cache.put(Kind::Config, object);
+            gateway.adopt_catalog(catalog);
+        }
+        Ok(catalog) => {
+            log::debug!(
+                "keeping configuration revision {adopted}: revision {} is older",
+                catalog.revision
+            );
+            let kept = gateway.list_cache.get(Kind::Config, &object.name);
+            let kept = kept.map_or_else(
+                || object.clone(),
+                |it| Object {
+                    rev: object.rev,
+                    ..it
+                },
+            );
+            gateway.list_cache.put(Kind::Config, &kept);
+        }
+        Err(error) => {
+            gateway.list_cache.put(Kind::Config, object);
+            log::warn!(
+                event = "config-refused", rev = object.rev;
+                "configuration refused: {error}"
+            );
+        }
+    }
+}
+
 /// Applies a new or changed object.
 fn apply_object(gateway: &Rc<Gateway>, kind: Kind, object: &Object) {
+    if kind == Kind::Config {
+        apply_config(gateway, object);
+        return;
+    }
     gateway.list_cache.put(kind, object);
     let now = clock::now();
     match kind {
-        Kind::Config => match gateway.dialect.parse_catalog(object) {
-            Ok(catalog) => gateway.adopt_catalog(catalog),
-            Err(error) => log::warn!(
-                event = "config-refused", rev = object.rev;
-                "configuration refused: {error}"
-            ),
-        },
         Kind::Engines => {
             let Some(listing) = gateway.dialect.parse_listing(object) else {
                 log::warn!(
@@ -307,6 +394,6 @@
                 }
             }
         }
-        Kind::Hosts | Kind::Claims => {}
+        Kind::Config | Kind::Hosts | Kind::Claims => {}
     }
 }
