Call an unavailable store seldom, and from few hosts of a domain

Cause: in an outage each host repeated its renewal and its read of the hosts every 300 ms, and all hosts became readers, each probing for three lists.

--- a/crates/fleet/src/store_call.rs
+++ b/crates/fleet/src/store_call.rs
@@ -1,8 +1,10 @@
-//! Timeouts of calls to the store. A call that begins while the store is down is never answered, so a long
+//! Timeouts and schedules of calls to the store. A call that begins while the store is down is never answered, so a long
 //! timeout would delay the detection of the store's recovery.
 
 use std::time::Duration;
 
+use crate::Time;
+
 /// Longest time after which a host must have noticed that the store is back.
 #[derive(Clone, Copy, Debug)]
 pub struct RecoveryBound(pub Duration);
@@ -41,3 +43,46 @@
         Call::Probe(bound.0.mul_f64(PROBE_TIMEOUT_FRACTION))
     }
 }
+
+/// Schedule of a repeated call to the store.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Schedule {
+    due: Time,
+}
+
+impl Schedule {
+    /// Returns whether the call is due.
+    pub fn is_due(self, now: Time) -> bool {
+        self.due <= now
+    }
+
+    /// Makes the call due at once, because the store is available again or has lost changes.
+    pub fn reset(&mut self) {
+        self.due = Time::ZERO;
+    }
+
+    /// Records an attempt that was sent at `sent`: a successful one is repeated after `interval`, a failed one
+    /// after [`RETRY_INTERVAL`], varied by `random` between 0 and 1.
+    pub fn record(&mut self, attempt: Attempt, interval: Duration, random: f64, sent: Time) {
+        self.due = sent
+            + match attempt {
+                Attempt::Done => interval,
+                Attempt::Changed => Duration::ZERO,
+                Attempt::Failed => RETRY_INTERVAL.mul_f64(0.75 + random.clamp(0.0, 1.0) / 2.0),
+            };
+    }
+}
+
+/// Outcome of a call that a [`Schedule`] repeats.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Attempt {
+    /// The store answered.
+    Done,
+    /// The store answered that the object has changed. The call is repeated at once.
+    Changed,
+    /// The store didn't answer, or rejected the call.
+    Failed,
+}
+
+/// Average time after which a failed call is repeated. It is short compared with the term of a lease.
+pub const RETRY_INTERVAL: Duration = Duration::from_millis(1500);
--- a/crates/fleet/tests/it/readers.rs
+++ b/crates/fleet/tests/it/readers.rs
@@ -2,9 +2,12 @@
 
 use std::time::Duration;
 
-use fleet::reader::{DomainHost, ReadState, Role, choose_role};
+use fleet::{
+    reader::{DomainHost, ReadState, Role, choose_role, probe_interval},
+    store_call::{Attempt, RecoveryBound, Schedule},
+};
 
-use crate::fixture::ms;
+use crate::fixture::{at, ms};
 
 const MAX_AGE: Duration = Duration::from_secs(2);
 
@@ -87,3 +90,54 @@
     read_states[before[1]] = ReadState::Reading(MAX_AGE + ms(1));
     assert_eq!(roles(&read_states), vec![Role::Read; 10]);
 }
+
+/// An outage of the store takes the readers from all hosts at once. Few of them probe often, all of them within
+/// the bound.
+#[test]
+fn few_hosts_of_a_domain_probe_an_unavailable_store_often() {
+    let bound = RecoveryBound(Duration::from_secs(3));
+    for count in [1_usize, 4, 16, 104] {
+        let names: Vec<String> = (0..count).map(|it| format!("h-{it}")).collect();
+        let interval = |own: &String| {
+            let others: Vec<DomainHost> = (names.iter())
+                .filter(|it| *it != own)
+                .map(|it| DomainHost {
+                    name: it.as_str().into(),
+                    read_state: ReadState::StoreUnreachable,
+                })
+                .collect();
+            probe_interval(own, "z-1", &others, bound)
+        };
+        let intervals: Vec<Duration> = names.iter().map(interval).collect();
+        let shortest = intervals.iter().min().expect("there are hosts");
+        let often = intervals.iter().filter(|it| *it == shortest).count();
+        assert_eq!(often, count.min(2.max(count.div_ceil(10))), "{count}");
+        assert!(intervals.iter().all(|it| *it < bound.0 / 2), "{count}");
+    }
+}
+
+/// A failed call is repeated some times within the term of a lease, and hosts spread their calls.
+#[test]
+fn failed_calls_are_repeated_seldom_and_spread() {
+    let attempts = |random: f64| {
+        let mut schedule = Schedule::default();
+        let mut attempts = Vec::new();
+        for time in (0..9000).step_by(300) {
+            if schedule.is_due(at(time)) {
+                schedule.record(Attempt::Failed, ms(3000), random, at(time));
+                attempts.push(time);
+            }
+        }
+        attempts
+    };
+    assert!((5..=8).contains(&attempts(0.0).len()));
+    assert!((5..=8).contains(&attempts(1.0).len()));
+    assert_ne!(attempts(0.0)[1], attempts(1.0)[1]);
+    let mut schedule = Schedule::default();
+    schedule.record(Attempt::Done, ms(3000), 0.5, at(0));
+    assert!(!schedule.is_due(at(2999)));
+    schedule.reset();
+    assert!(schedule.is_due(at(1)));
+    schedule.record(Attempt::Changed, ms(3000), 0.5, at(1));
+    assert!(schedule.is_due(at(1)));
+}
--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -8,6 +8,7 @@
     era::{self, Era, Position},
     lease::{Claim, Lease, LeaseWatch, Observation, RENEWAL_INTERVAL},
     rendezvous,
+    store_call::{Attempt, Schedule},
 };
 use serde_json::json;
 use tokio::time;
@@ -95,20 +96,31 @@
 /// Maintains the lease and the claims until the host stops.
 pub async fn maintain(gateway: Rc<Gateway>) {
     let started = clock::now();
-    let mut renewed_at: Option<Time> = None;
-    let mut listed_at: Option<Time> = None;
+    let mut renewal = Schedule::default();
+    let mut listing = Schedule::default();
+    let mut is_renewed = false;
+    let mut is_listed = false;
     let mut claims_read = false;
+    let mut was_unavailable = false;
     while !gateway.stopping.get() {
         let now = clock::now();
         let era = gateway.store_era();
         if gateway.claims.borrow().era != era {
             gateway.claims.borrow_mut().begin_era(era);
-            renewed_at = None;
+            renewal.reset();
+            is_renewed = false;
             claims_read = false;
         }
-        if renewed_at.is_none_or(|it| it + RENEWAL_INTERVAL <= now) {
-            let renewed = renew(&gateway).await;
-            renewed_at = renewed.then_some(now);
+        if std::mem::replace(&mut was_unavailable, gateway.is_store_unavailable())
+            && !was_unavailable
+        {
+            renewal.reset();
+            listing.reset();
+        }
+        if renewal.is_due(now) {
+            let attempt = renew(&gateway).await;
+            is_renewed = attempt == Attempt::Done;
+            renewal.record(attempt, RENEWAL_INTERVAL, rand::random(), now);
         }
         // Hosts that start together write their addresses within this period.
         let starting = now < started + STABILIZATION_PERIOD;
@@ -117,16 +129,17 @@
         } else {
             HOSTS_READ_INTERVAL
         };
-        if listed_at.is_none_or(|it| it + interval <= now) && read_hosts(&gateway, !starting).await
-        {
-            listed_at = Some(now);
+        if listing.is_due(now) {
+            let attempt = read_hosts(&gateway, !starting).await;
+            is_listed |= attempt == Attempt::Done;
+            listing.record(attempt, interval, rand::random(), now);
         }
-        if !claims_read {
+        if !claims_read && is_renewed {
             claims_read = read_claims(&gateway).await;
         }
-        if claims_read && renewed_at.is_some() {
+        if claims_read && is_renewed {
             restore_claims(&gateway).await;
-            let stabilized = clock::now() > started + STABILIZATION_PERIOD && listed_at.is_some();
+            let stabilized = clock::now() > started + STABILIZATION_PERIOD && is_listed;
             claim_all(&gateway, stabilized).await;
         }
         let _ = time::timeout(CLAIM_INTERVAL, gateway.claims_wakeup.notified()).await;
@@ -146,8 +159,8 @@
     }
 }
 
-/// Renews the lease of this host, or creates it. Returns whether the store accepted the write.
-async fn renew(gateway: &Rc<Gateway>) -> bool {
+/// Renews the lease of this host, or creates it.
+async fn renew(gateway: &Rc<Gateway>) -> Attempt {
     let sent = clock::now();
     let spec = json!({
         "peers": gateway.settings.peers.to_string(),
@@ -161,7 +174,7 @@
     match result {
         WriteResult::Written(_, position) if position.era != claims.era => {
             // The store began a new era during the call. The next round starts anew in it.
-            false
+            Attempt::Changed
         }
         WriteResult::Written(_, position) => {
             // Another host may have claimed the engines after the lease expired.
@@ -171,27 +184,27 @@
             }
             claims.lease_position = Some(position);
             claims.lease.renew(sent);
-            true
+            Attempt::Done
         }
         WriteResult::Conflict(_, position) => {
             claims.lease_position = Some(position);
-            false
+            Attempt::Changed
         }
         WriteResult::NotFound => {
             log::warn!(event = "lease-ended"; "another host deleted the lease");
             claims.lease_position = None;
             claims.lease.release();
             claims.held.clear();
-            false
+            Attempt::Changed
         }
-        WriteResult::Refused | WriteResult::Unknown => false,
+        WriteResult::Refused | WriteResult::Unknown => Attempt::Failed,
     }
 }
 
 /// Reads the addresses and domains of all hosts. A `stale` read is cheaper, but may be seconds old.
-async fn read_hosts(gateway: &Rc<Gateway>, stale: bool) -> bool {
+async fn read_hosts(gateway: &Rc<Gateway>, stale: bool) -> Attempt {
     let Some((objects, _)) = store::list(gateway, Kind::Hosts, stale).await else {
-        return false;
+        return Attempt::Failed;
     };
     let mut peers = gateway.peers.borrow_mut();
     for object in &objects {
@@ -202,7 +215,7 @@
         }
     }
     gateway.hosts_listed.notify_waiters();
-    true
+    Attempt::Done
 }
 
 /// Reads the claims of all hosts.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -112,6 +112,8 @@
     pub hosts_listed: Notify,
     /// Availability of the store.
     store: RefCell<StoreState>,
+    /// Time of the last probe of the unavailable store.
+    probed_at: Cell<Option<Time>>,
     /// Retry budgets by service.
     budgets: RefCell<HashMap<Arc<str>, Budget>>,
     /// Requests that wait for a load, by adapter.
@@ -189,6 +191,7 @@
             list_responses: RefCell::default(),
             hosts_listed: Notify::new(),
             store: RefCell::default(),
+            probed_at: Cell::default(),
             budgets: RefCell::default(),
             load_waits: RefCell::default(),
             replica_requests: RefCell::default(),
@@ -327,6 +330,16 @@
         }
     }
 
+    /// Returns whether a probe of the unavailable store is due, at most one in an interval, and counts it.
+    pub fn take_probe(&self, interval: Duration) -> bool {
+        let now = clock::now();
+        let is_due = self.probed_at.get().is_none_or(|it| it + interval <= now);
+        if is_due {
+            self.probed_at.set(Some(now));
+        }
+        is_due
+    }
+
     /// Returns whether the last store call failed.
     pub fn is_store_unavailable(&self) -> bool {
         self.store.borrow().unavailable
--- a/crates/gateway/src/list_sync.rs
+++ b/crates/gateway/src/list_sync.rs
@@ -10,6 +10,7 @@
 use fleet::{
     era::{Era, Position},
     reader::Role,
+    store_call::RecoveryBound,
 };
 use serde::{Deserialize, Serialize};
 use tokio::{
@@ -199,6 +200,16 @@
     )
 }
 
+/// Time between two probes of this host while the store doesn't answer it.
+pub fn probe_interval(gateway: &Gateway) -> Duration {
+    let domain = &gateway.settings.domain;
+    let now = clock::now();
+    let others = (gateway.peers.borrow()).domain_hosts(domain, Kind::Engines, Era(0), now);
+    let bound = RecoveryBound(gateway.settings.store_blind_time());
+    let interval = fleet::reader::probe_interval(&gateway.holder, domain, &others, bound);
+    interval.mul_f64(rand::random_range(0.7..1.0))
+}
+
 /// Serves lists to other hosts until the process ends.
 pub async fn serve(listener: TcpListener, gateway: Rc<Gateway>) {
     loop {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -33,6 +33,9 @@
 /// Part of the drain time reserved for passing changes on, if other hosts take them from this host.
 const HANDOVER_RESERVE: Duration = Duration::from_millis(450);
 
+/// Time between two checks whether a probe of the store is due.
+const PROBE_CHECK_INTERVAL: Duration = Duration::from_millis(150);
+
 /// Delay after the first failed call. It doubles with each failure up to [`MAX_BACKOFF`].
 const MIN_BACKOFF: Duration = Duration::from_millis(150);
 
@@ -87,6 +90,11 @@
                 (gateway.dialect.watch(kind, since.rev, wait), timeout)
             }
             Call::Probe(timeout) => {
+                if !gateway.take_probe(list_sync::probe_interval(gateway)) {
+                    let recovered = gateway.store_recovered.notified();
+                    let _ = time::timeout(PROBE_CHECK_INTERVAL, recovered).await;
+                    return;
+                }
                 let request = gateway.dialect.probe();
                 if store::send(gateway, request, timeout, "probe")
                     .await
