Count the work of other hosts as they last reported it, and queues by the slots of an engine

Cause: with 79 hosts each has a request now and then at each engine. A report named only engines with work, so a request that had ended counted for 1.5 s more; a request that had begun counted only from the next heartbeat (400 ms at this size). The wait for a slot was taken as 30 ms for each excess request, which is right for 64 slots; with 12 slots a slot is free only every 160 ms.

Change: each report replaces the one before, for the workload and for the use of adapters (which protects adapters from eviction); a prompt announcement counts as a running request at once; the wait for a slot is the average run time, measured, divided by the slots.

--- a/crates/experiment/src/platform/hosts.rs
+++ b/crates/experiment/src/platform/hosts.rs
@@ -765,10 +765,10 @@
             let host_name: Arc<str> = format!("h-{host}").into();
             let in_flight_count = self.states[host].loader.in_flight_count();
             for to in self.other_hosts(host) {
+                let table = &mut self.states[to].table;
+                table.begin_work_report(&host_name);
                 for (engine, work) in &work_by_engine {
-                    if let Some(it) = self.states[to].table.get_mut(self.engine_keys[*engine]) {
-                        it.record_remote_work(&host_name, *work, now);
-                    }
+                    table.record_remote_work(&host_name, self.engine_keys[*engine], *work, now);
                 }
                 self.states[to].loader.remote_loads += in_flight_count;
             }
--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -273,6 +273,21 @@
         self.remote_work.insert(host.clone(), (now, work));
     }
 
+    /// Records a request that another host has sent since its last report.
+    pub fn record_remote_start(&mut self, host: &Arc<str>, now: Time) {
+        let (at, work) = self.remote_work.entry(host.clone()).or_default();
+        if *at + REMOTE_WORK_TTL <= now {
+            *work = Workload::default();
+        }
+        *at = now;
+        work.running += 1;
+    }
+
+    /// Forgets the work that another host has reported.
+    pub fn clear_remote_work(&mut self, host: &str) {
+        self.remote_work.remove(host);
+    }
+
     /// Returns the work of all hosts.
     pub fn total_work(&self, now: Time) -> Workload {
         let fresh = |it: &&(Time, Workload)| it.0 + REMOTE_WORK_TTL > now;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -17,8 +17,8 @@
 /// Expected delay of the first event in ms for each running request.
 const RUNNING_DELAY_MS: f64 = 0.35;
 
-/// Expected delay in ms for each request beyond the slots of an engine, until a slot is free.
-const FULL_DELAY_MS: f64 = 30.0;
+/// Expected delay in ms for each request beyond the slots of an instance of a plain service.
+const PLAIN_FULL_DELAY_MS: f64 = 30.0;
 
 /// Expected delay in ms at a fully occupied instance of a plain service.
 const PLAIN_DELAY_MS: f64 = 20.0;
@@ -138,7 +138,7 @@
             }
             continue;
         }
-        let wait_ms = expected_wait_ms(engine, request, now);
+        let wait_ms = expected_wait_ms(table, engine, request, now);
         let mut cost = wait_ms + extra_cost_ms(engine, request, now);
         lowest_cost = lowest_cost.min(cost);
         if let Some(name) = request.name {
@@ -187,7 +187,7 @@
 }
 
 /// Returns the expected time to the first event at an engine, in ms.
-fn expected_wait_ms(engine: &Engine, request: &PlacementRequest, now: Time) -> f64 {
+fn expected_wait_ms(table: &Table, engine: &Engine, request: &PlacementRequest, now: Time) -> f64 {
     let work = engine.total_work(now);
     let slots = u32::try_from(engine.listing.slots.max(1)).unwrap_or(u32::MAX);
     let excess = (work.running + 1).saturating_sub(slots);
@@ -198,7 +198,13 @@
     } else {
         f64::from(work.running) / f64::from(slots) * PLAIN_DELAY_MS
     };
-    (wait_ms + f64::from(excess) * FULL_DELAY_MS) * engine.slowness.max(0.8)
+    // A full engine frees its slots one after the other, each after the run time of a request.
+    let full_delay_ms = if request.name.is_some() {
+        table.run_time(request.service).as_secs_f64() * 1000.0 / f64::from(slots)
+    } else {
+        PLAIN_FULL_DELAY_MS
+    };
+    (wait_ms + f64::from(excess) * full_delay_ms) * engine.slowness.max(0.8)
 }
 
 /// Returns the tokens of the prompt that the engine hasn't cached.
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     Time,
-    engine::Engine,
+    engine::{Engine, Workload},
     listing::{Listing, Name},
     rendezvous::short_id,
 };
@@ -33,6 +33,12 @@
 /// platform's limit is 5 s, of which up to 1 s passes before the announcement is read.
 const OLDER_VERSION_TTL: Duration = Duration::from_millis(2500);
 
+/// Run time of a request that is assumed until runs have been measured.
+const INITIAL_RUN_TIME: Duration = Duration::from_millis(1900);
+
+/// Weight of the newest run in the average run time of a service.
+const NEWEST_RUN_WEIGHT: f64 = 0.02;
+
 /// Maximum number of removed engines that are remembered.
 const MAX_DEPARTED: usize = 16_384;
 
@@ -57,6 +63,12 @@
     /// Ids of the removed engines, oldest first.
     departed_order: VecDeque<Arc<str>>,
     versions: HashMap<Name, Announced>,
+    /// Engines with work of each other host, as last reported by it.
+    reported_engines: HashMap<Arc<str>, Vec<Key>>,
+    /// Adapters with running requests of each other host, as last reported by it.
+    reported_adapters: HashMap<Arc<str>, Vec<(Key, Name)>>,
+    /// Average run time of a request in seconds, by service.
+    run_times: HashMap<Arc<str>, f64>,
 }
 
 /// A removed engine.
@@ -175,6 +187,77 @@
         self.engines.get_mut(&key)
     }
 
+    /// Begins a complete report of another host's work. What the host reported before no longer counts: a
+    /// request of a host with little work at each of many engines ends before the next one begins there.
+    pub fn begin_work_report(&mut self, host: &str) {
+        for key in self.reported_engines.remove(host).unwrap_or_default() {
+            if let Some(engine) = self.engines.get_mut(&key) {
+                engine.clear_remote_work(host);
+            }
+        }
+    }
+
+    /// Records the work that another host reports for one engine.
+    pub fn record_remote_work(&mut self, host: &Arc<str>, key: Key, work: Workload, now: Time) {
+        if let Some(engine) = self.engines.get_mut(&key) {
+            engine.record_remote_work(host, work, now);
+            let reported = self.reported_engines.entry(host.clone()).or_default();
+            reported.push(key);
+        }
+    }
+
+    /// Records a request that another host has sent since its last report.
+    pub fn record_remote_start(&mut self, host: &Arc<str>, key: Key, now: Time) {
+        if let Some(engine) = self.engines.get_mut(&key) {
+            engine.record_remote_start(host, now);
+            let reported = self.reported_engines.entry(host.clone()).or_default();
+            reported.push(key);
+        }
+    }
+
+    /// Begins a complete report of another host's running requests by adapter.
+    pub fn begin_usage_report(&mut self, host: &str) {
+        for (key, name) in self.reported_adapters.remove(host).unwrap_or_default() {
+            let engine = self.engines.get_mut(&key);
+            if let Some(estimate) = engine.and_then(|it| it.held.get_mut(&name)) {
+                estimate.remote_running.remove(host);
+            }
+        }
+    }
+
+    /// Records the running requests that another host reports for an adapter on one engine, and the requests
+    /// that it has started since its last report.
+    pub fn record_remote_usage(
+        &mut self,
+        host: &Arc<str>,
+        key: Key,
+        name: &Name,
+        running: u32,
+        started: u32,
+        now: Time,
+    ) {
+        let engine = self.engines.get_mut(&key);
+        if let Some(estimate) = engine.and_then(|it| it.held.get_mut(name)) {
+            (estimate.remote_running).insert(host.clone(), (now, running));
+            estimate.record_uses(now, started);
+            let reported = self.reported_adapters.entry(host.clone()).or_default();
+            reported.push((key, name.clone()));
+        }
+    }
+
+    /// Records how long a request has run on an engine of a service.
+    pub fn record_run(&mut self, service: &Arc<str>, time: Duration) {
+        let average =
+            (self.run_times.entry(service.clone())).or_insert(INITIAL_RUN_TIME.as_secs_f64());
+        *average += (time.as_secs_f64() - *average) * NEWEST_RUN_WEIGHT;
+    }
+
+    /// Returns the average run time of a request.
+    pub fn run_time(&self, service: &str) -> Duration {
+        let average = self.run_times.get(service);
+        average.map_or(INITIAL_RUN_TIME, |it| Duration::from_secs_f64(it.max(0.0)))
+    }
+
     /// Returns the key of an id.
     pub fn find(&self, id: &str) -> Option<Key> {
         self.ids.get(id).copied()
--- a/crates/fleet/tests/it/tables.rs
+++ b/crates/fleet/tests/it/tables.rs
@@ -1,6 +1,7 @@
 //! Tests of the estimated state of engines.
 
 use fleet::{
+    engine::Workload,
     listing::{Listing, State},
     prefix::{Cache, Chain, Part},
     table::{Freshness, Removal},
@@ -258,3 +259,53 @@
             .is_some_and(fleet::engine::Engine::accepts_work)
     );
 }
+
+/// Work of one request without a prompt.
+fn one_request() -> Workload {
+    Workload {
+        running: 1,
+        prefill_tokens: 0,
+    }
+}
+
+/// Many hosts have a request now and then at each engine. A request that has ended must not count until its report
+/// expires, since the reports of all hosts would add up, and one that has just begun counts at once.
+#[test]
+fn each_report_of_a_host_replaces_the_one_before() {
+    let (mut table, keys) = table(&[("i-1", &["a"]), ("i-2", &["a"])]);
+    let running = |table: &fleet::table::Table, index: usize, now| {
+        table.get(keys[index]).map(|it| it.total_work(now).running)
+    };
+    for host in 0..40 {
+        let host: std::sync::Arc<str> = format!("h-{host}").into();
+        table.begin_work_report(&host);
+        table.record_remote_work(&host, keys[0], one_request(), at(0));
+    }
+    assert_eq!(running(&table, 0, at(400)), Some(40));
+    for host in 0..40 {
+        let host: std::sync::Arc<str> = format!("h-{host}").into();
+        table.begin_work_report(&host);
+        table.record_remote_start(&host, keys[1], at(400));
+    }
+    assert_eq!(running(&table, 0, at(401)), Some(0));
+    assert_eq!(running(&table, 1, at(401)), Some(40));
+    // Hosts that fall silent no longer count.
+    assert_eq!(running(&table, 1, at(LATER)), Some(0));
+}
+
+#[test]
+fn each_usage_report_of_a_host_replaces_the_one_before() {
+    let (mut table, keys) = table(&[("i-1", &["a", "b"])]);
+    let host: std::sync::Arc<str> = "h-1".into();
+    let running = |table: &fleet::table::Table, name: &str| {
+        let estimate = table.get(keys[0]).and_then(|it| it.held.get(name));
+        estimate.map(|it| it.total_running(at(1)))
+    };
+    table.begin_usage_report(&host);
+    table.record_remote_usage(&host, keys[0], &"m/a".into(), 2, 2, at(0));
+    assert_eq!(running(&table, "m/a"), Some(2));
+    table.begin_usage_report(&host);
+    table.record_remote_usage(&host, keys[0], &"m/b".into(), 1, 1, at(1));
+    assert_eq!(running(&table, "m/a"), Some(0));
+    assert_eq!(running(&table, "m/b"), Some(1));
+}
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -84,7 +84,9 @@
                 Some(Message::Heartbeat(it)) => self.handle_heartbeat(&it, from),
                 Some(Message::LoadRequest(it)) => self.handle_load_request(&it, from).await,
                 Some(Message::AdapterUpdates(it)) => self.handle_updates(&it),
-                Some(Message::PromptSent(engine, tokens)) => self.handle_prompt(engine, tokens),
+                Some(Message::PromptSent(engine, tokens)) => {
+                    self.handle_prompt(engine, tokens, from);
+                }
                 Some(Message::Leaving(it)) => self.handle_leaving(&it),
                 Some(Message::Vanished(it)) => self.handle_vanished(&it),
                 Some(Message::ListState(it)) => self.handle_list_state(it, from),
@@ -160,10 +162,17 @@
     }
 
     /// Adds a prompt of another host to the estimated workload of an engine.
-    fn handle_prompt(&self, engine: ShortId, tokens: u32) {
+    fn handle_prompt(&self, engine: ShortId, tokens: u32, from: SocketAddr) {
+        let now = clock::now();
         let mut table = self.gateway.table.borrow_mut();
-        if let Some(engine) = table.get_by_short_id(engine) {
-            engine.record_prompt(tokens, clock::now());
+        let Some(key) = table.find_by_short_id(engine) else {
+            return;
+        };
+        if let Some(engine) = table.get_mut(key) {
+            engine.record_prompt(tokens, now);
+        }
+        if let Some(host) = self.gateway.peers.borrow().name_at(from) {
+            table.record_remote_start(&host, key, now);
         }
     }
 
@@ -310,16 +319,18 @@
                 )
             })
             .collect();
-        let part = |it: &[(ShortId, u32, u32)]| {
+        let part = |(index, it): (usize, &[(ShortId, u32, u32)])| {
             Message::Workloads(Workloads {
                 host: self.gateway.holder.to_string(),
+                continued: index > 0,
                 workloads: it.to_vec(),
             })
         };
-        workloads
-            .chunks(MAX_WORKLOADS_PER_MESSAGE)
-            .map(part)
-            .collect()
+        if workloads.is_empty() {
+            return vec![part((0, &[]))];
+        }
+        let parts = workloads.chunks(MAX_WORKLOADS_PER_MESSAGE);
+        parts.enumerate().map(part).collect()
     }
 
     /// Engines that are known to accept no more work while the platform's list says otherwise. They are
@@ -343,13 +354,16 @@
         let now = clock::now();
         let host: Arc<str> = message.host.as_str().into();
         let mut table = self.gateway.table.borrow_mut();
+        if !message.continued {
+            table.begin_work_report(&host);
+        }
         for (engine, running, prefill_tokens) in &message.workloads {
-            if let Some(engine) = table.get_by_short_id(*engine) {
+            if let Some(key) = table.find_by_short_id(*engine) {
                 let work = Workload {
                     running: *running,
                     prefill_tokens: *prefill_tokens,
                 };
-                engine.record_remote_work(&host, work, now);
+                table.record_remote_work(&host, key, work, now);
             }
         }
     }
@@ -416,16 +430,16 @@
         }
         self.gateway.lists_received.notify_waiters();
         let mut table = self.gateway.table.borrow_mut();
+        // A truncated list doesn't show that the other adapters have no requests.
+        if heartbeat.adapter_usage.len() < MAX_ADAPTERS_PER_MESSAGE {
+            table.begin_usage_report(&host);
+        }
         for usage in &heartbeat.adapter_usage {
-            let Some(engine) = table.get_by_short_id(usage.engine) else {
+            let Some(key) = table.find_by_short_id(usage.engine) else {
                 continue;
             };
-            if let Some(estimate) = engine.held.get_mut(usage.name.as_str()) {
-                estimate
-                    .remote_running
-                    .insert(host.clone(), (now, usage.running));
-                estimate.record_uses(now, usage.started);
-            }
+            let name: Name = usage.name.as_str().into();
+            table.record_remote_usage(&host, key, &name, usage.running, usage.started, now);
         }
     }
 
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -101,6 +101,8 @@
 pub struct Workloads {
     /// Name of the host.
     pub host: String,
+    /// True if an earlier message of the same report precedes this one.
+    pub continued: bool,
     /// For each engine: running requests, and prompt tokens that the engine has yet to prefill.
     #[serde(rename = "loads")]
     pub workloads: Vec<(ShortId, u32, u32)>,
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -130,6 +130,12 @@
         lost
     }
 
+    /// Name of the host with this address.
+    pub fn name_at(&self, addr: SocketAddr) -> Option<Arc<str>> {
+        let mut hosts = self.by_name.iter();
+        hosts.find(|it| it.1.addr == addr).map(|it| it.0.clone())
+    }
+
     /// Sets the seed addresses from the settings.
     pub fn set_seeds(&mut self, seeds: Vec<SocketAddr>) {
         self.seeds = seeds;
