Give up a wait for an engine only on evidence of all hosts

Cause: with 79 hosts a host has a request at an engine every 20 s, so its own connections always showed silence, and every wait over 1.5 s was given up as hung.

Change: hosts report how long an engine has been silent; a wait is given up for silence only after reports were due, and a first event only after twice the queue that the engine has now. Ruled out: a longer fixed timeout (hung engines would keep streams beyond their callers' patience).

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -170,8 +170,10 @@
     pub slowness: f64,
     /// When the engine is removed because its entry has vanished; `None` while it is listed.
     pub expires_at: Option<Time>,
-    /// When the last successful response arrived.
+    /// When any host is known to have received the last successful response or event.
     pub last_success_at: Time,
+    /// When this host received the last successful response or event.
+    pub own_success_at: Time,
 }
 
 impl Engine {
@@ -196,6 +198,7 @@
             slowness: 1.0,
             expires_at: None,
             last_success_at: Time::ZERO,
+            own_success_at: Time::ZERO,
         };
         engine.update(listing, now);
         engine
@@ -283,6 +286,18 @@
         work.running += 1;
     }
 
+    /// Records that this host has received a successful response or an event.
+    pub fn record_success(&mut self, now: Time) {
+        self.circuit.record_success();
+        self.own_success_at = now;
+        self.last_success_at = now;
+    }
+
+    /// Records another host's report that it has received a successful response or an event at `at`.
+    pub fn record_remote_success(&mut self, at: Time) {
+        self.last_success_at = self.last_success_at.max(at);
+    }
+
     /// Forgets the work that another host has reported.
     pub fn clear_remote_work(&mut self, host: &str) {
         self.remote_work.remove(host);
--- a/crates/fleet/src/stall.rs
+++ b/crates/fleet/src/stall.rs
@@ -1,7 +1,9 @@
 //! Decides when a retryable request is given up on a silent engine.
 //!
 //! Engines may hang on some requests or on all, responses may be lost after the request has run, and
-//! connections may go silent without a reset. Other engines are merely busy and aren't given up.
+//! connections may go silent without a reset. Other engines are merely busy and aren't given up: a request that
+//! is given up in a queue loses its place, and its retry makes the overload worse. With many hosts, a host has
+//! few requests at each engine, so its own connections don't show whether an engine is alive.
 
 use std::time::Duration;
 
@@ -36,6 +38,17 @@
     NextEvent,
 }
 
+/// State of the engine that a request waits for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct EngineState {
+    /// Time since any host is known to have received data from the engine.
+    pub silence: Duration,
+    /// Time by which reports of other hosts lag behind.
+    pub report_lag: Duration,
+    /// Expected time until the engine has a free slot for all requests that wait there.
+    pub queue_wait: Duration,
+}
+
 /// Result of [`check_wait`].
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Verdict {
@@ -45,9 +58,8 @@
     Hung,
 }
 
-/// Decides whether to continue a wait that has lasted for `waited`. `silence` is the time since the engine
-/// last sent data on any connection.
-pub fn check_wait(route: &Route, stage: Stage, waited: Duration, silence: Duration) -> Verdict {
+/// Decides whether to continue a wait that has lasted for `waited`.
+pub fn check_wait(route: &Route, stage: Stage, waited: Duration, engine: EngineState) -> Verdict {
     let timeout = match (route.kind, stage) {
         (RequestKind::AtMostOnce | RequestKind::Stream, _) => return Verdict::Wait(Duration::MAX),
         (RequestKind::Idempotent, _) => {
@@ -55,16 +67,18 @@
         }
         (RequestKind::Resumable, Stage::NextEvent) => NEXT_EVENT_TIMEOUT,
         (RequestKind::Resumable, Stage::Head(expected) | Stage::FirstEvent(expected)) => {
-            FIRST_EVENT_TIMEOUT + expected * 2
+            FIRST_EVENT_TIMEOUT + expected.max(engine.queue_wait) * 2
         }
     };
-    let engine_silent = silence >= ENGINE_SILENCE && waited >= SILENT_ENGINE_TIMEOUT;
+    let silence = engine.silence;
+    let max_silence = ENGINE_SILENCE + engine.report_lag;
+    let engine_silent = silence >= max_silence && waited >= SILENT_ENGINE_TIMEOUT;
     if waited >= timeout || engine_silent {
         return Verdict::Hung;
     }
     let until_engine_silent = SILENT_ENGINE_TIMEOUT
         .saturating_sub(waited)
-        .max(ENGINE_SILENCE.saturating_sub(silence))
+        .max(max_silence.saturating_sub(silence))
         .max(Duration::from_millis(1));
     Verdict::Wait(until_engine_silent.min(timeout.saturating_sub(waited)))
 }
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -258,6 +258,16 @@
         average.map_or(INITIAL_RUN_TIME, |it| Duration::from_secs_f64(it.max(0.0)))
     }
 
+    /// Returns the expected time until an engine has a free slot for all requests that wait there.
+    pub fn queue_wait(&self, key: Key, now: Time) -> Duration {
+        let Some(engine) = self.engines.get(&key) else {
+            return Duration::ZERO;
+        };
+        let slots = u32::try_from(engine.listing.slots.max(1)).unwrap_or(u32::MAX);
+        let waiting = engine.total_work(now).running.saturating_sub(slots);
+        self.run_time(&engine.listing.service) * waiting / slots
+    }
+
     /// Returns the key of an id.
     pub fn find(&self, id: &str) -> Option<Key> {
         self.ids.get(id).copied()
--- a/crates/fleet/tests/it/stalls.rs
+++ b/crates/fleet/tests/it/stalls.rs
@@ -4,7 +4,7 @@
 
 use fleet::{
     catalog::RequestKind,
-    stall::{Stage, Verdict, check_wait},
+    stall::{EngineState, Stage, Verdict, check_wait},
     store_call::{self, Call, RecoveryBound},
 };
 
@@ -12,10 +12,24 @@
 
 /// Returns how long a wait lasts until it is given up, if that is within a minute.
 fn time_until_hung(kind: RequestKind, stage: Stage, engine_sends: bool) -> Option<Duration> {
+    time_until_hung_in_queue(kind, stage, engine_sends, Duration::ZERO)
+}
+
+/// Returns the same for an engine with a queue that takes `queue_wait`.
+fn time_until_hung_in_queue(
+    kind: RequestKind,
+    stage: Stage,
+    engine_sends: bool,
+    queue_wait: Duration,
+) -> Option<Duration> {
     let mut waited = Duration::ZERO;
     while waited < Duration::from_mins(1) {
-        let silence = if engine_sends { ms(10) } else { waited };
-        match check_wait(&route(kind), stage, waited, silence) {
+        let engine = EngineState {
+            silence: if engine_sends { ms(10) } else { waited },
+            report_lag: Duration::ZERO,
+            queue_wait,
+        };
+        match check_wait(&route(kind), stage, waited, engine) {
             Verdict::Hung => return Some(waited),
             Verdict::Wait(step) => {
                 assert!(step > Duration::ZERO, "the pause must not be zero");
@@ -52,6 +66,36 @@
     assert!(at > expected * 2);
 }
 
+/// At the worst load, engines have queues that grew after the request was placed. The hosts that gave up there
+/// lost their places and spent the retry budget.
+#[test]
+fn a_request_in_a_queue_that_grew_keeps_its_place_unless_the_engine_is_silent() {
+    let stage = Stage::FirstEvent(ms(100));
+    let at = |engine_sends, queue_wait| {
+        time_until_hung_in_queue(RequestKind::Resumable, stage, engine_sends, queue_wait)
+            .expect("the wait is given up")
+    };
+    assert!(at(true, ms(1200)) > ms(1200) * 2);
+    assert!(at(false, ms(1200)) < ms(2000));
+    assert!(at(true, Duration::ZERO) < ms(2000));
+}
+
+/// The reports of other hosts lag behind in a large fleet. An engine isn't silent before one was due.
+#[test]
+fn an_engine_is_not_silent_before_other_hosts_could_report() {
+    let engine = |silence: u64, lag: u64| EngineState {
+        silence: ms(silence),
+        report_lag: ms(lag),
+        queue_wait: ms(1000),
+    };
+    let route = route(RequestKind::Resumable);
+    let stage = Stage::Head(ms(100));
+    let verdict = |silence, lag| check_wait(&route, stage, ms(1600), engine(silence, lag));
+    assert_eq!(verdict(1000, 0), Verdict::Hung);
+    assert_ne!(verdict(1000, 200), Verdict::Hung);
+    assert_eq!(verdict(1200, 200), Verdict::Hung);
+}
+
 #[test]
 fn a_silent_idempotent_request_is_given_up_while_there_is_time_for_a_retry() {
     let at = time_until_hung(RequestKind::Idempotent, Stage::Head(ms(20)), true)
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -203,8 +203,7 @@
     /// Counts a successful response of an engine in its circuit breaker.
     pub(crate) fn record_success(&self, key: Key) {
         if let Some(engine) = self.gateway.table.borrow_mut().get_mut(key) {
-            engine.circuit.record_success();
-            engine.last_success_at = clock::now();
+            engine.record_success(clock::now());
         }
     }
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -21,15 +21,13 @@
     gateway::Gateway,
     list_sync::{self, ListState},
     message::{
-        self, AdapterUpdate, AdapterUsage, EngineIncarnation, Heartbeat, LoadRequest,
-        MAX_ADAPTERS_PER_MESSAGE, MAX_WORKLOADS_PER_MESSAGE, Message, ShortId, Workloads,
+        self, AdapterUpdate, AdapterUsage, EngineIncarnation, EngineWorkload, Heartbeat,
+        LoadRequest, MAX_ADAPTERS_PER_MESSAGE, MAX_WORKLOADS_PER_MESSAGE, Message, ShortId,
+        Workloads,
     },
+    peers::HEARTBEAT_INTERVAL,
 };
 
-/// Time between two heartbeats to each other host. It grows with the number of hosts
-/// ([`crate::peers::Peers::slowdown`]).
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
-
 /// Maximum number of hosts to which each prompt is announced.
 const MAX_PROMPT_RECIPIENTS: usize = 40;
 
@@ -306,6 +304,8 @@
 
     /// Workload that this host puts on engines, in messages that fit into a datagram.
     fn workload_messages(&self) -> Vec<Message> {
+        let now = clock::now();
+        let millis = |it: Duration| u32::try_from(it.as_millis()).unwrap_or(u32::MAX);
         let table = self.gateway.table.borrow();
         let busy = table
             .iter()
@@ -316,10 +316,11 @@
                     short_id(&it.listing.id),
                     it.local_work.running,
                     it.local_work.prefill_tokens,
+                    millis(now.saturating_sub(it.own_success_at)),
                 )
             })
             .collect();
-        let part = |(index, it): (usize, &[(ShortId, u32, u32)])| {
+        let part = |(index, it): (usize, &[EngineWorkload])| {
             Message::Workloads(Workloads {
                 host: self.gateway.holder.to_string(),
                 continued: index > 0,
@@ -357,13 +358,17 @@
         if !message.continued {
             table.begin_work_report(&host);
         }
-        for (engine, running, prefill_tokens) in &message.workloads {
+        for (engine, running, prefill_tokens, silence) in &message.workloads {
             if let Some(key) = table.find_by_short_id(*engine) {
                 let work = Workload {
                     running: *running,
                     prefill_tokens: *prefill_tokens,
                 };
                 table.record_remote_work(&host, key, work, now);
+                let silence = Duration::from_millis((*silence).into());
+                if let Some(engine) = table.get_mut(key) {
+                    engine.record_remote_success(now.saturating_sub(silence));
+                }
             }
         }
     }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -11,7 +11,7 @@
 pub const MAX_ADAPTERS_PER_MESSAGE: usize = 24;
 
 /// Maximum number of engines in one [`Workloads`] message, so that it fits into a datagram.
-pub const MAX_WORKLOADS_PER_MESSAGE: usize = 100;
+pub const MAX_WORKLOADS_PER_MESSAGE: usize = 80;
 
 /// Shortened id of an engine.
 pub type ShortId = u32;
@@ -96,6 +96,10 @@
     pub adapter_usage: Vec<AdapterUsage>,
 }
 
+/// Workload that a host puts on an engine: the engine, running requests, prompt tokens that the engine has yet to
+/// prefill, and the time in ms since the host last received data from the engine.
+pub type EngineWorkload = (ShortId, u32, u32, u32);
+
 /// Workload that a host puts on engines.
 #[derive(Debug, Default, Deserialize, Serialize)]
 pub struct Workloads {
@@ -103,9 +107,9 @@
     pub host: String,
     /// True if an earlier message of the same report precedes this one.
     pub continued: bool,
-    /// For each engine: running requests, and prompt tokens that the engine has yet to prefill.
+    /// For each engine with work of the host.
     #[serde(rename = "loads")]
-    pub workloads: Vec<(ShortId, u32, u32)>,
+    pub workloads: Vec<EngineWorkload>,
 }
 
 /// Requests of a host that use an adapter on an engine. It is sent only to the steward of the
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -23,6 +23,10 @@
 /// falls, so that the cost of sending stays the same.
 const FULL_RATE_HOSTS: f64 = 40.0;
 
+/// Time between two heartbeats to each other host. It grows with the number of hosts
+/// ([`Peers::slowdown`]).
+pub const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Time since its last message for which a host counts as live, at the full heartbeat rate.
 const LIVENESS_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -186,6 +190,11 @@
         (f64::from(hosts) / FULL_RATE_HOSTS).max(1.0)
     }
 
+    /// Time by which the reports of other hosts lag behind those of a small fleet.
+    pub fn report_lag(&self) -> Duration {
+        HEARTBEAT_INTERVAL.mul_f64(self.slowdown() - 1.0)
+    }
+
     /// Takes the numbers of requests started since the last heartbeat, by engine and adapter.
     pub fn take_started(&mut self) -> HashMap<(Key, Name), u32> {
         std::mem::take(&mut self.started_requests)
--- a/crates/gateway/src/stall.rs
+++ b/crates/gateway/src/stall.rs
@@ -5,7 +5,7 @@
 use fleet::{
     Time,
     catalog::Route,
-    stall::{self, Stage, Verdict},
+    stall::{self, EngineState, Stage, Verdict},
     table::Key,
 };
 use tokio::time;
@@ -47,15 +47,9 @@
         if now >= end {
             return WaitResult::DeadlineExceeded;
         }
-        let last_success_at = context
-            .gateway
-            .table
-            .borrow()
-            .get(key)
-            .map(|it| it.last_success_at);
-        let silence = last_success_at.map_or(Duration::MAX, |it| now.saturating_sub(it));
         let waited = now.saturating_sub(started);
-        let check_interval = match stall::check_wait(&context.route, stage, waited, silence) {
+        let engine = engine_state(&context.gateway, key, now);
+        let check_interval = match stall::check_wait(&context.route, stage, waited, engine) {
             Verdict::Hung => return WaitResult::Stalled,
             Verdict::Wait(check_interval) => check_interval.min(end.saturating_sub(now)),
         };
@@ -64,3 +58,14 @@
         }
     }
 }
+
+/// State of an engine for the decision whether it is hung.
+fn engine_state(gateway: &Gateway, key: Key, now: Time) -> EngineState {
+    let table = gateway.table.borrow();
+    let last_success_at = table.get(key).map(|it| it.last_success_at);
+    EngineState {
+        silence: last_success_at.map_or(Duration::MAX, |it| now.saturating_sub(it)),
+        report_lag: gateway.peers.borrow().report_lag(),
+        queue_wait: table.queue_wait(key, now),
+    }
+}
