Keep stale versions stale, query a base model that is held already, split long datagrams

Faults that the readers of fleet and gateway found, each with a test that failed first: - Table::announce made a stale version usable for 2.5 s when a further one was announced. - Loader: an order for a base model that the engine holds already left an in-flight entry that only a status query ends, and asked for none, so the engine never loaded adapters. - A datagram over 1,400 bytes was sent after a debug line: lists are split by their encoded size.

--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -690,12 +690,16 @@
                 state.needs_query = true;
                 state.paused_until = now + REFUSED_PAUSE;
             }
-            (Outcome::InEffect, Op::Load(version)) => state.in_flight.push(InFlight {
-                name: order.name.clone(),
-                version: version.unwrap_or(0),
-                due: now,
-                completed: false,
-            }),
+            (Outcome::InEffect, Op::Load(version)) => {
+                state.in_flight.push(InFlight {
+                    name: order.name.clone(),
+                    version: version.unwrap_or(0),
+                    due: now,
+                    completed: false,
+                });
+                // Only a status query ends the load of a base model.
+                state.needs_query |= !is_adapter(&order.name);
+            }
             (Outcome::InEffect, Op::Unload) => {
                 state.record_accepted();
                 state.record_unloaded(&order.name);
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -86,6 +86,19 @@
     pub version: u64,
     /// When this host received the announcement.
     pub received_at: Time,
+    /// Versions below this one were stale when the announcement was received.
+    stale_below: u64,
+}
+
+impl Announced {
+    /// Returns the version below which all versions are stale.
+    fn stale_below(self, now: Time) -> u64 {
+        if self.received_at + OLDER_VERSION_TTL <= now {
+            self.version
+        } else {
+            self.stale_below
+        }
+    }
 }
 
 impl Table {
@@ -296,15 +309,15 @@
 
     /// Records an announced version. Returns whether it is newer than the known one; an older one is ignored.
     pub fn announce(&mut self, name: Name, version: u64, now: Time) -> bool {
-        let newer = (self.versions.get(&name)).is_none_or(|it| it.version < version);
+        let previous = self.versions.get(&name).copied();
+        let newer = previous.is_none_or(|it| it.version < version);
         if newer {
-            self.versions.insert(
-                name,
-                Announced {
-                    version,
-                    received_at: now,
-                },
-            );
+            let announced = Announced {
+                version,
+                received_at: now,
+                stale_below: previous.map_or(0, |it| it.stale_below(now)),
+            };
+            self.versions.insert(name, announced);
         }
         newer
     }
@@ -317,9 +330,7 @@
     /// Compares a version of an adapter with the newest announced one.
     pub fn freshness(&self, name: &str, version: u64, now: Time) -> Freshness {
         match self.versions.get(name) {
-            Some(it) if version < it.version && it.received_at + OLDER_VERSION_TTL <= now => {
-                Freshness::Stale
-            }
+            Some(it) if version < it.stale_below(now) => Freshness::Stale,
             Some(it) if version < it.version => Freshness::Older,
             _ => Freshness::Newest,
         }
--- a/crates/fleet/tests/it/loads.rs
+++ b/crates/fleet/tests/it/loads.rs
@@ -316,6 +316,28 @@
     );
 }
 
+/// The engine already holds the base model, but neither the list nor a status says so yet.
+#[test]
+fn a_base_model_that_an_engine_holds_already_is_confirmed_by_a_query() {
+    let mut steward = Steward::new(&[("i-1", &[])]);
+    let mut listing = listing("i-1", &[]);
+    listing.held.clear();
+    steward.table.upsert(listing, at(6000));
+    let status = Status::default();
+    let key = steward.keys[0];
+    steward.loader.record_status(key, Some(&status), at(6000));
+    let orders = steward.send_orders(at(6000), Outcome::InEffect);
+    assert_eq!(names(&orders), [("m", Op::Load(None))]);
+    let actions = steward.next_actions(at(6001));
+    assert_eq!(actions, [Action::QueryStatus(key)]);
+    let status = Status {
+        held: vec![held("m", 1)],
+        ..Status::default()
+    };
+    steward.loader.record_status(key, Some(&status), at(6010));
+    assert_eq!(steward.loader.in_flight_count(), 0);
+}
+
 #[test]
 fn an_engine_that_may_have_orders_of_other_hosts_is_queried_before_the_next_order() {
     let mut steward = Steward::new(&[("i-1", &[])]);
--- a/crates/fleet/tests/it/tables.rs
+++ b/crates/fleet/tests/it/tables.rs
@@ -125,6 +125,11 @@
     // The previously newest version is usable for a while after the next announcement, too.
     assert!(table.announce("m/a1".into(), 4, at(4500)));
     assert_eq!(table.freshness("m/a1", 3, at(4600)), Freshness::Older);
+    // A version that was stale before stays so, also while announcements follow each other.
+    assert_eq!(table.freshness("m/a1", 1, at(4600)), Freshness::Stale);
+    assert!(table.announce("m/a1".into(), 5, at(5000)));
+    assert_eq!(table.freshness("m/a1", 1, at(5000)), Freshness::Stale);
+    assert_eq!(table.freshness("m/a1", 3, at(5000)), Freshness::Older);
 }
 
 #[test]
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -31,10 +31,6 @@
 /// Maximum number of hosts to which each prompt is announced.
 const MAX_PROMPT_RECIPIENTS: usize = 40;
 
-/// Maximum size of a datagram, beyond which a message is logged. The links carry at most 1,500 bytes
-/// including all headers.
-const MAX_DATAGRAM_BYTES: usize = 1400;
-
 /// Socket for messages between hosts.
 pub struct Gossip {
     gateway: Rc<Gateway>,
@@ -384,6 +380,7 @@
                 .unwrap_or(0),
             claims: claims.orderable(now).map(|it| short_id(it)).collect(),
             list_state: list_sync::list_state(&self.gateway),
+            usage_continued: false,
             adapter_usage: Vec::new(),
         }
     }
@@ -436,7 +433,8 @@
         self.gateway.lists_received.notify_waiters();
         let mut table = self.gateway.table.borrow_mut();
         // A truncated list doesn't show that the other adapters have no requests.
-        if heartbeat.adapter_usage.len() < MAX_ADAPTERS_PER_MESSAGE {
+        let is_truncated = heartbeat.adapter_usage.len() >= MAX_ADAPTERS_PER_MESSAGE;
+        if !is_truncated && !heartbeat.usage_continued {
             table.begin_usage_report(&host);
         }
         for usage in &heartbeat.adapter_usage {
@@ -550,13 +548,11 @@
 
     /// Sends a message to several hosts, encoded once.
     async fn send_all(&self, message: &Message, to: &[SocketAddr]) {
-        let bytes = message::encode(message);
-        if bytes.len() > MAX_DATAGRAM_BYTES {
-            log::debug!("datagram of {} bytes exceeds the size limit", bytes.len());
-        }
-        for addr in to {
-            if let Err(error) = self.socket.send_to(&bytes, addr).await {
-                log::debug!("cannot send datagram to {addr}: {error}");
+        for datagram in message::encode_within_limit(message) {
+            for addr in to {
+                if let Err(error) = self.socket.send_to(&datagram, addr).await {
+                    log::debug!("cannot send datagram to {addr}: {error}");
+                }
             }
         }
     }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -7,7 +7,10 @@
 
 use crate::list_sync::ListState;
 
-/// Maximum number of adapters in one message, so that it fits into a datagram.
+/// Maximum size of a datagram. The links carry at most 1,500 bytes including all headers.
+pub const MAX_DATAGRAM_BYTES: usize = 1400;
+
+/// Maximum number of adapters in one message, so that it usually fits into a datagram.
 pub const MAX_ADAPTERS_PER_MESSAGE: usize = 24;
 
 /// Maximum number of engines in one [`Workloads`] message, so that it fits into a datagram.
@@ -27,6 +30,70 @@
         .expect("encoding into a vector does not fail")
 }
 
+/// Encodes a message as datagrams of at most [`MAX_DATAGRAM_BYTES`]. A list that is too long for one of them is
+/// split. A message that can't be split further gives no datagram.
+pub fn encode_within_limit(message: &Message) -> Vec<Vec<u8>> {
+    let datagram = encode(message);
+    if datagram.len() <= MAX_DATAGRAM_BYTES {
+        return vec![datagram];
+    }
+    let Some((first, rest)) = split(message) else {
+        log::warn!(event = "datagram-too-large", bytes = datagram.len(); "a message of {} bytes cannot be sent", datagram.len());
+        return Vec::new();
+    };
+    let mut datagrams = encode_within_limit(&first);
+    datagrams.extend(encode_within_limit(&rest));
+    datagrams
+}
+
+/// Splits the list of a message in two. Returns `None` if there is nothing to split.
+fn split(message: &Message) -> Option<(Message, Message)> {
+    fn halves<T: Clone>(list: &[T]) -> Option<(Vec<T>, Vec<T>)> {
+        let (first, rest) = list.split_at(list.len().div_ceil(2));
+        (!rest.is_empty()).then(|| (first.to_vec(), rest.to_vec()))
+    }
+    match message {
+        Message::AdapterUpdates(list) => {
+            let (first, rest) = halves(list)?;
+            Some((
+                Message::AdapterUpdates(first),
+                Message::AdapterUpdates(rest),
+            ))
+        }
+        Message::Leaving(list) => {
+            let (first, rest) = halves(list)?;
+            Some((Message::Leaving(first), Message::Leaving(rest)))
+        }
+        Message::Vanished(list) => {
+            let (first, rest) = halves(list)?;
+            Some((Message::Vanished(first), Message::Vanished(rest)))
+        }
+        Message::Workloads(it) => {
+            let (first, rest) = halves(&it.workloads)?;
+            let part = |workloads, continued| {
+                Message::Workloads(Workloads {
+                    host: it.host.clone(),
+                    continued,
+                    workloads,
+                })
+            };
+            Some((part(first, it.continued), part(rest, true)))
+        }
+        Message::Heartbeat(it) => {
+            let (first, rest) = halves(&it.adapter_usage)?;
+            let part = |adapter_usage, usage_continued| {
+                Message::Heartbeat(Heartbeat {
+                    usage_continued,
+                    adapter_usage,
+                    ..it.clone()
+                })
+            };
+            Some((part(first, it.usage_continued), part(rest, true)))
+        }
+        Message::LoadRequest(_) | Message::ListState(_) | Message::PromptSent(..) => None,
+    }
+}
+
 /// Decodes a datagram. Returns `None` if it has another format version or is malformed.
 pub fn decode(datagram: &[u8]) -> Option<Message> {
     let (format, rest) = datagram.split_first()?;
@@ -75,7 +142,7 @@
 }
 
 /// Periodic message by which a host shows that it is alive.
-#[derive(Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Heartbeat {
     /// Name of the host.
     pub host: String,
@@ -91,6 +158,8 @@
     /// State of the host's lists.
     #[serde(rename = "lists")]
     pub list_state: ListState,
+    /// True if `adapter_usage` continues that of an earlier heartbeat.
+    pub usage_continued: bool,
     /// Requests of the host at engines of which the receiver is the steward.
     #[serde(rename = "runs")]
     pub adapter_usage: Vec<AdapterUsage>,
@@ -114,7 +183,7 @@
 
 /// Requests of a host that use an adapter on an engine. It is sent only to the steward of the
 /// engine.
-#[derive(Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct AdapterUsage {
     /// Id of the engine.
     pub engine: ShortId,
--- a/crates/gateway/tests/message.rs
+++ b/crates/gateway/tests/message.rs
@@ -1,6 +1,9 @@
 //! Encoding of datagrams between hosts.
 
-use gateway::message::{Message, decode, encode, make_adapter_update};
+use gateway::message::{
+    AdapterUsage, Heartbeat, LoadRequest, MAX_DATAGRAM_BYTES, Message, Workloads, decode, encode,
+    encode_within_limit, make_adapter_update, make_incarnation,
+};
 
 #[test]
 fn datagrams_with_another_format_version_or_truncated_are_rejected() {
@@ -14,3 +17,70 @@
         assert!(decode(&datagram[..length]).is_none(), "{length}");
     }
 }
+
+/// Names may be longer than usual, and a list may have any length.
+#[test]
+fn long_lists_are_split_into_datagrams_within_the_limit() {
+    let long_name = format!("m/{}", "a".repeat(200));
+    let updates = (0..40).map(|_| make_adapter_update("i-1", &long_name.as_str().into(), None));
+    let incarnations: Vec<_> = (0..400_u64)
+        .map(|it| make_incarnation(&format!("i-{it}"), u64::MAX - it))
+        .collect();
+    let usage = (0..24).map(|engine| AdapterUsage {
+        engine,
+        name: long_name.clone(),
+        running: 1,
+        started: 1,
+    });
+    let workloads = Workloads {
+        host: "h-1".to_owned(),
+        continued: false,
+        workloads: (0..300)
+            .map(|it| (u32::MAX - it, 1, 3000, u32::MAX))
+            .collect(),
+    };
+    let heartbeat = Heartbeat {
+        adapter_usage: usage.collect(),
+        ..Heartbeat::default()
+    };
+    let messages = [
+        (Message::AdapterUpdates(updates.collect()), 40),
+        (Message::Leaving(incarnations.clone()), 400),
+        (Message::Vanished(incarnations), 400),
+        (Message::Workloads(workloads), 300),
+        (Message::Heartbeat(heartbeat), 24),
+    ];
+    for (message, count) in messages {
+        let datagrams = encode_within_limit(&message);
+        assert!(datagrams.len() > 1);
+        let mut received = 0;
+        for (index, datagram) in datagrams.iter().enumerate() {
+            assert!(datagram.len() <= MAX_DATAGRAM_BYTES, "{}", datagram.len());
+            received += match decode(datagram).expect("the datagram is valid") {
+                Message::AdapterUpdates(it) => it.len(),
+                Message::Leaving(it) | Message::Vanished(it) => it.len(),
+                Message::Workloads(it) => {
+                    assert_eq!(it.continued, index > 0);
+                    it.workloads.len()
+                }
+                Message::Heartbeat(it) => {
+                    assert_eq!(it.usage_continued, index > 0);
+                    it.adapter_usage.len()
+                }
+                it => panic!("{it:?}"),
+            };
+        }
+        assert_eq!(received, count);
+    }
+}
+
+#[test]
+fn a_message_that_fits_nowhere_is_not_sent() {
+    let request = LoadRequest {
+        service: "s".repeat(2000),
+        name: String::new(),
+        replica_uses: None,
+        waiting: 1,
+    };
+    assert!(encode_within_limit(&Message::LoadRequest(request)).is_empty());
+}
