Limit loads in flight at scale, and learn the weight store's speed from all hosts

Cause: the store serves 48 loads at full speed for 124 engines; the first estimate was 105, each of 79 hosts could have two in flight, and each learned alone.

Change: initial estimate 0.5 per engine, shared by heartbeats; one load a host beyond the full speed; pauses after an early arrival double; a request without retry budget waits for it up to its hold time.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -36,11 +36,15 @@
 /// that a stream may have.
 const RECENT_PROMPTS_TTL: Duration = Duration::from_millis(600);
 
-/// Pause after a request that arrived before the load of its adapter was done.
-const RETRY_PAUSE: Duration = Duration::from_millis(30);
+/// Pause after the first request that arrived before the load of its adapter was done. It doubles with each
+/// further one up to [`MAX_RETRY_PAUSE`], since each of them spends a retry.
+const MIN_RETRY_PAUSE: Duration = Duration::from_millis(30);
+
+/// Maximum pause after a request that arrived before the load of its adapter was done.
+const MAX_RETRY_PAUSE: Duration = Duration::from_millis(240);
 
 /// Refused requests up to which a load that should be done is still expected.
-const MAX_REFUSALS: u32 = 8;
+const MAX_REFUSALS: u32 = 6;
 
 /// Weight of the newest sample in [`Engine::slowness`].
 const NEWEST_SAMPLE_WEIGHT: f64 = 0.1;
@@ -104,8 +108,9 @@
         let Some(trial) = &mut self.trial else {
             return false;
         };
+        let pause = MIN_RETRY_PAUSE * (1 << trial.refusals.min(8));
         trial.refusals += 1;
-        trial.next_attempt = now + RETRY_PAUSE;
+        trial.next_attempt = now + pause.min(MAX_RETRY_PAUSE);
         trial.refusals <= MAX_REFUSALS
     }
 
--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -58,8 +58,12 @@
 const MAX_CONFLICTS: u32 = 3;
 
 /// Initial estimate of the concurrent adapter loads per engine that the weight store serves at full
-/// speed. Users' platforms have 0.8 to 0.9.
-const INITIAL_FULL_SPEED_LOADS: f64 = 0.85;
+/// speed. Users' platforms have 0.4 to 0.9.
+const INITIAL_FULL_SPEED_LOADS: f64 = 0.5;
+
+/// Weight of another host's estimate of the full speed, which each heartbeat carries. All hosts share the
+/// weight store, so each learns from the loads of all.
+const REMOTE_ESTIMATE_WEIGHT: f64 = 0.02;
 
 /// Factors applied to the estimate after a load that was late, and after one that was in time.
 const LATE_FACTOR: f64 = 0.95;
@@ -73,6 +77,9 @@
 /// would only delay each other.
 const MAX_SHARE_RATIO: f64 = 1.5;
 
+/// Loads that a host may have in flight beyond its share while all hosts together are below the full speed.
+const MIN_SHARE: f64 = 2.0;
+
 /// Maximum uses of a victim relative to the uses that a new replica would take over. Requests for the
 /// victim then wait for a load, whereas those served by the replica would only have waited in a queue.
 const MAX_VICTIM_USE_RATIO: f64 = 0.2;
@@ -478,10 +485,15 @@
         let allows_replicas = to_f64(self.in_flight_count() + self.remote_loads)
             < full_speed * REPLICA_MAX_UTILIZATION;
         let share = to_f64(view.orderable.len()) * self.full_speed_loads() * MAX_SHARE_RATIO;
-        // Each host may have at least two loads in flight.
-        let share = share.max(2.0);
+        // Each host may have at least one load in flight.
+        let share = share.max(1.0);
         for (name, demand) in demands {
-            if available.is_empty() || to_f64(self.in_flight_count()) >= share {
+            let own = to_f64(self.in_flight_count());
+            // Loads beyond the full speed delay all others, so a host uses more than its share only while
+            // the others leave room.
+            let has_room =
+                own < MIN_SHARE && own + to_f64(self.remote_loads) < full_speed.max(MIN_SHARE);
+            if available.is_empty() || (own >= share && !has_room) {
                 return;
             }
             if demand.replica_uses.is_some() && !allows_replicas {
@@ -790,7 +802,17 @@
             (self.full_speed_loads() * step).clamp(MIN_FULL_SPEED_LOADS, MAX_FULL_SPEED_LOADS);
     }
 
-    fn full_speed_loads(&self) -> f64 {
+    /// Adjusts the estimated speed of loads towards that of another host.
+    pub fn blend_full_speed_loads(&mut self, remote: f64) {
+        if remote.is_finite() && remote > 0.0 {
+            let own = self.full_speed_loads();
+            self.full_speed_loads = (own + (remote - own) * REMOTE_ESTIMATE_WEIGHT)
+                .clamp(MIN_FULL_SPEED_LOADS, MAX_FULL_SPEED_LOADS);
+        }
+    }
+
+    /// Returns the estimated concurrent loads per engine at full speed.
+    pub fn full_speed_loads(&self) -> f64 {
         if self.full_speed_loads > 0.0 {
             self.full_speed_loads
         } else {
--- a/crates/fleet/tests/it/loads.rs
+++ b/crates/fleet/tests/it/loads.rs
@@ -591,3 +591,45 @@
     steward.request("m/a", 1, at(460));
     assert_eq!(steward.send_orders(at(460), Outcome::Accepted).len(), 1);
 }
+
+/// At the worst load, 79 hosts each had at least two loads in flight where the weight store serves 48 at full speed,
+/// so all of them took three times as long as necessary.
+#[test]
+fn a_saturated_weight_store_gets_one_load_from_each_host() {
+    let in_flight = |remote: usize| {
+        let engines: Vec<(String, Vec<&str>)> =
+            (0..4).map(|it| (format!("i-{it}"), Vec::new())).collect();
+        let engines: Vec<(&str, &[&str])> = engines.iter().map(|it| (&*it.0, &*it.1)).collect();
+        let mut steward = Steward::new(&engines);
+        // This host is the steward of one of the engines.
+        steward.keys.truncate(1);
+        steward.loader.remote_loads = remote;
+        for number in 0..6 {
+            steward.request(&format!("m/a{number}"), 1, at(1));
+        }
+        for time in 1..4 {
+            steward.send_orders(at(time), Outcome::Accepted);
+        }
+        steward.loader.in_flight_count()
+    };
+    assert_eq!(in_flight(0), 2);
+    assert_eq!(in_flight(100), 1);
+}
+
+#[test]
+fn hosts_learn_the_speed_of_the_weight_store_from_each_other() {
+    let mut loader = Loader::default();
+    let initial = loader.full_speed_loads();
+    for _ in 0..100 {
+        loader.blend_full_speed_loads(initial / 2.0);
+    }
+    assert!((loader.full_speed_loads() / initial - 0.5).abs() < 0.1);
+    for invalid in [f64::NAN, f64::INFINITY, 0.0, -3.0] {
+        let before = loader.full_speed_loads();
+        loader.blend_full_speed_loads(invalid);
+        assert!(
+            (loader.full_speed_loads() - before).abs() < 1e-9,
+            "{invalid}"
+        );
+    }
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -37,6 +37,9 @@
     trace::{End, Trace},
 };
 
+/// Time between two checks whether the retry budget has recovered.
+const BUDGET_PAUSE: Duration = Duration::from_millis(100);
+
 /// Minimum time before the deadline in which another attempt is made.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(50);
 
@@ -103,6 +106,13 @@
                 Outcome::Lost if self.route.kind.is_retryable() => {}
                 Outcome::Lost => return self.fail(Fault::UpstreamLost),
                 Outcome::DeadlineExceeded => return self.fail(Fault::Timeout),
+                // The request is first to get the next retry of this host, sooner than a new request of
+                // the caller would.
+                Outcome::NoBudget if clock::now() + BUDGET_PAUSE < until && !self.may_have_run => {
+                    time::sleep(BUDGET_PAUSE).await;
+                    self.trace.budget_wait += BUDGET_PAUSE;
+                    continue;
+                }
                 Outcome::NoBudget => return self.fail(Fault::NoBudget),
             }
             if !self.has_attempts_left() {
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -51,6 +51,9 @@
         let Some((addr, instance, version)) = self.target(key) else {
             return Outcome::NotExecuted(None);
         };
+        if self.attempts > 0 && !self.gateway.take_retry(&self.service) {
+            return Outcome::NoBudget;
+        }
         let mut in_flight = InFlight::start(
             &self.gateway,
             key,
@@ -75,9 +78,6 @@
                 return Outcome::NotExecuted(None);
             }
         };
-        if self.attempts > 0 && !self.gateway.take_retry(&self.service) {
-            return Outcome::NoBudget;
-        }
         self.attempts += 1;
         self.trace.record_attempt(&instance, &choice);
         let kind = if connection.reused { "kept" } else { "new" };
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -378,6 +378,7 @@
             leaving: self.gateway.stopping.get(),
             in_flight_loads: u32::try_from(self.gateway.loader.borrow().in_flight_count())
                 .unwrap_or(0),
+            full_speed_loads: self.gateway.loader.borrow().full_speed_loads(),
             claims: claims.orderable(now).map(|it| short_id(it)).collect(),
             list_state: list_sync::list_state(&self.gateway),
             usage_continued: false,
@@ -428,7 +429,9 @@
             let ListState { era, era_age, .. } = heartbeat.list_state;
             let age = Duration::from_millis(era_age.into());
             self.gateway.observe_era_age(Era(era), age);
-            self.gateway.loader.borrow_mut().remote_loads = peers.in_flight_loads(now);
+            let mut loader = self.gateway.loader.borrow_mut();
+            loader.remote_loads = peers.in_flight_loads(now);
+            loader.blend_full_speed_loads(heartbeat.full_speed_loads);
         }
         self.gateway.lists_received.notify_waiters();
         let mut table = self.gateway.table.borrow_mut();
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -153,6 +153,8 @@
     /// Number of loads that the host has ordered and that are not finished.
     #[serde(rename = "transit")]
     pub in_flight_loads: u32,
+    /// The host's estimate of the concurrent loads per engine at full speed.
+    pub full_speed_loads: f64,
     /// Engines to which the host may send orders now.
     pub claims: Vec<ShortId>,
     /// State of the host's lists.
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -22,6 +22,8 @@
     pub config: u64,
     /// Time spent waiting for the load of the adapter.
     pub load_wait: Duration,
+    /// Time spent waiting for the retry budget to recover.
+    pub budget_wait: Duration,
     /// Time for which the prompt was paced before it was sent to an engine.
     pub pacing_wait: Duration,
     attempts: Vec<Attempt>,
@@ -77,6 +79,7 @@
             started,
             config,
             load_wait: Duration::ZERO,
+            budget_wait: Duration::ZERO,
             pacing_wait: Duration::ZERO,
             attempts: Vec::new(),
             last_forwarded: Duration::ZERO,
@@ -177,6 +180,7 @@
             first_ms = self.first_forwarded.map_or(0, as_millis),
             gap_ms = as_millis(self.longest_gap),
             load_wait_ms = as_millis(self.load_wait),
+            budget_wait_ms = as_millis(self.budget_wait),
             paced_ms = as_millis(self.pacing_wait),
             tries = self.format_attempts().as_str();
             "request {} {event}", request_head.id
