Let only requests that can be on time queue at engines

Change: fleet::admission. A request that is expected to be late is held at its host and takes only slots that would be free; when it has been held for as long as today, it is refused with the time in which the queue drains, spread. Streams that have begun are always resumed at once.

--- /dev/null
+++ b/crates/fleet/src/admission.rs
@@ -0,0 +1,79 @@
+//! Decides whether a placed request is sent now, held at its host, or refused.
+//!
+//! Expected load: a little more than the engines can serve, after a crash or a burst. If all requests queue at the
+//! engines, the queue settles where every request just misses its latency target, and it drains only when the load
+//! falls. Therefore only requests that are expected to meet their target may queue at an engine. A request that can't
+//! meet it gives way: it is held at its host and takes a slot that would otherwise be free.
+
+use std::time::Duration;
+
+/// Time between two checks of a held request.
+const CHECK_INTERVAL: Duration = Duration::from_millis(40);
+
+/// Part of the queue's expected time that is added for its uncertainty: run times differ widely.
+const QUEUE_MARGIN: f64 = 0.5;
+
+/// Shortest and longest time after which a refused caller is asked to come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
+
+/// Relative range of the random part of the time after which a refused caller is asked to come back. Callers that
+/// are refused together must not return together.
+const RETRY_AFTER_SPREAD: f64 = 0.5;
+
+/// A request with a chosen engine.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// Time since the caller's request arrived.
+    pub waited: Duration,
+    /// Time from the arrival to the first event within which the response is on time.
+    pub target: Duration,
+    /// Time from the arrival after which the request is no longer held.
+    pub max_hold: Duration,
+    /// Expected time to the first event at the engine.
+    pub expected_wait: Duration,
+    /// Part of `expected_wait` until the engine has a free slot.
+    pub queue_wait: Duration,
+    /// Random number between 0 and 1.
+    pub random: f64,
+}
+
+/// Decision on a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Decision {
+    /// Send the request to the engine.
+    Send,
+    /// Place the request again after this time.
+    Hold(Duration),
+    /// Refuse the request and ask the caller to come back after this time.
+    Refuse(Duration),
+}
+
+/// Decides on a request.
+pub fn decide(candidate: &Candidate) -> Decision {
+    let Candidate {
+        waited,
+        target,
+        expected_wait,
+        queue_wait,
+        ..
+    } = *candidate;
+    let is_on_time = waited + expected_wait + queue_wait.mul_f64(QUEUE_MARGIN) <= target;
+    if is_on_time || queue_wait.is_zero() {
+        return Decision::Send;
+    }
+    if waited + CHECK_INTERVAL < candidate.max_hold {
+        let jitter = 0.5 + candidate.random.clamp(0.0, 1.0);
+        return Decision::Hold(CHECK_INTERVAL.mul_f64(jitter));
+    }
+    Decision::Refuse(retry_after(queue_wait, candidate.random))
+}
+
+/// Returns the time after which a refused caller is asked to come back: when the queue that was in its way is
+/// expected to have drained, with a random part.
+pub fn retry_after(queue_wait: Duration, random: f64) -> Duration {
+    let spread = 1.0 + RETRY_AFTER_SPREAD * (2.0 * random.clamp(0.0, 1.0) - 1.0);
+    queue_wait
+        .clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
+        .mul_f64(spread)
+}
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -106,6 +106,8 @@
     pub key: Key,
     /// Expected time to the first event.
     pub expected_wait: Duration,
+    /// Part of `expected_wait` until the engine has a free slot.
+    pub queue_wait: Duration,
     /// True if a replica of the adapter on another engine would reduce the wait.
     pub wants_replica: bool,
 }
@@ -170,6 +172,7 @@
             let choice = Choice {
                 key,
                 expected_wait: Duration::from_secs_f64(wait_ms.max(0.0) / 1000.0),
+                queue_wait: table.queue_wait_for_one_more(key, now),
                 wants_replica: cost > REPLICA_MIN_COST_MS && lowest_cost < cost / 2.0,
             };
             if delayed {
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -273,11 +273,21 @@
 
     /// Returns the expected time until an engine has a free slot for all requests that wait there.
     pub fn queue_wait(&self, key: Key, now: Time) -> Duration {
+        self.queue_wait_beyond(key, 0, now)
+    }
+
+    /// Returns the expected time until an engine has a free slot for one more request.
+    pub fn queue_wait_for_one_more(&self, key: Key, now: Time) -> Duration {
+        self.queue_wait_beyond(key, 1, now)
+    }
+
+    /// Returns the expected time until an engine has a free slot for all of its requests and `more`.
+    fn queue_wait_beyond(&self, key: Key, more: u32, now: Time) -> Duration {
         let Some(engine) = self.engines.get(&key) else {
             return Duration::ZERO;
         };
         let slots = u32::try_from(engine.listing.slots.max(1)).unwrap_or(u32::MAX);
-        let waiting = engine.total_work(now).running.saturating_sub(slots);
+        let waiting = (engine.total_work(now).running + more).saturating_sub(slots);
         self.run_time(&engine.listing.service) * waiting / slots
     }
 
--- a/crates/fleet/tests/it/main.rs
+++ b/crates/fleet/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions, without sockets or clocks.
 
+mod admissions;
 mod backoffs;
 mod budgets;
 mod eras;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -64,6 +64,8 @@
     pub(crate) mismatched_instances: usize,
     /// Number of times that the request was sent to an engine.
     pub(crate) attempts: u32,
+    /// True once the response to the caller has begun.
+    pub(crate) has_begun: bool,
     /// True if an engine may have run the request.
     pub(crate) may_have_run: bool,
     /// Trace of the request for the log.
--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -4,6 +4,7 @@
 
 use fleet::{
     Time,
+    admission::{self, Decision},
     listing::{Name, is_adapter},
     placement::{Choice, Placement},
     table::Key,
@@ -72,7 +73,9 @@
                     if name.is_some() && now + choice.expected_wait > self.deadline {
                         return Err(Fault::Overload);
                     }
-                    return Ok(choice);
+                    if self.admit(name.as_ref(), &choice, now, until).await? {
+                        return Ok(choice);
+                    }
                 }
                 Placement::Delay(choice) => {
                     // Waiting here takes no longer than waiting at the engine, and does not slow
@@ -82,11 +85,12 @@
                     if choice.wants_replica {
                         self.request_replica(name.as_ref(), choice.key).await;
                     }
-                    if !pacing_allowed {
+                    if pacing_allowed {
+                        time::sleep(PACING_INTERVAL).await;
+                        self.trace.pacing_wait += PACING_INTERVAL;
+                    } else if self.admit(name.as_ref(), &choice, now, until).await? {
                         return Ok(choice);
                     }
-                    time::sleep(PACING_INTERVAL).await;
-                    self.trace.pacing_wait += PACING_INTERVAL;
                 }
                 Placement::BackOff(key, open_at) => {
                     if let Some(fault) = self.back_off_fault(name.as_ref(), open_at, now, until) {
@@ -133,6 +137,41 @@
         }
     }
 
+    /// Returns whether a placed request is sent now. Otherwise it was held for a moment and has to be placed
+    /// again. A stream that has begun is always resumed at once, and instances of plain services refuse by
+    /// themselves.
+    async fn admit(
+        &mut self,
+        name: Option<&Name>,
+        choice: &Choice,
+        now: Time,
+        until: Time,
+    ) -> Result<bool, Fault> {
+        if name.is_none() || self.has_begun {
+            return Ok(true);
+        }
+        let candidate = admission::Candidate {
+            waited: now.saturating_sub(self.started),
+            target: self.route.latency_target,
+            max_hold: until.saturating_sub(self.started),
+            expected_wait: choice.expected_wait,
+            queue_wait: choice.queue_wait,
+            random: rand::random(),
+        };
+        match admission::decide(&candidate) {
+            Decision::Send => Ok(true),
+            Decision::Hold(pause) => {
+                time::sleep(pause).await;
+                self.trace.queue_wait += pause;
+                Ok(false)
+            }
+            Decision::Refuse(retry_after) => {
+                self.retry_after = Some(retry_after);
+                Err(Fault::Overload)
+            }
+        }
+    }
+
     /// Fault of a request whose engines want no requests before `open_at`, unless it may wait. An adapter can
     /// be loaded on another engine meanwhile if there is one that accepts requests.
     fn back_off_fault(
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -135,6 +135,7 @@
         attempted_engines: Vec::new(),
         mismatched_instances: 0,
         attempts: 0,
+        has_begun: false,
         may_have_run: false,
         trace: Trace::new(started, catalog.revision),
         end_recorded: false,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -54,6 +54,8 @@
         in_flight: InFlight,
         keep_alive: Option<Duration>,
     ) -> Self {
+        let mut exchange = exchange;
+        exchange.has_begun = true;
         let last_event_id = exchange.request_head.last_event_id.clone();
         Self {
             exchange,
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -22,6 +22,8 @@
     pub config: u64,
     /// Time spent waiting for the load of the adapter.
     pub load_wait: Duration,
+    /// Time held at this host because the engines had queues.
+    pub queue_wait: Duration,
     /// Time spent waiting for the retry budget to recover.
     pub budget_wait: Duration,
     /// Time for which the prompt was paced before it was sent to an engine.
@@ -79,6 +81,7 @@
             started,
             config,
             load_wait: Duration::ZERO,
+            queue_wait: Duration::ZERO,
             budget_wait: Duration::ZERO,
             pacing_wait: Duration::ZERO,
             attempts: Vec::new(),
@@ -180,6 +183,7 @@
             first_ms = self.first_forwarded.map_or(0, as_millis),
             gap_ms = as_millis(self.longest_gap),
             load_wait_ms = as_millis(self.load_wait),
+            queue_wait_ms = as_millis(self.queue_wait),
             budget_wait_ms = as_millis(self.budget_wait),
             paced_ms = as_millis(self.pacing_wait),
             tries = self.format_attempts().as_str();
