--- a/crates/entry/tests/soak/host.rs
+++ b/crates/entry/tests/soak/host.rs
@@ -73,6 +73,7 @@
             peers,
             store,
             seeds,
+            first_start: true,
             slack: crate::check::RETRY_ALLOWANCE,
         };
         let folder =
@@ -123,6 +124,14 @@
         self.paused = false;
     }
 
+    /// Starts the host again. That is not the first start of the fleet.
+    fn spawn_again(&mut self) {
+        let text = fs::read_to_string(&self.settings).expect("the settings file exists");
+        let text = text.replace("first_start: true", "first_start: false");
+        fs::write(&self.settings, text).expect("the settings file can be written");
+        self.spawn();
+    }
+
     /// Returns the process id.
     pub fn id(&self) -> &str {
         self.running.as_ref().map_or("", |it| &it.id)
@@ -154,7 +163,7 @@
     pub fn kill(&mut self) {
         self.signal("-KILL");
         self.wait_for_exit();
-        self.spawn();
+        self.spawn_again();
     }
 
     /// Terminates the process and returns how it ended.
@@ -173,7 +182,7 @@
 
     /// Starts a new process.
     pub fn restart(&mut self) {
-        self.spawn();
+        self.spawn_again();
     }
 
     fn wait_for_exit(&mut self) -> Option<i32> {
--- a/crates/entry/tests/soak/step.rs
+++ b/crates/entry/tests/soak/step.rs
@@ -38,6 +38,9 @@
     Leave(usize, u64),
     /// The entry of an engine is removed and written again later.
     Vanish(usize, u64),
+    /// The store comes back from the copy that was made this number of steps ago. What the operator and the
+    /// engines wrote since is written again after the time.
+    RollBack(usize, u64),
     /// The operator changes the configuration.
     Config,
     /// A new version of an adapter is published.
@@ -45,6 +48,15 @@
 }
 
 impl Step {
+    /// Chooses whether the store comes back from a copy. This has a generator of its own, so that the other steps
+    /// of a seed stay the same.
+    pub fn choose_rollback(rng: &mut StdRng, copies: usize) -> Option<Self> {
+        let back = rng.random_range(1..8);
+        let ms = rng.random_range(50..1500);
+        let is_chosen = rng.random_range(0..10) == 0;
+        (is_chosen && back <= copies).then_some(Self::RollBack(back, ms))
+    }
+
     /// Chooses a random step.
     pub fn choose(rng: &mut StdRng, hosts: usize, engines: usize) -> Self {
         let host = rng.random_range(0..hosts);
