--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -13,6 +13,9 @@
 /// Part of the queue's expected time that is added for its uncertainty: run times differ widely.
 const QUEUE_MARGIN: f64 = 0.5;
 
+/// Part of the queueing time of a more urgent route that the requests of a less urgent one may use.
+const LESS_URGENT_FRACTION: f64 = 0.85;
+
 /// Shortest and longest time after which a refused caller is asked to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
@@ -69,6 +72,18 @@
     Decision::Refuse(retry_after(queue_wait, candidate.random))
 }
 
+/// Returns the target by which requests of a route may queue. A less urgent route must not keep the queues longer
+/// than a more urgent one of the same service can bear, and leaves it a part of its time. Half of its own target
+/// is its minimum.
+pub fn queue_target(target: Duration, most_urgent_target: Option<Duration>) -> Duration {
+    match most_urgent_target {
+        Some(it) => (target.min(it))
+            .max(target / 2)
+            .mul_f64(LESS_URGENT_FRACTION),
+        None => target,
+    }
+}
+
 /// Returns the time after which a refused caller is asked to come back: when the queue that was in its way is
 /// expected to have drained, with a random part.
 pub fn retry_after(queue_wait: Duration, random: f64) -> Duration {
--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -1,6 +1,10 @@
 //! The routes and services that the operator has declared, as one validated revision.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
 
 /// One revision of the operator's configuration.
 #[derive(Clone, Debug, Default)]
@@ -13,6 +17,8 @@
     pub services: HashMap<Arc<str>, Arc<Service>>,
     /// Limits on requests from callers.
     pub limits: Limits,
+    /// Shortest latency target of the routes of a service, by priority.
+    shortest_targets: HashMap<Arc<str>, BTreeMap<u8, Duration>>,
 }
 
 /// Limits on requests and connections of callers.
@@ -167,10 +173,16 @@
     /// Creates a revision from these routes and services. Routes without a target are left out.
     pub fn new(revision: u64, routes: Vec<Route>, services: Vec<Service>, limits: Limits) -> Self {
         let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
+        let mut shortest_targets: HashMap<Arc<str>, BTreeMap<u8, Duration>> = HashMap::new();
         for route in routes {
             if route.targets.is_empty() {
                 continue;
             }
+            for target in &route.targets {
+                let targets = shortest_targets.entry(target.service.clone()).or_default();
+                let shortest = targets.entry(route.priority).or_insert(Duration::MAX);
+                *shortest = (*shortest).min(route.latency_target);
+            }
             let list = hosts.entry(route.host.to_ascii_lowercase()).or_default();
             list.push(Arc::new(route));
         }
@@ -183,9 +195,17 @@
             hosts,
             services: services.into_iter().map(by_name).collect(),
             limits,
+            shortest_targets,
         }
     }
 
+    /// Returns the shortest latency target among the more urgent routes of a service.
+    pub fn more_urgent_target(&self, route: &Route, service: &str) -> Option<Duration> {
+        let targets = self.shortest_targets.get(service)?;
+        let more_urgent = targets.range(..route.priority);
+        more_urgent.map(|it| *it.1).min()
+    }
+
     /// Returns the route with the longest prefix of `path` among those of `host`. A port in `host` is
     /// ignored.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
--- a/crates/fleet/tests/it/admissions.rs
+++ b/crates/fleet/tests/it/admissions.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use fleet::admission::{Candidate, Decision, decide, retry_after};
+use fleet::admission::{Candidate, Decision, decide, queue_target, retry_after};
 
 use crate::fixture::ms;
 
@@ -151,3 +151,14 @@
     assert!(returns(0).iter().all(|it| *it >= ms(250)));
     assert!(returns(60_000).iter().all(|it| *it <= ms(6000)));
 }
+
+/// A route with a longer target must not fill the queues up to it, or a more urgent one with a shorter target finds
+/// them too long for itself.
+#[test]
+fn a_less_urgent_route_leaves_queueing_time_to_a_more_urgent_one() {
+    assert_eq!(queue_target(ms(800), None), ms(800));
+    assert!(queue_target(ms(800), Some(ms(600))) < ms(600));
+    assert!(queue_target(ms(800), Some(ms(1000))) < ms(800));
+    // The target of another route never takes the whole time.
+    assert!(queue_target(ms(800), Some(ms(1))) >= ms(300));
+}
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -26,6 +26,10 @@
 /// Maximum idle time of a pooled connection for a request that may be retried.
 const MAX_IDLE_RETRYABLE: Duration = Duration::from_secs(4);
 
+/// Priority of all requests at the engines; 0 is the highest. An engine preempts running streams for requests of
+/// higher priority, which makes the streams late, so routes are ranked by admission instead.
+const ENGINE_PRIORITY: u8 = 1;
+
 /// Outcome of an attempt at one engine.
 pub enum Outcome {
     /// The engine responded.
@@ -203,7 +207,7 @@
             timeout: self.deadline.saturating_sub(clock::now()),
             instance,
             version,
-            priority: self.request_head.name.as_ref().map(|_| self.route.priority),
+            priority: self.request_head.name.as_ref().map(|_| ENGINE_PRIORITY),
             last_event_id,
         };
         self.gateway
--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -150,9 +150,14 @@
         if name.is_none() || self.has_begun {
             return Ok(true);
         }
+        let target = self.route.latency_target;
+        let most_urgent = self
+            .gateway
+            .catalog()
+            .and_then(|it| it.more_urgent_target(&self.route, &self.service));
         let candidate = admission::Candidate {
             waited: now.saturating_sub(self.started),
-            target: self.route.latency_target,
+            target: admission::queue_target(target, most_urgent),
             max_hold: until.saturating_sub(self.started),
             expected_wait: choice.expected_wait,
             queue_wait: choice.queue_wait,
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -29,7 +29,7 @@
 };
 
 /// Maximum number of hosts to which each prompt is announced.
-const MAX_PROMPT_RECIPIENTS: usize = 40;
+const MAX_PROMPT_RECIPIENTS: usize = 100;
 
 /// Socket for messages between hosts.
 pub struct Gossip {
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -18,8 +18,8 @@
     pub(crate) prefill_tokens: u32,
     pub(crate) connection: Option<Connection>,
     sent_at: Time,
-    /// True once the first event of a stream has arrived.
-    has_begun: bool,
+    /// When the first event of a stream arrived.
+    begun_at: Option<Time>,
     /// Time to the first event that was expected at placement.
     pub(crate) expected_wait: Duration,
 }
@@ -58,7 +58,7 @@
             prefill_tokens,
             connection: None,
             sent_at: now,
-            has_begun: false,
+            begun_at: None,
             expected_wait: Duration::ZERO,
         }
     }
@@ -76,7 +76,7 @@
             }
         }
         self.prefill_tokens = 0;
-        self.has_begun = true;
+        self.begun_at = Some(now);
     }
 
     /// Returns the connection to the pool after the whole response was read.
@@ -109,9 +109,9 @@
         if let Some(estimate) = self.name.as_ref().and_then(|it| engine.held.get_mut(it)) {
             estimate.running = estimate.running.saturating_sub(1);
         }
-        if self.has_begun {
+        if let Some(it) = self.begun_at {
             let service = engine.listing.service.clone();
-            table.record_run(&service, clock::now().saturating_sub(self.sent_at));
+            table.record_run(&service, clock::now().saturating_sub(it));
         }
     }
 }
