Count displaced releases of permits that came too late, and drop unused handles in peer

Faults that the readers of peer found: returning a late permit ignored that its release displaced another (test shared::displaced_releases_are_counted; queueing is now one function); the abort handles of delivery tasks served only as a set.

--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -128,7 +128,7 @@
         number: permit.number,
         outcome: Outcome::Unused,
     };
-    context.shared.releases.add(host, release);
+    context.shared.queue_release(host, release);
 }
 
 async fn place(
--- a/crates/peer/src/delivery.rs
+++ b/crates/peer/src/delivery.rs
@@ -1,9 +1,9 @@
 //! Delivery of queued releases, with retries until they are acknowledged.
 
-use std::{cell::RefCell, collections::BTreeMap, rc::Rc, time::Duration};
+use std::{cell::RefCell, collections::BTreeSet, rc::Rc, time::Duration};
 
 use kernel::name::Host;
-use tokio::{task::AbortHandle, time::timeout};
+use tokio::time::timeout;
 use wire::call::{Release, write_release};
 
 use crate::{
@@ -13,18 +13,14 @@
 
 /// Delivers queued releases until dropped, with one task per host.
 pub(crate) async fn run(context: Rc<Context>) {
-    let active: Rc<RefCell<BTreeMap<Host, AbortHandle>>> = Rc::default();
+    let active: Rc<RefCell<BTreeSet<Host>>> = Rc::default();
     loop {
         for host in context.shared.releases.hosts() {
-            if active.borrow().contains_key(&host) {
+            if !active.borrow_mut().insert(host.clone()) {
                 continue;
             }
-            let task = tokio::task::spawn_local(deliver_all(
-                Rc::clone(&context),
-                host.clone(),
-                Rc::clone(&active),
-            ));
-            active.borrow_mut().insert(host, task.abort_handle());
+            let delivery = deliver_all(Rc::clone(&context), host, Rc::clone(&active));
+            tokio::task::spawn_local(delivery);
         }
         context.shared.releases.added.notified().await;
     }
@@ -38,11 +34,7 @@
 
 /// Delivers the releases of one host until none is left, or drops them if the host is down or
 /// unknown.
-async fn deliver_all(
-    context: Rc<Context>,
-    host: Host,
-    active: Rc<RefCell<BTreeMap<Host, AbortHandle>>>,
-) {
+async fn deliver_all(context: Rc<Context>, host: Host, active: Rc<RefCell<BTreeSet<Host>>>) {
     let mut delay = MIN_RETRY_DELAY;
     loop {
         let batch = context.shared.releases.batch(&host);
--- a/crates/peer/src/handle.rs
+++ b/crates/peer/src/handle.rs
@@ -15,7 +15,6 @@
 use crate::{
     counter::Totals,
     handler::HostList,
-    release::Added,
     reply::{self, Reply},
     shared::Shared,
 };
@@ -83,10 +82,7 @@
             number,
             outcome,
         };
-        if self.shared.releases.add(host.clone(), release) == Added::Displaced {
-            self.shared.counters.releases_dropped.add(1);
-            log::warn!(target: "peer", "Too many releases wait for host {host}; the oldest was dropped.");
-        }
+        self.shared.queue_release(host.clone(), release);
     }
 
     /// Fetches the configuration edits after a revision that a host knows.
--- a/crates/peer/src/shared.rs
+++ b/crates/peer/src/shared.rs
@@ -5,10 +5,15 @@
     sync::{Arc, Mutex},
 };
 
+use kernel::name::Host;
 use member::{Input, Listing, Member};
 use tokio::sync::Notify;
+use wire::call::Release;
 
-use crate::{counter::Counters, release::Queues};
+use crate::{
+    counter::Counters,
+    release::{Added, Queues},
+};
 
 /// Changes that the gossip task has not applied yet. A later change of the same kind or entry
 /// replaces an earlier one, so that their number stays bounded.
@@ -51,6 +56,15 @@
         self.changed.notify_one();
     }
 
+    /// Queues the release of a permit. Counts the oldest release of the host as dropped if it is displaced.
+    pub fn queue_release(&self, host: Host, release: Release) {
+        let name = host.clone();
+        if self.releases.add(host, release) == Added::Displaced {
+            self.counters.releases_dropped.add(1);
+            log::warn!(target: "peer", "Too many releases wait for host {name}; the oldest was dropped.");
+        }
+    }
+
     pub fn publish(&self, key: String, value: Option<Vec<u8>>) {
         self.update(|it| {
             it.entries.insert(key, value);
@@ -90,3 +104,6 @@
         *self.members.lock().expect("members lock is poisoned") = members;
     }
 }
+
+#[cfg(test)]
+mod tests;
