Load the adapters in use on a draining engine elsewhere in advance

The steward of an engine that drains requests loads of at most four adapters in use that no other engine holds. Test: fleet tables::adapters_in_use_on_a_draining_engine_are_loaded_elsewhere.

--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -9,7 +9,7 @@
 use crate::{
     Time,
     engine::{Engine, Workload},
-    listing::{Listing, Name},
+    listing::{Listing, Name, is_adapter},
     rendezvous::short_id,
 };
 
@@ -33,6 +33,13 @@
 /// platform's limit is 5 s, of which up to 1 s passes before the announcement is read.
 const OLDER_VERSION_TTL: Duration = Duration::from_millis(2500);
 
+/// Decayed uses from which an adapter of a draining engine is loaded elsewhere before a request misses it.
+const MIN_COPY_USES: f64 = 2.0;
+
+/// Maximum number of adapters of a draining engine that are loaded elsewhere in advance. Requests that wait for other
+/// adapters come first.
+const MAX_COPIES: usize = 4;
+
 /// Run time of a request that is assumed until runs have been measured.
 const INITIAL_RUN_TIME: Duration = Duration::from_millis(1900);
 
@@ -291,6 +298,33 @@
         self.run_time(&engine.listing.service) * waiting / slots
     }
 
+    /// Returns the adapters in use on an engine that no other engine of its service can serve, the most used first.
+    /// They are to be loaded elsewhere when the engine drains.
+    pub fn adapters_to_copy(&self, key: Key, now: Time) -> Vec<Name> {
+        let Some(engine) = self.engines.get(&key) else {
+            return Vec::new();
+        };
+        let service = &engine.listing.service;
+        let is_elsewhere = |name: &Name| {
+            self.engines.iter().any(|(other, it)| {
+                *other != key
+                    && it.listing.service == *service
+                    && it.accepts_work()
+                    && it.held.contains_key(name)
+            })
+        };
+        let mut used: Vec<(f64, &Name)> = (engine.held.iter())
+            .filter(|it| is_adapter(it.0))
+            .map(|(name, it)| (it.uses(now), name))
+            .filter(|it| it.0 >= MIN_COPY_USES && !is_elsewhere(it.1))
+            .collect();
+        used.sort_by(|a, b| b.0.total_cmp(&a.0).then_with(|| a.1.cmp(b.1)));
+        used.into_iter()
+            .take(MAX_COPIES)
+            .map(|it| it.1.clone())
+            .collect()
+    }
+
     /// Returns the key of an id.
     pub fn find(&self, id: &str) -> Option<Key> {
         self.ids.get(id).copied()
--- a/crates/fleet/tests/it/tables.rs
+++ b/crates/fleet/tests/it/tables.rs
@@ -314,3 +314,25 @@
     assert_eq!(running(&table, "m/a"), Some(0));
     assert_eq!(running(&table, "m/b"), Some(1));
 }
+
+#[test]
+fn adapters_in_use_on_a_draining_engine_are_loaded_elsewhere() {
+    let (mut table, keys) = table(&[
+        ("i-1", &["a", "b", "c", "d"]),
+        ("i-2", &["b"]),
+        ("i-3", &["c"]),
+    ]);
+    for (name, uses) in [("m/a", 9), ("m/b", 9), ("m/c", 20), ("m/d", 1), ("m", 50)] {
+        let engine = table.get_mut(keys[0]).expect("the engine exists");
+        let estimate = engine.held.get_mut(name).expect("the adapter is held");
+        estimate.record_uses(at(0), uses);
+    }
+    // One of the other holders drains, too.
+    table
+        .get_mut(keys[2])
+        .expect("the engine exists")
+        .mark_leaving(1);
+    let wanted: Vec<_> = table.adapters_to_copy(keys[0], at(0));
+    let wanted: Vec<&str> = wanted.iter().map(|it| &**it).collect();
+    assert_eq!(wanted, ["m/c", "m/a"]);
+}
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -1,6 +1,6 @@
 //! Sends the orders that `fleet::loader` decides on.
 
-use std::{rc::Rc, time::Duration};
+use std::{collections::HashSet, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use fleet::{
@@ -24,6 +24,7 @@
 
 /// Sends orders until the process ends.
 pub async fn run(gateway: Rc<Gateway>, gossip: Rc<Gossip>) {
+    let mut copied = HashSet::new();
     loop {
         let pause = if gateway.loader.borrow().in_flight_count() > 0 {
             BUSY_INTERVAL
@@ -45,10 +46,40 @@
             });
         }
         gossip.send_updates().await;
+        request_copies(&gateway, &gossip, &mut copied).await;
         remove_expired(&gateway);
     }
 }
 
+/// Requests loads of the adapters that are in use on draining engines of which this host is the steward. `copied` holds
+/// the incarnations for which that was done.
+async fn request_copies(
+    gateway: &Rc<Gateway>,
+    gossip: &Rc<Gossip>,
+    copied: &mut HashSet<(Key, u64)>,
+) {
+    let now = clock::now();
+    let mut wanted = Vec::new();
+    {
+        let table = gateway.table.borrow();
+        copied.retain(|it| table.get(it.0).is_some());
+        for key in gateway.orderable_engines() {
+            let Some(engine) = table.get(key).filter(|it| it.is_leaving()) else {
+                continue;
+            };
+            if copied.insert((key, engine.listing.incarnation)) {
+                let names = table.adapters_to_copy(key, now);
+                let service = &engine.listing.service;
+                wanted.extend(names.into_iter().map(|it| (service.clone(), it)));
+            }
+        }
+    }
+    for (service, name) in wanted {
+        log::debug!("requesting a copy of {name}, whose engine drains");
+        gossip.request_load(&service, &name, None, 0, 0).await;
+    }
+}
+
 /// Removes engines whose entry vanished some time ago, and queues the announcement to other hosts.
 fn remove_expired(gateway: &Rc<Gateway>) {
     let removed = gateway.table.borrow_mut().remove_expired(clock::now());
