Load adapters on engines with free slots

Cause: with 79 hosts for 124 engines a host is the steward of one or two, so asking the steward of the engine that ranks first for an adapter chose the engine, full or not.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -11,6 +11,7 @@
     engine::{Engine, PREFILL_TOKENS_PER_MS},
     listing::Name,
     prefix::Chain,
+    rendezvous,
     table::{Freshness, Key, Table},
 };
 
@@ -249,6 +250,45 @@
     }
 }
 
+/// Purpose of a load.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Purpose {
+    /// No usable engine holds the adapter.
+    Missing,
+    /// One more replica is wanted, on an engine that doesn't hold the adapter.
+    Replica,
+}
+
+/// Returns the engines on which an adapter should be loaded, the best first.
+///
+/// Expected load: in a large fleet, a host is the steward of one or two engines, so asking a steward nearly chooses the
+/// engine. An adapter that is loaded on an engine without a free slot makes its requests wait there while other
+/// engines have free slots. Engines with a free slot therefore come first. Among them the order is the same on all
+/// hosts and stays the same, so that an adapter usually returns to an engine that still has it in memory.
+pub fn rank_for_load(
+    table: &Table,
+    service: &str,
+    name: &str,
+    purpose: Purpose,
+    now: Time,
+) -> Vec<Key> {
+    let is_candidate = |it: &Engine| {
+        &*it.listing.service == service
+            && it.accepts_work()
+            && (purpose == Purpose::Missing || !it.held.contains_key(name))
+    };
+    let rank = |(key, it): (Key, &Engine)| {
+        let is_usable = it.circuit.state(now) == State::Closed
+            && it.backoff.closed_until(now).is_none()
+            && table.queue_wait_for_one_more(key, now).is_zero();
+        (is_usable, rendezvous::weight(name, &it.listing.id), key)
+    };
+    let engines = table.iter().filter(|it| is_candidate(it.1));
+    let mut ranked: Vec<_> = engines.map(rank).collect();
+    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked.into_iter().map(|it| it.2).collect()
+}
+
 /// Returns the running requests and the slots of all engines of a service that accept work.
 pub fn occupancy(table: &Table, service: &Arc<str>, now: Time) -> (u32, u32) {
     let engines = table
--- a/crates/fleet/tests/it/placements.rs
+++ b/crates/fleet/tests/it/placements.rs
@@ -3,7 +3,7 @@
 use fleet::{
     circuit::{self, Circuit},
     listing::State,
-    placement::{Placement, PlacementRequest, occupancy, place},
+    placement::{Placement, PlacementRequest, Purpose, occupancy, place, rank_for_load},
     prefix::Chain,
     table::{Key, Table},
 };
@@ -239,3 +239,32 @@
     let engine = table.get(keys[0]).expect("the engine exists");
     assert!(engine.tokens_sent_within(ms(300), at(100)) < 4000.0);
 }
+
+/// A load that exceeds the slots of some engines: the adapter is loaded where its requests find a free slot.
+#[test]
+fn adapters_are_loaded_on_engines_with_free_slots() {
+    let (mut table, _) = table(&[("i-1", &[]), ("i-2", &["a"]), ("i-3", &[]), ("i-4", &[])]);
+    let rank = |table: &Table, purpose| rank_for_load(table, "chat", "m/a", purpose, at(0));
+    let idle = rank(&table, Purpose::Missing);
+    assert_eq!(idle.len(), 4);
+    let first = idle[0];
+    table
+        .get_mut(first)
+        .expect("the engine exists")
+        .local_work
+        .running = 8;
+    let busy = rank(&table, Purpose::Missing);
+    assert_eq!(busy[3], first);
+    // The others keep their order, so that they may still have the adapter in memory.
+    assert_eq!(busy[..3], idle[1..]);
+    table
+        .get_mut(first)
+        .expect("the engine exists")
+        .local_work
+        .running = 7;
+    assert_eq!(rank(&table, Purpose::Missing), idle);
+    let holder = table.find("i-2").expect("the engine exists");
+    let others: Vec<Key> = idle.iter().copied().filter(|it| *it != holder).collect();
+    assert_eq!(rank(&table, Purpose::Replica), others);
+    assert!(rank_for_load(&table, "desk", "m/a", Purpose::Missing, at(0)).is_empty());
+}
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -2,7 +2,13 @@
 //! orders, their workload at engines, and loads of adapters. Datagrams may be lost: their contents
 //! are sent again, or reach the store's lists soon.
 
-use std::{collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 
 use fleet::{
     Time,
@@ -11,6 +17,7 @@
     in_flight,
     listing::{Name, State},
     loader,
+    placement::{self, Purpose},
     rendezvous::{self, short_id},
     table::{Freshness, Key},
 };
@@ -180,7 +187,12 @@
         waiting: u32,
         nth: usize,
     ) -> bool {
-        let Some(steward) = self.nth_steward(service, name, replica_uses.is_some(), nth) else {
+        let purpose = if replica_uses.is_some() {
+            Purpose::Replica
+        } else {
+            Purpose::Missing
+        };
+        let Some(steward) = self.nth_steward(service, name, purpose, nth) else {
             return false;
         };
         if *steward == *self.gateway.holder {
@@ -213,41 +225,35 @@
         &self,
         service: &Arc<str>,
         name: &Name,
-        for_replica: bool,
+        purpose: Purpose,
         nth: usize,
     ) -> Option<Arc<str>> {
         let now = clock::now();
         let table = self.gateway.table.borrow();
         let claims = self.gateway.claims.borrow();
         let peers = self.gateway.peers.borrow();
-        let own: Vec<&Arc<str>> = claims.orderable(now).collect();
-        let mut candidates: Vec<(u64, Arc<str>)> = Vec::new();
-        for (_, engine) in table.iter() {
-            let listing = &engine.listing;
-            let holds = engine.held.contains_key(name);
-            if listing.service != *service || !engine.accepts_work() || (for_replica && holds) {
+        let own: HashSet<&Arc<str>> = claims.orderable(now).collect();
+        let mut hosts: Vec<&Arc<str>> = Vec::new();
+        for key in placement::rank_for_load(&table, service, name, purpose, now) {
+            let Some(engine) = table.get(key) else {
                 continue;
-            }
-            let steward = if own.contains(&&listing.id) {
+            };
+            let id = &engine.listing.id;
+            let steward = if own.contains(id) {
                 Some(&self.gateway.holder)
             } else {
-                peers.steward(&listing.id, now)
+                peers.steward(id, now)
             };
-            if let Some(host) = steward {
-                candidates.push((rendezvous::weight(name, &listing.id), host.clone()));
-            }
-        }
-        candidates.sort_unstable();
-        let mut hosts: Vec<Arc<str>> = Vec::new();
-        for (_, host) in candidates.into_iter().rev() {
-            if !hosts.contains(&host) {
-                hosts.push(host);
+            let Some(host) = steward.filter(|it| !hosts.contains(it)) else {
+                continue;
+            };
+            hosts.push(host);
+            if hosts.len() > nth {
+                return Some(host.clone());
             }
         }
-        if hosts.is_empty() {
-            return None;
-        }
-        Some(hosts[nth % hosts.len()].clone())
+        // All stewards were asked before; begin again with the first.
+        hosts.get(nth % hosts.len().max(1)).map(|it| (*it).clone())
     }
 
     /// Sends one heartbeat and the workload of this host to all known hosts.
