--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -59,7 +59,7 @@
 
 /// Initial estimate of the concurrent adapter loads per engine that the weight store serves at full
 /// speed. Users' platforms have 0.4 to 0.9.
-const INITIAL_FULL_SPEED_LOADS: f64 = 0.5;
+const INITIAL_FULL_SPEED_LOADS: f64 = 0.8;
 
 /// Weight of another host's estimate of the full speed, which each heartbeat carries. All hosts share the
 /// weight store, so each learns from the loads of all.
