Test the limit of loads in flight after late loads

With the higher first estimate a host of two engines may have two loads in flight until loads were late, which the test now records: the pattern that it replays is a weight store that is saturated.

--- a/crates/fleet/tests/it/loads.rs
+++ b/crates/fleet/tests/it/loads.rs
@@ -604,6 +604,10 @@
         // This host is the steward of one of the engines.
         steward.keys.truncate(1);
         steward.loader.remote_loads = remote;
+        // Loads have been late, so the estimated speed of the weight store is low.
+        for _ in 0..15 {
+            steward.loader.record_arrival(false);
+        }
         for number in 0..6 {
             steward.request(&format!("m/a{number}"), 1, at(1));
         }
