--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -88,7 +88,7 @@
     pub latency_target: Duration,
     /// Target for the longest gap between two events of a stream.
     pub max_gap: Duration,
-    /// Priority at the engines; 0 is the highest.
+    /// Urgency among the routes of a service, by which admission ranks them; 0 is the most urgent.
     pub priority: u8,
     /// Maximum number of engines that one request may be sent to.
     pub attempts: usize,
