Log which request a rejection names, and the status of each response

- The attempts of a request (`tries`) name the status of a rejection and, if the response names another request or none, that id.
- `answer-refused` says whether the connection was new or kept.
- `status` in the line of a request is that of the response to the caller.
- An engine's failure that is returned after the last attempt counts as forwarded; its line said first_ms 0.
- `comfreywing_gateway_responses_total` counts responses by the request that they name and by whether the connection is new.

No decision changes.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -156,6 +156,7 @@
                 return Err(self);
             }
         }
+        self.trace.record_status(head.status);
         let keep_alive = call::keep_alive_timeout(&head.headers);
         reply::strip_hop_headers(&mut head.headers);
         if head.status.is_success() && self.route.kind.is_stream() {
@@ -252,6 +253,8 @@
     /// Records a fault as the end of the request and returns the response for it.
     fn fail(&mut self, fault: Fault) -> Response<Body> {
         if let Some(response) = self.fallback_response.take() {
+            self.trace.record_status(response.status());
+            self.trace.record_forwarded();
             self.record_end(End::Failed);
             return response;
         }
@@ -266,6 +269,7 @@
             Fault::Timeout if self.attempts == 0 => Fault::Overload,
             it => it,
         };
+        self.trace.record_status(fault.status());
         self.record_end(End::Refused(fault.name()));
         let retry_after = match fault {
             Fault::AdapterLoad => Some(Duration::from_millis(300)),
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -11,6 +11,7 @@
 };
 
 use crate::{
+    attribution::Attribution,
     clock,
     connection::Failure,
     dialect::{ResponseHead, UpstreamHead},
@@ -141,6 +142,10 @@
         let response_head = self.gateway.dialect.parse_response_head(response.headers());
         let status = response.status();
         let key = in_flight.key;
+        let response_id = response_head.request_id.as_deref();
+        let attribution = Attribution::new(&self.request_head.id, response_id);
+        let reused = in_flight.connection.as_ref().is_some_and(|it| it.reused);
+        self.gateway.metrics.count_response(attribution, reused);
         self.gateway.observe_engine(key, &response_head);
         if status == StatusCode::SERVICE_UNAVAILABLE
             && let Some(time) = response_head.retry_after
@@ -149,12 +154,14 @@
         }
         if status == StatusCode::MISDIRECTED_REQUEST && !response_head.sealed {
             self.handle_misdirected(key, instance, &response_head);
-            self.trace.record_outcome("421 not held");
+            let outcome = rejection_outcome("not held", status, attribution, &response_head);
+            self.trace.record_outcome(outcome);
             in_flight.discard_response(response).await;
             return Outcome::NotExecuted(Some(status));
         }
         if response_head.not_executed {
-            self.trace.record_outcome("not run");
+            let outcome = rejection_outcome("not run", status, attribution, &response_head);
+            self.trace.record_outcome(outcome);
             in_flight.discard_response(response).await;
             return Outcome::NotExecuted(Some(status));
         }
@@ -165,7 +172,8 @@
         if mismatch || !response_head.sealed {
             log::info!(
                 event = "answer-refused", request = &*self.request_head.id, engine = instance,
-                status = status.as_u16(), sealed = response_head.sealed, id = response_head.request_id.as_deref().unwrap_or("-");
+                status = status.as_u16(), sealed = response_head.sealed, id = response_id.unwrap_or("-"),
+                connection = if reused { "kept" } else { "new" };
                 "the response of engine {instance} is not sealed or does not belong to request {}", self.request_head.id
             );
             self.trace.record_outcome("answer not its own");
@@ -269,3 +277,21 @@
         }
     }
 }
+
+/// Describes a rejection for the log: its status, and the id in the response if it is not that of the
+/// request.
+fn rejection_outcome(
+    verdict: &str,
+    status: StatusCode,
+    attribution: Attribution,
+    response_head: &ResponseHead,
+) -> String {
+    let status = status.as_u16();
+    match attribution {
+        Attribution::Own => format!("{status} {verdict}"),
+        Attribution::Other | Attribution::Unnamed => {
+            let id = response_head.request_id.as_deref().unwrap_or("-");
+            format!("{status} {verdict}, response to request {id}")
+        }
+    }
+}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -9,6 +9,8 @@
 };
 use telemetry::exposition::Exposition;
 
+use crate::attribution::Attribution;
+
 /// Prefix of all metric names.
 const NAMESPACE: &str = "comfreywing_gateway";
 
@@ -28,6 +30,7 @@
     pacing_wait: Histogram<f64>,
     retries: Counter<u64>,
     connections: Counter<u64>,
+    responses: Counter<u64>,
     orders: Counter<u64>,
     loads: Counter<u64>,
     store_calls: Counter<u64>,
@@ -87,6 +90,10 @@
                 "Requests sent once more, and those the budget refused",
             ),
             connections: counter("connections", "Connections to upstreams that were used"),
+            responses: counter(
+                "responses",
+                "Responses of engines, by the request that they name",
+            ),
             orders: counter("orders", "Orders to engines, by what came of them"),
             loads: counter(
                 "loads",
@@ -167,6 +174,15 @@
         self.connections.add(1, &[KeyValue::new("kind", kind)]);
     }
 
+    /// Counts a response of an engine by the request that it names, and by whether its connection is new.
+    pub fn count_response(&self, attribution: Attribution, reused: bool) {
+        let labels = [
+            KeyValue::new("names", attribution.name()),
+            KeyValue::new("kind", if reused { "kept" } else { "new" }),
+        ];
+        self.responses.add(1, &labels);
+    }
+
     /// Counts an order to an engine by its outcome.
     pub fn count_order(&self, op: &'static str, outcome: &'static str) {
         let labels = [KeyValue::new("op", op), KeyValue::new("outcome", outcome)];
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -2,9 +2,10 @@
 //! be found by the id of the request. Normal requests are sampled. Requests that were late, retried,
 //! refused or truncated are always logged.
 
-use std::{fmt::Write, sync::Arc, time::Duration};
+use std::{borrow::Cow, fmt::Write, sync::Arc, time::Duration};
 
 use fleet::{catalog::Route, placement::Choice};
+use hyper::http::StatusCode;
 
 use crate::{clock, dialect::RequestHead, metrics::Metrics};
 
@@ -34,6 +35,8 @@
     /// Time from the arrival to the first forwarded event.
     first_forwarded: Option<Duration>,
     longest_gap: Duration,
+    /// Status of the response to the caller, if there is one.
+    status: Option<StatusCode>,
 }
 
 /// Attempt at one engine.
@@ -43,7 +46,7 @@
     /// Time from the arrival of the request to this attempt.
     sent_at: Duration,
     expected_wait: Duration,
-    outcome: &'static str,
+    outcome: Cow<'static, str>,
 }
 
 /// End of a request.
@@ -88,6 +91,7 @@
             last_forwarded: Duration::ZERO,
             first_forwarded: None,
             longest_gap: Duration::ZERO,
+            status: None,
         }
     }
 
@@ -101,17 +105,22 @@
             engine: engine.clone(),
             sent_at: self.age(),
             expected_wait: choice.expected_wait,
-            outcome: "open",
+            outcome: Cow::Borrowed("open"),
         });
     }
 
     /// Records the outcome of the last attempt.
-    pub fn record_outcome(&mut self, outcome: &'static str) {
+    pub fn record_outcome(&mut self, outcome: impl Into<Cow<'static, str>>) {
         if let Some(it) = self.attempts.last_mut() {
-            it.outcome = outcome;
+            it.outcome = outcome.into();
         }
     }
 
+    /// Records the status of the response to the caller.
+    pub fn record_status(&mut self, status: StatusCode) {
+        self.status = Some(status);
+    }
+
     /// Records that events or the whole response were forwarded.
     pub fn record_forwarded(&mut self) {
         let at = self.age();
@@ -174,6 +183,7 @@
             event,
             request = &*request_head.id,
             why,
+            status = self.status.map_or(0, |it| it.as_u16()),
             late,
             route = &*route.name,
             service,
--- a/crates/gateway/tests/page.rs
+++ b/crates/gateway/tests/page.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, fs, path::Path, time::Duration};
 
-use gateway::{metrics::Metrics, reply::Fault};
+use gateway::{attribution::Attribution, metrics::Metrics, reply::Fault};
 
 const PAGE: &str = include_str!("../../../docs/operating/gateway.md");
 const TEMPLATE: &str = include_str!("../../../deploy/settings.yaml");
@@ -64,6 +64,7 @@
     metrics.record_loop_delay(second);
     metrics.count_retry("s", "sent");
     metrics.count_connection("new");
+    metrics.count_response(Attribution::Own, false);
     metrics.count_order("load", "accepted");
     metrics.count_load("early");
     metrics.count_store_call("watch", "ok");
