Attribute a response to its request before using anything in it

Cause: classify_response believed Not-Executed and 421 before it compared the id of the response. An engine may send a second response to an earlier request where the next one is expected. A second copy of a refusal was therefore taken for the refusal of the request that had just been sent, and the connection returned to the pool with the real response outstanding: the next response was then attributed to the request after it. Announced drains and back-offs were taken from such responses too.

Change: attribution::Attribution is decided first, from the id in the response and from whether the connection has had earlier requests. A response that names none is only accepted as the first of its connection. Otherwise the request may have run, the connection is closed, and nothing in the response is used.

--- a/crates/gateway/src/attribution.rs
+++ b/crates/gateway/src/attribution.rs
@@ -1,33 +1,38 @@
 //! Attribution of an engine's response to the request that was sent last on its connection. An engine may
-//! send another response to an earlier request at the point where the next response is expected.
+//! send a second response to an earlier request at the point where the next response is expected, so a
+//! response says nothing about a request until it is attributed to it.
+
+use crate::connection::Use;
 
 /// Request to which a response belongs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Attribution {
-    /// The response names the request that was sent last.
+    /// The request that was sent last.
     Own,
-    /// The response names another request.
+    /// Another request, which the response names.
     Other,
-    /// The response names no request.
-    Unnamed,
+    /// Unknown: the response names no request, and the connection has had earlier ones.
+    Unknown,
 }
 
 impl Attribution {
-    /// Compares the id in a response with that of the request that was sent last.
-    pub fn new(request_id: &str, response_id: Option<&str>) -> Self {
-        match response_id {
-            Some(it) if it == request_id => Self::Own,
-            Some(_) => Self::Other,
-            None => Self::Unnamed,
+    /// Attributes a response by the id that it names. A response that names no request can only belong to
+    /// the first one of its connection.
+    pub fn new(request_id: &str, response_id: Option<&str>, connection: Use) -> Self {
+        match (response_id, connection) {
+            (Some(it), _) if it == request_id => Self::Own,
+            (Some(_), _) => Self::Other,
+            (None, Use::First) => Self::Own,
+            (None, Use::Repeated) => Self::Unknown,
         }
     }
 
-    /// Name in metrics.
+    /// Name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
             Self::Own => "own",
             Self::Other => "other",
-            Self::Unnamed => "unnamed",
+            Self::Unknown => "unknown",
         }
     }
 }
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -65,13 +65,32 @@
 #[derive(Clone, Default)]
 pub struct Pool(Rc<RefCell<HashMap<SocketAddr, Vec<Pooled>>>>);
 
+/// Whether a connection has served earlier requests.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Use {
+    /// The connection is new.
+    First,
+    /// The connection comes from the pool.
+    Repeated,
+}
+
+impl Use {
+    /// Name in logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::First => "new",
+            Self::Repeated => "kept",
+        }
+    }
+}
+
 /// Connection in use. Dropping it closes the connection.
 pub struct Connection {
     pool: Pool,
     addr: SocketAddr,
     pooled: Option<Pooled>,
-    /// True if the connection served an earlier request.
-    pub reused: bool,
+    /// Whether the connection has served earlier requests.
+    pub usage: Use,
 }
 
 impl Pool {
@@ -82,18 +101,18 @@
         max_idle: Duration,
     ) -> Result<Connection, Failure> {
         if let Some(pooled) = self.take_idle(addr, max_idle) {
-            return Ok(self.wrap(addr, pooled, true));
+            return Ok(self.wrap(addr, pooled, Use::Repeated));
         }
         let pooled = connect(addr).await?;
-        Ok(self.wrap(addr, pooled, false))
+        Ok(self.wrap(addr, pooled, Use::First))
     }
 
-    fn wrap(&self, addr: SocketAddr, pooled: Pooled, reused: bool) -> Connection {
+    fn wrap(&self, addr: SocketAddr, pooled: Pooled, usage: Use) -> Connection {
         Connection {
             pool: self.clone(),
             addr,
             pooled: Some(pooled),
-            reused,
+            usage,
         }
     }
 
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -13,7 +13,7 @@
 use crate::{
     attribution::Attribution,
     clock,
-    connection::Failure,
+    connection::{Failure, Use},
     dialect::{ResponseHead, UpstreamHead},
     exchange::Exchange,
     in_flight::InFlight,
@@ -85,26 +85,34 @@
         };
         self.attempts += 1;
         self.trace.record_attempt(&instance, &choice);
-        let kind = if connection.reused { "kept" } else { "new" };
-        self.gateway.metrics.count_connection(kind);
+        let usage = connection.usage;
+        self.gateway.metrics.count_connection(usage);
         if !self.attempted_engines.contains(&key) {
             self.attempted_engines.push(key);
         }
         let request = self.build_request(&instance, version, last_event_id);
-        let reused = connection.reused;
         let connection = in_flight.connection.insert(connection);
         let stage = Stage::Head(choice.expected_wait);
         let response =
             wait_for_engine(&self.wait_context(), key, stage, connection.send(request)).await;
         match response {
             WaitResult::Ready(Ok(response)) => {
-                self.classify_response(response, &instance, in_flight).await
+                let response_head = self.gateway.dialect.parse_response_head(response.headers());
+                if self.is_attributed(&response, &response_head, &instance, usage) {
+                    self.classify_response(response, response_head, &instance, in_flight)
+                        .await
+                } else {
+                    self.record_failure(key);
+                    self.may_have_run = true;
+                    Outcome::Lost
+                }
             }
             WaitResult::Ready(Err(Failure::Unreachable(error))) => {
                 log::debug!("engine {instance}: request not sent: {error}");
                 self.trace.record_outcome("not sent");
                 // The engine may have closed the pooled connection, so this engine may be tried again.
-                self.attempted_engines.retain(|it| *it != key || !reused);
+                self.attempted_engines
+                    .retain(|it| *it != key || usage == Use::First);
                 Outcome::NotExecuted(None)
             }
             WaitResult::Ready(Err(Failure::Broken(error))) => {
@@ -113,7 +121,7 @@
                     self.request_head.id
                 );
                 self.trace.record_outcome("connection broke");
-                if !reused {
+                if usage == Use::First {
                     self.record_failure(key);
                 }
                 self.may_have_run = true;
@@ -132,20 +140,42 @@
         }
     }
 
-    /// Classifies a response by its status and headers.
+    /// Returns whether a response belongs to this request, and logs it if not. A response that was not
+    /// expected leaves the connection out of step, so its connection must not be reused.
+    fn is_attributed(
+        &mut self,
+        response: &Response<Incoming>,
+        response_head: &ResponseHead,
+        instance: &str,
+        usage: Use,
+    ) -> bool {
+        let id = &*self.request_head.id;
+        let response_id = response_head.request_id.as_deref();
+        let attribution = Attribution::new(id, response_id, usage);
+        self.gateway.metrics.count_response(attribution, usage);
+        if attribution == Attribution::Own {
+            return true;
+        }
+        log::info!(
+            event = "answer-refused", request = id, engine = instance, attribution = attribution.name(),
+            status = response.status().as_u16(), sealed = response_head.sealed, id = response_id.unwrap_or("-"),
+            connection = usage.name();
+            "the response of engine {instance} does not belong to request {id}"
+        );
+        self.trace.record_outcome("response to another request");
+        false
+    }
+
+    /// Classifies a response to this request by its status and headers.
     async fn classify_response(
         &mut self,
         response: Response<Incoming>,
+        response_head: ResponseHead,
         instance: &str,
         in_flight: InFlight,
     ) -> Outcome {
-        let response_head = self.gateway.dialect.parse_response_head(response.headers());
         let status = response.status();
         let key = in_flight.key;
-        let response_id = response_head.request_id.as_deref();
-        let attribution = Attribution::new(&self.request_head.id, response_id);
-        let reused = in_flight.connection.as_ref().is_some_and(|it| it.reused);
-        self.gateway.metrics.count_response(attribution, reused);
         self.gateway.observe_engine(key, &response_head);
         if status == StatusCode::SERVICE_UNAVAILABLE
             && let Some(time) = response_head.retry_after
@@ -154,29 +184,24 @@
         }
         if status == StatusCode::MISDIRECTED_REQUEST && !response_head.sealed {
             self.handle_misdirected(key, instance, &response_head);
-            let outcome = rejection_outcome("not held", status, attribution, &response_head);
-            self.trace.record_outcome(outcome);
+            self.trace.record_outcome("421 not held");
             in_flight.discard_response(response).await;
             return Outcome::NotExecuted(Some(status));
         }
         if response_head.not_executed {
-            let outcome = rejection_outcome("not run", status, attribution, &response_head);
+            let outcome = format!("{} not run", status.as_u16());
             self.trace.record_outcome(outcome);
             in_flight.discard_response(response).await;
             return Outcome::NotExecuted(Some(status));
         }
-        let mismatch = response_head
-            .request_id
-            .as_ref()
-            .is_some_and(|it| *it != self.request_head.id);
-        if mismatch || !response_head.sealed {
+        if !response_head.sealed {
+            let id = &*self.request_head.id;
             log::info!(
-                event = "answer-refused", request = &*self.request_head.id, engine = instance,
-                status = status.as_u16(), sealed = response_head.sealed, id = response_id.unwrap_or("-"),
-                connection = if reused { "kept" } else { "new" };
-                "the response of engine {instance} is not sealed or does not belong to request {}", self.request_head.id
+                event = "answer-refused", request = id, engine = instance, attribution = Attribution::Own.name(),
+                status = status.as_u16(), sealed = false;
+                "the response of engine {instance} to request {id} is not sealed"
             );
-            self.trace.record_outcome("answer not its own");
+            self.trace.record_outcome("answer not sealed");
             self.record_failure(key);
             self.may_have_run = true;
             return Outcome::Lost;
@@ -277,21 +302,3 @@
         }
     }
 }
-
-/// Describes a rejection for the log: its status, and the id in the response if it is not that of the
-/// request.
-fn rejection_outcome(
-    verdict: &str,
-    status: StatusCode,
-    attribution: Attribution,
-    response_head: &ResponseHead,
-) -> String {
-    let status = status.as_u16();
-    match attribution {
-        Attribution::Own => format!("{status} {verdict}"),
-        Attribution::Other | Attribution::Unnamed => {
-            let id = response_head.request_id.as_deref().unwrap_or("-");
-            format!("{status} {verdict}, response to request {id}")
-        }
-    }
-}
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -9,7 +9,7 @@
 };
 use telemetry::exposition::Exposition;
 
-use crate::attribution::Attribution;
+use crate::{attribution::Attribution, connection::Use};
 
 /// Prefix of all metric names.
 const NAMESPACE: &str = "comfreywing_gateway";
@@ -92,7 +92,7 @@
             connections: counter("connections", "Connections to upstreams that were used"),
             responses: counter(
                 "responses",
-                "Responses of engines, by the request that they name",
+                "Responses of engines, by the request to which they belong",
             ),
             orders: counter("orders", "Orders to engines, by what came of them"),
             loads: counter(
@@ -170,15 +170,16 @@
     }
 
     /// Counts the use of an upstream connection, new or pooled.
-    pub fn count_connection(&self, kind: &'static str) {
-        self.connections.add(1, &[KeyValue::new("kind", kind)]);
+    pub fn count_connection(&self, connection: Use) {
+        let labels = [KeyValue::new("kind", connection.name())];
+        self.connections.add(1, &labels);
     }
 
-    /// Counts a response of an engine by the request that it names, and by whether its connection is new.
-    pub fn count_response(&self, attribution: Attribution, reused: bool) {
+    /// Counts a response of an engine by the request to which it belongs, and by the use of its connection.
+    pub fn count_response(&self, attribution: Attribution, connection: Use) {
         let labels = [
-            KeyValue::new("names", attribution.name()),
-            KeyValue::new("kind", if reused { "kept" } else { "new" }),
+            KeyValue::new("request", attribution.name()),
+            KeyValue::new("kind", connection.name()),
         ];
         self.responses.add(1, &labels);
     }
