Send a second attempt to an engine on a new connection

What callers would see: a stream that must not be repeated ran twice (or was refused after it had run) when the engine first answered 421, because the adapter's load was not done yet, and sent that response a second time.

Cause: all attempts of a request have the same id. The second attempt took the pooled connection of the first, so the late copy of the first response named the request that had just been sent, and the id could not tell them apart.

Change: an exchange remembers the addresses to which it has sent its request, and sends the next attempt to one of them on a new connection, whose first response can only be its own.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -7,7 +7,7 @@
 use hyper::{HeaderMap, Request, Response, http::response::Parts};
 use tokio::time;
 
-use crate::connection::{Failure, Pool};
+use crate::connection::{Failure, Pool, Reuse};
 
 /// Maximum size of a response. A page of the store has about 1 MB.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -30,7 +30,8 @@
             .expect("a socket address is a valid header value"),
     );
     let exchange = async {
-        let mut connection = pool.acquire(addr, MAX_IDLE_TIME).await?;
+        let reuse = Reuse::IdleLess(MAX_IDLE_TIME);
+        let mut connection = pool.acquire(addr, reuse).await?;
         let response = connection.send(request).await?;
         let (head, body) = read_response(response).await?;
         connection.release(keep_alive_timeout(&head.headers));
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -61,6 +61,15 @@
     idle_since: Instant,
 }
 
+/// Which connection may carry a request.
+#[derive(Clone, Copy, Debug)]
+pub enum Reuse {
+    /// A pooled connection that was idle for less than this time, or a new one.
+    IdleLess(Duration),
+    /// A new connection only.
+    Never,
+}
+
 /// Connection pool for all upstreams.
 #[derive(Clone, Default)]
 pub struct Pool(Rc<RefCell<HashMap<SocketAddr, Vec<Pooled>>>>);
@@ -94,13 +103,11 @@
 }
 
 impl Pool {
-    /// Returns a pooled connection that was idle for less than `max_idle`, or a new one.
-    pub async fn acquire(
-        &self,
-        addr: SocketAddr,
-        max_idle: Duration,
-    ) -> Result<Connection, Failure> {
-        if let Some(pooled) = self.take_idle(addr, max_idle) {
+    /// Returns a pooled connection if `reuse` allows it and there is one, or a new one.
+    pub async fn acquire(&self, addr: SocketAddr, reuse: Reuse) -> Result<Connection, Failure> {
+        if let Reuse::IdleLess(max_idle) = reuse
+            && let Some(pooled) = self.take_idle(addr, max_idle)
+        {
             return Ok(self.wrap(addr, pooled, Use::Repeated));
         }
         let pooled = connect(addr).await?;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -3,7 +3,7 @@
 mod attempt;
 mod placement;
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use fleet::{
@@ -59,6 +59,8 @@
     pub(crate) deadline: Time,
     /// Engines to which the request was sent.
     pub(crate) attempted_engines: Vec<Key>,
+    /// Addresses to which the request was sent.
+    pub(crate) attempted_addrs: Vec<SocketAddr>,
     /// Number of attempted engines that have been replaced by another engine at the same address.
     /// They do not count as attempts.
     pub(crate) mismatched_instances: usize,
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -1,6 +1,6 @@
 //! One attempt at an engine: sends the request and classifies the response by its headers.
 
-use std::{sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use fleet::{placement::Choice, stall::Stage, table::Key};
@@ -13,7 +13,7 @@
 use crate::{
     attribution::Attribution,
     clock,
-    connection::{Failure, Use},
+    connection::{Failure, Reuse, Use},
     dialect::{ResponseHead, UpstreamHead},
     exchange::Exchange,
     in_flight::InFlight,
@@ -70,12 +70,8 @@
             self.gossip
                 .announce_prompt(&instance, in_flight.prefill_tokens);
         }
-        let max_idle = if self.route.kind.is_retryable() {
-            MAX_IDLE_RETRYABLE
-        } else {
-            MAX_IDLE_NOT_RETRYABLE
-        };
-        let connection = match self.gateway.pool.acquire(addr, max_idle).await {
+        let reuse = self.reuse(addr);
+        let connection = match self.gateway.pool.acquire(addr, reuse).await {
             Ok(it) => it,
             Err(error) => {
                 log::debug!("engine {instance}: {error}");
@@ -84,6 +80,7 @@
             }
         };
         self.attempts += 1;
+        self.attempted_addrs.push(addr);
         self.trace.record_attempt(&instance, &choice);
         let usage = connection.usage;
         self.gateway.metrics.count_connection(usage);
@@ -140,6 +137,18 @@
         }
     }
 
+    /// Decides which connection may carry the next attempt. All attempts have the same id, so a second
+    /// response to an earlier attempt on the same connection could not be told from the response to this one.
+    fn reuse(&self, addr: SocketAddr) -> Reuse {
+        if self.attempted_addrs.contains(&addr) {
+            Reuse::Never
+        } else if self.route.kind.is_retryable() {
+            Reuse::IdleLess(MAX_IDLE_RETRYABLE)
+        } else {
+            Reuse::IdleLess(MAX_IDLE_NOT_RETRYABLE)
+        }
+    }
+
     /// Returns whether a response belongs to this request, and logs it if not. A response that was not
     /// expected leaves the connection out of step, so its connection must not be reused.
     fn is_attributed(
@@ -216,7 +225,7 @@
 
     /// Address and id of an engine, and the version of the adapter to require: the newest version,
     /// if the engine is estimated to hold it.
-    fn target(&self, key: Key) -> Option<(std::net::SocketAddr, Arc<str>, Option<u64>)> {
+    fn target(&self, key: Key) -> Option<(SocketAddr, Arc<str>, Option<u64>)> {
         let table = self.gateway.table.borrow();
         let engine = table.get(key)?;
         let name = self.request_head.name.as_deref();
