Do not reuse connections to an engine that sends extra responses

What callers saw: each extra response of an instance took the place of the response to the next request of its connection. That request was answered with 502 although it had run to its end, and an idempotent one too if the service had no other instance.

Cause: the host closed only the connection on which the extra response had arrived, and excluded the instance for the request that it hit.

Both new tests force that order and failed before.

Change: for 5 s after such a response, each connection to that address serves one request, whose response can only be its own. A request that may be repeated may go to the same engine again, on a new connection.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -38,6 +38,9 @@
 /// close idle connections at their own timeouts.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
 
+/// Time after a response out of step in which each connection to the upstream serves one request only.
+const SINGLE_USE_TIME: Duration = Duration::from_secs(5);
+
 /// Fraction of the upstream's keep-alive timeout that is used, so that no request is sent while the
 /// upstream closes the connection.
 const KEEP_ALIVE_FRACTION: f64 = 0.6;
@@ -70,9 +73,17 @@
     Never,
 }
 
+/// Idle connections to all upstreams.
+#[derive(Default)]
+struct Connections {
+    idle: HashMap<SocketAddr, Vec<Pooled>>,
+    /// Ends of the times in which connections to an upstream are not reused.
+    single_use_until: HashMap<SocketAddr, Instant>,
+}
+
 /// Connection pool for all upstreams.
 #[derive(Clone, Default)]
-pub struct Pool(Rc<RefCell<HashMap<SocketAddr, Vec<Pooled>>>>);
+pub struct Pool(Rc<RefCell<Connections>>);
 
 /// Whether a connection has served earlier requests.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -125,8 +136,8 @@
 
     /// Takes the most recently used connection that was idle for less than `max_idle`.
     fn take_idle(&self, addr: SocketAddr, max_idle: Duration) -> Option<Pooled> {
-        let mut idle = self.0.borrow_mut();
-        let list = idle.get_mut(&addr)?;
+        let mut connections = self.0.borrow_mut();
+        let list = connections.idle.get_mut(&addr)?;
         let now = Instant::now();
         list.retain(|it| it.expires > now && !it.sender.is_closed());
         let at = list
@@ -138,15 +149,26 @@
     /// Closes pooled connections whose idle time has expired.
     pub fn close_expired(&self) {
         let now = Instant::now();
-        self.0.borrow_mut().retain(|_, list| {
+        let mut connections = self.0.borrow_mut();
+        connections.idle.retain(|_, list| {
             list.retain(|it| it.expires > now && !it.sender.is_closed());
             !list.is_empty()
         });
+        connections.single_use_until.retain(|_, it| *it > now);
     }
 
     /// Closes all idle connections to an upstream.
     pub fn close_idle(&self, addr: SocketAddr) {
-        self.0.borrow_mut().remove(&addr);
+        self.0.borrow_mut().idle.remove(&addr);
+    }
+
+    /// Stops the reuse of connections to an upstream for some time, because it sent a response that does not
+    /// belong to the last request of its connection. Such a response takes the place of the next request's.
+    pub fn suspend_reuse(&self, addr: SocketAddr) {
+        let mut connections = self.0.borrow_mut();
+        connections.idle.remove(&addr);
+        let until = Instant::now() + SINGLE_USE_TIME;
+        connections.single_use_until.insert(addr, until);
     }
 }
 
@@ -177,8 +199,11 @@
             it.mul_f64(KEEP_ALIVE_FRACTION).min(MAX_IDLE_TIME)
         });
         pooled.expires = pooled.idle_since + idle_time;
-        let mut pool = self.pool.0.borrow_mut();
-        pool.entry(self.addr).or_default().push(pooled);
+        let mut connections = self.pool.0.borrow_mut();
+        let single_use_until = connections.single_use_until.get(&self.addr);
+        if single_use_until.is_none_or(|it| *it <= pooled.idle_since) {
+            connections.idle.entry(self.addr).or_default().push(pooled);
+        }
     }
 }
 
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -100,6 +100,10 @@
                         .await
                 } else {
                     self.record_failure(key);
+                    self.gateway.pool.suspend_reuse(addr);
+                    // The next attempt gets a new connection, so it may go to this engine again.
+                    self.attempted_engines
+                        .retain(|it| *it != key || usage == Use::First);
                     self.may_have_run = true;
                     Outcome::Lost
                 }
