Count an engine whose response is out of step as an attempt

What callers see: nothing; a rule of the operator was broken. A request that may be repeated ran on more engines than its route allows.

Cause: since an exchange forgets an engine whose response did not belong to the request, so that the engine may be tried again on a new connection. The engine no longer counted as an attempt either, and the next attempt could go to another one.

Change: the engine stays among the attempted ones and is noted as repeatable: it may be chosen once more while the route has attempts left.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -59,6 +59,8 @@
     pub(crate) deadline: Time,
     /// Engines to which the request was sent.
     pub(crate) attempted_engines: Vec<Key>,
+    /// Attempted engines to which the request may be sent once more. They count as one attempt each.
+    pub(crate) repeatable_engines: Vec<Key>,
     /// Addresses to which the request was sent.
     pub(crate) attempted_addrs: Vec<SocketAddr>,
     /// Number of attempted engines that have been replaced by another engine at the same address.
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -87,6 +87,7 @@
         if !self.attempted_engines.contains(&key) {
             self.attempted_engines.push(key);
         }
+        self.repeatable_engines.retain(|it| *it != key);
         let request = self.build_request(&instance, version, last_event_id);
         let connection = in_flight.connection.insert(connection);
         let stage = Stage::Head(choice.expected_wait);
@@ -99,13 +100,7 @@
                     self.classify_response(response, response_head, &instance, in_flight)
                         .await
                 } else {
-                    self.record_failure(key);
-                    self.gateway.pool.suspend_reuse(addr);
-                    // The next attempt gets a new connection, so it may go to this engine again.
-                    self.attempted_engines
-                        .retain(|it| *it != key || usage == Use::First);
-                    self.may_have_run = true;
-                    Outcome::Lost
+                    self.record_out_of_step(key, addr, usage)
                 }
             }
             WaitResult::Ready(Err(Failure::Unreachable(error))) => {
@@ -141,6 +136,18 @@
         }
     }
 
+    /// Records that an engine sent a response that does not belong to this request where its response was
+    /// expected.
+    fn record_out_of_step(&mut self, key: Key, addr: SocketAddr, usage: Use) -> Outcome {
+        self.record_failure(key);
+        self.gateway.pool.suspend_reuse(addr);
+        if usage == Use::Repeated {
+            self.repeatable_engines.push(key);
+        }
+        self.may_have_run = true;
+        Outcome::Lost
+    }
+
     /// Decides which connection may carry the next attempt. All attempts have the same id, so a second
     /// response to an earlier attempt on the same connection could not be told from the response to this one.
     fn reuse(&self, addr: SocketAddr) -> Reuse {
--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -55,12 +55,14 @@
         let mut waiting: Option<WaitGuard> = None;
         loop {
             self.gateway.record_due_loads();
+            let mut tried = self.attempted_engines.clone();
+            tried.retain(|it| !self.repeatable_engines.contains(it));
             let placement = self.gateway.choose_placement(
                 &self.service,
                 name.as_ref(),
                 &self.prefix_chain,
                 self.route.max_gap,
-                &self.attempted_engines,
+                &tried,
             );
             let now = clock::now();
             match placement {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -133,6 +133,7 @@
         started,
         deadline,
         attempted_engines: Vec::new(),
+        repeatable_engines: Vec::new(),
         attempted_addrs: Vec::new(),
         mismatched_instances: 0,
         attempts: 0,
