Treat bytes that are no response like a response out of step

What callers see: every second request to an instance that sends further bytes after its responses was answered with 502 although it had run to its end. An idempotent one was held for 2.2 s first if the service had no other instance.

Cause: the bytes take the place of the next response of a kept connection, as an extra response does. They can't be parsed, so they counted as a broken connection: reuse was not suspended, the failure rate of the instance did not rise, and the instance was not tried again on a new connection.

Evidence: answers::connections_to_an_engine_that_sends_extra_bytes_are_not_reused failed before ("/single/x: 4 failures" of 8), and passes now.

Change: Failure::Malformed is separate from Failure::Broken and is handled like a response that belongs to another request. Both suspend the reuse only if the connection was kept: on a new connection the bytes are the response's own.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -38,7 +38,7 @@
 /// close idle connections at their own timeouts.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(4);
 
-/// Time after a response out of step in which each connection to the upstream serves one request only.
+/// Time after bytes out of step in which each connection to the upstream serves one request only.
 const SINGLE_USE_TIME: Duration = Duration::from_secs(5);
 
 /// Fraction of the upstream's keep-alive timeout that is used, so that no request is sent while the
@@ -54,6 +54,9 @@
     /// The connection failed after the request may have been sent.
     #[display("connection failed: {_0}")]
     Broken(#[error(not(source))] String),
+    /// The upstream sent bytes that are no response.
+    #[display("malformed response: {_0}")]
+    Malformed(#[error(not(source))] String),
 }
 
 /// Open connection that can be pooled.
@@ -162,8 +165,8 @@
         self.0.borrow_mut().idle.remove(&addr);
     }
 
-    /// Stops the reuse of connections to an upstream for some time, because it sent a response that does not
-    /// belong to the last request of its connection. Such a response takes the place of the next request's.
+    /// Stops the reuse of connections to an upstream for some time, because it sent bytes that do not belong to
+    /// the last request of their connection. They take the place of the next response.
     pub fn suspend_reuse(&self, addr: SocketAddr) {
         let mut connections = self.0.borrow_mut();
         connections.idle.remove(&addr);
@@ -181,6 +184,7 @@
         let sent = pooled.sender.try_send_request(request.map(Full::new)).await;
         sent.map_err(|mut it| match it.take_message() {
             Some(_) => Failure::Unreachable(it.error().to_string()),
+            None if it.error().is_parse() => Failure::Malformed(it.error().to_string()),
             None => Failure::Broken(it.error().to_string()),
         })
     }
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -103,6 +103,14 @@
                     self.record_out_of_step(key, addr, usage)
                 }
             }
+            WaitResult::Ready(Err(Failure::Malformed(error))) => {
+                log::debug!(
+                    "engine {instance}: request {}: {error}",
+                    self.request_head.id
+                );
+                self.trace.record_outcome("malformed response");
+                self.record_out_of_step(key, addr, usage)
+            }
             WaitResult::Ready(Err(Failure::Unreachable(error))) => {
                 log::debug!("engine {instance}: request not sent: {error}");
                 self.trace.record_outcome("not sent");
@@ -136,12 +144,11 @@
         }
     }
 
-    /// Records that an engine sent a response that does not belong to this request where its response was
-    /// expected.
+    /// Records that an engine sent bytes that do not belong to this request where its response was expected.
     fn record_out_of_step(&mut self, key: Key, addr: SocketAddr, usage: Use) -> Outcome {
         self.record_failure(key);
-        self.gateway.pool.suspend_reuse(addr);
         if usage == Use::Repeated {
+            self.gateway.pool.suspend_reuse(addr);
             self.repeatable_engines.push(key);
         }
         self.may_have_run = true;
