Take no response to a request for that to an order

What was seen: with an engine that sends a second response to a caller's request where the next response is expected, a host took a 200 for the response to an unload that the engine had answered with 202. It ordered the next load while the engine still held the adapter, so the engine was told to hold three adapters in two slots.

Cause: orders and status queries share the pooled connections of callers' requests, and their responses were matched by position alone. Callers' requests are attributed by their id since; orders have none, so a response that names a request can't belong to one.

Change: call::send returns the response with its connection, which goes back to the pool only if the response is accepted. A response to an order or a status query that names a request is logged as answer-refused and not used: the outcome is unknown, as without a response, announced drains in it are not read, and the connection is closed.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -7,7 +7,7 @@
 use hyper::{HeaderMap, Request, Response, http::response::Parts};
 use tokio::time;
 
-use crate::connection::{Failure, Pool};
+use crate::connection::{Connection, Failure, Pool};
 
 /// Maximum size of a response. A page of the store has about 1 MB.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -16,13 +16,30 @@
 /// these calls.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(3);
 
+/// A whole response. Its connection is closed unless the response is accepted.
+pub struct Received {
+    /// Status and headers.
+    pub head: Parts,
+    body: Bytes,
+    connection: Connection,
+}
+
+impl Received {
+    /// Accepts the response as the one to the request, and returns the connection to the pool.
+    pub fn accept(self) -> (Parts, Bytes) {
+        self.connection
+            .release(keep_alive_timeout(&self.head.headers));
+        (self.head, self.body)
+    }
+}
+
 /// Sends a request and reads the whole response.
 pub async fn send(
     pool: &Pool,
     addr: SocketAddr,
     mut request: Request<Bytes>,
     timeout: Duration,
-) -> Result<(Parts, Bytes), Failure> {
+) -> Result<Received, Failure> {
     request.headers_mut().insert(
         hyper::header::HOST,
         addr.to_string()
@@ -33,8 +50,11 @@
         let mut connection = pool.acquire(addr, MAX_IDLE_TIME).await?;
         let response = connection.send(request).await?;
         let (head, body) = read_response(response).await?;
-        connection.release(keep_alive_timeout(&head.headers));
-        Ok((head, body))
+        Ok(Received {
+            head,
+            body,
+            connection,
+        })
     };
     match time::timeout(timeout, exchange).await {
         Ok(it) => it,
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -1,6 +1,6 @@
 //! Sends the orders that `fleet::loader` decides on.
 
-use std::{collections::HashSet, rc::Rc, time::Duration};
+use std::{collections::HashSet, net::SocketAddr, rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use fleet::{
@@ -11,7 +11,10 @@
 use hyper::{Request, http::StatusCode};
 use tokio::time;
 
-use crate::{call, clock, dialect::Command, gateway::Gateway, gossip::Gossip, message};
+use crate::{
+    attribution::Attribution, call, clock, dialect::Command, gateway::Gateway, gossip::Gossip,
+    message,
+};
 
 /// Timeout for an engine's response to an order or a status query. A lost response never arrives.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(300);
@@ -141,14 +144,10 @@
                 instance: &id,
             };
             let request = gateway.dialect.build_order(&command);
-            let outcome = match call::send(&gateway.pool, addr, request, RESPONSE_TIMEOUT).await {
-                Ok((head, _)) => {
-                    let response_head = gateway.dialect.parse_response_head(&head.headers);
-                    gateway.observe_engine(order.key, &response_head);
-                    gateway.dialect.classify_outcome(head.status)
-                }
-                Err(_) => Outcome::NoAnswer,
-            };
+            let response = call_engine(gateway, order.key, &id, addr, request).await;
+            let outcome = response.map_or(Outcome::NoAnswer, |(status, _)| {
+                gateway.dialect.classify_outcome(status)
+            });
             record_order(gateway, order, &id, fence, outcome);
             outcome
         }
@@ -180,6 +179,33 @@
     }
 }
 
+/// Sends an order or a status query. Returns the status and the body of the response; `None` if there is none.
+async fn call_engine(
+    gateway: &Rc<Gateway>,
+    key: Key,
+    id: &str,
+    addr: SocketAddr,
+    request: Request<Bytes>,
+) -> Option<(StatusCode, Bytes)> {
+    let response = call::send(&gateway.pool, addr, request, RESPONSE_TIMEOUT).await;
+    let response = response
+        .inspect_err(|it| log::debug!("engine {id}: {it}"))
+        .ok()?;
+    let response_head = (gateway.dialect).parse_response_head(&response.head.headers);
+    // Only callers' requests have ids, so this is a late second response to one of them.
+    if let Some(request) = &response_head.request_id {
+        log::info!(
+            event = "answer-refused", request = "-", engine = id, attribution = Attribution::Other.name(),
+            status = response.head.status.as_u16(), sealed = response_head.sealed, id = &**request;
+            "the response of engine {id} to request {request} is none to an order or a status query"
+        );
+        return None;
+    }
+    gateway.observe_engine(key, &response_head);
+    let (head, body) = response.accept();
+    Some((head.status, body))
+}
+
 /// Counts and logs an order.
 fn record_order(gateway: &Rc<Gateway>, order: &Order, id: &str, fence: u64, outcome: Outcome) {
     let op = match order.op {
@@ -224,16 +250,10 @@
 async fn query_status(gateway: &Rc<Gateway>, key: Key) {
     let status = match order_target(gateway, key) {
         Some((id, addr, _)) => {
-            let request: Request<Bytes> = gateway.dialect.build_status_query(&id);
-            match call::send(&gateway.pool, addr, request, RESPONSE_TIMEOUT).await {
-                Ok((head, body)) => {
-                    let response_head = gateway.dialect.parse_response_head(&head.headers);
-                    gateway.observe_engine(key, &response_head);
-                    let is_ok = head.status == StatusCode::OK;
-                    is_ok.then(|| gateway.dialect.parse_status(&body)).flatten()
-                }
-                Err(_) => None,
-            }
+            let request = gateway.dialect.build_status_query(&id);
+            let response = call_engine(gateway, key, &id, addr, request).await;
+            let body = response.filter(|it| it.0 == StatusCode::OK).map(|it| it.1);
+            body.and_then(|it| gateway.dialect.parse_status(&it))
         }
         None => None,
     };
@@ -258,10 +278,7 @@
 }
 
 /// Id, address and fencing token of an engine, if this host may send it orders now.
-fn order_target(
-    gateway: &Rc<Gateway>,
-    key: Key,
-) -> Option<(std::sync::Arc<str>, std::net::SocketAddr, u64)> {
+fn order_target(gateway: &Rc<Gateway>, key: Key) -> Option<(std::sync::Arc<str>, SocketAddr, u64)> {
     let table = gateway.table.borrow();
     let listing = &table.get(key)?.listing;
     let fence = gateway.claims.borrow().fence(&listing.id, clock::now())?;
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -62,12 +62,12 @@
 ) -> Result<(StatusCode, Bytes, Verdict), Failure> {
     let response = call::send(&gateway.pool, gateway.settings.store, request, timeout).await;
     let outcome = match &response {
-        Ok((head, _)) if head.status.is_success() => "done",
+        Ok(it) if it.head.status.is_success() => "done",
         Ok(_) => "refused",
         Err(_) => "silent",
     };
     gateway.metrics.count_store_call(reason, outcome);
-    let (head, body) = response?;
+    let (head, body) = response?.accept();
     let verdict = gateway.observe_era(gateway.dialect.parse_era(&head.headers));
     Ok((head.status, body, verdict))
 }
