Keep the time between orders of two hosts after a lost response

What was seen: a host took an engine over from one that had stopped, and gave its first order 1.27 s after the last order of the other, where the setting asks for 3 s (orders.turn_milliseconds; orders of two hosts to one engine must not alternate faster).

Cause: the takeover's write of the claim had been applied, but its connection was cut before the response. The host took the claim for not written. Its next write failed with a conflict that named the host itself, which it took for a claim of its own from earlier, with no other holder before: such a claim allows orders at once.

Change: a claim that was written without a response keeps the time from which orders are allowed, until a write of the claim is confirmed.

--- a/crates/entry/tests/soak/host.rs
+++ b/crates/entry/tests/soak/host.rs
@@ -75,6 +75,7 @@
             seeds,
             first_start: true,
             slack: crate::check::RETRY_ALLOWANCE,
+            order_turn: Duration::from_millis(300),
         };
         let folder =
             std::env::temp_dir().join(format!("comfreywing-soak-{}-{seed}", std::process::id()));
--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -49,6 +49,9 @@
     held: HashMap<Arc<str>, Claim>,
     /// Claims of all hosts as last seen in the store, by engine.
     stored: HashMap<Arc<str>, StoredClaim>,
+    /// Earliest time of this host's orders to each engine whose claim it has written without a response. The write
+    /// may have been applied, or may still be.
+    unconfirmed: HashMap<Arc<str>, Time>,
     /// Observed leases of silent hosts, by holder, with the time of the last read.
     suspects: HashMap<String, (LeaseWatch, Time)>,
 }
@@ -354,14 +357,18 @@
 }
 
 /// Claims an engine: creates the claim, or replaces it if it was last changed at `position`. Orders are
-/// allowed from `from` on.
+/// allowed from `from` on, or later if an earlier write without a response allowed them only later.
 async fn claim_engine(
     gateway: &Rc<Gateway>,
     id: &Arc<str>,
     position: Option<Position>,
     from: Time,
 ) {
-    let era = gateway.claims.borrow().era;
+    let (era, from) = {
+        let claims = gateway.claims.borrow();
+        let earliest = claims.unconfirmed.get(id).copied();
+        (claims.era, earliest.map_or(from, |it| it.max(from)))
+    };
     let spec = json!({
         "holder": &*gateway.holder,
         "life": gateway.incarnation,
@@ -369,9 +376,13 @@
     });
     match store::put(gateway, Kind::Claims, id, &spec, position).await {
         // The store began a new era during the call.
-        WriteResult::Written(_, position) if position.era != era => {}
+        WriteResult::Written(_, position) if position.era != era => {
+            let mut claims = gateway.claims.borrow_mut();
+            claims.unconfirmed.insert(id.clone(), from);
+        }
         WriteResult::Written(object, position) => {
             record_claim(gateway, &object, position);
+            gateway.claims.borrow_mut().unconfirmed.remove(id);
             let Some(fence) = era::fencing_token(position) else {
                 log::error!(event = "fence-range", engine = &**id, era = position.era.0, rev = position.rev; "no fencing token can be made for engine {id}: it gets no orders");
                 return;
@@ -389,7 +400,11 @@
         WriteResult::NotFound => {
             gateway.claims.borrow_mut().stored.remove(id);
         }
-        WriteResult::Refused | WriteResult::Unknown => {}
+        WriteResult::Unknown => {
+            let mut claims = gateway.claims.borrow_mut();
+            claims.unconfirmed.insert(id.clone(), from);
+        }
+        WriteResult::Refused => {}
     }
 }
 
