Write a claim again whose response was lost

What was seen: engines without a steward, which got no orders for good: no adapter could be loaded on them. It takes a store that applies the write of a claim but whose response is lost, and another host that ranks first for the engine before the writer tries again.

Cause: the writer assumed that its claim was not written, and left the engine to the host that ranks first. That host found the claim in the store, and does not take an engine over from a host that sends heartbeats.

Evidence: orders::a_claim_whose_response_is_lost_leaves_no_engine_without_orders failed before ("not within 30s: every engine gets orders") and passes now.

Change: a host remembers each write of a claim without a response, with the position on which it was conditional, and writes the claim again on the same condition whatever its rank. The second write is applied, or fails with a conflict that names the holder, so the claim is decided in either case, also if the first one is applied late. A write from an earlier era of the store, or on a position that is no longer that of the claim, is not repeated.

--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -49,9 +49,8 @@
     held: HashMap<Arc<str>, Claim>,
     /// Claims of all hosts as last seen in the store, by engine.
     stored: HashMap<Arc<str>, StoredClaim>,
-    /// Earliest time of this host's orders to each engine whose claim it has written without a response. The write
-    /// may have been applied, or may still be.
-    unconfirmed: HashMap<Arc<str>, Time>,
+    /// Writes of claims without a response, by engine. Each may have been applied, or may still be.
+    unconfirmed: HashMap<Arc<str>, UnconfirmedWrite>,
     /// Observed leases of silent hosts, by holder, with the time of the last read.
     suspects: HashMap<String, (LeaseWatch, Time)>,
 }
@@ -65,6 +64,17 @@
     written_in: Era,
 }
 
+/// Write of a claim without a response.
+#[derive(Clone, Copy)]
+struct UnconfirmedWrite {
+    /// Era of the store as known when it was sent.
+    era: Era,
+    /// Position on which it was conditional; `None` if it creates the claim.
+    position: Option<Position>,
+    /// Earliest time of this host's orders to the engine.
+    valid_from: Time,
+}
+
 impl Claims {
     /// Ids of the engines to which this host may send orders.
     pub fn orderable(&self, now: Time) -> impl Iterator<Item = &Arc<str>> {
@@ -297,14 +307,33 @@
 
 /// Claims the engines of which this host should be the steward.
 async fn claim_all(gateway: &Rc<Gateway>, stabilized: bool) {
+    let now = clock::now();
+    {
+        let table = gateway.table.borrow();
+        let is_needed = |id: &Arc<str>, it: &mut UnconfirmedWrite| {
+            it.valid_from > now || table.find(id).is_some()
+        };
+        gateway.claims.borrow_mut().unconfirmed.retain(is_needed);
+    }
     let unclaimed = unclaimed_engines(gateway);
     // A newer claim may be among the changes that the store lost.
     let settled = gateway.is_era_settled();
     for (id, is_first) in unclaimed {
-        let (stored, era) = {
+        let (stored, unconfirmed, era) = {
             let claims = gateway.claims.borrow();
-            (claims.stored.get(&id).cloned(), claims.era)
+            let stored = claims.stored.get(&id).cloned();
+            (stored, claims.unconfirmed.get(&id).copied(), claims.era)
         };
+        let position = stored.as_ref().map(|it| it.position);
+        let is_undecided = |it: &UnconfirmedWrite| it.era == era && it.position == position;
+        if let Some(it) = unconfirmed.filter(is_undecided) {
+            // This host may have the claim, so no other host takes it over. Writing it again decides that.
+            claim_engine(gateway, &id, it.position, it.valid_from).await;
+            if gateway.stopping.get() {
+                return;
+            }
+            continue;
+        }
         match stored {
             Some(it) if it.holder == *gateway.holder && (settled || it.written_in == era) => {
                 claim_engine(gateway, &id, Some(it.position), clock::now()).await;
@@ -364,11 +393,16 @@
     position: Option<Position>,
     from: Time,
 ) {
-    let (era, from) = {
+    let write = {
         let claims = gateway.claims.borrow();
-        let earliest = claims.unconfirmed.get(id).copied();
-        (claims.era, earliest.map_or(from, |it| it.max(from)))
+        let earlier = claims.unconfirmed.get(id);
+        UnconfirmedWrite {
+            era: claims.era,
+            position,
+            valid_from: earlier.map_or(from, |it| it.valid_from.max(from)),
+        }
     };
+    let era = write.era;
     let spec = json!({
         "holder": &*gateway.holder,
         "life": gateway.incarnation,
@@ -378,7 +412,7 @@
         // The store began a new era during the call.
         WriteResult::Written(_, position) if position.era != era => {
             let mut claims = gateway.claims.borrow_mut();
-            claims.unconfirmed.insert(id.clone(), from);
+            claims.unconfirmed.insert(id.clone(), write);
         }
         WriteResult::Written(object, position) => {
             record_claim(gateway, &object, position);
@@ -390,19 +424,25 @@
             log::info!(event = "claim", engine = &**id, fence, era = era.0; "claimed engine {id}");
             let claim = Claim {
                 fence,
-                valid_from: from,
+                valid_from: write.valid_from,
                 valid_until: None,
             };
             gateway.claims.borrow_mut().held.insert(id.clone(), claim);
             gateway.orders_wakeup.notify_one();
         }
-        WriteResult::Conflict(object, position) => record_claim(gateway, &object, position),
+        WriteResult::Conflict(object, position) => {
+            record_claim(gateway, &object, position);
+            let mut claims = gateway.claims.borrow_mut();
+            if (claims.stored.get(id)).is_some_and(|it| it.holder != *gateway.holder) {
+                claims.unconfirmed.remove(id);
+            }
+        }
         WriteResult::NotFound => {
             gateway.claims.borrow_mut().stored.remove(id);
         }
         WriteResult::Unknown => {
             let mut claims = gateway.claims.borrow_mut();
-            claims.unconfirmed.insert(id.clone(), from);
+            claims.unconfirmed.insert(id.clone(), write);
         }
         WriteResult::Refused => {}
     }
