Suspend the reuse of connections also after a response out of step to an order

An engine that sends extra responses is found out by orders and status queries as well. The next request on one of its kept connections would be answered with 502. The order tests pass.

--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -199,6 +199,7 @@
             status = response.head.status.as_u16(), sealed = response_head.sealed, id = &**request;
             "the response of engine {id} to request {request} is none to an order or a status query"
         );
+        gateway.pool.suspend_reuse(addr);
         return None;
     }
     gateway.observe_engine(key, &response_head);
