Do not take a sealed response for a refusal

What callers could see: a request that is not idempotent was answered with 503 although it had run. Not seen on any machine yet; found by a test that sends a copy of a refusal that is cut off within the value of its first header.

Cause: the cut-off head joins the head of the next response, so the result has the status and the statement of the refusal, and the id and the seal of the response to the request that ran. The id alone attributes it to that request.

Change: the statement counts only without the seal, as for 421. Else the request may have run.

--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -215,7 +215,8 @@
             in_flight.discard_response(response).await;
             return Outcome::NotExecuted(Some(status));
         }
-        if response_head.not_executed {
+        // The seal contradicts the statement: the heads of two responses may have joined.
+        if response_head.not_executed && !response_head.sealed {
             let outcome = format!("{} not run", status.as_u16());
             self.trace.record_outcome(outcome);
             in_flight.discard_response(response).await;
