Make each call to the object API on its own connection

With a server or proxy that sends a second copy of a response, a call with an idempotency key ran on two hosts.

Cause: the client of the object API kept connections, and a response of that API has nothing that identifies its request. ureq closes a kept connection on which it finds unexpected bytes before a request, but a copy that arrives after the request was sent is its response.

Evidence: late_copies::a_late_copy_of_a_response_does_not_confirm_the_next_write failed before (Ok(2) for a key that another writer had created), and so did late_copies::a_late_copy_of_a_response_does_not_let_a_key_run_twice (First on both hosts).

Change: each call has its own connection, as calls to upstreams have, so its first response is its only one. The buffers of a connection are 16 KB, as in upstream.

--- a/crates/objects/src/hosts.rs
+++ b/crates/objects/src/hosts.rs
@@ -48,12 +48,12 @@
 }
 
 impl Client {
-    /// Creates a client with its own connections and budget.
+    /// Creates a client with its own budget.
     pub fn new(address: SocketAddr) -> Self {
         Self::with_http_client(http::Client::new(address))
     }
 
-    /// Creates a client that shares connections, counts and budget with a client of the object API.
+    /// Creates a client that shares counts and budget with a client of the object API.
     pub fn with_http_client(http: http::Client) -> Self {
         Self { http }
     }
--- a/crates/objects/src/http.rs
+++ b/crates/objects/src/http.rs
@@ -36,7 +36,7 @@
 /// The characters that are percent-encoded in a value of the query string.
 const QUERY: &AsciiSet = &PATH.add(b'/');
 
-/// The HTTP client of the object API. Clones share connections, counts and budget.
+/// The HTTP client of the object API. Clones share counts and budget.
 #[derive(Clone, Debug)]
 pub struct Client {
     transport: Arc<Transport>,
--- a/crates/objects/src/http/transport.rs
+++ b/crates/objects/src/http/transport.rs
@@ -26,8 +26,8 @@
 /// Timeout for a whole call; a watch adds the time that it waits for changes.
 pub const CALL_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// Idle time after which a connection is no longer reused.
-const MAX_IDLE_AGE: Duration = Duration::from_secs(5);
+/// Size of each of the two buffers of a connection.
+const BUFFER_BYTES: usize = 16 * 1024;
 
 /// Maximum size of a response body.
 const MAX_RESPONSE_BYTES: u64 = 16 << 20;
@@ -145,7 +145,10 @@
     }
 }
 
-/// The connections to the platform, with the call counts and the budget.
+/// Makes the calls to the platform, with the call counts and the budget.
+///
+/// Each call has its own connection. Responses contain nothing that identifies their request, so on a
+/// shared connection a second copy of a response would be taken for the response to the next request.
 #[derive(Debug)]
 pub struct Transport {
     agent: Agent,
@@ -156,14 +159,17 @@
 }
 
 impl Transport {
-    /// Creates a transport, which opens its first connection for the first call.
+    /// Creates a transport.
     pub fn new(address: SocketAddr, budget: Budget) -> Self {
         let config = Agent::config_builder()
             .http_status_as_error(false)
             .max_redirects(0)
             .proxy(None)
             .timeout_connect(Some(CONNECT_TIMEOUT))
-            .max_idle_age(MAX_IDLE_AGE)
+            .input_buffer_size(BUFFER_BYTES)
+            .output_buffer_size(BUFFER_BYTES)
+            .max_idle_connections(0)
+            .max_idle_connections_per_host(0)
             .build();
         Self {
             agent: config.into(),
