Attribute an engine's refusal as leaving to the process that gave it

A steward took an engine out of use although it was live, and did not use it again: no further requests or loads went to it, and with no other engine its requests were redirected and refused.

Cause: a permit released as refused by a leaving engine, or a load order refused so, marked the engine by its name. Releases between hosts are queued and sent again until they are acknowledged, so one can arrive after the engine was restarted or replaced under its name. The host list, which says live all along, then never changes and can't correct the mark. The gateway mode already tied this mark to the incarnation (fleet::Engine::mark_leaving).

Evidence: state::a_late_refusal_by_an_earlier_process_does_not_take_an_engine_out_of_use failed before (Redirect for the next request after a restart), and so did the end of state::engines_that_refuse_as_leaving_get_no_new_permits (Redirect after the restart of the engine that had refused).

Change: permits and orders keep the process that they are for, which is the address and the incarnation. A refusal counts only for that process, so it is ignored if the engine has another one by now, and it ends with a restart. The state in the host list is kept separately.

--- a/crates/steward/src/engine.rs
+++ b/crates/steward/src/engine.rs
@@ -67,19 +67,30 @@
     }
 }
 
+/// The process of an engine. A restart changes the incarnation, and a replacement the address.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Process {
+    /// The address that the process listens on.
+    pub address: SocketAddr,
+    /// The incarnation in the last report.
+    pub incarnation: Option<u64>,
+}
+
 /// One engine.
 #[derive(Debug)]
 pub struct Engine {
     /// Its name.
     pub name: Upstream,
-    /// The address that the engine listens on.
-    pub address: SocketAddr,
+    /// The current process.
+    pub process: Process,
+    /// The process that last answered that it is leaving.
+    pub leaving_process: Option<Process>,
     /// The failure domain that the engine is in.
     pub domain: Domain,
     /// The base model that the engine serves.
     pub model: Model,
-    /// The availability of the engine, by the host list or by the engine's own answers.
-    pub state: State,
+    /// The availability of the engine by the host list.
+    pub listed_state: State,
     /// The fencing token of this stewardship.
     pub fence: u64,
     /// The engine's handling of fencing tokens.
@@ -90,8 +101,6 @@
     pub acquired_at: Instant,
     /// The presence of a current slot report.
     pub report_state: ReportState,
-    /// The incarnation of the engine in the last report.
-    pub incarnation: Option<u64>,
     /// When an order was last issued to the engine or ended. Reports requested before that are
     /// outdated.
     pub last_order_at: Instant,
@@ -114,9 +123,18 @@
 }
 
 impl Engine {
+    /// Returns the availability of the engine, by the host list and by the answers of its current
+    /// process.
+    pub fn state(&self) -> State {
+        if self.leaving_process == Some(self.process) {
+            return State::Leaving;
+        }
+        self.listed_state
+    }
+
     /// Returns whether the engine accepts new requests and loads.
     pub fn is_usable(&self) -> bool {
-        self.state == State::Live && self.report_state == ReportState::Current
+        self.state() == State::Live && self.report_state == ReportState::Current
     }
 
     /// Returns whether a current slot report is available.
--- a/crates/steward/src/permits.rs
+++ b/crates/steward/src/permits.rs
@@ -11,13 +11,15 @@
     reference::Loaded,
 };
 
-use crate::engine::Engine;
+use crate::engine::{Engine, Process};
 
 /// An adapter slot pinned by a permit.
 #[derive(Clone, Debug)]
 pub struct Pin {
     /// The engine.
     pub engine: Key<Engine>,
+    /// The process of the engine that the permit is for.
+    pub process: Process,
     /// The pinned adapter and its load epoch.
     pub loaded: Loaded,
     /// The process that holds the permit.
--- a/crates/steward/src/state.rs
+++ b/crates/steward/src/state.rs
@@ -26,7 +26,7 @@
     budget::Budget,
     congestion::Congestion,
     drift::DriftDetector,
-    engine::Engine,
+    engine::{Engine, Process},
     event::{Action, Event, Order},
     lending::Limits,
     permits::Permits,
@@ -51,6 +51,8 @@
 #[derive(Clone, Copy, Debug)]
 struct PendingOrder {
     engine: Key<Engine>,
+    /// The process of the engine that the order was issued to.
+    process: Option<Process>,
     issued_at: Instant,
     kind: OrderKind,
 }
--- a/crates/steward/src/state/grant.rs
+++ b/crates/steward/src/state/grant.rs
@@ -8,7 +8,6 @@
 use kernel::{
     arena::Key,
     permit::{Holder, Number, Outcome, Permit, Verdict},
-    service::State as Availability,
 };
 
 use super::{State, average};
@@ -109,6 +108,7 @@
         let expires_at = waiter.deadline + self.settings.pin_margin;
         let pin = Pin {
             engine: key,
+            process: engine.process,
             loaded: loaded.clone(),
             holder: waiter.request.holder,
             granted_at: now,
@@ -118,7 +118,7 @@
         let permit = Permit {
             number: self.permits.insert(pin),
             upstream: engine.name.clone(),
-            address: engine.address,
+            address: engine.process.address,
             loaded,
             fence: engine.fence,
             start_by: self.settings.start_timeout,
@@ -140,7 +140,7 @@
         }
         self.unpin(&pin, outcome);
         if outcome == Outcome::Leaving {
-            self.set_availability(pin.engine, Availability::Leaving);
+            self.record_leaving(pin.engine, Some(pin.process));
         }
         self.grant_engine(pin.engine, now);
         if outcome != Outcome::Completed && outcome != Outcome::Unused {
--- a/crates/steward/src/state/load.rs
+++ b/crates/steward/src/state/load.rs
@@ -156,10 +156,12 @@
     ) -> Order {
         self.last_order += 1;
         let order = Order(self.last_order);
+        let process = self.engines.get(engine).map(|it| it.process);
         self.orders.insert(
             order,
             PendingOrder {
                 engine,
+                process,
                 issued_at,
                 kind,
             },
@@ -190,7 +192,7 @@
         self.actions.push(Action::Load {
             order,
             engine: engine.name.clone(),
-            address: engine.address,
+            address: engine.process.address,
             loaded,
             fence: engine.fence,
         });
@@ -216,7 +218,7 @@
         self.actions.push(Action::Unload {
             order,
             engine: engine.name.clone(),
-            address: engine.address,
+            address: engine.process.address,
             loaded: slot.loaded.clone(),
             fence: engine.fence,
         });
--- a/crates/steward/src/state/report.rs
+++ b/crates/steward/src/state/report.rs
@@ -27,10 +27,11 @@
         let Some(engine) = self.engines.get(key) else {
             return;
         };
-        if engine.incarnation.is_some_and(|it| it > incarnation) {
+        let known_incarnation = engine.process.incarnation;
+        if known_incarnation.is_some_and(|it| it > incarnation) {
             return;
         }
-        if engine.incarnation.is_some_and(|it| it < incarnation) {
+        if known_incarnation.is_some_and(|it| it < incarnation) {
             self.handle_restart(key);
         }
         let Some(engine) = self.engines.get_mut(key) else {
@@ -40,7 +41,7 @@
             self.query_status(key);
             return;
         }
-        engine.incarnation = Some(incarnation);
+        engine.process.incarnation = Some(incarnation);
         engine.slot_count = slots;
         self.drop_missing(key, &loaded, now);
         self.mark_reported(key);
@@ -85,7 +86,7 @@
             domain: engine.domain.clone(),
             model: engine.model.clone(),
             fence: engine.fence,
-            state: engine.state,
+            state: engine.state(),
         };
         let slots = engine.used_slots.iter();
         let ready = slots.filter_map(|it| self.adapters.get(it.adapter));
--- a/crates/steward/src/state/result.rs
+++ b/crates/steward/src/state/result.rs
@@ -2,11 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use kernel::{
-    arena::Key,
-    fault::Kind as FaultKind,
-    service::{Fencing, State as Availability},
-};
+use kernel::{arena::Key, fault::Kind as FaultKind, service::Fencing};
 
 use super::{OrderKind, PendingOrder, State, average};
 use crate::{
@@ -41,7 +37,7 @@
             return;
         }
         if result == OrderResult::Leaving {
-            self.set_availability(pending.engine, Availability::Leaving);
+            self.record_leaving(pending.engine, pending.process);
         }
         if result == OrderResult::Done {
             self.adopt_fenced(pending.engine, now);
--- a/crates/steward/src/state/stewardship.rs
+++ b/crates/steward/src/state/stewardship.rs
@@ -5,12 +5,12 @@
 use kernel::{
     arena::Key,
     name::{Model, Upstream},
-    service::{Fencing, Instance, Role, State as Availability},
+    service::{Fencing, Instance, Role},
 };
 
 use super::State;
 use crate::{
-    engine::{Engine, Phase, ReportState},
+    engine::{Engine, Phase, Process, ReportState},
     event::{Action, Predecessor},
     route::{Change, Occupancy},
 };
@@ -30,16 +30,19 @@
         self.handle_lost(&instance.name);
         let key = self.engines.insert(Engine {
             name: instance.name.clone(),
-            address: instance.address,
+            process: Process {
+                address: instance.address,
+                incarnation: None,
+            },
+            leaving_process: None,
             domain: instance.domain,
             model,
-            state: instance.state,
+            listed_state: instance.state,
             fence,
             fencing,
             predecessor,
             acquired_at: now,
             report_state: ReportState::Missing,
-            incarnation: None,
             last_order_at: now,
             slot_count: 0,
             used_slots: Vec::new(),
@@ -130,23 +133,35 @@
         let Some(key) = self.engines_by_name.get(&instance.name).copied() else {
             return;
         };
-        if let Some(engine) = self.engines.get_mut(key) {
-            engine.address = instance.address;
-        }
-        self.set_availability(key, instance.state);
+        self.update_availability(key, |engine| {
+            engine.process.address = instance.address;
+            engine.listed_state = instance.state;
+        });
         self.grant_engine(key, now);
     }
 
-    /// Updates the availability of an engine. A leaving engine finishes its running requests and
-    /// gets no new ones.
-    pub(super) fn set_availability(&mut self, key: Key<Engine>, state: Availability) {
+    /// Handles the answer of a process that it is leaving. The answer of an earlier process says
+    /// nothing about the current one.
+    pub(super) fn record_leaving(&mut self, key: Key<Engine>, process: Option<Process>) {
+        self.update_availability(key, |engine| {
+            if process == Some(engine.process) {
+                engine.leaving_process = process;
+            }
+        });
+    }
+
+    /// Updates what determines the availability of an engine. A leaving engine finishes its running
+    /// requests and gets no new ones.
+    fn update_availability(&mut self, key: Key<Engine>, update: impl FnOnce(&mut Engine)) {
         let Some(engine) = self.engines.get_mut(key) else {
             return;
         };
-        if engine.state == state {
+        let previous = engine.state();
+        update(engine);
+        let state = engine.state();
+        if state == previous {
             return;
         }
-        engine.state = state;
         let is_usable = engine.is_usable();
         let has_current_report = engine.has_current_report();
         let model = engine.model.clone();
--- a/crates/steward/tests/state.rs
+++ b/crates/steward/tests/state.rs
@@ -136,10 +136,11 @@
     }
 
     fn release(&mut self, number: Number) -> Vec<Action> {
-        self.handle(Event::Release {
-            number,
-            outcome: Outcome::Completed,
-        })
+        self.release_with(number, Outcome::Completed)
+    }
+
+    fn release_with(&mut self, number: Number, outcome: Outcome) -> Vec<Action> {
+        self.handle(Event::Release { number, outcome })
     }
 }
 
@@ -309,6 +310,43 @@
     }
 }
 
+/// An engine that has refused a request because it is leaving gets no new permits until it restarts.
+#[test]
+fn engines_that_refuse_as_leaving_get_no_new_permits() {
+    let mut fixture = Fixture::new(&["e1"]);
+    let permit = fixture.load("s/a@1");
+    fixture.release_with(permit.number, Outcome::Leaving);
+    let ticket = Ticket(2);
+    assert_eq!(fixture.request("s/a@1"), [Action::Redirect { ticket }]);
+    fixture.advance(1_000);
+    fixture.report("e1", 2, &[]);
+    expect_load(&fixture.request("s/a@1"));
+}
+
+/// The release of a permit can arrive after the engine that refused it was restarted or replaced.
+#[test]
+fn a_late_refusal_by_an_earlier_process_does_not_take_an_engine_out_of_use() {
+    let mut fixture = Fixture::new(&["e1"]);
+    let permit = fixture.load("s/a@1");
+    fixture.advance(1_000);
+    fixture.report("e1", 2, &[]);
+    fixture.release_with(permit.number, Outcome::Leaving);
+    let (order, _) = expect_load(&fixture.request("s/a@1"));
+
+    fixture.advance(1_000);
+    fixture.report("e1", 3, &[]);
+    fixture.end_order(order, OrderResult::Leaving);
+    expect_load(&fixture.request("s/b@1"));
+
+    let mut fixture = Fixture::new(&["e1"]);
+    let permit = fixture.load("s/a@1");
+    let mut engine = instance("e1", Availability::Live);
+    engine.address = "127.0.0.1:2".parse().unwrap();
+    fixture.handle(Event::InstanceChanged { engine });
+    fixture.release_with(permit.number, Outcome::Leaving);
+    expect_load(&fixture.request("s/b@1"));
+}
+
 /// When the last engine is lost, waiting requests are redirected rather than refused.
 #[test]
 fn losing_the_last_engine_redirects_waiting_requests() {
