Tie a plain instance's refusal as leaving to its address

A new instance of a plain service got no calls from a host; if it was the only one, they were refused as no-upstream.

Cause: HostList::mark_leaving marked the instance that has the name at the time of the answer. If the called instance had been replaced under its name while it answered, the mark hit its successor, and the list can't make an instance live again while its address stays the same.

Change: the mark needs the called instance and is ignored if the address has changed since.

--- a/crates/entry/src/flow/plain.rs
+++ b/crates/entry/src/flow/plain.rs
@@ -157,7 +157,7 @@
         };
         self.trace(format!("{} failed: {fault}", instance.name));
         if fault.kind == Kind::UpstreamLeaving {
-            self.host.host_list.mark_leaving(&instance.name);
+            self.host.host_list.mark_leaving(instance);
         } else {
             active.failed(self.host.clock.now());
         }
--- a/crates/entry/src/host_list.rs
+++ b/crates/entry/src/host_list.rs
@@ -144,17 +144,15 @@
             && current.is_some_and(|it| !it.contains(host.as_str()))
     }
 
-    /// Marks an upstream as leaving after it reported so itself. The list lags behind, so it cannot
-    /// make the upstream live again while the address stays the same. Returns `None` if nothing
-    /// changed.
-    pub fn mark_leaving(&self, name: &Upstream) -> Option<Instance> {
+    /// Marks an upstream as leaving after the called instance reported so itself, unless another
+    /// instance has its name by now. The list lags behind, so it cannot make the upstream live again
+    /// while the address stays the same.
+    pub fn mark_leaving(&self, called: &Instance) {
         let mut upstreams = self.upstreams.write().expect("list lock is poisoned");
-        let it = upstreams.get_mut(name)?;
-        if it.instance.state == State::Leaving {
-            return None;
+        let current = upstreams.get_mut(&called.name);
+        if let Some(it) = current.filter(|it| it.instance.address == called.address) {
+            it.instance.state = State::Leaving;
         }
-        it.instance.state = State::Leaving;
-        Some(it.instance.clone())
     }
 
     /// Returns all upstreams.
