Do not take a change of protocol for a plain instance's response

Cause: all other interim responses are passed over by ureq, but 101 is returned as if it were the response. The host never asks for a change of protocol.

Evidence: plain::interim_responses_are_not_taken_for_the_response_to_the_call failed before (a response with status 101) and passes now. Its first half, a 103 before the response, passed before.

Change: 101 is the fault upstream-lost, whose execution is unknown.

--- a/crates/upstream/src/plain.rs
+++ b/crates/upstream/src/plain.rs
@@ -5,7 +5,7 @@
 use kernel::fault::{Fault, Kind};
 use ureq::{
     Body, Error,
-    http::{self, HeaderMap, HeaderName, HeaderValue, Method, header},
+    http::{self, HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header},
 };
 
 use crate::{
@@ -74,6 +74,11 @@
         let address = request.address;
         let deadline = request.deadline;
         let response = call::send(build_call(request)?).map_err(|failure| failure.fault())?;
+        if response.status() == StatusCode::SWITCHING_PROTOCOLS {
+            let detail =
+                format!("the instance {address} changed the protocol in place of an answer");
+            return Err(Fault::new(Kind::UpstreamLost, detail));
+        }
         if is_leaving(&response) {
             let detail = format!("the instance {address} is leaving");
             return Err(Fault::new(Kind::UpstreamLeaving, detail));
--- a/crates/upstream/tests/it/plain.rs
+++ b/crates/upstream/tests/it/plain.rs
@@ -128,6 +128,21 @@
     );
 }
 
+/// Covers interim responses before the response to the call, and one that ends HTTP on the connection.
+#[test]
+fn interim_responses_are_not_taken_for_the_response_to_the_call() {
+    let interim = "HTTP/1.1 103 Early Hints\r\nX-Leaving: true\r\n\r\n";
+    let text = interim.to_owned() + &format_response(503, "ran");
+    let upstream = Upstream::start(vec![Action::Write(text)]);
+    let response = call(&upstream, "POST", "open", distant_deadline()).unwrap();
+    assert_eq!((response.status, &*response.body), (503, &b"ran"[..]));
+    check_fails(
+        &Action::Write("HTTP/1.1 101 Switching Protocols\r\n\r\n".to_owned()),
+        distant_deadline(),
+        Kind::UpstreamLost,
+    );
+}
+
 /// Covers a deadline that has passed before the call.
 #[test]
 fn a_call_past_its_deadline_is_not_sent() {
