Report a claim whose write can't be read back as unknown

What callers saw: nothing. A log line said that the platform is not available, which stands for a write without effect, although the claim may have been written.

Cause: the failure of reading a claim back replaced the unknown outcome of its write.

Evidence: claim::a_write_that_may_have_taken_effect_is_not_reported_as_without_effect failed before (Unavailable) and passes now. The duty that claims engines treats both failures alike, so its decisions don't change.

--- a/crates/entry/src/claim/store.rs
+++ b/crates/entry/src/claim/store.rs
@@ -38,15 +38,15 @@
 }
 
 /// Reads the object back after a write without a response. The write succeeded if the object equals
-/// the written record.
+/// the written record; otherwise it may still take effect.
 fn resolve_unknown_write(
     store: &dyn Store,
     key: &str,
     record: &Record,
     reason: String,
 ) -> Result<(), Failure> {
-    match read(store, key)? {
-        Some((_, found)) if found == *record => Ok(()),
-        _ => Err(Failure::Unknown { reason }),
+    match read(store, key) {
+        Ok(Some((_, found))) if found == *record => Ok(()),
+        Ok(_) | Err(_) => Err(Failure::Unknown { reason }),
     }
 }
--- a/crates/entry/tests/claim.rs
+++ b/crates/entry/tests/claim.rs
@@ -1,7 +1,10 @@
 //! Claiming an engine.
 
+use std::time::Duration;
+
 use entry::claim::{self, Acquisition, Confirmation, FENCE_STEP, Liveness, Record, State};
 use kernel::permit::Holder;
+use objects::object::{Events, Failure, Object, Page, Reason, Store, Version};
 use steward::Predecessor;
 
 fn holder(host: &str, incarnation: u64) -> Holder {
@@ -134,3 +137,43 @@
     };
     assert_eq!(record.fence, 8 * FENCE_STEP);
 }
+
+/// A platform that becomes unavailable during a write, whose response is lost.
+struct LostPlatform;
+
+impl Store for LostPlatform {
+    fn get(&self, _: Reason, _: &str) -> Result<Option<Object>, Failure> {
+        let reason = "outage".to_owned();
+        Err(Failure::Unavailable { reason })
+    }
+
+    fn create(&self, _: Reason, _: &str, _: &[u8]) -> Result<Version, Failure> {
+        let reason = "no response".to_owned();
+        Err(Failure::Unknown { reason })
+    }
+
+    fn update(&self, _: Reason, _: &str, _: Version, _: &[u8]) -> Result<Version, Failure> {
+        unimplemented!()
+    }
+
+    fn delete(&self, _: Reason, _: &str, _: Version) -> Result<(), Failure> {
+        unimplemented!()
+    }
+
+    fn list(&self, _: Reason, _: &str, _: &str, _: usize) -> Result<Page, Failure> {
+        unimplemented!()
+    }
+
+    fn watch(&self, _: Reason, _: &str, _: Version, _: Duration) -> Result<Events, Failure> {
+        unimplemented!()
+    }
+}
+
+/// Covers: a claim that may have been written, and can't be read back.
+#[test]
+fn a_write_that_may_have_taken_effect_is_not_reported_as_without_effect() {
+    let record = record("me", 2, State::Held);
+    let written = claim::store::write(&LostPlatform, "steward/e", None, &record);
+    let reason = "no response".to_owned();
+    assert_eq!(written, Err(Failure::Unknown { reason }));
+}
