Replace an instance's values of the headers that this host sets

An answer of a plain service had two values of X-Request-Id, X-Served-By or X-Upstream if the instance uses these names, and the instance's value came first. A caller that compares the id of an answer with that of its request takes the answer for that of another request.

Cause: the host appended its own fields to those of the instance.

Evidence: fleet answer::headers_of_an_instance_are_not_taken_for_those_of_the_entry_host failed before (["registry-a1", "own"] for X-Request-Id) and passes now. The stand-in of a plain service now sends these headers with values of its own in all fleet tests.

Change: the instance's fields with these names are not forwarded.

--- a/crates/entry/src/flow.rs
+++ b/crates/entry/src/flow.rs
@@ -27,6 +27,9 @@
 /// The retry delay suggested to the caller if no better estimate is available.
 pub const RETRY_AFTER: Duration = Duration::from_secs(1);
 
+/// Header with the name of the host that answered.
+pub const SERVED_BY: &str = "x-served-by";
+
 /// The longest accepted deadline of a request.
 pub const MAX_DEADLINE: Duration = Duration::from_mins(10);
 
@@ -191,5 +194,5 @@
 
 /// Returns the header that names this host.
 pub fn served_by_header(host: &Host) -> (String, String) {
-    ("x-served-by".to_owned(), host.me.host.to_string())
+    (SERVED_BY.to_owned(), host.me.host.to_string())
 }
--- a/crates/entry/src/flow/plain.rs
+++ b/crates/entry/src/flow/plain.rs
@@ -17,7 +17,7 @@
 use crate::{
     envelope,
     flow::{
-        Admitted, RETRY_AFTER, check_dependencies, final_fault, if_may_have_run, refuse,
+        Admitted, RETRY_AFTER, SERVED_BY, check_dependencies, final_fault, if_may_have_run, refuse,
         with_served_by,
     },
     host::{Host, elapsed_millis},
@@ -25,9 +25,15 @@
     retries::Next,
 };
 
-/// Headers that this host replaces.
+/// Request headers that this host replaces.
 const OWN_HEADERS: [&str; 2] = [envelope::REQUEST_ID, envelope::DEADLINE];
 
+/// Header with the name of the instance that answered.
+const UPSTREAM: &str = "x-upstream";
+
+/// Response headers that this host replaces. A caller takes their values as those of this host.
+const OWN_RESPONSE_HEADERS: [&str; 3] = [envelope::REQUEST_ID, SERVED_BY, UPSTREAM];
+
 /// A call in progress.
 struct Exchange<'a> {
     host: &'a Arc<Host>,
@@ -201,11 +207,12 @@
 
     fn response(&self, answer: plain::Response, instance: &Upstream) -> Response {
         let mut headers = answer.headers;
+        headers.retain(|(name, _)| !OWN_RESPONSE_HEADERS.contains(&name.as_str()));
         headers.push((
-            "x-request-id".to_owned(),
+            envelope::REQUEST_ID.to_owned(),
             self.admitted.envelope.id.to_string(),
         ));
-        headers.push(("x-upstream".to_owned(), instance.to_string()));
+        headers.push((UPSTREAM.to_owned(), instance.to_string()));
         Response {
             status: answer.status,
             headers,
--- a/crates/entry/tests/fleet/answer.rs
+++ b/crates/entry/tests/fleet/answer.rs
@@ -1,6 +1,11 @@
 //! Every caller receives the complete response to its own request, or an error.
 
-use std::{sync::mpsc, thread};
+use std::{
+    io::{Read, Write},
+    net::TcpStream,
+    sync::mpsc,
+    thread,
+};
 
 use standin::{
     client::State,
@@ -85,3 +90,27 @@
     }
     assert_eq!(it.runs("same").len(), 6);
 }
+
+/// Covers: an instance of a plain service that uses the names of the entry host's headers.
+#[test]
+fn headers_of_an_instance_are_not_taken_for_those_of_the_entry_host() {
+    let it = Fixture::start(&shape());
+    let entry = it.entry(0);
+    let mut stream = TcpStream::connect(entry.address()).unwrap();
+    let request = "GET /services/registry/card HTTP/1.1\r\nHost: x\r\nX-Request-Id: own\r\n\
+                   Connection: close\r\n\r\n";
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    let (head, body) = answer.split_once("\r\n\r\n").unwrap();
+    let body: serde_json::Value = serde_json::from_str(body).unwrap();
+    let instance = body["instance"].as_str().unwrap();
+    let values = |name: &str| -> Vec<&str> {
+        let fields = head.lines().filter_map(|it| it.split_once(": "));
+        let named = fields.filter(|it| it.0.eq_ignore_ascii_case(name));
+        named.map(|it| it.1).collect()
+    };
+    assert_eq!(values("x-request-id"), ["own"]);
+    assert_eq!(values("x-served-by"), [entry.name.as_str()]);
+    assert_eq!(values("x-upstream"), [instance]);
+}
--- a/crates/standin/src/plain.rs
+++ b/crates/standin/src/plain.rs
@@ -195,11 +195,20 @@
             Some(Cut::DuringAnswer) => {
                 Reply::truncated(StatusCode::OK, body.slice(..body.len() / 2))
             }
-            Some(Cut::AfterAnswer) => Reply::new(StatusCode::OK, body).with("connection", "close"),
-            _ => Reply::new(StatusCode::OK, body),
+            Some(Cut::AfterAnswer) => self.answer(body).with("connection", "close"),
+            _ => self.answer(body),
         }
     }
 
+    /// Builds the response to a call that ran. Its headers have meanings of the instance's own, although
+    /// an entry host uses the same names.
+    fn answer(&self, body: Bytes) -> Reply {
+        Reply::new(StatusCode::OK, body)
+            .with("x-request-id", &self.settings.name)
+            .with("x-served-by", &self.settings.name)
+            .with("x-upstream", "none")
+    }
+
     fn admit(&self) -> Admission {
         let mut state = self.lock();
         state.calls += 1;
