Decode the request id in the path of explain

What operators saw: `comfreywing explain` said that no host has a trace of a request, although a host had sent it to an upstream. docs/operating/errors.md names this command as the way to find out whether a request with an unknown outcome was sent.

Cause: the command percent-encodes the id, and the route looked up the encoded text. Ids with characters such as / or + were never found.

Evidence: fleet answer::a_request_is_explained_under_any_id failed before ("none of the queried entry hosts has a trace of request order/17%2F+#?") and passes now.

--- a/crates/entry/src/route/explain.rs
+++ b/crates/entry/src/route/explain.rs
@@ -6,6 +6,7 @@
     fault::{Fault, Kind},
     registry::inventory,
 };
+use percent_encoding::percent_decode_str;
 use serde_json::{Value, json};
 use serve::{Request, Responder};
 
@@ -28,8 +29,8 @@
 }
 
 fn handle(host: &Arc<Host>, request: &Request, responder: Responder) {
-    let id = &request.path[PREFIX.len()..];
-    if let Some(it) = find(host, id) {
+    let id = percent_decode_str(&request.path[PREFIX.len()..]).decode_utf8_lossy();
+    if let Some(it) = find(host, &id) {
         responder.send(route::json(200, &it));
         return;
     }
--- a/crates/entry/tests/fleet/answer.rs
+++ b/crates/entry/tests/fleet/answer.rs
@@ -114,3 +114,23 @@
     assert_eq!(values("x-served-by"), [entry.name.as_str()]);
     assert_eq!(values("x-upstream"), [instance]);
 }
+
+/// Covers: a request id with characters that can't stand in a path.
+#[test]
+fn a_request_is_explained_under_any_id() {
+    let it = Fixture::start(&shape());
+    let entry = it.entry(0);
+    let id = "order/17%2F+#?";
+    check_whole(
+        &chat_request(id, REFERENCE, Delivery::Whole)
+            .send(entry.address())
+            .unwrap(),
+        REFERENCE,
+    );
+    let address = entry.address().to_string();
+    let output = it.fleet.run_cli(&["--entry", &address, "explain", id]);
+    let output = output.unwrap();
+    let text = [output.stdout, output.stderr].concat();
+    let text = String::from_utf8_lossy(&text);
+    assert!(text.contains("first token"), "{text}");
+}
