Say how a refusal by an instance is told from one by the host

A plain service's own 408, 421, 429 or 503 is passed on unchanged. The errors page gave these statuses the meaning "not run" and didn't say that this holds for the host's own answers only.

--- a/crates/entry/tests/fleet/not_run.rs
+++ b/crates/entry/tests/fleet/not_run.rs
@@ -98,3 +98,26 @@
     let (kind, ran) = refusal(&answer);
     assert_eq!((kind.as_str(), ran.as_str()), ("upstream-lost", "unknown"));
 }
+
+/// Covers: an instance's own refusal is passed on, and names the instance. It tells nothing about the
+/// run, whereas a refusal by the host names none.
+#[test]
+fn a_refusal_by_an_instance_is_told_from_one_by_the_host() {
+    let it = Fixture::start(&shape());
+    let address = it.entry(0).address();
+    let request = Request::new("GET", "/services/registry/card");
+    for plain in it.plains("registry") {
+        plain.set(&Switch::Refuse(Toggle::On)).unwrap();
+    }
+    let answer = request.send(address).unwrap();
+    assert_eq!(answer.status, 503);
+    assert!(answer.header("x-upstream").starts_with("registry"));
+    assert_eq!(refusal(&answer), (String::new(), String::new()));
+    for plain in it.plains("registry") {
+        plain.set(&Switch::Leaving(Toggle::On)).unwrap();
+    }
+    let answer = request.send(address).unwrap();
+    assert_eq!(answer.status, 503);
+    assert_eq!(answer.header("x-upstream"), "");
+    assert_eq!(refusal(&answer).1, "not-run");
+}
