Return a permit that is granted late to a request of the own host

A slot of an engine stayed pinned, and a place in its batch taken, until the deadline of a request whose caller had gone.

Cause: a request that was withdrawn from this host's own steward waited 100 ms for a permit that may have been granted meanwhile. A verdict that came later, when the steward's thread was behind, went to a channel without a receiver. Permits for other hosts were returned in this case already.

Evidence: verdict::a_permit_for_a_withdrawn_request_is_returned failed with the channel as it was before, moved to its own module (the late permit was not returned), and passes now. The effect on a running host was not reproduced: it needs a steward whose thread is 100 ms behind.

Change: the withdrawal and the verdict are ordered by a lock, so a permit goes either to the waiting request or back to the steward. The wait of 100 ms is gone.

--- a/crates/entry/src/flow/placement.rs
+++ b/crates/entry/src/flow/placement.rs
@@ -1,10 +1,7 @@
 //! Obtains a permit for a request by contacting the stewards in the order of the directory.
 
 use std::{
-    sync::{
-        Arc,
-        mpsc::{Receiver, RecvTimeoutError, sync_channel},
-    },
+    sync::{Arc, mpsc::RecvTimeoutError},
     time::{Duration, Instant},
 };
 
@@ -17,7 +14,12 @@
 use serve::Caller;
 use steward::{Event, Ticket};
 
-use crate::{flow::RETRY_AFTER, host::Host, peers};
+use crate::{
+    flow::RETRY_AFTER,
+    host::Host,
+    peers,
+    verdict::{self, Waiter},
+};
 
 /// How often a waiting request checks whether its caller is still connected.
 const CALLER_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -126,22 +128,17 @@
     }
 
     fn request_from_self(&self) -> Result<Answer, Fault> {
-        let (sender, receiver) = sync_channel(1);
-        let reply = move |verdict| {
-            // The receiver is dropped if the request was withdrawn.
-            let _ = sender.send(verdict);
-        };
-        let queued = self
-            .host
-            .request_permit(self.request.clone(), Box::new(reply));
+        let host = Arc::clone(self.host);
+        let (reply, waiter) = verdict::channel(move |permit| return_unused(&host, &permit));
+        let queued = self.host.request_permit(self.request.clone(), reply);
         let ticket = queued.map_err(|_| peers::overload_fault())?;
-        Ok(self.wait(ticket, &receiver))
+        Ok(self.wait(ticket, waiter))
     }
 
-    fn wait(&self, ticket: Ticket, receiver: &Receiver<Verdict>) -> Answer {
+    fn wait(&self, ticket: Ticket, waiter: Waiter) -> Answer {
         let give_up_at = self.host.clock.now() + self.request.remaining + ANSWER_MARGIN;
         loop {
-            match receiver.recv_timeout(CALLER_CHECK_INTERVAL) {
+            match waiter.wait(CALLER_CHECK_INTERVAL) {
                 Ok(verdict) => return Answer::Verdict(verdict),
                 Err(RecvTimeoutError::Disconnected) => {
                     return Answer::Verdict(Verdict::NotSteward);
@@ -153,7 +150,9 @@
                 continue;
             }
             self.host.inbox.push_event(Event::Withdraw { ticket });
-            self.return_unused(receiver);
+            if let Some(permit) = waiter.withdraw() {
+                return_unused(self.host, &permit);
+            }
             if is_late {
                 return Answer::Verdict(Verdict::Refused(self.deadline_fault()));
             }
@@ -161,16 +160,6 @@
         }
     }
 
-    /// Releases a permit that was granted just before the withdrawal.
-    fn return_unused(&self, receiver: &Receiver<Verdict>) {
-        if let Ok(Verdict::Granted(permit)) = receiver.recv_timeout(CALLER_CHECK_INTERVAL) {
-            self.host.inbox.push_event(Event::Release {
-                number: permit.number,
-                outcome: Outcome::Unused,
-            });
-        }
-    }
-
     fn granted(&self, permit: Permit, steward: HostName, requested_at: Instant) -> Placement {
         self.trace(format!(
             "steward {steward} granted permit {} on {} for {}, load stall {} ms, queue wait {} ms",
@@ -210,6 +199,14 @@
     }
 }
 
+/// Releases a permit that this host's own steward granted to a request that is withdrawn.
+fn return_unused(host: &Host, permit: &Permit) {
+    host.inbox.push_event(Event::Release {
+        number: permit.number,
+        outcome: Outcome::Unused,
+    });
+}
+
 /// Reports to the steward how the use of a permit ended.
 pub fn release(host: &Host, placement: &Placement, outcome: Outcome) {
     let permit = &placement.permit;
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod running;
 pub mod settings;
 pub mod trace;
+pub mod verdict;
