Notice a restarted engine by any change of its incarnation

All requests for the adapters that an engine had held before a restart were refused by it as not loaded, without an end, if the new incarnation was lower than the earlier one.

Cause: slot reports were attributed to a process by the order of incarnations, and a lower one was taken for a late report of an earlier process. docs/PROTOCOLS.md only asks engines to change the incarnation (the glossary says that a later run has a higher number).

Evidence: state::a_restart_is_noticed_by_any_other_incarnation failed before (a permit for an adapter that the restarted engine doesn't have) and passes now. The stand-in's incarnations increase, so no fleet test could show it.

Change: a report is late if it was requested before the last applied one. Otherwise another incarnation means another process.

--- a/crates/steward/src/engine.rs
+++ b/crates/steward/src/engine.rs
@@ -101,6 +101,9 @@
     pub acquired_at: Instant,
     /// The presence of a current slot report.
     pub report_state: ReportState,
+    /// When the last applied report was requested. A report requested before that may be by an
+    /// earlier process.
+    pub reported_at: Option<Instant>,
     /// When an order was last issued to the engine or ended. Reports requested before that are
     /// outdated.
     pub last_order_at: Instant,
--- a/crates/steward/src/state/report.rs
+++ b/crates/steward/src/state/report.rs
@@ -27,11 +27,11 @@
         let Some(engine) = self.engines.get(key) else {
             return;
         };
-        let known_incarnation = engine.process.incarnation;
-        if known_incarnation.is_some_and(|it| it > incarnation) {
+        if engine.reported_at.is_some_and(|it| it > requested_at) {
             return;
         }
-        if known_incarnation.is_some_and(|it| it < incarnation) {
+        let known_incarnation = engine.process.incarnation;
+        if known_incarnation.is_some_and(|it| it != incarnation) {
             self.handle_restart(key);
         }
         let Some(engine) = self.engines.get_mut(key) else {
@@ -42,6 +42,7 @@
             return;
         }
         engine.process.incarnation = Some(incarnation);
+        engine.reported_at = Some(requested_at);
         engine.slot_count = slots;
         self.drop_missing(key, &loaded, now);
         self.mark_reported(key);
--- a/crates/steward/src/state/stewardship.rs
+++ b/crates/steward/src/state/stewardship.rs
@@ -43,6 +43,7 @@
             predecessor,
             acquired_at: now,
             report_state: ReportState::Missing,
+            reported_at: None,
             last_order_at: now,
             slot_count: 0,
             used_slots: Vec::new(),
--- a/crates/steward/tests/state.rs
+++ b/crates/steward/tests/state.rs
@@ -373,6 +373,26 @@
     expect_load(&fixture.request("s/a@1"));
 }
 
+/// The incarnation only changes with a restart, and need not increase. A report that was requested
+/// earlier than the last one belongs to an earlier process.
+#[test]
+fn a_restart_is_noticed_by_any_other_incarnation() {
+    let mut fixture = Fixture::new(&["e1"]);
+    let permit = fixture.load("s/a@1");
+    fixture.release(permit.number);
+    let before_restart = fixture.now;
+    fixture.advance(1_000);
+    fixture.report("e1", 0, &[]);
+    fixture.handle(Event::SlotReport {
+        engine: "e1".parse().unwrap(),
+        requested_at: before_restart,
+        incarnation: 1,
+        slots: SLOTS_PER_ENGINE,
+        loaded: vec![(permit.loaded, 0)],
+    });
+    expect_load(&fixture.request("s/a@1"));
+}
+
 /// A load without an answer keeps its slot until a slot report shows its result.
 #[test]
 fn slot_reports_resolve_unanswered_loads() {
