Test that calls to a plain service get their own answers

The guarantee "the complete answer, to its own caller" had tests for model services only. Four callers with 20 pipelined calls each, on kept connections to two hosts, get the answers to their own calls in order. The test passed at once; no code changes.

--- a/crates/entry/tests/fleet/answer.rs
+++ b/crates/entry/tests/fleet/answer.rs
@@ -2,7 +2,7 @@
 
 use std::{
     io::{Read, Write},
-    net::TcpStream,
+    net::{SocketAddr, TcpStream},
     sync::mpsc,
     thread,
 };
@@ -134,3 +134,53 @@
     let text = String::from_utf8_lossy(&text);
     assert!(text.contains("first token"), "{text}");
 }
+
+/// Covers: pipelined calls to a plain service on the kept connections of concurrent callers.
+#[test]
+fn calls_to_a_plain_service_get_their_own_answers() {
+    let it = Fixture::start(&shape());
+    let callers: Vec<_> = [0, 0, 1, 1]
+        .into_iter()
+        .enumerate()
+        .map(|(caller, entry)| {
+            let address = it.entry(entry).address();
+            thread::spawn(move || {
+                let ids: Vec<_> = (0..20).map(|it| format!("{caller}-{it}")).collect();
+                assert_eq!(call_pipelined(address, &ids), ids);
+            })
+        })
+        .collect();
+    for caller in callers {
+        caller.join().unwrap();
+    }
+}
+
+/// Sends a call for each id on one connection. Returns the ids in the answers, in their order.
+fn call_pipelined(address: SocketAddr, ids: &[String]) -> Vec<String> {
+    let mut stream = TcpStream::connect(address).unwrap();
+    for (index, id) in ids.iter().enumerate() {
+        let connection = if index + 1 == ids.len() {
+            "close"
+        } else {
+            "keep-alive"
+        };
+        let call = format!(
+            "GET /services/registry/{id} HTTP/1.1\r\nHost: x\r\nX-Request-Id: {id}\r\n\
+             Connection: {connection}\r\n\r\n"
+        );
+        stream.write_all(call.as_bytes()).unwrap();
+    }
+    let mut answers = String::new();
+    stream.read_to_string(&mut answers).unwrap();
+    let bodies = answers.split("\r\n\r\n").skip(1);
+    bodies.map(read_id).collect()
+}
+
+/// Reads the id from the body at the start of a text.
+fn read_id(text: &str) -> String {
+    let mut values = serde_json::Deserializer::from_str(text).into_iter::<serde_json::Value>();
+    let body = values.next().unwrap().unwrap();
+    let id = body["request_id"].as_str().unwrap();
+    assert_eq!(body["path"], format!("/{id}"));
+    id.to_owned()
+}
