Release a lease that is renewed while its host stops

What was seen: a host that stopped left its lease in the store, and wrote a claim again after it had given its claims up. Other hosts wait for the end of a lease that they find (12 s from their first read of it) before they take the engines over, instead of taking them at once.

Cause: the lease is deleted on the condition of its last known revision. A renewal whose response is outstanding may have been applied before, and the conflict of the delete was taken for its end. After the response to the renewal, the maintenance of the claims went on with its round.

Change: a delete that fails with a conflict is repeated on the revision that the conflict names. A host that stops makes at most one renewal more, so there are at most two deletes. No claims are written once the host stops.

--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -150,7 +150,7 @@
         if !claims_read && is_renewed {
             claims_read = read_claims(&gateway).await;
         }
-        if claims_read && is_renewed {
+        if claims_read && is_renewed && !gateway.stopping.get() {
             restore_claims(&gateway).await;
             let stabilized = clock::now() > started + STABILIZATION_PERIOD && is_listed;
             claim_all(&gateway, stabilized).await;
@@ -161,14 +161,18 @@
 
 /// Releases the lease and the claims, so that other hosts need not wait for the lease to expire.
 pub async fn release(gateway: &Rc<Gateway>) {
-    let position = {
+    let mut position = {
         let mut claims = gateway.claims.borrow_mut();
         claims.lease.release();
         claims.held.clear();
         claims.lease_position.take()
     };
-    if let Some(it) = position {
-        store::delete(gateway, Kind::Hosts, &gateway.holder, it).await;
+    while let Some(it) = position {
+        position = match store::delete(gateway, Kind::Hosts, &gateway.holder, it).await {
+            // A renewal that was in progress was applied first.
+            WriteResult::Conflict(_, position) => Some(position),
+            _ => None,
+        };
     }
 }
 
