Don't replace a list by an older one that arrives late

What was seen: a host that started while the store answered slowly and refused some calls never sent a request to an engine that had been added meanwhile.

Cause: such a host also takes the lists from another host. A list that the store had sent earlier, and that arrived later, replaced the newer one: entries missing in it were removed, while the revision to watch from stayed that of the newer list. The changes between the two were never read again. The same holds for changes from another host whose request began before a newer list was applied.

Change: a list or a delta that is older than the one that this host has is not applied; the list is read again after a delay.

--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -145,11 +145,22 @@
         back_off(backoff).await;
         return;
     };
+    if is_outdated(gateway, kind, as_of) {
+        back_off(backoff).await;
+        return;
+    }
     apply_list(gateway, kind, &objects, as_of, gateway.removal_kind());
     gateway.mark_read(kind);
     gateway.lists_read.notify_one();
 }
 
+/// Returns whether a list is older than the one that this host has. It may have taken a newer one from another host
+/// while the store's response was outstanding. The list of a kind that the store doesn't have is at revision 0.
+fn is_outdated(gateway: &Gateway, kind: Kind, as_of: Position) -> bool {
+    let known = gateway.list_cache.watermark(kind).as_of();
+    as_of < known && (as_of.rev > 0 || as_of.era < known.era)
+}
+
 /// Time for which changes are batched before the next call, because each call is billed.
 fn batch_time(gateway: &Gateway, kind: Kind) -> Duration {
     match kind {
@@ -197,9 +208,6 @@
 ) {
     let Position { era, rev: as_of } = as_of;
     let known_era = gateway.list_cache.watermark(kind).as_of().era;
-    if era < known_era {
-        return;
-    }
     let is_older_copy = known_era < era;
     if is_older_copy {
         gateway.list_cache.begin_era(kind, era);
@@ -266,6 +274,9 @@
 
 /// Applies the changes received from another host.
 pub fn apply_delta(gateway: &Rc<Gateway>, kind: Kind, delta: &Delta) {
+    if is_outdated(gateway, kind, delta.watermark.as_of()) {
+        return;
+    }
     let removal = if delta.outage {
         Removal::AfterOutage
     } else {
