--- a/crates/gateway/src/attribution.rs
+++ b/crates/gateway/src/attribution.rs
@@ -2,7 +2,7 @@
 //! send a second response to an earlier request at the point where the next response is expected, so a
 //! response says nothing about a request until it is attributed to it.
 
-use crate::connection::Use;
+use crate::connection::Origin;
 
 /// Request to which a response belongs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -18,12 +18,12 @@
 impl Attribution {
     /// Attributes a response by the id that it names. A response that names no request can only belong to
     /// the first one of its connection.
-    pub fn new(request_id: &str, response_id: Option<&str>, connection: Use) -> Self {
+    pub fn new(request_id: &str, response_id: Option<&str>, connection: Origin) -> Self {
         match (response_id, connection) {
             (Some(it), _) if it == request_id => Self::Own,
             (Some(_), _) => Self::Other,
-            (None, Use::First) => Self::Own,
-            (None, Use::Repeated) => Self::Unknown,
+            (None, Origin::New) => Self::Own,
+            (None, Origin::Pooled) => Self::Unknown,
         }
     }
 
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -76,7 +76,7 @@
     Never,
 }
 
-/// Idle connections to all upstreams.
+/// State of the connections to all upstreams.
 #[derive(Default)]
 struct Connections {
     idle: HashMap<SocketAddr, Vec<Pooled>>,
@@ -88,21 +88,21 @@
 #[derive(Clone, Default)]
 pub struct Pool(Rc<RefCell<Connections>>);
 
-/// Whether a connection has served earlier requests.
+/// Where a connection comes from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Use {
-    /// The connection is new.
-    First,
-    /// The connection comes from the pool.
-    Repeated,
+pub enum Origin {
+    /// It was opened for this request.
+    New,
+    /// It comes from the pool, so it has served earlier requests.
+    Pooled,
 }
 
-impl Use {
+impl Origin {
     /// Name in logs and metrics.
     pub fn name(self) -> &'static str {
         match self {
-            Self::First => "new",
-            Self::Repeated => "kept",
+            Self::New => "new",
+            Self::Pooled => "kept",
         }
     }
 }
@@ -112,8 +112,8 @@
     pool: Pool,
     addr: SocketAddr,
     pooled: Option<Pooled>,
-    /// Whether the connection has served earlier requests.
-    pub usage: Use,
+    /// Where the connection comes from.
+    pub origin: Origin,
 }
 
 impl Pool {
@@ -122,18 +122,18 @@
         if let Reuse::IdleLess(max_idle) = reuse
             && let Some(pooled) = self.take_idle(addr, max_idle)
         {
-            return Ok(self.wrap(addr, pooled, Use::Repeated));
+            return Ok(self.wrap(addr, pooled, Origin::Pooled));
         }
         let pooled = connect(addr).await?;
-        Ok(self.wrap(addr, pooled, Use::First))
+        Ok(self.wrap(addr, pooled, Origin::New))
     }
 
-    fn wrap(&self, addr: SocketAddr, pooled: Pooled, usage: Use) -> Connection {
+    fn wrap(&self, addr: SocketAddr, pooled: Pooled, origin: Origin) -> Connection {
         Connection {
             pool: self.clone(),
             addr,
             pooled: Some(pooled),
-            usage,
+            origin,
         }
     }
 
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -13,7 +13,7 @@
 use crate::{
     attribution::Attribution,
     clock,
-    connection::{Failure, Reuse, Use},
+    connection::{Failure, Origin, Reuse},
     dialect::{ResponseHead, UpstreamHead},
     exchange::Exchange,
     in_flight::InFlight,
@@ -82,8 +82,8 @@
         self.attempts += 1;
         self.attempted_addrs.push(addr);
         self.trace.record_attempt(&instance, &choice);
-        let usage = connection.usage;
-        self.gateway.metrics.count_connection(usage);
+        let origin = connection.origin;
+        self.gateway.metrics.count_connection(origin);
         if !self.attempted_engines.contains(&key) {
             self.attempted_engines.push(key);
         }
@@ -96,11 +96,11 @@
         match response {
             WaitResult::Ready(Ok(response)) => {
                 let response_head = self.gateway.dialect.parse_response_head(response.headers());
-                if self.is_attributed(&response, &response_head, &instance, usage) {
+                if self.is_attributed(&response, &response_head, &instance, origin) {
                     self.classify_response(response, response_head, &instance, in_flight)
                         .await
                 } else {
-                    self.record_out_of_step(key, addr, usage)
+                    self.record_out_of_step(key, addr, origin)
                 }
             }
             WaitResult::Ready(Err(Failure::Malformed(error))) => {
@@ -109,14 +109,14 @@
                     self.request_head.id
                 );
                 self.trace.record_outcome("malformed response");
-                self.record_out_of_step(key, addr, usage)
+                self.record_out_of_step(key, addr, origin)
             }
             WaitResult::Ready(Err(Failure::Unreachable(error))) => {
                 log::debug!("engine {instance}: request not sent: {error}");
                 self.trace.record_outcome("not sent");
                 // The engine may have closed the pooled connection, so this engine may be tried again.
                 self.attempted_engines
-                    .retain(|it| *it != key || usage == Use::First);
+                    .retain(|it| *it != key || origin == Origin::New);
                 Outcome::NotExecuted(None)
             }
             WaitResult::Ready(Err(Failure::Broken(error))) => {
@@ -125,7 +125,7 @@
                     self.request_head.id
                 );
                 self.trace.record_outcome("connection broke");
-                if usage == Use::First {
+                if origin == Origin::New {
                     self.record_failure(key);
                 }
                 self.may_have_run = true;
@@ -145,9 +145,9 @@
     }
 
     /// Records that an engine sent bytes that do not belong to this request where its response was expected.
-    fn record_out_of_step(&mut self, key: Key, addr: SocketAddr, usage: Use) -> Outcome {
+    fn record_out_of_step(&mut self, key: Key, addr: SocketAddr, origin: Origin) -> Outcome {
         self.record_failure(key);
-        if usage == Use::Repeated {
+        if origin == Origin::Pooled {
             self.gateway.pool.suspend_reuse(addr);
             self.repeatable_engines.push(key);
         }
@@ -174,19 +174,19 @@
         response: &Response<Incoming>,
         response_head: &ResponseHead,
         instance: &str,
-        usage: Use,
+        origin: Origin,
     ) -> bool {
         let id = &*self.request_head.id;
         let response_id = response_head.request_id.as_deref();
-        let attribution = Attribution::new(id, response_id, usage);
-        self.gateway.metrics.count_response(attribution, usage);
+        let attribution = Attribution::new(id, response_id, origin);
+        self.gateway.metrics.count_response(attribution, origin);
         if attribution == Attribution::Own {
             return true;
         }
         log::info!(
             event = "answer-refused", request = id, engine = instance, attribution = attribution.name(),
             status = response.status().as_u16(), sealed = response_head.sealed, id = response_id.unwrap_or("-"),
-            connection = usage.name();
+            connection = origin.name();
             "the response of engine {instance} does not belong to request {id}"
         );
         self.trace.record_outcome("response to another request");
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -9,7 +9,7 @@
 };
 use telemetry::exposition::Exposition;
 
-use crate::{attribution::Attribution, connection::Use};
+use crate::{attribution::Attribution, connection::Origin};
 
 /// Prefix of all metric names.
 const NAMESPACE: &str = "comfreywing_gateway";
@@ -170,16 +170,16 @@
     }
 
     /// Counts the use of an upstream connection, new or pooled.
-    pub fn count_connection(&self, connection: Use) {
-        let labels = [KeyValue::new("kind", connection.name())];
+    pub fn count_connection(&self, origin: Origin) {
+        let labels = [KeyValue::new("kind", origin.name())];
         self.connections.add(1, &labels);
     }
 
-    /// Counts a response of an engine by the request to which it belongs, and by the use of its connection.
-    pub fn count_response(&self, attribution: Attribution, connection: Use) {
+    /// Counts a response of an engine by the request to which it belongs, and by the origin of its connection.
+    pub fn count_response(&self, attribution: Attribution, origin: Origin) {
         let labels = [
             KeyValue::new("request", attribution.name()),
-            KeyValue::new("kind", connection.name()),
+            KeyValue::new("kind", origin.name()),
         ];
         self.responses.add(1, &labels);
     }
--- a/crates/gateway/tests/page.rs
+++ b/crates/gateway/tests/page.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::BTreeSet, fs, path::Path, time::Duration};
 
-use gateway::{attribution::Attribution, connection::Use, metrics::Metrics, reply::Fault};
+use gateway::{attribution::Attribution, connection::Origin, metrics::Metrics, reply::Fault};
 
 const PAGE: &str = include_str!("../../../docs/operating/gateway.md");
 const TEMPLATE: &str = include_str!("../../../deploy/settings.yaml");
@@ -63,8 +63,8 @@
     metrics.record_list_age("engines", second);
     metrics.record_loop_delay(second);
     metrics.count_retry("s", "sent");
-    metrics.count_connection(Use::First);
-    metrics.count_response(Attribution::Own, Use::First);
+    metrics.count_connection(Origin::New);
+    metrics.count_response(Attribution::Own, Origin::New);
     metrics.count_order("load", "accepted");
     metrics.count_load("early");
     metrics.count_store_call("watch", "ok");
