Pause before connecting again to an instance that refuses connections

What callers saw: a request whose service had one instance left, which refused connections, was held until its deadline and then refused.

Evidence: answers::an_instance_that_refuses_connections_is_not_tried_until_the_deadline failed before (6.2 s) and passes now.

Change: the second and later attempts to connect to an engine for the same request wait 50 ms, and end with the time for which the request may be held.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -61,6 +61,8 @@
     pub(crate) attempted_engines: Vec<Key>,
     /// Attempted engines to which the request may be sent once more. They count as one attempt each.
     pub(crate) repeatable_engines: Vec<Key>,
+    /// Engines to which no connection could be opened for the request.
+    pub(crate) unreachable_engines: Vec<Key>,
     /// Addresses to which the request was sent.
     pub(crate) attempted_addrs: Vec<SocketAddr>,
     /// Number of attempted engines that have been replaced by another engine at the same address.
@@ -93,6 +95,10 @@
                 Ok(it) => it,
                 Err(fault) => return self.fail(fault),
             };
+            let is_unreachable = self.unreachable_engines.contains(&choice.key);
+            if is_unreachable && clock::now() >= until {
+                return self.fail(Fault::NoEngine);
+            }
             let last_event_id = self.request_head.last_event_id.clone();
             match self.send(choice, last_event_id.as_deref()).await {
                 Outcome::Response(it) => {
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -9,6 +9,7 @@
     body::Incoming,
     http::{StatusCode, response},
 };
+use tokio::time;
 
 use crate::{
     attribution::Attribution,
@@ -27,6 +28,9 @@
 /// Maximum idle time of a pooled connection for a request that may be retried.
 const MAX_IDLE_RETRYABLE: Duration = Duration::from_secs(4);
 
+/// Time before another attempt to connect to an engine that was unreachable.
+const RECONNECT_PAUSE: Duration = Duration::from_millis(50);
+
 /// Priority of all requests at the engines; 0 is the highest. An engine preempts running streams for requests of
 /// higher priority, which makes the streams late, so routes are ranked by admission instead.
 const ENGINE_PRIORITY: u8 = 1;
@@ -53,6 +57,9 @@
             return Outcome::DeadlineExceeded;
         }
         let key = choice.key;
+        if self.unreachable_engines.contains(&key) {
+            time::sleep(RECONNECT_PAUSE).await;
+        }
         let Some((addr, instance, version)) = self.target(key) else {
             return Outcome::NotExecuted(None);
         };
@@ -326,6 +333,9 @@
 
     /// Records that no connection to an engine could be opened.
     fn record_unreachable(&mut self, key: Key) {
+        if !self.unreachable_engines.contains(&key) {
+            self.unreachable_engines.push(key);
+        }
         if let Some(engine) = self.gateway.table.borrow_mut().get_mut(key) {
             engine.circuit.mark_unreachable(clock::now());
             self.gateway.pool.close_idle(engine.listing.addr);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -134,6 +134,7 @@
         deadline,
         attempted_engines: Vec::new(),
         repeatable_engines: Vec::new(),
+        unreachable_engines: Vec::new(),
         attempted_addrs: Vec::new(),
         mismatched_instances: 0,
         attempts: 0,
