Soak: press engines, send responses again, and keep connections in use

Its instances never sent a refusal twice, never answered 408, 421, 429 or 503 for a request that they had run, took any number of requests, and eight callers hardly ever had a request sent on a connection on which a response was still due.

Now, with a generator of its own, each step may make an engine answer every nth request by a script: a response (also a success, a refusal, 421 or a failure) again when the next request has arrived or after up to 60 ms, truncated responses, bytes that are not a response in place of one or after one, responses before the body is read, and statuses that deny the run. Engines have slots and a queue and refuse when full. Loyal callers, eight a host, keep their connections for as long as the host does, press all at once in bursts, and send long bodies at times. The route `single` has one attempt, as those of the record. A failure with a seal must have the status that the engine gave. Shutdowns are checked against all requests of the last second, not just the last 50.

--- a/crates/entry/tests/soak/caller.rs
+++ b/crates/entry/tests/soak/caller.rs
@@ -1,10 +1,11 @@
-//! Callers that reuse their connections, and the responses that they receive.
+//! Callers that reuse their connections, and the responses that they receive. Some keep a connection for as long as
+//! the host does, and press all at once in bursts.
 
 use std::{
     net::{SocketAddr, TcpStream},
     sync::{
         Arc, Mutex,
-        atomic::{AtomicBool, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     thread::{self, JoinHandle},
     time::{Duration, Instant},
@@ -20,6 +21,18 @@
 /// Maximum number of requests on one connection.
 const MAX_REQUESTS_PER_CONNECTION: usize = 6;
 
+/// Upper limits in ms of the pauses of a loyal caller between two requests: within a burst, otherwise, and after a
+/// failed connection.
+const BURST_PAUSE_MS: u64 = 8;
+const STEADY_PAUSE_MS: u64 = 160;
+const RECONNECT_PAUSE_MS: u64 = 100;
+
+/// One in this many requests of loyal callers has a long body.
+const LONG_BODY_PERIOD: u32 = 40;
+
+/// Length of the padding of a long body.
+const PADDING_LENGTH: usize = 64_000;
+
 /// Number of requested adapters.
 const ADAPTERS: usize = 12;
 
@@ -37,10 +50,29 @@
     Write,
     /// A plain request that may be repeated.
     Read,
+    /// A plain request that may be sent to one instance only.
+    Single,
 }
 
 impl Route {
-    pub const ALL: [Self; 4] = [Self::Stream, Self::Once, Self::Write, Self::Read];
+    pub const ALL: [Self; 5] = [
+        Self::Stream,
+        Self::Once,
+        Self::Write,
+        Self::Read,
+        Self::Single,
+    ];
+
+    /// The routes of loyal callers, most of whose requests are plain.
+    const LOYAL: [Self; 7] = [
+        Self::Single,
+        Self::Single,
+        Self::Write,
+        Self::Write,
+        Self::Read,
+        Self::Stream,
+        Self::Once,
+    ];
 
     pub fn path(self) -> &'static str {
         match self {
@@ -48,6 +80,7 @@
             Self::Once => "/once/x",
             Self::Write => "/write/x",
             Self::Read => "/read/x",
+            Self::Single => "/single/x",
         }
     }
 
@@ -56,12 +89,16 @@
     }
 
     pub fn runs_once(self) -> bool {
-        matches!(self, Self::Once | Self::Write)
+        matches!(self, Self::Once | Self::Single | Self::Write)
     }
 
     /// Maximum number of engines to which a request may be sent.
     pub fn max_attempts(self) -> usize {
-        if self == Self::Once { 1 } else { 2 }
+        if matches!(self, Self::Once | Self::Single) {
+            1
+        } else {
+            2
+        }
     }
 }
 
@@ -71,11 +108,30 @@
     pub id: String,
     pub route: Route,
     pub model: String,
+    /// Length of the padding of the body.
+    pub padding: usize,
     pub host: usize,
     pub sent_at: Instant,
     pub answer: Response,
 }
 
+impl Call {
+    /// Returns the body of the request.
+    pub fn body(&self) -> String {
+        body(self.route, &self.id, self.padding)
+    }
+}
+
+/// Returns the body of a request.
+fn body(route: Route, id: &str, padding: usize) -> String {
+    let text = if route.is_streamed() {
+        "prompt".to_owned()
+    } else {
+        format!("body of {id}")
+    };
+    text + &"x".repeat(padding)
+}
+
 /// The state shared by all callers.
 pub struct Traffic {
     /// The callers' addresses of the hosts.
@@ -83,6 +139,9 @@
     pub calls: Mutex<Vec<Call>>,
     pub stop: AtomicBool,
     next_id: AtomicUsize,
+    started_at: Instant,
+    /// Time at which the last burst ends, in ms since the start.
+    burst_end_ms: AtomicU64,
 }
 
 impl Traffic {
@@ -92,11 +151,32 @@
             calls: Mutex::default(),
             stop: AtomicBool::new(false),
             next_id: AtomicUsize::new(0),
+            started_at: Instant::now(),
+            burst_end_ms: AtomicU64::new(0),
         })
     }
 
+    /// Makes all loyal callers send without pauses for a time in ms.
+    pub fn start_burst(&self, ms: u64) {
+        self.burst_end_ms
+            .fetch_max(self.elapsed_ms() + ms, Ordering::Relaxed);
+    }
+
+    fn is_burst(&self) -> bool {
+        self.elapsed_ms() < self.burst_end_ms.load(Ordering::Relaxed)
+    }
+
+    fn elapsed_ms(&self) -> u64 {
+        u64::try_from(self.started_at.elapsed().as_millis()).expect("the time fits")
+    }
+
     /// Creates a request with a new id.
-    pub fn next_request(&self, rng: &mut StdRng, route: Route) -> (String, String, Request) {
+    fn next_request(
+        &self,
+        rng: &mut StdRng,
+        route: Route,
+        padding: usize,
+    ) -> (String, String, Request) {
         let id = format!("r-{}", self.next_id.fetch_add(1, Ordering::Relaxed));
         let rank = rng
             .random_range(0..ADAPTERS)
@@ -105,7 +185,7 @@
         let request = if route.is_streamed() {
             Request::prompt(route.path(), &id, &model)
         } else {
-            Request::post(route.path(), &id, &format!("body of {id}"))
+            Request::post(route.path(), &id, &body(route, &id, padding))
         };
         (id, model, request)
     }
@@ -113,17 +193,18 @@
     /// Sends one request on a new connection.
     pub fn send(&self, rng: &mut StdRng, route: Route, host: usize) -> Response {
         let mut connection = None;
-        self.send_on(rng, route, host, &mut connection)
+        self.send_on(rng, route, 0, host, &mut connection)
     }
 
     fn send_on(
         &self,
         rng: &mut StdRng,
         route: Route,
+        padding: usize,
         host: usize,
         connection: &mut Option<TcpStream>,
     ) -> Response {
-        let (id, model, request) = self.next_request(rng, route);
+        let (id, model, request) = self.next_request(rng, route, padding);
         let request = request.with_timeout_ms(TIMEOUT_MS);
         let sent_at = Instant::now();
         if connection.is_none() {
@@ -141,6 +222,7 @@
             id,
             route,
             model,
+            padding,
             host,
             sent_at,
             answer: answer.clone(),
@@ -167,7 +249,7 @@
             let mut connection = None;
             for _ in 0..rng.random_range(1..=MAX_REQUESTS_PER_CONNECTION) {
                 let route = Route::ALL[rng.random_range(0..Route::ALL.len())];
-                let answer = traffic.send_on(&mut rng, route, host, &mut connection);
+                let answer = traffic.send_on(&mut rng, route, 0, host, &mut connection);
                 let pause = if answer.status == 0 { 50 } else { 10 };
                 thread::sleep(Duration::from_millis(rng.random_range(0..pause)));
                 if connection.is_none() || traffic.stop.load(Ordering::Relaxed) {
@@ -177,3 +259,27 @@
         }
     })
 }
+
+/// Starts a thread that sends requests to one host until told to stop, on a connection that it keeps for as long as
+/// the host does.
+pub fn spawn_loyal(traffic: &Arc<Traffic>, seed: u64, host: usize) -> JoinHandle<()> {
+    let traffic = traffic.clone();
+    thread::spawn(move || {
+        let mut rng = StdRng::seed_from_u64(seed);
+        let mut connection = None;
+        while !traffic.stop.load(Ordering::Relaxed) {
+            let route = Route::LOYAL[rng.random_range(0..Route::LOYAL.len())];
+            let is_long = !route.is_streamed() && rng.random_range(0..LONG_BODY_PERIOD) == 0;
+            let padding = if is_long { PADDING_LENGTH } else { 0 };
+            let answer = traffic.send_on(&mut rng, route, padding, host, &mut connection);
+            let max_pause_ms = if answer.status == 0 {
+                RECONNECT_PAUSE_MS
+            } else if traffic.is_burst() {
+                BURST_PAUSE_MS
+            } else {
+                STEADY_PAUSE_MS
+            };
+            thread::sleep(Duration::from_millis(rng.random_range(0..max_pause_ms)));
+        }
+    })
+}
--- a/crates/entry/tests/soak/check.rs
+++ b/crates/entry/tests/soak/check.rs
@@ -1,7 +1,7 @@
 //! Checks the guarantees against what callers and engines observed.
 
 use std::{
-    collections::{BTreeMap, BTreeSet},
+    collections::{BTreeMap, BTreeSet, HashMap},
     time::{Duration, Instant},
 };
 
@@ -45,6 +45,23 @@
     pub harness_ids: &'a [String],
 }
 
+/// How often each engine has run each request, by id.
+struct Runs(Vec<BTreeMap<String, usize>>);
+
+impl Runs {
+    fn new(engines: &[Engine]) -> Self {
+        Self(engines.iter().map(Engine::run_counts).collect())
+    }
+
+    fn count(&self, id: &str) -> usize {
+        self.0.iter().filter_map(|it| it.get(id)).sum()
+    }
+
+    fn count_engines(&self, id: &str) -> usize {
+        self.0.iter().filter(|it| it.contains_key(id)).count()
+    }
+}
+
 /// Returns a description of each violated guarantee.
 pub fn find_violations(records: &Records) -> Vec<String> {
     let received: Vec<Vec<ReceivedRequest>> = records
@@ -52,10 +69,10 @@
         .iter()
         .map(Engine::received_requests)
         .collect();
-    let ran = |id: &str| -> usize { records.engines.iter().map(|it| it.run_count(id)).sum() };
+    let runs_by_engine = Runs::new(records.engines);
     let mut violations = Vec::new();
     for call in records.calls {
-        let runs = ran(&call.id);
+        let runs = runs_by_engine.count(&call.id);
         let status = call.answer.status;
         let mut report =
             |violation: &str| violations.push(format!("{violation}: runs {runs}, {call:?}"));
@@ -69,16 +86,19 @@
             if runs == 0 {
                 report("answered without a run");
             }
-            if !is_valid_answer(call, records.engines) {
+            if !is_valid_answer(call, records.engines, &runs_by_engine) {
                 report("the response does not match the engine and request");
             }
         }
+        if !(200..300).contains(&status) && !is_valid_failure(call, records.engines) {
+            report("the failure bears the seal of an engine that did not send it");
+        }
         if call.route.is_streamed() && status == 200 && !has_ordered_events(call) {
             report("events are missing, duplicated or out of order");
         }
     }
     violations.extend(check_requests(records, &received));
-    violations.extend(check_attempts(records.calls, records.engines));
+    violations.extend(check_attempts(records.calls, &runs_by_engine));
     violations.extend(check_retry_budget(
         records.calls,
         &received,
@@ -96,17 +116,29 @@
 
 /// Returns whether a complete response carries the seal of an engine that ran the request, and the
 /// body that the engine generates.
-fn is_valid_answer(call: &Call, engines: &[Engine]) -> bool {
+fn is_valid_answer(call: &Call, engines: &[Engine], runs: &Runs) -> bool {
     let seal = call.answer.header("response-seal").unwrap_or_default();
-    let sealed =
-        |it: &Engine| seal == format!("seal-{}-{}", it.id, call.id) && it.run_count(&call.id) > 0;
+    let sealed = |(it, runs): (&Engine, &BTreeMap<String, usize>)| {
+        seal == format!("seal-{}-{}", it.id, call.id) && runs.contains_key(&call.id)
+    };
     let body = &call.answer.body;
     let body_matches = if call.route.is_streamed() {
         true
     } else {
         *body == format!("body of {}", call.id) || body == CLOSE_DELIMITED_BODY
     };
-    body_matches && engines.iter().any(sealed) && call.answer.header("request-id") == Some(&call.id)
+    let is_sealed = engines.iter().zip(&runs.0).any(sealed);
+    body_matches && is_sealed && call.answer.header("request-id") == Some(&call.id)
+}
+
+/// Returns whether a failure that bears a seal was sent with this status by the engine of the seal.
+fn is_valid_failure(call: &Call, engines: &[Engine]) -> bool {
+    let Some(seal) = call.answer.header("response-seal") else {
+        return true;
+    };
+    engines.iter().any(|it| {
+        seal == format!("seal-{}-{}", it.id, call.id) && it.has_sealed(&call.id, call.answer.status)
+    })
 }
 
 /// Returns whether a stream consists of the first events in order, and of all events if it ended as
@@ -124,7 +156,7 @@
 
 /// Checks that engines received exactly what callers sent.
 fn check_requests(records: &Records, received: &[Vec<ReceivedRequest>]) -> Vec<String> {
-    let by_id: BTreeMap<&str, &Call> = records.calls.iter().map(|it| (&*it.id, it)).collect();
+    let by_id: HashMap<&str, &Call> = records.calls.iter().map(|it| (&*it.id, it)).collect();
     let mut violations = Vec::new();
     for it in received.iter().flatten() {
         let id = it.headers.get("request-id").map(String::as_str);
@@ -135,15 +167,16 @@
             violations.push(format!("no caller sent this request: {it:?}"));
             continue;
         };
-        let body = if call.route.is_streamed() {
-            "prompt".to_owned()
+        let body = call.body();
+        let body_matches = if it.is_complete {
+            it.body == body.as_bytes()
         } else {
-            format!("body of {}", call.id)
+            body.as_bytes().starts_with(&it.body)
         };
         let model = it.headers.get("model").map(String::as_str);
         let expected_model = call.route.is_streamed().then_some(&*call.model);
         let line = format!("POST {} HTTP/1.1", call.route.path());
-        if it.request_line != line || it.body != body.as_bytes() || model != expected_model {
+        if it.request_line != line || !body_matches || model != expected_model {
             violations.push(format!("the request was altered: {it:?}, {call:?}"));
         }
     }
@@ -151,18 +184,12 @@
 }
 
 /// Checks that a request ran on no more engines than its route allows.
-fn check_attempts(calls: &[Call], engines: &[Engine]) -> Vec<String> {
-    let count_engines = |call: &Call| {
-        engines
-            .iter()
-            .filter(|it| it.run_count(&call.id) > 0)
-            .count()
-    };
+fn check_attempts(calls: &[Call], runs: &Runs) -> Vec<String> {
     let excess = calls
         .iter()
-        .filter(|it| count_engines(it) > it.route.max_attempts());
+        .filter(|it| runs.count_engines(&it.id) > it.route.max_attempts());
     excess
-        .map(|it| format!("ran on {} engines: {it:?}", count_engines(it)))
+        .map(|it| format!("ran on {} engines: {it:?}", runs.count_engines(&it.id)))
         .collect()
 }
 
@@ -187,16 +214,19 @@
             .filter(|it| !firsts.insert(it.1))
             .map(|it| it.0)
             .collect();
-        let sent: Vec<Instant> = (calls.iter())
+        let mut sent: Vec<Instant> = (calls.iter())
             .filter(|it| it.route.is_streamed() == (service == "chat"))
             .map(|it| it.sent_at)
             .collect();
+        sent.sort_unstable();
+        let count_before = |times: &[Instant], end: Instant| times.partition_point(|it| *it < end);
         for (number, start) in repeats.iter().enumerate() {
-            let within = |it: &&Instant| **it >= *start && **it < *start + RETRY_WINDOW;
-            let repeated = repeats[number..].iter().filter(within).count();
-            let requests = sent.iter().filter(within).count();
-            let before = |it: &&Instant| **it + RETRY_WINDOW >= *start && **it < *start;
-            let requests = requests.max(sent.iter().filter(before).count());
+            let end = *start + RETRY_WINDOW;
+            let repeated = count_before(&repeats, end) - number;
+            let until_start = count_before(&sent, *start);
+            let requests = count_before(&sent, end) - until_start;
+            let earlier = sent.partition_point(|it| *it + RETRY_WINDOW < *start);
+            let requests = requests.max(until_start - earlier);
             let allowed = RETRY_RATIO * count(requests) + f64::from(RETRY_ALLOWANCE);
             if count(repeated) > allowed {
                 violations.push(format!(
--- a/crates/entry/tests/soak/main.rs
+++ b/crates/entry/tests/soak/main.rs
@@ -31,6 +31,9 @@
 /// Maximum number of seeds that run concurrently.
 const MAX_PARALLEL_SEEDS: u64 = 3;
 
+/// Number of hosts, unless `SOAK_HOSTS` names another.
+const HOSTS: u64 = 3;
+
 /// Covers: the guarantees for hosts on a platform in `docs/GUARANTEES.md`, under overlapping
 /// failures.
 #[test]
@@ -43,8 +46,11 @@
         (Some(first), count) => (first..first + count.unwrap_or(1)).collect(),
         (None, _) => SEEDS.to_vec(),
     };
+    let size = |it: u64| usize::try_from(it).expect("the number fits");
+    let hosts = size(number("SOAK_HOSTS").unwrap_or(HOSTS));
+    let parallel_seeds = size(number("SOAK_PARALLEL").unwrap_or(MAX_PARALLEL_SEEDS));
     let mut failed = Vec::new();
-    for batch in seeds.chunks(usize::try_from(MAX_PARALLEL_SEEDS).expect("the batch size fits")) {
+    for batch in seeds.chunks(parallel_seeds) {
         let runs: Vec<_> = batch
             .iter()
             .map(|seed| {
@@ -52,7 +58,7 @@
                     *seed,
                     thread::spawn({
                         let seed = *seed;
-                        move || run::run(seed)
+                        move || run::run(seed, hosts)
                     }),
                 )
             })
--- a/crates/entry/tests/soak/run.rs
+++ b/crates/entry/tests/soak/run.rs
@@ -1,6 +1,8 @@
 //! A single run: overlapping faults under load, then checks with time limits without faults, and
 //! finally the check of all observations.
 
+mod pressure;
+
 use std::{
     collections::BTreeMap,
     fs,
@@ -13,6 +15,7 @@
 use serde_json::{Value, json};
 use tokio::runtime::{Builder, Runtime};
 
+use self::pressure::Pressure;
 use crate::{
     caller::{self, Route, Traffic},
     check::{self, LeaveWindow, Records},
@@ -21,26 +24,45 @@
     step::Step,
     world::{
         config,
-        engine::{Engine, OrderScript, Script},
+        engine::{Capacity, Engine, OrderScript, Script},
         free_addr,
         store::{Copy, Era, Mode, Store},
         wait_until,
     },
 };
 
-/// Numbers of hosts, model engines, and instances of the plain service.
-const HOSTS: usize = 3;
+/// Numbers of model engines, and instances of the plain service.
 const ENGINES: usize = 3;
 const PLAIN_INSTANCES: usize = 2;
 
-/// Number of concurrent callers.
+/// Number of callers that open a connection for a few requests.
 const CALLERS: u64 = 8;
 
+/// Number of loyal callers of each host, and of all hosts.
+const LOYAL_CALLERS_PER_HOST: usize = 8;
+const MAX_LOYAL_CALLERS: usize = 120;
+
+/// Limits of a model engine and of an instance of the plain service.
+const ENGINE_CAPACITY: Capacity = Capacity {
+    slots: 8,
+    queue: 4,
+    work_time: Duration::from_millis(10),
+};
+const PLAIN_CAPACITY: Capacity = Capacity {
+    slots: 3,
+    queue: 3,
+    work_time: Duration::from_millis(15),
+};
+
 /// Number of steps of a run.
 const STEPS: usize = 30;
 
-/// Makes the generator of rollbacks differ from that of the other steps.
+/// Make the generators of rollbacks and pressure differ from that of the other steps.
 const ROLLBACK_SEED: u64 = 0x5eed;
+const PRESSURE_SEED: u64 = 0x9e55;
+
+/// Time after the exit of a host in which callers notice the end of their connections.
+const CALLER_TIME: Duration = Duration::from_millis(250);
 
 /// The time after which a leaving engine must receive no new requests, as in the settings.
 const DRAIN_TIME: Duration = Duration::from_secs(2);
@@ -65,6 +87,9 @@
     Orders(usize),
     Entry(usize),
     Rewrite,
+    PartialScript(usize),
+    Capacity(usize),
+    IdleTimeout(usize),
 }
 
 struct Run {
@@ -91,15 +116,22 @@
     violations: Vec<String>,
 }
 
-/// Runs a seed and returns the violations.
-pub fn run(seed: u64) -> Vec<String> {
-    let mut run = Run::start(seed);
-    let callers: Vec<_> = (0..CALLERS)
+/// Runs a seed with a number of hosts and returns the violations.
+pub fn run(seed: u64, hosts: usize) -> Vec<String> {
+    let mut run = Run::start(seed, hosts);
+    let mut callers: Vec<_> = (0..CALLERS)
         .map(|it| caller::spawn(&run.traffic, seed * 1000 + it))
         .collect();
+    let loyal_callers = (LOYAL_CALLERS_PER_HOST * hosts).min(MAX_LOYAL_CALLERS);
+    callers.extend(
+        (0..loyal_callers)
+            .zip(seed * 1000 + CALLERS..)
+            .map(|(number, seed)| caller::spawn_loyal(&run.traffic, seed, number % hosts)),
+    );
     let mut rollback_rng = StdRng::seed_from_u64(seed ^ ROLLBACK_SEED);
+    let mut pressure_rng = StdRng::seed_from_u64(seed ^ PRESSURE_SEED);
     for number in 0..STEPS {
-        let step = Step::choose(&mut run.rng, HOSTS, ENGINES + PLAIN_INSTANCES);
+        let step = Step::choose(&mut run.rng, hosts, ENGINES + PLAIN_INSTANCES);
         println!("seed {seed} step {number}: {step:?}");
         run.copies.push(run.store.copy());
         run.apply(&step);
@@ -107,6 +139,10 @@
             println!("seed {seed} step {number}: {step:?}");
             run.apply(&step);
         }
+        if let Some(step) = Pressure::choose(&mut pressure_rng) {
+            println!("seed {seed} step {number}: {step:?}");
+            run.press(&step);
+        }
         let pause = run.rng.random_range(50..500);
         run.run_for(Duration::from_millis(pause));
     }
@@ -122,7 +158,7 @@
 }
 
 impl Run {
-    fn start(seed: u64) -> Self {
+    fn start(seed: u64, hosts: usize) -> Self {
         let runtime = Builder::new_multi_thread()
             .worker_threads(2)
             .enable_all()
@@ -130,15 +166,21 @@
             .expect("the runtime starts");
         let store = Store::start(&runtime);
         let engine = |it: usize| {
-            let service = if it < ENGINES { "chat" } else { "desk" };
-            Engine::start(&runtime, &format!("i-{:04x}", it + 0x1a), service)
+            let (service, capacity) = if it < ENGINES {
+                ("chat", ENGINE_CAPACITY)
+            } else {
+                ("desk", PLAIN_CAPACITY)
+            };
+            let engine = Engine::start(&runtime, &format!("i-{:04x}", it + 0x1a), service);
+            engine.set_capacity(capacity);
+            engine
         };
         let engines: Vec<Engine> = (0..ENGINES + PLAIN_INSTANCES).map(engine).collect();
         let engine_proxies: Vec<Proxy> = engines
             .iter()
             .map(|it| Proxy::start(&runtime, it.addr))
             .collect();
-        let store_proxies: Vec<Proxy> = (0..HOSTS)
+        let store_proxies: Vec<Proxy> = (0..hosts)
             .map(|_| Proxy::start(&runtime, store.addr))
             .collect();
         // All hosts of a run use the same peer port, each on its own loopback address. The third byte
@@ -149,7 +191,7 @@
             let last = u8::try_from(it + 1).expect("the host number fits into a byte");
             SocketAddr::from(([127, 0, loopback, last], port))
         };
-        let seeds: Vec<SocketAddr> = (0..HOSTS).map(peers).collect();
+        let seeds: Vec<SocketAddr> = (0..hosts).map(peers).collect();
         let mut run = Self {
             seed,
             rng: StdRng::seed_from_u64(seed),
@@ -229,21 +271,20 @@
         }
     }
 
+    fn pause(&mut self, it: usize, ms: u64) {
+        if !self.hosts[it].paused {
+            self.hosts[it].pause();
+            let now = Instant::now();
+            self.pause_windows.push((it, now, now));
+            self.recover_after(ms, Recovery::Resume(it));
+        }
+    }
+
     fn apply(&mut self, step: &Step) {
         match step {
             Step::Kill(it) => self.hosts[*it].kill(),
-            Step::Pause(it, ms) => {
-                if !self.hosts[*it].paused {
-                    self.hosts[*it].pause();
-                    let now = Instant::now();
-                    self.pause_windows.push((*it, now, now));
-                    self.recover_after(*ms, Recovery::Resume(*it));
-                }
-            }
-            Step::Terminate(it) => {
-                self.terminate(*it);
-                self.hosts[*it].restart();
-            }
+            Step::Pause(it, ms) => self.pause(*it, *ms),
+            Step::Terminate(it) => self.terminate_and_restart(*it),
             Step::StoreProxy(it, fault, ms) => {
                 self.store_proxies[*it].set(*fault);
                 self.recover_after(*ms, Recovery::StoreProxy(*it));
@@ -266,11 +307,7 @@
                 self.engines[*it].set_order_script(OrderScript::LateWithoutResponse);
                 self.recover_after(*ms, Recovery::Orders(*it));
             }
-            Step::Restart(it) => {
-                self.engines[*it].restart();
-                self.engine_proxies[*it].reset();
-                self.write_entry(*it, "ready");
-            }
+            Step::Restart(it) => self.restart_engine(*it),
             Step::DropAdapter(it) => self.engines[*it].remove_model("m/a0"),
             Step::Leave(it, ms) => {
                 self.write_entry(*it, "draining");
@@ -291,6 +328,22 @@
         }
     }
 
+    fn restart_engine(&mut self, it: usize) {
+        self.engines[it].restart();
+        self.engine_proxies[it].reset();
+        self.write_entry(it, "ready");
+    }
+
+    /// Sets the limits that an engine has in a run.
+    fn restore_capacity(&self, it: usize) {
+        let capacity = if it < ENGINES {
+            ENGINE_CAPACITY
+        } else {
+            PLAIN_CAPACITY
+        };
+        self.engines[it].set_capacity(capacity);
+    }
+
     fn recover(&mut self, recovery: &Recovery) {
         match recovery {
             Recovery::Resume(it) => {
@@ -319,6 +372,9 @@
             Recovery::Orders(it) => self.engines[*it].set_order_script(OrderScript::Normal),
             Recovery::Entry(it) => self.write_entry(*it, "ready"),
             Recovery::Rewrite => self.write_again(),
+            Recovery::PartialScript(it) => self.engines[*it].clear_partial_script(),
+            Recovery::IdleTimeout(it) => self.engines[*it].set_idle_timeout(None),
+            Recovery::Capacity(it) => self.restore_capacity(*it),
         }
     }
 
@@ -370,8 +426,17 @@
         self.store.put("versions", &format!("m.a{adapter}"), &spec);
     }
 
+    fn terminate_and_restart(&mut self, it: usize) {
+        self.terminate(it);
+        self.hosts[it].restart();
+    }
+
     fn terminate(&mut self, it: usize) {
         let exit = self.hosts[it].terminate();
+        self.check_exit(it, exit);
+    }
+
+    fn check_exit(&mut self, it: usize, exit: Exit) {
         if !matches!(exit, Exit::Status(Some(0)) | Exit::BeforeStart) {
             self.violations
                 .push(format!("host {it} ended {exit:?} after SIGTERM"));
@@ -380,9 +445,12 @@
 
     /// Ends all faults.
     fn heal(&mut self) {
-        for (_, recovery) in std::mem::take(&mut self.recoveries) {
-            self.recover(&recovery);
+        while !self.recoveries.is_empty() {
+            for (_, recovery) in std::mem::take(&mut self.recoveries) {
+                self.recover(&recovery);
+            }
         }
+        self.relieve_engines();
         for it in self.engine_proxies.iter().chain(&self.store_proxies) {
             it.set(Fault::None);
             it.reset();
@@ -398,7 +466,7 @@
 
     /// Checks that without faults every host serves every route, and that time limits are met.
     fn check_without_faults(&mut self) {
-        for host in 0..HOSTS {
+        for host in 0..self.hosts.len() {
             for route in Route::ALL {
                 wait_until("every route is served again by every host", || {
                     let answer = self.traffic.send(&mut self.rng, route, host);
@@ -449,22 +517,33 @@
 
     /// Checks that a terminated host aborts no request that it has read.
     fn check_graceful_shutdown(&mut self) {
-        let host = self.rng.random_range(0..HOSTS);
+        let host = self.rng.random_range(0..self.hosts.len());
         let terminated_at = Instant::now();
-        self.terminate(host);
-        self.hosts[host].restart();
+        self.terminate_and_restart(host);
+        self.check_aborted_requests(&[host], terminated_at);
+        self.wait_until_ready();
+    }
+
+    /// Reports the requests that hosts have aborted, of those that were sent in the last second before SIGTERM.
+    fn check_aborted_requests(&mut self, hosts: &[usize], terminated_at: Instant) {
+        thread::sleep(CALLER_TIME);
         let calls = self.traffic.calls.lock().expect("lock is poisoned").clone();
-        let before = |it: &&caller::Call| it.host == host && it.sent_at < terminated_at;
+        let is_recent = |it: &&caller::Call| {
+            let age = terminated_at.checked_duration_since(it.sent_at);
+            age.is_some_and(|it| it < Duration::from_secs(1))
+        };
         let ran = |id: &str| self.engines.iter().any(|it| it.run_count(id) > 0);
-        for it in calls.iter().filter(before).rev().take(50) {
-            let is_recent = terminated_at - it.sent_at < Duration::from_secs(1);
-            if is_recent && !it.answer.is_complete && ran(&it.id) {
-                self.violations.push(format!(
-                    "the shutdown of host {host} aborted the request: {it:?}"
-                ));
-            }
-        }
-        self.wait_until_ready();
+        let of_hosts = calls.iter().filter(|it| hosts.contains(&it.host));
+        let aborted = of_hosts
+            .filter(is_recent)
+            .filter(|it| !it.answer.is_complete && ran(&it.id));
+        let aborted = aborted.map(|it| {
+            format!(
+                "the shutdown of host {} aborted the request: {it:?}",
+                it.host
+            )
+        });
+        self.violations.extend(aborted);
     }
 
     /// Sleeps. Returns true if the test process itself was delayed too much.
@@ -498,11 +577,18 @@
         });
         violations.extend(found);
         violations.extend(check::find_unserved_routes(&calls));
-        for host in 0..HOSTS {
+        for host in 0..self.hosts.len() {
             self.terminate(host);
         }
         violations.append(&mut self.violations);
         println!("seed {}: {}", self.seed, check::summarize_outcomes(&calls));
+        let late_copies: usize = self.engines.iter().map(Engine::late_copies).sum();
+        let full_refusals: usize = self.engines.iter().map(Engine::full_refusals).sum();
+        println!(
+            "seed {}: {late_copies} responses sent again where the next was expected, {full_refusals} refusals of full \
+             engines",
+            self.seed
+        );
         if violations.is_empty() {
             for it in &self.hosts {
                 let _ = fs::remove_file(&it.log);
@@ -520,3 +606,8 @@
         violations
     }
 }
+
+/// Chooses each of the numbers below a limit with equal chance.
+fn random_subset(rng: &mut StdRng, limit: usize) -> Vec<usize> {
+    (0..limit).filter(|_| rng.random_range(0..2) == 0).collect()
+}
