--- a/crates/entry/tests/soak/host.rs
+++ b/crates/entry/tests/soak/host.rs
@@ -24,6 +24,9 @@
 /// number.
 const SIGTERM_STATUS: i32 = 143;
 
+/// The same for SIGHUP.
+const SIGHUP_STATUS: i32 = 129;
+
 /// Time limit for the exit of a process; only prevents a hang.
 const EXIT_TIMEOUT: Duration = Duration::from_secs(30);
 
@@ -31,6 +34,8 @@
 pub struct Host {
     pub callers: SocketAddr,
     pub paused: bool,
+    /// True from SIGTERM until the exit.
+    pub terminating: bool,
     ready: SocketAddr,
     settings: PathBuf,
     pub log: PathBuf,
@@ -85,6 +90,7 @@
         let mut host = Self {
             callers,
             paused: false,
+            terminating: false,
             ready,
             log: settings.with_extension("log"),
             settings,
@@ -122,6 +128,7 @@
             id: id.trim().to_owned(),
         });
         self.paused = false;
+        self.terminating = false;
     }
 
     /// Starts the host again. That is not the first start of the fleet.
@@ -171,9 +178,32 @@
         if self.paused {
             self.resume();
         }
-        self.signal("-TERM");
+        self.begin_termination();
         let code = self.wait_for_exit();
-        if code == Some(SIGTERM_STATUS) && self.count_logged_starts() == self.earlier_starts {
+        self.classify_exit(code)
+    }
+
+    /// Sends SIGTERM, also to a process that has received it before.
+    pub fn begin_termination(&mut self) {
+        self.signal("-TERM");
+        self.terminating = true;
+    }
+
+    /// Sends SIGHUP.
+    pub fn hang_up(&self) {
+        self.signal("-HUP");
+    }
+
+    /// Returns how the process ended, if it has.
+    pub fn poll_exit(&mut self) -> Option<Exit> {
+        let status = self.running.as_mut()?.supervisor.try_wait().ok()??;
+        self.running = None;
+        Some(self.classify_exit(status.code()))
+    }
+
+    fn classify_exit(&self, code: Option<i32>) -> Exit {
+        let is_signal = matches!(code, Some(SIGHUP_STATUS | SIGTERM_STATUS));
+        if is_signal && self.count_logged_starts() == self.earlier_starts {
             Exit::BeforeStart
         } else {
             Exit::Status(code)
--- a/crates/entry/tests/soak/run.rs
+++ b/crates/entry/tests/soak/run.rs
@@ -2,6 +2,7 @@
 //! finally the check of all observations.
 
 mod pressure;
+mod signals;
 
 use std::{
     collections::BTreeMap,
@@ -15,7 +16,7 @@
 use serde_json::{Value, json};
 use tokio::runtime::{Builder, Runtime};
 
-use self::pressure::Pressure;
+use self::{pressure::Pressure, signals::Signals};
 use crate::{
     caller::{self, Route, Traffic},
     check::{self, LeaveWindow, Records},
@@ -57,9 +58,10 @@
 /// Number of steps of a run.
 const STEPS: usize = 30;
 
-/// Make the generators of rollbacks and pressure differ from that of the other steps.
+/// Make the generators of rollbacks, pressure and signals differ from that of the other steps.
 const ROLLBACK_SEED: u64 = 0x5eed;
 const PRESSURE_SEED: u64 = 0x9e55;
+const SIGNAL_SEED: u64 = 0x516a;
 
 /// Time after the exit of a host in which callers notice the end of their connections.
 const CALLER_TIME: Duration = Duration::from_millis(250);
@@ -90,6 +92,9 @@
     PartialScript(usize),
     Capacity(usize),
     IdleTimeout(usize),
+    TerminateAgain(usize),
+    KillDraining(usize),
+    PauseDraining(usize, u64),
 }
 
 struct Run {
@@ -130,6 +135,7 @@
     );
     let mut rollback_rng = StdRng::seed_from_u64(seed ^ ROLLBACK_SEED);
     let mut pressure_rng = StdRng::seed_from_u64(seed ^ PRESSURE_SEED);
+    let mut signal_rng = StdRng::seed_from_u64(seed ^ SIGNAL_SEED);
     for number in 0..STEPS {
         let step = Step::choose(&mut run.rng, hosts, ENGINES + PLAIN_INSTANCES);
         println!("seed {seed} step {number}: {step:?}");
@@ -143,6 +149,10 @@
             println!("seed {seed} step {number}: {step:?}");
             run.press(&step);
         }
+        if let Some(step) = Signals::choose(&mut signal_rng, hosts) {
+            println!("seed {seed} step {number}: {step:?}");
+            run.send_signals(&step);
+        }
         let pause = run.rng.random_range(50..500);
         run.run_for(Duration::from_millis(pause));
     }
@@ -264,6 +274,7 @@
             for (_, recovery) in due {
                 self.recover(&recovery);
             }
+            self.restart_ended_hosts();
             if now >= until {
                 return;
             }
@@ -375,6 +386,21 @@
             Recovery::PartialScript(it) => self.engines[*it].clear_partial_script(),
             Recovery::IdleTimeout(it) => self.engines[*it].set_idle_timeout(None),
             Recovery::Capacity(it) => self.restore_capacity(*it),
+            Recovery::TerminateAgain(it) => {
+                if self.hosts[*it].terminating {
+                    self.hosts[*it].begin_termination();
+                }
+            }
+            Recovery::KillDraining(it) => {
+                if self.hosts[*it].terminating {
+                    self.hosts[*it].kill();
+                }
+            }
+            Recovery::PauseDraining(it, ms) => {
+                if self.hosts[*it].terminating {
+                    self.pause(*it, *ms);
+                }
+            }
         }
     }
 
@@ -451,6 +477,7 @@
             }
         }
         self.relieve_engines();
+        self.wait_for_drains();
         for it in self.engine_proxies.iter().chain(&self.store_proxies) {
             it.set(Fault::None);
             it.reset();
@@ -479,6 +506,7 @@
         self.check_leaving_in_time();
         self.check_configuration_in_time();
         self.check_graceful_shutdown();
+        self.check_overlapping_shutdowns();
     }
 
     fn check_leaving_in_time(&mut self) {
