--- a/crates/entry/tests/soak/run/pressure.rs
+++ b/crates/entry/tests/soak/run/pressure.rs
@@ -106,7 +106,7 @@
         9 => Script::Truncates,
         10 => Script::Garbles,
         11 => Script::AppendsBytes,
-        12 => Script::AppendsBytesLate,
+        12 => Script::RespondsThenSends("these bytes belong to no request\r\n\r\n".to_owned()),
         13 => Script::Closes,
         _ => Script::RespondsEarly,
     }
