Soak: give each process loopback addresses of its own

Cause: the hosts' ports for callers, readiness and metrics were on 127.0.0.1. While a host was down, another test process took its port, and callers of the soak got that process's answers.

Change: a soak's hosts have all their ports on addresses that contain the process id.

--- a/crates/entry/tests/soak/host.rs
+++ b/crates/entry/tests/soak/host.rs
@@ -69,8 +69,10 @@
         store: SocketAddr,
         seeds: &[SocketAddr],
     ) -> Self {
-        let callers = free_addr();
-        let ready = free_addr();
+        // While the host is down, another test process must not take its ports.
+        let next_addr = || SocketAddr::new(peers.ip(), free_addr().port());
+        let callers = next_addr();
+        let ready = next_addr();
         let host_settings = HostSettings {
             number,
             callers,
--- a/crates/entry/tests/soak/run.rs
+++ b/crates/entry/tests/soak/run.rs
@@ -193,13 +193,15 @@
         let store_proxies: Vec<Proxy> = (0..hosts)
             .map(|_| Proxy::start(&runtime, store.addr))
             .collect();
-        // All hosts of a run use the same peer port, each on its own loopback address. The third byte
-        // separates concurrent runs.
+        // All hosts of a run use the same peer port, each on its own loopback address. The second byte
+        // separates test processes, and the third concurrent runs.
         let port = free_addr().port();
+        let process =
+            u8::try_from(std::process::id() % 250).expect("the value fits into a byte") + 2;
         let loopback = u8::try_from(seed % 200).expect("the value fits into a byte") + 2;
         let peers = |it: usize| {
             let last = u8::try_from(it + 1).expect("the host number fits into a byte");
-            SocketAddr::from(([127, 0, loopback, last], port))
+            SocketAddr::from(([127, process, loopback, last], port))
         };
         let seeds: Vec<SocketAddr> = (0..hosts).map(peers).collect();
         let mut run = Self {
