Soak: report bytes that belong to no response

The stand-in's client dropped bytes that arrived after the end of a response, so a host that passed on a second response, or one without a request, went unnoticed. They are now counted: after each response, and before a request is sent on an open connection.

--- a/crates/entry/tests/soak/caller.rs
+++ b/crates/entry/tests/soak/caller.rs
@@ -210,10 +210,12 @@
         if connection.is_none() {
             *connection = connect(self.hosts[host]);
         }
-        let answer = match connection {
+        let unasked_bytes = connection.as_ref().map_or(0, count_waiting_bytes);
+        let mut answer = match connection {
             Some(it) => request.send_on(it),
             None => Response::default(),
         };
+        answer.excess_bytes += unasked_bytes;
         let closes = answer.header("connection") == Some("close");
         if answer.status == 0 || !answer.is_complete || closes {
             *connection = None;
@@ -239,6 +241,15 @@
     Some(stream)
 }
 
+/// Counts bytes that have arrived on a connection without a request.
+fn count_waiting_bytes(stream: &TcpStream) -> usize {
+    let set_nonblocking = |it| stream.set_nonblocking(it).expect("the mode can be set");
+    set_nonblocking(true);
+    let count = stream.peek(&mut [0; 256]).unwrap_or(0);
+    set_nonblocking(false);
+    count
+}
+
 /// Starts a thread that sends requests until told to stop.
 pub fn spawn(traffic: &Arc<Traffic>, seed: u64) -> JoinHandle<()> {
     let traffic = traffic.clone();
--- a/crates/entry/tests/soak/check.rs
+++ b/crates/entry/tests/soak/check.rs
@@ -82,6 +82,9 @@
         if call.route.runs_once() && NOT_RUN.contains(&status) && runs > 0 {
             report("reported as not run, but ran");
         }
+        if call.answer.excess_bytes > 0 {
+            report("bytes arrived that belong to no response");
+        }
         if (200..300).contains(&status) && call.answer.is_complete {
             if runs == 0 {
                 report("answered without a run");
