Soak: send the head of a refusal without its end before a response

The bytes that an engine sends where the next response is expected were always ones that no parser takes for a response. Two thirds are now the beginning of a refusal, to which the next response is joined: its status line becomes a header of the refusal.

--- a/crates/entry/tests/soak/run/pressure.rs
+++ b/crates/entry/tests/soak/run/pressure.rs
@@ -97,6 +97,12 @@
     ];
     let response = Box::new(responses[rng.random_range(0..responses.len())].clone());
     let ms = rng.random_range(0..60);
+    // The next response is joined to the head of a refusal without its end.
+    let extra_bytes = match ms {
+        0..20 => "these bytes belong to no request\r\n\r\n",
+        20..40 => "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nPart: ",
+        _ => "HTTP/1.1 421 Other\r\nPart: ",
+    };
     match rng.random_range(0..15) {
         0..=2 => Script::Repeats(Box::new(Script::Refuses)),
         3..=4 => Script::Repeats(response),
@@ -106,7 +112,7 @@
         9 => Script::Truncates,
         10 => Script::Garbles,
         11 => Script::AppendsBytes,
-        12 => Script::RespondsThenSends("these bytes belong to no request\r\n\r\n".to_owned()),
+        12 => Script::RespondsThenSends(extra_bytes.to_owned()),
         13 => Script::Closes,
         _ => Script::RespondsEarly,
     }
