Do not pass on a failure whose head is joined from two responses

Cause: an engine that sends the beginning of a response without its end where the next one is expected makes the status line of the next response the value of a header. The result has the status of the former and the id and seal of the latter, so it was attributed to the request. Only a status that denies a run was caught, on routes that may run once.

Evidence: the caller's response has "421 Other", "part: HTTP/1.1 200 Status" and the seal of instance i-001d, which had sent only 200 for this id; the host's log says "answers 421". answers::a_success_that_joins_a_cut_off_response_is_not_passed_on_as_a_failure failed before (404 with the seal of a 200 on /single).

Change: a response with a status line inside a header is out of step like any that names another request: nothing in it is used, and its connection is closed. Such a joined head always has one, or is no response at all. The platform tests pass (86).

--- a/crates/gateway/src/attribution.rs
+++ b/crates/gateway/src/attribution.rs
@@ -2,8 +2,13 @@
 //! send a second response to an earlier request at the point where the next response is expected, so a
 //! response says nothing about a request until it is attributed to it.
 
+use hyper::HeaderMap;
+
 use crate::connection::Use;
 
+/// Beginning of a status line.
+const VERSION: &[u8] = b"HTTP/1.";
+
 /// Request to which a response belongs.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Attribution {
@@ -36,3 +41,17 @@
         }
     }
 }
+
+/// Returns whether a header contains the status line of a response. Then an engine sent the beginning of a
+/// response, without its end, where this one was expected: the status belongs to the former, the headers to both.
+pub fn contains_status_line(headers: &HeaderMap) -> bool {
+    let is_status_line = |it: &[u8]| {
+        let rest = it.strip_prefix(VERSION).unwrap_or_default();
+        matches!(rest, [minor, b' ', status @ ..] if minor.is_ascii_digit()
+            && status.len() >= 3 && status[..3].iter().all(u8::is_ascii_digit))
+    };
+    headers.values().any(|it| {
+        let bytes = it.as_bytes();
+        (0..bytes.len()).any(|at| is_status_line(&bytes[at..]))
+    })
+}
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -11,7 +11,7 @@
 };
 
 use crate::{
-    attribution::Attribution,
+    attribution::{Attribution, contains_status_line},
     clock,
     connection::{Failure, Reuse, Use},
     dialect::{ResponseHead, UpstreamHead},
@@ -178,7 +178,11 @@
     ) -> bool {
         let id = &*self.request_head.id;
         let response_id = response_head.request_id.as_deref();
-        let attribution = Attribution::new(id, response_id, usage);
+        let attribution = if contains_status_line(response.headers()) {
+            Attribution::Unknown
+        } else {
+            Attribution::new(id, response_id, usage)
+        };
         self.gateway.metrics.count_response(attribution, usage);
         if attribution == Attribution::Own {
             return true;
