--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -12,7 +12,7 @@
 use tokio::time;
 
 use crate::{
-    attribution::Attribution,
+    attribution::{Attribution, contains_status_line},
     clock,
     connection::{Failure, Origin, Reuse},
     dialect::{ResponseHead, UpstreamHead},
@@ -185,7 +185,11 @@
     ) -> bool {
         let id = &*self.request_head.id;
         let response_id = response_head.request_id.as_deref();
-        let attribution = Attribution::new(id, response_id, origin);
+        let attribution = if contains_status_line(response.headers()) {
+            Attribution::Unknown
+        } else {
+            Attribution::new(id, response_id, origin)
+        };
         self.gateway.metrics.count_response(attribution, origin);
         if attribution == Attribution::Own {
             return true;
