--- a/crates/gateway/src/attribution.rs
+++ b/crates/gateway/src/attribution.rs
@@ -16,7 +16,8 @@
     Own,
     /// Another request, which the response names.
     Other,
-    /// Unknown: the response names no request, and the connection has had earlier ones.
+    /// Unknown: the response names no request, and the connection has had earlier ones, or its head is joined from
+    /// two responses.
     Unknown,
 }
 
