--- a/crates/entry/tests/soak/main.rs
+++ b/crates/entry/tests/soak/main.rs
@@ -22,14 +22,16 @@
 
 /// The seeds that run in every build, including each one that ever failed.
 ///
+/// - 3: a response that an instance sent again was attributed to the next request of the connection,
+///   which was refused as not run, or sent to a second instance, and ran.
 /// - 14: an adapter was loaded again, for a newer version, while its load was still in flight, which
 ///   took one slot too many. Review of the code also found that an older copy known only from the
 ///   published list was replaced without a free slot.
 /// - 111: SIGTERM ended a host before it was listening, which the check reported as a failure.
-const SEEDS: [u64; 3] = [1, 14, 111];
+const SEEDS: [u64; 4] = [1, 3, 14, 111];
 
 /// Maximum number of seeds that run concurrently.
-const MAX_PARALLEL_SEEDS: u64 = 3;
+const MAX_PARALLEL_SEEDS: u64 = 4;
 
 /// Number of hosts, unless `SOAK_HOSTS` names another.
 const HOSTS: u64 = 3;
