Return to the silent engine if the one that takes over refuses late

Callers saw a stream that was cut, or 502, while the first engine would have gone on. Two engines may not work on a request for long, so the connection to a silent engine is closed 250 ms after the request was sent to another one. If that one refuses afterwards and the route allows no third engine, no engine had the request any more: what the host had was given up before there was something in its place.

The host now remembers the engine that it has left. When no other engine takes the request, it is sent there once more. That is no further engine, so `max_attempts` holds; it takes a retry from the budget. A takeover from an engine that is merely silent never goes back, so two slow engines don't exchange a request.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -66,6 +66,9 @@
     pub(crate) attempted_engines: Vec<Key>,
     /// Attempted engines to which the request may be sent once more. They count as one attempt each.
     pub(crate) repeatable_engines: Vec<Key>,
+    /// Silent engine that was left for another one. The request may be sent there once more if no other engine takes
+    /// it, and it counts as one attempt.
+    pub(crate) left_engine: Option<Key>,
     /// Engines to which no connection could be opened for the request.
     pub(crate) unreachable_engines: Vec<Key>,
     /// Addresses to which the request was sent.
@@ -158,7 +161,7 @@
                 }
                 Outcome::NoBudget => return self.fail(Fault::NoBudget),
             }
-            if !self.has_attempts_left() {
+            if !self.has_attempts_left() && self.left_engine.is_none() {
                 let fault = match (self.may_have_run, adapter_missing) {
                     (true, _) => Fault::UpstreamLost,
                     (false, true) => Fault::AdapterLoad,
@@ -206,7 +209,7 @@
 
     /// Sends the request to the engine on which it is placed.
     async fn place_and_send(&mut self, until: Time) -> Result<Outcome, Fault> {
-        let choice = self.place(until).await?;
+        let choice = self.place_again(until).await?;
         let is_unreachable = self.unreachable_engines.contains(&choice.key);
         if is_unreachable && clock::now() >= until {
             return Err(Fault::NoEngine);
@@ -376,16 +379,21 @@
         self.attempted_engines.len() < self.route.attempts + self.mismatched_instances
     }
 
-    /// Returns whether a stream may be resumed at another engine.
+    /// Returns whether a stream may be resumed at another engine, or at the silent one that was left.
     pub(crate) fn may_resume(&self) -> bool {
-        self.route.kind == RequestKind::Resumable && self.may_send_again()
+        self.route.kind == RequestKind::Resumable
+            && self.has_time_left()
+            && (self.has_attempts_left() || self.left_engine.is_some())
     }
 
     /// Returns whether a request that may run more than once may be sent to another engine now.
     pub(crate) fn may_send_again(&self) -> bool {
-        self.route.kind.is_retryable()
-            && self.has_attempts_left()
-            && clock::now() + MIN_ATTEMPT_TIME < self.deadline
+        self.route.kind.is_retryable() && self.has_attempts_left() && self.has_time_left()
+    }
+
+    /// Returns whether there is time for another attempt.
+    fn has_time_left(&self) -> bool {
+        clock::now() + MIN_ATTEMPT_TIME < self.deadline
     }
 
     /// Records a fault as the end of the request and returns the response for it.
--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -57,6 +57,38 @@
         table.get(*key).map(|it| short_id(&it.listing.id))
     }
 
+    /// Chooses an engine for the next attempt. If no other engine takes the request now, that is the silent one that was
+    /// left.
+    pub(crate) async fn place_again(&mut self, until: Time) -> Result<Choice, Fault> {
+        let Some(left) = self.left_engine else {
+            return self.place(until).await;
+        };
+        if self.has_attempts_left()
+            && let Ok(it) = self.place(clock::now()).await
+        {
+            return Ok(it);
+        }
+        self.left_engine = None;
+        self.choose_left_engine(left).ok_or(Fault::NoEngine)
+    }
+
+    /// Chooses the silent engine that was left, if it still accepts work.
+    fn choose_left_engine(&self, key: Key) -> Option<Choice> {
+        let now = clock::now();
+        let table = self.gateway.table.borrow();
+        let engine = table.get(key)?;
+        let is_usable = engine.accepts_work()
+            && engine.is_of_build(self.build)
+            && engine.backoff.closed_until(now).is_none();
+        let queue_wait = table.queue_wait_for_one_more(key, now);
+        is_usable.then_some(Choice {
+            key,
+            expected_wait: queue_wait,
+            queue_wait,
+            wants_replica: false,
+        })
+    }
+
     /// Chooses an engine. If none holds the adapter, waits for its load until `until`.
     pub(crate) async fn place(&mut self, until: Time) -> Result<Choice, Fault> {
         let name = self.request_head.name.clone();
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -137,6 +137,7 @@
         deadline,
         attempted_engines: Vec::new(),
         repeatable_engines: Vec::new(),
+        left_engine: None,
         unreachable_engines: Vec::new(),
         attempted_addrs: Vec::new(),
         mismatched_instances: 0,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -244,7 +244,7 @@
                 exchange.await_head(attempt, last_event_id.as_deref()).await
             } else if self.exchange.may_resume() {
                 let until = clock::now() + PLACEMENT_TIMEOUT;
-                let choice = match self.exchange.place(until).await {
+                let choice = match self.exchange.place_again(until).await {
                     Ok(it) => it,
                     Err(fault) => {
                         self.exchange.trace.record_resume_failure(fault.name());
--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -128,6 +128,7 @@
                     }
                     () = &mut overlap_end => {
                         self.may_have_run = true;
+                        self.left_engine = Some(silent.key);
                         return Takeover::Sent(Box::new(next));
                     }
                 }
