Log the prompt parts of a request

The log lines of requests whose engine ended did not show what their prompts have in common, so it could not be told whether engines crash on a prompt, by retries, or for another reason. Each logged request now lists the ids of the first eight parts of its prompt (`prompt`).

--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -4,7 +4,7 @@
 
 use std::{borrow::Cow, fmt::Write, sync::Arc, time::Duration};
 
-use fleet::{catalog::Route, listing::Build, placement::Choice};
+use fleet::{catalog::Route, listing::Build, placement::Choice, prefix::Part};
 use hyper::http::StatusCode;
 
 use crate::{clock, dialect::RequestHead, metrics::Metrics};
@@ -15,6 +15,9 @@
 /// Maximum number of attempts listed in a log line.
 const MAX_LOGGED_ATTEMPTS: usize = 6;
 
+/// Maximum number of prompt parts listed in a log line.
+const MAX_LOGGED_PARTS: usize = 8;
+
 /// Trace of one request, from its arrival to its end.
 #[derive(Clone, Debug)]
 pub struct Trace {
@@ -222,6 +225,7 @@
             builds = self.format_builds().as_str(),
             resumes = request_head.resumed_request.as_deref().unwrap_or("-"),
             after_event = request_head.last_event_id.as_deref().unwrap_or("-"),
+            prompt = format_prompt(&request_head.prompt_parts).as_str(),
             not_resumed = self.resume_failure.unwrap_or("-"),
             tries = self.format_attempts().as_str();
             "request {} {event}", request_head.id
@@ -229,6 +233,13 @@
     }
 }
 
+/// Formats the ids of the first parts of a prompt for the log.
+fn format_prompt(parts: &[Part]) -> String {
+    let parts = parts.iter().take(MAX_LOGGED_PARTS);
+    let ids: Vec<String> = parts.map(|it| format!("{:x}", it.id)).collect();
+    ids.join(",")
+}
+
 /// Converts a duration to whole milliseconds.
 pub fn as_millis(it: Duration) -> u64 {
     u64::try_from(it.as_millis()).unwrap_or(u64::MAX)
