--- a/crates/entry/tests/soak/host.rs
+++ b/crates/entry/tests/soak/host.rs
@@ -84,6 +84,7 @@
             first_start: true,
             slack: crate::check::RETRY_ALLOWANCE,
             order_turn: Duration::from_millis(300),
+            quarantine_seconds: None,
         };
         let folder =
             std::env::temp_dir().join(format!("comfreywing-soak-{}-{seed}", std::process::id()));
