Refuse requests with a prompt part that crashes engines

No host remembered what an engine was doing when it crashed, so each request with the part was placed as if it were the first, and its retry crashed a further engine.

`fleet::quarantine` collects, over all hosts, the parts of the prompts that an engine had just begun or not yet begun when it crashed, and finds the part that was at three crashes and has not succeeded since. Crashes that it explains count against no other part, and parts that succeeded before need crashes at three different moments, so sound requests that share parts or died beside it are served. Requests with the part get 503 `prompt-quarantined` at once, before each attempt. Heartbeats carry the quarantine to hosts that start later or were cut off; one host tries the part again after a term that doubles, and a success ends the quarantine everywhere. The setting `quarantine_seconds` is the first term.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod origin;
 pub mod placement;
 pub mod prefix;
+pub mod quarantine;
 pub mod rate_limit;
 pub mod reader;
 pub mod rendezvous;
--- a/crates/fleet/tests/it/main.rs
+++ b/crates/fleet/tests/it/main.rs
@@ -9,6 +9,7 @@
 mod loads;
 mod origins;
 mod placements;
+mod quarantines;
 mod readers;
 mod stalls;
 mod tables;
--- /dev/null
+++ b/crates/fleet/tests/it/quarantines.rs
@@ -0,0 +1,271 @@
+//! Quarantine of prompt parts that crash engines.
+
+use std::time::Duration;
+
+use fleet::{
+    Time,
+    prefix::Part,
+    quarantine::{Adoption, Incarnation, Notice, PartId, Quarantine, Suspect, Verdict, suspects},
+};
+
+use crate::fixture::{at, ms};
+
+const TERM: Duration = Duration::from_mins(1);
+
+/// Parts that all prompts, and some prompts, share.
+const COMMON: u64 = 1;
+const CRASHING: u64 = 2;
+const SOUND: u64 = 3;
+
+/// Returns the parts of a prompt with these ids.
+fn prompt(ids: &[u64]) -> Vec<Suspect> {
+    let parts: Vec<_> = ids
+        .iter()
+        .map(|it| Part {
+            id: *it,
+            tokens: 10,
+        })
+        .collect();
+    suspects("chat", &parts)
+}
+
+fn part(id: u64) -> PartId {
+    PartId::new("chat", &Part { id, tokens: 10 })
+}
+
+/// Records and judges the crash of an engine with requests of these prompts. Returns the newly quarantined parts.
+fn crash(quarantine: &mut Quarantine, engine: u32, time: Time, prompts: &[&[u64]]) -> Vec<PartId> {
+    let engine = Incarnation {
+        engine,
+        started_at: 1,
+    };
+    let suspects: Vec<_> = prompts.iter().flat_map(|it| prompt(it)).collect();
+    quarantine.record_crash(engine, &suspects, time, time);
+    quarantine.judge(time)
+}
+
+/// Crashes three engines, one second after the other, with a request with the part `CRASHING` and sound ones.
+fn quarantine_crashing() -> Quarantine {
+    let mut quarantine = Quarantine::default();
+    for number in 0..3 {
+        let own = 100 + u64::from(number);
+        let time = at(u64::from(number) * 1000);
+        quarantine.record_success(&prompt(&[COMMON, SOUND, 50]), time);
+        let prompts: [&[u64]; 2] = [&[COMMON, CRASHING, own], &[COMMON, SOUND, own + 10]];
+        let quarantined = crash(&mut quarantine, number, time + ms(500), &prompts);
+        let expected = if number == 2 {
+            vec![part(CRASHING)]
+        } else {
+            vec![]
+        };
+        assert_eq!(quarantined, expected);
+    }
+    quarantine
+}
+
+fn check(quarantine: &mut Quarantine, ids: &[u64], may_try: bool, time: Time) -> Verdict {
+    quarantine.check(&prompt(ids), |_| may_try, time)
+}
+
+#[test]
+fn the_part_of_three_crashes_that_never_succeeded_is_quarantined() {
+    let mut quarantine = quarantine_crashing();
+    let time = at(3500);
+    let left = TERM.saturating_sub(ms(1000));
+    let refused = Verdict::Refuse(part(CRASHING), left);
+    assert_eq!(
+        check(&mut quarantine, &[COMMON, CRASHING, 9], true, time),
+        refused
+    );
+    assert_eq!(
+        check(&mut quarantine, &[COMMON, SOUND, 9], true, time),
+        Verdict::Pass
+    );
+    // The same part of another service has other engines.
+    let other = suspects(
+        "other",
+        &[
+            Part {
+                id: CRASHING,
+                tokens: 10,
+            },
+            Part { id: 9, tokens: 10 },
+        ],
+    );
+    assert_eq!(quarantine.check(&other, |_| true, time), Verdict::Pass);
+}
+
+#[test]
+fn several_reports_of_one_crash_count_once() {
+    let mut quarantine = Quarantine::default();
+    for number in 0..6 {
+        let own = 100 + number;
+        let quarantined = crash(
+            &mut quarantine,
+            7,
+            at(number * 300),
+            &[&[COMMON, CRASHING, own]],
+        );
+        assert_eq!(quarantined, []);
+    }
+}
+
+#[test]
+fn a_request_that_crashes_engines_by_itself_is_quarantined_by_its_last_part() {
+    let mut quarantine = Quarantine::default();
+    let repeated: &[u64] = &[COMMON, SOUND, 9];
+    let mut quarantined = Vec::new();
+    for number in 0..3 {
+        let time = at(u64::from(number) * 1000);
+        quarantine.record_success(&prompt(&[COMMON, SOUND, 50]), time);
+        quarantined = crash(&mut quarantine, number, time + ms(500), &[repeated]);
+    }
+    assert_eq!(quarantined, [part(9)]);
+    assert_eq!(
+        check(&mut quarantine, &[COMMON, SOUND, 8], true, at(3000)),
+        Verdict::Pass
+    );
+}
+
+#[test]
+fn a_part_that_has_succeeded_is_not_blamed_for_engines_that_end_at_the_same_moment() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_success(&prompt(&[COMMON, SOUND, 50]), at(0));
+    for number in 0..20 {
+        let time = at(100 + u64::from(number) * 5);
+        let own = 100 + u64::from(number);
+        assert_eq!(
+            crash(&mut quarantine, number, time, &[&[COMMON, SOUND, own]]),
+            []
+        );
+    }
+    quarantine.record_success(&prompt(&[COMMON, SOUND, 51]), at(1000));
+    for number in 0..20 {
+        let time = at(5000 + u64::from(number) * 5);
+        let own = 200 + u64::from(number);
+        assert_eq!(
+            crash(&mut quarantine, 50 + number, time, &[&[COMMON, SOUND, own]]),
+            []
+        );
+    }
+}
+
+#[test]
+fn crashes_that_a_quarantined_part_explains_count_against_no_other() {
+    let mut quarantine = quarantine_crashing();
+    for number in 10..20 {
+        let time = at(3000 + u64::from(number) * 300);
+        let prompts: [&[u64]; 2] = [&[COMMON, CRASHING, 5], &[COMMON, 4, 6]];
+        assert_eq!(crash(&mut quarantine, number, time, &prompts), []);
+    }
+    assert_eq!(
+        check(&mut quarantine, &[COMMON, 4, 7], true, at(10_000)),
+        Verdict::Pass
+    );
+}
+
+#[test]
+fn one_host_tries_a_part_again_and_a_crash_doubles_the_term() {
+    let mut quarantine = quarantine_crashing();
+    let ids = [COMMON, CRASHING, 9];
+    let end = at(2500) + TERM;
+    let is_refused = |it| matches!(it, Verdict::Refuse(..));
+    assert!(is_refused(check(
+        &mut quarantine,
+        &ids,
+        true,
+        end.saturating_sub(ms(1))
+    )));
+    assert!(is_refused(check(&mut quarantine, &ids, false, end)));
+    assert_eq!(
+        check(&mut quarantine, &ids, true, end),
+        Verdict::Trial(part(CRASHING))
+    );
+    assert!(is_refused(check(&mut quarantine, &ids, true, end + ms(1))));
+    let crash_time = end + ms(500);
+    let quarantined = crash(&mut quarantine, 30, crash_time, &[&ids]);
+    assert_eq!(quarantined, [part(CRASHING)]);
+    let refused = Verdict::Refuse(part(CRASHING), TERM * 2);
+    assert_eq!(check(&mut quarantine, &ids, true, crash_time), refused);
+}
+
+#[test]
+fn a_success_ends_the_quarantine_here_and_at_other_hosts() {
+    let mut quarantine = quarantine_crashing();
+    let mut other = quarantine.clone();
+    let ids = [COMMON, CRASHING, 9];
+    let time = at(2500) + TERM;
+    assert_eq!(
+        quarantine.record_success(&prompt(&ids), time),
+        [part(CRASHING)]
+    );
+    assert_eq!(check(&mut quarantine, &ids, false, time), Verdict::Pass);
+    assert!(other.record_remote_success(part(CRASHING), time, time));
+    assert_eq!(check(&mut other, &ids, false, time), Verdict::Pass);
+}
+
+#[test]
+fn a_quarantine_ends_by_itself_if_no_request_comes_to_be_tried() {
+    let mut quarantine = quarantine_crashing();
+    let time = at(2500) + TERM * 2;
+    assert_eq!(quarantine.len(time), 0);
+    assert_eq!(
+        check(&mut quarantine, &[COMMON, CRASHING, 9], false, time),
+        Verdict::Pass
+    );
+}
+
+#[test]
+fn a_host_adopts_a_quarantine_unless_the_part_has_succeeded_since() {
+    let notice = |age| Notice {
+        part: part(CRASHING),
+        age,
+        length: TERM,
+    };
+    let mut young = Quarantine::default();
+    assert_eq!(young.adopt(notice(ms(5000)), at(10_000)), Adoption::New);
+    assert_eq!(young.adopt(notice(ms(5200)), at(10_200)), Adoption::Known);
+    let refused = Verdict::Refuse(part(CRASHING), TERM.saturating_sub(ms(5200)));
+    assert_eq!(
+        check(&mut young, &[COMMON, CRASHING, 9], true, at(10_200)),
+        refused
+    );
+    let mut other = Quarantine::default();
+    other.record_success(&prompt(&[COMMON, CRASHING, 9]), at(7000));
+    let disproved = Adoption::Disproved(ms(3000));
+    assert_eq!(other.adopt(notice(ms(5000)), at(10_000)), disproved);
+    assert_eq!(other.adopt(notice(ms(2000)), at(10_000)), Adoption::New);
+}
+
+#[test]
+fn two_hosts_do_not_renew_a_term_that_has_ended_for_each_other() {
+    let mut first = quarantine_crashing();
+    let mut second = Quarantine::default();
+    let mut time = at(2600);
+    while time < at(2500) + TERM * 3 {
+        let (from, to) = (first.notices(time), time + ms(20));
+        for it in from {
+            second.adopt(it, to);
+        }
+        let (from, to) = (second.notices(to), to + ms(20));
+        for it in from {
+            first.adopt(it, to);
+        }
+        time += ms(200);
+    }
+    assert_eq!((first.len(time), second.len(time)), (0, 0));
+}
+
+#[test]
+fn memory_is_bounded() {
+    let mut quarantine = Quarantine::default();
+    for number in 0..2000_u32 {
+        let time = at(u64::from(number) * 300);
+        let id = 1000 + u64::from(number / 3);
+        crash(&mut quarantine, number, time, &[&[id, 7]]);
+        quarantine.record_success(&prompt(&[100_000 + u64::from(number), 5]), time);
+    }
+    assert!(quarantine.len(at(600_000)) <= 256);
+    let time = at(600_000);
+    assert!(quarantine.notices(time).len() <= 256);
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -12,6 +12,7 @@
     circuit::State,
     origin::{BuildId, StreamId},
     prefix::Chain,
+    quarantine::{PartId, Suspect},
     stall::Stage,
     table::Key,
 };
@@ -60,6 +61,10 @@
     pub(crate) service: Arc<str>,
     pub(crate) request_head: RequestHead,
     pub(crate) prefix_chain: Chain,
+    /// Parts of the prompt, on one of which engines may crash.
+    pub(crate) suspects: Vec<Suspect>,
+    /// Quarantined part that the request tries, until it is sent.
+    pub(crate) trial: Option<PartId>,
     pub(crate) started: Time,
     pub(crate) deadline: Time,
     /// Engines to which the request was sent.
@@ -313,9 +318,17 @@
         }
     }
 
+    /// Records that the connection to an engine broke before the end of the response. The engine may have crashed.
+    pub(crate) fn record_break(&self, in_flight: &InFlight) {
+        if in_flight.may_be_beginning() {
+            self.gossip.record_break(in_flight.key, &self.suspects);
+        }
+    }
+
     /// Records a response of an engine whose body could not be read to its end.
     fn record_incomplete(&mut self, in_flight: &InFlight, failure: &connection::Failure) {
         log::debug!("request {}: {failure}", self.request_head.id);
+        self.record_break(in_flight);
         if let connection::Failure::TooLarge(part) = failure {
             self.record_too_large(in_flight.key, in_flight.attempt, *part);
         }
@@ -359,6 +372,9 @@
     /// Records the end of the request. Only the first call has an effect.
     pub(crate) fn record_end(&mut self, end: End) {
         if !std::mem::replace(&mut self.end_recorded, true) {
+            if end == End::Served {
+                self.gossip.record_part_success(&self.suspects);
+            }
             let metrics = &self.gateway.metrics;
             self.trace
                 .finish(&self.request_head, &self.route, &self.service, end, metrics);
@@ -412,6 +428,7 @@
             | Fault::AdapterLoad
             | Fault::NoBudget
             | Fault::BuildGone
+            | Fault::PromptQuarantined
                 if self.may_have_run =>
             {
                 Fault::UpstreamLost
@@ -426,6 +443,7 @@
             Fault::BuildGone => Some(BUILD_RETURN_TIME),
             Fault::NoBudget => Some(Duration::from_millis(500)),
             Fault::Overload | Fault::NoEngine => Some(Duration::from_millis(700)),
+            Fault::PromptQuarantined => Some(self.gateway.settings.quarantine_term()),
             _ => None,
         };
         let retry_after = retry_after.map(|it| self.retry_after.unwrap_or(it));
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -129,6 +129,7 @@
             return Err(Outcome::NoBudget);
         }
         self.attempts += 1;
+        self.trial = None;
         self.attempted_addrs.push(addr);
         in_flight.attempt = self.trace.record_attempt(&instance, &target.build, &choice);
         let origin = connection.origin;
@@ -175,6 +176,9 @@
                 }
             }
             Err(failure) => {
+                if matches!(failure, Failure::Broken(_)) {
+                    self.record_break(&in_flight);
+                }
                 self.record_no_response(&failure, key, addr, (&instance, number), origin)
             }
         }
--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -8,6 +8,7 @@
     listing::{Name, is_adapter},
     loader::Wanted,
     placement::{Choice, Placement},
+    quarantine::Verdict,
     rendezvous::short_id,
     table::Key,
 };
@@ -69,9 +70,32 @@
             return Ok(it);
         }
         self.left_engine = None;
+        self.check_quarantine()?;
         self.choose_left_engine(left).ok_or(Fault::NoEngine)
     }
 
+    /// Fails if engines crash on a part of the prompt, unless this request is to show whether they still do.
+    fn check_quarantine(&mut self) -> Result<(), Fault> {
+        if self.trial.is_some() {
+            return Ok(());
+        }
+        match self.gossip.check_quarantine(&self.suspects) {
+            Verdict::Pass => Ok(()),
+            Verdict::Trial(part) => {
+                let id = &*self.request_head.id;
+                self.trial = Some(part);
+                let part = format!("{:x}", part.0);
+                log::info!(event = "part-trial", request = id, prompt_part = &*part; "request {id} tries whether engines still crash on prompt part {part}");
+                self.gateway.metrics.count_trial();
+                Ok(())
+            }
+            Verdict::Refuse(_, retry_after) => {
+                self.retry_after = Some(retry_after);
+                Err(Fault::PromptQuarantined)
+            }
+        }
+    }
+
     /// Chooses the silent engine that was left, if it still accepts work.
     fn choose_left_engine(&self, key: Key) -> Option<Choice> {
         let now = clock::now();
@@ -100,6 +124,7 @@
         let until = until.min(self.deadline);
         let mut waiting: Option<WaitGuard> = None;
         loop {
+            self.check_quarantine()?;
             self.gateway.record_due_loads();
             let mut tried = self.attempted_engines.clone();
             tried.retain(|it| !self.repeatable_engines.contains(it));
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -2,7 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
-use fleet::{catalog::Catalog, prefix::Chain};
+use fleet::{catalog::Catalog, prefix::Chain, quarantine};
 use http_body_util::{BodyExt, Limited};
 use hyper::{
     Method, Request, Response,
@@ -122,6 +122,7 @@
         };
         prefix_chain = Chain::new(name, &[prompt]);
     }
+    let suspects = quarantine::suspects(&service, &request_head.prompt_parts);
     Ok(Exchange {
         gateway: gateway.clone(),
         gossip: gossip.clone(),
@@ -133,6 +134,8 @@
         service,
         request_head,
         prefix_chain,
+        suspects,
+        trial: None,
         started,
         deadline,
         attempted_engines: Vec::new(),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,6 +20,7 @@
     origin::{BuildId, Origins},
     placement::{self, Placement, PlacementRequest},
     prefix::Chain,
+    quarantine::Quarantine,
     table::{Key, Removal, Table},
 };
 use tokio::sync::Notify;
@@ -29,7 +30,7 @@
     clock,
     connection::Pool,
     dialect::{Dialect, Kind, ResponseHead},
-    gossip::OriginQueries,
+    gossip::{CrashWatch, OriginQueries},
     list_cache::ListCache,
     list_sync, message,
     metrics::Metrics,
@@ -88,6 +89,10 @@
     pub origins: RefCell<Origins>,
     /// Queries to other hosts which build began a stream.
     pub origin_queries: OriginQueries,
+    /// Prompt parts that crash engines.
+    pub quarantine: RefCell<Quarantine>,
+    /// Crashes of engines that are to be confirmed, or reported to other hosts.
+    pub crash_watch: CrashWatch,
     /// True once the process was asked to stop.
     pub stopping: Cell<bool>,
     /// True once new requests are refused because the process is about to terminate.
@@ -170,6 +175,7 @@
     pub fn new(settings: Settings, dialect: Arc<dyn Dialect>, incarnation: u64) -> Self {
         Self {
             holder: settings.holder().into(),
+            quarantine: RefCell::new(Quarantine::new(settings.quarantine_term())),
             settings,
             incarnation,
             started_at: clock::now(),
@@ -185,6 +191,7 @@
             peers: RefCell::default(),
             origins: RefCell::default(),
             origin_queries: OriginQueries::default(),
+            crash_watch: CrashWatch::default(),
             stopping: Cell::default(),
             closing: Cell::default(),
             open_connections: Cell::default(),
@@ -537,6 +544,8 @@
         let live_hosts = self.peers.borrow().live_hosts(clock::now()).len();
         self.metrics
             .record_state(config, engines, live_hosts, self.orderable_engines().len());
+        let quarantined = self.quarantine.borrow().len(clock::now());
+        self.metrics.record_quarantined_parts(quarantined);
         for kind in list_sync::LISTS {
             if let Some(age) = self.list_age(kind) {
                 self.metrics.record_list_age(kind.name(), age);
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -3,6 +3,7 @@
 //! are sent again, or reach the store's lists soon.
 
 mod origins;
+mod quarantine;
 
 use std::{
     collections::{HashMap, HashSet},
@@ -26,7 +27,7 @@
 };
 use tokio::{net::UdpSocket, time};
 
-pub use self::origins::OriginQueries;
+pub use self::{origins::OriginQueries, quarantine::CrashWatch};
 
 use crate::{
     clock,
@@ -100,6 +101,8 @@
                 Some(Message::Origins(it)) => self.handle_origins(&it),
                 Some(Message::OriginQuery(it)) => self.handle_origin_query(&it, from),
                 Some(Message::OriginReply(it)) => self.handle_origin_reply(&it, from),
+                Some(Message::Crash(it)) => self.handle_crash(&it),
+                Some(Message::PartSuccess(it)) => self.handle_part_success(it),
                 None => log::debug!("cannot decode datagram from {from}"),
             }
         }
@@ -272,6 +275,7 @@
         let mut heartbeat = self.build_heartbeat(now);
         let workloads = self.workload_messages();
         let drains = self.drain_messages();
+        let reports = self.report_messages(now);
         self.announce_held_origins();
         let mut usage = self.usage_by_steward();
         for host in self.gateway.peers.borrow_mut().take_lost(now) {
@@ -289,7 +293,7 @@
                 return;
             };
             heartbeat = it;
-            for part in workloads.iter().chain(&drains) {
+            for part in workloads.iter().chain(&drains).chain(&reports) {
                 self.send(part, addr).await;
             }
         }
@@ -398,6 +402,7 @@
             full_speed_loads: self.gateway.loader.borrow().full_speed_loads(),
             claims: claims.orderable(now).map(|it| short_id(it)).collect(),
             list_state: list_sync::list_state(&self.gateway),
+            quarantined_parts: self.quarantined_parts(now),
             usage_continued: false,
             adapter_usage: Vec::new(),
         }
@@ -456,6 +461,7 @@
         if has_joined {
             self.send_origins_to(from);
         }
+        self.handle_quarantined(&heartbeat.quarantined_parts, from);
         let mut table = self.gateway.table.borrow_mut();
         // A truncated list doesn't show that the other adapters have no requests.
         let is_truncated = heartbeat.adapter_usage.len() >= MAX_ADAPTERS_PER_MESSAGE;
--- a/crates/gateway/src/gossip/origins.rs
+++ b/crates/gateway/src/gossip/origins.rs
@@ -265,7 +265,7 @@
     }
 
     /// Sends a message at once, without waiting for room in the socket's buffer.
-    fn try_send(&self, message: &Message, addr: SocketAddr) {
+    pub(super) fn try_send(&self, message: &Message, addr: SocketAddr) {
         for datagram in message::encode_within_limit(message) {
             if let Err(error) = self.socket.try_send_to(&datagram, addr) {
                 log::debug!("cannot send datagram to {addr}: {error}");
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -18,6 +18,9 @@
 /// Maximum size of the body of a response that is not forwarded, in bytes. More costs as much as a new connection.
 const MAX_DISCARDED_BYTES: usize = 64 << 10;
 
+/// Time after the first event in which a response counts as just begun.
+const BEGINNING: Duration = Duration::from_secs(1);
+
 /// Request in progress at an engine, counted in the engine's workload. Dropping it closes the
 /// connection, which cancels the request at the engine.
 pub struct InFlight {
@@ -105,6 +108,11 @@
         self.begun_at = Some(now);
     }
 
+    /// Returns whether the engine has just begun to generate the response, or may be about to.
+    pub(crate) fn may_be_beginning(&self) -> bool {
+        (self.begun_at).is_none_or(|it| clock::now() < it + BEGINNING)
+    }
+
     /// Returns the connection to the pool after the whole response was read.
     pub(crate) fn release_connection(mut self, keep_alive: Option<Duration>) {
         if let Some(connection) = self.connection.take() {
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -23,13 +23,19 @@
 /// Maximum number of streams in one [`Message::Origins`], so that it fits into a datagram.
 pub const MAX_ORIGINS_PER_MESSAGE: usize = 60;
 
+/// Maximum number of prompt parts in one [`CrashReport`], so that it fits into a datagram.
+pub const MAX_SUSPECTS_PER_MESSAGE: usize = 60;
+
+/// Maximum number of quarantined prompt parts in one [`Heartbeat`].
+pub const MAX_QUARANTINED_PER_MESSAGE: usize = 16;
+
 /// Shortened id of an engine.
 pub type ShortId = u32;
 
 /// Version of the message format, the first byte of each datagram. It changes with the messages, so
 /// that two builds running side by side during a rollout do not misread each other. State that must
 /// survive between builds is in the store.
-const FORMAT_VERSION: u8 = 4;
+const FORMAT_VERSION: u8 = 5;
 
 /// Encodes a message as a datagram.
 pub fn encode(message: &Message) -> Vec<u8> {
@@ -105,7 +111,9 @@
         | Message::ListState(_)
         | Message::PromptSent(..)
         | Message::OriginQuery(_)
-        | Message::OriginReply(_) => None,
+        | Message::OriginReply(_)
+        | Message::Crash(_)
+        | Message::PartSuccess(_) => None,
     }
 }
 
@@ -150,6 +158,10 @@
     OriginQuery(OriginQuery),
     /// Response to an [`OriginQuery`].
     OriginReply(OriginReply),
+    /// Crash of an engine.
+    Crash(CrashReport),
+    /// A request with a prompt part that was quarantined has succeeded.
+    PartSuccess(PartSuccess),
 }
 
 /// A stream: [`fleet::origin::StreamId`].
@@ -211,6 +223,51 @@
     }
 }
 
+/// A part of the prompts of one service: [`fleet::quarantine::PartId`].
+pub type PartNumber = u64;
+
+/// Crash of an engine while it had requests of the sender.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct CrashReport {
+    /// Incarnation of the engine.
+    pub engine: EngineIncarnation,
+    /// Time in ms since the crash.
+    pub age_ms: u32,
+    /// Prompt parts of the requests that the engine had just begun, or not yet begun.
+    pub suspects: Vec<ReportedSuspect>,
+}
+
+/// Encoding of [`fleet::quarantine::Suspect`].
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct ReportedSuspect {
+    /// The part.
+    pub part: PartNumber,
+    /// Number of parts before it.
+    pub depth: u8,
+    /// Time in ms since the sender's last success with the part, if it knows one.
+    pub success_age_ms: Option<u32>,
+}
+
+/// Success of a request with a prompt part.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct PartSuccess {
+    /// The part.
+    pub part: PartNumber,
+    /// Time in ms since the success.
+    pub age_ms: u32,
+}
+
+/// Prompt part with which requests are refused.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct QuarantinedPart {
+    /// The part.
+    pub part: PartNumber,
+    /// Time in ms since the beginning of the quarantine.
+    pub age_ms: u32,
+    /// Time in seconds from its beginning until the part is tried again.
+    pub term_s: u32,
+}
+
 /// Incarnation of an engine.
 #[derive(Clone, Copy, Debug, Deserialize, Serialize)]
 pub struct EngineIncarnation {
@@ -240,6 +297,8 @@
     /// State of the host's lists.
     #[serde(rename = "lists")]
     pub list_state: ListState,
+    /// Prompt parts that the host has quarantined.
+    pub quarantined_parts: Vec<QuarantinedPart>,
     /// True if `adapter_usage` continues that of an earlier heartbeat.
     pub usage_continued: bool,
     /// Requests of the host at engines of which the receiver is the steward.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -41,6 +41,9 @@
     retries_left: Gauge<f64>,
     list_age: Gauge<f64>,
     loop_delay: Histogram<f64>,
+    crashes: Counter<u64>,
+    trials: Counter<u64>,
+    quarantined_parts: Gauge<u64>,
 }
 
 impl Default for Metrics {
@@ -116,6 +119,18 @@
                 "loop_delay",
                 "Time by which a timer of the event loop was late",
             ),
+            crashes: counter(
+                "engine_crashes",
+                "Engines that this host has seen end before they had answered its requests",
+            ),
+            trials: counter(
+                "quarantine_trials",
+                "Requests that were sent to try a quarantined prompt part",
+            ),
+            quarantined_parts: gauge(
+                "quarantined_parts",
+                "Prompt parts with which requests are refused, since engines crash on them",
+            ),
             exposition,
         }
     }
@@ -204,6 +219,22 @@
         self.store_calls.add(1, &labels);
     }
 
+    /// Counts a crash of an engine.
+    pub fn count_crash(&self, service: &str) {
+        self.crashes.add(1, &[label("service", service)]);
+    }
+
+    /// Counts a request that tries a quarantined prompt part.
+    pub fn count_trial(&self) {
+        self.trials.add(1, &[]);
+    }
+
+    /// Sets the number of quarantined prompt parts.
+    pub fn record_quarantined_parts(&self, parts: usize) {
+        let parts = u64::try_from(parts).unwrap_or(u64::MAX);
+        self.quarantined_parts.record(parts, &[]);
+    }
+
     /// Sets the gauges of the current state.
     pub fn record_state(&self, config: u64, engines: usize, hosts: usize, claims: usize) {
         let number = |it: usize| u64::try_from(it).unwrap_or(u64::MAX);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -175,7 +175,10 @@
                 }
                 Step::End
             }
-            Ok(Received::EndWithinEvent) => Step::Broken("ended within an event"),
+            Ok(Received::EndWithinEvent) => {
+                self.exchange.record_break(in_flight);
+                Step::Broken("ended within an event")
+            }
             Err(Failure::TooLarge(part)) => {
                 let (key, attempt) = (in_flight.key, in_flight.attempt);
                 self.exchange.record_too_large(key, attempt, part);
@@ -183,6 +186,7 @@
             }
             Err(error) => {
                 log::debug!("request {}: {error}", self.exchange.request_head.id);
+                self.exchange.record_break(in_flight);
                 Step::Broken("broke off")
             }
         }
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -45,6 +45,8 @@
     OriginUnknown,
     /// No engine of the build that began the stream accepts work.
     BuildGone,
+    /// Engines crash on a part of the prompt.
+    PromptQuarantined,
     /// The request may have run, and there is no complete response.
     UpstreamLost,
     /// This host is about to terminate.
@@ -55,7 +57,7 @@
 
 impl Fault {
     /// All faults.
-    pub const ALL: [Self; 13] = [
+    pub const ALL: [Self; 14] = [
         Self::NoConfig,
         Self::NoRoute,
         Self::BadRequest,
@@ -66,6 +68,7 @@
         Self::NoBudget,
         Self::OriginUnknown,
         Self::BuildGone,
+        Self::PromptQuarantined,
         Self::UpstreamLost,
         Self::Stopping,
         Self::Timeout,
@@ -84,6 +87,7 @@
             Self::NoBudget => "no-budget",
             Self::OriginUnknown => "origin-unknown",
             Self::BuildGone => "build-gone",
+            Self::PromptQuarantined => "prompt-quarantined",
             Self::UpstreamLost => "upstream-lost",
             Self::Stopping => "stopping",
             Self::Timeout => "timeout",
@@ -103,6 +107,7 @@
             | Self::NoBudget
             | Self::OriginUnknown
             | Self::BuildGone
+            | Self::PromptQuarantined
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::UpstreamLost => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,7 +3,7 @@
 use std::{fs, net::SocketAddr, path::Path, time::Duration};
 
 use derive_more::{Display, Error};
-use fleet::era::Start;
+use fleet::{era::Start, quarantine};
 use serde::Deserialize;
 
 /// Settings as written in the file. Unknown fields are errors.
@@ -44,11 +44,19 @@
     pub orders: Orders,
     /// Time in seconds from the stop signal to the end of the process.
     pub grace_seconds: f64,
+    /// Time in seconds for which requests with a prompt part that crashes engines are refused, before the part is first
+    /// tried again; 1 to 3600.
+    #[serde(default = "default_quarantine_seconds")]
+    pub quarantine_seconds: u32,
     /// Log level.
     #[serde(default)]
     pub log: Log,
 }
 
+fn default_quarantine_seconds() -> u32 {
+    u32::try_from(quarantine::DEFAULT_TERM.as_secs()).unwrap_or(u32::MAX)
+}
+
 /// Mode of a process.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
 #[serde(rename_all = "lowercase")]
@@ -161,6 +169,14 @@
             return Err(format!("{field}: {value} must not be negative"));
         }
     }
+    let term = settings.quarantine_term();
+    if term.is_zero() || term > quarantine::MAX_TERM {
+        let max = quarantine::MAX_TERM.as_secs();
+        return Err(format!(
+            "quarantine_seconds: {} must be from 1 to {max}",
+            term.as_secs()
+        ));
+    }
     if crate::dialect::find(&settings.dialect).is_none() {
         return Err(format!("dialect: {} is unknown", settings.dialect));
     }
@@ -196,6 +212,11 @@
         }
     }
 
+    /// Time after which a quarantined prompt part is first tried again.
+    pub fn quarantine_term(&self) -> Duration {
+        Duration::from_secs(self.quarantine_seconds.into())
+    }
+
     /// Length of the window for the load limit of the weight store.
     pub fn load_window(&self) -> Duration {
         Duration::from_secs_f64(self.orders.window_seconds)
