Wait for another engine if the silent one that was left can't be asked

Callers saw a stream that was cut at once although the route allowed another engine, which only had to load the adapter: the host sought it without waiting, because it meant to return to the silent engine, and then found that this one was draining. Before it waited.

The host now waits for another engine as before if the silent one can't be asked.

--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -58,7 +58,7 @@
     }
 
     /// Chooses an engine for the next attempt. If no other engine takes the request now, that is the silent one that was
-    /// left.
+    /// left. If that one can't be asked either, waits for another engine until `until`.
     pub(crate) async fn place_again(&mut self, until: Time) -> Result<Choice, Fault> {
         let Some(left) = self.left_engine else {
             return self.place(until).await;
@@ -69,7 +69,13 @@
             return Ok(it);
         }
         self.left_engine = None;
-        self.choose_left_engine(left).ok_or(Fault::NoEngine)
+        if let Some(it) = self.choose_left_engine(left) {
+            return Ok(it);
+        }
+        if !self.has_attempts_left() {
+            return Err(Fault::NoEngine);
+        }
+        self.place(until).await
     }
 
     /// Chooses the silent engine that was left, if it still accepts work.
