Return to the silent engine if the one that has taken over breaks off

Callers saw a stream that was cut, or 502, if the engine that took over from a silent one sent the head of its response and then broke off, although the silent engine went on. The host returned to the silent engine only if the other one had sent nothing for the overlap, and for whole responses not after a broken body.

An accepted takeover now also remembers the engine that was left, and a body that breaks off leads back to it like a refusal does. It takes a retry from the budget and is no further engine.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -161,7 +161,7 @@
                 }
                 Outcome::NoBudget => return self.fail(Fault::NoBudget),
             }
-            if !self.has_attempts_left() && self.left_engine.is_none() {
+            if !self.has_engine_left() {
                 let fault = match (self.may_have_run, adapter_missing) {
                     (true, _) => Fault::UpstreamLost,
                     (false, true) => Fault::AdapterLoad,
@@ -296,7 +296,7 @@
             }
             WaitResult::Ready(Err(failure)) => {
                 self.record_incomplete(&in_flight, &failure);
-                if self.route.kind.is_retryable() && self.has_attempts_left() {
+                if self.route.kind.is_retryable() && self.has_engine_left() {
                     return Err(Unfinished::new(self, None));
                 }
                 Ok(self.fail(Fault::UpstreamLost))
@@ -304,7 +304,7 @@
             WaitResult::Stalled => {
                 log::debug!("request {}: the response stalled", self.request_head.id);
                 self.record_failure(key);
-                if self.route.kind.is_retryable() && self.has_attempts_left() {
+                if self.route.kind.is_retryable() && self.has_engine_left() {
                     return Err(Unfinished::new(self, None));
                 }
                 Ok(self.fail(Fault::UpstreamLost))
@@ -379,11 +379,14 @@
         self.attempted_engines.len() < self.route.attempts + self.mismatched_instances
     }
 
+    /// Returns whether the request may be sent to another engine, or to the silent one that was left.
+    fn has_engine_left(&self) -> bool {
+        self.has_attempts_left() || self.left_engine.is_some()
+    }
+
     /// Returns whether a stream may be resumed at another engine, or at the silent one that was left.
     pub(crate) fn may_resume(&self) -> bool {
-        self.route.kind == RequestKind::Resumable
-            && self.has_time_left()
-            && (self.has_attempts_left() || self.left_engine.is_some())
+        self.route.kind == RequestKind::Resumable && self.has_time_left() && self.has_engine_left()
     }
 
     /// Returns whether a request that may run more than once may be sent to another engine now.
--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -141,6 +141,7 @@
                     !status.is_server_error()
                 };
                 if is_accepted {
+                    self.left_engine = Some(silent.key);
                     return Takeover::Accepted(it);
                 }
                 self.record_failure(it.3.key);
