Return to the silent engine if the one that takes over fails after the overlap

Callers saw the 500 of the engine that took over, although the silent engine went on: a failure led to another attempt only if the route allowed a further engine, and the engine that was left isn't one.

A failure now leads back to the engine that was left like a refusal does; if that one fails too, the caller gets the first failure as before.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -230,7 +230,9 @@
         debug_assert!(response_head.sealed);
         if head.status.is_server_error() {
             self.record_failure(key);
-            if self.may_send_again() && self.gateway.has_retry(&self.service) {
+            let may_send_again =
+                self.route.kind.is_retryable() && self.has_time_left() && self.has_engine_left();
+            if may_send_again && self.gateway.has_retry(&self.service) {
                 let stage = Stage::NextEvent;
                 let body = wait_for_engine(&self.wait_context(), key, stage, body.collect()).await;
                 if let WaitResult::Ready(Ok(body)) = body {
