Return only to a silent engine whose adapter is up to date

A request that returned to the silent engine could begin there on an older version of its adapter, however long ago a newer one had been announced: the way back skipped the check that placement makes. An engine that no longer holds the adapter was asked in vain, which spent a retry.

The way back now requires the adapter in a version that may still begin.

--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -9,7 +9,7 @@
     loader::Wanted,
     placement::{Choice, Placement},
     rendezvous::short_id,
-    table::Key,
+    table::{Freshness, Key},
 };
 use tokio::time;
 
@@ -78,15 +78,22 @@
         self.place(until).await
     }
 
-    /// Chooses the silent engine that was left, if it still accepts work.
+    /// Chooses the silent engine that was left, if it still accepts work and holds the adapter.
     fn choose_left_engine(&self, key: Key) -> Option<Choice> {
         let now = clock::now();
         let table = self.gateway.table.borrow();
         let engine = table.get(key)?;
+        let queue_wait = table.queue_wait_for_one_more(key, now);
+        let name = self.request_head.name.as_ref();
+        let holds_adapter = name.is_none_or(|name| {
+            engine.held.get(name).is_some_and(|it| {
+                table.freshness_after(name, it.version, now, queue_wait) != Freshness::Stale
+            })
+        });
         let is_usable = engine.accepts_work()
             && engine.is_of_build(self.build)
-            && engine.backoff.closed_until(now).is_none();
-        let queue_wait = table.queue_wait_for_one_more(key, now);
+            && engine.backoff.closed_until(now).is_none()
+            && holds_adapter;
         is_usable.then_some(Choice {
             key,
             expected_wait: queue_wait,
