Leave a silent engine only if the budget allows the way back

Callers saw a stream that was cut, or 502, although the silent engine went on: leaving it took the last retry of the budget, the other engine refused, and there was none for the way back. This needs a budget that is nearly spent, as when an engine is silent to many requests at once.

A takeover now needs two retries. One is reserved for the way back until the other engine responds; if there is none, the request stays at the silent engine. The price is that a request whose engine hangs for good isn't sent elsewhere with the last retry.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -53,6 +53,13 @@
         allowed
     }
 
+    /// Returns a retry to the budget that was counted at `counted_at` and not sent.
+    pub fn return_retry(&mut self, counted_at: Time) {
+        if let Some(index) = self.retries.iter().rposition(|it| *it == counted_at) {
+            self.retries.remove(index);
+        }
+    }
+
     /// Returns whether the budget allows a retry, without counting one.
     pub fn has_retry(&mut self, now: Time, rule: Rule, hosts: usize) -> bool {
         self.remaining(now, rule, hosts) >= 1.0
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -29,7 +29,7 @@
     call, clock,
     connection::{self, Part},
     dialect::{RequestHead, ResponseHead},
-    gateway::Gateway,
+    gateway::{Gateway, ReservedRetry},
     gossip::Gossip,
     in_flight::InFlight,
     relay::Relay,
@@ -69,6 +69,8 @@
     /// Silent engine that was left for another one. The request may be sent there once more if no other engine takes
     /// it, and it counts as one attempt.
     pub(crate) left_engine: Option<Key>,
+    /// Retry for the way back to `left_engine`, until the engine that took over has responded.
+    pub(crate) way_back: Option<ReservedRetry>,
     /// Engines to which no connection could be opened for the request.
     pub(crate) unreachable_engines: Vec<Key>,
     /// Addresses to which the request was sent.
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -97,7 +97,8 @@
             return Err(Outcome::NotExecuted(None));
         };
         let is_retry = self.attempts > 0;
-        if is_retry && !self.gateway.has_retry(&self.service) {
+        let is_reserved = self.way_back.is_some() && self.attempted_engines.contains(&key);
+        if is_retry && !is_reserved && !self.gateway.has_retry(&self.service) {
             let metrics = &self.gateway.metrics;
             metrics.count_retry(&self.service, "refused");
             return Err(Outcome::NoBudget);
@@ -124,6 +125,9 @@
                 return Err(Outcome::NotExecuted(None));
             }
         };
+        if is_reserved {
+            self.way_back = None;
+        }
         if is_retry && !self.gateway.take_retry(&self.service) {
             connection.release(None);
             return Err(Outcome::NoBudget);
@@ -318,6 +322,7 @@
         self.trace
             .record_outcome(attempt, format!("answers {}", status.as_u16()));
         self.may_have_run = true;
+        self.way_back = None;
         self.confirm_adapter(key);
         let (head, body) = response.into_parts();
         Outcome::Response(Box::new((head, body, response_head, in_flight)))
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -434,6 +434,19 @@
         allowed
     }
 
+    /// Reserves one retry in the budget of a service. Returns `None` if none is left.
+    pub(crate) fn reserve_retry(self: &Rc<Self>, service: &Arc<str>) -> Option<ReservedRetry> {
+        let hosts = self.peers.borrow().host_count();
+        let rule = self.settings.retry_rule();
+        let reserved_at = clock::now();
+        let is_allowed = self.budget(service).try_retry(reserved_at, rule, hosts);
+        is_allowed.then(|| ReservedRetry {
+            gateway: self.clone(),
+            service: service.clone(),
+            reserved_at,
+        })
+    }
+
     /// Returns whether the budget of a service has a retry left.
     pub fn has_retry(&self, service: &Arc<str>) -> bool {
         let hosts = self.peers.borrow().host_count();
@@ -557,3 +570,17 @@
         ids.filter_map(|id| table.find(id)).collect()
     }
 }
+
+/// Retry that is reserved in the budget. Dropping it returns it to the budget.
+pub(crate) struct ReservedRetry {
+    gateway: Rc<Gateway>,
+    service: Arc<str>,
+    reserved_at: Time,
+}
+
+impl Drop for ReservedRetry {
+    fn drop(&mut self) {
+        let mut budget = self.gateway.budget(&self.service);
+        budget.return_retry(self.reserved_at);
+    }
+}
--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -10,6 +10,7 @@
 use crate::{
     clock,
     exchange::{Attempt, Exchange, OpenResponse, Outcome},
+    gateway::ReservedRetry,
     in_flight::InFlight,
     reply::Fault,
     stall::{WaitResult, wait_for_engine},
@@ -81,7 +82,7 @@
     }
 
     /// Waits for `answer` of a silent engine, and sends the request to another engine meanwhile if the route and the
-    /// retry budget allow it. The caller closes the connection to the silent engine if another one has the request.
+    /// retry budget allow it. The budget must allow the way back too. The caller closes the connection to the silent engine if another one has the request.
     ///
     /// Once the request has been sent, the other engine may work on it, so the silent engine keeps it only if the other
     /// one turns it down, or if `is_last` tells from the answer that the silent engine is done.
@@ -110,7 +111,9 @@
                 it = self.start_takeover(search_until, last_event_id) => it,
             };
             search_until = Time::ZERO;
-            let Some(mut next) = next else { continue };
+            let Some((mut next, way_back)) = next else {
+                continue;
+            };
             let overlap_end = time::sleep(MAX_OVERLAP);
             tokio::pin!(overlap_end);
             let mut late_answer = None;
@@ -129,6 +132,7 @@
                     () = &mut overlap_end => {
                         self.may_have_run = true;
                         self.left_engine = Some(silent.key);
+                        self.way_back = Some(way_back);
                         return Takeover::Sent(Box::new(next));
                     }
                 }
@@ -163,7 +167,7 @@
         &mut self,
         search_until: Time,
         last_event_id: Option<&str>,
-    ) -> Option<Attempt> {
+    ) -> Option<(Attempt, ReservedRetry)> {
         match self.try_takeover(search_until, last_event_id).await {
             Ok(it) => return Some(it),
             Err(why) => self.trace.record_resume_failure(why),
@@ -172,12 +176,13 @@
         None
     }
 
-    /// Sends the request to another engine. Otherwise returns why that is not possible now.
+    /// Sends the request to another engine, with a retry reserved for the way back to the silent one. Otherwise returns
+    /// why that is not possible now.
     async fn try_takeover(
         &mut self,
         search_until: Time,
         last_event_id: Option<&str>,
-    ) -> Result<Attempt, &'static str> {
+    ) -> Result<(Attempt, ReservedRetry), &'static str> {
         if !self.may_send_again() {
             return Err("no-attempt");
         }
@@ -186,11 +191,14 @@
             return Err("no-budget");
         }
         let choice = self.place(search_until).await.map_err(Fault::name)?;
+        let way_back = self.gateway.reserve_retry(&self.service);
+        let way_back = way_back.ok_or("no-budget")?;
         let sent = self.start_attempt(choice, last_event_id).await;
-        sent.map_err(|it| match it {
+        let attempt = sent.map_err(|it| match it {
             Outcome::NoBudget => "no-budget",
             Outcome::DeadlineExceeded => "timeout",
             _ => "no-engine",
-        })
+        })?;
+        Ok((attempt, way_back))
     }
 }
