--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -30,7 +30,7 @@
     call, clock,
     connection::{self, Part},
     dialect::{RequestHead, ResponseHead},
-    gateway::Gateway,
+    gateway::{Gateway, ReservedRetry},
     gossip::Gossip,
     in_flight::InFlight,
     relay::Relay,
@@ -74,6 +74,8 @@
     /// Silent engine that was left for another one. The request may be sent there once more if no other engine takes
     /// it, and it counts as one attempt.
     pub(crate) left_engine: Option<Key>,
+    /// Retry for the way back to `left_engine`, until the engine that took over has responded.
+    pub(crate) way_back: Option<ReservedRetry>,
     /// Engines to which no connection could be opened for the request.
     pub(crate) unreachable_engines: Vec<Key>,
     /// Addresses to which the request was sent.
@@ -166,7 +168,7 @@
                 }
                 Outcome::NoBudget => return self.fail(Fault::NoBudget),
             }
-            if !self.has_attempts_left() && self.left_engine.is_none() {
+            if !self.has_engine_left() {
                 let fault = match (self.may_have_run, adapter_missing) {
                     (true, _) => Fault::UpstreamLost,
                     (false, true) => Fault::AdapterLoad,
@@ -235,7 +237,9 @@
         debug_assert!(response_head.sealed);
         if head.status.is_server_error() {
             self.record_failure(key);
-            if self.may_send_again() && self.gateway.has_retry(&self.service) {
+            let may_send_again =
+                self.route.kind.is_retryable() && self.has_time_left() && self.has_engine_left();
+            if may_send_again && self.gateway.has_retry(&self.service) {
                 let stage = Stage::NextEvent;
                 let body = wait_for_engine(&self.wait_context(), key, stage, body.collect()).await;
                 if let WaitResult::Ready(Ok(body)) = body {
@@ -301,7 +305,7 @@
             }
             WaitResult::Ready(Err(failure)) => {
                 self.record_incomplete(&in_flight, &failure);
-                if self.route.kind.is_retryable() && self.has_attempts_left() {
+                if self.route.kind.is_retryable() && self.has_engine_left() {
                     return Err(Unfinished::new(self, None));
                 }
                 Ok(self.fail(Fault::UpstreamLost))
@@ -309,7 +313,7 @@
             WaitResult::Stalled => {
                 log::debug!("request {}: the response stalled", self.request_head.id);
                 self.record_failure(key);
-                if self.route.kind.is_retryable() && self.has_attempts_left() {
+                if self.route.kind.is_retryable() && self.has_engine_left() {
                     return Err(Unfinished::new(self, None));
                 }
                 Ok(self.fail(Fault::UpstreamLost))
@@ -395,11 +399,14 @@
         self.attempted_engines.len() < self.route.attempts + self.mismatched_instances
     }
 
+    /// Returns whether the request may be sent to another engine, or to the silent one that was left.
+    fn has_engine_left(&self) -> bool {
+        self.has_attempts_left() || self.left_engine.is_some()
+    }
+
     /// Returns whether a stream may be resumed at another engine, or at the silent one that was left.
     pub(crate) fn may_resume(&self) -> bool {
-        self.route.kind == RequestKind::Resumable
-            && self.has_time_left()
-            && (self.has_attempts_left() || self.left_engine.is_some())
+        self.route.kind == RequestKind::Resumable && self.has_time_left() && self.has_engine_left()
     }
 
     /// Returns whether a request that may run more than once may be sent to another engine now.
--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -10,7 +10,7 @@
     placement::{Choice, Placement},
     quarantine::Verdict,
     rendezvous::short_id,
-    table::Key,
+    table::{Freshness, Key},
 };
 use tokio::time;
 
@@ -59,19 +59,26 @@
     }
 
     /// Chooses an engine for the next attempt. If no other engine takes the request now, that is the silent one that was
-    /// left.
+    /// left. If that one can't be asked either, waits for another engine until `until`.
     pub(crate) async fn place_again(&mut self, until: Time) -> Result<Choice, Fault> {
         let Some(left) = self.left_engine else {
             return self.place(until).await;
         };
         if self.has_attempts_left()
+            && self.gateway.has_retry(&self.service)
             && let Ok(it) = self.place(clock::now()).await
         {
             return Ok(it);
         }
         self.left_engine = None;
         self.check_quarantine()?;
-        self.choose_left_engine(left).ok_or(Fault::NoEngine)
+        if let Some(it) = self.choose_left_engine(left) {
+            return Ok(it);
+        }
+        if !self.has_attempts_left() {
+            return Err(Fault::NoEngine);
+        }
+        self.place(until).await
     }
 
     /// Fails if engines crash on a part of the prompt, unless this request is to show whether they still do.
@@ -96,15 +103,22 @@
         }
     }
 
-    /// Chooses the silent engine that was left, if it still accepts work.
+    /// Chooses the silent engine that was left, if it still accepts work and holds the adapter.
     fn choose_left_engine(&self, key: Key) -> Option<Choice> {
         let now = clock::now();
         let table = self.gateway.table.borrow();
         let engine = table.get(key)?;
+        let queue_wait = table.queue_wait_for_one_more(key, now);
+        let name = self.request_head.name.as_ref();
+        let holds_adapter = name.is_none_or(|name| {
+            engine.held.get(name).is_some_and(|it| {
+                table.freshness_after(name, it.version, now, queue_wait) != Freshness::Stale
+            })
+        });
         let is_usable = engine.accepts_work()
             && engine.is_of_build(self.build)
-            && engine.backoff.closed_until(now).is_none();
-        let queue_wait = table.queue_wait_for_one_more(key, now);
+            && engine.backoff.closed_until(now).is_none()
+            && holds_adapter;
         is_usable.then_some(Choice {
             key,
             expected_wait: queue_wait,
