Return once to the silent engine if the one that takes over hangs

Callers saw 504, or a stream that was cut at its deadline, although the silent engine had gone on: the engine that took over hung, and a takeover never went back to the engine that was left.

A takeover may now go back once if the route allows no further engine. The request is not left again for the other engine, so two slow engines don't exchange it.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -399,7 +399,7 @@
     }
 
     /// Returns whether there is time for another attempt.
-    fn has_time_left(&self) -> bool {
+    pub(crate) fn has_time_left(&self) -> bool {
         clock::now() + MIN_ATTEMPT_TIME < self.deadline
     }
 
--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -80,7 +80,7 @@
     }
 
     /// Chooses the silent engine that was left, if it still accepts work and holds the adapter.
-    fn choose_left_engine(&self, key: Key) -> Option<Choice> {
+    pub(crate) fn choose_left_engine(&self, key: Key) -> Option<Choice> {
         let now = clock::now();
         let table = self.gateway.table.borrow();
         let engine = table.get(key)?;
--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -131,8 +131,9 @@
                     }
                     () = &mut overlap_end => {
                         self.may_have_run = true;
-                        self.left_engine = Some(silent.key);
-                        self.way_back = Some(way_back);
+                        // Two silent engines must not exchange a request again and again.
+                        self.left_engine = way_back.as_ref().map(|_| silent.key);
+                        self.way_back = way_back;
                         return Takeover::Sent(Box::new(next));
                     }
                 }
@@ -167,7 +168,7 @@
         &mut self,
         search_until: Time,
         last_event_id: Option<&str>,
-    ) -> Option<(Attempt, ReservedRetry)> {
+    ) -> Option<(Attempt, Option<ReservedRetry>)> {
         match self.try_takeover(search_until, last_event_id).await {
             Ok(it) => return Some(it),
             Err(why) => self.trace.record_resume_failure(why),
@@ -176,15 +177,16 @@
         None
     }
 
-    /// Sends the request to another engine, with a retry reserved for the way back to the silent one. Otherwise returns
-    /// why that is not possible now.
+    /// Sends the request to another engine, with a retry reserved for the way back to the silent one, or back to the one
+    /// that was left before. Otherwise returns why that is not possible now.
     async fn try_takeover(
         &mut self,
         search_until: Time,
         last_event_id: Option<&str>,
-    ) -> Result<(Attempt, ReservedRetry), &'static str> {
+    ) -> Result<(Attempt, Option<ReservedRetry>), &'static str> {
         if !self.may_send_again() {
-            return Err("no-attempt");
+            let attempt = self.try_way_back(last_event_id).await?;
+            return Ok((attempt, None));
         }
         // A search without a retry in the budget could order loads in vain.
         if !self.gateway.has_retry(&self.service) {
@@ -194,11 +196,27 @@
         let way_back = self.gateway.reserve_retry(&self.service);
         let way_back = way_back.ok_or("no-budget")?;
         let sent = self.start_attempt(choice, last_event_id).await;
-        let attempt = sent.map_err(|it| match it {
-            Outcome::NoBudget => "no-budget",
-            Outcome::DeadlineExceeded => "timeout",
-            _ => "no-engine",
-        })?;
-        Ok((attempt, way_back))
+        Ok((sent.map_err(|it| reason(&it))?, Some(way_back)))
+    }
+
+    /// Sends the request to the silent engine that was left for one that is silent too. Otherwise returns why that is
+    /// not possible now.
+    async fn try_way_back(&mut self, last_event_id: Option<&str>) -> Result<Attempt, &'static str> {
+        let left = self.left_engine.filter(|_| self.has_time_left());
+        let left = left.ok_or("no-attempt")?;
+        let choice = self.choose_left_engine(left).ok_or("no-engine")?;
+        let sent = self.start_attempt(choice, last_event_id).await;
+        let attempt = sent.map_err(|it| reason(&it))?;
+        self.left_engine = None;
+        Ok(attempt)
+    }
+}
+
+/// Returns why an attempt could not be sent.
+fn reason(outcome: &Outcome) -> &'static str {
+    match outcome {
+        Outcome::NoBudget => "no-budget",
+        Outcome::DeadlineExceeded => "timeout",
+        _ => "no-engine",
     }
 }
