Check the quarantine of prompt parts before each attempt

The way back to a silent engine does not go through `place`, so a request with a quarantined part could still reach an engine there (found by the review, read only).

--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -89,6 +89,9 @@
         if now >= self.deadline {
             return Err(Outcome::DeadlineExceeded);
         }
+        if self.check_quarantine().is_err() {
+            return Err(Outcome::NotExecuted(None));
+        }
         let key = choice.key;
         if self.unreachable_engines.contains(&key) {
             time::sleep(RECONNECT_PAUSE).await;
--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -71,7 +71,6 @@
             return Ok(it);
         }
         self.left_engine = None;
-        self.check_quarantine()?;
         if let Some(it) = self.choose_left_engine(left) {
             return Ok(it);
         }
@@ -82,7 +81,7 @@
     }
 
     /// Fails if engines crash on a part of the prompt, unless this request is to show whether they still do.
-    fn check_quarantine(&mut self) -> Result<(), Fault> {
+    pub(super) fn check_quarantine(&mut self) -> Result<(), Fault> {
         if self.trial.is_some() {
             return Ok(());
         }
