Find events whose lines end with CR

Lines of an event stream may end with LF, CR LF or CR. The parser knew only the first two, so a stream with CR was held back to its end and then taken for one that had broken off inside an event: it was resumed elsewhere, or cut. The same happened to a stream whose last empty line ends with CR alone.

A CR now ends a line. In a stream that has ended a line with CR LF, a CR alone is half of the end of a line: such a stream that ends there has broken off.

The case of half of a CR LF held before.

--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -10,7 +10,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct TooLarge;
 
-/// Bytes of a stream that are not forwarded yet. Each byte is scanned once.
+/// Bytes of a stream that are not forwarded yet. Lines end with LF, CR LF or CR. Each byte is scanned once.
 #[derive(Debug, Default)]
 pub struct Buffer {
     bytes: BytesMut,
@@ -20,6 +20,12 @@
     line_start: usize,
     /// Size of the lines since the last line with data.
     lines_without_data: usize,
+    /// True if the last scanned byte is a CR.
+    after_cr: bool,
+    /// True if the last complete line is empty.
+    after_empty_line: bool,
+    /// True if a line of the stream has ended with CR LF. A CR is then only half of the end of a line.
+    has_crlf: bool,
 }
 
 impl Buffer {
@@ -28,18 +34,7 @@
         self.bytes.extend_from_slice(data);
         let mut end = 0;
         for at in self.scanned..self.bytes.len() {
-            if self.bytes[at] != b'\n' {
-                continue;
-            }
-            let line = &self.bytes[self.line_start..at];
-            if line.is_empty() || line == b"\r" {
-                end = at + 1;
-            }
-            self.lines_without_data += line.len() + 1;
-            if line.starts_with(b"data") {
-                self.lines_without_data = 0;
-            }
-            self.line_start = at + 1;
+            end = self.scan(at).unwrap_or(end);
         }
         let events = self.bytes.split_to(end).freeze();
         self.line_start -= end;
@@ -50,6 +45,34 @@
         Ok((end > 0).then_some(events))
     }
 
+    /// Scans the next byte. Returns the end of the events that are complete, if it has become known.
+    fn scan(&mut self, at: usize) -> Option<usize> {
+        let byte = self.bytes[at];
+        let after_cr = std::mem::replace(&mut self.after_cr, byte == b'\r');
+        if after_cr && byte == b'\n' {
+            self.has_crlf = true;
+            self.line_start = at + 1;
+            return self.after_empty_line.then_some(at + 1);
+        }
+        let earlier_end = (after_cr && self.after_empty_line).then_some(at);
+        if !matches!(byte, b'\r' | b'\n') {
+            return earlier_end;
+        }
+        let line = &self.bytes[self.line_start..at];
+        self.after_empty_line = line.is_empty();
+        self.lines_without_data += line.len() + 1;
+        if line.starts_with(b"data") {
+            self.lines_without_data = 0;
+        }
+        self.line_start = at + 1;
+        let is_half = byte == b'\r' && self.has_crlf;
+        if self.after_empty_line && !is_half {
+            Some(at + 1)
+        } else {
+            earlier_end
+        }
+    }
+
     /// Returns whether the last event is complete.
     pub fn is_empty(&self) -> bool {
         self.bytes.is_empty()
@@ -63,7 +86,7 @@
 
 /// Id of the last event that has one.
 pub fn last_event_id(events: &[u8]) -> Option<String> {
-    let lines = events.split(|it| *it == b'\n');
+    let lines = events.split(|it| matches!(it, b'\r' | b'\n'));
     let mut ids = lines.filter_map(|it| it.strip_prefix(b"id:"));
     let id = ids.next_back()?;
     let text = std::str::from_utf8(id).ok()?;
--- a/crates/gateway/tests/sse.rs
+++ b/crates/gateway/tests/sse.rs
@@ -1,6 +1,6 @@
 //! Complete events of a stream, in whichever parts its bytes arrive.
 
-use gateway::sse::{Buffer, MAX_EVENT_BYTES, TooLarge};
+use gateway::sse::{Buffer, MAX_EVENT_BYTES, TooLarge, last_event_id};
 
 /// Pushes the parts and returns what is forwarded after each of them, empty if nothing is, and whether an event has begun that isn't complete.
 fn push_all(parts: &[&str]) -> (Vec<String>, bool) {
@@ -57,3 +57,34 @@
     let elapsed = started.elapsed();
     assert!(elapsed < std::time::Duration::from_secs(2), "{elapsed:?}");
 }
+
+/// Streams whose lines end in CR were held back to their end and then taken for broken.
+#[test]
+fn events_are_found_at_all_line_ends_wherever_the_data_is_split() {
+    for line_end in ["\n", "\r\n", "\r"] {
+        let lines = [
+            "data: 0",
+            "",
+            ": comment",
+            "id: 1",
+            "data: 1",
+            "data: 2",
+            "",
+        ];
+        let text: String = lines.iter().map(|it| format!("{it}{line_end}")).collect();
+        let bytes = text.as_bytes();
+        for first in 0..=bytes.len() {
+            for second in first..=bytes.len() {
+                let mut buffer = Buffer::default();
+                let mut received = Vec::new();
+                for part in [&bytes[..first], &bytes[first..second], &bytes[second..]] {
+                    received.extend(buffer.push(part).expect("the events are small"));
+                }
+                let context = format!("{text:?} split at {first} and {second}");
+                assert!(buffer.is_empty(), "{context}");
+                assert_eq!(received.concat(), bytes, "{context}");
+            }
+        }
+        assert_eq!(last_event_id(bytes).as_deref(), Some("1"), "{text:?}");
+    }
+}
