Don't take a reset for the end of a response without a length

ureq takes a reset of the connection for the end of a response that has neither a length nor chunks. The part of a plain service's answer, or of a stored value, that had arrived then passed for the whole. The kinds of error that it treats so are replaced in `await_input`, by a connector that both clients chain after their own. It has a crate of its own, since `objects` may not depend on `upstream`.

The stand-ins of both crates' tests can write a text and reset the connection. `a_break_at_every_boundary_is_resumed` covers resets too, for which each cut was resumed before.

--- a/crates/objects/src/http/transport.rs
+++ b/crates/objects/src/http/transport.rs
@@ -13,7 +13,14 @@
 };
 
 use serde::de::DeserializeOwned;
-use ureq::{Agent, Body, http};
+use transport::ResetGuard;
+use ureq::{
+    Agent, Body, http,
+    unversioned::{
+        resolver::DefaultResolver,
+        transport::{Connector, TcpConnector},
+    },
+};
 
 use crate::{
     budget::{Budget, Decision},
@@ -171,8 +178,9 @@
             .max_idle_connections(0)
             .max_idle_connections_per_host(0)
             .build();
+        let connector = TcpConnector::default().chain(ResetGuard);
         Self {
-            agent: config.into(),
+            agent: Agent::with_parts(config, connector, DefaultResolver::default()),
             base_url: format!("http://{address}"),
             budget,
             counts: Mutex::default(),
--- a/crates/objects/tests/failures.rs
+++ b/crates/objects/tests/failures.rs
@@ -22,6 +22,8 @@
     CloseRead,
     /// Reads the request, sends this text and closes the connection.
     Send(&'static str),
+    /// Receives the request, sends this text and resets the connection.
+    SendAndReset(&'static str),
     /// Reads the request and waits until the client closes the connection.
     Silence,
 }
@@ -73,6 +75,14 @@
             stream.write_all(text.as_bytes()).unwrap();
             let _ = stream.shutdown(Shutdown::Write);
         }
+        Script::SendAndReset(text) => {
+            // Closing a socket with unread bytes resets the connection.
+            let mut buffer = [0; 4096];
+            while !buffer.windows(4).any(|it| it == b"\r\n\r\n") {
+                stream.peek(&mut buffer).unwrap();
+            }
+            stream.write_all(text.as_bytes()).unwrap();
+        }
         Script::Silence => {
             read_request(stream);
             let _ = stream.read(&mut [0]);
@@ -215,6 +225,23 @@
     );
 }
 
+/// The part of a value that had arrived was taken for the whole if the response had neither a length nor chunks.
+#[test]
+fn a_value_without_a_length_is_complete_unless_its_connection_is_reset() {
+    for text in [
+        "HTTP/1.1 200 OK\r\netag: \"7\"\r\n\r\nvalue",
+        "HTTP/1.0 200 OK\r\netag: \"7\"\r\n\r\nvalue",
+    ] {
+        let whole = call_with(Script::Send(text), |it| it.get(REASON, "a"));
+        let object = whole.unwrap().expect("the object exists");
+        assert_eq!((object.version, &*object.value), (7, &b"value"[..]));
+        let cut = call_with(Script::SendAndReset(text), |it| {
+            outcome(&it.get(REASON, "a"))
+        });
+        assert_eq!(cut, Outcome::NoEffect, "{text:?}");
+    }
+}
+
 // Lists and watches with malformed bodies are failures, not empty results.
 #[test]
 fn malformed_bodies() {
--- a/crates/upstream/src/transport.rs
+++ b/crates/upstream/src/transport.rs
@@ -11,6 +11,7 @@
     time::{Duration, Instant},
 };
 
+use transport::ResetGuard;
 use ureq::{
     Error, Timeout,
     config::Config,
@@ -98,7 +99,9 @@
 
 /// Builds a connector of TCP connections that are subject to a [`SendGuard`].
 pub(crate) fn build_connector(guard: Arc<SendGuard>) -> impl Connector {
-    TcpConnector::default().chain(GuardedConnector(guard))
+    TcpConnector::default()
+        .chain(GuardedConnector(guard))
+        .chain(ResetGuard)
 }
 
 #[derive(Debug)]
--- a/crates/upstream/tests/it/engine.rs
+++ b/crates/upstream/tests/it/engine.rs
@@ -242,7 +242,7 @@
     let name = loaded().to_string();
     for event in 0..=CHUNKS {
         let boundary = format_stream(event).len();
-        // An event is complete only with its empty line.
+        // An event is complete only with its empty line. The stream has neither a length nor chunks.
         let cuts = [
             (boundary, event),
             (boundary - 1, event.saturating_sub(1)),
@@ -250,20 +250,17 @@
         ];
         for (cut, from) in cuts {
             let rest = STREAM_HEAD.to_owned() + &format_events(&name, from, CHUNKS).concat();
-            let script = vec![
-                Action::Write(complete[..cut].to_owned()),
-                Action::Write(rest),
-            ];
-            let upstream = Upstream::start(script);
-            assert_eq!(
-                run(&upstream, distant_deadline()),
-                Ok(CHUNKS as u64),
-                "cut at byte {cut}"
-            );
-            let expected = format!("GET /v1/requests/r%2F1/stream?from={from} HTTP/1.1\r\n");
-            let requests = upstream.requests();
-            assert!(requests[1].starts_with(&expected), "{requests:?}");
-            assert_eq!(requests.len(), 2);
+            for end in [Action::Write, Action::WriteAndReset] {
+                let first = end(complete[..cut].to_owned());
+                let description = format!("{first:?}");
+                let upstream = Upstream::start(vec![first, Action::Write(rest.clone())]);
+                let count = run(&upstream, distant_deadline());
+                assert_eq!(count, Ok(CHUNKS as u64), "{description}");
+                let expected = format!("GET /v1/requests/r%2F1/stream?from={from} HTTP/1.1\r\n");
+                let requests = upstream.requests();
+                assert!(requests[1].starts_with(&expected), "{requests:?}");
+                assert_eq!(requests.len(), 2);
+            }
         }
     }
     // The engine may have received the request although its connection was reset.
@@ -323,6 +320,29 @@
     }
 }
 
+/// Covers a refusal and a status report with neither a length nor chunks.
+#[test]
+fn a_message_without_a_length_is_complete_unless_its_connection_is_reset() {
+    let refusal = "HTTP/1.1 503 X\r\n\r\n{\"error\":{\"code\":\"full\"}}".to_owned();
+    check_fails(
+        &[Action::Write(refusal.clone())],
+        distant_deadline(),
+        Kind::UpstreamRefused,
+    );
+    check_fails(
+        &[Action::WriteAndReset(refusal)],
+        distant_deadline(),
+        Kind::UpstreamLost,
+    );
+    let report = "HTTP/1.1 200 OK\r\n\r\n{\"data\":[],\"incarnation\":1,\"slots\":2}".to_owned();
+    let fetch = |action| {
+        let upstream = Upstream::start(vec![action]);
+        Client.fetch_inventory(upstream.address, TEST_TIMEOUT)
+    };
+    assert!(fetch(Action::Write(report.clone())).is_ok());
+    assert!(fetch(Action::WriteAndReset(report)).is_err());
+}
+
 /// Covers a resumed stream that names another adapter.
 #[test]
 fn a_resumed_stream_of_another_adapter_is_not_delivered() {
--- a/crates/upstream/tests/it/plain.rs
+++ b/crates/upstream/tests/it/plain.rs
@@ -128,6 +128,29 @@
     );
 }
 
+/// The part that had arrived was taken for the whole answer if it had neither a length nor chunks.
+#[test]
+fn an_answer_without_a_length_is_complete_unless_its_connection_is_reset() {
+    for version in ["1.1", "1.0"] {
+        for body in ["", "opened"] {
+            let text = format!("HTTP/{version} 200 OK\r\nX-Own: 1\r\n\r\n{body}");
+            let upstream = Upstream::start(vec![Action::Write(text.clone())]);
+            let response = call(&upstream, "POST", "open", distant_deadline()).unwrap();
+            assert_eq!((response.status, &*response.body), (200, body.as_bytes()));
+            check_fails(
+                &Action::WriteAndReset(text.clone()),
+                distant_deadline(),
+                Kind::UpstreamLost,
+            );
+            check_fails(
+                &Action::Hold(text),
+                near_deadline(),
+                Kind::DeadlineAfterStart,
+            );
+        }
+    }
+}
+
 /// Covers interim responses before the response to the call, and one that ends HTTP on the connection.
 #[test]
 fn interim_responses_are_not_taken_for_the_response_to_the_call() {
--- a/crates/upstream/tests/it/support.rs
+++ b/crates/upstream/tests/it/support.rs
@@ -27,6 +27,8 @@
     Reset(usize),
     /// Reads the request, writes this text, and closes the connection.
     Write(String),
+    /// Receives the request, writes this text, and resets the connection.
+    WriteAndReset(String),
     /// Reads the request, writes this text, and waits for the caller to close the connection.
     Hold(String),
 }
@@ -100,6 +102,10 @@
         Action::Close => {}
         // Closing a socket with unread bytes resets the connection.
         Action::Reset(count) => stream.read_exact(&mut vec![0; *count]).unwrap(),
+        Action::WriteAndReset(text) => {
+            requests.lock().unwrap().push(peek_request(&stream));
+            let _ = stream.write_all(text.as_bytes());
+        }
         Action::Write(text) | Action::Hold(text) => {
             let request = read_request(&mut stream);
             requests.lock().unwrap().extend(request);
@@ -111,6 +117,19 @@
     }
 }
 
+/// Waits for a request, which stays unread.
+fn peek_request(stream: &TcpStream) -> String {
+    let mut buffer = [0; 4096];
+    loop {
+        let count = stream.peek(&mut buffer).unwrap();
+        let text = std::str::from_utf8(&buffer[..count]).unwrap();
+        if count == 0 || is_complete(text) {
+            return text.to_owned();
+        }
+        thread::yield_now();
+    }
+}
+
 /// Reads a request. Returns `None` if the caller closes the connection before the first byte.
 fn read_request(stream: &mut TcpStream) -> Option<String> {
     let mut text = String::new();
