Reset the connection of an HTTP/1.0 caller whose stream is cut

A stream to a caller with HTTP/1.0 has neither a length nor chunks and ends with its connection. One that was cut ended with a close, like a whole one. If a connection fails whose last request is of HTTP/1.0, it is reset now. Callers with HTTP/1.1 get chunks and a close, as before, so no bytes on the way are lost.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -1,9 +1,9 @@
 //! HTTP servers for callers, metrics and readiness checks.
 
-use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{cell::Cell, convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 
 use hyper::{
-    Request, Response,
+    Request, Response, Version,
     body::Incoming,
     header::{CONNECTION, HeaderValue},
     http::StatusCode,
@@ -93,7 +93,9 @@
         return;
     }
     let limits = gateway.catalog().map(|it| it.limits).unwrap_or_default();
+    let has_chunks = Cell::new(true);
     let service = service_fn(|request: Request<Incoming>| {
+        has_chunks.set(request.version() == Version::HTTP_11);
         let gateway = gateway.clone();
         let gossip = gossip.clone();
         async move {
@@ -108,21 +110,27 @@
     });
     // The header timeout starts at the end of the previous request, so it also limits the idle
     // time.
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
         .max_buf_size(limits.header_bytes.max(8 << 10) * 2)
         .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(connection);
     let result = tokio::select! {
-        it = connection.as_mut() => it,
+        it = &mut connection => it,
         _ = closing.wait_for(|it| *it) => {
-            connection.as_mut().graceful_shutdown();
-            connection.await
+            std::pin::Pin::new(&mut connection).graceful_shutdown();
+            (&mut connection).await
         }
     };
     if let Err(error) = result {
         log::debug!("a caller's connection failed: {error}");
+        if !has_chunks.get() {
+            // A response that ends with its connection must not look complete.
+            let stream = connection.into_parts().io.into_inner();
+            if let Err(error) = stream.set_zero_linger() {
+                log::debug!("a caller's connection can't be reset: {error}");
+            }
+        }
     }
 }
 
