Answer requests in progress before a stopping host ends

Callers of a host that stops saw their connections closed without an answer, though the host had read the whole requests. A request whose engine is silent waits until its own deadline. Since the host no longer gives up on silent engines after 2 s, that can be later than the end of the grace period, and then the process ended with the request open.

The wait for an engine now ends at the stop deadline (0.4 s before the end of the grace period) if that is earlier than the deadline of the request. The request gets 502, which promises nothing about its run; the answers have 0.3 s to be written. No takeover is begun that could not finish before. Streams that have begun are cut at that time as before.

Measured: four requests sent 2 s after the stop signal to engines that never respond, with a grace period of 8 s, got no answer (connections closed after 5.6 s); now each gets 502. The other tests of `losses::` and `shutdown::` give the same results as before.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -393,7 +393,7 @@
 
     /// Returns whether there is time for another attempt.
     fn has_time_left(&self) -> bool {
-        clock::now() + MIN_ATTEMPT_TIME < self.deadline
+        clock::now() + MIN_ATTEMPT_TIME < self.gateway.limit(self.deadline)
     }
 
     /// Records a fault as the end of the request and returns the response for it.
@@ -417,6 +417,8 @@
                 Fault::UpstreamLost
             }
             Fault::Timeout if self.attempts == 0 => Fault::Overload,
+            // The wait for the engine has ended because this host is stopping.
+            Fault::Timeout if clock::now() < self.deadline => Fault::UpstreamLost,
             it => it,
         };
         self.trace.record_status(fault.status());
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -90,6 +90,11 @@
     pub origin_queries: OriginQueries,
     /// True once the process was asked to stop.
     pub stopping: Cell<bool>,
+    /// Time at which requests in progress are answered because the process is about to terminate; `None` until it was
+    /// asked to stop.
+    pub stop_deadline: Cell<Option<Time>>,
+    /// Notified when the process was asked to stop.
+    pub stop_began: Notify,
     /// True once new requests are refused because the process is about to terminate.
     pub closing: Cell<bool>,
     /// Number of open caller connections.
@@ -186,6 +191,8 @@
             origins: RefCell::default(),
             origin_queries: OriginQueries::default(),
             stopping: Cell::default(),
+            stop_deadline: Cell::default(),
+            stop_began: Notify::new(),
             closing: Cell::default(),
             open_connections: Cell::default(),
             store_recovered: Notify::new(),
@@ -218,6 +225,11 @@
         !self.stopping.get() && self.engines_listed.get() && self.catalog.borrow().is_some()
     }
 
+    /// Returns the earlier of a time and the deadline of this host to stop.
+    pub fn limit(&self, time: Time) -> Time {
+        self.stop_deadline.get().map_or(time, |it| it.min(time))
+    }
+
     /// Current configuration.
     pub fn catalog(&self) -> Option<Rc<Catalog>> {
         self.catalog.borrow().clone()
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -30,9 +30,12 @@
 /// after two failed readiness checks, one second apart.
 const BALANCER_LEAVE_TIME: Duration = Duration::from_millis(2500);
 
-/// Time before the end of the grace period at which the host stops waiting for open requests.
+/// Time before the end of the grace period at which requests in progress are answered by the host itself.
 const GRACE_MARGIN: Duration = Duration::from_millis(400);
 
+/// Maximum time to write the answers to the requests that are still in progress at the end.
+const LAST_ANSWERS_TIME: Duration = Duration::from_millis(300);
+
 /// Time between two checks whether all caller connections are closed.
 const CLOSE_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -124,19 +127,23 @@
 }
 
 /// Shuts down without cutting off requests: waits until the balancer sends no more callers, closes
-/// idle connections, then waits for the requests in progress.
+/// idle connections, then waits for the requests in progress. Those that last too long are answered by this host, or cut
+/// if their response has begun.
 async fn shut_down(gateway: &Rc<Gateway>, gossip: &Gossip, close: &watch::Sender<bool>) {
     let started = clock::now();
     let grace = Duration::from_secs_f64(gateway.settings.grace_seconds);
     let end = started + grace.saturating_sub(GRACE_MARGIN);
     log::info!(event = "stop", callers = gateway.open_connections.get(); "host is shutting down");
     gateway.stopping.set(true);
+    gateway.stop_deadline.set(Some(end));
+    gateway.stop_began.notify_waiters();
     gossip.hand_over_origins();
     claims::release(gateway).await;
     time::sleep((started + BALANCER_LEAVE_TIME).saturating_sub(clock::now())).await;
     gateway.closing.set(true);
     let _ = close.send(true);
     time::sleep(CLOSE_POLL_INTERVAL).await;
+    let end = end + LAST_ANSWERS_TIME;
     while gateway.open_connections.get() > 0 && clock::now() < end {
         time::sleep(CLOSE_POLL_INTERVAL).await;
     }
--- a/crates/gateway/src/stall.rs
+++ b/crates/gateway/src/stall.rs
@@ -23,14 +23,20 @@
 }
 
 impl WaitContext {
-    /// Time after which no answer is expected.
+    /// Time after which no answer is expected, or could no longer be forwarded because this host is stopping.
     fn end(&self) -> Time {
-        self.deadline + DEADLINE_MARGIN
+        self.gateway.limit(self.deadline + DEADLINE_MARGIN)
     }
 
     /// Waits until no answer is expected any more.
     pub(crate) async fn wait_for_end(&self) {
-        time::sleep(self.end().saturating_sub(clock::now())).await;
+        loop {
+            let left = self.end().saturating_sub(clock::now());
+            if left.is_zero() {
+                return;
+            }
+            let _ = time::timeout(left, self.gateway.stop_began.notified()).await;
+        }
     }
 }
 
@@ -39,7 +45,7 @@
     Ready(T),
     /// The engine is considered hung.
     Stalled,
-    /// The deadline of the request has passed.
+    /// The deadline of the request has passed, or that of this host to stop.
     DeadlineExceeded,
 }
 
@@ -65,8 +71,12 @@
             Verdict::Hung => return WaitResult::Stalled,
             Verdict::Wait(check_interval) => check_interval.min(end.saturating_sub(now)),
         };
-        if let Ok(it) = time::timeout(check_interval, &mut future).await {
-            return WaitResult::Ready(it);
+        tokio::select! {
+            biased;
+            it = &mut future => return WaitResult::Ready(it),
+            () = time::sleep(check_interval) => {}
+            // The end of this wait may be earlier now.
+            () = context.gateway.stop_began.notified() => {}
         }
     }
 }
