Reserve the retry for the way back before a silent engine is left

Callers saw a stream that was cut, or 502, although their engine would have gone on. A takeover needed one retry in the budget. If that was the last one, and the next engine refused after the connection to the silent one was closed, the way back was refused for want of a retry: the host gave the silent engine up without anything that was sure to take its place.

A takeover now begins only if the budget has two retries. The second is taken at the same time, is used for the way back only, and returns to the budget when the next engine answers, or when the silent engine goes on. With fewer, the request waits for its silent engine and tries again every 100 ms, as it did without a retry. A third engine is asked only with a retry of its own; without one the request goes back at once.

`silence:: streams:: shutdown::` pass.

--- a/crates/fleet/src/budget.rs
+++ b/crates/fleet/src/budget.rs
@@ -53,6 +53,13 @@
         allowed
     }
 
+    /// Takes back a retry that was counted at `counted_at` and has not been sent.
+    pub fn cancel_retry(&mut self, counted_at: Time) {
+        if let Some(at) = self.retries.iter().rposition(|it| *it == counted_at) {
+            self.retries.remove(at);
+        }
+    }
+
     /// Returns whether the budget allows a retry, without counting one.
     pub fn has_retry(&mut self, now: Time, rule: Rule, hosts: usize) -> bool {
         self.remaining(now, rule, hosts) >= 1.0
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -34,6 +34,7 @@
     in_flight::InFlight,
     relay::Relay,
     reply::{self, Body, Fault},
+    reserve::Reserve,
     stall::{WaitContext, WaitResult, wait_for_engine},
     takeover::Takeover,
     trace::{End, Trace},
@@ -69,6 +70,8 @@
     /// Silent engine that was left for another one. The request may be sent there once more if no other engine takes
     /// it, and it counts as one attempt.
     pub(crate) left_engine: Option<Key>,
+    /// Retry for the way back to the engine that was left.
+    pub(crate) way_back: Option<Reserve>,
     /// Engines to which no connection could be opened for the request.
     pub(crate) unreachable_engines: Vec<Key>,
     /// Addresses to which the request was sent.
@@ -152,6 +155,7 @@
                 Outcome::Lost if self.route.kind.is_retryable() => {}
                 Outcome::Lost => return self.fail(Fault::UpstreamLost),
                 Outcome::DeadlineExceeded => return self.fail(Fault::Timeout),
+                Outcome::NoBudget if self.left_engine.is_some() => {}
                 // The request is first to get the next retry of this host, sooner than a new request of
                 // the caller would.
                 Outcome::NoBudget if clock::now() + BUDGET_PAUSE < until && !self.may_have_run => {
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -17,6 +17,7 @@
     dialect::{ResponseHead, UpstreamHead},
     exchange::Exchange,
     in_flight::InFlight,
+    reserve::Reserve,
 };
 
 /// Maximum idle time of a pooled connection for a request that must not run twice. If the upstream
@@ -97,7 +98,7 @@
             return Err(Outcome::NotExecuted(None));
         };
         let is_retry = self.attempts > 0;
-        if is_retry && !self.gateway.has_retry(&self.service) {
+        if is_retry && !self.is_on_way_back() && !self.gateway.has_retry(&self.service) {
             let metrics = &self.gateway.metrics;
             metrics.count_retry(&self.service, "refused");
             return Err(Outcome::NoBudget);
@@ -124,7 +125,7 @@
                 return Err(Outcome::NotExecuted(None));
             }
         };
-        if is_retry && !self.gateway.take_retry(&self.service) {
+        if is_retry && !self.take_retry() {
             connection.release(None);
             return Err(Outcome::NoBudget);
         }
@@ -149,6 +150,20 @@
         })
     }
 
+    /// Returns whether the next attempt goes back to the engine that was left, with the retry that is reserved for it.
+    fn is_on_way_back(&self) -> bool {
+        self.left_engine.is_none() && self.way_back.is_some()
+    }
+
+    /// Takes a retry for the next attempt. Returns false if there is none.
+    fn take_retry(&mut self) -> bool {
+        if !self.is_on_way_back() {
+            return self.gateway.take_retry(&self.service);
+        }
+        let reserved = self.way_back.take().map(Reserve::spend);
+        reserved.is_some()
+    }
+
     /// Classifies the response of an attempt.
     pub(crate) async fn finish_attempt(
         &mut self,
@@ -318,6 +333,7 @@
         self.trace
             .record_outcome(attempt, format!("answers {}", status.as_u16()));
         self.may_have_run = true;
+        self.way_back = None;
         self.confirm_adapter(key);
         let (head, body) = response.into_parts();
         Outcome::Response(Box::new((head, body, response_head, in_flight)))
--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -64,6 +64,7 @@
             return self.place(until).await;
         };
         if self.has_attempts_left()
+            && self.gateway.has_retry(&self.service)
             && let Ok(it) = self.place(clock::now()).await
         {
             return Ok(it);
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -138,6 +138,7 @@
         attempted_engines: Vec::new(),
         repeatable_engines: Vec::new(),
         left_engine: None,
+        way_back: None,
         unreachable_engines: Vec::new(),
         attempted_addrs: Vec::new(),
         mismatched_instances: 0,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -438,19 +438,35 @@
 
     /// Takes one retry from the budget of a service. Returns false if none is left.
     pub fn take_retry(&self, service: &Arc<str>) -> bool {
-        let hosts = self.peers.borrow().host_count();
-        let rule = self.settings.retry_rule();
-        let allowed = self.budget(service).try_retry(clock::now(), rule, hosts);
+        let allowed = self.count_retry(service, clock::now());
         let outcome = if allowed { "sent" } else { "refused" };
         self.metrics.count_retry(service, outcome);
         allowed
     }
 
+    /// Counts one retry in the budget of a service. Returns false if none is left.
+    pub fn count_retry(&self, service: &Arc<str>, now: Time) -> bool {
+        let hosts = self.peers.borrow().host_count();
+        let rule = self.settings.retry_rule();
+        self.budget(service).try_retry(now, rule, hosts)
+    }
+
+    /// Returns a retry that was counted at `counted_at` and has not been sent to the budget of a service.
+    pub fn cancel_retry(&self, service: &Arc<str>, counted_at: Time) {
+        self.budget(service).cancel_retry(counted_at);
+    }
+
     /// Returns whether the budget of a service has a retry left.
     pub fn has_retry(&self, service: &Arc<str>) -> bool {
+        self.has_retries(service, 1.0)
+    }
+
+    /// Returns whether the budget of a service has this number of retries left.
+    pub fn has_retries(&self, service: &Arc<str>, count: f64) -> bool {
         let hosts = self.peers.borrow().host_count();
         let rule = self.settings.retry_rule();
-        self.budget(service).has_retry(clock::now(), rule, hosts)
+        let remaining = self.budget(service).remaining(clock::now(), rule, hosts);
+        remaining >= count
     }
 
     /// Chooses an engine for a request.
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod process;
 pub mod relay;
 pub mod reply;
+mod reserve;
 pub mod server;
 pub mod settings;
 pub mod sse;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -263,6 +263,7 @@
                 }
                 Outcome::Response(it) => self.exchange.record_failure(it.3.key),
                 Outcome::NotExecuted(_) | Outcome::Lost => {}
+                Outcome::NoBudget if self.exchange.left_engine.is_some() => {}
                 Outcome::DeadlineExceeded => {
                     self.exchange.trace.record_resume_failure("timeout");
                     return false;
--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -12,6 +12,7 @@
     exchange::{Attempt, Exchange, OpenResponse, Outcome},
     in_flight::InFlight,
     reply::Fault,
+    reserve::Reserve,
     stall::{WaitResult, wait_for_engine},
 };
 
@@ -24,6 +25,10 @@
 /// Maximum time for which two engines have the same request. Both may work on it in that time.
 const MAX_OVERLAP: Duration = Duration::from_millis(250);
 
+/// Retries that the budget must have left: one for the takeover, and one for the way back to the silent engine if the
+/// other one refuses after the connection to the silent one was closed.
+const RETRIES_PER_TAKEOVER: f64 = 2.0;
+
 /// Result of a wait for a silent engine.
 pub(crate) enum Takeover<T> {
     /// The engine has gone on.
@@ -110,7 +115,9 @@
                 it = self.start_takeover(search_until, last_event_id) => it,
             };
             search_until = Time::ZERO;
-            let Some(mut next) = next else { continue };
+            let Some((mut next, way_back)) = next else {
+                continue;
+            };
             let overlap_end = time::sleep(MAX_OVERLAP);
             tokio::pin!(overlap_end);
             let mut late_answer = None;
@@ -129,6 +136,7 @@
                     () = &mut overlap_end => {
                         self.may_have_run = true;
                         self.left_engine = Some(silent.key);
+                        self.way_back = Some(way_back);
                         return Takeover::Sent(Box::new(next));
                     }
                 }
@@ -157,12 +165,13 @@
         Takeover::Continued(answer)
     }
 
-    /// Sends the request to another engine. Returns `None` after a pause if that is not possible now.
+    /// Sends the request to another engine, and reserves a retry for the way back. Returns `None` after a pause if that is
+    /// not possible now.
     async fn start_takeover(
         &mut self,
         search_until: Time,
         last_event_id: Option<&str>,
-    ) -> Option<Attempt> {
+    ) -> Option<(Attempt, Reserve)> {
         match self.try_takeover(search_until, last_event_id).await {
             Ok(it) => return Some(it),
             Err(why) => self.trace.record_resume_failure(why),
@@ -171,25 +180,28 @@
         None
     }
 
-    /// Sends the request to another engine. Otherwise returns why that is not possible now.
+    /// Sends the request to another engine, and reserves a retry for the way back. Otherwise returns why that is not possible now.
     async fn try_takeover(
         &mut self,
         search_until: Time,
         last_event_id: Option<&str>,
-    ) -> Result<Attempt, &'static str> {
+    ) -> Result<(Attempt, Reserve), &'static str> {
         if !self.may_send_again() {
             return Err("no-attempt");
         }
         // A search without a retry in the budget could order loads in vain.
-        if !self.gateway.has_retry(&self.service) {
+        let gateway = &self.gateway;
+        if !gateway.has_retries(&self.service, RETRIES_PER_TAKEOVER) {
             return Err("no-budget");
         }
         let choice = self.place(search_until).await.map_err(Fault::name)?;
+        let way_back = Reserve::new(&self.gateway, &self.service).ok_or("no-budget")?;
         let sent = self.start_attempt(choice, last_event_id).await;
-        sent.map_err(|it| match it {
+        let sent = sent.map_err(|it| match it {
             Outcome::NoBudget => "no-budget",
             Outcome::DeadlineExceeded => "timeout",
             _ => "no-engine",
-        })
+        })?;
+        Ok((sent, way_back))
     }
 }
