Keep a failure whose body is silent until another engine has the request

Callers got 502 of the host instead of the engine's own failure. Before an idempotent request is sent to another engine, the host reads the body of the failure, to return it if no other engine succeeds. If the body fell silent, it was given up before another engine had the request, the same cause as for silent answers in one more place.

The body of a failure is now read as each other body is, with a takeover if it falls silent. Once it is whole, it is kept and the request is sent to another engine as before. The arm for a stalled body, which a takeover has replaced, is gone.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -232,20 +232,9 @@
     ) -> Result<Response<Body>, Unfinished> {
         let key = in_flight.key;
         debug_assert!(response_head.sealed);
-        if head.status.is_server_error() {
+        let is_failure = head.status.is_server_error();
+        if is_failure {
             self.record_failure(key);
-            if self.may_send_again() && self.gateway.has_retry(&self.service) {
-                let stage = Stage::NextEvent;
-                let body = wait_for_engine(&self.wait_context(), key, stage, body.collect()).await;
-                if let WaitResult::Ready(Ok(body)) = body {
-                    in_flight.release_connection(call::keep_alive_timeout(&head.headers));
-                    reply::strip_hop_headers(&mut head.headers);
-                    head.headers.remove(CONTENT_LENGTH);
-                    let body = reply::full_body(body);
-                    self.fallback_response = Some(Response::from_parts(head, body));
-                }
-                return Err(Unfinished::new(self, None));
-            }
         }
         if !self.route.kind.is_retryable() && reply::denies_run(head.status) {
             return Ok(self.fail(Fault::UpstreamLost));
@@ -264,12 +253,15 @@
         let collected = wait_for_engine(&context, key, Stage::NextEvent, &mut collect).await;
         let last_event_id = self.request_head.last_event_id.clone();
         let last_event_id = last_event_id.as_deref();
+        let is_answer = |it: &Result<_, _>| !is_failure && it.is_ok();
         let collected = match collected {
+            WaitResult::Ready(it) => Some(it),
+            WaitResult::DeadlineExceeded => None,
             WaitResult::Stalled => match self
-                .take_over(&in_flight, collect, Result::is_ok, last_event_id)
+                .take_over(&in_flight, collect, is_answer, last_event_id)
                 .await
             {
-                Takeover::Continued(it) => WaitResult::Ready(it),
+                Takeover::Continued(it) => Some(it),
                 Takeover::Accepted(it) => {
                     return Err(Unfinished::new(self, Some(Outcome::Response(it))));
                 }
@@ -278,14 +270,19 @@
                     let outcome = self.await_head(*attempt, last_event_id).await;
                     return Err(Unfinished::new(self, Some(outcome)));
                 }
-                Takeover::DeadlineExceeded => WaitResult::DeadlineExceeded,
+                Takeover::DeadlineExceeded => None,
             },
-            it => it,
         };
         match collected {
-            WaitResult::Ready(Ok(body)) => {
+            Some(Ok(body)) => {
                 head.headers.remove(CONTENT_LENGTH);
-                if !head.status.is_server_error() {
+                if is_failure && self.may_send_again() && self.gateway.has_retry(&self.service) {
+                    in_flight.release_connection(keep_alive);
+                    let response = Response::from_parts(head, reply::full_body(body));
+                    self.fallback_response = Some(response);
+                    return Err(Unfinished::new(self, None));
+                }
+                if !is_failure {
                     self.record_success(key);
                 }
                 self.trace.record_forwarded();
@@ -298,22 +295,14 @@
                 in_flight.release_connection(keep_alive);
                 Ok(Response::from_parts(head, reply::full_body(body)))
             }
-            WaitResult::Ready(Err(failure)) => {
+            Some(Err(failure)) => {
                 self.record_incomplete(&in_flight, &failure);
                 if self.route.kind.is_retryable() && self.has_attempts_left() {
                     return Err(Unfinished::new(self, None));
                 }
                 Ok(self.fail(Fault::UpstreamLost))
             }
-            WaitResult::Stalled => {
-                log::debug!("request {}: the response stalled", self.request_head.id);
-                self.record_failure(key);
-                if self.route.kind.is_retryable() && self.has_attempts_left() {
-                    return Err(Unfinished::new(self, None));
-                }
-                Ok(self.fail(Fault::UpstreamLost))
-            }
-            WaitResult::DeadlineExceeded => Ok(self.fail(Fault::Timeout)),
+            None => Ok(self.fail(Fault::Timeout)),
         }
     }
 
