Shorten waits that began before the host was told to stop

The end of a wait for an engine was computed when the wait began, so a request that was sent before the stop signal to an engine that never responds could still be open when the process ended, and its caller got no answer.

The end is now computed each time that the wait is woken, which the stop signal does.

--- a/crates/gateway/src/stall.rs
+++ b/crates/gateway/src/stall.rs
@@ -58,10 +58,10 @@
     future: impl Future<Output = T>,
 ) -> WaitResult<T> {
     let started = clock::now();
-    let end = context.end();
     tokio::pin!(future);
     loop {
         let now = clock::now();
+        let end = context.end();
         if now >= end {
             return WaitResult::DeadlineExceeded;
         }
