Read what arrived while the host was suspended before a wait ends

Callers of a host that was suspended past the deadlines of their requests got 504, and streams were closed without a head, although the responses had arrived. When the host wakes, its timers are looked at before its sockets, and a wait that begins after the deadline ends before it reads anything.

A wait that is woken over 0.2 s late takes the host to have been suspended. No wait for an engine ends within 50 ms after that, neither for the deadline nor because the engine seems to be silent.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -95,6 +95,8 @@
     pub stop_deadline: Cell<Option<Time>>,
     /// Notified when the process was asked to stop.
     pub stop_began: Notify,
+    /// Time until which waits for engines go on after this host was suspended.
+    pub caught_up_at: Cell<Time>,
     /// True once new requests are refused because the process is about to terminate.
     pub closing: Cell<bool>,
     /// Number of open caller connections.
@@ -193,6 +195,7 @@
             stopping: Cell::default(),
             stop_deadline: Cell::default(),
             stop_began: Notify::new(),
+            caught_up_at: Cell::default(),
             closing: Cell::default(),
             open_connections: Cell::default(),
             store_recovered: Notify::new(),
--- a/crates/gateway/src/stall.rs
+++ b/crates/gateway/src/stall.rs
@@ -15,6 +15,13 @@
 /// Time after the deadline in which an engine can still answer that the deadline has passed.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(120);
 
+/// Delay of a timer after which this host is taken to have been suspended.
+const MAX_TIMER_DELAY: Duration = Duration::from_millis(200);
+
+/// Time for which no wait ends after this host was suspended. Timers are looked at before the sockets, so responses that
+/// arrived meanwhile have not been read yet.
+const CATCH_UP_TIME: Duration = Duration::from_millis(50);
+
 /// Properties of a request that limit a wait for an engine.
 pub(crate) struct WaitContext {
     pub(crate) gateway: Rc<Gateway>,
@@ -25,7 +32,8 @@
 impl WaitContext {
     /// Time after which no answer is expected, or could no longer be forwarded because this host is stopping.
     fn end(&self) -> Time {
-        self.gateway.limit(self.deadline + DEADLINE_MARGIN)
+        let end = self.deadline + DEADLINE_MARGIN;
+        self.gateway.limit(end.max(self.gateway.caught_up_at.get()))
     }
 
     /// Waits until no answer is expected any more.
@@ -67,16 +75,26 @@
         }
         let waited = now.saturating_sub(started);
         let engine = engine_state(&context.gateway, key, now);
+        let catch_up_time = context.gateway.caught_up_at.get().saturating_sub(now);
         let check_interval = match stall::check_wait(&context.route, stage, waited, engine) {
-            Verdict::Hung => return WaitResult::Stalled,
-            Verdict::Wait(check_interval) => check_interval.min(end.saturating_sub(now)),
+            Verdict::Hung if catch_up_time.is_zero() => return WaitResult::Stalled,
+            Verdict::Hung => catch_up_time,
+            Verdict::Wait(check_interval) => check_interval,
         };
-        tokio::select! {
+        let due = now + check_interval.min(end.saturating_sub(now));
+        let ready = tokio::select! {
             biased;
-            it = &mut future => return WaitResult::Ready(it),
-            () = time::sleep(check_interval) => {}
+            it = &mut future => Some(it),
+            () = time::sleep(due.saturating_sub(now)) => None,
             // The end of this wait may be earlier now.
-            () = context.gateway.stop_began.notified() => {}
+            () = context.gateway.stop_began.notified() => None,
+        };
+        let now = clock::now();
+        if now > due + MAX_TIMER_DELAY {
+            context.gateway.caught_up_at.set(now + CATCH_UP_TIME);
+        }
+        if let Some(it) = ready {
+            return WaitResult::Ready(it);
         }
     }
 }
