--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -95,6 +95,13 @@
     pub crash_watch: CrashWatch,
     /// True once the process was asked to stop.
     pub stopping: Cell<bool>,
+    /// Time at which requests in progress are answered because the process is about to terminate; `None` until it was
+    /// asked to stop.
+    pub stop_deadline: Cell<Option<Time>>,
+    /// Notified when the process was asked to stop.
+    pub stop_began: Notify,
+    /// Time until which waits for engines go on after this host was suspended.
+    pub caught_up_at: Cell<Time>,
     /// True once new requests are refused because the process is about to terminate.
     pub closing: Cell<bool>,
     /// Number of open caller connections.
@@ -193,6 +200,9 @@
             origin_queries: OriginQueries::default(),
             crash_watch: CrashWatch::default(),
             stopping: Cell::default(),
+            stop_deadline: Cell::default(),
+            stop_began: Notify::new(),
+            caught_up_at: Cell::default(),
             closing: Cell::default(),
             open_connections: Cell::default(),
             store_recovered: Notify::new(),
@@ -225,6 +235,11 @@
         !self.stopping.get() && self.engines_listed.get() && self.catalog.borrow().is_some()
     }
 
+    /// Returns the earlier of a time and the deadline of this host to stop.
+    pub fn limit(&self, time: Time) -> Time {
+        self.stop_deadline.get().map_or(time, |it| it.min(time))
+    }
+
     /// Current configuration.
     pub fn catalog(&self) -> Option<Rc<Catalog>> {
         self.catalog.borrow().clone()
--- a/crates/gateway/src/stall.rs
+++ b/crates/gateway/src/stall.rs
@@ -15,6 +15,13 @@
 /// Time after the deadline in which an engine can still answer that the deadline has passed.
 const DEADLINE_MARGIN: Duration = Duration::from_millis(120);
 
+/// Delay of a timer after which this host is taken to have been suspended.
+const MAX_TIMER_DELAY: Duration = Duration::from_millis(200);
+
+/// Time for which no wait ends after this host was suspended. Timers are looked at before the sockets, so responses that
+/// arrived meanwhile have not been read yet.
+const CATCH_UP_TIME: Duration = Duration::from_millis(50);
+
 /// Properties of a request that limit a wait for an engine.
 pub(crate) struct WaitContext {
     pub(crate) gateway: Rc<Gateway>,
@@ -23,14 +30,21 @@
 }
 
 impl WaitContext {
-    /// Time after which no answer is expected.
+    /// Time after which no answer is expected, or could no longer be forwarded because this host is stopping.
     fn end(&self) -> Time {
-        self.deadline + DEADLINE_MARGIN
+        let end = self.deadline + DEADLINE_MARGIN;
+        self.gateway.limit(end.max(self.gateway.caught_up_at.get()))
     }
 
     /// Waits until no answer is expected any more.
     pub(crate) async fn wait_for_end(&self) {
-        time::sleep(self.end().saturating_sub(clock::now())).await;
+        loop {
+            let left = self.end().saturating_sub(clock::now());
+            if left.is_zero() {
+                return;
+            }
+            let _ = time::timeout(left, self.gateway.stop_began.notified()).await;
+        }
     }
 }
 
@@ -39,7 +53,7 @@
     Ready(T),
     /// The engine is considered hung.
     Stalled,
-    /// The deadline of the request has passed.
+    /// The deadline of the request has passed, or that of this host to stop.
     DeadlineExceeded,
 }
 
@@ -52,20 +66,34 @@
     future: impl Future<Output = T>,
 ) -> WaitResult<T> {
     let started = clock::now();
-    let end = context.end();
     tokio::pin!(future);
     loop {
         let now = clock::now();
+        let end = context.end();
         if now >= end {
             return WaitResult::DeadlineExceeded;
         }
         let waited = now.saturating_sub(started);
         let engine = engine_state(&context.gateway, key, now);
+        let catch_up_time = context.gateway.caught_up_at.get().saturating_sub(now);
         let check_interval = match stall::check_wait(&context.route, stage, waited, engine) {
-            Verdict::Hung => return WaitResult::Stalled,
-            Verdict::Wait(check_interval) => check_interval.min(end.saturating_sub(now)),
+            Verdict::Hung if catch_up_time.is_zero() => return WaitResult::Stalled,
+            Verdict::Hung => catch_up_time,
+            Verdict::Wait(check_interval) => check_interval,
         };
-        if let Ok(it) = time::timeout(check_interval, &mut future).await {
+        let due = now + check_interval.min(end.saturating_sub(now));
+        let ready = tokio::select! {
+            biased;
+            it = &mut future => Some(it),
+            () = time::sleep(due.saturating_sub(now)) => None,
+            // The end of this wait may be earlier now.
+            () = context.gateway.stop_began.notified() => None,
+        };
+        let now = clock::now();
+        if now > due + MAX_TIMER_DELAY {
+            context.gateway.caught_up_at.set(now + CATCH_UP_TIME);
+        }
+        if let Some(it) = ready {
             return WaitResult::Ready(it);
         }
     }
