Soak: answers with neither a length nor chunks

An engine answers every nth request, or each, without a length: whole, up to any event or a part of one, closed or reset, with or without a pause, as HTTP/1.1 or 1.0, with 200, 421, 500 or 503 (`run/endings.rs`, with a generator of its own). The existing checks cover them: a body that was cut is not the engine's body, and a stream that was cut must not end as complete.

The proxies turned an engine's reset into a close, and an owned half that writes sends a close when it is dropped, so resets of the proxies themselves began with one. They now pass resets on as resets.

--- a/crates/entry/tests/soak/proxy.rs
+++ b/crates/entry/tests/soak/proxy.rs
@@ -1,6 +1,7 @@
 //! A loopback proxy that injects connection faults.
 
 use std::{
+    io,
     net::SocketAddr,
     sync::{Arc, Mutex},
     time::Duration,
@@ -10,7 +11,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{
         TcpListener, TcpStream,
-        tcp::{OwnedReadHalf, OwnedWriteHalf},
+        tcp::{ReadHalf, WriteHalf},
     },
     runtime::Runtime,
     sync::watch,
@@ -84,22 +85,23 @@
         self.resets.send_modify(|it| *it += 1);
     }
 
-    async fn forward_connection(self, client: TcpStream, target: SocketAddr) {
+    async fn forward_connection(self, mut client: TcpStream, target: SocketAddr) {
         if self.fault() == Fault::Refuse {
             let _ = client.set_zero_linger();
             return;
         }
-        let Ok(server) = TcpStream::connect(target).await else {
+        let Ok(mut server) = TcpStream::connect(target).await else {
             let _ = client.set_zero_linger();
             return;
         };
         let _ = (client.set_nodelay(true), server.set_nodelay(true));
         let _ = (client.set_zero_linger(), server.set_zero_linger());
         let mut resets = self.resets.subscribe();
-        let (client_read, client_write) = client.into_split();
-        let (server_read, server_write) = server.into_split();
+        // Dropping an owned half that writes would send the end of the data before the reset.
+        let (client_read, client_write) = client.split();
+        let (server_read, server_write) = server.split();
         let transfer = async {
-            tokio::join!(
+            tokio::try_join!(
                 self.copy_data(client_read, server_write, Side::Server),
                 self.copy_data(server_read, client_write, Side::Client)
             )
@@ -110,10 +112,16 @@
         }
     }
 
-    async fn copy_data(&self, mut read: OwnedReadHalf, mut write: OwnedWriteHalf, to: Side) {
+    /// Copies data to its end. An error, such as a reset, ends both directions with a reset.
+    async fn copy_data(
+        &self,
+        mut read: ReadHalf<'_>,
+        mut write: WriteHalf<'_>,
+        to: Side,
+    ) -> io::Result<()> {
         let mut buffer = vec![0; 8192];
         loop {
-            let count = read.read(&mut buffer).await.unwrap_or(0);
+            let count = read.read(&mut buffer).await;
             match self.fault() {
                 Fault::Delay(ms) => time::sleep(Duration::from_millis(ms)).await,
                 Fault::Blackhole => std::future::pending().await,
@@ -125,13 +133,12 @@
                 Fault::DropAnswers if to == Side::Client => std::future::pending().await,
                 Fault::None | Fault::DropAnswers | Fault::Refuse => {}
             }
+            let count = count?;
             if count == 0 {
                 let _ = write.shutdown().await;
-                return;
-            }
-            if write.write_all(&buffer[..count]).await.is_err() {
-                return;
+                return Ok(());
             }
+            write.write_all(&buffer[..count]).await?;
         }
     }
 }
--- a/crates/entry/tests/soak/run.rs
+++ b/crates/entry/tests/soak/run.rs
@@ -1,6 +1,7 @@
 //! A single run: overlapping faults under load, then checks with time limits without faults, and
 //! finally the check of all observations.
 
+mod endings;
 mod floods;
 mod pressure;
 mod releases;
@@ -19,6 +20,7 @@
 use tokio::runtime::{Builder, Runtime};
 
 use self::{
+    endings::Ending,
     floods::Floods,
     pressure::Pressure,
     releases::{Release, Replacement},
@@ -72,12 +74,13 @@
 /// Number of steps of a run.
 const STEPS: usize = 30;
 
-/// Make the generators of rollbacks, pressure, signals, floods and releases differ from that of the other steps.
+/// Make the generators of rollbacks, pressure, signals, floods, releases and endings differ from that of the other steps.
 const ROLLBACK_SEED: u64 = 0x5eed;
 const PRESSURE_SEED: u64 = 0x9e55;
 const SIGNAL_SEED: u64 = 0x516a;
 const FLOOD_SEED: u64 = 0xf10d;
 const RELEASE_SEED: u64 = 0x4e1e;
+const ENDING_SEED: u64 = 0xe4d5;
 
 /// Time after the exit of a host in which callers notice the end of their connections.
 const CALLER_TIME: Duration = Duration::from_millis(250);
@@ -168,6 +171,7 @@
     let mut signal_rng = StdRng::seed_from_u64(seed ^ SIGNAL_SEED);
     let mut flood_rng = StdRng::seed_from_u64(seed ^ FLOOD_SEED);
     let mut release_rng = StdRng::seed_from_u64(seed ^ RELEASE_SEED);
+    let mut ending_rng = StdRng::seed_from_u64(seed ^ ENDING_SEED);
     for number in 0..STEPS {
         let step = Step::choose(&mut run.rng, hosts, ENGINES + PLAIN_INSTANCES);
         println!("seed {seed} step {number}: {step:?}");
@@ -193,6 +197,10 @@
             println!("seed {seed} step {number}: {step:?}");
             run.release(&step);
         }
+        if let Some(step) = Ending::choose(&mut ending_rng) {
+            println!("seed {seed} step {number}: {step:?}");
+            run.end_responses(&step);
+        }
         let pause = run.rng.random_range(50..500);
         run.run_for(Duration::from_millis(pause));
         run.check_memory();
