--- a/crates/gateway/tests/page.rs
+++ b/crates/gateway/tests/page.rs
@@ -69,6 +69,9 @@
     metrics.count_load("early");
     metrics.count_store_call("watch", "ok");
     metrics.record_state(1, 1, 1, 1);
+    metrics.count_crash("s");
+    metrics.count_trial();
+    metrics.record_quarantined_parts(1);
     let text = String::from_utf8(metrics.to_text()).expect("the metrics are UTF-8");
     let types = text.lines().filter_map(|it| it.strip_prefix("# TYPE "));
     let names = types.filter_map(|it| it.split(' ').next());
