Let prompts of some callers crash engines in the soak

For some seconds, one in six streams has a prompt with a part that crashes engines, also while other faults act. Without other faults the soak checks that few of these requests reach engines late, that other streams begin, and that none is lost once the part crashes no engine. The parts of the prompts at engines are compared with the callers'.

--- a/crates/entry/tests/soak/caller.rs
+++ b/crates/entry/tests/soak/caller.rs
@@ -15,7 +15,7 @@
 
 use crate::world::{
     WAIT_TIMEOUT,
-    client::{Request, Response},
+    client::{PROMPT_PARTS, Request, Response},
 };
 
 /// Maximum number of requests on one connection.
@@ -37,6 +37,9 @@
 const RESUME_TRIES: usize = 3;
 const RESUME_PAUSE: Duration = Duration::from_millis(150);
 
+/// One in this many requests for streams has a prompt with the part that crashes engines, if there is one.
+const CRASHING_PERIOD: u32 = 6;
+
 /// Number of requested adapters.
 const ADAPTERS: usize = 12;
 
@@ -112,6 +115,8 @@
     pub id: String,
     pub route: Route,
     pub model: String,
+    /// Parts of the prompt, if the request has one.
+    pub prompt: String,
     /// Length of the padding of the body.
     pub padding: usize,
     pub host: usize,
@@ -154,6 +159,8 @@
     pub stop: AtomicBool,
     next_id: AtomicUsize,
     started_at: Instant,
+    /// Id of the last part of prompts that crashed engines.
+    crashing_part: Mutex<Option<String>>,
     /// Time at which the last burst ends, in ms since the start.
     burst_end_ms: AtomicU64,
 }
@@ -166,6 +173,7 @@
             stop: AtomicBool::new(false),
             next_id: AtomicUsize::new(0),
             started_at: Instant::now(),
+            crashing_part: Mutex::default(),
             burst_end_ms: AtomicU64::new(0),
         })
     }
@@ -184,24 +192,54 @@
         u64::try_from(self.started_at.elapsed().as_millis()).expect("the time fits")
     }
 
-    /// Creates a request with a new id.
+    /// Makes some prompts have a part from now on.
+    pub fn use_part(&self, id: &str) {
+        *self.crashing_part.lock().expect("lock is poisoned") = Some(id.to_owned());
+    }
+
+    /// Chooses the parts of the prompt of a request with this number.
+    fn choose_prompt(&self, rng: &mut StdRng, route: Route, number: usize) -> String {
+        let part = self.crashing_part.lock().expect("lock is poisoned").clone();
+        match part {
+            Some(part) if route == Route::Stream && rng.random_range(0..CRASHING_PERIOD) == 0 => {
+                format!("{PROMPT_PARTS},{part}:20,{:x}:20", 0x10000 + number)
+            }
+            _ => PROMPT_PARTS.to_owned(),
+        }
+    }
+
+    /// Creates a request with a new id. The answer of the call is still empty.
     fn next_request(
         &self,
         rng: &mut StdRng,
         route: Route,
         padding: usize,
-    ) -> (String, String, Request) {
-        let id = format!("r-{}", self.next_id.fetch_add(1, Ordering::Relaxed));
+        host: usize,
+    ) -> (Call, Request) {
+        let number = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let id = format!("r-{number}");
         let rank = rng
             .random_range(0..ADAPTERS)
             .min(rng.random_range(0..ADAPTERS));
         let model = format!("m/a{rank}");
+        let prompt = self.choose_prompt(rng, route, number);
         let request = if route.is_streamed() {
-            Request::prompt(route.path(), &id, &model)
+            Request::prompt_of(route.path(), &id, &model, &prompt)
         } else {
             Request::post(route.path(), &id, &body(route, &id, padding))
         };
-        (id, model, request)
+        let call = Call {
+            id,
+            route,
+            model,
+            prompt,
+            padding,
+            host,
+            sent_at: Instant::now(),
+            resumed: None,
+            answer: Response::default(),
+        };
+        (call, request.with_timeout_ms(TIMEOUT_MS))
     }
 
     /// Sends one request on a new connection.
@@ -218,9 +256,7 @@
         host: usize,
         connection: &mut Option<TcpStream>,
     ) -> Response {
-        let (id, model, request) = self.next_request(rng, route, padding);
-        let request = request.with_timeout_ms(TIMEOUT_MS);
-        let sent_at = Instant::now();
+        let (mut call, request) = self.next_request(rng, route, padding, host);
         if connection.is_none() {
             *connection = connect(self.hosts[host]);
         }
@@ -234,16 +270,7 @@
         if answer.status == 0 || !answer.is_complete || closes {
             *connection = None;
         }
-        let call = Call {
-            id,
-            route,
-            model,
-            padding,
-            host,
-            sent_at,
-            resumed: None,
-            answer: answer.clone(),
-        };
+        call.answer = answer.clone();
         self.record(call.clone());
         if route == Route::Stream {
             self.take_up(call);
@@ -269,9 +296,10 @@
             call.id = format!("r-{}", self.next_id.fetch_add(1, Ordering::Relaxed));
             call.host = (call.host + 1) % self.hosts.len();
             call.sent_at = Instant::now();
-            let request = Request::prompt(call.route.path(), &call.id, &call.model)
-                .with_timeout_ms(TIMEOUT_MS)
-                .resuming(last_event_id, &first_id);
+            let request =
+                Request::prompt_of(call.route.path(), &call.id, &call.model, &call.prompt)
+                    .with_timeout_ms(TIMEOUT_MS)
+                    .resuming(last_event_id, &first_id);
             call.resumed = Some(Resumed {
                 first_id: first_id.clone(),
                 last_event_id,
--- a/crates/entry/tests/soak/check.rs
+++ b/crates/entry/tests/soak/check.rs
@@ -225,8 +225,11 @@
         };
         let model = it.headers.get("model").map(String::as_str);
         let expected_model = call.route.is_streamed().then_some(&*call.model);
+        let prompt = it.headers.get("prompt-prefix").map(String::as_str);
+        let expected_prompt = call.route.is_streamed().then_some(&*call.prompt);
         let line = format!("POST {} HTTP/1.1", call.route.path());
-        if it.request_line != line || !body_matches || model != expected_model {
+        let is_same = model == expected_model && prompt == expected_prompt;
+        if it.request_line != line || !body_matches || !is_same {
             violations.push(format!("the request was altered: {it:?}, {call:?}"));
         }
     }
--- a/crates/entry/tests/soak/run.rs
+++ b/crates/entry/tests/soak/run.rs
@@ -1,6 +1,7 @@
 //! A single run: overlapping faults under load, then checks with time limits without faults, and
 //! finally the check of all observations.
 
+mod crashes;
 mod floods;
 mod pressure;
 mod releases;
@@ -19,6 +20,7 @@
 use tokio::runtime::{Builder, Runtime};
 
 use self::{
+    crashes::Crashes,
     floods::Floods,
     pressure::Pressure,
     releases::{Release, Replacement},
@@ -32,6 +34,7 @@
     step::Step,
     world::{
         config,
+        crash::CrashingPart,
         engine::{Capacity, Engine, OrderScript, Script},
         free_addr,
         store::{Copy, Era, Mode, Store},
@@ -72,12 +75,13 @@
 /// Number of steps of a run.
 const STEPS: usize = 30;
 
-/// Make the generators of rollbacks, pressure, signals, floods and releases differ from that of the other steps.
+/// Make the generators of rollbacks, pressure, signals, floods, releases and crashes differ from that of the other steps.
 const ROLLBACK_SEED: u64 = 0x5eed;
 const PRESSURE_SEED: u64 = 0x9e55;
 const SIGNAL_SEED: u64 = 0x516a;
 const FLOOD_SEED: u64 = 0xf10d;
 const RELEASE_SEED: u64 = 0x4e1e;
+const CRASH_SEED: u64 = 0xc4a5;
 
 /// Time after the exit of a host in which callers notice the end of their connections.
 const CALLER_TIME: Duration = Duration::from_millis(250);
@@ -115,6 +119,7 @@
     Silence(usize),
     AnnounceLeaving(Replacement),
     Replace(Replacement),
+    Crashes,
 }
 
 struct Run {
@@ -142,6 +147,10 @@
     retired: Vec<Engine>,
     /// Incarnations that have another build than the previous one under their id.
     rebuilt: Vec<String>,
+    /// Parts of prompts that have crashed engines. Only the last one may still do so.
+    crashing_parts: Vec<CrashingPart>,
+    /// Number of crashes by the last part whose engines have been or will be listed with their new start.
+    listed_crashes: usize,
     /// Request ids used by the run itself instead of callers.
     harness_ids: Vec<String>,
     violations: Vec<String>,
@@ -168,6 +177,7 @@
     let mut signal_rng = StdRng::seed_from_u64(seed ^ SIGNAL_SEED);
     let mut flood_rng = StdRng::seed_from_u64(seed ^ FLOOD_SEED);
     let mut release_rng = StdRng::seed_from_u64(seed ^ RELEASE_SEED);
+    let mut crash_rng = StdRng::seed_from_u64(seed ^ CRASH_SEED);
     for number in 0..STEPS {
         let step = Step::choose(&mut run.rng, hosts, ENGINES + PLAIN_INSTANCES);
         println!("seed {seed} step {number}: {step:?}");
@@ -193,6 +203,10 @@
             println!("seed {seed} step {number}: {step:?}");
             run.release(&step);
         }
+        if let Some(step) = Crashes::choose(&mut crash_rng) {
+            println!("seed {seed} step {number}: {step:?}");
+            run.crash_engines(&step);
+        }
         let pause = run.rng.random_range(50..500);
         run.run_for(Duration::from_millis(pause));
         run.check_memory();
@@ -270,6 +284,8 @@
             leave_windows: Vec::new(),
             retired: Vec::new(),
             rebuilt: Vec::new(),
+            crashing_parts: Vec::new(),
+            listed_crashes: 0,
             harness_ids: Vec::new(),
             violations: Vec::new(),
             runtime,
@@ -327,6 +343,7 @@
                 self.recover(&recovery);
             }
             self.restart_ended_hosts();
+            self.list_crashed_engines();
             if now >= until {
                 return;
             }
@@ -446,6 +463,7 @@
             }
             Recovery::AnnounceLeaving(it) => self.announce_leaving(it),
             Recovery::Replace(it) => self.replace(it),
+            Recovery::Crashes => self.end_crashes(),
             Recovery::TerminateAgain(it) => {
                 if self.hosts[*it].terminating {
                     self.hosts[*it].begin_termination();
@@ -570,6 +588,7 @@
         self.check_graceful_shutdown();
         self.check_overlapping_shutdowns();
         self.check_taken_up_streams();
+        self.check_crashing_prompts();
     }
 
     fn check_leaving_in_time(&mut self) {
--- a/crates/entry/tests/soak/run/releases.rs
+++ b/crates/entry/tests/soak/run/releases.rs
@@ -148,6 +148,9 @@
             let new = Engine::start(&self.runtime, &id, "chat");
             Self::equip_engine(&new, replacement.build);
             new.set_newest_version(self.versions);
+            if let Some(part) = self.crashing_parts.last() {
+                new.set_crashing_part(part);
+            }
             let proxy = Proxy::start(&self.runtime, new.addr);
             let old_proxy = std::mem::replace(&mut self.engine_proxies[it], proxy);
             old_proxy.set(Fault::Refuse);
