Don't blame a prompt that many callers send for engines that end together

Successes of the last part of a prompt are recorded only once it is suspected, so a prompt that many send counted as one that never succeeded, and three engines that ended at the same moment, as those of a rack do, would have quarantined it. Crashes within 200 ms now count as one for it, as for parts that have succeeded.

`a_prompt_that_many_send_is_not_blamed_for_engines_that_end_at_the_same_moment` failed before and passes.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -22,7 +22,7 @@
 /// Number of crashes for which a part is quarantined.
 const MIN_CRASHES: usize = 3;
 
-/// Time within which crashes count as one for a part that has succeeded before: engines that share a cause, such as a
+/// Time within which crashes count as one for a part that may have succeeded before: engines that share a cause, such as a
 /// rack, end at about the same moment, with requests that share many parts.
 const SAME_MOMENT: Duration = Duration::from_millis(200);
 
@@ -277,7 +277,13 @@
             .collect();
         let count = |suspect: &Suspect| {
             let success = self.successes.get(&suspect.part);
-            let moment = success.map_or(Duration::ZERO, |_| SAME_MOMENT);
+            // Successes of a last part are not recorded before it is suspected.
+            let may_be_sound = success.is_some() || suspect.is_last();
+            let moment = if may_be_sound {
+                SAME_MOMENT
+            } else {
+                Duration::ZERO
+            };
             let counts = |it: &&&Crash| {
                 success.is_none_or(|success| *success < it.at) && it.suspects.contains(suspect)
             };
--- a/crates/fleet/tests/it/quarantines.rs
+++ b/crates/fleet/tests/it/quarantines.rs
@@ -150,6 +150,16 @@
     }
 }
 
+#[test]
+fn a_prompt_that_many_send_is_not_blamed_for_engines_that_end_at_the_same_moment() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_success(&prompt(&[COMMON, 9]), at(0));
+    for number in 0..20 {
+        let time = at(100 + u64::from(number) * 5);
+        assert_eq!(crash(&mut quarantine, number, time, &[&[COMMON, 9]]), []);
+    }
+}
+
 #[test]
 fn crashes_that_a_quarantined_part_explains_count_against_no_other() {
     let mut quarantine = quarantine_crashing();
