--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -82,7 +82,8 @@
     }
 
     /// Waits for `answer` of a silent engine, and sends the request to another engine meanwhile if the route and the
-    /// retry budget allow it. The budget must allow the way back too. The caller closes the connection to the silent engine if another one has the request.
+    /// retry budget allow it. The budget must allow the way back too. The caller closes the connection to the silent
+    /// engine if another one has the request.
     ///
     /// Once the request has been sent, the other engine may work on it, so the silent engine keeps it only if the other
     /// one turns it down, or if `is_last` tells from the answer that the silent engine is done.
