Take an engine for crashed if it closes the connection that was to show that it is alive

A proxy in front of an engine accepts connections also while the engine is down, and closes them when it can't reach it. The new connection must now stay open for 40 ms.

--- a/crates/entry/tests/soak/run/crashes.rs
+++ b/crates/entry/tests/soak/run/crashes.rs
@@ -8,7 +8,7 @@
 use crate::{
     caller::{Call, Route},
     world::{
-        crash::{CrashingPart, Identity, Outage},
+        crash::{CrashingPart, Identity, Outage, Port},
         engine::Engine,
     },
 };
@@ -53,6 +53,7 @@
         let outage = Outage {
             time: Duration::from_millis(OUTAGE_MS),
             identity: Identity::Same,
+            port: Port::Closed,
         };
         self.end_crashes();
         let id = format!("dead{:02x}", self.crashing_parts.len());
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -263,6 +263,11 @@
         }
     }
 
+    /// Returns whether the upstream has not closed the connection.
+    pub fn is_open(&self) -> bool {
+        (self.pooled.as_ref()).is_some_and(|it| !it.sender.is_closed())
+    }
+
     /// Returns the connection to the pool, after the whole response was read. `keep_alive` is the
     /// upstream's keep-alive timeout.
     pub fn release(mut self, keep_alive: Option<Duration>) {
--- a/crates/gateway/src/gossip/quarantine.rs
+++ b/crates/gateway/src/gossip/quarantine.rs
@@ -34,6 +34,10 @@
 /// an engine that has crashed break within that time.
 const CONFIRM_DELAY: Duration = Duration::from_millis(60);
 
+/// Time for which a new connection must stay open. A proxy in front of an engine that has crashed accepts connections and
+/// closes them when it can't reach the engine.
+const ACCEPT_TIME: Duration = Duration::from_millis(40);
+
 /// Number of times that a report is sent to each host, because datagrams may be lost.
 const REPORT_COUNT: u32 = 4;
 
@@ -175,15 +179,15 @@
         engine.is_some_and(|it| it.own_success_at > broke_at + CONFIRM_DELAY / 2)
     }
 
-    /// Returns whether a connection can be opened. It is used for the next request.
+    /// Returns whether a connection can be opened and stays open. It is used for the next request.
     async fn accepts(&self, addr: SocketAddr) -> bool {
-        match self.gateway.pool.acquire(addr, Reuse::Never).await {
-            Ok(it) => {
-                it.release(None);
-                true
-            }
-            Err(_) => false,
-        }
+        let Ok(connection) = self.gateway.pool.acquire(addr, Reuse::Never).await else {
+            return false;
+        };
+        time::sleep(ACCEPT_TIME).await;
+        let is_open = connection.is_open();
+        connection.release(None);
+        is_open
     }
 
     /// Records a crash that this or another host has seen.
