Try a part that had succeeded before again after three seconds

While all engines end again and again, no request succeeds, and the part that all prompts share was there at each crash.

A part that has succeeded before now needs six crashes at different moments, and its first term is 3 s; the trial, which is any request with the part, ends the quarantine everywhere. Successes of last parts are recorded too, so a prompt that many callers send is known to have succeeded; 16,384 parts are remembered.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -19,10 +19,17 @@
 
 use crate::{Time, prefix, rendezvous};
 
-/// Number of crashes for which a part is quarantined.
+/// Number of crashes for which a part is quarantined that has never succeeded.
 const MIN_CRASHES: usize = 3;
 
-/// Time within which crashes count as one for a part that may have succeeded before: engines that share a cause, such as a
+/// Number of crashes for which a part is quarantined that has succeeded before. If all engines end again and again for
+/// another reason, no request succeeds, and all requests may share the part.
+const MIN_CRASHES_AFTER_SUCCESS: usize = 6;
+
+/// Maximum time after which a part that had succeeded before is first tried again.
+const DOUBTFUL_TERM: Duration = Duration::from_secs(3);
+
+/// Time within which crashes count as one for a part that has succeeded before: engines that share a cause, such as a
 /// rack, end at about the same moment, with requests that share many parts.
 const SAME_MOMENT: Duration = Duration::from_millis(200);
 
@@ -43,7 +50,7 @@
 const MAX_PARTS: usize = 256;
 
 /// Maximum number of parts whose last success is remembered.
-const MAX_SUCCESSES: usize = 4096;
+const MAX_SUCCESSES: usize = 16_384;
 
 /// Default of the time after which a part is first tried again. It doubles with each trial that crashes an engine.
 pub const DEFAULT_TERM: Duration = Duration::from_mins(1);
@@ -51,7 +58,7 @@
 /// Maximum time after which a part is tried again.
 pub const MAX_TERM: Duration = Duration::from_hours(1);
 
-/// Time in which a trial has to succeed or crash its engine before the next request is let through.
+/// Maximum time in which a trial has to succeed or crash its engine before the next request is let through.
 const TRIAL_TIME: Duration = Duration::from_secs(15);
 
 /// Difference between the ends of a quarantine at two hosts that is put down to the delay of messages.
@@ -246,7 +253,12 @@
             let suspects = crash.suspects.clone();
             quarantined.extend(self.renew_terms(&suspects, now));
             while let Some(part) = self.find_culprit(&suspects) {
-                self.add_term(part, Term::new(now, self.first_term));
+                let length = if self.successes.contains_key(&part) {
+                    self.first_term.min(DOUBTFUL_TERM)
+                } else {
+                    self.first_term
+                };
+                self.add_term(part, Term::new(now, length));
                 quarantined.push(part);
             }
         }
@@ -277,13 +289,7 @@
             .collect();
         let count = |suspect: &Suspect| {
             let success = self.successes.get(&suspect.part);
-            // Successes of a last part are not recorded before it is suspected.
-            let may_be_sound = success.is_some() || suspect.is_last();
-            let moment = if may_be_sound {
-                SAME_MOMENT
-            } else {
-                Duration::ZERO
-            };
+            let moment = success.map_or(Duration::ZERO, |_| SAME_MOMENT);
             let counts = |it: &&&Crash| {
                 success.is_none_or(|success| *success < it.at) && it.suspects.contains(suspect)
             };
@@ -292,8 +298,13 @@
         let rank = |it: &Suspect| {
             let is_new = !self.successes.contains_key(&it.part);
             let crashes = count(it);
+            let needed = if is_new {
+                MIN_CRASHES
+            } else {
+                MIN_CRASHES_AFTER_SUCCESS
+            };
             let rank = (is_new, !it.is_last(), crashes, it.depth, it.part);
-            (crashes >= MIN_CRASHES).then_some(rank)
+            (crashes >= needed).then_some(rank)
         };
         suspects.iter().filter_map(rank).max().map(|it| it.4)
     }
@@ -315,10 +326,7 @@
     pub fn record_success(&mut self, parts: &[Suspect], now: Time) -> Vec<PartId> {
         let mut cleared = Vec::new();
         for it in parts {
-            // Few requests share a last part, and its success matters only if it is suspected.
-            if !it.is_last() || self.crashes.iter().any(|crash| crash.suspects.contains(it)) {
-                self.insert_success(it.part, now);
-            }
+            self.insert_success(it.part, now);
             if self.terms.remove(&it.part).is_some() {
                 cleared.push(it.part);
             }
@@ -374,14 +382,14 @@
                 return Verdict::Refuse(part, term.ends_at().saturating_sub(now));
             }
             if term.next_trial_at > now || !may_try(part) {
-                return Verdict::Refuse(part, TRIAL_TIME);
+                return Verdict::Refuse(part, TRIAL_TIME.min(term.length));
             }
             verdict = Verdict::Trial(part);
         }
         if let Verdict::Trial(part) = verdict
             && let Some(term) = self.terms.get_mut(&part)
         {
-            term.next_trial_at = now + TRIAL_TIME;
+            term.next_trial_at = now + TRIAL_TIME.min(term.length);
         }
         verdict
     }
--- a/crates/fleet/tests/it/quarantines.rs
+++ b/crates/fleet/tests/it/quarantines.rs
@@ -160,6 +160,29 @@
     }
 }
 
+/// All engines crashed again and again, so that no request succeeded, and a part that all share was refused for a minute.
+#[test]
+fn a_part_that_has_succeeded_is_soon_tried_again() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_success(&prompt(&[COMMON, 50]), at(0));
+    let mut time = at(0);
+    for number in 0..6 {
+        time = at(1000 + u64::from(number) * 1000);
+        let own = 100 + u64::from(number);
+        let quarantined = crash(&mut quarantine, number, time, &[&[COMMON, own]]);
+        let is_last = number == 5;
+        assert_eq!(quarantined.contains(&part(COMMON)), is_last, "{number}");
+    }
+    let time = time + ms(3000);
+    let trial = Verdict::Trial(part(COMMON));
+    assert_eq!(check(&mut quarantine, &[COMMON, 9], true, time), trial);
+    quarantine.record_success(&prompt(&[COMMON, 9]), time);
+    assert_eq!(
+        check(&mut quarantine, &[COMMON, 8], false, time),
+        Verdict::Pass
+    );
+}
+
 #[test]
 fn crashes_that_a_quarantined_part_explains_count_against_no_other() {
     let mut quarantine = quarantine_crashing();
