Bound the time in which a drain accepts connections

Callers saw: a host that was told to stop went on accepting connections, and requests that waited for it ended with their deadline.

Cause: before a drain, the acceptor takes the connections that are already pending, and it went on until none had arrived for 20 ms. Callers that open a connection more often than that kept it there without end. Meanwhile idle connections stayed open, the time limit of the drain had not begun, and a second drain was not read.

Change: after 250 ms a drain accepts only what is pending at that moment.

Measured: `serve` `drain_ends_while_callers_keep_connecting` failed before, after 20 s, and passes. With the change and the same poll, the three tests of `shutdown::` pass in 17 s.

--- a/crates/serve/src/acceptor.rs
+++ b/crates/serve/src/acceptor.rs
@@ -15,7 +15,7 @@
     net::{TcpListener, TcpStream},
     sync::{mpsc, watch},
     task::JoinSet,
-    time::{sleep, timeout, timeout_at},
+    time::{sleep, timeout_at},
 };
 
 use crate::{
@@ -27,6 +27,8 @@
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// A drain keeps accepting pending connections until none has arrived for this long.
 const DRAIN_ACCEPT_TIMEOUT: Duration = Duration::from_millis(20);
+/// Time after which a drain only accepts the connections that are already pending.
+const DRAIN_ACCEPT_LIMIT: Duration = Duration::from_millis(250);
 /// `Retry-After` of a connection rejected by the connection limits.
 const CONNECTION_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Connections that may be open beyond the limits to send an error response to their callers.
@@ -209,7 +211,13 @@
     /// Accepts the connections that callers have already opened; closing the listener would reset
     /// them.
     async fn accept_pending(&mut self, listener: TcpListener) {
-        while let Ok(accepted) = timeout(DRAIN_ACCEPT_TIMEOUT, listener.accept()).await {
+        let end = Instant::now() + DRAIN_ACCEPT_LIMIT;
+        loop {
+            // An accept that is ready succeeds even after its deadline.
+            let deadline = end.min(Instant::now() + DRAIN_ACCEPT_TIMEOUT);
+            let Ok(accepted) = timeout_at(deadline.into(), listener.accept()).await else {
+                return;
+            };
             self.handle_accepted(accepted).await;
         }
     }
--- a/crates/serve/tests/server.rs
+++ b/crates/serve/tests/server.rs
@@ -5,7 +5,7 @@
     net::{Shutdown, TcpListener, TcpStream},
     sync::{Arc, Barrier, mpsc},
     thread,
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use kernel::fault::{Fault, Kind};
@@ -559,6 +559,33 @@
     server.stop();
 }
 
+/// A drain did not begin for as long as callers kept opening connections.
+#[test]
+fn drain_ends_while_callers_keep_connecting() {
+    let server = start(generous_limits(), respond_ok);
+    let address = server.address();
+    let (connected, first) = mpsc::sync_channel(1);
+    let caller = thread::spawn(move || {
+        let start = Instant::now();
+        while TcpStream::connect(address).is_ok() {
+            if start.elapsed() > TEST_TIMEOUT {
+                return false;
+            }
+            let _ = connected.try_send(());
+            thread::sleep(Duration::from_millis(5));
+        }
+        true
+    });
+    first.recv_timeout(TEST_TIMEOUT).unwrap();
+    assert_eq!(server.drain(TEST_TIMEOUT), DrainOutcome::Complete);
+    let was_refused = caller.join().unwrap();
+    assert!(
+        was_refused,
+        "connections were accepted for {TEST_TIMEOUT:?}"
+    );
+    server.stop();
+}
+
 /// Requests that outlast the drain's time limit are aborted and counted, and their responses are
 /// visibly truncated.
 #[test]
