Format the ids of prompt parts in one place

The log line of a request computed the ids of its parts again, though the exchange has them, and two modules had the same format. No change in behaviour.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -14,6 +14,7 @@
 
 use std::{
     collections::{HashMap, VecDeque},
+    fmt,
     time::Duration,
 };
 
@@ -75,6 +76,12 @@
     }
 }
 
+impl fmt::Display for PartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
 /// Part of the prompt of a request that an engine may have crashed on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Suspect {
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -371,8 +371,14 @@
                 self.gossip.record_part_success(&self.suspects);
             }
             let metrics = &self.gateway.metrics;
-            self.trace
-                .finish(&self.request_head, &self.route, &self.service, end, metrics);
+            self.trace.finish(
+                &self.request_head,
+                &self.route,
+                &self.service,
+                &self.suspects,
+                end,
+                metrics,
+            );
         }
     }
 
--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -90,7 +90,7 @@
             Verdict::Trial(part) => {
                 let id = &*self.request_head.id;
                 self.trial = Some(part);
-                let part = format!("{:x}", part.0);
+                let part = part.to_string();
                 log::info!(event = "part-trial", request = id, prompt_part = &*part; "request {id} tries whether engines still crash on prompt part {part}");
                 self.gateway.metrics.count_trial();
                 Ok(())
--- a/crates/gateway/src/gossip/quarantine.rs
+++ b/crates/gateway/src/gossip/quarantine.rs
@@ -157,7 +157,7 @@
         suspects.sort_unstable_by_key(|it| (it.part, it.depth));
         suspects.dedup();
         let id = &*listing.id;
-        let parts: Vec<String> = suspects.iter().map(|it| format_part(it.part)).collect();
+        let parts: Vec<String> = suspects.iter().map(|it| it.part.to_string()).collect();
         self.gateway.metrics.count_crash(&listing.service);
         log::info!(
             event = "engine-crashed", engine = id, parts = parts.join(",").as_str();
@@ -202,7 +202,7 @@
         time::sleep(SETTLE_TIME).await;
         let quarantined = self.gateway.quarantine.borrow_mut().judge(clock::now());
         for part in quarantined {
-            let part = format_part(part);
+            let part = part.to_string();
             log::warn!(
                 event = "part-quarantined", prompt_part = part.as_str(), why = "crashes";
                 "engines crash on prompt part {part}: requests with it are refused"
@@ -235,7 +235,7 @@
         let now = clock::now();
         let cleared = (self.gateway.quarantine.borrow_mut()).record_success(parts, now);
         for part in cleared {
-            let text = format_part(part);
+            let text = part.to_string();
             log::info!(
                 event = "part-cleared", prompt_part = text.as_str(), why = "success";
                 "a request with prompt part {text} succeeded: engines do not crash on it"
@@ -249,7 +249,7 @@
         let (part, at) = (PartId(report.part), time_before(report.age_ms));
         let mut quarantine = self.gateway.quarantine.borrow_mut();
         if quarantine.record_remote_success(part, at, clock::now()) {
-            let part = format_part(part);
+            let part = part.to_string();
             log::info!(
                 event = "part-cleared", prompt_part = part.as_str(), why = "other-host";
                 "a request with prompt part {part} succeeded at another host"
@@ -270,7 +270,7 @@
             let adoption = self.gateway.quarantine.borrow_mut().adopt(notice, now);
             match adoption {
                 Adoption::New => {
-                    let part = format_part(part);
+                    let part = part.to_string();
                     log::warn!(
                         event = "part-quarantined", prompt_part = part.as_str(), why = "other-host";
                         "another host reports that engines crash on prompt part {part}"
@@ -343,7 +343,7 @@
 
     /// Returns whether this host is the one of the live hosts that tries a quarantined part again.
     fn may_try_part(&self, part: PartId) -> bool {
-        let part = format_part(part);
+        let part = part.to_string();
         let rank = |host: &str| rendezvous::weight(&part, host);
         let own_rank = rank(&self.gateway.holder);
         let peers = self.gateway.peers.borrow();
@@ -379,8 +379,3 @@
 fn time_before(age_ms: u32) -> Time {
     clock::now().saturating_sub(Duration::from_millis(age_ms.into()))
 }
-
-/// Formats a part for the log.
-fn format_part(part: PartId) -> String {
-    format!("{:x}", part.0)
-}
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -4,7 +4,7 @@
 
 use std::{borrow::Cow, fmt::Write, sync::Arc, time::Duration};
 
-use fleet::{catalog::Route, listing::Build, placement::Choice, prefix::Part, quarantine::PartId};
+use fleet::{catalog::Route, listing::Build, placement::Choice, quarantine::Suspect};
 use hyper::http::StatusCode;
 
 use crate::{clock, dialect::RequestHead, metrics::Metrics};
@@ -181,6 +181,7 @@
         request_head: &RequestHead,
         route: &Route,
         service: &str,
+        prompt: &[Suspect],
         end: End,
         metrics: &Metrics,
     ) {
@@ -225,7 +226,7 @@
             builds = self.format_builds().as_str(),
             resumes = request_head.resumed_request.as_deref().unwrap_or("-"),
             after_event = request_head.last_event_id.as_deref().unwrap_or("-"),
-            prompt = format_prompt(service, &request_head.prompt_parts).as_str(),
+            prompt = format_prompt(prompt).as_str(),
             not_resumed = self.resume_failure.unwrap_or("-"),
             tries = self.format_attempts().as_str();
             "request {} {event}", request_head.id
@@ -234,10 +235,9 @@
 }
 
 /// Formats the ids of the first parts of a prompt for the log.
-fn format_prompt(service: &str, parts: &[Part]) -> String {
+fn format_prompt(parts: &[Suspect]) -> String {
     let parts = parts.iter().take(MAX_LOGGED_PARTS);
-    let ids = parts.map(|it| format!("{:x}", PartId::new(service, it).0));
-    let ids: Vec<String> = ids.collect();
+    let ids: Vec<String> = parts.map(|it| it.part.to_string()).collect();
     ids.join(",")
 }
 
