Judge reported crashes once for all reports that come together

Each of the up to four copies of a report, from each host, started a timer of its own, of which all but the first found nothing to judge. Now one timer runs at a time.

--- a/crates/gateway/src/gossip/quarantine.rs
+++ b/crates/gateway/src/gossip/quarantine.rs
@@ -2,7 +2,7 @@
 //! for other reasons, so a crash is confirmed by a connection attempt before it is reported to the other hosts.
 
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::{HashMap, VecDeque},
     net::SocketAddr,
     rc::Rc,
@@ -50,6 +50,8 @@
     /// Engines to which a connection has just broken.
     suspicions: RefCell<HashMap<Key, Suspicion>>,
     reports: RefCell<VecDeque<Report>>,
+    /// True while reported crashes wait to be judged.
+    is_judging: Cell<bool>,
 }
 
 /// Engine to which a connection has just broken.
@@ -194,12 +196,15 @@
     fn record_crash(self: &Rc<Self>, engine: Incarnation, suspects: &[Suspect], at: Time) {
         let mut quarantine = self.gateway.quarantine.borrow_mut();
         quarantine.record_crash(engine, suspects, at, clock::now());
-        task::spawn_local(self.clone().judge_crashes());
+        if !self.gateway.crash_watch.is_judging.replace(true) {
+            task::spawn_local(self.clone().judge_crashes());
+        }
     }
 
     /// Quarantines the parts on which engines crash, once all hosts have reported.
     async fn judge_crashes(self: Rc<Self>) {
         time::sleep(SETTLE_TIME).await;
+        self.gateway.crash_watch.is_judging.set(false);
         let quarantined = self.gateway.quarantine.borrow_mut().judge(clock::now());
         for part in quarantined {
             let part = part.to_string();
