--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -280,10 +280,8 @@
         match collected {
             Some(Ok(body)) => {
                 head.headers.remove(CONTENT_LENGTH);
-                let may_send_again = self.route.kind.is_retryable()
-                    && self.has_time_left()
-                    && self.has_engine_left();
-                if is_failure && may_send_again && self.gateway.has_retry(&self.service) {
+                let may_repeat = self.route.kind.is_retryable() && self.may_continue_elsewhere();
+                if is_failure && may_repeat && self.gateway.has_retry(&self.service) {
                     in_flight.release_connection(keep_alive);
                     let response = Response::from_parts(head, reply::full_body(body));
                     self.fallback_response = Some(response);
@@ -403,7 +401,12 @@
 
     /// Returns whether a stream may be resumed at another engine, or at the silent one that was left.
     pub(crate) fn may_resume(&self) -> bool {
-        self.route.kind == RequestKind::Resumable && self.has_time_left() && self.has_engine_left()
+        self.route.kind == RequestKind::Resumable && self.may_continue_elsewhere()
+    }
+
+    /// Returns whether there are time and an engine for another attempt, be it the silent one that was left.
+    fn may_continue_elsewhere(&self) -> bool {
+        self.has_time_left() && self.has_engine_left()
     }
 
     /// Returns whether a request that may run more than once may be sent to another engine now.
