Test a part that begins to crash engines after it had succeeded; it fails

A part that had succeeded before is tried again 3 s, 6 s, 12 s and so on after it was quarantined, so more than three requests with it reach engines later than 3 s after the fifth crash. `crashes::` of `fleet` plays three hosts and 18 engines with the time as an argument; `quarantine::` of `platform` has real hosts.

All engines crash at the same moments, of which six are needed, and nothing succeeds between them.

Two tests of `crashes::` pass: requests are served beside engines that crash again and again, and soon after all engines have done so.

--- a/crates/fleet/tests/it/main.rs
+++ b/crates/fleet/tests/it/main.rs
@@ -3,6 +3,7 @@
 mod admissions;
 mod backoffs;
 mod budgets;
+mod crashes;
 mod eras;
 mod fixture;
 mod leases;
--- a/crates/fleet/tests/it/quarantines.rs
+++ b/crates/fleet/tests/it/quarantines.rs
@@ -13,12 +13,12 @@
 const TERM: Duration = Duration::from_mins(1);
 
 /// Parts that all prompts, and some prompts, share.
-const COMMON: u64 = 1;
-const CRASHING: u64 = 2;
-const SOUND: u64 = 3;
+pub const COMMON: u64 = 1;
+pub const CRASHING: u64 = 2;
+pub const SOUND: u64 = 3;
 
 /// Returns the parts of a prompt with these ids.
-fn prompt(ids: &[u64]) -> Vec<Suspect> {
+pub fn prompt(ids: &[u64]) -> Vec<Suspect> {
     let parts: Vec<_> = ids
         .iter()
         .map(|it| Part {
@@ -29,7 +29,7 @@
     suspects("chat", &parts)
 }
 
-fn part(id: u64) -> PartId {
+pub fn part(id: u64) -> PartId {
     PartId::new("chat", &Part { id, tokens: 10 })
 }
 
