Renew a quarantine only for a crash that comes after its end

A host may learn late that a request with a part was at an engine when it crashed. The crash was judged again, and if the term of the part had ended in the meantime, it was doubled although no request had been tried.

A term is now renewed only if the crash came at most 1 s before its end, the difference that hosts allow for.

`a_crash_from_before_the_end_of_a_term_does_not_renew_it` failed before and passes; `fleet quarantines::` 14 of 14.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -250,8 +250,8 @@
         let mut quarantined = Vec::new();
         while let Some(crash) = self.crashes.iter_mut().find(|it| !it.is_judged) {
             crash.is_judged = true;
-            let suspects = crash.suspects.clone();
-            quarantined.extend(self.renew_terms(&suspects, now));
+            let (suspects, at) = (crash.suspects.clone(), crash.at);
+            quarantined.extend(self.renew_terms(&suspects, at, now));
             while let Some(part) = self.find_culprit(&suspects) {
                 let length = if self.successes.contains_key(&part) {
                     self.first_term.min(DOUBTFUL_TERM)
@@ -265,12 +265,13 @@
         quarantined
     }
 
-    /// Extends the quarantine of parts whose trial has crashed an engine.
-    fn renew_terms(&mut self, suspects: &[Suspect], now: Time) -> Vec<PartId> {
+    /// Extends the quarantine of parts whose trial has crashed an engine at `at`. An earlier crash may become known only
+    /// after the end of the term.
+    fn renew_terms(&mut self, suspects: &[Suspect], at: Time, now: Time) -> Vec<PartId> {
         let mut renewed = Vec::new();
         for it in suspects {
             if let Some(term) = self.terms.get_mut(&it.part)
-                && term.ends_at() <= now
+                && term.ends_at() <= now.min(at + END_TOLERANCE)
             {
                 *term = Term::new(now, (term.length * 2).min(MAX_TERM));
                 renewed.push(it.part);
--- a/crates/fleet/tests/it/quarantines.rs
+++ b/crates/fleet/tests/it/quarantines.rs
@@ -222,6 +222,22 @@
     assert_eq!(check(&mut quarantine, &ids, true, crash_time), refused);
 }
 
+/// A host learned late that a request with the part had been at an engine when it crashed.
+#[test]
+fn a_crash_from_before_the_end_of_a_term_does_not_renew_it() {
+    let mut quarantine = quarantine_crashing();
+    let time = at(2500) + TERM + ms(100);
+    let ids = [COMMON, CRASHING, 9];
+    let engine = Incarnation {
+        engine: 0,
+        started_at: 1,
+    };
+    quarantine.record_crash(engine, &prompt(&ids), at(500), time);
+    assert_eq!(quarantine.judge(time), []);
+    let trial = Verdict::Trial(part(CRASHING));
+    assert_eq!(check(&mut quarantine, &ids, true, time), trial);
+}
+
 #[test]
 fn a_success_ends_the_quarantine_here_and_at_other_hosts() {
     let mut quarantine = quarantine_crashing();
