Quarantine a part for the full term when a trial confirms that it crashes engines

A part that had succeeded before was tried again 3 s, 6 s, 12 s and so on after it was found, also when nothing but that part crashed engines, so more than three requests with it reached engines later than 3 s after the fifth crash. The short term is for engines that all end for another reason: then no request succeeds, and the part that all prompts share must come back soon.

The trial tells the two apart. If requests to the service succeeded while the part was refused, no engine crashed without it, and the trial crashes an engine, the next term is at least the full one. Otherwise it doubles as before. No message changes: crash reports have the last success of each suspect, and hosts adopt the longer term from heartbeats.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -13,7 +13,7 @@
 //! then the same request has crashed engines again and again.
 
 use std::{
-    collections::{HashMap, VecDeque},
+    collections::{HashMap, HashSet, VecDeque},
     time::Duration,
 };
 
@@ -26,7 +26,8 @@
 /// another reason, no request succeeds, and all requests may share the part.
 const MIN_CRASHES_AFTER_SUCCESS: usize = 6;
 
-/// Maximum time after which a part that had succeeded before is first tried again.
+/// Maximum time after which a part that had succeeded before is first tried again. The trial shows whether the part is to
+/// blame.
 const DOUBTFUL_TERM: Duration = Duration::from_secs(3);
 
 /// Time within which crashes count as one for a part that has succeeded before: engines that share a cause, such as a
@@ -268,18 +269,37 @@
     /// Extends the quarantine of parts whose trial has crashed an engine at `at`. An earlier crash may become known only
     /// after the end of the term.
     fn renew_terms(&mut self, suspects: &[Suspect], at: Time, now: Time) -> Vec<PartId> {
+        let has_ended = |it: &Term| it.ends_at() <= now.min(at + END_TOLERANCE);
         let mut renewed = Vec::new();
-        for it in suspects {
-            if let Some(term) = self.terms.get_mut(&it.part)
-                && term.ends_at() <= now.min(at + END_TOLERANCE)
-            {
-                *term = Term::new(now, (term.length * 2).min(MAX_TERM));
-                renewed.push(it.part);
+        for Suspect { part, .. } in suspects.iter().copied() {
+            let Some(term) = self.terms.get(&part).copied().filter(has_ended) else {
+                continue;
+            };
+            let mut length = term.length * 2;
+            if self.is_confirmed(part, term.began_at) {
+                length = length.max(self.first_term);
             }
+            let term = Term::new(now, length.min(MAX_TERM));
+            self.terms.insert(part, term);
+            renewed.push(part);
         }
         renewed
     }
 
+    /// Returns whether a crash on the trial of a part that was refused from `began_at` on is due to the part: in the
+    /// meantime no engine of its service crashed, and requests to the service succeeded.
+    fn is_confirmed(&self, part: PartId, began_at: Time) -> bool {
+        let has_part = |it: &&Crash| it.suspects.iter().any(|it| it.part == part);
+        let (with_part, others): (Vec<_>, Vec<_>) = self.crashes.iter().partition(has_part);
+        // All requests at an engine are to the same service.
+        let suspects = with_part.iter().flat_map(|it| &it.suspects);
+        let of_service: HashSet<PartId> = suspects.map(|it| it.part).collect();
+        let has_succeeded = |it| self.successes.get(it).is_some_and(|at| *at > began_at);
+        let is_of_service = |it: &Suspect| of_service.contains(&it.part);
+        let has_crashed = |it: &&Crash| it.at > began_at && it.suspects.iter().any(is_of_service);
+        of_service.iter().any(has_succeeded) && !others.iter().any(has_crashed)
+    }
+
     /// Returns the suspect that is to blame, if one was there at enough crashes that no quarantined part explains. Parts
     /// that have never succeeded come first, then those that are not the last of a prompt, then those of most crashes,
     /// then those that the fewest requests share.
--- a/crates/fleet/tests/it/quarantines.rs
+++ b/crates/fleet/tests/it/quarantines.rs
@@ -183,6 +183,86 @@
     );
 }
 
+/// Quarantines `CRASHING`, which had succeeded before. Returns the end of its first term.
+fn quarantine_doubtful(quarantine: &mut Quarantine) -> Time {
+    quarantine.record_success(&prompt(&[COMMON, CRASHING, 50]), at(0));
+    let mut time = at(0);
+    for number in 0..6 {
+        time = at(1000 + u64::from(number) * 1000);
+        quarantine.record_success(&prompt(&[COMMON, SOUND, 51]), time.saturating_sub(ms(1)));
+        let own = 100 + u64::from(number);
+        let quarantined = crash(quarantine, number, time, &[&[COMMON, CRASHING, own]]);
+        assert_eq!(quarantined.contains(&part(CRASHING)), number == 5);
+    }
+    time + ms(3000)
+}
+
+/// Lets the first trial of `CRASHING` crash an engine. Returns the next term.
+fn fail_trial(quarantine: &mut Quarantine, time: Time) -> Duration {
+    let ids = [COMMON, CRASHING, 9];
+    crash(quarantine, 30, time, &[&ids]);
+    match check(quarantine, &ids, true, time) {
+        Verdict::Refuse(refused, term) if refused == part(CRASHING) => term,
+        verdict => panic!("{verdict:?}"),
+    }
+}
+
+#[test]
+fn a_part_whose_trial_fails_while_others_succeed_gets_the_full_term() {
+    let mut quarantine = Quarantine::default();
+    let end = quarantine_doubtful(&mut quarantine);
+    // A host that has only heard of the quarantine decides the same.
+    let mut other = Quarantine::default();
+    let heard_at = end.saturating_sub(ms(1000));
+    for it in quarantine.notices(heard_at) {
+        other.adopt(it, heard_at);
+    }
+    for it in [&mut quarantine, &mut other] {
+        it.record_success(&prompt(&[COMMON, SOUND, 52]), end.saturating_sub(ms(500)));
+        assert_eq!(fail_trial(it, end + ms(100)), TERM);
+    }
+}
+
+/// Prompts need not share a part to show that the engines are sound.
+#[test]
+fn a_first_part_whose_trial_fails_while_others_succeed_gets_the_full_term() {
+    let mut quarantine = Quarantine::default();
+    quarantine.record_success(&prompt(&[CRASHING, 50]), at(0));
+    let mut time = at(0);
+    for number in 0..6 {
+        time = at(1000 + u64::from(number) * 1000);
+        quarantine.record_success(&prompt(&[COMMON, 51]), time.saturating_sub(ms(1)));
+        let own = 100 + u64::from(number);
+        let prompts: [&[u64]; 2] = [&[CRASHING, own], &[COMMON, own + 10]];
+        crash(&mut quarantine, number, time, &prompts);
+    }
+    let end = time + ms(3000);
+    quarantine.record_success(&prompt(&[COMMON, 52]), end);
+    crash(&mut quarantine, 30, end + ms(100), &[&[CRASHING, 9]]);
+    let refused = Verdict::Refuse(part(CRASHING), TERM);
+    assert_eq!(
+        check(&mut quarantine, &[CRASHING, 9], true, end + ms(100)),
+        refused
+    );
+}
+
+#[test]
+fn a_part_whose_trial_fails_while_nothing_succeeds_is_soon_tried_again() {
+    let mut quarantine = Quarantine::default();
+    let end = quarantine_doubtful(&mut quarantine);
+    assert_eq!(fail_trial(&mut quarantine, end + ms(100)), ms(6000));
+}
+
+#[test]
+fn a_part_whose_trial_fails_while_other_requests_crash_engines_is_soon_tried_again() {
+    let mut quarantine = Quarantine::default();
+    let end = quarantine_doubtful(&mut quarantine);
+    let time = end.saturating_sub(ms(1000));
+    crash(&mut quarantine, 20, time, &[&[COMMON, SOUND, 60]]);
+    quarantine.record_success(&prompt(&[COMMON, SOUND, 61]), end);
+    assert_eq!(fail_trial(&mut quarantine, end + ms(100)), ms(6000));
+}
+
 #[test]
 fn crashes_that_a_quarantined_part_explains_count_against_no_other() {
     let mut quarantine = quarantine_crashing();
