Read what arrived while the host was suspended in a takeover before it ends

The wait for a silent engine had its own timer, of which a delay was not noticed, so neither this wait nor the next one, for the body or the next event, was extended. A host that was suspended past the deadline then gave up responses that were in its sockets. Each wait of a takeover for its end now detects the delay as the others do.

`losses::answers_that_arrive_while_the_host_is_suspended_in_a_takeover_are_forwarded`: 504 and two cut streams before; the three requests are answered now.

--- a/crates/gateway/src/stall.rs
+++ b/crates/gateway/src/stall.rs
@@ -31,7 +31,7 @@
 
 impl WaitContext {
     /// Time after which no answer is expected, or could no longer be forwarded because this host is stopping.
-    fn end(&self) -> Time {
+    pub(crate) fn end(&self) -> Time {
         let end = self.deadline + DEADLINE_MARGIN;
         self.gateway.limit(end.max(self.gateway.caught_up_at.get()))
     }
@@ -39,11 +39,21 @@
     /// Waits until no answer is expected any more.
     pub(crate) async fn wait_for_end(&self) {
         loop {
-            let left = self.end().saturating_sub(clock::now());
+            let end = self.end();
+            let left = end.saturating_sub(clock::now());
             if left.is_zero() {
                 return;
             }
             let _ = time::timeout(left, self.gateway.stop_began.notified()).await;
+            self.detect_suspension(end);
+        }
+    }
+
+    /// Lets no wait end for a moment if a timer that was due at `due` shows that this host was suspended.
+    pub(crate) fn detect_suspension(&self, due: Time) {
+        let now = clock::now();
+        if now > due + MAX_TIMER_DELAY {
+            self.gateway.caught_up_at.set(now + CATCH_UP_TIME);
         }
     }
 }
@@ -89,10 +99,7 @@
             // The end of this wait may be earlier now.
             () = context.gateway.stop_began.notified() => None,
         };
-        let now = clock::now();
-        if now > due + MAX_TIMER_DELAY {
-            context.gateway.caught_up_at.set(now + CATCH_UP_TIME);
-        }
+        context.detect_suspension(due);
         if let Some(it) = ready {
             return WaitResult::Ready(it);
         }
--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -102,9 +102,13 @@
         // The first search may wait for a load. Later ones only find what is there.
         let mut search_until = clock::now() + PLACEMENT_TIMEOUT;
         loop {
+            let end = context.end();
             let next = tokio::select! {
                 biased;
-                it = &mut answer => return self.continue_silent(silent, it),
+                it = &mut answer => {
+                    context.detect_suspension(end);
+                    return self.continue_silent(silent, it);
+                }
                 () = context.wait_for_end() => {
                     self.may_have_run = true;
                     return Takeover::DeadlineExceeded;
