Read what arrived while the host was suspended in an overlap before a wait ends

A delay of the timer that ends the overlap of two engines was not noticed, so the wait that followed ended at once if the deadline had passed meanwhile, although both engines had answered.

--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     clock,
+    connection::{Body, Failure},
     exchange::{Attempt, Exchange, OpenResponse, Outcome},
     gateway::ReservedRetry,
     in_flight::InFlight,
@@ -37,6 +38,16 @@
     DeadlineExceeded,
 }
 
+/// What happens first while two engines have the same request.
+enum Overlap<T> {
+    /// The engine that takes over has responded, or failed.
+    Response(Result<Response<Body>, Failure>),
+    /// The silent engine has gone on.
+    Answer(T),
+    /// Two engines may not have the request any longer.
+    End,
+}
+
 impl Exchange {
     /// Waits for the head of the response to an attempt, or to one that takes over from it.
     pub(crate) async fn await_head(
@@ -119,22 +130,27 @@
             let Some((mut next, way_back)) = next else {
                 continue;
             };
+            let overlap_due = clock::now() + MAX_OVERLAP;
             let overlap_end = time::sleep(MAX_OVERLAP);
             tokio::pin!(overlap_end);
             let mut late_answer = None;
             let response = loop {
-                tokio::select! {
+                let event = tokio::select! {
                     biased;
-                    it = &mut next.response => break it,
-                    it = &mut answer, if late_answer.is_none() => {
-                        if is_last(&it) {
-                            self.may_have_run = true;
-                            self.trace.record_outcome(next.in_flight.attempt, "dropped");
-                            return self.continue_silent(silent, it);
-                        }
-                        late_answer = Some(it);
+                    it = &mut next.response => Overlap::Response(it),
+                    it = &mut answer, if late_answer.is_none() => Overlap::Answer(it),
+                    () = &mut overlap_end => Overlap::End,
+                };
+                context.detect_suspension(overlap_due);
+                match event {
+                    Overlap::Response(it) => break it,
+                    Overlap::Answer(it) if is_last(&it) => {
+                        self.may_have_run = true;
+                        self.trace.record_outcome(next.in_flight.attempt, "dropped");
+                        return self.continue_silent(silent, it);
                     }
-                    () = &mut overlap_end => {
+                    Overlap::Answer(it) => late_answer = Some(it),
+                    Overlap::End => {
                         self.may_have_run = true;
                         // Two silent engines must not exchange a request again and again.
                         self.left_engine = way_back.as_ref().map(|_| silent.key);
