Wait for the back-off of a silent engine that was left

When no other engine takes a request, it returns to the silent one that was left for another. If that one had asked this host for a back-off meanwhile, or was within 0.1 s of a request after one, the request was given up at once. It now waits for the end of the back-off if that comes within the time in which another engine is sought, 1.2 s.

--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -19,6 +19,7 @@
     exchange::Exchange,
     gateway::{Gateway, MAX_WAITERS},
     reply::Fault,
+    takeover::PLACEMENT_TIMEOUT,
 };
 
 /// Fraction of the caller's timeout after which a request without a placement is refused. The rest
@@ -59,7 +60,7 @@
     }
 
     /// Chooses an engine for the next attempt. If no other engine takes the request now, that is the silent one that was
-    /// left. If that one can't be asked either, waits for another engine until `until`.
+    /// left. If that one can't be asked either, waits for another engine until `until`, or for the end of its back-off.
     pub(crate) async fn place_again(&mut self, until: Time) -> Result<Choice, Fault> {
         let Some(left) = self.left_engine else {
             return self.place(until).await;
@@ -74,10 +75,31 @@
         if let Some(it) = self.choose_left_engine(left) {
             return Ok(it);
         }
-        if !self.has_attempts_left() {
-            return Err(Fault::NoEngine);
+        let mut fault = Fault::NoEngine;
+        if self.has_attempts_left() {
+            match self.place(until).await {
+                Ok(it) => return Ok(it),
+                Err(it) => fault = it,
+            }
+        }
+        // The time for which a request is held may have passed while its engines were silent.
+        let until = until.max(clock::now() + PLACEMENT_TIMEOUT);
+        self.wait_for_left_engine(left, until).await.ok_or(fault)
+    }
+
+    /// Chooses the silent engine that was left, after its back-off if that ends before `until`.
+    async fn wait_for_left_engine(&self, key: Key, until: Time) -> Option<Choice> {
+        let until = self.gateway.limit(until.min(self.deadline));
+        loop {
+            let choice = self.choose_left_engine(key);
+            if choice.is_some() {
+                return choice;
+            }
+            let now = clock::now();
+            let backoff = self.gateway.table.borrow().get(key)?.backoff;
+            let open_at = backoff.closed_until(now).filter(|it| *it < until)?;
+            time::sleep(open_at.saturating_sub(now)).await;
         }
-        self.place(until).await
     }
 
     /// Fails if engines crash on a part of the prompt, unless this request is to show whether they still do.
