Let a head that begins within the idle time take as long as any other

`hyper` has one timer from the end of a request to the end of the next head. It was set to the longer one of the two limits, so a caller that kept to both (idle for four fifths of `idle_ms`, then `header_ms` for the head) was cut off while its head arrived, the more so when a configuration lowered the idle time to that of a head. The timer is now the sum of both.

`callers::a_head_that_begins_within_the_idle_time_is_read_for_as_long_as_a_head_may_take`: closed without an answer before, answered now.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -108,11 +108,11 @@
             Ok::<_, Infallible>(response)
         }
     });
-    // The header timeout starts at the end of the previous request, so it also limits the idle
-    // time.
+    // The header timeout starts at the end of the previous request, so it covers the idle time as well. A head that
+    // begins at the end of that time may still take as long as any other.
     let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(limits.idle_timeout.max(limits.header_timeout))
+        .header_read_timeout(limits.idle_timeout + limits.header_timeout)
         .max_buf_size(limits.header_bytes.max(8 << 10) * 2)
         .serve_connection(TokioIo::new(stream), service);
     let result = tokio::select! {
