Reset the connection of an HTTP/1.0 caller only if its response was cut

The reset marks a response that ends with its connection as cut, but was made after each error, so also when a kept connection had been idle for too long, or the next head was malformed. A reset discards what the kernel has not sent, so a slow caller could lose the end of a whole response with a length. Now only an error of the response's body leads to it.

`unframed::an_idle_connection_of_a_caller_without_chunks_is_not_reset`: ECONNRESET before, closed in order now. `unframed::a_stream_that_is_cut_is_reset_if_the_caller_has_no_chunks` still passes, with the other ten of `unframed::`.

--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -128,7 +128,9 @@
     };
     if let Err(error) = result {
         log::debug!("a caller's connection failed: {error}");
-        if !has_chunks.get() {
+        // Of the other errors, some come after a whole response, which a reset could discard.
+        let is_truncated = error.is_user();
+        if is_truncated && !has_chunks.get() {
             // A response that ends with its connection must not look complete.
             let stream = connection.into_parts().io.into_inner();
             if let Err(error) = stream.set_zero_linger() {
