Wait for a third engine before the head as within a stream

When the silent engine that was left can't be asked any more, a stream that has begun waits up to 1.2 s for a third engine. A request without a head was given up at once, since the time for which it may be held had passed while its engines were silent. It now waits as long, until 0.4 s before the end of the grace period at most. No load was ordered for it either, because the engine that had refused it still holds the adapter; that engine is now left out, as one at which a stream broke off is.

`losses::a_request_without_a_head_waits_for_a_third_engine_if_the_silent_one_can_no_longer_be_asked`: 502 before; both requests are answered now. With the wait alone, the stream still got 502.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -74,6 +74,8 @@
     /// Silent engine that was left for another one. The request may be sent there once more if no other engine takes
     /// it, and it counts as one attempt.
     pub(crate) left_engine: Option<Key>,
+    /// Engine to which the request was sent last when the silent one that was left could not be asked once more.
+    pub(crate) last_after_left: Option<Key>,
     /// Retry for the way back to `left_engine`, until the engine that took over has responded.
     pub(crate) way_back: Option<ReservedRetry>,
     /// Engines to which no connection could be opened for the request.
--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -52,9 +52,15 @@
         total.mul_f64(MAX_HOLD_FRACTION).min(MAX_HOLD)
     }
 
-    /// Short id of the engine at which the stream broke off, if it has begun.
+    /// Short id of the engine at which the stream broke off if it has begun, or that refused the request after a silent
+    /// one was left.
     fn lost_engine(&self) -> Option<u32> {
-        let key = self.attempted_engines.last().filter(|_| self.has_begun)?;
+        let key = if self.has_begun {
+            self.attempted_engines.last()
+        } else {
+            self.last_after_left.as_ref()
+        };
+        let key = key?;
         let table = self.gateway.table.borrow();
         table.get(*key).map(|it| short_id(&it.listing.id))
     }
@@ -75,6 +81,9 @@
         if let Some(it) = self.choose_left_engine(left) {
             return Ok(it);
         }
+        self.last_after_left = self.attempted_engines.last().copied();
+        // The time for which a request is held may have passed while its engines were silent.
+        let until = until.max(clock::now() + PLACEMENT_TIMEOUT);
         let mut fault = Fault::NoEngine;
         if self.has_attempts_left() {
             match self.place(until).await {
@@ -82,8 +91,6 @@
                 Err(it) => fault = it,
             }
         }
-        // The time for which a request is held may have passed while its engines were silent.
-        let until = until.max(clock::now() + PLACEMENT_TIMEOUT);
         self.wait_for_left_engine(left, until).await.ok_or(fault)
     }
 
@@ -156,7 +163,7 @@
             build: self.build,
             lost_engine: self.lost_engine(),
         });
-        let until = until.min(self.deadline);
+        let until = self.gateway.limit(until.min(self.deadline));
         let mut waiting: Option<WaitGuard> = None;
         loop {
             self.check_quarantine()?;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -141,6 +141,7 @@
         attempted_engines: Vec::new(),
         repeatable_engines: Vec::new(),
         left_engine: None,
+        last_after_left: None,
         way_back: None,
         unreachable_engines: Vec::new(),
         attempted_addrs: Vec::new(),
