Wait for a retry before a stream that has broken off is cut

A stream that broke off was cut at once if the retry budget was spent, while it waits 1.2 s if no engine is there. A budget recovers with each few requests for the service. The stream now waits for a retry within the same 1.2 s. The other side: where the budget stays empty, a caller learns of the cut 1.2 s later.

`losses::a_stream_that_broke_off_goes_on_when_further_requests_allow_a_retry`: cut with 2 of 5 events before, whole now. The 64 tests of `losses::`, `streams::`, `builds::` and `answers::` pass.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -41,7 +41,7 @@
 };
 
 /// Time between two checks whether the retry budget has recovered.
-const BUDGET_PAUSE: Duration = Duration::from_millis(100);
+pub(crate) const BUDGET_PAUSE: Duration = Duration::from_millis(100);
 
 /// Minimum time before the deadline in which another attempt is made.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(50);
@@ -165,8 +165,7 @@
                 // The request is first to get the next retry of this host, sooner than a new request of
                 // the caller would.
                 Outcome::NoBudget if clock::now() + BUDGET_PAUSE < until && !self.may_have_run => {
-                    time::sleep(BUDGET_PAUSE).await;
-                    self.trace.budget_wait += BUDGET_PAUSE;
+                    self.wait_for_budget().await;
                     continue;
                 }
                 Outcome::NoBudget => return self.fail(Fault::NoBudget),
@@ -182,6 +181,12 @@
         }
     }
 
+    /// Waits for a moment in which the retry budget may recover.
+    pub(crate) async fn wait_for_budget(&mut self) {
+        time::sleep(BUDGET_PAUSE).await;
+        self.trace.budget_wait += BUDGET_PAUSE;
+    }
+
     /// Finds the build that began the stream, if the caller resumes one.
     async fn find_origin(&mut self) -> Result<(), Fault> {
         if !self.route.kind.is_stream() || self.request_head.last_event_id.is_none() {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -11,7 +11,7 @@
 use crate::{
     clock,
     connection::{self, Failure, Part},
-    exchange::{Attempt, Exchange, OpenResponse, Outcome},
+    exchange::{Attempt, BUDGET_PAUSE, Exchange, OpenResponse, Outcome},
     in_flight::InFlight,
     reply::{self, Body, Truncated},
     sse,
@@ -241,6 +241,7 @@
     /// sent. Returns false if no engine could resume the stream.
     async fn resume(&mut self, sent: Option<Attempt>) -> bool {
         let mut sent = sent;
+        let budget_until = clock::now() + PLACEMENT_TIMEOUT;
         loop {
             let last_event_id = self.last_event_id.clone();
             let outcome = if let Some(attempt) = sent.take() {
@@ -268,6 +269,9 @@
                 Outcome::Response(it) => self.exchange.record_failure(it.3.key),
                 Outcome::NotExecuted(_) | Outcome::Lost => {}
                 Outcome::NoBudget if self.exchange.left_engine.is_some() => {}
+                Outcome::NoBudget if clock::now() + BUDGET_PAUSE < budget_until => {
+                    self.exchange.wait_for_budget().await;
+                }
                 Outcome::DeadlineExceeded => {
                     self.exchange.trace.record_resume_failure("timeout");
                     return false;
