Share ports between test processes by locked blocks

Cause: `free_addr` of platform's tests and `port::reserve` of the fleet each chose ports of their own, from ranges that overlap, starting at a port that depends on the process id, and released a port after trying it at 127.0.0.1. All hosts of platform's tests bind their peer port at 127.0.1.N, where it was not tried. So two processes with near starts chose the same peer port while the hosts of both ran, and the second host ended with "Address already in use".

Change: `standin::port` replaces both. A process claims blocks of 250 ports by file locks, which it holds until it ends, at most 8 blocks, then hands out its own again. A port is tried at all addresses.

--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -13,12 +13,11 @@
 
 use derive_more::{Display, Error};
 
-use crate::{client, command, control::Toggle, engine, hosts, link, object, plain, weights};
+use crate::{client, command, control::Toggle, engine, hosts, link, object, plain, port, weights};
 
 pub mod guard;
 mod launcher;
 pub mod node;
-pub mod port;
 pub mod process;
 pub mod programs;
 pub mod settings;
@@ -161,19 +160,15 @@
 
     /// Starts entry hosts that have each other as seeds, in addition to those already running.
     pub fn start_entries(&mut self, shape: &Shape) -> Result<(), Failure> {
-        // A build between the reservation of ports and their use would leave them free for too
-        // long, so it comes first.
         let programs = programs::build_shipped()?;
         if self.guard.is_none() {
             self.guard = Some(self.start_guard(&programs.entry)?);
         }
         let specs = shape.entry_specs();
-        let ports: Vec<port::Reservation> = specs
+        let addresses: Vec<SocketAddr> = specs
             .iter()
-            .map(|host| port::reserve().map_err(|it| start_failure(&host.name, it)))
+            .map(|host| free_addr(&host.name))
             .collect::<Result<_, _>>()?;
-        let addresses: Vec<SocketAddr> = ports.iter().map(|it| it.address).collect();
-        drop(ports);
         let mut pending = Vec::new();
         for (host, address) in specs.into_iter().zip(&addresses) {
             self.set_hosts(&hosts::Switch::Put(host.to_listed(*address)))
@@ -182,9 +177,8 @@
                 .start_link(shape.links)
                 .map_err(|it| start_failure("a link", it))?;
             let platform = link.as_ref().map_or(self.platform(), link::Server::address);
-            let callers = port::reserve().map_err(|it| start_failure(&host.name, it))?;
             let settings = settings::Entry {
-                callers: callers.address,
+                callers: free_addr(&host.name)?,
                 host: &host.name,
                 domain: &host.domain,
                 peers: *address,
@@ -197,7 +191,6 @@
             };
             let file = self.directory.0.join(format!("{}.yaml", host.name));
             fs::write(&file, settings.to_string()).map_err(|it| start_failure(&host.name, it))?;
-            drop(callers);
             let process = self.spawn_entry(&host.name, &file)?;
             pending.push((host, *address, file, link, process));
         }
@@ -333,6 +326,10 @@
     }
 }
 
+fn free_addr(host: &str) -> Result<SocketAddr, Failure> {
+    port::free_addr().map_err(|it| start_failure(host, it))
+}
+
 fn start_failure(name: &str, source: io::Error) -> Failure {
     Failure::Start {
         name: name.to_owned(),
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -16,4 +16,5 @@
 pub mod object;
 pub mod plain;
 pub mod platform;
+pub mod port;
 pub mod weights;
