--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -38,7 +38,7 @@
     DeadlineExceeded,
 }
 
-/// What happens first while two engines have the same request.
+/// First event while two engines have the same request.
 enum Overlap<T> {
     /// The engine that takes over has responded, or failed.
     Response(Result<Response<Body>, Failure>),
--- a/crates/standin/tests/port.rs
+++ b/crates/standin/tests/port.rs
@@ -51,8 +51,8 @@
     (0..count).map(|_| pool.take().unwrap().port()).collect()
 }
 
-// A block that is locked elsewhere is not handed out, even when the pool has used up its own. It can
-// be claimed once the lock is released.
+/// A block that is locked elsewhere is not handed out, even when the pool has used up its own. It can
+/// be claimed once the lock is released.
 #[test]
 fn locked_blocks_are_not_handed_out() {
     let directory = Directory::new("locked");
@@ -75,7 +75,7 @@
     assert!(error.contains(&path), "{error}");
 }
 
-// Two pools take turns, each for more than a block.
+/// Two pools take turns, each for more than a block.
 #[test]
 fn pools_share_no_port() {
     let directory = Directory::new("pools");
@@ -89,7 +89,7 @@
     }
 }
 
-// A pool that has taken its maximum of blocks hands out their ports again.
+/// A pool that has taken its maximum of blocks hands out their ports again.
 #[test]
 fn a_pool_leaves_blocks_to_others() {
     let directory = Directory::new("maximum");
@@ -102,7 +102,7 @@
     assert!(!taken.contains(&other), "{other} was handed out twice");
 }
 
-// A port that is in use at one loopback address is not handed out.
+/// A port that is in use at one loopback address is not handed out.
 #[test]
 fn ports_in_use_at_another_loopback_address_are_skipped() {
     let directory = Directory::new("addresses");
