Log and count engines that limit their requests

An engine in need names a limit in its answers. No host read it, so neither logs nor metrics told whether a host knew of the limit. Hosts now log each change of a limit, and count limited engines and the requests sent to them. No decision changes.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -13,6 +13,7 @@
     listing::{Held, Listing, Name, State},
     origin::BuildId,
     prefix::Cache,
+    request_limit::Limit,
 };
 
 /// Time for which an observed load or unload takes precedence over the platform's list, which lags behind
@@ -162,6 +163,8 @@
     pub circuit: Circuit,
     /// Back-off that the engine has asked this host for.
     pub backoff: Backoff,
+    /// Limit of the requests that the engine takes from all hosts.
+    pub limit: Limit,
     /// True once this incarnation is known to accept no more work, whatever its entry says later.
     leaving: bool,
     /// When the engine is expected to finish the prefill of all prompts that are known to be sent.
@@ -196,6 +199,7 @@
             remote_work: HashMap::new(),
             circuit: Circuit::default(),
             backoff: Backoff::default(),
+            limit: Limit::default(),
             leaving: false,
             prefill_end: Time::ZERO,
             pending_prompts: VecDeque::new(),
@@ -219,6 +223,7 @@
         if listing.incarnation != self.listing.incarnation {
             self.leaving = false;
             self.backoff = Backoff::default();
+            self.limit = Limit::default();
             self.held.clear();
             self.recently_removed.clear();
             self.prefix_cache.clear();
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod rate_limit;
 pub mod reader;
 pub mod rendezvous;
+pub mod request_limit;
 pub mod stall;
 pub mod store_call;
 pub mod table;
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -10,6 +10,7 @@
     listing::{Listing, Name},
     loader::{Op, Outcome, Status},
     prefix::Part,
+    request_limit,
 };
 use hyper::{HeaderMap, Request, http};
 use serde::{Deserialize, Serialize};
@@ -77,7 +78,7 @@
 }
 
 /// Contents of the headers of an engine's response.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseHead {
     /// Id of the request that the response belongs to.
     pub request_id: Option<String>,
@@ -91,6 +92,8 @@
     pub leaving: bool,
     /// Time for which the engine wants no requests from this host.
     pub retry_after: Option<Duration>,
+    /// Limit of the requests that the engine takes from all hosts.
+    pub request_limit: request_limit::Statement,
     /// Name of a header whose value can't be parsed, and that is treated as absent.
     pub invalid_header: Option<&'static str>,
 }
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -57,6 +57,8 @@
     build: Build,
     /// Version of the adapter to require: the newest version, if the engine is estimated to hold it.
     version: Option<u64>,
+    /// True if the engine limits the requests of all hosts.
+    is_limited: bool,
 }
 
 /// Request that was sent to an engine, whose response has not begun. Dropping it closes the connection, which cancels
@@ -108,6 +110,9 @@
         }
         let instance = target.instance;
         let addr = target.addr;
+        if target.is_limited {
+            self.gateway.metrics.count_limited_request("sent");
+        }
         let mut in_flight = InFlight::start(
             &self.gateway,
             key,
@@ -349,6 +354,7 @@
             instance: listing.id.clone(),
             build: listing.build.clone(),
             version,
+            is_limited: engine.limit.rate().is_some(),
         })
     }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -13,6 +13,7 @@
     Time,
     budget::Budget,
     catalog::Catalog,
+    engine::Engine,
     era::{self, Era, Statement, Verdict},
     in_flight::InFlightLoads,
     listing::Name,
@@ -21,6 +22,7 @@
     placement::{self, Placement, PlacementRequest},
     prefix::Chain,
     quarantine::Quarantine,
+    request_limit,
     table::{Key, Removal, Table},
 };
 use tokio::sync::Notify;
@@ -340,6 +342,15 @@
             self.leaving_engines.borrow_mut().push(it);
             self.orders_wakeup.notify_one();
         }
+        let rate = match head.request_limit {
+            request_limit::Statement::Stated(it) => Some(it),
+            // Only the engine's own answers show that it has no limit.
+            request_limit::Statement::Absent if head.sealed => None,
+            _ => return,
+        };
+        if engine.limit.observe(rate, now) {
+            log_limit(engine, "answer");
+        }
     }
 
     /// Records that an engine rejected a request and wants no others from this host for some time.
@@ -574,6 +585,9 @@
     pub fn record_state(&self) {
         let config = self.catalog().map_or(0, |it| it.revision);
         let engines = self.table.borrow().iter().count();
+        let is_limited = |it: &(_, &Engine)| it.1.limit.rate().is_some();
+        let limited = self.table.borrow().iter().filter(is_limited).count();
+        self.metrics.record_limited_engines(limited);
         let live_hosts = self.peers.borrow().live_hosts(clock::now()).len();
         self.metrics
             .record_state(config, engines, live_hosts, self.orderable_engines().len());
@@ -600,6 +614,17 @@
     }
 }
 
+/// Logs that the limit of an engine has changed, and how this host knows.
+pub(crate) fn log_limit(engine: &Engine, why: &'static str) {
+    let id = &*engine.listing.id;
+    if let Some(rate) = engine.limit.rate() {
+        let per_second = rate.per_second();
+        log::info!(event = "engine-limited", engine = id, per_second, why; "engine {id} takes {per_second} requests a second from all hosts");
+    } else {
+        log::info!(event = "engine-unlimited", engine = id, why; "engine {id} no longer limits its requests");
+    }
+}
+
 /// Retry that is reserved in the budget. Dropping it returns it to the budget.
 pub(crate) struct ReservedRetry {
     gateway: Rc<Gateway>,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -44,6 +44,8 @@
     crashes: Counter<u64>,
     trials: Counter<u64>,
     quarantined_parts: Gauge<u64>,
+    limited_engines: Gauge<u64>,
+    limited_requests: Counter<u64>,
 }
 
 impl Default for Metrics {
@@ -131,6 +133,14 @@
                 "quarantined_parts",
                 "Prompt parts with which requests are refused, since engines crash on them",
             ),
+            limited_engines: gauge(
+                "limited_engines",
+                "Engines that limit the requests of all hosts together",
+            ),
+            limited_requests: counter(
+                "limited_requests",
+                "Requests for engines with a limit, by whether they were sent",
+            ),
             exposition,
         }
     }
@@ -235,6 +245,18 @@
         self.quarantined_parts.record(parts, &[]);
     }
 
+    /// Sets the number of engines that limit the requests of all hosts.
+    pub fn record_limited_engines(&self, engines: usize) {
+        let engines = u64::try_from(engines).unwrap_or(u64::MAX);
+        self.limited_engines.record(engines, &[]);
+    }
+
+    /// Counts a request for an engine with a limit, by whether it was sent.
+    pub fn count_limited_request(&self, outcome: &'static str) {
+        let labels = [KeyValue::new("outcome", outcome)];
+        self.limited_requests.add(1, &labels);
+    }
+
     /// Sets the gauges of the current state.
     pub fn record_state(&self, config: u64, engines: usize, hosts: usize, claims: usize) {
         let number = |it: usize| u64::try_from(it).unwrap_or(u64::MAX);
