Keep an engine's limit over all hosts

Callers of engines in need: an engine that had named a limit of 2.3 requests a second got 25 in 4 s, 19 are allowed.

One live host, the coordinator, schedules the requests of all hosts to an engine with a limit: fleet::request_limit grants turns at the limit to whoever asks, so the sum holds for any number of hosts, and one host gets all turns if nobody else wants them. start_attempt takes a turn before each sending, so retries, takeovers and resumed streams count. A request that gets no turn in time is refused at once with the time to the next one.

Ruled out: shares by the number of hosts (a burst for each host, and a starved host if all callers come to one).

--- a/crates/cli/src/command/explain/logs.rs
+++ b/crates/cli/src/command/explain/logs.rs
@@ -82,6 +82,10 @@
     let times = [
         ("waited for the adapter's load", number("load_wait_ms")),
         ("held while engines had queues", number("queue_wait_ms")),
+        (
+            "waited for an engine's request limit",
+            number("limit_wait_ms"),
+        ),
         ("waited for the retry budget", number("budget_wait_ms")),
         ("waited for its turn at an engine", number("paced_ms")),
         ("first event after", number("first_ms")),
--- a/crates/experiment/src/platform/hosts.rs
+++ b/crates/experiment/src/platform/hosts.rs
@@ -565,6 +565,7 @@
             domain: "z",
             tried: &[],
             build: None,
+            turn: None,
             random: self.random.random(),
         };
         let waited = simulation.now - arrival.at;
@@ -587,7 +588,7 @@
                 }
             }
             // The modelled engines ask for no back-off, and all are of one build.
-            Placement::BackOff(..)
+            Placement::Closed(..)
             | Placement::Load
             | Placement::Unavailable
             | Placement::BuildGone
@@ -596,7 +597,7 @@
                 self.remove_waiter(host, adapter, request);
                 simulation.refuse(request);
             }
-            Placement::BackOff(..)
+            Placement::Closed(..)
             | Placement::Load
             | Placement::Unavailable
             | Placement::BuildGone => {
--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -287,6 +287,11 @@
         self.remote_work.insert(host.clone(), (now, work));
     }
 
+    /// Time until which this host may send the engine no request, because of a back-off or of the engine's limit.
+    pub fn closed_until(&self, now: Time) -> Option<Time> {
+        (self.backoff.closed_until(now)).max(self.limit.taken_until(now))
+    }
+
     /// Records a request that another host has sent since its last report.
     pub fn record_remote_start(&mut self, host: &Arc<str>, now: Time) {
         let (at, work) = self.remote_work.entry(host.clone()).or_default();
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -55,6 +55,9 @@
 /// Cost in ms of an upstream with a half-open circuit.
 const HALF_OPEN_COST_MS: f64 = 30.0;
 
+/// Cost in ms of an engine that limits its requests, so that others are preferred unless they are loaded.
+const LIMITED_COST_MS: f64 = 100.0;
+
 /// Cost in ms of an older version of an adapter: a copy of the newest version is preferred unless its
 /// engine is full.
 const OLDER_VERSION_COST_MS: f64 = 400.0;
@@ -84,6 +87,8 @@
     pub tried: &'a [Key],
     /// The build that began the stream, if the request resumes one. No other may continue it.
     pub build: Option<BuildId>,
+    /// Engine at which the request has a turn, if that engine limits its requests.
+    pub turn: Option<Key>,
     /// A random number that decides between nearly equal engines.
     pub random: u64,
 }
@@ -97,9 +102,9 @@
     Delay(Choice),
     /// No usable engine holds the adapter.
     Load,
-    /// The engines that could serve the request have asked this host for a back-off, which ends at this time
-    /// at the first of them.
-    BackOff(Key, Time),
+    /// The engines that could serve the request take none of this host now, because of a back-off or of their limits.
+    /// The first of them may take it at this time.
+    Closed(Key, Time),
     /// No engine of the service is usable.
     Unavailable,
     /// No other engine of the build that began the stream accepts work.
@@ -145,7 +150,13 @@
         if unreachable && request.name.is_some() {
             continue;
         }
-        if let Some(until) = engine.backoff.closed_until(now) {
+        let has_turn = request.turn == Some(*key);
+        let closed_until = if has_turn {
+            engine.backoff.closed_until(now)
+        } else {
+            engine.closed_until(now)
+        };
+        if let Some(until) = closed_until {
             if request.name.is_none_or(|it| engine.held.contains_key(it)) {
                 first_open = Some(first_open.map_or((until, *key), |it| it.min((until, *key))));
             }
@@ -153,6 +164,9 @@
         }
         let wait_ms = expected_wait_ms(table, engine, request, now);
         let mut cost = wait_ms + extra_cost_ms(engine, request, now);
+        if engine.limit.rate().is_some() && !has_turn {
+            cost += LIMITED_COST_MS;
+        }
         lowest_cost = lowest_cost.min(cost);
         if let Some(name) = request.name {
             let Some(estimate) = engine.held.get(name) else {
@@ -193,7 +207,7 @@
             }
         }
         None => match first_open {
-            Some((until, key)) => Placement::BackOff(key, until),
+            Some((until, key)) => Placement::Closed(key, until),
             None if request.name.is_some() => Placement::Load,
             None => Placement::Unavailable,
         },
@@ -291,7 +305,8 @@
         |it: &Engine| &*it.listing.service == service && it.accepts_work() && suits(it);
     let rank = |(key, it): (Key, &Engine)| {
         let is_usable = it.circuit.state(now) == State::Closed
-            && it.backoff.closed_until(now).is_none()
+            && it.closed_until(now).is_none()
+            && it.limit.rate().is_none()
             && table.queue_wait_for_one_more(key, now).is_zero();
         (is_usable, rendezvous::weight(name, &it.listing.id), key)
     };
--- a/crates/fleet/tests/it/backoffs.rs
+++ b/crates/fleet/tests/it/backoffs.rs
@@ -67,6 +67,7 @@
         domain: "z-1",
         tried: &[],
         build: None,
+        turn: None,
         random: 7,
     };
     let close = |table: &mut fleet::table::Table, index: usize, time| {
@@ -80,7 +81,7 @@
     assert_eq!(choice.key, keys[1]);
     close(&mut table, 1, 1000);
     let placement = place(&table, &request, NOW);
-    assert_eq!(placement, Placement::BackOff(keys[1], at(1000)));
+    assert_eq!(placement, Placement::Closed(keys[1], at(1000)));
     let placement = place(&table, &request, at(1000));
     assert!(matches!(placement, Placement::Send(it) if it.key == keys[1]));
 }
--- a/crates/fleet/tests/it/main.rs
+++ b/crates/fleet/tests/it/main.rs
@@ -12,5 +12,6 @@
 mod placements;
 mod quarantines;
 mod readers;
+mod request_limits;
 mod stalls;
 mod tables;
--- a/crates/fleet/tests/it/origins.rs
+++ b/crates/fleet/tests/it/origins.rs
@@ -244,6 +244,7 @@
         domain: "z-1",
         tried: &[],
         build: required,
+        turn: None,
         random: 5,
     };
     let place = |table: &Table, required| place(table, &request(required), at(0));
--- a/crates/fleet/tests/it/placements.rs
+++ b/crates/fleet/tests/it/placements.rs
@@ -22,6 +22,7 @@
         domain: "z-1",
         tried,
         build: None,
+        turn: None,
         random: 5,
     };
     place(table, &request, at(0))
@@ -30,10 +31,9 @@
 fn chosen(placement: Placement) -> Option<Key> {
     match placement {
         Placement::Send(it) | Placement::Delay(it) => Some(it.key),
-        Placement::BackOff(..)
-        | Placement::Load
-        | Placement::Unavailable
-        | Placement::BuildGone => None,
+        Placement::Closed(..) | Placement::Load | Placement::Unavailable | Placement::BuildGone => {
+            None
+        }
     }
 }
 
@@ -95,6 +95,7 @@
             domain: "z-1",
             tried: &[],
             build: None,
+            turn: None,
             random,
         };
         assert_eq!(chosen(place(&table, &request, at(0))), Some(keys[1]));
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod placement;
+mod turn;
 
 use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
@@ -31,7 +32,7 @@
     connection::{self, Part},
     dialect::{RequestHead, ResponseHead},
     gateway::{Gateway, ReservedRetry},
-    gossip::Gossip,
+    gossip::{Gossip, GrantedTurn},
     in_flight::InFlight,
     relay::Relay,
     reply::{self, Body, Fault},
@@ -65,6 +66,8 @@
     pub(crate) suspects: Vec<Suspect>,
     /// Quarantined part that the request tries, until it is sent.
     pub(crate) trial: Option<PartId>,
+    /// Turn of the request at an engine that limits its requests, until it is sent.
+    pub(crate) turn: Option<GrantedTurn>,
     pub(crate) started: Time,
     pub(crate) deadline: Time,
     /// Engines to which the request was sent.
@@ -442,6 +445,7 @@
             | Fault::AdapterLoad
             | Fault::NoBudget
             | Fault::BuildGone
+            | Fault::EngineLimit
             | Fault::PromptQuarantined
                 if self.may_have_run =>
             {
@@ -458,7 +462,9 @@
             Fault::AdapterLoad | Fault::OriginUnknown => Some(Duration::from_millis(300)),
             Fault::BuildGone => Some(BUILD_RETURN_TIME),
             Fault::NoBudget => Some(Duration::from_millis(500)),
-            Fault::Overload | Fault::NoEngine => Some(Duration::from_millis(700)),
+            Fault::Overload | Fault::NoEngine | Fault::EngineLimit => {
+                Some(Duration::from_millis(700))
+            }
             Fault::PromptQuarantined => Some(self.gateway.settings.quarantine_term()),
             _ => None,
         };
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -113,6 +113,9 @@
         if target.is_limited {
             self.gateway.metrics.count_limited_request("sent");
         }
+        if !self.take_turn(key).await {
+            return Err(Outcome::NotExecuted(None));
+        }
         let mut in_flight = InFlight::start(
             &self.gateway,
             key,
--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -7,7 +7,7 @@
     admission::{self, Decision},
     listing::{Name, is_adapter},
     loader::Wanted,
-    placement::{Choice, Placement},
+    placement::{self, Choice, Placement, PlacementRequest},
     quarantine::Verdict,
     rendezvous::short_id,
     table::{Freshness, Key},
@@ -28,13 +28,13 @@
 
 /// Fraction of the target time to the first event for which a prompt may be paced here before it is
 /// sent to an engine.
-const MAX_PACING_FRACTION: f64 = 0.6;
+pub(super) const MAX_PACING_FRACTION: f64 = 0.6;
 
 /// Time between two checks whether an engine has prefilled enough of its queued prompts.
 const PACING_INTERVAL: Duration = Duration::from_millis(15);
 
-/// Maximum time between two checks whether an engine accepts requests again after a back-off.
-const BACKOFF_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+/// Maximum time between two checks whether an engine accepts requests again.
+pub(super) const CLOSED_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Maximum time for which a request without a placement is held.
 const MAX_HOLD: Duration = Duration::from_millis(2200);
@@ -103,8 +103,8 @@
                 return choice;
             }
             let now = clock::now();
-            let backoff = self.gateway.table.borrow().get(key)?.backoff;
-            let open_at = backoff.closed_until(now).filter(|it| *it < until)?;
+            let closed_until = self.gateway.table.borrow().get(key)?.closed_until(now);
+            let open_at = closed_until.filter(|it| *it < until)?;
             time::sleep(open_at.saturating_sub(now)).await;
         }
     }
@@ -145,7 +145,7 @@
         });
         let is_usable = engine.accepts_work()
             && engine.is_of_build(self.build)
-            && engine.backoff.closed_until(now).is_none()
+            && engine.closed_until(now).is_none()
             && holds_adapter;
         is_usable.then_some(Choice {
             key,
@@ -170,14 +170,7 @@
             self.gateway.record_due_loads();
             let mut tried = self.attempted_engines.clone();
             tried.retain(|it| !self.repeatable_engines.contains(it));
-            let placement = self.gateway.choose_placement(
-                &self.service,
-                name.as_ref(),
-                &self.prefix_chain,
-                self.route.max_gap,
-                &tried,
-                self.build,
-            );
+            let placement = self.choose_placement(&tried);
             let now = clock::now();
             match placement {
                 Placement::Send(choice) => {
@@ -208,15 +201,8 @@
                         return Ok(choice);
                     }
                 }
-                Placement::BackOff(key, open_at) => {
-                    if let Some(fault) = self.back_off_fault(name.as_ref(), open_at, now, until) {
-                        self.retry_after = Some(open_at.saturating_sub(now));
-                        return Err(fault);
-                    }
-                    self.request_replica(name.as_ref(), key).await;
-                    let pause = open_at.saturating_sub(now).min(BACKOFF_CHECK_INTERVAL);
-                    time::sleep(pause).await;
-                    self.trace.load_wait += pause;
+                Placement::Closed(key, open_at) => {
+                    self.wait_while_closed(key, open_at, until).await?;
                 }
                 Placement::BuildGone => return Err(Fault::BuildGone),
                 Placement::Unavailable | Placement::Load if now >= until => {
@@ -294,26 +280,57 @@
         }
     }
 
-    /// Fault of a request whose engines want no requests before `open_at`, unless it may wait. An adapter can
-    /// be loaded on another engine meanwhile if there is one that accepts requests.
-    fn back_off_fault(
-        &self,
-        name: Option<&Name>,
+    /// Chooses among the engines that are not `tried`.
+    fn choose_placement(&self, tried: &[Key]) -> Placement {
+        let request = PlacementRequest {
+            service: &self.service,
+            name: self.request_head.name.as_ref(),
+            chain: &self.prefix_chain,
+            max_gap: self.route.max_gap,
+            domain: &self.gateway.settings.domain,
+            tried,
+            build: self.build,
+            turn: self.turn.map(|it| it.engine),
+            random: rand::random(),
+        };
+        placement::place(&self.gateway.table.borrow(), &request, clock::now())
+    }
+
+    /// Waits while the engines that could serve the request take none, until `open_at` at the earliest. Fails if the
+    /// request can't wait for that long.
+    async fn wait_while_closed(
+        &mut self,
+        key: Key,
         open_at: Time,
-        now: Time,
         until: Time,
-    ) -> Option<Fault> {
-        let other_engine = || {
-            let table = self.gateway.table.borrow();
-            table.iter().any(|(_, it)| {
-                it.listing.service == self.service
-                    && it.accepts_work()
-                    && it.backoff.closed_until(now).is_none()
-            })
+    ) -> Result<(), Fault> {
+        let now = clock::now();
+        let has_alternative = self.has_alternative(key, now);
+        let needs_turn = self.is_limited(key) && !has_alternative;
+        let patience = self.patience(until, now);
+        let is_hopeless = if needs_turn {
+            open_at > now + patience.on_time
+        } else {
+            open_at >= until && !has_alternative
         };
-        let may_load = name.is_some_and(|it| is_adapter(it)) && other_engine();
-        let is_hopeless = open_at >= until && !may_load;
-        (is_hopeless || now >= until).then_some(Fault::Overload)
+        if is_hopeless || now >= until {
+            self.retry_after = Some(open_at.saturating_sub(now));
+            return Err(if needs_turn {
+                Fault::EngineLimit
+            } else {
+                Fault::Overload
+            });
+        }
+        if needs_turn {
+            self.await_turn(key, patience).await;
+            return Ok(());
+        }
+        let name = self.request_head.name.clone();
+        self.request_replica(name.as_ref(), key).await;
+        let pause = open_at.saturating_sub(now).min(CLOSED_CHECK_INTERVAL);
+        time::sleep(pause).await;
+        self.trace.load_wait += pause;
+        Ok(())
     }
 
     /// Requests the load of an adapter, unless another request has just done so.
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -136,6 +136,7 @@
         prefix_chain,
         suspects,
         trial: None,
+        turn: None,
         started,
         deadline,
         attempted_engines: Vec::new(),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -18,9 +18,7 @@
     in_flight::InFlightLoads,
     listing::Name,
     loader::{self, Loader, Wanted},
-    origin::{BuildId, Origins},
-    placement::{self, Placement, PlacementRequest},
-    prefix::Chain,
+    origin::Origins,
     quarantine::Quarantine,
     request_limit,
     table::{Key, Removal, Table},
@@ -32,7 +30,7 @@
     clock,
     connection::Pool,
     dialect::{Dialect, Kind, ResponseHead},
-    gossip::{CrashWatch, OriginQueries},
+    gossip::{CrashWatch, OriginQueries, TurnQuestions},
     list_cache::ListCache,
     list_sync, message,
     metrics::Metrics,
@@ -94,6 +92,8 @@
     pub origins: RefCell<Origins>,
     /// Queries to other hosts which build began a stream.
     pub origin_queries: OriginQueries,
+    /// Questions to other hosts for turns at engines that limit their requests.
+    pub turn_questions: TurnQuestions,
     /// Prompt parts that crash engines.
     pub quarantine: RefCell<Quarantine>,
     /// Crashes of engines that are to be confirmed, or reported to other hosts.
@@ -150,6 +150,8 @@
     pub adapter_updates: RefCell<VecDeque<crate::message::AdapterUpdate>>,
     /// Engines that accept no more work, not yet announced to other hosts.
     pub leaving_engines: RefCell<Vec<crate::message::EngineIncarnation>>,
+    /// Engines whose limit has changed, not yet announced to other hosts.
+    pub changed_limits: RefCell<Vec<Key>>,
     /// Engines whose entry has vanished, not yet announced to other hosts.
     pub vanished_engines: RefCell<Vec<crate::message::EngineIncarnation>>,
     /// Era of the store.
@@ -204,6 +206,7 @@
             peers: RefCell::default(),
             origins: RefCell::default(),
             origin_queries: OriginQueries::default(),
+            turn_questions: TurnQuestions::default(),
             crash_watch: CrashWatch::default(),
             stopping: Cell::default(),
             stop_deadline: Cell::default(),
@@ -229,6 +232,7 @@
             list_cache: ListCache::default(),
             adapter_updates: RefCell::default(),
             leaving_engines: RefCell::default(),
+            changed_limits: RefCell::default(),
             vanished_engines: RefCell::default(),
             era: RefCell::default(),
             is_era_unknown: Cell::default(),
@@ -350,6 +354,8 @@
         };
         if engine.limit.observe(rate, now) {
             log_limit(engine, "answer");
+            self.changed_limits.borrow_mut().push(key);
+            self.orders_wakeup.notify_one();
         }
     }
 
@@ -492,29 +498,6 @@
         self.budget(service).has_retry(clock::now(), rule, hosts)
     }
 
-    /// Chooses an engine for a request.
-    pub fn choose_placement(
-        &self,
-        service: &Arc<str>,
-        name: Option<&Name>,
-        chain: &Chain,
-        max_gap: Duration,
-        tried: &[Key],
-        build: Option<BuildId>,
-    ) -> Placement {
-        let request = PlacementRequest {
-            service,
-            name,
-            chain,
-            max_gap,
-            domain: &self.settings.domain,
-            tried,
-            build,
-            random: rand::random(),
-        };
-        placement::place(&self.table.borrow(), &request, clock::now())
-    }
-
     /// Accepts a request to load an adapter on an engine of which this host is the steward.
     pub fn request_load(&self, request: &loader::LoadRequest) {
         self.loader.borrow_mut().add_request(request, clock::now());
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -2,6 +2,7 @@
 //! orders, their workload at engines, and loads of adapters. Datagrams may be lost: their contents
 //! are sent again, or reach the store's lists soon.
 
+mod limits;
 mod origins;
 mod quarantine;
 
@@ -27,7 +28,11 @@
 };
 use tokio::{net::UdpSocket, time};
 
-pub use self::{origins::OriginQueries, quarantine::CrashWatch};
+pub use self::{
+    limits::{GrantedTurn, TurnQuestions},
+    origins::OriginQueries,
+    quarantine::CrashWatch,
+};
 
 use crate::{
     clock,
@@ -103,6 +108,9 @@
                 Some(Message::OriginReply(it)) => self.handle_origin_reply(&it, from),
                 Some(Message::Crash(it)) => self.handle_crash(&it),
                 Some(Message::PartSuccess(it)) => self.handle_part_success(it),
+                Some(Message::Limits(it)) => self.handle_limits(&it),
+                Some(Message::TurnRequest(it)) => self.handle_turn_request(&it, from),
+                Some(Message::TurnReply(it)) => self.handle_turn_reply(&it),
                 None => log::debug!("cannot decode datagram from {from}"),
             }
         }
@@ -126,6 +134,11 @@
             self.send_all(&Message::Vanished(vanished), &self.live_addresses())
                 .await;
         }
+        let limits = self.changed_limits();
+        if !limits.is_empty() {
+            self.send_all(&Message::Limits(limits), &self.live_addresses())
+                .await;
+        }
         let updates: Vec<AdapterUpdate> = self
             .gateway
             .adapter_updates
@@ -276,6 +289,7 @@
         let workloads = self.workload_messages();
         let drains = self.drain_messages();
         let reports = self.report_messages(now);
+        let limits = self.limit_messages(now);
         self.announce_held_origins();
         let mut usage = self.usage_by_steward();
         for host in self.gateway.peers.borrow_mut().take_lost(now) {
@@ -293,7 +307,8 @@
                 return;
             };
             heartbeat = it;
-            for part in workloads.iter().chain(&drains).chain(&reports) {
+            let parts = workloads.iter().chain(&drains);
+            for part in parts.chain(&reports).chain(&limits) {
                 self.send(part, addr).await;
             }
         }
@@ -322,7 +337,6 @@
     /// Workload that this host puts on engines, in messages that fit into a datagram.
     fn workload_messages(&self) -> Vec<Message> {
         let now = clock::now();
-        let millis = |it: Duration| u32::try_from(it.as_millis()).unwrap_or(u32::MAX);
         let table = self.gateway.table.borrow();
         let busy = table
             .iter()
@@ -333,7 +347,7 @@
                     short_id(&it.listing.id),
                     it.local_work.running,
                     it.local_work.prefill_tokens,
-                    millis(now.saturating_sub(it.own_success_at)),
+                    message::to_millis(now.saturating_sub(it.own_success_at)),
                 )
             })
             .collect();
--- a/crates/gateway/src/gossip/quarantine.rs
+++ b/crates/gateway/src/gossip/quarantine.rs
@@ -26,7 +26,7 @@
     connection::Reuse,
     message::{
         CrashReport, EngineIncarnation, MAX_QUARANTINED_PER_MESSAGE, MAX_SUSPECTS_PER_MESSAGE,
-        Message, PartSuccess, QuarantinedPart, ReportedSuspect,
+        Message, PartSuccess, QuarantinedPart, ReportedSuspect, to_millis,
     },
 };
 
@@ -376,10 +376,6 @@
     to_millis(now.saturating_sub(at))
 }
 
-fn to_millis(it: Duration) -> u32 {
-    u32::try_from(it.as_millis()).unwrap_or(u32::MAX)
-}
-
 /// Time that lies this many ms back.
 fn time_before(age_ms: u32) -> Time {
     clock::now().saturating_sub(Duration::from_millis(age_ms.into()))
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -35,7 +35,7 @@
 /// Version of the message format, the first byte of each datagram. It changes with the messages, so
 /// that two builds running side by side during a rollout do not misread each other. State that must
 /// survive between builds is in the store.
-const FORMAT_VERSION: u8 = 5;
+const FORMAT_VERSION: u8 = 6;
 
 /// Encodes a message as a datagram.
 pub fn encode(message: &Message) -> Vec<u8> {
@@ -107,13 +107,19 @@
             let (first, rest) = halves(list)?;
             Some((Message::Origins(first), Message::Origins(rest)))
         }
+        Message::Limits(list) => {
+            let (first, rest) = halves(list)?;
+            Some((Message::Limits(first), Message::Limits(rest)))
+        }
         Message::LoadRequest(_)
         | Message::ListState(_)
         | Message::PromptSent(..)
         | Message::OriginQuery(_)
         | Message::OriginReply(_)
         | Message::Crash(_)
-        | Message::PartSuccess(_) => None,
+        | Message::PartSuccess(_)
+        | Message::TurnRequest(_)
+        | Message::TurnReply(_) => None,
     }
 }
 
@@ -162,6 +168,61 @@
     Crash(CrashReport),
     /// A request with a prompt part that was quarantined has succeeded.
     PartSuccess(PartSuccess),
+    /// Limits of engines.
+    Limits(Vec<EngineLimit>),
+    /// Question for a turn at an engine with a limit.
+    TurnRequest(TurnRequest),
+    /// Response to a [`TurnRequest`].
+    TurnReply(TurnReply),
+}
+
+/// Limit of the requests that an engine takes from all hosts together.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct EngineLimit {
+    /// Incarnation of the engine.
+    pub engine: EngineIncarnation,
+    /// Requests per second; `None` if the engine has no limit.
+    pub per_second: Option<f64>,
+    /// Time in ms since the engine stated this.
+    pub age_ms: u32,
+}
+
+/// Question for a turn at an engine with a limit.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct TurnRequest {
+    /// The limit that the sender knows.
+    pub limit: EngineLimit,
+    /// Number of the question, unique among those of the sender.
+    pub number: u32,
+    /// Time in ms for which the request may wait for its turn and still be on time.
+    pub on_time_ms: u32,
+    /// Time in ms for which it may wait if no request is turned away.
+    pub longest_wait_ms: u32,
+}
+
+/// Response to a [`TurnRequest`].
+#[derive(Debug, Deserialize, Serialize)]
+pub struct TurnReply {
+    /// Number of the question.
+    pub number: u32,
+    /// The outcome.
+    pub outcome: TurnOutcome,
+}
+
+/// Encoding of [`fleet::request_limit::Turn`].
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub enum TurnOutcome {
+    /// The engine has no limit.
+    Unlimited,
+    /// One request may be sent after this time in ms, while the limit isn't lower than this.
+    Granted {
+        /// Time in ms.
+        wait_ms: u32,
+        /// The limit.
+        per_second: f64,
+    },
+    /// All turns are taken. There may be one after this time in ms.
+    Taken(u32),
 }
 
 /// A stream: [`fleet::origin::StreamId`].
@@ -368,6 +429,11 @@
     pub arrival: Option<(u64, u32)>,
 }
 
+/// Time in whole milliseconds.
+pub fn to_millis(it: Duration) -> u32 {
+    u32::try_from(it.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Identifies an incarnation of an engine, to announce that it accepts no more work.
 pub fn make_incarnation(id: &str, incarnation: u64) -> EngineIncarnation {
     EngineIncarnation {
@@ -383,10 +449,9 @@
     name: &Name,
     arrival: Option<(u64, Duration)>,
 ) -> AdapterUpdate {
-    let millis = |it: Duration| u32::try_from(it.as_millis()).unwrap_or(u32::MAX);
     AdapterUpdate {
         engine: short_id(id),
         name: name.to_string(),
-        arrival: arrival.map(|(version, due)| (version, millis(due))),
+        arrival: arrival.map(|(version, due)| (version, to_millis(due))),
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -86,6 +86,20 @@
         self.by_name.len().max(self.seeds.len()).max(1)
     }
 
+    /// Share of the hosts that are known and not about to terminate that are live, this host (`own`) included. Hosts
+    /// that were heard of within the last minute may still run behind a cut.
+    pub fn reachable_share(&self, own: &str, now: Time) -> f64 {
+        let count = |it: usize| f64::from(u32::try_from(it).unwrap_or(u32::MAX));
+        let others = (self.by_name.iter()).filter(|(name, it)| ***name != *own && !it.leaving);
+        let known = if self.has_heard_of_hosts() {
+            others.count() + 1
+        } else {
+            (others.count() + 1).max(self.seeds.len())
+        };
+        let live = self.live_peers(now).count() + 1;
+        count(live) / count(known.max(live))
+    }
+
     /// Names and failure domains of the live hosts.
     pub fn live_hosts(&self, now: Time) -> Vec<(Arc<str>, Arc<str>)> {
         let live = self.live_peers(now);
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -45,6 +45,8 @@
     OriginUnknown,
     /// No engine of the build that began the stream accepts work.
     BuildGone,
+    /// The engines limit their requests, and others have all turns in the time that the request may wait.
+    EngineLimit,
     /// Engines crash on a part of the prompt.
     PromptQuarantined,
     /// The request may have run, and there is no complete response.
@@ -57,7 +59,7 @@
 
 impl Fault {
     /// All faults.
-    pub const ALL: [Self; 14] = [
+    pub const ALL: [Self; 15] = [
         Self::NoConfig,
         Self::NoRoute,
         Self::BadRequest,
@@ -68,6 +70,7 @@
         Self::NoBudget,
         Self::OriginUnknown,
         Self::BuildGone,
+        Self::EngineLimit,
         Self::PromptQuarantined,
         Self::UpstreamLost,
         Self::Stopping,
@@ -87,6 +90,7 @@
             Self::NoBudget => "no-budget",
             Self::OriginUnknown => "origin-unknown",
             Self::BuildGone => "build-gone",
+            Self::EngineLimit => "engine-limit",
             Self::PromptQuarantined => "prompt-quarantined",
             Self::UpstreamLost => "upstream-lost",
             Self::Stopping => "stopping",
@@ -107,6 +111,7 @@
             | Self::NoBudget
             | Self::OriginUnknown
             | Self::BuildGone
+            | Self::EngineLimit
             | Self::PromptQuarantined
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::UpstreamLost => StatusCode::BAD_GATEWAY,
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -28,6 +28,8 @@
     pub load_wait: Duration,
     /// Time held at this host because the engines had queues.
     pub queue_wait: Duration,
+    /// Time spent waiting for a turn at an engine that limits its requests.
+    pub limit_wait: Duration,
     /// Time spent waiting for the retry budget to recover.
     pub budget_wait: Duration,
     /// Time for which the prompt was paced before it was sent to an engine.
@@ -91,6 +93,7 @@
             config,
             load_wait: Duration::ZERO,
             queue_wait: Duration::ZERO,
+            limit_wait: Duration::ZERO,
             budget_wait: Duration::ZERO,
             pacing_wait: Duration::ZERO,
             attempts: Vec::new(),
@@ -221,6 +224,7 @@
             gap_ms = as_millis(self.longest_gap),
             load_wait_ms = as_millis(self.load_wait),
             queue_wait_ms = as_millis(self.queue_wait),
+            limit_wait_ms = as_millis(self.limit_wait),
             budget_wait_ms = as_millis(self.budget_wait),
             paced_ms = as_millis(self.pacing_wait),
             builds = self.format_builds().as_str(),
--- a/crates/gateway/tests/page.rs
+++ b/crates/gateway/tests/page.rs
@@ -57,6 +57,8 @@
     let metrics = Metrics::new();
     let second = Duration::from_secs(1);
     metrics.record_request("s", "r", "served", "");
+    metrics.record_limited_engines(1);
+    metrics.count_limited_request("sent");
     metrics.record_waits("s", "r", second, second);
     metrics.record_latency("s", "r", second, second);
     metrics.record_retries_left("s", 1.0);
