Log engines that end under plain requests

A connection that broke under a request without prompt parts was not even checked, so the logs couldn't tell an engine that had crashed under a plain request from one that had reset a connection. Now each break is checked, and its result is logged: engine-crashed or engine-alive. No decision changes.

--- a/crates/gateway/src/gossip/quarantine.rs
+++ b/crates/gateway/src/gossip/quarantine.rs
@@ -114,9 +114,6 @@
 impl Gossip {
     /// Records that the connection of a request to an engine broke, which may have crashed on one of these parts.
     pub fn record_break(self: &Rc<Self>, key: Key, suspects: &[Suspect]) {
-        if suspects.is_empty() {
-            return;
-        }
         let mut suspicions = self.gateway.crash_watch.suspicions.borrow_mut();
         if let Some(it) = suspicions.get_mut(&key) {
             it.suspects.extend(suspects);
@@ -149,9 +146,14 @@
             .suspicions
             .borrow_mut()
             .remove(&key);
-        let (Some(listing), Some(suspicion), false) = (listing, suspicion, is_alive) else {
+        let (Some(listing), Some(suspicion)) = (listing, suspicion) else {
             return;
         };
+        if is_alive {
+            let id = &*listing.id;
+            log::info!(event = "engine-alive", engine = id; "a connection to engine {id} broke, but the engine is alive");
+            return;
+        }
         let Suspicion {
             mut suspects,
             broke_at,
@@ -165,6 +167,9 @@
             event = "engine-crashed", engine = id, parts = parts.join(",").as_str();
             "engine {id} ended before it had answered requests with {} prompt parts", suspects.len()
         );
+        if suspects.is_empty() {
+            return;
+        }
         let engine = incarnation(&listing);
         self.record_crash(engine, &suspects, broke_at);
         self.send_report(Contents::Crash {
