Quarantine whole requests that crash engines

The content of a request, a digest of its method, target, body and headers but those that differ between attempts, is now one more suspect of a crash, with the same crashes, terms, trials and notices as a prompt part.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -1,7 +1,8 @@
-//! Quarantine of prompt parts that crash engines.
+//! Quarantine of request parts that crash engines.
 //!
-//! A part of a prompt may crash each engine that begins to generate from it, whatever else the prompt holds. Requests
-//! with such a part come at any host, so a host learns of most crashes from others: each host reports the parts of its
+//! A part of a prompt may crash each engine that begins to generate from it, whatever else the prompt holds. So may a
+//! whole request, such as one to a plain service, which has no prompt: it counts as a part that only its repetitions
+//! have. Requests with such a part come at any host, so a host learns of most crashes from others: each host reports the parts of its
 //! own requests that an engine had just begun, or not yet begun, when it crashed.
 //!
 //! A crash also ends sound requests, and requests share parts. What is to blame is a part that was there at several
@@ -9,8 +10,8 @@
 //! quarantined part explains count against no other part. Requests with a quarantined part are refused. From time to
 //! time one host lets one of them through, so a quarantine ends once the part no longer crashes engines.
 //!
-//! The last part of a prompt is the request's own, or its session's. It is to blame only if no part before it may be:
-//! then the same request has crashed engines again and again.
+//! The last part of a prompt is the request's own, or its session's. It is to blame only if no part before it may be, and
+//! the whole request only if no part of its prompt may be: then the same request has crashed engines again and again.
 
 use std::{
     collections::{HashMap, HashSet, VecDeque},
@@ -52,7 +53,7 @@
 const MAX_PARTS: usize = 256;
 
 /// Maximum number of parts whose last success is remembered.
-const MAX_SUCCESSES: usize = 16_384;
+const MAX_SUCCESSES: usize = 65_536;
 
 /// Default of the time after which a part is first tried again. It doubles with each trial that crashes an engine.
 pub const DEFAULT_TERM: Duration = Duration::from_mins(1);
@@ -66,7 +67,7 @@
 /// Difference between the ends of a quarantine at two hosts that is put down to the delay of messages.
 const END_TOLERANCE: Duration = Duration::from_secs(1);
 
-/// Identifies a part of the prompts of one service.
+/// Identifies a part of the prompts of one service, or the content of a whole request.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct PartId(pub u64);
 
@@ -83,25 +84,57 @@
     }
 }
 
-/// Part of the prompt of a request that an engine may have crashed on.
+/// Part of a request that an engine may have crashed on.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Suspect {
     /// The part.
     pub part: PartId,
-    /// Number of parts before it, or [`Suspect::LAST`]. Fewer requests share a part that has more before it.
+    /// Number of parts before it, [`Suspect::LAST`] or [`Suspect::WHOLE`]. Fewer requests share a part that has more
+    /// before it.
     pub depth: u8,
 }
 
 impl Suspect {
     /// Depth of the last part of a prompt.
-    pub const LAST: u8 = u8::MAX;
+    pub const LAST: u8 = u8::MAX - 1;
 
-    /// Returns whether the part is the last of its prompt.
-    fn is_last(self) -> bool {
-        self.depth == Self::LAST
+    /// Depth of the content of a whole request.
+    pub const WHOLE: u8 = u8::MAX;
+
+    /// Creates the suspect that stands for a whole request.
+    pub fn whole(content: PartId) -> Self {
+        Self {
+            part: content,
+            depth: Self::WHOLE,
+        }
+    }
+
+    /// Returns whether it stands for a whole request.
+    pub fn is_whole(self) -> bool {
+        self.depth == Self::WHOLE
+    }
+
+    /// Range of the requests that have the part.
+    fn range(self) -> Range {
+        match self.depth {
+            Self::WHOLE => Range::Request,
+            Self::LAST => Range::Session,
+            _ => Range::Shared,
+        }
     }
 }
 
+/// Range of the requests that have a part, the narrowest first.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Range {
+    /// One request and its repetitions.
+    Request,
+    /// One request, or the requests of a session.
+    Session,
+    /// Any requests.
+    Shared,
+}
+
 /// Returns the parts of a prompt that may crash engines.
 pub fn suspects(service: &str, prompt: &[prefix::Part]) -> Vec<Suspect> {
     let last = prompt.len().saturating_sub(1);
@@ -109,7 +142,7 @@
     let suspect = |(depth, it): (usize, &prefix::Part)| Suspect {
         part: PartId::new(service, it),
         depth: match u8::try_from(depth) {
-            Ok(it) if depth < last => it,
+            Ok(it) if depth < last && it < Suspect::LAST => it,
             _ => Suspect::LAST,
         },
     };
@@ -308,20 +341,31 @@
     }
 
     /// Returns the suspect that is to blame, if one was there at enough crashes that no quarantined part explains. Parts
-    /// that have never succeeded come first, then those that are not the last of a prompt, then those of most crashes,
-    /// then those that the fewest requests share.
+    /// that have never succeeded come first, then those of the widest range, then those of most crashes, then those that
+    /// the fewest requests share.
     fn find_culprit(&self, suspects: &[Suspect]) -> Option<PartId> {
-        let is_quarantined = |it: &Suspect| self.terms.contains_key(&it.part);
-        let unexplained: Vec<&Crash> = (self.crashes.iter())
-            .filter(|it| !it.suspects.iter().any(is_quarantined))
-            .collect();
+        let is_quarantined = |it: &&Suspect| self.terms.contains_key(&it.part);
+        // Repetitions of one request may crash engines because of a part of its prompt, so a quarantine of the whole
+        // request explains no crash for the parts.
+        let widest = |it: &Crash| {
+            let quarantined = it.suspects.iter().filter(is_quarantined);
+            quarantined.map(|it| it.range()).max()
+        };
+        let crashes: Vec<(&Crash, Option<Range>)> =
+            self.crashes.iter().map(|it| (it, widest(it))).collect();
         let count = |suspect: &Suspect| {
             let success = self.successes.get(&suspect.part);
             let moment = success.map_or(Duration::ZERO, |_| SAME_MOMENT);
-            let counts = |it: &&&Crash| {
-                success.is_none_or(|success| *success < it.at) && it.suspects.contains(suspect)
+            let counts = |(it, explained_by): &&(&Crash, Option<Range>)| {
+                success.is_none_or(|success| *success < it.at)
+                    && it.suspects.contains(suspect)
+                    && match explained_by {
+                        None => true,
+                        Some(Range::Request) => !suspect.is_whole(),
+                        Some(_) => false,
+                    }
             };
-            count_moments(unexplained.iter().filter(counts).map(|it| it.at), moment)
+            count_moments(crashes.iter().filter(counts).map(|it| it.0.at), moment)
         };
         let rank = |it: &Suspect| {
             let is_new = !self.successes.contains_key(&it.part);
@@ -331,7 +375,7 @@
             } else {
                 MIN_CRASHES_AFTER_SUCCESS
             };
-            let rank = (is_new, !it.is_last(), crashes, it.depth, it.part);
+            let rank = (is_new, it.range(), crashes, it.depth, it.part);
             (crashes >= needed).then_some(rank)
         };
         suspects.iter().filter_map(rank).max().map(|it| it.4)
--- a/crates/fleet/tests/it/quarantines.rs
+++ b/crates/fleet/tests/it/quarantines.rs
@@ -35,13 +35,8 @@
 
 /// Records and judges the crash of an engine with requests of these prompts. Returns the newly quarantined parts.
 fn crash(quarantine: &mut Quarantine, engine: u32, time: Time, prompts: &[&[u64]]) -> Vec<PartId> {
-    let engine = Incarnation {
-        engine,
-        started_at: 1,
-    };
     let suspects: Vec<_> = prompts.iter().flat_map(|it| prompt(it)).collect();
-    quarantine.record_crash(engine, &suspects, time, time);
-    quarantine.judge(time)
+    crash_of(quarantine, engine, time, &suspects)
 }
 
 /// Crashes three engines, one second after the other, with a request with the part `CRASHING` and sound ones.
@@ -398,3 +393,66 @@
     let time = at(600_000);
     assert!(quarantine.notices(time).len() <= 256);
 }
+
+/// Records and judges the crash of an engine with these suspects. Returns the newly quarantined parts.
+fn crash_of(
+    quarantine: &mut Quarantine,
+    engine: u32,
+    time: Time,
+    suspects: &[Suspect],
+) -> Vec<PartId> {
+    let engine = Incarnation {
+        engine,
+        started_at: 1,
+    };
+    quarantine.record_crash(engine, suspects, time, time);
+    quarantine.judge(time)
+}
+
+/// Suspects of a request without a prompt.
+fn whole(content: u64) -> Vec<Suspect> {
+    vec![Suspect::whole(PartId(content))]
+}
+
+#[test]
+fn a_whole_request_is_blamed_only_if_no_part_of_its_prompt_may_be() {
+    let mut quarantine = Quarantine::default();
+    let repeated = [prompt(&[COMMON, 7]), whole(99)].concat();
+    let mut quarantined = Vec::new();
+    for number in 0..3 {
+        let time = at(1000 * u64::from(number));
+        quarantined.extend(crash_of(&mut quarantine, number, time, &repeated));
+    }
+    assert_eq!(quarantined, [part(COMMON)]);
+}
+
+/// Attempts of one request crashed several engines, and its quarantine kept the part from being found.
+#[test]
+fn a_quarantined_request_does_not_hide_a_part_that_had_succeeded() {
+    let mut quarantine = Quarantine::default();
+    let prompt = prompt(&[COMMON, 7]);
+    quarantine.record_success(&prompt, at(0));
+    let mut quarantined = Vec::new();
+    for number in 0..6 {
+        let suspects = [prompt.clone(), whole(u64::from(number / 3))].concat();
+        let time = at(1000 * u64::from(number) + 100);
+        quarantined.extend(crash_of(&mut quarantine, number, time, &suspects));
+    }
+    assert!(quarantined.contains(&part(COMMON)), "{quarantined:?}");
+}
+
+#[test]
+fn a_plain_request_is_refused_after_three_crashes_and_others_are_not() {
+    let mut quarantine = Quarantine::default();
+    let mut quarantined = Vec::new();
+    for number in 0..3 {
+        let suspects = [whole(1), whole(u64::from(number) + 10)].concat();
+        let time = at(1000 * u64::from(number));
+        quarantined.extend(crash_of(&mut quarantine, number, time, &suspects));
+    }
+    assert_eq!(quarantined, [PartId(1)]);
+    let mut check = |content| quarantine.check(&whole(content), |_| true, at(3000));
+    assert!(matches!(check(1), Verdict::Refuse(PartId(1), _)));
+    assert_eq!(check(10), Verdict::Pass);
+    assert_eq!(check(2), Verdict::Pass);
+}
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -164,6 +164,8 @@
     fn parse_request_head(&self, headers: &HeaderMap) -> Result<RequestHead, &'static str>;
     /// Returns whether a caller's header must not be forwarded, because only hosts may set it.
     fn is_reserved(&self, header: &http::HeaderName) -> bool;
+    /// Returns whether a caller's header may differ between attempts of the same request.
+    fn is_per_attempt(&self, header: &http::HeaderName) -> bool;
     /// Writes the headers that a host adds to a request for an engine.
     fn write_upstream_head(&self, headers: &mut HeaderMap, head: &UpstreamHead);
     /// Parses the headers of an engine's response.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -62,7 +62,7 @@
     pub(crate) service: Arc<str>,
     pub(crate) request_head: RequestHead,
     pub(crate) prefix_chain: Chain,
-    /// Parts of the prompt, on one of which engines may crash.
+    /// Parts of the request, on one of which engines may crash.
     pub(crate) suspects: Vec<Suspect>,
     /// Quarantined part that the request tries, until it is sent.
     pub(crate) trial: Option<PartId>,
@@ -447,6 +447,7 @@
             | Fault::BuildGone
             | Fault::EngineLimit
             | Fault::PromptQuarantined
+            | Fault::RequestQuarantined
                 if self.may_have_run =>
             {
                 Fault::UpstreamLost
@@ -465,7 +466,9 @@
             Fault::Overload | Fault::NoEngine | Fault::EngineLimit => {
                 Some(Duration::from_millis(700))
             }
-            Fault::PromptQuarantined => Some(self.gateway.settings.quarantine_term()),
+            Fault::PromptQuarantined | Fault::RequestQuarantined => {
+                Some(self.gateway.settings.quarantine_term())
+            }
             _ => None,
         };
         let retry_after = retry_after.map(|it| self.retry_after.unwrap_or(it));
--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -109,7 +109,7 @@
         }
     }
 
-    /// Fails if engines crash on a part of the prompt, unless this request is to show whether they still do.
+    /// Fails if engines crash on a part of the request, unless this request is to show whether they still do.
     pub(super) fn check_quarantine(&mut self) -> Result<(), Fault> {
         if self.trial.is_some() {
             return Ok(());
@@ -120,13 +120,21 @@
                 let id = &*self.request_head.id;
                 self.trial = Some(part);
                 let part = part.to_string();
-                log::info!(event = "part-trial", request = id, prompt_part = &*part; "request {id} tries whether engines still crash on prompt part {part}");
+                log::info!(event = "part-trial", request = id, part_id = &*part; "request {id} tries whether engines still crash on part {part}");
                 self.gateway.metrics.count_trial();
                 Ok(())
             }
-            Verdict::Refuse(_, retry_after) => {
+            Verdict::Refuse(part, retry_after) => {
                 self.retry_after = Some(retry_after);
-                Err(Fault::PromptQuarantined)
+                let whole = self
+                    .suspects
+                    .iter()
+                    .any(|it| it.part == part && it.is_whole());
+                Err(if whole {
+                    Fault::RequestQuarantined
+                } else {
+                    Fault::PromptQuarantined
+                })
             }
         }
     }
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -2,17 +2,21 @@
 
 use std::{rc::Rc, time::Duration};
 
-use fleet::{catalog::Catalog, prefix::Chain, quarantine};
+use fleet::{
+    catalog::Catalog,
+    prefix::Chain,
+    quarantine::{self, Suspect},
+};
 use http_body_util::{BodyExt, Limited};
 use hyper::{
-    Method, Request, Response,
+    HeaderMap, Method, Request, Response,
     body::Incoming,
     header::{CONTENT_LENGTH, HOST, HeaderValue},
 };
 use tokio::time;
 
 use crate::{
-    clock,
+    clock, content,
     exchange::Exchange,
     gateway::Gateway,
     gossip::Gossip,
@@ -93,20 +97,7 @@
         Ok(Err(_)) => return Err(reply::fault_response(Fault::TooLarge, None)),
         Err(_) => return Err(reply::fault_response(Fault::Timeout, None)),
     };
-    let mut headers = parts.headers;
-    reply::strip_hop_headers(&mut headers);
-    let reserved: Vec<_> = headers
-        .keys()
-        .filter(|it| gateway.dialect.is_reserved(it))
-        .cloned()
-        .collect();
-    for name in reserved {
-        headers.remove(name);
-    }
-    headers.remove(CONTENT_LENGTH);
-    if !body.is_empty() || parts.method == Method::POST || parts.method == Method::PUT {
-        headers.insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
-    }
+    let headers = forwarded_headers(gateway, parts.headers, &parts.method, &body);
     // A stream goes on at the service that began it, if the route has several.
     let began_by = request_head.resumed_request.as_ref();
     let began_by = began_by.unwrap_or(&request_head.id);
@@ -122,7 +113,15 @@
         };
         prefix_chain = Chain::new(name, &[prompt]);
     }
-    let suspects = quarantine::suspects(&service, &request_head.prompt_parts);
+    let content = content::identify(
+        &*gateway.dialect,
+        &parts.method,
+        &parts.uri,
+        &headers,
+        &body,
+    );
+    let mut suspects = quarantine::suspects(&service, &request_head.prompt_parts);
+    suspects.push(Suspect::whole(content));
     Ok(Exchange {
         gateway: gateway.clone(),
         gossip: gossip.clone(),
@@ -157,3 +156,26 @@
         fallback_response: None,
     })
 }
+
+/// Returns the headers of a caller's request that are forwarded, with the length of its body.
+fn forwarded_headers(
+    gateway: &Gateway,
+    mut headers: HeaderMap,
+    method: &Method,
+    body: &[u8],
+) -> HeaderMap {
+    reply::strip_hop_headers(&mut headers);
+    let reserved: Vec<_> = headers
+        .keys()
+        .filter(|it| gateway.dialect.is_reserved(it))
+        .cloned()
+        .collect();
+    for name in reserved {
+        headers.remove(name);
+    }
+    headers.remove(CONTENT_LENGTH);
+    if !body.is_empty() || method == Method::POST || method == Method::PUT {
+        headers.insert(CONTENT_LENGTH, HeaderValue::from(body.len()));
+    }
+    headers
+}
--- a/crates/gateway/src/gossip/quarantine.rs
+++ b/crates/gateway/src/gossip/quarantine.rs
@@ -1,4 +1,4 @@
-//! Crashes of engines, and the prompt parts that cause them (`fleet::quarantine`). A connection to an engine may break
+//! Crashes of engines, and the request parts that cause them (`fleet::quarantine`). A connection to an engine may break
 //! for other reasons, so a crash is confirmed by a connection attempt before it is reported to the other hosts.
 
 use std::{
@@ -56,7 +56,7 @@
 
 /// Engine to which a connection has just broken.
 struct Suspicion {
-    /// Parts of the prompts whose connections broke.
+    /// Parts of the requests whose connections broke.
     suspects: Vec<Suspect>,
     broke_at: Time,
 }
@@ -165,7 +165,7 @@
         self.gateway.metrics.count_crash(&listing.service);
         log::info!(
             event = "engine-crashed", engine = id, parts = parts.join(",").as_str();
-            "engine {id} ended before it had answered requests with {} prompt parts", suspects.len()
+            "engine {id} ended before it had answered requests with {} parts", suspects.len()
         );
         if suspects.is_empty() {
             return;
@@ -214,8 +214,8 @@
         for part in quarantined {
             let part = part.to_string();
             log::warn!(
-                event = "part-quarantined", prompt_part = part.as_str(), why = "crashes";
-                "engines crash on prompt part {part}: requests with it are refused"
+                event = "part-quarantined", part_id = part.as_str(), why = "crashes";
+                "engines crash on requests with part {part}: they are refused"
             );
         }
     }
@@ -247,8 +247,8 @@
         for part in cleared {
             let text = part.to_string();
             log::info!(
-                event = "part-cleared", prompt_part = text.as_str(), why = "success";
-                "a request with prompt part {text} succeeded: engines do not crash on it"
+                event = "part-cleared", part_id = text.as_str(), why = "success";
+                "a request with part {text} succeeded: engines do not crash on it"
             );
             self.send_report(Contents::Success { part, at: now });
         }
@@ -261,8 +261,8 @@
         if quarantine.record_remote_success(part, at, clock::now()) {
             let part = part.to_string();
             log::info!(
-                event = "part-cleared", prompt_part = part.as_str(), why = "other-host";
-                "a request with prompt part {part} succeeded at another host"
+                event = "part-cleared", part_id = part.as_str(), why = "other-host";
+                "a request with part {part} succeeded at another host"
             );
         }
     }
@@ -282,8 +282,8 @@
                 Adoption::New => {
                     let part = part.to_string();
                     log::warn!(
-                        event = "part-quarantined", prompt_part = part.as_str(), why = "other-host";
-                        "another host reports that engines crash on prompt part {part}"
+                        event = "part-quarantined", part_id = part.as_str(), why = "other-host";
+                        "another host reports that engines crash on requests with part {part}"
                     );
                 }
                 Adoption::Known => {}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod claims;
 pub mod clock;
 pub mod connection;
+pub mod content;
 pub mod dialect;
 pub mod exchange;
 pub mod forward;
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -49,6 +49,8 @@
     EngineLimit,
     /// Engines crash on a part of the prompt.
     PromptQuarantined,
+    /// Engines crash on the request.
+    RequestQuarantined,
     /// The request may have run, and there is no complete response.
     UpstreamLost,
     /// This host is about to terminate.
@@ -59,7 +61,7 @@
 
 impl Fault {
     /// All faults.
-    pub const ALL: [Self; 15] = [
+    pub const ALL: [Self; 16] = [
         Self::NoConfig,
         Self::NoRoute,
         Self::BadRequest,
@@ -72,6 +74,7 @@
         Self::BuildGone,
         Self::EngineLimit,
         Self::PromptQuarantined,
+        Self::RequestQuarantined,
         Self::UpstreamLost,
         Self::Stopping,
         Self::Timeout,
@@ -92,6 +95,7 @@
             Self::BuildGone => "build-gone",
             Self::EngineLimit => "engine-limit",
             Self::PromptQuarantined => "prompt-quarantined",
+            Self::RequestQuarantined => "request-quarantined",
             Self::UpstreamLost => "upstream-lost",
             Self::Stopping => "stopping",
             Self::Timeout => "timeout",
@@ -113,6 +117,7 @@
             | Self::BuildGone
             | Self::EngineLimit
             | Self::PromptQuarantined
+            | Self::RequestQuarantined
             | Self::Stopping => StatusCode::SERVICE_UNAVAILABLE,
             Self::UpstreamLost => StatusCode::BAD_GATEWAY,
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -184,7 +184,7 @@
         request_head: &RequestHead,
         route: &Route,
         service: &str,
-        prompt: &[Suspect],
+        suspects: &[Suspect],
         end: End,
         metrics: &Metrics,
     ) {
@@ -230,7 +230,8 @@
             builds = self.format_builds().as_str(),
             resumes = request_head.resumed_request.as_deref().unwrap_or("-"),
             after_event = request_head.last_event_id.as_deref().unwrap_or("-"),
-            prompt = format_prompt(prompt).as_str(),
+            prompt = format_prompt(suspects).as_str(),
+            content = format_content(suspects).as_str(),
             not_resumed = self.resume_failure.unwrap_or("-"),
             tries = self.format_attempts().as_str();
             "request {} {event}", request_head.id
@@ -240,11 +241,18 @@
 
 /// Formats the ids of the first parts of a prompt for the log.
 fn format_prompt(parts: &[Suspect]) -> String {
-    let parts = parts.iter().take(MAX_LOGGED_PARTS);
+    let parts = parts.iter().filter(|it| !it.is_whole());
+    let parts = parts.take(MAX_LOGGED_PARTS);
     let ids: Vec<String> = parts.map(|it| it.part.to_string()).collect();
     ids.join(",")
 }
 
+/// Formats the id of the content of a whole request for the log.
+fn format_content(parts: &[Suspect]) -> String {
+    let whole = parts.iter().find(|it| it.is_whole());
+    whole.map_or_else(String::new, |it| it.part.to_string())
+}
+
 /// Converts a duration to whole milliseconds.
 pub fn as_millis(it: Duration) -> u64 {
     u64::try_from(it.as_millis()).unwrap_or(u64::MAX)
