Take a new start in the list for a crash

An engine that was back within 100 ms of its crash accepted the connection that was to confirm it, and passed for alive: 87 requests that crash engines reached them late, where 3 may. Such an engine shows in the list with a later start, under its id or under another one at its address. If a connection broke and the engine accepts connections, the host now watches the list for 2.5 s, twice the interval at which engines write their entries, and reports the crash if there is one. An engine that is about to leave is excluded.

--- a/crates/gateway/src/gossip/quarantine.rs
+++ b/crates/gateway/src/gossip/quarantine.rs
@@ -11,6 +11,7 @@
 
 use fleet::{
     Time,
+    circuit::State,
     listing::Listing,
     quarantine::{
         Adoption, Incarnation, Notice, PartId, Quarantine, SETTLE_TIME, Suspect, Verdict,
@@ -38,6 +39,13 @@
 /// closes them when it can't reach the engine.
 const ACCEPT_TIME: Duration = Duration::from_millis(40);
 
+/// Time after a broken connection in which the list of engines shows that an engine has started again, if it was back
+/// before this host noticed.
+const RESTART_NOTICE_TIME: Duration = Duration::from_millis(2500);
+
+/// Time between two looks at the list of engines in [`RESTART_NOTICE_TIME`].
+const RESTART_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Number of times that a report is sent to each host, because datagrams may be lost.
 const REPORT_COUNT: u32 = 4;
 
@@ -149,7 +157,7 @@
         let (Some(listing), Some(suspicion)) = (listing, suspicion) else {
             return;
         };
-        if is_alive {
+        if is_alive && !self.restarts(key, &listing).await {
             let id = &*listing.id;
             log::info!(event = "engine-alive", engine = id; "a connection to engine {id} broke, but the engine is alive");
             return;
@@ -186,6 +194,30 @@
         engine.is_some_and(|it| it.own_success_at > broke_at + CONFIRM_DELAY / 2)
     }
 
+    /// Returns whether an engine that accepts connections turns out to have started again since it was listed like this.
+    /// It may be back under its id, or under another one at its address.
+    async fn restarts(&self, key: Key, listing: &Listing) -> bool {
+        let until = clock::now() + RESTART_NOTICE_TIME;
+        loop {
+            {
+                let table = self.gateway.table.borrow();
+                let engine = table.get(key);
+                let is_leaving = engine.is_none_or(fleet::engine::Engine::is_leaving);
+                let is_gone =
+                    engine.is_some_and(|it| it.circuit.state(clock::now()) == State::Unreachable);
+                let is_successor =
+                    |it: &Listing| it.addr == listing.addr && it.incarnation > listing.incarnation;
+                if table.iter().any(|it| is_successor(&it.1.listing)) || is_gone && !is_leaving {
+                    return true;
+                }
+                if is_leaving || clock::now() >= until {
+                    return false;
+                }
+            }
+            time::sleep(RESTART_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Returns whether a connection can be opened and stays open. It is used for the next request.
     async fn accepts(&self, addr: SocketAddr) -> bool {
         let Ok(connection) = self.gateway.pool.acquire(addr, Reuse::Never).await else {
