Blame a request that had succeeded after three crashes

A suspect that had succeeded before needed six crashes at different moments, of which those within 200 ms count as one, since all requests may share a part and engines of a rack end together. Three instances that one request ends in 300 ms are one or two such moments, so a request that was sound at first was found after 12 crashes.

Only its repetitions share a whole request, so it is now blamed after three crashes, of which those within 20 ms count as one, and tried again after 10 s. Parts that had succeeded need six moments as before.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -21,13 +21,16 @@
 
 use crate::{Time, prefix, rendezvous};
 
-/// Number of crashes for which a part is quarantined that has never succeeded.
+/// Number of crashes for which a whole request is quarantined, or a part that has never succeeded.
 const MIN_CRASHES: usize = 3;
 
 /// Number of crashes for which a part is quarantined that has succeeded before. If all engines end again and again for
 /// another reason, no request succeeds, and all requests may share the part.
 const MIN_CRASHES_AFTER_SUCCESS: usize = 6;
 
+/// Maximum time after which a whole request that had succeeded before is first tried again. Only its repetitions wait.
+const DOUBTFUL_REQUEST_TERM: Duration = Duration::from_secs(10);
+
 /// Maximum time after which a part that had succeeded before is first tried again. The trial shows whether the part is to
 /// blame.
 const DOUBTFUL_TERM: Duration = Duration::from_secs(3);
@@ -36,6 +39,10 @@
 /// rack, end at about the same moment, with requests that share many parts.
 const SAME_MOMENT: Duration = Duration::from_millis(200);
 
+/// Time within which crashes count as one for a whole request that has succeeded before. It may be at several engines of
+/// a rack only if many callers repeat it.
+const SAME_INSTANT: Duration = Duration::from_millis(20);
+
 /// Time after which all hosts that had requests at an engine have reported its crash. Hosts that judge by the same
 /// reports agree.
 pub const SETTLE_TIME: Duration = Duration::from_millis(200);
@@ -197,6 +204,35 @@
     }
 }
 
+/// Proof that a suspect is to blame, and the time for which it is refused at first.
+#[derive(Clone, Copy, Debug)]
+struct Proof {
+    crashes: usize,
+    /// Time within which crashes count as one.
+    moment: Duration,
+    first_term: Duration,
+}
+
+impl Proof {
+    const NEVER_SUCCEEDED: Self = Self {
+        crashes: MIN_CRASHES,
+        moment: Duration::ZERO,
+        first_term: MAX_TERM,
+    };
+
+    const PART_SUCCEEDED: Self = Self {
+        crashes: MIN_CRASHES_AFTER_SUCCESS,
+        moment: SAME_MOMENT,
+        first_term: DOUBTFUL_TERM,
+    };
+
+    const REQUEST_SUCCEEDED: Self = Self {
+        crashes: MIN_CRASHES,
+        moment: SAME_INSTANT,
+        first_term: DOUBTFUL_REQUEST_TERM,
+    };
+}
+
 /// Quarantined part, as hosts tell each other.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Notice {
@@ -293,14 +329,10 @@
             crash.is_judged = true;
             let (suspects, at) = (crash.suspects.clone(), crash.at);
             quarantined.extend(self.renew_terms(&suspects, at, now));
-            while let Some(part) = self.find_culprit(&suspects) {
-                let length = if self.successes.contains_key(&part) {
-                    self.first_term.min(DOUBTFUL_TERM)
-                } else {
-                    self.first_term
-                };
-                self.add_term(part, Term::new(now, length));
-                quarantined.push(part);
+            while let Some(culprit) = self.find_culprit(&suspects) {
+                let length = self.proof(culprit).first_term;
+                self.add_term(culprit.part, Term::new(now, length.min(self.first_term)));
+                quarantined.push(culprit.part);
             }
         }
         quarantined
@@ -343,7 +375,7 @@
     /// Returns the suspect that is to blame, if one was there at enough crashes that no quarantined part explains. Parts
     /// that have never succeeded come first, then those of the widest range, then those of most crashes, then those that
     /// the fewest requests share.
-    fn find_culprit(&self, suspects: &[Suspect]) -> Option<PartId> {
+    fn find_culprit(&self, suspects: &[Suspect]) -> Option<Suspect> {
         let is_quarantined = |it: &&Suspect| self.terms.contains_key(&it.part);
         // Repetitions of one request may crash engines because of a part of its prompt, so a quarantine of the whole
         // request explains no crash for the parts.
@@ -355,7 +387,7 @@
             self.crashes.iter().map(|it| (it, widest(it))).collect();
         let count = |suspect: &Suspect| {
             let success = self.successes.get(&suspect.part);
-            let moment = success.map_or(Duration::ZERO, |_| SAME_MOMENT);
+            let moment = self.proof(*suspect).moment;
             let counts = |(it, explained_by): &&(&Crash, Option<Range>)| {
                 success.is_none_or(|success| *success < it.at)
                     && it.suspects.contains(suspect)
@@ -370,15 +402,22 @@
         let rank = |it: &Suspect| {
             let is_new = !self.successes.contains_key(&it.part);
             let crashes = count(it);
-            let needed = if is_new {
-                MIN_CRASHES
-            } else {
-                MIN_CRASHES_AFTER_SUCCESS
-            };
             let rank = (is_new, it.range(), crashes, it.depth, it.part);
-            (crashes >= needed).then_some(rank)
+            (crashes >= self.proof(*it).crashes).then_some((rank, *it))
         };
-        suspects.iter().filter_map(rank).max().map(|it| it.4)
+        let ranked = suspects.iter().filter_map(rank);
+        ranked.max_by_key(|it| it.0).map(|it| it.1)
+    }
+
+    /// Returns what it takes to blame a suspect.
+    fn proof(&self, suspect: Suspect) -> Proof {
+        if !self.successes.contains_key(&suspect.part) {
+            Proof::NEVER_SUCCEEDED
+        } else if suspect.is_whole() {
+            Proof::REQUEST_SUCCEEDED
+        } else {
+            Proof::PART_SUCCEEDED
+        }
     }
 
     fn add_term(&mut self, part: PartId, term: Term) {
