Let a host go on while coordinators are silent

Such a request now waits before it asks again. A request whose engine is closed by a back-off asks for no turn any more, which would be lost.

--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -314,7 +314,7 @@
     ) -> Result<(), Fault> {
         let now = clock::now();
         let has_alternative = self.has_alternative(key, now);
-        let needs_turn = self.is_limited(key) && !has_alternative;
+        let needs_turn = self.lacks_turn(key, now) && !has_alternative;
         let patience = self.patience(until, now);
         let is_hopeless = if needs_turn {
             open_at > now + patience.on_time
--- a/crates/gateway/src/exchange/turn.rs
+++ b/crates/gateway/src/exchange/turn.rs
@@ -45,8 +45,16 @@
         }
     }
 
+    /// Returns whether an engine takes no request of this host only because others have the next turns.
+    pub(super) fn lacks_turn(&self, key: Key, now: Time) -> bool {
+        let table = self.gateway.table.borrow();
+        table.get(key).is_some_and(|it| {
+            it.limit.taken_until(now).is_some() && it.backoff.closed_until(now).is_none()
+        })
+    }
+
     /// Returns whether an engine limits the requests of all hosts.
-    pub(super) fn is_limited(&self, key: Key) -> bool {
+    fn is_limited(&self, key: Key) -> bool {
         let table = self.gateway.table.borrow();
         table.get(key).is_some_and(|it| it.limit.rate().is_some())
     }
--- a/crates/gateway/src/gossip/limits.rs
+++ b/crates/gateway/src/gossip/limits.rs
@@ -30,11 +30,10 @@
 /// Maximum time in which the coordinator answers.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// Time for which an engine is not used after its coordinator hasn't answered.
+/// Time for which an engine is not used after its coordinator could not tell when there is a turn.
 const SILENCE_PAUSE: Duration = Duration::from_millis(200);
 
-/// Maximum number of questions of this host about one engine that wait for answers. If all of them get no turn, so do
-/// the requests behind them.
+/// Maximum number of questions of this host about one engine that wait for answers. Further requests don't ask.
 const MAX_QUESTIONS: usize = 16;
 
 /// Time for which this host repeats a change of a limit in its heartbeats, at the full heartbeat rate.
@@ -50,6 +49,14 @@
     last_number: Cell<u32>,
 }
 
+impl TurnQuestions {
+    /// Number of questions about an engine that wait for answers.
+    fn count(&self, key: Key) -> usize {
+        let open = self.open.borrow();
+        open.values().filter(|it| it.engine == key).count()
+    }
+}
+
 struct Question {
     engine: Key,
     reply: oneshot::Sender<Turn>,
@@ -99,7 +106,7 @@
             Coordinator::Own => self.grant_turn(key, self.gateway.settings.peers, patience),
             Coordinator::Other(addr) => self.ask_for_turn(key, addr, patience).await,
         };
-        let outcome = match turn {
+        let (outcome, until) = match turn {
             Some(Turn::Unlimited) => return Ok(None),
             Some(Turn::Granted(wait, rate)) => {
                 return Ok(Some(GrantedTurn {
@@ -111,7 +118,6 @@
             Some(Turn::Taken(wait)) => ("no-turn", now + wait),
             None => ("silent-coordinator", clock::now() + SILENCE_PAUSE),
         };
-        let (outcome, until) = outcome;
         self.gateway.metrics.count_limited_request(outcome);
         if let Some(engine) = self.gateway.table.borrow_mut().get_mut(key) {
             engine.limit.record_taken(until);
@@ -124,15 +130,14 @@
         let questions = &self.gateway.turn_questions;
         let (reply, answered) = oneshot::channel();
         let number = questions.last_number.get().wrapping_add(1);
-        let question = {
-            let mut open = questions.open.borrow_mut();
-            if open.values().filter(|it| it.engine == key).count() >= MAX_QUESTIONS {
-                return Some(Turn::Taken(SILENCE_PAUSE));
-            }
-            questions.last_number.set(number);
-            open.insert(number, Question { engine: key, reply });
-            OpenQuestion { questions, number }
-        };
+        if questions.count(key) >= MAX_QUESTIONS {
+            time::sleep(SILENCE_PAUSE).await;
+            return None;
+        }
+        questions.last_number.set(number);
+        let question = Question { engine: key, reply };
+        questions.open.borrow_mut().insert(number, question);
+        let question = OpenQuestion { questions, number };
         let limit = {
             let table = self.gateway.table.borrow();
             encode_limit(table.get(key)?, clock::now())
