--- a/crates/entry/tests/soak/run.rs
+++ b/crates/entry/tests/soak/run.rs
@@ -4,6 +4,7 @@
 mod crashes;
 mod endings;
 mod floods;
+mod limits;
 mod pressure;
 mod releases;
 mod signals;
@@ -24,6 +25,7 @@
     crashes::Crashes,
     endings::Ending,
     floods::Floods,
+    limits::Limiting,
     pressure::Pressure,
     releases::{Release, Replacement},
     signals::Signals,
@@ -77,8 +79,8 @@
 /// Number of steps of a run.
 const STEPS: usize = 30;
 
-/// Make the generators of rollbacks, pressure, signals, floods, releases, endings and crashes differ from that of the
-/// other steps.
+/// Make the generators of rollbacks, pressure, signals, floods, releases, endings, crashes and limits differ from that of
+/// the other steps.
 const ROLLBACK_SEED: u64 = 0x5eed;
 const PRESSURE_SEED: u64 = 0x9e55;
 const SIGNAL_SEED: u64 = 0x516a;
@@ -86,6 +88,7 @@
 const RELEASE_SEED: u64 = 0x4e1e;
 const ENDING_SEED: u64 = 0xe4d5;
 const CRASH_SEED: u64 = 0xc4a5;
+const LIMIT_SEED: u64 = 0x1174;
 
 /// Time after the exit of a host in which callers notice the end of their connections.
 const CALLER_TIME: Duration = Duration::from_millis(250);
@@ -124,6 +127,7 @@
     AnnounceLeaving(Replacement),
     Replace(Replacement),
     Crashes,
+    Limit(usize),
 }
 
 struct Run {
@@ -183,6 +187,7 @@
     let mut release_rng = StdRng::seed_from_u64(seed ^ RELEASE_SEED);
     let mut ending_rng = StdRng::seed_from_u64(seed ^ ENDING_SEED);
     let mut crash_rng = StdRng::seed_from_u64(seed ^ CRASH_SEED);
+    let mut limit_rng = StdRng::seed_from_u64(seed ^ LIMIT_SEED);
     for number in 0..STEPS {
         let step = Step::choose(&mut run.rng, hosts, ENGINES + PLAIN_INSTANCES);
         println!("seed {seed} step {number}: {step:?}");
@@ -216,6 +221,10 @@
             println!("seed {seed} step {number}: {step:?}");
             run.crash_engines(&step);
         }
+        if let Some(step) = Limiting::choose(&mut limit_rng) {
+            println!("seed {seed} step {number}: {step:?}");
+            run.limit_engine(&step);
+        }
         let pause = run.rng.random_range(50..500);
         run.run_for(Duration::from_millis(pause));
         run.check_memory();
@@ -473,6 +482,7 @@
             Recovery::AnnounceLeaving(it) => self.announce_leaving(it),
             Recovery::Replace(it) => self.replace(it),
             Recovery::Crashes => self.end_crashes(),
+            Recovery::Limit(it) => self.engines[*it].set_request_limit(None),
             Recovery::TerminateAgain(it) => {
                 if self.hosts[*it].terminating {
                     self.hosts[*it].begin_termination();
@@ -575,6 +585,7 @@
             self.engines[it].set_default_script(Script::Normal);
             self.engines[it].set_order_script(OrderScript::Normal);
             self.engines[it].flood_reports(None);
+            self.engines[it].set_request_limit(None);
             self.write_entry(it, "ready");
         }
         self.wait_until_ready();
@@ -598,6 +609,8 @@
         self.check_overlapping_shutdowns();
         self.check_taken_up_streams();
         self.check_crashing_prompts();
+        self.check_limits();
+        self.check_crashing_requests();
     }
 
     fn check_leaving_in_time(&mut self) {
--- a/crates/entry/tests/soak/run/crashes.rs
+++ b/crates/entry/tests/soak/run/crashes.rs
@@ -14,7 +14,7 @@
 };
 
 /// Time in which a crashed engine refuses connections, in ms.
-const OUTAGE_MS: u64 = 1500;
+pub(super) const OUTAGE_MS: u64 = 1500;
 
 /// Time after which the entry of an engine states its new start, in ms.
 const ENTRY_MS: u64 = 100;
@@ -177,7 +177,7 @@
     }
 
     /// Lets time pass. Returns true if the test process was delayed too much.
-    fn pass_time(&mut self, time: Duration) -> bool {
+    pub(super) fn pass_time(&mut self, time: Duration) -> bool {
         let end = Instant::now() + time;
         let mut starved = false;
         while Instant::now() < end {
