--- a/crates/gateway/tests/message.rs
+++ b/crates/gateway/tests/message.rs
@@ -1,8 +1,9 @@
 //! Encoding of datagrams between hosts.
 
 use gateway::message::{
-    AdapterUsage, Heartbeat, LoadRequest, MAX_DATAGRAM_BYTES, Message, Workloads, decode, encode,
-    encode_within_limit, make_adapter_update, make_incarnation,
+    AdapterUsage, EngineLimit, Heartbeat, LoadRequest, MAX_DATAGRAM_BYTES, Message, TurnOutcome,
+    TurnReply, TurnRequest, Workloads, decode, encode, encode_within_limit, make_adapter_update,
+    make_incarnation,
 };
 
 #[test]
@@ -86,3 +87,33 @@
     };
     assert!(encode_within_limit(&Message::LoadRequest(request)).is_empty());
 }
+
+/// The limits of 11,000 engines of which one in a hundred is in need, and a question and its answer.
+#[test]
+fn limits_and_turns_take_few_bytes() {
+    let limit = |it: u32| EngineLimit {
+        engine: make_incarnation(&format!("i-{it:010x}"), 1_768_050_493_277),
+        per_second: Some(2.3),
+        age_ms: 60_000,
+    };
+    let limits = Message::Limits((0..110).map(limit).collect());
+    let datagrams = encode_within_limit(&limits);
+    let bytes: usize = datagrams.iter().map(Vec::len).sum();
+    let question = Message::TurnRequest(TurnRequest {
+        limit: limit(0),
+        number: u32::MAX,
+        on_time_ms: 480,
+        longest_wait_ms: 2200,
+    });
+    let answer = Message::TurnReply(TurnReply {
+        number: u32::MAX,
+        outcome: TurnOutcome::Granted {
+            wait_ms: 2200,
+            per_second: 2.3,
+        },
+    });
+    let sizes = [question, answer].map(|it| encode_within_limit(&it)[0].len());
+    println!("{bytes} bytes for 110 limits, {sizes:?} for a question and its answer");
+    assert!(bytes <= 110 * 25, "{bytes} bytes");
+    assert!(sizes.iter().all(|it| *it <= 36), "{sizes:?}");
+}
