Count requests to limited engines when they have a turn

limited_requests_total{outcome="sent"} counted a request before its turn was taken, so one that got none was counted as sent. Also: the length in the digest of a request no longer depends on the word size, and a long line of comment.

--- a/crates/fleet/src/quarantine.rs
+++ b/crates/fleet/src/quarantine.rs
@@ -2,8 +2,8 @@
 //!
 //! A part of a prompt may crash each engine that begins to generate from it, whatever else the prompt holds. So may a
 //! whole request, such as one to a plain service, which has no prompt: it counts as a part that only its repetitions
-//! have. Requests with such a part come at any host, so a host learns of most crashes from others: each host reports the parts of its
-//! own requests that an engine had just begun, or not yet begun, when it crashed.
+//! have. Requests with such a part come at any host, so a host learns of most crashes from others: each host reports the
+//! parts of its own requests that an engine had just begun, or not yet begun, when it crashed.
 //!
 //! A crash also ends sound requests, and requests share parts. What is to blame is a part that was there at several
 //! crashes, one after the other, while no request with it has succeeded since the first of them. Crashes that a
--- a/crates/gateway/src/content.rs
+++ b/crates/gateway/src/content.rs
@@ -32,7 +32,8 @@
 ) -> PartId {
     let mut digest = Sha256::new();
     let mut add = |part: &[u8]| {
-        digest.update(part.len().to_le_bytes());
+        let length = u64::try_from(part.len()).unwrap_or(u64::MAX);
+        digest.update(length.to_le_bytes());
         digest.update(part);
     };
     add(method.as_str().as_bytes());
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -110,12 +110,12 @@
         }
         let instance = target.instance;
         let addr = target.addr;
-        if target.is_limited {
-            self.gateway.metrics.count_limited_request("sent");
-        }
         if !self.take_turn(key).await {
             return Err(Outcome::NotExecuted(None));
         }
+        if target.is_limited {
+            self.gateway.metrics.count_limited_request("sent");
+        }
         let mut in_flight = InFlight::start(
             &self.gateway,
             key,
