--- a/crates/fleet/src/request_limit.rs
+++ b/crates/fleet/src/request_limit.rs
@@ -52,7 +52,7 @@
     }
 }
 
-/// What a response of an engine says about its limit.
+/// Statement of a response of an engine about its limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Statement {
     /// Nothing.
