Let only a certainly newer answer raise the limit of an engine

A host that was suspended read answers that an engine had made before it stated a limit, and withdrew the limit for all hosts: all that waited was sent at once.

Cause: an answer counted as made when it was read. A datagram's statement counted as made at its arrival less the age that its sender stated, so a delayed one, or the Unlimited of a coordinator that knew less, replaced newer ones. An answer to an order, which need not state a limit, withdrew it too. Class of fault: an observation that is ordered by when it is received, not by when it can have been made. Change: each answer was made between the sending of its request and its reading. A lower limit counts unless it is certainly older, a higher one or none only if it is certainly newer. Other hosts learn of it by a proof that refers to the statement that they know. A host that becomes the coordinator, or was suspended as one, begins without unused turns. Rates are whole thousandths, so that hosts compare equal numbers and the datagrams keep their size. Logs: engine-limited and engine-unlimited name the age of the request and of the statement before; limit-coordinator says who schedules; the metric limit_answers counts answers that were too old.

--- a/crates/fleet/src/request_limit.rs
+++ b/crates/fleet/src/request_limit.rs
@@ -9,7 +9,7 @@
 
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
-use crate::Time;
+use crate::{Time, rendezvous};
 
 /// Lowest rate at which requests are sent. An engine that takes none is still asked now and then, since only its
 /// responses show that it takes more again.
@@ -31,24 +31,40 @@
 /// Average time between two questions of hosts that get no turn, over all of them.
 const QUESTION_INTERVAL: Duration = Duration::from_millis(20);
 
-/// Requests per second: finite and not negative.
-#[derive(Clone, Copy, Debug, PartialEq, PartialOrd)]
-pub struct Rate(f64);
+/// Requests per 1,000 seconds, so that all hosts have the same number.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Rate(u32);
 
 impl Rate {
-    /// Returns `None` if the number is no rate.
+    /// Rounds a number of requests per second down. Returns `None` if it is negative or not finite.
     pub fn new(per_second: f64) -> Option<Self> {
-        (per_second.is_finite() && per_second >= 0.0).then_some(Self(per_second))
+        if !per_second.is_finite() || per_second < 0.0 {
+            return None;
+        }
+        let thousandths = Duration::try_from_secs_f64(per_second)
+            .ok()
+            .and_then(|it| u32::try_from(it.as_millis()).ok());
+        Some(Self(thousandths.unwrap_or(u32::MAX)))
+    }
+
+    /// The rate of this number of requests per 1,000 seconds.
+    pub fn from_thousandths(thousandths: u32) -> Self {
+        Self(thousandths)
+    }
+
+    /// Requests per 1,000 seconds.
+    pub fn thousandths(self) -> u32 {
+        self.0
     }
 
     /// Requests per second.
     pub fn per_second(self) -> f64 {
-        self.0
+        f64::from(self.0) / 1000.0
     }
 
     /// Time between two requests if the hosts that share the schedule may use this share of the rate.
     fn interval(self, share: f64) -> Duration {
-        Duration::from_secs_f64(1.0 / (self.0 * share).max(MIN_RATE))
+        Duration::from_secs_f64(1.0 / (self.per_second() * share).max(MIN_RATE))
     }
 }
 
@@ -84,69 +100,215 @@
     Taken(Duration),
 }
 
+/// Identifies an answer that stated a limit, among those that all hosts have read.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct StatementId(pub u32);
+
+impl StatementId {
+    /// Identifies the answer that a host read at a time by its own clock.
+    pub fn new(host: &str, read_at: Time) -> Self {
+        Self(rendezvous::short_id(&format!("{host} {read_at:?}")))
+    }
+}
+
+/// Limit that an engine stated in an answer.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Stated {
+    /// The answer.
+    pub id: StatementId,
+    /// The limit.
+    pub rate: Rate,
+    /// Latest time at which the engine can have made the answer.
+    pub until: Time,
+}
+
+/// Proof that an engine allowed more after it made a statement.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Supersession {
+    /// The earlier statement.
+    pub superseded: StatementId,
+    /// Time after the latest moment of the earlier statement, as told by the host that knows it, at which the engine
+    /// allowed more, at the earliest.
+    pub later_by: Duration,
+    /// What the engine states since; `None` if it has no limit.
+    pub current: Option<Stated>,
+}
+
+/// What another host's knowledge of a limit has changed.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Observation {
+    /// This host adopted the limit.
+    Adopted,
+    /// Nothing.
+    Unchanged,
+    /// The engine has allowed more since.
+    Superseded(Supersession),
+}
+
 /// Limit of one engine, as far as this host knows.
+///
+/// An engine made an answer at some time between the sending of its request and the moment when it was read, which may
+/// be much later: a host may have been suspended meanwhile, or a message delayed. So a statement that allows less counts
+/// unless it is certainly older, and one that allows more only if it is certainly newer.
 #[derive(Clone, Debug, Default)]
 pub struct Limit {
-    rate: Option<Rate>,
-    /// When the engine stated the limit, or that it has none.
-    stated_at: Time,
-    /// When this host itself last received a statement that changed the limit.
-    changed_at: Option<Time>,
+    /// Strictest statement that may be the newest; `None` if the engine has no limit.
+    stated: Option<Stated>,
+    /// Latest time at which the engine can have stated the limit that was last withdrawn.
+    withdrawn_until: Time,
+    /// Earliest time at which the engine can have made the newest answer that allowed as much as the limit.
+    allowed_at: Time,
+    /// When this host itself last received a statement that lowered the limit.
+    lowered_at: Option<Time>,
     /// Time until which this host gets no turn.
     taken_until: Time,
-    /// Turns of all hosts, if this host is the coordinator.
-    schedule: Schedule,
+    /// Turns of all hosts, while this host is the coordinator.
+    schedule: Option<Schedule>,
 }
 
 impl Limit {
     /// The limit; `None` if the engine has none.
     pub fn rate(&self) -> Option<Rate> {
-        self.rate
+        self.stated.map(|it| it.rate)
+    }
+
+    /// The newest statement of the limit; `None` if the engine has none.
+    pub fn stated(&self) -> Option<Stated> {
+        self.stated
+    }
+
+    /// Latest time at which the engine can have made the newest statement of a limit that this host knows.
+    pub fn stated_until(&self) -> Time {
+        self.stated.map_or(self.withdrawn_until, |it| it.until)
     }
 
-    /// When the engine last stated the limit, or that it has none.
-    pub fn stated_at(&self) -> Time {
-        self.stated_at
+    /// When this host last learned from the engine itself that it takes less.
+    pub fn lowered_at(&self) -> Option<Time> {
+        self.lowered_at
     }
 
-    /// When this host last learned from the engine itself that the limit has changed.
-    pub fn changed_at(&self) -> Option<Time> {
-        self.changed_at
+    /// Records what an answer to this host's own request says of the limit. The request was sent at `sent_at`, and the
+    /// answer was read as `id`. Returns whether the limit has changed.
+    pub fn observe(
+        &mut self,
+        rate: Option<Rate>,
+        id: StatementId,
+        sent_at: Time,
+        now: Time,
+    ) -> bool {
+        let stated = rate.map(|rate| Stated {
+            id,
+            rate,
+            until: now,
+        });
+        if allows_more(rate, self.rate()) {
+            // The engine may have made this answer before it stated the limit.
+            if sent_at <= self.stated_until() {
+                return false;
+            }
+            self.adopt(stated, now);
+            self.allowed_at = sent_at;
+            return true;
+        }
+        let is_lower = rate != self.rate();
+        self.adopt(stated, now);
+        self.allowed_at = self.allowed_at.max(sent_at);
+        if is_lower {
+            self.lowered_at = Some(now);
+        }
+        is_lower
     }
 
-    /// Records what a response to this host says of the limit. Returns whether the limit has changed.
-    pub fn observe(&mut self, rate: Option<Rate>, now: Time) -> bool {
-        let has_changed = self.observe_remote(rate, now, now);
-        if has_changed {
-            self.changed_at = Some(now);
+    /// Records a statement that another host knows.
+    pub fn observe_remote(&mut self, stated: Stated, now: Time) -> Observation {
+        if allows_more(Some(stated.rate), self.rate()) {
+            return Observation::Unchanged;
         }
-        has_changed
+        if let Some(own) = &mut self.stated
+            && own.rate == stated.rate
+        {
+            if own.id == stated.id {
+                own.until = own.until.min(stated.until);
+            } else if own.until < stated.until {
+                *own = stated;
+            }
+            return Observation::Unchanged;
+        }
+        let later_by = self.allowed_at.saturating_sub(stated.until);
+        if !later_by.is_zero() {
+            return Observation::Superseded(Supersession {
+                superseded: stated.id,
+                later_by,
+                current: self.stated,
+            });
+        }
+        self.adopt(Some(stated), now);
+        Observation::Adopted
     }
 
-    /// Records what another host knows of the limit. Older statements are ignored. Returns whether the limit has
+    /// Applies another host's proof that the engine allows more than this host knows. Returns whether the limit has
     /// changed.
-    pub fn observe_remote(&mut self, rate: Option<Rate>, stated_at: Time, now: Time) -> bool {
-        if stated_at < self.stated_at {
+    pub fn supersede(&mut self, it: &Supersession, now: Time) -> bool {
+        let Some(own) = self.stated.filter(|own| own.id == it.superseded) else {
             return false;
-        }
-        self.stated_at = stated_at;
-        let previous = std::mem::replace(&mut self.rate, rate);
-        if previous == rate {
+        };
+        if !allows_more(it.current.map(|it| it.rate), Some(own.rate)) {
             return false;
         }
+        self.allowed_at = own.until + it.later_by;
+        self.adopt(it.current, now);
+        true
+    }
+
+    fn adopt(&mut self, stated: Option<Stated>, now: Time) {
+        let previous = std::mem::replace(&mut self.stated, stated);
+        if previous.map(|it| it.rate) == self.rate() {
+            return;
+        }
         self.taken_until = Time::ZERO;
-        match (previous, rate) {
-            (_, None) => self.schedule = Schedule::default(),
-            (Some(previous), Some(rate)) if rate >= previous => {}
+        if let (Some(previous), None) = (previous, stated) {
+            self.withdrawn_until = previous.until;
+        }
+        match (&mut self.schedule, stated) {
+            (schedule, None) => *schedule = None,
             // Turns that were granted at a higher rate are not used any more.
-            (_, Some(rate)) => self.schedule.restart(rate, now),
+            (Some(schedule), Some(stated))
+                if !allows_more(Some(stated.rate), previous.map(|it| it.rate)) =>
+            {
+                *schedule = Schedule {
+                    applicants: std::mem::take(&mut schedule.applicants),
+                    ..Schedule::begin(stated.rate, now)
+                };
+            }
+            _ => {}
         }
-        true
+    }
+
+    /// Makes this host the coordinator. If it wasn't within `timeout`, another one may have granted turns meanwhile, so
+    /// it begins without unused ones.
+    pub fn lead(&mut self, timeout: Duration, now: Time) {
+        let Some(rate) = self.rate() else { return };
+        let schedule = self.schedule.take();
+        let mut schedule = schedule
+            .filter(|it| it.led_at + timeout > now)
+            .unwrap_or_else(|| Schedule::begin(rate, now));
+        schedule.led_at = now;
+        self.schedule = Some(schedule);
+    }
+
+    /// Records that another host is the coordinator.
+    pub fn follow(&mut self) {
+        self.schedule = None;
+    }
+
+    /// Returns whether this host is the coordinator.
+    pub fn is_leading(&self) -> bool {
+        self.schedule.is_some()
     }
 
     /// Time until which no request may be sent to the engine, because this host gets no turn.
     pub fn taken_until(&self, now: Time) -> Option<Time> {
-        (self.rate.is_some() && self.taken_until > now).then_some(self.taken_until)
+        (self.stated.is_some() && self.taken_until > now).then_some(self.taken_until)
     }
 
     /// Records that this host gets no turn before this time.
@@ -156,26 +318,40 @@
 
     /// Returns whether a turn that was granted at a rate may be used.
     pub fn honors(&self, granted_at: Rate) -> bool {
-        self.rate.is_none_or(|it| it >= granted_at)
+        self.rate().is_none_or(|it| it >= granted_at)
     }
 
-    /// Grants a turn to a request of a host. `share` is the part of the limit that is for the
-    /// hosts that this host can reach; the rest is for those that it can't.
+    /// Grants a turn to a request of a host, as the coordinator ([`Limit::lead`]). `share` is the part of the limit that
+    /// is for the hosts that this host can reach; the rest is for those that it can't.
     pub fn grant(&mut self, host: SocketAddr, patience: Patience, share: f64, now: Time) -> Turn {
-        let Some(rate) = self.rate else {
+        let Some(rate) = self.rate() else {
             return Turn::Unlimited;
         };
         let interval = rate.interval(share);
-        match self.schedule.take(host, interval, patience, now) {
+        let schedule = self
+            .schedule
+            .get_or_insert_with(|| Schedule::begin(rate, now));
+        match schedule.take(host, interval, patience, now) {
             Ok(wait) => Turn::Granted(wait, rate),
             Err(wait) => Turn::Taken(wait),
         }
     }
 }
 
+/// Returns whether a limit is higher than another one; `None` is no limit.
+fn allows_more(it: Option<Rate>, other: Option<Rate>) -> bool {
+    match (it, other) {
+        (_, None) => false,
+        (None, Some(_)) => true,
+        (Some(it), Some(other)) => it > other,
+    }
+}
+
 /// Turns at one engine.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 struct Schedule {
+    /// When this host last was the coordinator.
+    led_at: Time,
     /// Time before which there is no turn.
     begins_at: Time,
     /// Last turn that a host has.
@@ -186,9 +362,13 @@
 
 impl Schedule {
     /// Begins without unused turns.
-    fn restart(&mut self, rate: Rate, now: Time) {
-        self.begins_at = now + rate.interval(1.0).min(MAX_FIRST_WAIT);
-        self.last = None;
+    fn begin(rate: Rate, now: Time) -> Self {
+        Self {
+            led_at: now,
+            begins_at: now + rate.interval(1.0).min(MAX_FIRST_WAIT),
+            last: None,
+            applicants: HashMap::new(),
+        }
     }
 
     /// Takes the next turn. Returns the time until then, or until there may be a turn for the host if that one would
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -303,7 +303,8 @@
         let status = response.status();
         let key = in_flight.key;
         let attempt = in_flight.attempt;
-        self.gateway.observe_engine(key, &response_head);
+        self.gateway
+            .observe_engine(key, &response_head, in_flight.sent_at);
         if status == StatusCode::SERVICE_UNAVAILABLE
             && let Some(time) = response_head.retry_after
         {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -20,7 +20,7 @@
     loader::{self, Loader, Wanted},
     origin::Origins,
     quarantine::Quarantine,
-    request_limit,
+    request_limit::{self, StatementId},
     table::{Key, Removal, Table},
 };
 use tokio::sync::Notify;
@@ -328,8 +328,8 @@
         self.era.borrow().is_settled(clock::now())
     }
 
-    /// Applies what the headers of any answer of an engine say about the engine.
-    pub fn observe_engine(&self, key: Key, head: &ResponseHead) {
+    /// Applies what the headers of any answer of an engine say about the engine. Its request was sent at `sent_at`.
+    pub fn observe_engine(&self, key: Key, head: &ResponseHead, sent_at: Time) {
         let now = clock::now();
         if let Some(header) = head.invalid_header {
             self.log_invalid_header(header, now);
@@ -352,10 +352,14 @@
             request_limit::Statement::Absent if head.sealed => None,
             _ => return,
         };
-        if engine.limit.observe(rate, now) {
-            log_limit(engine, "answer");
+        let id = StatementId::new(&self.holder, now);
+        let previous = engine.limit.stated_until();
+        if engine.limit.observe(rate, id, sent_at, now) {
+            log_limit(engine, "answer", sent_at, previous, now);
             self.changed_limits.borrow_mut().push(key);
             self.orders_wakeup.notify_one();
+        } else if rate != engine.limit.rate() {
+            self.metrics.count_limit_answer("old");
         }
     }
 
@@ -597,14 +601,23 @@
     }
 }
 
-/// Logs that the limit of an engine has changed, and how this host knows.
-pub(crate) fn log_limit(engine: &Engine, why: &'static str) {
+/// Logs that the limit of an engine has changed, how this host knows, and how old are the request whose answer says it
+/// (`since`) and the previous statement.
+pub(crate) fn log_limit(
+    engine: &Engine,
+    why: &'static str,
+    since: Time,
+    previous: Time,
+    now: Time,
+) {
     let id = &*engine.listing.id;
+    let since_ms = message::to_millis(now.saturating_sub(since));
+    let previous_ms = message::to_millis(now.saturating_sub(previous));
     if let Some(rate) = engine.limit.rate() {
         let per_second = rate.per_second();
-        log::info!(event = "engine-limited", engine = id, per_second, why; "engine {id} takes {per_second} requests a second from all hosts");
+        log::info!(event = "engine-limited", engine = id, per_second, why, since_ms, previous_ms; "engine {id} takes {per_second} requests a second from all hosts");
     } else {
-        log::info!(event = "engine-unlimited", engine = id, why; "engine {id} no longer limits its requests");
+        log::info!(event = "engine-unlimited", engine = id, why, since_ms, previous_ms; "engine {id} no longer limits its requests");
     }
 }
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -108,7 +108,8 @@
                 Some(Message::OriginReply(it)) => self.handle_origin_reply(&it, from),
                 Some(Message::Crash(it)) => self.handle_crash(&it),
                 Some(Message::PartSuccess(it)) => self.handle_part_success(it),
-                Some(Message::Limits(it)) => self.handle_limits(&it),
+                Some(Message::Limits(it)) => self.handle_limits(&it, from),
+                Some(Message::LimitSuperseded(it)) => self.handle_superseded(&it),
                 Some(Message::TurnRequest(it)) => self.handle_turn_request(&it, from),
                 Some(Message::TurnReply(it)) => self.handle_turn_reply(&it),
                 None => log::debug!("cannot decode datagram from {from}"),
@@ -289,6 +290,7 @@
         let workloads = self.workload_messages();
         let drains = self.drain_messages();
         let reports = self.report_messages(now);
+        self.update_coordination(now);
         let limits = self.limit_messages(now);
         self.announce_held_origins();
         let mut usage = self.usage_by_steward();
--- a/crates/gateway/src/gossip/limits.rs
+++ b/crates/gateway/src/gossip/limits.rs
@@ -14,8 +14,8 @@
     engine::Engine,
     listing::Listing,
     rendezvous,
-    request_limit::{Patience, Rate, Turn},
-    table::Key,
+    request_limit::{Observation, Patience, Rate, Stated, StatementId, Supersession, Turn},
+    table::{Key, Table},
 };
 use tokio::{sync::oneshot, time};
 
@@ -23,7 +23,8 @@
 use crate::{
     clock, gateway,
     message::{
-        self, EngineLimit, MAX_WORKLOADS_PER_MESSAGE, Message, TurnOutcome, TurnReply, TurnRequest,
+        self, EngineIncarnation, EngineLimit, LimitSuperseded, MAX_WORKLOADS_PER_MESSAGE, Message,
+        StatedLimit, TurnOutcome, TurnReply, TurnRequest,
     },
 };
 
@@ -36,6 +37,9 @@
 /// Maximum number of questions of this host about one engine that wait for answers. Further requests don't ask.
 const MAX_QUESTIONS: usize = 16;
 
+/// Time after which a request may ask again whose coordinator knows no limit.
+const MIN_QUESTION_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Time for which this host repeats a change of a limit in its heartbeats, at the full heartbeat rate.
 const REPEAT_TIME: Duration = Duration::from_secs(1);
 
@@ -138,9 +142,8 @@
         let question = Question { engine: key, reply };
         questions.open.borrow_mut().insert(number, question);
         let question = OpenQuestion { questions, number };
-        let limit = {
-            let table = self.gateway.table.borrow();
-            encode_limit(table.get(key)?, clock::now())
+        let Some(limit) = self.known_limit(key) else {
+            return Some(Turn::Unlimited);
         };
         let request = Message::TurnRequest(TurnRequest {
             limit,
@@ -154,35 +157,50 @@
         turn
     }
 
+    /// Limit of an engine, for messages.
+    fn known_limit(&self, key: Key) -> Option<EngineLimit> {
+        encode_limit(self.gateway.table.borrow().get(key)?, clock::now())
+    }
+
     /// Grants a turn to a host, as the coordinator.
     fn grant_turn(&self, key: Key, host: SocketAddr, patience: Patience) -> Option<Turn> {
         let now = clock::now();
-        let share = self
-            .gateway
-            .peers
-            .borrow()
-            .reachable_share(&self.gateway.holder, now);
+        let peers = self.gateway.peers.borrow();
+        let share = peers.reachable_share(&self.gateway.holder, now);
         let mut table = self.gateway.table.borrow_mut();
         let engine = table.get_mut(key)?;
+        engine.limit.lead(peers.liveness_timeout(), now);
         Some(engine.limit.grant(host, patience, share, now))
     }
 
     /// Answers another host that asks for a turn.
     pub(super) fn handle_turn_request(&self, request: &TurnRequest, from: SocketAddr) {
-        self.observe_limit(&request.limit);
+        self.observe_limit(&request.limit, from);
         let key = (self.gateway.table.borrow()).find_by_short_id(request.limit.engine.engine);
+        // An engine that this host doesn't know yet.
+        let Some(key) = key else {
+            self.reply_to(request, from, Turn::Taken(SILENCE_PAUSE));
+            return;
+        };
         let patience = Patience {
             on_time: Duration::from_millis(request.on_time_ms.into()),
             longest: Duration::from_millis(request.longest_wait_ms.into()),
         };
-        let turn = key.and_then(|it| self.grant_turn(it, from, patience));
-        // An engine that this host doesn't know yet.
-        let turn = turn.unwrap_or(Turn::Taken(SILENCE_PAUSE));
+        match self.coordinator(key) {
+            Coordinator::None => self.reply_to(request, from, Turn::Unlimited),
+            Coordinator::Own | Coordinator::Other(_) => {
+                let turn = self.grant_turn(key, from, patience);
+                self.reply_to(request, from, turn.unwrap_or(Turn::Taken(SILENCE_PAUSE)));
+            }
+        }
+    }
+
+    fn reply_to(&self, request: &TurnRequest, to: SocketAddr, turn: Turn) {
         let reply = Message::TurnReply(TurnReply {
             number: request.number,
             outcome: TurnOutcome::from(turn),
         });
-        self.try_send(&reply, from);
+        self.try_send(&reply, to);
     }
 
     /// Passes the coordinator's answer to the request that asked.
@@ -191,37 +209,70 @@
         let Some(question) = question else {
             return;
         };
-        let turn = Turn::from(reply.outcome);
-        if turn == Turn::Unlimited
-            && let Some(engine) = self.gateway.table.borrow_mut().get_mut(question.engine)
-        {
-            let now = clock::now();
-            if engine.limit.observe_remote(None, now, now) {
-                gateway::log_limit(engine, "other-host");
+        let turn = match Turn::from(reply.outcome) {
+            // The coordinator has sent the proof, which may be late or may be about an earlier statement.
+            Turn::Unlimited if self.known_limit(question.engine).is_some() => {
+                Turn::Taken(MIN_QUESTION_INTERVAL)
             }
-        }
+            it => it,
+        };
         let _ = question.reply.send(turn);
     }
 
     /// Records limits that another host knows.
-    pub(super) fn handle_limits(&self, limits: &[EngineLimit]) {
+    pub(super) fn handle_limits(&self, limits: &[EngineLimit], from: SocketAddr) {
         for it in limits {
-            self.observe_limit(it);
+            self.observe_limit(it, from);
+        }
+    }
+
+    /// Records a limit that another host knows, or tells that host that the engine has allowed more since.
+    fn observe_limit(&self, limit: &EngineLimit, from: SocketAddr) {
+        let mut table = self.gateway.table.borrow_mut();
+        let Some(engine) = find_engine(&mut table, limit.engine) else {
+            return;
+        };
+        let now = clock::now();
+        let stated = decode_stated(&limit.stated, now);
+        let previous = engine.limit.stated_until();
+        match engine.limit.observe_remote(stated, now) {
+            Observation::Unchanged => {}
+            Observation::Adopted => {
+                gateway::log_limit(engine, "other-host", stated.until, previous, now);
+            }
+            Observation::Superseded(it) => {
+                let proof = Message::LimitSuperseded(LimitSuperseded {
+                    engine: limit.engine,
+                    superseded: limit.stated,
+                    later_ms: message::to_millis(it.later_by),
+                    current: it.current.map(|it| encode_stated(&it, now)),
+                });
+                self.try_send(&proof, from);
+            }
         }
     }
 
-    fn observe_limit(&self, limit: &EngineLimit) {
+    /// Records that an engine allows more than this host knew.
+    pub(super) fn handle_superseded(&self, proof: &LimitSuperseded) {
         let mut table = self.gateway.table.borrow_mut();
-        let engine = table.get_by_short_id(limit.engine.engine);
-        let Some(engine) = engine.filter(|it| it.listing.incarnation == limit.engine.incarnation)
-        else {
+        let Some(engine) = find_engine(&mut table, proof.engine) else {
             return;
         };
         let now = clock::now();
-        let stated_at = now.saturating_sub(Duration::from_millis(limit.age_ms.into()));
-        let rate = limit.per_second.and_then(Rate::new);
-        if engine.limit.observe_remote(rate, stated_at, now) {
-            gateway::log_limit(engine, "other-host");
+        let proof = Supersession {
+            superseded: StatementId(proof.superseded.id),
+            later_by: Duration::from_millis(proof.later_ms.into()),
+            current: (proof.current.as_ref()).map(|it| decode_stated(it, now)),
+        };
+        let previous = engine.limit.stated_until();
+        if engine.limit.supersede(&proof, now) {
+            gateway::log_limit(
+                engine,
+                "other-host",
+                previous + proof.later_by,
+                previous,
+                now,
+            );
         }
     }
 
@@ -231,7 +282,34 @@
         let changed: Vec<Key> = self.gateway.changed_limits.borrow_mut().drain(..).collect();
         let table = self.gateway.table.borrow();
         let engines = changed.iter().filter_map(|it| table.get(*it));
-        engines.map(|it| encode_limit(it, now)).collect()
+        engines.filter_map(|it| encode_limit(it, now)).collect()
+    }
+
+    /// Takes up or leaves the coordination of engines with a limit, as the live hosts have changed.
+    pub(super) fn update_coordination(&self, now: Time) {
+        let limited: Vec<Key> = (self.gateway.table.borrow().iter())
+            .filter(|(_, it)| it.limit.rate().is_some())
+            .map(|it| it.0)
+            .collect();
+        let timeout = self.gateway.peers.borrow().liveness_timeout();
+        for key in limited {
+            let coordinator = self.coordinator(key);
+            let mut table = self.gateway.table.borrow_mut();
+            let Some(engine) = table.get_mut(key) else {
+                continue;
+            };
+            let was_leading = engine.limit.is_leading();
+            if coordinator == Coordinator::Own {
+                engine.limit.lead(timeout, now);
+            } else {
+                engine.limit.follow();
+            }
+            if was_leading != engine.limit.is_leading() {
+                let id = &*engine.listing.id;
+                let leads = engine.limit.is_leading();
+                log::info!(event = "limit-coordinator", engine = id, own = leads; "this host {} the requests of all hosts to engine {id}", if leads { "now schedules" } else { "no longer schedules" });
+            }
+        }
     }
 
     /// Limits for a heartbeat: recent changes, because datagrams may be lost, and those of the engines that this host
@@ -240,12 +318,12 @@
         let repeat_time = REPEAT_TIME.mul_f64(self.gateway.peers.borrow().slowdown());
         let table = self.gateway.table.borrow();
         let is_due = |(key, it): &(Key, &Engine)| {
-            let is_recent = (it.limit.changed_at()).is_some_and(|it| it + repeat_time > now);
+            let is_recent = (it.limit.lowered_at()).is_some_and(|it| it + repeat_time > now);
             let is_limited = it.limit.rate().is_some();
             is_recent || is_limited && matches!(self.coordinator(*key), Coordinator::Own)
         };
         let due = table.iter().filter(is_due);
-        let limits: Vec<EngineLimit> = due.map(|it| encode_limit(it.1, now)).collect();
+        let limits: Vec<EngineLimit> = due.filter_map(|it| encode_limit(it.1, now)).collect();
         let parts = limits.chunks(MAX_WORKLOADS_PER_MESSAGE);
         parts.map(|it| Message::Limits(it.to_vec())).collect()
     }
@@ -280,24 +358,45 @@
     Other(SocketAddr),
 }
 
-fn encode_limit(engine: &Engine, now: Time) -> EngineLimit {
+/// Limit of an engine, for messages; `None` if it has none.
+fn encode_limit(engine: &Engine, now: Time) -> Option<EngineLimit> {
     let Listing {
         id, incarnation, ..
     } = &engine.listing;
-    EngineLimit {
+    Some(EngineLimit {
         engine: message::make_incarnation(id, *incarnation),
-        per_second: engine.limit.rate().map(Rate::per_second),
-        age_ms: message::to_millis(now.saturating_sub(engine.limit.stated_at())),
+        stated: encode_stated(&engine.limit.stated()?, now),
+    })
+}
+
+fn encode_stated(it: &Stated, now: Time) -> StatedLimit {
+    StatedLimit {
+        id: it.id.0,
+        rate: it.rate.thousandths(),
+        age_ms: message::to_millis(now.saturating_sub(it.until)),
+    }
+}
+
+fn decode_stated(it: &StatedLimit, now: Time) -> Stated {
+    Stated {
+        id: StatementId(it.id),
+        rate: Rate::from_thousandths(it.rate),
+        until: now.saturating_sub(Duration::from_millis(it.age_ms.into())),
     }
 }
 
+fn find_engine(table: &mut Table, id: EngineIncarnation) -> Option<&mut Engine> {
+    let engine = table.get_by_short_id(id.engine);
+    engine.filter(|it| it.listing.incarnation == id.incarnation)
+}
+
 impl From<Turn> for TurnOutcome {
     fn from(turn: Turn) -> Self {
         match turn {
             Turn::Unlimited => Self::Unlimited,
             Turn::Granted(wait, rate) => Self::Granted {
                 wait_ms: message::to_millis(wait),
-                per_second: rate.per_second(),
+                rate: rate.thousandths(),
             },
             Turn::Taken(wait) => Self::Taken(message::to_millis(wait)),
         }
@@ -309,13 +408,9 @@
         let millis = |it: u32| Duration::from_millis(it.into());
         match outcome {
             TurnOutcome::Unlimited => Self::Unlimited,
-            TurnOutcome::Granted {
-                wait_ms,
-                per_second,
-            } => match Rate::new(per_second) {
-                Some(rate) => Self::Granted(millis(wait_ms), rate),
-                None => Self::Taken(SILENCE_PAUSE),
-            },
+            TurnOutcome::Granted { wait_ms, rate } => {
+                Self::Granted(millis(wait_ms), Rate::from_thousandths(rate))
+            }
             TurnOutcome::Taken(wait_ms) => Self::Taken(millis(wait_ms)),
         }
     }
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -32,7 +32,7 @@
     /// Prompt tokens that the engine has yet to prefill.
     pub(crate) prefill_tokens: u32,
     pub(crate) connection: Option<Connection>,
-    sent_at: Time,
+    pub(crate) sent_at: Time,
     /// When the first event of a stream arrived.
     begun_at: Option<Time>,
     /// Time to the first event that was expected at placement.
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -35,7 +35,7 @@
 /// Version of the message format, the first byte of each datagram. It changes with the messages, so
 /// that two builds running side by side during a rollout do not misread each other. State that must
 /// survive between builds is in the store.
-const FORMAT_VERSION: u8 = 6;
+const FORMAT_VERSION: u8 = 7;
 
 /// Encodes a message as a datagram.
 pub fn encode(message: &Message) -> Vec<u8> {
@@ -119,7 +119,8 @@
         | Message::Crash(_)
         | Message::PartSuccess(_)
         | Message::TurnRequest(_)
-        | Message::TurnReply(_) => None,
+        | Message::TurnReply(_)
+        | Message::LimitSuperseded(_) => None,
     }
 }
 
@@ -170,6 +171,8 @@
     PartSuccess(PartSuccess),
     /// Limits of engines.
     Limits(Vec<EngineLimit>),
+    /// An engine allows more than the receiver knows.
+    LimitSuperseded(LimitSuperseded),
     /// Question for a turn at an engine with a limit.
     TurnRequest(TurnRequest),
     /// Response to a [`TurnRequest`].
@@ -181,12 +184,34 @@
 pub struct EngineLimit {
     /// Incarnation of the engine.
     pub engine: EngineIncarnation,
-    /// Requests per second; `None` if the engine has no limit.
-    pub per_second: Option<f64>,
-    /// Time in ms since the engine stated this.
+    /// The statement of the limit.
+    pub stated: StatedLimit,
+}
+
+/// Encoding of [`fleet::request_limit::Stated`].
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct StatedLimit {
+    /// Identifies the answer of the engine ([`fleet::request_limit::StatementId`]).
+    pub id: u32,
+    /// Requests per 1,000 seconds.
+    pub rate: u32,
+    /// Time in ms since the latest moment at which the engine can have made the answer.
     pub age_ms: u32,
 }
 
+/// Encoding of [`fleet::request_limit::Supersession`].
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct LimitSuperseded {
+    /// Incarnation of the engine.
+    pub engine: EngineIncarnation,
+    /// The statement that the receiver knows.
+    pub superseded: StatedLimit,
+    /// Time in ms after that statement at which the engine allowed more, at the earliest.
+    pub later_ms: u32,
+    /// What the engine states since; `None` if it has no limit.
+    pub current: Option<StatedLimit>,
+}
+
 /// Question for a turn at an engine with a limit.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct TurnRequest {
@@ -218,8 +243,8 @@
     Granted {
         /// Time in ms.
         wait_ms: u32,
-        /// The limit.
-        per_second: f64,
+        /// The limit in requests per 1,000 seconds.
+        rate: u32,
     },
     /// All turns are taken. There may be one after this time in ms.
     Taken(u32),
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -46,6 +46,7 @@
     quarantined_parts: Gauge<u64>,
     limited_engines: Gauge<u64>,
     limited_requests: Counter<u64>,
+    limit_answers: Counter<u64>,
 }
 
 impl Default for Metrics {
@@ -137,6 +138,10 @@
                 "limited_engines",
                 "Engines that limit the requests of all hosts together",
             ),
+            limit_answers: counter(
+                "limit_answers",
+                "Answers whose statement about the limit of their engine was not used, by reason",
+            ),
             limited_requests: counter(
                 "limited_requests",
                 "Requests for engines with a limit, by whether they were sent",
@@ -257,6 +262,12 @@
         self.limited_requests.add(1, &labels);
     }
 
+    /// Counts an answer whose statement about a limit was not used.
+    pub fn count_limit_answer(&self, outcome: &'static str) {
+        let labels = [KeyValue::new("outcome", outcome)];
+        self.limit_answers.add(1, &labels);
+    }
+
     /// Sets the gauges of the current state.
     pub fn record_state(&self, config: u64, engines: usize, hosts: usize, claims: usize) {
         let number = |it: usize| u64::try_from(it).unwrap_or(u64::MAX);
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use fleet::{
+    Time,
     listing::is_adapter,
     loader::{Action, Op, Order, Outcome, View, Wanted},
     table::Key,
@@ -203,7 +204,8 @@
         gateway.pool.suspend_reuse(addr);
         return None;
     }
-    gateway.observe_engine(key, &response_head);
+    // An answer to an order may withhold a limit that applies to callers' requests.
+    gateway.observe_engine(key, &response_head, Time::ZERO);
     let (head, body) = response.accept();
     Some((head.status, body))
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -234,7 +234,7 @@
     }
 
     /// Time since its last message for which a host counts as live, at the current heartbeat rate.
-    fn liveness_timeout(&self) -> Duration {
+    pub fn liveness_timeout(&self) -> Duration {
         LIVENESS_TIMEOUT.mul_f64(self.slowdown())
     }
 
--- a/crates/gateway/tests/page.rs
+++ b/crates/gateway/tests/page.rs
@@ -59,6 +59,7 @@
     metrics.record_request("s", "r", "served", "");
     metrics.record_limited_engines(1);
     metrics.count_limited_request("sent");
+    metrics.count_limit_answer("old");
     metrics.record_waits("s", "r", second, second);
     metrics.record_latency("s", "r", second, second);
     metrics.record_retries_left("s", 1.0);
