Ask the coordinator of an engine on behalf of hosts that don't reach it

Hosts that differ on who is live each took another one for the coordinator of an engine with a limit, and both granted turns: twice the limit for as long as the two don't reach each other.

Cause: a host that was asked for a turn granted it, whether it was the coordinator by its own view or not. Change: it asks the one that it takes for the coordinator, once. A question that has been passed on is not passed on again. This commit has no test that failed before it: the grants of the former code are in the gateway, and the model plays the new ones.

--- a/crates/fleet/tests/it/request_limits.rs
+++ b/crates/fleet/tests/it/request_limits.rs
@@ -1,11 +1,12 @@
 //! Tests of the limit that an engine has for all hosts together.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
 use fleet::{
     Time,
     request_limit::{Limit, Observation, Patience, Rate, Stated, StatementId, Supersession, Turn},
 };
+use rand::{RngExt, SeedableRng, rngs::StdRng};
 
 use crate::fixture::{NOW, ms};
 
@@ -263,3 +264,355 @@
     assert!(Rate::new(0.0).is_some());
     assert!(Rate::new(1e300).is_some());
 }
+
+/// Hosts that exchange datagrams, and one engine that limits their requests.
+struct Fleet {
+    now: Time,
+    random: StdRng,
+    hosts: Vec<SimulatedHost>,
+    /// Datagrams in flight, with the time of their arrival and the receiver.
+    datagrams: Vec<(Time, usize, Datagram)>,
+    /// Answers of the engine on their way, with the time of their arrival, their host, when their request was sent, and
+    /// the limit that they state.
+    answers: Vec<(Time, usize, Time, Option<Rate>)>,
+    /// Limit that the engine states now.
+    stated: Option<Rate>,
+    /// Pairs of hosts that don't reach each other.
+    cuts: Vec<(usize, usize)>,
+    arrivals: Vec<Time>,
+}
+
+#[derive(Default)]
+struct SimulatedHost {
+    limit: Limit,
+    suspended_until: Time,
+    heard: HashMap<usize, Time>,
+    /// When an answer first stated the limit to this host.
+    told_at: Option<Time>,
+    /// Turns that were granted to this host, and the rate.
+    turns: Vec<(Time, Rate)>,
+    asked_at: Time,
+}
+
+#[derive(Clone, Copy)]
+enum Datagram {
+    Heartbeat(usize, Option<(Stated, Duration)>),
+    Proof(Supersession),
+    Question {
+        from: usize,
+        stated: Option<(Stated, Duration)>,
+        relayed_for: Option<usize>,
+    },
+    Granted(Duration, Rate),
+}
+
+impl Fleet {
+    const LIVENESS: Duration = Duration::from_millis(1500);
+
+    fn new(seed: u64, hosts: usize) -> Self {
+        Self {
+            now: NOW,
+            random: StdRng::seed_from_u64(seed),
+            hosts: (0..hosts).map(|_| SimulatedHost::default()).collect(),
+            datagrams: Vec::new(),
+            answers: Vec::new(),
+            stated: None,
+            cuts: Vec::new(),
+            arrivals: Vec::new(),
+        }
+    }
+
+    fn is_cut(&self, a: usize, b: usize) -> bool {
+        self.cuts.contains(&(a.min(b), a.max(b)))
+    }
+
+    fn send(&mut self, from: usize, to: usize, datagram: Datagram) {
+        if self.is_cut(from, to) || self.random.random_bool(0.02) {
+            return;
+        }
+        let slow = self.random.random_bool(0.1);
+        let delay = self.random.random_range(1..if slow { 400 } else { 8 });
+        self.datagrams.push((self.now + ms(delay), to, datagram));
+    }
+
+    /// Statement that a host sends, with its age.
+    fn statement(&self, host: usize) -> Option<(Stated, Duration)> {
+        let stated = self.hosts[host].limit.stated()?;
+        Some((stated, self.now.saturating_sub(stated.until)))
+    }
+
+    /// Host that a host takes for the coordinator: the live one with the lowest number.
+    fn coordinator(&self, host: usize) -> usize {
+        let heard = &self.hosts[host].heard;
+        let is_live = |it: &usize| {
+            heard
+                .get(it)
+                .is_some_and(|at| *at + Self::LIVENESS > self.now)
+        };
+        (0..host).find(is_live).unwrap_or(host)
+    }
+
+    fn share(&self, host: usize) -> f64 {
+        let live = (self.hosts[host].heard.values())
+            .filter(|at| **at + Self::LIVENESS > self.now)
+            .count();
+        let count = |it: usize| f64::from(u32::try_from(it).expect("few hosts"));
+        count(live + 1) / count(self.hosts.len())
+    }
+
+    /// Records another host's statement, and sends that host the proof if the engine has allowed more since.
+    fn observe(&mut self, host: usize, from: usize, stated: Option<(Stated, Duration)>) {
+        let Some((stated, age)) = stated else { return };
+        let until = self.now.saturating_sub(age);
+        let stated = Stated { until, ..stated };
+        let observation = self.hosts[host].limit.observe_remote(stated, self.now);
+        if let Observation::Superseded(proof) = observation {
+            self.send(host, from, Datagram::Proof(proof));
+        }
+    }
+
+    fn handle(&mut self, host: usize, datagram: Datagram) {
+        match datagram {
+            Datagram::Heartbeat(from, stated) => {
+                self.hosts[host].heard.insert(from, self.now);
+                self.observe(host, from, stated);
+            }
+            Datagram::Proof(proof) => {
+                self.hosts[host].limit.supersede(&proof, self.now);
+            }
+            Datagram::Question {
+                from,
+                stated,
+                relayed_for,
+            } => {
+                self.observe(host, from, stated);
+                let asker = relayed_for.unwrap_or(from);
+                let coordinator = self.coordinator(host);
+                if coordinator == host {
+                    if let Some((wait, rate)) = self.grant(host, asker) {
+                        self.send(host, asker, Datagram::Granted(wait, rate));
+                    }
+                } else if relayed_for.is_none() {
+                    let question = Datagram::Question {
+                        from: host,
+                        stated: self.statement(host),
+                        relayed_for: Some(asker),
+                    };
+                    self.send(host, coordinator, question);
+                }
+            }
+            Datagram::Granted(wait, rate) => {
+                let at = self.now + wait;
+                self.hosts[host].turns.push((at, rate));
+            }
+        }
+    }
+
+    fn grant(&mut self, host: usize, asker: usize) -> Option<(Duration, Rate)> {
+        let share = self.share(host);
+        let addr = self::host(asker);
+        let limit = &mut self.hosts[host].limit;
+        limit.lead(Self::LIVENESS, self.now);
+        match limit.grant(addr, PATIENCE, share, self.now) {
+            Turn::Granted(wait, rate) => Some((wait, rate)),
+            Turn::Unlimited | Turn::Taken(_) => None,
+        }
+    }
+
+    fn send_request(&mut self, host: usize) {
+        // A host that the engine hasn't told may not know the limit.
+        let is_told = (self.hosts[host].told_at).is_some_and(|it| it + ms(500) <= self.now);
+        if is_told {
+            self.arrivals.push(self.now);
+        }
+        let work = self.random.random_range(50..600);
+        let answer = (self.now + ms(work), host, self.now, None);
+        self.answers.push(answer);
+    }
+
+    /// Lets a host send what it may.
+    fn act(&mut self, host: usize) {
+        if self.hosts[host].limit.rate().is_none() {
+            if self.random.random_bool(0.2) {
+                self.send_request(host);
+            }
+            return;
+        }
+        let now = self.now;
+        let SimulatedHost { limit, turns, .. } = &mut self.hosts[host];
+        let due = turns.iter().position(|it| it.0 <= now);
+        let due = due.map(|it| turns.remove(it));
+        if due.is_some_and(|(at, rate)| at + ms(500) > now && limit.honors(rate)) {
+            self.send_request(host);
+        }
+        if self.hosts[host].asked_at + ms(100) > now {
+            return;
+        }
+        self.hosts[host].asked_at = now;
+        let coordinator = self.coordinator(host);
+        if coordinator == host {
+            if let Some((wait, rate)) = self.grant(host, host) {
+                self.hosts[host].turns.push((now + wait, rate));
+            }
+            return;
+        }
+        let question = Datagram::Question {
+            from: host,
+            stated: self.statement(host),
+            relayed_for: None,
+        };
+        self.send(host, coordinator, question);
+    }
+
+    fn heartbeat(&mut self, host: usize) {
+        let coordinator = self.coordinator(host);
+        if coordinator == host {
+            self.hosts[host].limit.lead(Self::LIVENESS, self.now);
+        } else {
+            self.hosts[host].limit.follow();
+        }
+        let stated = self.statement(host).filter(|_| coordinator == host);
+        for to in 0..self.hosts.len() {
+            if to != host {
+                self.send(host, to, Datagram::Heartbeat(host, stated));
+            }
+        }
+    }
+
+    fn is_due(&self, at: Time, host: usize) -> bool {
+        at <= self.now && self.hosts[host].suspended_until <= self.now
+    }
+
+    fn read_answers(&mut self) {
+        let now = self.now;
+        let (due, rest) =
+            (std::mem::take(&mut self.answers).into_iter()).partition(|it| self.is_due(it.0, it.1));
+        self.answers = rest;
+        let due: Vec<_> = due;
+        for (_, host, sent_at, rate) in due {
+            if rate.is_some() {
+                self.hosts[host].told_at.get_or_insert(now);
+            }
+            let id = StatementId::new(&host.to_string(), now);
+            let is_news = self.hosts[host].limit.observe(rate, id, sent_at, now);
+            if is_news && rate.is_some() {
+                let stated = self.statement(host);
+                for to in (0..self.hosts.len()).filter(|it| *it != host) {
+                    self.send(host, to, Datagram::Heartbeat(host, stated));
+                }
+            }
+        }
+    }
+
+    fn read_datagrams(&mut self) {
+        let (due, rest) = (std::mem::take(&mut self.datagrams).into_iter())
+            .partition(|it| self.is_due(it.0, it.1));
+        self.datagrams = rest;
+        let due: Vec<_> = due;
+        for (_, host, datagram) in due {
+            self.handle(host, datagram);
+        }
+    }
+
+    /// Plays some time in steps of 5 ms.
+    fn play(&mut self, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += ms(5);
+            let now = self.now;
+            for it in &mut self.answers {
+                // The engine makes the answer just before it arrives, whenever it is read.
+                if it.0 <= now && it.0 + ms(5) > now {
+                    it.3 = self.stated;
+                }
+            }
+            // A host reads its sockets in any order.
+            if self.random.random_bool(0.5) {
+                self.read_answers();
+                self.read_datagrams();
+            } else {
+                self.read_datagrams();
+                self.read_answers();
+            }
+            for host in 0..self.hosts.len() {
+                if self.hosts[host].suspended_until <= now {
+                    if now.as_millis().is_multiple_of(200) {
+                        self.heartbeat(host);
+                    }
+                    self.act(host);
+                }
+            }
+        }
+    }
+
+    /// Plays a disruption of a random kind.
+    fn disrupt(&mut self) {
+        let count = self.hosts.len();
+        let host = self.random.random_range(0..count);
+        match self.random.random_range(0..3) {
+            0 => {
+                let time = ms(self.random.random_range(200..4000));
+                self.hosts[host].suspended_until = self.now + time;
+            }
+            1 => {
+                self.hosts[host] = SimulatedHost::default();
+                self.datagrams.retain(|it| it.1 != host);
+                self.answers.retain(|it| it.1 != host);
+            }
+            _ => {
+                let other = (host + self.random.random_range(1..count)) % count;
+                self.cuts.push((host.min(other), host.max(other)));
+                if self.cuts.len() > 2 {
+                    self.cuts.remove(0);
+                }
+            }
+        }
+    }
+
+    fn assert_kept(&self, per_second: f64, from: Time) {
+        for it in self.arrivals.iter().filter(|it| **it >= from) {
+            let in_window = count(&self.arrivals, *it, *it + WINDOW);
+            let allowed = 1.5 * per_second * WINDOW.as_secs_f64() + SLACK;
+            assert!(in_window <= allowed, "{in_window} requests in {WINDOW:?}");
+        }
+    }
+}
+
+/// Expected load: more requests than the engine takes, at all hosts. Hosts are suspended, restarted and cut off from each
+/// other in series and overlapping, datagrams are lost and delayed, and the engine withdraws, lowers and restores its
+/// limit before.
+#[test]
+fn a_limit_is_kept_while_hosts_are_suspended_restarted_and_cut_off_from_each_other() {
+    for seed in 0..40 {
+        let mut fleet = Fleet::new(seed, 4);
+        for stated in [None, Some(rate(6.0)), None] {
+            fleet.stated = stated;
+            fleet.play(ms(1500));
+        }
+        // Answers without a limit wait in this host.
+        fleet.hosts[1].suspended_until = fleet.now + ms(3500);
+        fleet.play(ms(300));
+        fleet.stated = Some(rate(2.0));
+        fleet.play(ms(3000));
+        let from = fleet.now;
+        for _ in 0..12 {
+            let pause = ms(fleet.random.random_range(100..2500));
+            fleet.disrupt();
+            fleet.play(pause);
+        }
+        fleet.assert_kept(2.0, from);
+        // The limit is used again, and lifted everywhere, when all is well.
+        fleet.cuts.clear();
+        fleet.play(ms(6000));
+        let used_from = fleet.now;
+        fleet.play(ms(10_000));
+        let used = count(&fleet.arrivals, used_from, fleet.now);
+        assert!(used >= 0.6 * 20.0, "seed {seed}: {used} of 20 requests");
+        fleet.stated = None;
+        fleet.play(ms(4000));
+        assert!(
+            fleet.hosts.iter().all(|it| it.limit.rate().is_none()),
+            "seed {seed}"
+        );
+    }
+}
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -110,7 +110,7 @@
                 Some(Message::PartSuccess(it)) => self.handle_part_success(it),
                 Some(Message::Limits(it)) => self.handle_limits(&it, from),
                 Some(Message::LimitSuperseded(it)) => self.handle_superseded(&it),
-                Some(Message::TurnRequest(it)) => self.handle_turn_request(&it, from),
+                Some(Message::TurnRequest(it)) => self.handle_turn_request(it, from),
                 Some(Message::TurnReply(it)) => self.handle_turn_reply(&it),
                 None => log::debug!("cannot decode datagram from {from}"),
             }
--- a/crates/gateway/src/gossip/limits.rs
+++ b/crates/gateway/src/gossip/limits.rs
@@ -6,6 +6,7 @@
     cell::{Cell, RefCell},
     collections::HashMap,
     net::SocketAddr,
+    rc::Rc,
     time::Duration,
 };
 
@@ -17,7 +18,7 @@
     request_limit::{Observation, Patience, Rate, Stated, StatementId, Supersession, Turn},
     table::{Key, Table},
 };
-use tokio::{sync::oneshot, time};
+use tokio::{sync::oneshot, task::spawn_local, time};
 
 use super::Gossip;
 use crate::{
@@ -100,7 +101,7 @@
     /// Asks for a turn at an engine. Returns `None` if the engine has no limit. The error is the time
     /// until which this host gets no turn.
     pub(crate) async fn request_turn(
-        &self,
+        self: &Rc<Self>,
         key: Key,
         patience: Patience,
     ) -> Result<Option<GrantedTurn>, Time> {
@@ -108,7 +109,7 @@
         let turn = match self.coordinator(key) {
             Coordinator::None => return Ok(None),
             Coordinator::Own => self.grant_turn(key, self.gateway.settings.peers, patience),
-            Coordinator::Other(addr) => self.ask_for_turn(key, addr, patience).await,
+            Coordinator::Other(addr) => (self.ask_for_turn(key, addr, patience, Asker::Own)).await,
         };
         let (outcome, until) = match turn {
             Some(Turn::Unlimited) => return Ok(None),
@@ -130,7 +131,13 @@
     }
 
     /// Asks another host for a turn. Returns `None` if it doesn't answer.
-    async fn ask_for_turn(&self, key: Key, to: SocketAddr, patience: Patience) -> Option<Turn> {
+    async fn ask_for_turn(
+        &self,
+        key: Key,
+        to: SocketAddr,
+        patience: Patience,
+        asker: Asker,
+    ) -> Option<Turn> {
         let questions = &self.gateway.turn_questions;
         let (reply, answered) = oneshot::channel();
         let number = questions.last_number.get().wrapping_add(1);
@@ -150,6 +157,7 @@
             number,
             on_time_ms: message::to_millis(patience.on_time),
             longest_wait_ms: message::to_millis(patience.longest),
+            is_relayed: asker == Asker::OtherHost,
         });
         self.try_send(&request, to);
         let turn = time::timeout(REPLY_TIMEOUT, answered).await.ok()?.ok();
@@ -173,13 +181,14 @@
         Some(engine.limit.grant(host, patience, share, now))
     }
 
-    /// Answers another host that asks for a turn.
-    pub(super) fn handle_turn_request(&self, request: &TurnRequest, from: SocketAddr) {
+    /// Answers another host that asks for a turn. A host that doesn't reach the coordinator asks another one, which asks
+    /// the coordinator in its place: two hosts that grant turns at the same time would exceed the limit.
+    pub(super) fn handle_turn_request(self: &Rc<Self>, request: TurnRequest, from: SocketAddr) {
         self.observe_limit(&request.limit, from);
         let key = (self.gateway.table.borrow()).find_by_short_id(request.limit.engine.engine);
         // An engine that this host doesn't know yet.
         let Some(key) = key else {
-            self.reply_to(request, from, Turn::Taken(SILENCE_PAUSE));
+            self.reply_to(&request, from, Turn::Taken(SILENCE_PAUSE));
             return;
         };
         let patience = Patience {
@@ -187,10 +196,22 @@
             longest: Duration::from_millis(request.longest_wait_ms.into()),
         };
         match self.coordinator(key) {
-            Coordinator::None => self.reply_to(request, from, Turn::Unlimited),
-            Coordinator::Own | Coordinator::Other(_) => {
+            Coordinator::None => self.reply_to(&request, from, Turn::Unlimited),
+            Coordinator::Own => {
                 let turn = self.grant_turn(key, from, patience);
-                self.reply_to(request, from, turn.unwrap_or(Turn::Taken(SILENCE_PAUSE)));
+                self.reply_to(&request, from, turn.unwrap_or(Turn::Taken(SILENCE_PAUSE)));
+            }
+            Coordinator::Other(_) if request.is_relayed => {
+                self.reply_to(&request, from, Turn::Taken(SILENCE_PAUSE));
+            }
+            Coordinator::Other(addr) => {
+                let gossip = self.clone();
+                spawn_local(async move {
+                    let turn = gossip.ask_for_turn(key, addr, patience, Asker::OtherHost);
+                    if let Some(turn) = turn.await {
+                        gossip.reply_to(&request, from, turn);
+                    }
+                });
             }
         }
     }
@@ -358,6 +379,14 @@
     Other(SocketAddr),
 }
 
+/// For which host a turn is asked.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Asker {
+    Own,
+    /// One that doesn't reach the coordinator.
+    OtherHost,
+}
+
 /// Limit of an engine, for messages; `None` if it has none.
 fn encode_limit(engine: &Engine, now: Time) -> Option<EngineLimit> {
     let Listing {
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -223,6 +223,8 @@
     pub on_time_ms: u32,
     /// Time in ms for which it may wait if no request is turned away.
     pub longest_wait_ms: u32,
+    /// True if the sender asks for another host that doesn't reach the coordinator.
+    pub is_relayed: bool,
 }
 
 /// Response to a [`TurnRequest`].
--- a/crates/gateway/tests/message.rs
+++ b/crates/gateway/tests/message.rs
@@ -107,6 +107,7 @@
         number: u32::MAX,
         on_time_ms: 480,
         longest_wait_ms: 2200,
+        is_relayed: false,
     });
     let answer = Message::TurnReply(TurnReply {
         number: u32::MAX,
