Keep engines that withstand few refusals from crashing

Requests of all hosts went to full engines and were refused, and each refusal was repeated at the next engine. Class of fault: a limit on a resource that all hosts share, of which each sees its own part. Change: fleet::room. All attempts count, also retries and those that placement sends elsewhere.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -13,7 +13,8 @@
     listing::{Held, Listing, Name, State},
     origin::BuildId,
     prefix::Cache,
-    request_limit::Limit,
+    request_limit::{Limit, Rate},
+    room::Room,
 };
 
 /// Time for which an observed load or unload takes precedence over the platform's list, which lags behind
@@ -165,6 +166,8 @@
     pub backoff: Backoff,
     /// Limit of the requests that the engine takes from all hosts.
     pub limit: Limit,
+    /// Room for requests, if the engine crashes when it refuses too many.
+    pub room: Room,
     /// True once this incarnation is known to accept no more work, whatever its entry says later.
     leaving: bool,
     /// When the engine is expected to finish the prefill of all prompts that are known to be sent.
@@ -200,6 +203,7 @@
             circuit: Circuit::default(),
             backoff: Backoff::default(),
             limit: Limit::default(),
+            room: Room::default(),
             leaving: false,
             prefill_end: Time::ZERO,
             pending_prompts: VecDeque::new(),
@@ -223,6 +227,7 @@
         if listing.incarnation != self.listing.incarnation {
             self.leaving = false;
             self.backoff = Backoff::default();
+            self.room.record_restart(now);
             self.held.clear();
             self.recently_removed.clear();
             self.prefix_cache.clear();
@@ -286,9 +291,32 @@
         self.remote_work.insert(host.clone(), (now, work));
     }
 
-    /// Time until which this host may send the engine no request, because of a back-off or of the engine's limit.
+    /// Time until which this host may send the engine no request, because of a back-off or of the turns of all hosts.
     pub fn closed_until(&self, now: Time) -> Option<Time> {
-        (self.backoff.closed_until(now)).max(self.limit.taken_until(now))
+        (self.backoff.closed_until(now)).max(self.taken_until(now))
+    }
+
+    /// Time until which this host gets no turn, if requests need one now.
+    pub fn taken_until(&self, now: Time) -> Option<Time> {
+        self.limit.taken_until(now).filter(|_| self.needs_turn(now))
+    }
+
+    /// Returns whether requests are sent to the engine in turn only.
+    pub fn needs_turn(&self, now: Time) -> bool {
+        self.limit.rate().is_some() || self.lacks_room(now)
+    }
+
+    /// Returns whether the engine may have no room for one more request.
+    pub fn lacks_room(&self, now: Time) -> bool {
+        !self.room.has_room(self.local_work.running, now)
+    }
+
+    /// Rate of the turns of all hosts, if there are any.
+    pub fn turn_rate(&self, now: Time) -> Option<Rate> {
+        match (self.limit.rate(), self.room.turn_rate(now)) {
+            (Some(limit), Some(full)) => Some(limit.min(full)),
+            (limit, full) => limit.or(full),
+        }
     }
 
     /// Records a request that another host has sent since its last report.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod reader;
 pub mod rendezvous;
 pub mod request_limit;
+pub mod room;
 pub mod stall;
 pub mod store_call;
 pub mod table;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -164,7 +164,7 @@
         }
         let wait_ms = expected_wait_ms(table, engine, request, now);
         let mut cost = wait_ms + extra_cost_ms(engine, request, now);
-        if engine.limit.rate().is_some() && !has_turn {
+        if !has_turn && engine.needs_turn(now) {
             cost += LIMITED_COST_MS;
         }
         lowest_cost = lowest_cost.min(cost);
@@ -306,7 +306,7 @@
     let rank = |(key, it): (Key, &Engine)| {
         let is_usable = it.circuit.state(now) == State::Closed
             && it.closed_until(now).is_none()
-            && it.limit.rate().is_none()
+            && !it.needs_turn(now)
             && table.queue_wait_for_one_more(key, now).is_zero();
         (is_usable, rendezvous::weight(name, &it.listing.id), key)
     };
--- a/crates/fleet/src/request_limit.rs
+++ b/crates/fleet/src/request_limit.rs
@@ -68,16 +68,16 @@
     }
 }
 
-/// Statement of a response of an engine about its limit.
+/// Statement of a response of an engine about a number.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub enum Statement {
+pub enum Statement<T> {
     /// Nothing.
     #[default]
     Absent,
-    /// The limit can't be read.
+    /// The number can't be read.
     Unreadable,
-    /// The engine takes so many requests.
-    Stated(Rate),
+    /// The number.
+    Stated(T),
 }
 
 /// Times for which a request may wait for its turn.
@@ -206,12 +206,12 @@
             if sent_at <= self.stated_until() {
                 return false;
             }
-            self.adopt(stated, now);
+            self.adopt(stated);
             self.allowed_at = sent_at;
             return true;
         }
         let is_lower = rate != self.rate();
-        self.adopt(stated, now);
+        self.adopt(stated);
         self.allowed_at = self.allowed_at.max(sent_at);
         if is_lower {
             self.lowered_at = Some(now);
@@ -220,7 +220,7 @@
     }
 
     /// Records a statement that another host knows.
-    pub fn observe_remote(&mut self, stated: Stated, now: Time) -> Observation {
+    pub fn observe_remote(&mut self, stated: Stated) -> Observation {
         if allows_more(Some(stated.rate), self.rate()) {
             return Observation::Unchanged;
         }
@@ -242,13 +242,13 @@
                 current: self.stated,
             });
         }
-        self.adopt(Some(stated), now);
+        self.adopt(Some(stated));
         Observation::Adopted
     }
 
     /// Applies another host's proof that the engine allows more than this host knows. Returns whether the limit has
     /// changed.
-    pub fn supersede(&mut self, it: &Supersession, now: Time) -> bool {
+    pub fn supersede(&mut self, it: &Supersession) -> bool {
         let Some(own) = self.stated.filter(|own| own.id == it.superseded) else {
             return false;
         };
@@ -256,11 +256,11 @@
             return false;
         }
         self.allowed_at = own.until + it.later_by;
-        self.adopt(it.current, now);
+        self.adopt(it.current);
         true
     }
 
-    fn adopt(&mut self, stated: Option<Stated>, now: Time) {
+    fn adopt(&mut self, stated: Option<Stated>) {
         let previous = std::mem::replace(&mut self.stated, stated);
         if previous.map(|it| it.rate) == self.rate() {
             return;
@@ -269,30 +269,22 @@
         if let (Some(previous), None) = (previous, stated) {
             self.withdrawn_until = previous.until;
         }
-        match (&mut self.schedule, stated) {
-            (schedule, None) => *schedule = None,
-            // Turns that were granted at a higher rate are not used any more.
-            (Some(schedule), Some(stated))
-                if !allows_more(Some(stated.rate), previous.map(|it| it.rate)) =>
-            {
-                *schedule = Schedule {
-                    applicants: std::mem::take(&mut schedule.applicants),
-                    ..Schedule::begin(stated.rate, now)
-                };
-            }
-            _ => {}
-        }
     }
 
-    /// Makes this host the coordinator. If it wasn't within `timeout`, another one may have granted turns meanwhile, so
-    /// it begins without unused ones.
-    pub fn lead(&mut self, timeout: Duration, now: Time) {
-        let Some(rate) = self.rate() else { return };
+    /// Makes this host the coordinator, at this rate. If it wasn't within `timeout`, another one may have granted turns
+    /// meanwhile, so it begins without unused ones. Turns that were granted at a higher rate don't count.
+    pub fn lead(&mut self, rate: Rate, timeout: Duration, now: Time) {
         let schedule = self.schedule.take();
-        let mut schedule = schedule
-            .filter(|it| it.led_at + timeout > now)
-            .unwrap_or_else(|| Schedule::begin(rate, now));
+        let mut schedule = match schedule.filter(|it| it.led_at + timeout > now) {
+            Some(it) if it.rate <= rate => it,
+            Some(it) => Schedule {
+                applicants: it.applicants,
+                ..Schedule::begin(rate, now)
+            },
+            None => Schedule::begin(rate, now),
+        };
         schedule.led_at = now;
+        schedule.rate = rate;
         self.schedule = Some(schedule);
     }
 
@@ -308,7 +300,7 @@
 
     /// Time until which no request may be sent to the engine, because this host gets no turn.
     pub fn taken_until(&self, now: Time) -> Option<Time> {
-        (self.stated.is_some() && self.taken_until > now).then_some(self.taken_until)
+        (self.taken_until > now).then_some(self.taken_until)
     }
 
     /// Records that this host gets no turn before this time.
@@ -321,17 +313,14 @@
         self.rate().is_none_or(|it| it >= granted_at)
     }
 
-    /// Grants a turn to a request of a host, as the coordinator ([`Limit::lead`]). `share` is the part of the limit that
+    /// Grants a turn to a request of a host, as the coordinator ([`Limit::lead`]). `share` is the part of the rate that
     /// is for the hosts that this host can reach; the rest is for those that it can't.
     pub fn grant(&mut self, host: SocketAddr, patience: Patience, share: f64, now: Time) -> Turn {
-        let Some(rate) = self.rate() else {
+        let Some(schedule) = &mut self.schedule else {
             return Turn::Unlimited;
         };
-        let interval = rate.interval(share);
-        let schedule = self
-            .schedule
-            .get_or_insert_with(|| Schedule::begin(rate, now));
-        match schedule.take(host, interval, patience, now) {
+        let rate = schedule.rate;
+        match schedule.take(host, rate.interval(share), patience, now) {
             Ok(wait) => Turn::Granted(wait, rate),
             Err(wait) => Turn::Taken(wait),
         }
@@ -352,6 +341,8 @@
 struct Schedule {
     /// When this host last was the coordinator.
     led_at: Time,
+    /// Rate of the turns.
+    rate: Rate,
     /// Time before which there is no turn.
     begins_at: Time,
     /// Last turn that a host has.
@@ -365,6 +356,7 @@
     fn begin(rate: Rate, now: Time) -> Self {
         Self {
             led_at: now,
+            rate,
             begins_at: now + rate.interval(1.0).min(MAX_FIRST_WAIT),
             last: None,
             applicants: HashMap::new(),
--- a/crates/fleet/tests/it/main.rs
+++ b/crates/fleet/tests/it/main.rs
@@ -13,5 +13,6 @@
 mod quarantines;
 mod readers;
 mod request_limits;
+mod rooms;
 mod stalls;
 mod tables;
--- a/crates/fleet/tests/it/request_limits.rs
+++ b/crates/fleet/tests/it/request_limits.rs
@@ -31,6 +31,15 @@
     limit.observe(per_second.map(rate), ID, now.saturating_sub(ms(10)), now)
 }
 
+/// Asks for a turn at the coordinator, which has been the only one.
+fn grant(limit: &mut Limit, host: SocketAddr, share: f64, now: Time) -> Turn {
+    let Some(rate) = limit.rate() else {
+        return Turn::Unlimited;
+    };
+    limit.lead(rate, Duration::MAX.saturating_sub(now), now);
+    limit.grant(host, PATIENCE, share, now)
+}
+
 fn host(number: usize) -> SocketAddr {
     let [.., high, low] = number.to_be_bytes();
     SocketAddr::from(([10, 0, high, low], 7000))
@@ -59,7 +68,7 @@
         let index = number % busy;
         if taken_until[index] <= now + PATIENCE.on_time {
             played.questions += 1;
-            match limit.grant(host(index), PATIENCE, 1.0, now) {
+            match grant(limit, host(index), 1.0, now) {
                 Turn::Granted(wait, _) => played.turns.push(now + wait),
                 Turn::Taken(wait) => taken_until[index] = now + wait,
                 Turn::Unlimited => panic!("the engine has a limit"),
@@ -115,8 +124,8 @@
 fn a_request_waits_for_its_turn_unless_others_are_turned_away() {
     let mut limit = Limit::default();
     answer(&mut limit, Some(1.0), NOW);
-    limit.lead(ms(1500), NOW);
-    let mut ask = |now| limit.grant(host(0), PATIENCE, 1.0, now);
+    limit.lead(rate(1.0), Duration::ZERO, NOW);
+    let mut ask = |now| grant(&mut limit, host(0), 1.0, now);
     assert_eq!(
         ask(NOW + ms(1000)),
         Turn::Granted(Duration::ZERO, rate(1.0))
@@ -132,21 +141,21 @@
 fn turns_at_a_higher_rate_end_when_the_limit_is_lowered() {
     let mut limit = Limit::default();
     answer(&mut limit, Some(10.0), NOW);
-    let Turn::Granted(_, granted) = limit.grant(host(0), PATIENCE, 1.0, NOW + ms(1000)) else {
+    let Turn::Granted(_, granted) = grant(&mut limit, host(0), 1.0, NOW + ms(1000)) else {
         panic!("there is a turn");
     };
     assert!(limit.honors(granted));
     answer(&mut limit, Some(2.0), NOW + ms(1010));
     assert!(!limit.honors(granted));
-    let turn = limit.grant(host(0), PATIENCE, 1.0, NOW + ms(1010));
+    let turn = grant(&mut limit, host(0), 1.0, NOW + ms(1010));
     assert_eq!(turn, Turn::Granted(ms(500), rate(2.0)));
     answer(&mut limit, Some(20.0), NOW + ms(1025));
-    let turn = limit.grant(host(0), PATIENCE, 1.0, NOW + ms(1025));
+    let turn = grant(&mut limit, host(0), 1.0, NOW + ms(1025));
     assert_eq!(turn, Turn::Granted(ms(535), rate(20.0)));
     answer(&mut limit, None, NOW + ms(1060));
     assert!(limit.honors(rate(20.0)));
     assert_eq!(
-        limit.grant(host(0), PATIENCE, 1.0, NOW + ms(1030)),
+        grant(&mut limit, host(0), 1.0, NOW + ms(1030)),
         Turn::Unlimited
     );
 }
@@ -179,20 +188,20 @@
 fn a_lower_limit_of_another_host_counts_unless_it_is_certainly_older() {
     let mut limit = Limit::default();
     assert!(answer(&mut limit, Some(4.0), NOW + ms(100)));
-    let adopted = limit.observe_remote(remote(2.0, NOW + ms(95)), NOW + ms(100));
+    let adopted = limit.observe_remote(remote(2.0, NOW + ms(95)));
     assert_eq!(adopted, Observation::Adopted);
     // A higher one is no news without proof.
-    let higher = limit.observe_remote(remote(8.0, NOW + ms(900)), NOW + ms(900));
+    let higher = limit.observe_remote(remote(8.0, NOW + ms(900)));
     assert_eq!(higher, Observation::Unchanged);
     assert!(limit.observe(None, ID, NOW + ms(150), NOW + ms(160)));
-    let older = limit.observe_remote(remote(2.0, NOW + ms(140)), NOW + ms(300));
+    let older = limit.observe_remote(remote(2.0, NOW + ms(140)));
     let proof = Supersession {
         superseded: StatementId(2),
         later_by: ms(10),
         current: None,
     };
     assert_eq!(older, Observation::Superseded(proof));
-    let newer = limit.observe_remote(remote(2.0, NOW + ms(151)), NOW + ms(300));
+    let newer = limit.observe_remote(remote(2.0, NOW + ms(151)));
     assert_eq!(newer, Observation::Adopted);
 }
 
@@ -204,12 +213,12 @@
         current: None,
     };
     let mut limit = Limit::default();
-    limit.observe_remote(remote(2.0, NOW), NOW);
+    limit.observe_remote(remote(2.0, NOW));
     assert!(!answer(&mut limit, Some(2.0), NOW + ms(20)));
-    assert!(!limit.supersede(&proof, NOW + ms(30)));
+    assert!(!limit.supersede(&proof));
     let mut limit = Limit::default();
-    limit.observe_remote(remote(2.0, NOW), NOW);
-    assert!(limit.supersede(&proof, NOW + ms(30)));
+    limit.observe_remote(remote(2.0, NOW));
+    assert!(limit.supersede(&proof));
     assert_eq!(limit.rate(), None);
 }
 
@@ -218,13 +227,13 @@
     let timeout = ms(1500);
     let mut limit = Limit::default();
     answer(&mut limit, Some(2.0), NOW);
-    limit.lead(timeout, NOW);
-    limit.grant(host(0), PATIENCE, 1.0, NOW + ms(1000));
-    limit.lead(timeout, NOW + ms(1000));
-    let turn = limit.grant(host(0), PATIENCE, 1.0, NOW + ms(2000));
+    limit.lead(rate(2.0), timeout, NOW);
+    grant(&mut limit, host(0), 1.0, NOW + ms(1000));
+    limit.lead(rate(2.0), timeout, NOW + ms(1000));
+    let turn = grant(&mut limit, host(0), 1.0, NOW + ms(2000));
     assert_eq!(turn, Turn::Granted(Duration::ZERO, rate(2.0)));
-    limit.lead(timeout, NOW + ms(2500));
-    let turn = limit.grant(host(0), PATIENCE, 1.0, NOW + ms(2500));
+    limit.lead(rate(2.0), timeout, NOW + ms(4000));
+    let turn = grant(&mut limit, host(0), 1.0, NOW + ms(4000));
     assert_eq!(turn, Turn::Granted(ms(500), rate(2.0)));
 }
 
@@ -248,7 +257,7 @@
     let mut now = NOW + ms(10_000);
     let mut turns = 0;
     while now < NOW + ms(30_000) {
-        if matches!(limit.grant(host(0), PATIENCE, 0.25, now), Turn::Granted(..)) {
+        if matches!(grant(&mut limit, host(0), 0.25, now), Turn::Granted(..)) {
             turns += 1;
         }
         now += ms(20);
@@ -365,7 +374,7 @@
         let Some((stated, age)) = stated else { return };
         let until = self.now.saturating_sub(age);
         let stated = Stated { until, ..stated };
-        let observation = self.hosts[host].limit.observe_remote(stated, self.now);
+        let observation = self.hosts[host].limit.observe_remote(stated);
         if let Observation::Superseded(proof) = observation {
             self.send(host, from, Datagram::Proof(proof));
         }
@@ -378,7 +387,7 @@
                 self.observe(host, from, stated);
             }
             Datagram::Proof(proof) => {
-                self.hosts[host].limit.supersede(&proof, self.now);
+                self.hosts[host].limit.supersede(&proof);
             }
             Datagram::Question {
                 from,
@@ -412,7 +421,7 @@
         let share = self.share(host);
         let addr = self::host(asker);
         let limit = &mut self.hosts[host].limit;
-        limit.lead(Self::LIVENESS, self.now);
+        limit.lead(limit.rate()?, Self::LIVENESS, self.now);
         match limit.grant(addr, PATIENCE, share, self.now) {
             Turn::Granted(wait, rate) => Some((wait, rate)),
             Turn::Unlimited | Turn::Taken(_) => None,
@@ -467,7 +476,10 @@
     fn heartbeat(&mut self, host: usize) {
         let coordinator = self.coordinator(host);
         if coordinator == host {
-            self.hosts[host].limit.lead(Self::LIVENESS, self.now);
+            let limit = &mut self.hosts[host].limit;
+            if let Some(rate) = limit.rate() {
+                limit.lead(rate, Self::LIVENESS, self.now);
+            }
         } else {
             self.hosts[host].limit.follow();
         }
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -10,7 +10,7 @@
     listing::{Listing, Name},
     loader::{Op, Outcome, Status},
     prefix::Part,
-    request_limit,
+    request_limit::{self, Rate},
 };
 use hyper::{HeaderMap, Request, http};
 use serde::{Deserialize, Serialize};
@@ -93,7 +93,9 @@
     /// Time for which the engine wants no requests from this host.
     pub retry_after: Option<Duration>,
     /// Limit of the requests that the engine takes from all hosts.
-    pub request_limit: request_limit::Statement,
+    pub request_limit: request_limit::Statement<Rate>,
+    /// Refusals in a second that the engine withstands. It crashes if it has to refuse more for want of room.
+    pub refusal_tolerance: request_limit::Statement<u32>,
     /// Name of a header whose value can't be parsed, and that is treated as absent.
     pub invalid_header: Option<&'static str>,
 }
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -318,6 +318,13 @@
         }
         // The seal contradicts the statement: the heads of two responses may have joined.
         if response_head.not_executed && !response_head.sealed {
+            let lacks_room = matches!(
+                status,
+                StatusCode::SERVICE_UNAVAILABLE | StatusCode::TOO_MANY_REQUESTS
+            );
+            if lacks_room {
+                self.gateway.record_full(key);
+            }
             let outcome = format!("{} not run", status.as_u16());
             self.trace.record_outcome(attempt, outcome);
             in_flight.discard_response(response).await;
@@ -340,6 +347,7 @@
         self.may_have_run = true;
         self.way_back = None;
         self.confirm_adapter(key);
+        self.gateway.record_acceptance(key);
         let (head, body) = response.into_parts();
         Outcome::Response(Box::new((head, body, response_head, in_flight)))
     }
@@ -358,7 +366,7 @@
             instance: listing.id.clone(),
             build: listing.build.clone(),
             version,
-            is_limited: engine.limit.rate().is_some(),
+            is_limited: engine.needs_turn(clock::now()),
         })
     }
 
--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -36,6 +36,9 @@
 /// Maximum time between two checks whether an engine accepts requests again.
 pub(super) const CLOSED_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Time between two checks whether a full engine has room again.
+const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(20);
+
 /// Maximum time for which a request without a placement is held.
 const MAX_HOLD: Duration = Duration::from_millis(2200);
 
@@ -316,12 +319,18 @@
         let has_alternative = self.has_alternative(key, now);
         let needs_turn = self.lacks_turn(key, now) && !has_alternative;
         let patience = self.patience(until, now);
-        let is_hopeless = if needs_turn {
+        let lacks_room = needs_turn && self.lacks_only_room(key, now);
+        let is_hopeless = if lacks_room {
+            !self.is_on_time(now)
+        } else if needs_turn {
             open_at > now + patience.on_time
         } else {
             open_at >= until && !has_alternative
         };
         if is_hopeless || now >= until {
+            if lacks_room {
+                return Err(Fault::Overload);
+            }
             self.retry_after = Some(open_at.saturating_sub(now));
             return Err(if needs_turn {
                 Fault::EngineLimit
@@ -329,6 +338,12 @@
                 Fault::Overload
             });
         }
+        if lacks_room {
+            self.gateway.record_room_wait(key);
+            time::sleep(ROOM_CHECK_INTERVAL).await;
+            self.trace.queue_wait += ROOM_CHECK_INTERVAL;
+            return Ok(());
+        }
         if needs_turn {
             self.await_turn(key, patience).await;
             return Ok(());
--- a/crates/gateway/src/exchange/turn.rs
+++ b/crates/gateway/src/exchange/turn.rs
@@ -30,6 +30,12 @@
         })
     }
 
+    /// Returns whether the request can be on time if it is sent now.
+    pub(super) fn is_on_time(&self, now: Time) -> bool {
+        let in_time = self.route.latency_target.mul_f64(MAX_PACING_FRACTION);
+        now < self.started + in_time.max(MIN_TURN_WAIT)
+    }
+
     /// Times for which the request may wait for a turn at an engine that limits its requests.
     pub(super) fn patience(&self, until: Time, now: Time) -> Patience {
         let longest = until.saturating_sub(now);
@@ -49,14 +55,25 @@
     pub(super) fn lacks_turn(&self, key: Key, now: Time) -> bool {
         let table = self.gateway.table.borrow();
         table.get(key).is_some_and(|it| {
-            it.limit.taken_until(now).is_some() && it.backoff.closed_until(now).is_none()
+            it.taken_until(now).is_some() && it.backoff.closed_until(now).is_none()
         })
     }
 
-    /// Returns whether an engine limits the requests of all hosts.
-    fn is_limited(&self, key: Key) -> bool {
+    /// Returns whether requests are sent to an engine in turn only.
+    fn needs_turn(&self, key: Key) -> bool {
+        let now = clock::now();
+        let table = self.gateway.table.borrow();
+        table.get(key).is_some_and(|it| it.needs_turn(now))
+    }
+
+    /// Returns whether an engine takes no request only because it has no room, which may change at any time.
+    pub(super) fn lacks_only_room(&self, key: Key, now: Time) -> bool {
         let table = self.gateway.table.borrow();
-        table.get(key).is_some_and(|it| it.limit.rate().is_some())
+        table.get(key).is_some_and(|it| {
+            it.limit.rate().is_none()
+                && it.lacks_room(now)
+                && it.backoff.closed_until(now).is_none()
+        })
     }
 
     /// Waits for a turn at an engine. Returns false if there is none. Without a limit no turn is needed.
@@ -66,13 +83,13 @@
             return false;
         };
         let Some(turn) = turn else { return true };
-        while clock::now() < turn.at && self.is_limited(key) && self.is_valid_turn(&turn) {
+        while clock::now() < turn.at && self.needs_turn(key) && self.is_valid_turn(&turn) {
             let wait = turn.at.saturating_sub(clock::now());
             time::sleep(wait.min(CLOSED_CHECK_INTERVAL)).await;
         }
         self.trace.limit_wait += clock::now().saturating_sub(began_at);
         self.turn = Some(turn).filter(|it| self.is_valid_turn(it));
-        self.turn.is_some() || !self.is_limited(key)
+        self.turn.is_some() || !self.needs_turn(key)
     }
 
     /// Returns whether the request may be sent by a turn.
@@ -86,10 +103,11 @@
     /// false if there is no turn.
     pub(super) async fn take_turn(&mut self, key: Key) -> bool {
         let turn = self.turn.take().filter(|it| it.engine == key);
-        if !self.is_limited(key) || turn.is_some_and(|it| self.is_valid_turn(&it)) {
+        if !self.needs_turn(key) || turn.is_some_and(|it| self.is_valid_turn(&it)) {
             return true;
         }
         let now = clock::now();
+        self.gateway.record_room_wait(key);
         let patience = if self.has_alternative(key, now) {
             Patience {
                 on_time: MIN_TURN_WAIT,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -152,6 +152,8 @@
     pub leaving_engines: RefCell<Vec<crate::message::EngineIncarnation>>,
     /// Engines whose limit has changed, not yet announced to other hosts.
     pub changed_limits: RefCell<Vec<Key>>,
+    /// Engines that were found to be full, not yet announced to other hosts.
+    pub full_engines: RefCell<Vec<Key>>,
     /// Engines whose entry has vanished, not yet announced to other hosts.
     pub vanished_engines: RefCell<Vec<crate::message::EngineIncarnation>>,
     /// Era of the store.
@@ -233,6 +235,7 @@
             adapter_updates: RefCell::default(),
             leaving_engines: RefCell::default(),
             changed_limits: RefCell::default(),
+            full_engines: RefCell::default(),
             vanished_engines: RefCell::default(),
             era: RefCell::default(),
             is_era_unknown: Cell::default(),
@@ -346,6 +349,11 @@
             self.leaving_engines.borrow_mut().push(it);
             self.orders_wakeup.notify_one();
         }
+        match head.refusal_tolerance {
+            request_limit::Statement::Stated(it) => engine.room.observe(Some(it)),
+            request_limit::Statement::Absent if head.sealed => engine.room.observe(None),
+            _ => {}
+        }
         let rate = match head.request_limit {
             request_limit::Statement::Stated(it) => Some(it),
             // Only the engine's own answers show that it has no limit.
@@ -363,6 +371,35 @@
         }
     }
 
+    /// Records that an engine refused a request for want of room.
+    pub fn record_full(&self, key: Key) {
+        let now = clock::now();
+        if let Some(engine) = self.table.borrow_mut().get_mut(key) {
+            // The refused request is still counted.
+            let running = engine.local_work.running.saturating_sub(1);
+            let random = rand::random_range(0.0..1.0);
+            if engine.room.record_refusal(running, random, now, now) {
+                log_full(engine, "answer", running);
+                self.full_engines.borrow_mut().push(key);
+                self.orders_wakeup.notify_one();
+            }
+        }
+    }
+
+    /// Records that an engine accepted a request.
+    pub fn record_acceptance(&self, key: Key) {
+        if let Some(engine) = self.table.borrow_mut().get_mut(key) {
+            engine.room.record_acceptance(engine.local_work.running);
+        }
+    }
+
+    /// Records that a request waits for room at an engine.
+    pub fn record_room_wait(&self, key: Key) {
+        if let Some(engine) = self.table.borrow_mut().get_mut(key) {
+            engine.room.record_wait(clock::now());
+        }
+    }
+
     /// Records that an engine rejected a request and wants no others from this host for some time.
     pub fn back_off_engine(&self, key: Key, time: Duration) {
         if let Some(engine) = self.table.borrow_mut().get_mut(key) {
@@ -621,6 +658,13 @@
     }
 }
 
+/// Logs that an engine with this number of requests of this host is full, and how this host knows.
+pub(crate) fn log_full(engine: &Engine, why: &'static str, running: u32) {
+    let id = &*engine.listing.id;
+    let tolerance = engine.room.tolerance();
+    log::info!(event = "engine-full", engine = id, running, tolerance, why; "engine {id} refuses requests for want of room");
+}
+
 /// Retry that is reserved in the budget. Dropping it returns it to the budget.
 pub(crate) struct ReservedRetry {
     gateway: Rc<Gateway>,
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -108,6 +108,7 @@
                 Some(Message::OriginReply(it)) => self.handle_origin_reply(&it, from),
                 Some(Message::Crash(it)) => self.handle_crash(&it),
                 Some(Message::PartSuccess(it)) => self.handle_part_success(it),
+                Some(Message::Full(it)) => self.handle_full(&it),
                 Some(Message::Limits(it)) => self.handle_limits(&it, from),
                 Some(Message::LimitSuperseded(it)) => self.handle_superseded(&it),
                 Some(Message::TurnRequest(it)) => self.handle_turn_request(it, from),
@@ -140,6 +141,11 @@
             self.send_all(&Message::Limits(limits), &self.live_addresses())
                 .await;
         }
+        let full = self.newly_full();
+        if !full.is_empty() {
+            self.send_all(&Message::Full(full), &self.live_addresses())
+                .await;
+        }
         let updates: Vec<AdapterUpdate> = self
             .gateway
             .adapter_updates
--- a/crates/gateway/src/gossip/limits.rs
+++ b/crates/gateway/src/gossip/limits.rs
@@ -24,8 +24,9 @@
 use crate::{
     clock, gateway,
     message::{
-        self, EngineIncarnation, EngineLimit, LimitSuperseded, MAX_WORKLOADS_PER_MESSAGE, Message,
-        StatedLimit, TurnOutcome, TurnReply, TurnRequest,
+        self, EngineIncarnation, EngineLimit, FullEngine, LimitSuperseded,
+        MAX_WORKLOADS_PER_MESSAGE, Message, Refusal, StatedLimit, TurnOutcome, TurnReply,
+        TurnRequest,
     },
 };
 
@@ -149,27 +150,29 @@
         let question = Question { engine: key, reply };
         questions.open.borrow_mut().insert(number, question);
         let question = OpenQuestion { questions, number };
-        let Some(limit) = self.known_limit(key) else {
-            return Some(Turn::Unlimited);
+        let request = {
+            let now = clock::now();
+            let table = self.gateway.table.borrow();
+            let engine = table.get(key)?;
+            let Listing {
+                id, incarnation, ..
+            } = &engine.listing;
+            TurnRequest {
+                engine: message::make_incarnation(id, *incarnation),
+                stated: engine.limit.stated().map(|it| encode_stated(&it, now)),
+                refusal: encode_refusal(engine, now),
+                number,
+                on_time_ms: message::to_millis(patience.on_time),
+                longest_wait_ms: message::to_millis(patience.longest),
+                is_relayed: asker == Asker::OtherHost,
+            }
         };
-        let request = Message::TurnRequest(TurnRequest {
-            limit,
-            number,
-            on_time_ms: message::to_millis(patience.on_time),
-            longest_wait_ms: message::to_millis(patience.longest),
-            is_relayed: asker == Asker::OtherHost,
-        });
-        self.try_send(&request, to);
+        self.try_send(&Message::TurnRequest(request), to);
         let turn = time::timeout(REPLY_TIMEOUT, answered).await.ok()?.ok();
         drop(question);
         turn
     }
 
-    /// Limit of an engine, for messages.
-    fn known_limit(&self, key: Key) -> Option<EngineLimit> {
-        encode_limit(self.gateway.table.borrow().get(key)?, clock::now())
-    }
-
     /// Grants a turn to a host, as the coordinator.
     fn grant_turn(&self, key: Key, host: SocketAddr, patience: Patience) -> Option<Turn> {
         let now = clock::now();
@@ -177,15 +180,23 @@
         let share = peers.reachable_share(&self.gateway.holder, now);
         let mut table = self.gateway.table.borrow_mut();
         let engine = table.get_mut(key)?;
-        engine.limit.lead(peers.liveness_timeout(), now);
+        let rate = engine.turn_rate(now)?;
+        engine.limit.lead(rate, peers.liveness_timeout(), now);
         Some(engine.limit.grant(host, patience, share, now))
     }
 
     /// Answers another host that asks for a turn. A host that doesn't reach the coordinator asks another one, which asks
     /// the coordinator in its place: two hosts that grant turns at the same time would exceed the limit.
     pub(super) fn handle_turn_request(self: &Rc<Self>, request: TurnRequest, from: SocketAddr) {
-        self.observe_limit(&request.limit, from);
-        let key = (self.gateway.table.borrow()).find_by_short_id(request.limit.engine.engine);
+        if let Some(stated) = request.stated {
+            let engine = request.engine;
+            self.observe_limit(&EngineLimit { engine, stated }, from);
+        }
+        if let Some(refusal) = request.refusal {
+            let engine = request.engine;
+            self.observe_full(&FullEngine { engine, refusal });
+        }
+        let key = (self.gateway.table.borrow()).find_by_short_id(request.engine.engine);
         // An engine that this host doesn't know yet.
         let Some(key) = key else {
             self.reply_to(&request, from, Turn::Taken(SILENCE_PAUSE));
@@ -230,11 +241,12 @@
         let Some(question) = question else {
             return;
         };
+        let now = clock::now();
+        let needs_turn =
+            (self.gateway.table.borrow().get(question.engine)).is_some_and(|it| it.needs_turn(now));
         let turn = match Turn::from(reply.outcome) {
             // The coordinator has sent the proof, which may be late or may be about an earlier statement.
-            Turn::Unlimited if self.known_limit(question.engine).is_some() => {
-                Turn::Taken(MIN_QUESTION_INTERVAL)
-            }
+            Turn::Unlimited if needs_turn => Turn::Taken(MIN_QUESTION_INTERVAL),
             it => it,
         };
         let _ = question.reply.send(turn);
@@ -256,7 +268,7 @@
         let now = clock::now();
         let stated = decode_stated(&limit.stated, now);
         let previous = engine.limit.stated_until();
-        match engine.limit.observe_remote(stated, now) {
+        match engine.limit.observe_remote(stated) {
             Observation::Unchanged => {}
             Observation::Adopted => {
                 gateway::log_limit(engine, "other-host", stated.until, previous, now);
@@ -286,7 +298,7 @@
             current: (proof.current.as_ref()).map(|it| decode_stated(it, now)),
         };
         let previous = engine.limit.stated_until();
-        if engine.limit.supersede(&proof, now) {
+        if engine.limit.supersede(&proof) {
             gateway::log_limit(
                 engine,
                 "other-host",
@@ -306,10 +318,44 @@
         engines.filter_map(|it| encode_limit(it, now)).collect()
     }
 
-    /// Takes up or leaves the coordination of engines with a limit, as the live hosts have changed.
+    /// Records engines without room that another host knows.
+    pub(super) fn handle_full(&self, engines: &[FullEngine]) {
+        for it in engines {
+            self.observe_full(it);
+        }
+    }
+
+    fn observe_full(&self, full: &FullEngine) {
+        let mut table = self.gateway.table.borrow_mut();
+        let Some(engine) = find_engine(&mut table, full.engine) else {
+            return;
+        };
+        let now = clock::now();
+        let Refusal { tolerance, age_ms } = full.refusal;
+        let refused_at = now.saturating_sub(Duration::from_millis(age_ms.into()));
+        if engine.room.tolerance().is_none() {
+            engine.room.observe(Some(tolerance));
+        }
+        let running = engine.local_work.running;
+        let random = rand::random_range(0.0..1.0);
+        if (engine.room).record_refusal(running, random, refused_at, now) {
+            gateway::log_full(engine, "other-host", running);
+        }
+    }
+
+    /// Engines that this host has just found to be full, for all hosts.
+    pub(super) fn newly_full(&self) -> Vec<FullEngine> {
+        let now = clock::now();
+        let keys: Vec<Key> = self.gateway.full_engines.borrow_mut().drain(..).collect();
+        let table = self.gateway.table.borrow();
+        let engines = keys.iter().filter_map(|it| table.get(*it));
+        engines.filter_map(|it| encode_full(it, now)).collect()
+    }
+
+    /// Takes up or leaves the coordination of engines whose requests are sent in turn.
     pub(super) fn update_coordination(&self, now: Time) {
         let limited: Vec<Key> = (self.gateway.table.borrow().iter())
-            .filter(|(_, it)| it.limit.rate().is_some())
+            .filter(|(_, it)| it.turn_rate(now).is_some() || it.limit.is_leading())
             .map(|it| it.0)
             .collect();
         let timeout = self.gateway.peers.borrow().liveness_timeout();
@@ -320,10 +366,11 @@
                 continue;
             };
             let was_leading = engine.limit.is_leading();
-            if coordinator == Coordinator::Own {
-                engine.limit.lead(timeout, now);
-            } else {
-                engine.limit.follow();
+            match engine.turn_rate(now) {
+                Some(rate) if coordinator == Coordinator::Own => {
+                    engine.limit.lead(rate, timeout, now);
+                }
+                _ => engine.limit.follow(),
             }
             if was_leading != engine.limit.is_leading() {
                 let id = &*engine.listing.id;
@@ -345,21 +392,30 @@
         };
         let due = table.iter().filter(is_due);
         let limits: Vec<EngineLimit> = due.filter_map(|it| encode_limit(it.1, now)).collect();
-        let parts = limits.chunks(MAX_WORKLOADS_PER_MESSAGE);
-        parts.map(|it| Message::Limits(it.to_vec())).collect()
+        let is_recent =
+            |it: &Engine| (it.room.refused_at(now)).is_some_and(|at| at + repeat_time > now);
+        let full = table.iter().map(|it| it.1).filter(|it| is_recent(it));
+        let full: Vec<FullEngine> = full.filter_map(|it| encode_full(it, now)).collect();
+        let limits = limits.chunks(MAX_WORKLOADS_PER_MESSAGE);
+        let full = full.chunks(MAX_WORKLOADS_PER_MESSAGE);
+        limits
+            .map(|it| Message::Limits(it.to_vec()))
+            .chain(full.map(|it| Message::Full(it.to_vec())))
+            .collect()
     }
 
-    /// Host that schedules the requests to an engine with a limit.
+    /// Host that schedules the requests to an engine with a limit, or without room.
     fn coordinator(&self, key: Key) -> Coordinator {
+        let now = clock::now();
         let table = self.gateway.table.borrow();
-        let Some(engine) = table.get(key).filter(|it| it.limit.rate().is_some()) else {
+        let Some(engine) = table.get(key).filter(|it| it.turn_rate(now).is_some()) else {
             return Coordinator::None;
         };
         let Listing { id, domain, .. } = &engine.listing;
         let rank = |host: &str, of: &str| (*of == **domain, rendezvous::weight(id, host));
         let own_rank = rank(&self.gateway.holder, &self.gateway.settings.domain);
         let peers = self.gateway.peers.borrow();
-        let others = peers.live_holders(clock::now());
+        let others = peers.live_holders(now);
         let best = others.iter().max_by_key(|it| rank(&it.name, &it.domain));
         match best {
             Some(it) if rank(&it.name, &it.domain) > own_rank => Coordinator::Other(it.addr),
@@ -371,7 +427,7 @@
 /// Host that schedules the requests to an engine.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Coordinator {
-    /// The engine has no limit.
+    /// Requests to the engine need no turn.
     None,
     /// This host.
     Own,
@@ -398,6 +454,25 @@
     })
 }
 
+/// Last refusal of an engine, for messages; `None` unless it is full.
+fn encode_refusal(engine: &Engine, now: Time) -> Option<Refusal> {
+    let refused_at = engine.room.refused_at(now)?;
+    Some(Refusal {
+        tolerance: engine.room.tolerance()?,
+        age_ms: message::to_millis(now.saturating_sub(refused_at)),
+    })
+}
+
+fn encode_full(engine: &Engine, now: Time) -> Option<FullEngine> {
+    let Listing {
+        id, incarnation, ..
+    } = &engine.listing;
+    Some(FullEngine {
+        engine: message::make_incarnation(id, *incarnation),
+        refusal: encode_refusal(engine, now)?,
+    })
+}
+
 fn encode_stated(it: &Stated, now: Time) -> StatedLimit {
     StatedLimit {
         id: it.id.0,
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -111,6 +111,10 @@
             let (first, rest) = halves(list)?;
             Some((Message::Limits(first), Message::Limits(rest)))
         }
+        Message::Full(list) => {
+            let (first, rest) = halves(list)?;
+            Some((Message::Full(first), Message::Full(rest)))
+        }
         Message::LoadRequest(_)
         | Message::ListState(_)
         | Message::PromptSent(..)
@@ -171,6 +175,8 @@
     PartSuccess(PartSuccess),
     /// Limits of engines.
     Limits(Vec<EngineLimit>),
+    /// Engines without room.
+    Full(Vec<FullEngine>),
     /// An engine allows more than the receiver knows.
     LimitSuperseded(LimitSuperseded),
     /// Question for a turn at an engine with a limit.
@@ -212,11 +218,33 @@
     pub current: Option<StatedLimit>,
 }
 
-/// Question for a turn at an engine with a limit.
+/// Engine that has refused a request for want of room, and that crashes if it refuses too many.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct FullEngine {
+    /// Incarnation of the engine.
+    pub engine: EngineIncarnation,
+    /// The refusal.
+    pub refusal: Refusal,
+}
+
+/// Last refusal of an engine for want of room.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct Refusal {
+    /// Refusals in a second that the engine withstands.
+    pub tolerance: u32,
+    /// Time in ms since the refusal.
+    pub age_ms: u32,
+}
+
+/// Question for a turn at an engine with a limit, or without room.
 #[derive(Debug, Deserialize, Serialize)]
 pub struct TurnRequest {
-    /// The limit that the sender knows.
-    pub limit: EngineLimit,
+    /// Incarnation of the engine.
+    pub engine: EngineIncarnation,
+    /// The limit that the sender knows, if there is one.
+    pub stated: Option<StatedLimit>,
+    /// The last refusal that the sender knows, if the engine is full.
+    pub refusal: Option<Refusal>,
     /// Number of the question, unique among those of the sender.
     pub number: u32,
     /// Time in ms for which the request may wait for its turn and still be on time.
--- a/crates/gateway/tests/message.rs
+++ b/crates/gateway/tests/message.rs
@@ -103,7 +103,9 @@
     let datagrams = encode_within_limit(&limits);
     let bytes: usize = datagrams.iter().map(Vec::len).sum();
     let question = Message::TurnRequest(TurnRequest {
-        limit: limit(0),
+        engine: limit(0).engine,
+        stated: Some(limit(0).stated),
+        refusal: None,
         number: u32::MAX,
         on_time_ms: 480,
         longest_wait_ms: 2200,
