Pass requests on to another host while this one reaches no engine

Cause: only the host that has accepted a request places it, on engines that it reaches itself. Class of fault: a path that is lost for one host is taken for the loss of what is behind it. Change: fleet::isolation tells the two apart by probes of engines that other hosts hear from. While the host is cut off, gateway::handover passes requests on to another host, one hop, with the time that is left, the attempts, the event and the build of a stream. Circuits of engines that could not be reached close when the cut ends. Logs: isolated, connected, handover-refused, stranger; handed_to and received_from in the lines of requests, under one id at both hosts.

--- a/crates/entry/tests/soak/host.rs
+++ b/crates/entry/tests/soak/host.rs
@@ -74,7 +74,7 @@
         let callers = next_addr();
         let ready = next_addr();
         let host_settings = HostSettings {
-            number,
+            place: (number, "z-1"),
             callers,
             ready,
             peers,
--- a/crates/fleet/src/circuit.rs
+++ b/crates/fleet/src/circuit.rs
@@ -75,6 +75,14 @@
         self.open_until = now + self.open_time;
     }
 
+    /// Ends the time in which the upstream isn't used because it couldn't be reached.
+    pub fn mark_reachable(&mut self) {
+        if std::mem::take(&mut self.unreachable) {
+            self.open_time = Duration::ZERO;
+            self.open_until = Time::ZERO;
+        }
+    }
+
     /// Returns the current state.
     pub fn state(&self, now: Time) -> State {
         if now < self.open_until && self.unreachable {
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod engine;
 pub mod era;
 pub mod in_flight;
+pub mod isolation;
 pub mod lease;
 pub mod listing;
 pub mod loader;
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -410,6 +410,11 @@
         self.engines.iter().map(|(key, it)| (*key, it))
     }
 
+    /// Returns all engines, to be changed.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (Key, &mut Engine)> {
+        self.engines.iter_mut().map(|(key, it)| (*key, it))
+    }
+
     /// Returns all known ids.
     pub fn ids(&self) -> Vec<Arc<str>> {
         self.ids.keys().cloned().collect()
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -6,7 +6,7 @@
 use std::{
     cell::RefCell,
     collections::HashMap,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     pin::Pin,
     rc::Rc,
     task::{Context, Poll},
@@ -23,7 +23,11 @@
 };
 use hyper_util::rt::TokioIo;
 use socket2::{SockRef, TcpKeepalive};
-use tokio::{net::TcpStream, task::AbortHandle, time};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    task::AbortHandle,
+    time,
+};
 
 use self::metered::{Allowance, Metered};
 
@@ -134,7 +138,11 @@
 
 /// Connection pool for all upstreams.
 #[derive(Clone, Default)]
-pub struct Pool(Rc<RefCell<Connections>>);
+pub struct Pool {
+    connections: Rc<RefCell<Connections>>,
+    /// Local address of new connections; `None` for any.
+    local: Option<IpAddr>,
+}
 
 /// Where a connection comes from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -171,6 +179,14 @@
 }
 
 impl Pool {
+    /// Creates a pool whose connections have this local address.
+    pub fn bound_to(local: IpAddr) -> Self {
+        Self {
+            local: Some(local),
+            ..Self::default()
+        }
+    }
+
     /// Returns a pooled connection if `reuse` allows it and there is one, or a new one.
     pub async fn acquire(&self, addr: SocketAddr, reuse: Reuse) -> Result<Connection, Failure> {
         if let Reuse::IdleLess(max_idle) = reuse
@@ -178,7 +194,7 @@
         {
             return Ok(self.wrap(addr, pooled, Origin::Pooled));
         }
-        let pooled = connect(addr).await?;
+        let pooled = connect(addr, self.local).await?;
         Ok(self.wrap(addr, pooled, Origin::New))
     }
 
@@ -193,7 +209,7 @@
 
     /// Takes the most recently used connection that was idle for less than `max_idle`.
     fn take_idle(&self, addr: SocketAddr, max_idle: Duration) -> Option<Pooled> {
-        let mut connections = self.0.borrow_mut();
+        let mut connections = self.connections.borrow_mut();
         let list = connections.idle.get_mut(&addr)?;
         let now = Instant::now();
         list.retain(|it| it.expires > now && !it.sender.is_closed());
@@ -206,7 +222,7 @@
     /// Closes pooled connections whose idle time has expired.
     pub fn close_expired(&self) {
         let now = Instant::now();
-        let mut connections = self.0.borrow_mut();
+        let mut connections = self.connections.borrow_mut();
         connections.idle.retain(|_, list| {
             list.retain(|it| it.expires > now && !it.sender.is_closed());
             !list.is_empty()
@@ -216,13 +232,13 @@
 
     /// Closes all idle connections to an upstream.
     pub fn close_idle(&self, addr: SocketAddr) {
-        self.0.borrow_mut().idle.remove(&addr);
+        self.connections.borrow_mut().idle.remove(&addr);
     }
 
     /// Stops the reuse of connections to an upstream for some time, because it sent bytes that do not belong to
     /// the last request of their connection. They take the place of the next response.
     pub fn suspend_reuse(&self, addr: SocketAddr) {
-        let mut connections = self.0.borrow_mut();
+        let mut connections = self.connections.borrow_mut();
         connections.idle.remove(&addr);
         let until = Instant::now() + SINGLE_USE_TIME;
         connections.single_use_until.insert(addr, until);
@@ -282,7 +298,7 @@
             it.mul_f64(KEEP_ALIVE_FRACTION).min(MAX_IDLE_TIME)
         });
         pooled.expires = pooled.idle_since + idle_time;
-        let mut connections = self.pool.0.borrow_mut();
+        let mut connections = self.pool.connections.borrow_mut();
         let single_use_until = connections.single_use_until.get(&self.addr);
         if single_use_until.is_none_or(|it| *it <= pooled.idle_since) {
             connections.idle.entry(self.addr).or_default().push(pooled);
@@ -367,9 +383,9 @@
 }
 
 /// Opens a connection to an upstream.
-async fn connect(addr: SocketAddr) -> Result<Pooled, Failure> {
+async fn connect(addr: SocketAddr, local: Option<IpAddr>) -> Result<Pooled, Failure> {
     let unreachable = |it: &dyn std::fmt::Display| Failure::Unreachable(it.to_string());
-    let stream = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(addr))
+    let stream = time::timeout(CONNECT_TIMEOUT, open(addr, local))
         .await
         .map_err(|it| unreachable(&it))?
         .map_err(|it| unreachable(&it))?;
@@ -396,6 +412,15 @@
     })
 }
 
+async fn open(addr: SocketAddr, local: Option<IpAddr>) -> std::io::Result<TcpStream> {
+    let Some(local) = local.filter(|it| it.is_ipv4() && addr.is_ipv4()) else {
+        return TcpStream::connect(addr).await;
+    };
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::new(local, 0))?;
+    socket.connect(addr).await
+}
+
 /// Sets socket options that detect a dead peer early.
 pub fn set_socket_options(stream: &TcpStream) -> std::io::Result<()> {
     let socket = SockRef::from(stream);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -102,6 +102,12 @@
     pub(crate) retry_after: Option<Duration>,
     /// Build that began the stream. Only engines of the same build may continue it; `None` before its first event.
     pub(crate) build: Option<BuildId>,
+    /// Host that has passed the request on to this one.
+    pub(crate) received_from: Option<Arc<str>>,
+    /// Hosts to which the request was passed on.
+    pub(crate) hosts_tried: Vec<Arc<str>>,
+    /// Number of further hosts to which the request may be passed on.
+    pub(crate) hosts_left: usize,
     /// Failure response of an engine, returned to the caller if no other engine succeeds.
     pub(crate) fallback_response: Option<Response<Body>>,
 }
@@ -132,12 +138,20 @@
         let mut adapter_missing = false;
         let mut next_outcome = None;
         loop {
+            if next_outcome.is_none() && self.may_hand_over() {
+                return self.hand_over().await;
+            }
             let until = self.started + self.hold_time();
             let outcome = match next_outcome.take() {
                 Some(it) => it,
                 None => match self.place_and_send(until).await {
                     Ok(it) => it,
-                    Err(fault) => return self.fail(fault),
+                    Err(fault) => {
+                        if self.may_hand_over_instead().await {
+                            return self.hand_over().await;
+                        }
+                        return self.fail(fault);
+                    }
                 },
             };
             match outcome {
@@ -173,7 +187,13 @@
                 }
                 Outcome::NoBudget => return self.fail(Fault::NoBudget),
             }
+            if self.may_hand_over() {
+                continue;
+            }
             if !self.has_engine_left() {
+                if self.may_hand_over_instead().await {
+                    continue;
+                }
                 let fault = match (self.may_have_run, adapter_missing) {
                     (true, _) => Fault::UpstreamLost,
                     (false, true) => Fault::AdapterLoad,
@@ -195,6 +215,10 @@
         if !self.route.kind.is_stream() || self.request_head.last_event_id.is_none() {
             return Ok(());
         }
+        // The host that passed the request on has told.
+        if self.build.is_some() {
+            return Ok(());
+        }
         let stream = self.stream();
         let origin = self
             .gossip
@@ -285,6 +309,11 @@
                     return Err(Unfinished::new(self, Some(outcome)));
                 }
                 Takeover::DeadlineExceeded => None,
+                Takeover::Isolated => {
+                    drop(in_flight);
+                    self.may_have_run = true;
+                    return Err(Unfinished::new(self, None));
+                }
             },
         };
         match collected {
@@ -367,6 +396,7 @@
 
     /// Counts a successful response of an engine in its circuit breaker.
     pub(crate) fn record_success(&self, key: Key) {
+        self.gateway.record_engine_contact();
         if let Some(engine) = self.gateway.table.borrow_mut().get_mut(key) {
             engine.record_success(clock::now());
         }
@@ -430,7 +460,7 @@
     }
 
     /// Records a fault as the end of the request and returns the response for it.
-    fn fail(&mut self, fault: Fault) -> Response<Body> {
+    pub(crate) fn fail(&mut self, fault: Fault) -> Response<Body> {
         if let Some(response) = self.fallback_response.take() {
             self.trace.record_status(response.status());
             self.trace.record_forwarded();
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -184,6 +184,7 @@
             Ok(response) => {
                 let response_head = self.gateway.dialect.parse_response_head(response.headers());
                 if self.is_attributed(&response, &response_head, &instance, origin, number) {
+                    self.gateway.record_engine_contact();
                     self.classify_response(response, response_head, &instance, in_flight)
                         .await
                 } else {
@@ -228,6 +229,7 @@
             }
             Failure::Broken(_) => {
                 self.trace.record_outcome(number, "connection broke");
+                self.gateway.suspect_path(key);
                 if origin == Origin::New {
                     self.record_failure(key);
                 }
@@ -441,6 +443,7 @@
 
     /// Records that no connection to an engine could be opened.
     fn record_unreachable(&mut self, key: Key) {
+        self.gateway.suspect_path(key);
         if !self.unreachable_engines.contains(&key) {
             self.unreachable_engines.push(key);
         }
--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -178,6 +178,9 @@
         let mut waiting: Option<WaitGuard> = None;
         loop {
             self.check_quarantine()?;
+            if self.is_placed_elsewhere() {
+                return Err(Fault::NoEngine);
+            }
             self.gateway.record_due_loads();
             let mut tried = self.attempted_engines.clone();
             tried.retain(|it| !self.repeatable_engines.contains(it));
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -20,6 +20,7 @@
     exchange::Exchange,
     gateway::Gateway,
     gossip::Gossip,
+    handover::{HANDOVER, Handover, MAX_HOSTS},
     reply::{self, Body, Fault},
     trace::Trace,
 };
@@ -44,6 +45,23 @@
     exchange.run().await
 }
 
+/// Handles one request that another host passes on. That host has counted it for the retry budget.
+pub async fn handle_from_host(
+    gateway: Rc<Gateway>,
+    gossip: Rc<Gossip>,
+    request: Request<Incoming>,
+    handover: Handover,
+) -> Response<Body> {
+    let received_at = clock::now();
+    match accept(&gateway, &gossip, request).await {
+        Ok(mut exchange) => {
+            exchange.adopt_handover(handover, received_at);
+            exchange.run().await
+        }
+        Err(response) => response,
+    }
+}
+
 /// Returns the configuration. On a host that has just started, requests wait a moment for the first
 /// configuration, because their callers may have no attempt left after this one.
 async fn wait_for_catalog(gateway: &Rc<Gateway>) -> Option<Rc<Catalog>> {
@@ -153,6 +171,9 @@
         end_recorded: false,
         retry_after: None,
         build: None,
+        received_from: None,
+        hosts_tried: Vec::new(),
+        hosts_left: MAX_HOSTS,
         fallback_response: None,
     })
 }
@@ -165,6 +186,7 @@
     body: &[u8],
 ) -> HeaderMap {
     reply::strip_hop_headers(&mut headers);
+    headers.remove(&HANDOVER);
     let reserved: Vec<_> = headers
         .keys()
         .filter(|it| gateway.dialect.is_reserved(it))
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,6 +16,7 @@
     engine::Engine,
     era::{self, Era, Statement, Verdict},
     in_flight::InFlightLoads,
+    isolation::Isolation,
     listing::Name,
     loader::{self, Loader, Wanted},
     origin::Origins,
@@ -72,6 +73,16 @@
     pub dialect: Arc<dyn Dialect>,
     /// Connection pool for upstreams.
     pub pool: Pool,
+    /// Connections to other hosts, for requests that are passed on.
+    pub host_pool: Pool,
+    /// Whether this host reaches engines.
+    pub isolation: RefCell<Isolation>,
+    /// Notified when this host is cut off from all engines.
+    pub isolation_began: Notify,
+    /// Notified when engines were probed, whatever the result.
+    pub engines_probed: Notify,
+    /// When an engine last answered this host.
+    pub engine_contact: Cell<Option<Time>>,
     /// The operator's configuration; `None` until the first one is known.
     pub catalog: RefCell<Option<Rc<Catalog>>>,
     /// Timeout for the heads of callers' requests, by the current configuration.
@@ -191,6 +202,7 @@
     pub fn new(settings: Settings, dialect: Arc<dyn Dialect>, incarnation: u64) -> Self {
         Self {
             holder: settings.holder().into(),
+            host_pool: Pool::bound_to(settings.peers.ip()),
             quarantine: RefCell::new(Quarantine::new(settings.quarantine_term())),
             settings,
             incarnation,
@@ -198,6 +210,10 @@
             metrics: Metrics::new(),
             dialect,
             pool: Pool::default(),
+            isolation: RefCell::default(),
+            isolation_began: Notify::new(),
+            engines_probed: Notify::new(),
+            engine_contact: Cell::default(),
             catalog: RefCell::default(),
             head_timeout: HeadTimeout::default(),
             table: RefCell::default(),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -419,6 +419,9 @@
             host: self.gateway.holder.to_string(),
             domain: self.gateway.settings.domain.clone(),
             leaving: self.gateway.stopping.get(),
+            isolated: self.gateway.is_isolated(),
+            engine_contact_ms: (self.gateway.engine_contact.get())
+                .map(|it| message::to_millis(now.saturating_sub(it))),
             in_flight_loads: u32::try_from(self.gateway.loader.borrow().in_flight_count())
                 .unwrap_or(0),
             full_speed_loads: self.gateway.loader.borrow().full_speed_loads(),
--- a/crates/gateway/src/list_sync.rs
+++ b/crates/gateway/src/list_sync.rs
@@ -23,6 +23,8 @@
     clock,
     dialect::Kind,
     gateway::Gateway,
+    gossip::Gossip,
+    handover,
     list_cache::{Delta, Watermark},
     watch,
 };
@@ -210,16 +212,23 @@
     interval.mul_f64(rand::random_range(0.7..1.0))
 }
 
-/// Serves lists to other hosts until the process ends.
-pub async fn serve(listener: TcpListener, gateway: Rc<Gateway>) {
+/// Serves lists, and requests that are passed on, to other hosts until the process ends.
+pub async fn serve(listener: TcpListener, gateway: Rc<Gateway>, gossip: Rc<Gossip>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             time::sleep(BOOTSTRAP_INTERVAL).await;
             continue;
         };
         let gateway = gateway.clone();
+        let gossip = gossip.clone();
         tokio::task::spawn_local(async move {
-            let _ = time::timeout(RESPONSE_TIMEOUT, respond(stream, &gateway)).await;
+            match handover::is_request(&stream, RESPONSE_TIMEOUT).await {
+                Some(true) => handover::serve(stream, gateway, gossip).await,
+                Some(false) => {
+                    let _ = time::timeout(RESPONSE_TIMEOUT, respond(stream, &gateway)).await;
+                }
+                None => {}
+            }
         });
     }
 }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -403,6 +403,10 @@
     pub domain: String,
     /// True if the host is about to terminate.
     pub leaving: bool,
+    /// True if the host is cut off from all engines.
+    pub isolated: bool,
+    /// Time in ms since an engine last answered the host; `None` if none has.
+    pub engine_contact_ms: Option<u32>,
     /// Number of loads that the host has ordered and that are not finished.
     #[serde(rename = "transit")]
     pub in_flight_loads: u32,
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -47,6 +47,8 @@
     limited_engines: Gauge<u64>,
     limited_requests: Counter<u64>,
     limit_answers: Counter<u64>,
+    handovers: Counter<u64>,
+    isolated: Gauge<u64>,
 }
 
 impl Default for Metrics {
@@ -138,6 +140,14 @@
                 "limited_engines",
                 "Engines that limit the requests of all hosts together",
             ),
+            handovers: counter(
+                "handovers",
+                "Requests that were passed on to other hosts, by outcome",
+            ),
+            isolated: gauge(
+                "isolated",
+                "1 while this host is cut off from all engines, else 0",
+            ),
             limit_answers: counter(
                 "limit_answers",
                 "Answers whose statement about the limit of their engine was not used, by reason",
@@ -268,6 +278,17 @@
         self.limit_answers.add(1, &labels);
     }
 
+    /// Counts a request that was passed on to another host, by outcome.
+    pub fn count_handover(&self, outcome: &'static str) {
+        let labels = [KeyValue::new("outcome", outcome)];
+        self.handovers.add(1, &labels);
+    }
+
+    /// Sets whether this host is cut off from all engines.
+    pub fn record_isolated(&self, isolated: bool) {
+        self.isolated.record(u64::from(isolated), &[]);
+    }
+
     /// Sets the gauges of the current state.
     pub fn record_state(&self, config: u64, engines: usize, hosts: usize, claims: usize) {
         let number = |it: usize| u64::try_from(it).unwrap_or(u64::MAX);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,6 +1,11 @@
 //! Other hosts, as known from their messages and from the store.
 
-use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::HashMap,
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
 
 use fleet::{
     Time,
@@ -31,6 +36,9 @@
 /// Time since its last message for which a host counts as live, at the full heartbeat rate.
 const LIVENESS_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Time since an engine answered a host in which the host is preferred for requests that are passed on.
+const CONTACT_TTL: Duration = Duration::from_secs(2);
+
 /// Time without a message after which no heartbeats are sent to a host, unless the store lists it.
 const FORGET_AFTER: Duration = Duration::from_mins(1);
 
@@ -45,6 +53,10 @@
     domain: Arc<str>,
     /// True if the host announced that it is about to terminate.
     leaving: bool,
+    /// True if the host announced that it is cut off from all engines.
+    isolated: bool,
+    /// When an engine last answered the host.
+    engine_contact: Option<Time>,
     /// Number of loads that the host has in flight.
     in_flight_loads: u32,
     /// Engines of which the host is the steward.
@@ -100,6 +112,39 @@
         count(live) / count(known.max(live))
     }
 
+    /// When an engine last answered another live host.
+    pub fn engine_contact(&self, now: Time) -> Option<Time> {
+        let contacts = self.live_peers(now).filter_map(|it| it.1.engine_contact);
+        contacts.max()
+    }
+
+    /// Returns whether an address is that of a known host.
+    pub fn is_member(&self, ip: IpAddr) -> bool {
+        self.by_name.values().any(|it| it.addr.ip() == ip)
+    }
+
+    /// Host to which a request is passed on, beside those that were tried: one that reaches engines, of this host's
+    /// failure domain if there is one. Hosts are chosen at random, so that they share the load.
+    pub fn host_for(
+        &self,
+        tried: &[Arc<str>],
+        domain: &str,
+        now: Time,
+    ) -> Option<(Arc<str>, SocketAddr)> {
+        let hosts = self.live_peers(now);
+        let usable = hosts.filter(|(name, it)| !it.isolated && !tried.contains(name));
+        let rank = |it: &Peer| {
+            let reaches_engines = (it.engine_contact).is_some_and(|at| at + CONTACT_TTL > now);
+            (
+                reaches_engines,
+                *it.domain == *domain,
+                rand::random::<u32>(),
+            )
+        };
+        let best = usable.max_by_key(|it| rank(it.1));
+        best.map(|(name, it)| (name.clone(), it.addr))
+    }
+
     /// Names and failure domains of the live hosts.
     pub fn live_hosts(&self, now: Time) -> Vec<(Arc<str>, Arc<str>)> {
         let live = self.live_peers(now);
@@ -191,6 +236,10 @@
         peer.addr = from;
         peer.last_received = Some(now);
         peer.leaving = heartbeat.leaving;
+        peer.isolated = heartbeat.isolated;
+        let contact = heartbeat.engine_contact_ms;
+        let contact = contact.map(|it| now.saturating_sub(Duration::from_millis(it.into())));
+        peer.engine_contact = peer.engine_contact.max(contact);
         peer.in_flight_loads = heartbeat.in_flight_loads;
         peer.domain = heartbeat.domain.as_str().into();
         peer.list_state = heartbeat.list_state;
@@ -395,6 +444,8 @@
             last_listed: now,
             domain: "".into(),
             leaving: false,
+            isolated: false,
+            engine_contact: None,
             in_flight_loads: 0,
             claims: Vec::new(),
             list_state: ListState::default(),
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -20,6 +20,7 @@
     claims, clock, dialect,
     gateway::Gateway,
     gossip::Gossip,
+    isolation,
     list_sync::{self, LISTS},
     orders, server,
     settings::{Log, Settings},
@@ -118,7 +119,12 @@
     spawn_local(gossip.clone().receive());
     spawn_local(gossip.clone().send_heartbeats());
     spawn_local(orders::run(gateway.clone(), gossip.clone()));
-    spawn_local(list_sync::serve(peer_listener, gateway.clone()));
+    spawn_local(list_sync::serve(
+        peer_listener,
+        gateway.clone(),
+        gossip.clone(),
+    ));
+    spawn_local(isolation::watch(gateway.clone()));
     spawn_local(list_sync::bootstrap(gateway.clone()));
     spawn_local(sweep_connections(gateway.clone()));
     stop.await;
@@ -159,6 +165,7 @@
             .metrics
             .record_loop_delay(clock::now().saturating_sub(due));
         gateway.pool.close_expired();
+        gateway.host_pool.close_expired();
     }
 }
 
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -4,13 +4,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use fleet::stall::Stage;
+use fleet::{catalog::RequestKind, stall::Stage};
 use futures::stream;
 use http_body_util::BodyExt;
 
 use crate::{
     clock,
-    connection::{self, Failure, Part},
+    connection::{self, Connection, Failure, Part},
     exchange::{Attempt, BUDGET_PAUSE, Exchange, OpenResponse, Outcome},
     in_flight::InFlight,
     reply::{self, Body, Truncated},
@@ -24,6 +24,8 @@
 pub struct Relay {
     exchange: Exchange,
     upstream: Option<(connection::Body, InFlight)>,
+    /// Response of another host to which the request was passed on.
+    host: Option<(connection::Body, Connection)>,
     /// Keep-alive timeout of the upstream connection.
     keep_alive: Option<Duration>,
     /// Bytes of the last event, which is not complete yet.
@@ -65,13 +67,30 @@
         in_flight: InFlight,
         keep_alive: Option<Duration>,
     ) -> Self {
+        Self {
+            upstream: Some((body, in_flight)),
+            keep_alive,
+            ..Self::empty(exchange)
+        }
+    }
+
+    /// Creates a stream that another host sends, whose response headers have been forwarded.
+    pub fn of_host(exchange: Exchange, body: connection::Body, connection: Connection) -> Self {
+        Self {
+            host: Some((body, connection)),
+            ..Self::empty(exchange)
+        }
+    }
+
+    fn empty(exchange: Exchange) -> Self {
         let mut exchange = exchange;
         exchange.has_begun = true;
         let last_event_id = exchange.request_head.last_event_id.clone();
         Self {
             exchange,
-            upstream: Some((body, in_flight)),
-            keep_alive,
+            upstream: None,
+            host: None,
+            keep_alive: None,
             buffer: sse::Buffer::default(),
             last_event_id,
             awaiting_first: true,
@@ -93,7 +112,12 @@
             if self.ended {
                 return None;
             }
-            match self.read_upstream().await {
+            let step = if self.host.is_some() {
+                self.read_host().await
+            } else {
+                self.read_upstream().await
+            };
+            match step {
                 Step::Moved => {}
                 Step::Forward(bytes) => {
                     self.exchange.trace.record_forwarded();
@@ -107,6 +131,7 @@
                 Step::Broken(why) => {
                     if let Some((_, in_flight)) = &self.upstream {
                         self.exchange.record_failure(in_flight.key);
+                        self.exchange.gateway.suspect_path(in_flight.key);
                         let trace = &mut self.exchange.trace;
                         trace.record_outcome(in_flight.attempt, why);
                     }
@@ -125,9 +150,39 @@
         self.exchange.record_end(End::Truncated(why));
         self.ended = true;
         self.upstream = None;
+        self.host = None;
         Truncated(why)
     }
 
+    /// Reads the next events that another host sends.
+    async fn read_host(&mut self) -> Step {
+        let Some((body, _)) = &mut self.host else {
+            return Step::Broken("no host");
+        };
+        let context = self.exchange.wait_context();
+        let received = tokio::select! {
+            biased;
+            it = read_events(body, &mut self.buffer) => it,
+            () = context.wait_for_end() => return Step::DeadlineExceeded,
+        };
+        match received {
+            Ok(Received::Events(bytes)) => {
+                if let Some(id) = sse::last_event_id(&bytes) {
+                    self.last_event_id = Some(id);
+                }
+                Step::Forward(bytes)
+            }
+            Ok(Received::End) => {
+                self.exchange.record_end(End::Served);
+                if let Some((_, connection)) = self.host.take() {
+                    connection.release(self.keep_alive);
+                }
+                Step::End
+            }
+            Ok(Received::EndWithinEvent) | Err(_) => Step::Broken("host-lost"),
+        }
+    }
+
     /// Reads the next events.
     async fn read_upstream(&mut self) -> Step {
         let Some((body, in_flight)) = &mut self.upstream else {
@@ -219,12 +274,39 @@
                 }
             }
             Takeover::DeadlineExceeded => Step::DeadlineExceeded,
+            Takeover::Isolated => Step::Broken("isolated"),
         }
     }
 
-    /// Closes the connection to the current engine and forgets its incomplete event.
+    /// Returns whether the stream is to go on at another host. Waits until it is known whether this one is cut off.
+    async fn may_hand_over(&self) -> bool {
+        self.exchange.route.kind == RequestKind::Resumable
+            && self.exchange.may_hand_over_instead().await
+    }
+
+    /// Passes the stream on to another host. Returns false if none takes it.
+    async fn hand_over(&mut self) -> bool {
+        self.exchange.may_have_run = true;
+        let last_event_id = self.last_event_id.clone();
+        while self.exchange.may_hand_over() {
+            match self.exchange.send_to_host(last_event_id.as_deref()).await {
+                Ok(response) => {
+                    let (head, body, connection) = response.into_parts();
+                    if head.status().is_success() {
+                        self.host = Some((body, connection));
+                        return true;
+                    }
+                }
+                Err(_) => return false,
+            }
+        }
+        false
+    }
+
+    /// Closes the connection to the current engine or host and forgets its incomplete event.
     fn close_upstream(&mut self) {
         self.upstream = None;
+        self.host = None;
         self.buffer.clear();
     }
 
@@ -243,6 +325,9 @@
         let mut sent = sent;
         let budget_until = clock::now() + PLACEMENT_TIMEOUT;
         loop {
+            if sent.is_none() && self.exchange.may_resume_elsewhere() && self.hand_over().await {
+                return true;
+            }
             let last_event_id = self.last_event_id.clone();
             let outcome = if let Some(attempt) = sent.take() {
                 let exchange = &mut self.exchange;
@@ -251,12 +336,15 @@
                 let until = clock::now() + PLACEMENT_TIMEOUT;
                 let choice = match self.exchange.place_again(until).await {
                     Ok(it) => it,
+                    Err(_) if self.may_hand_over().await => continue,
                     Err(fault) => {
                         self.exchange.trace.record_resume_failure(fault.name());
                         return false;
                     }
                 };
                 self.exchange.send(choice, last_event_id.as_deref()).await
+            } else if self.may_hand_over().await {
+                continue;
             } else {
                 self.exchange.trace.record_resume_failure("no-attempt");
                 return false;
--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -36,6 +36,8 @@
     Sent(Box<Attempt>),
     /// The deadline of the request has passed.
     DeadlineExceeded,
+    /// This host is cut off from all engines, and another host may take the request.
+    Isolated,
 }
 
 /// First event while two engines have the same request.
@@ -88,6 +90,10 @@
                 Takeover::Accepted(it) => return Outcome::Response(it),
                 Takeover::Sent(next) => attempt = *next,
                 Takeover::DeadlineExceeded => return Outcome::DeadlineExceeded,
+                Takeover::Isolated => {
+                    self.may_have_run = true;
+                    return Outcome::Lost;
+                }
             }
         }
     }
@@ -108,8 +114,11 @@
         self.trace.record_outcome(silent.attempt, "fell silent");
         // A silence is a failure of the engine even if it ends: the data that ends it counts as a success.
         self.record_failure(silent.key);
+        self.gateway.suspect_path(silent.key);
         tokio::pin!(answer);
         let context = self.wait_context();
+        let gateway = self.gateway.clone();
+        let may_leave = self.route.kind.is_retryable() && self.received_from.is_none();
         // The first search may wait for a load. Later ones only find what is there.
         let mut search_until = clock::now() + PLACEMENT_TIMEOUT;
         loop {
@@ -124,6 +133,7 @@
                     self.may_have_run = true;
                     return Takeover::DeadlineExceeded;
                 }
+                () = gateway.wait_for_isolation(), if may_leave => return Takeover::Isolated,
                 it = self.start_takeover(search_until, last_event_id) => it,
             };
             search_until = Time::ZERO;
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -44,6 +44,10 @@
     status: Option<StatusCode>,
     /// Reason why a request with a silent engine, or a broken stream, did not go on at another engine.
     resume_failure: Option<&'static str>,
+    /// Hosts to which the request was passed on.
+    handed_to: Vec<Arc<str>>,
+    /// Host that passed the request on to this one.
+    received_from: Option<Arc<str>>,
 }
 
 /// Attempt at one engine.
@@ -102,6 +106,8 @@
             longest_gap: Duration::ZERO,
             status: None,
             resume_failure: None,
+            handed_to: Vec::new(),
+            received_from: None,
         }
     }
 
@@ -138,6 +144,16 @@
         self.resume_failure = Some(why);
     }
 
+    /// Records that the request is passed on to another host.
+    pub fn record_handover(&mut self, host: &Arc<str>) {
+        self.handed_to.push(host.clone());
+    }
+
+    /// Records the host that passed the request on to this one.
+    pub fn record_origin_host(&mut self, host: &str) {
+        self.received_from = Some(host.into());
+    }
+
     /// Records that events or the whole response were forwarded.
     pub fn record_forwarded(&mut self) {
         let at = self.age();
@@ -204,7 +220,9 @@
             && !late
             && !is_resumed
             && self.attempts.len() <= 1
-            && self.resume_failure.is_none();
+            && self.resume_failure.is_none()
+            && self.handed_to.is_empty()
+            && self.received_from.is_none();
         let hash = fleet::rendezvous::weight(&request_head.id, "sample");
         if is_normal && !hash.is_multiple_of(SAMPLE_INTERVAL) {
             return;
@@ -232,6 +250,8 @@
             after_event = request_head.last_event_id.as_deref().unwrap_or("-"),
             prompt = format_prompt(suspects).as_str(),
             content = format_content(suspects).as_str(),
+            handed_to = self.handed_to.join(",").as_str(),
+            received_from = self.received_from.as_deref().unwrap_or("-"),
             not_resumed = self.resume_failure.unwrap_or("-"),
             tries = self.format_attempts().as_str();
             "request {} {event}", request_head.id
--- a/crates/gateway/tests/page.rs
+++ b/crates/gateway/tests/page.rs
@@ -60,6 +60,8 @@
     metrics.record_limited_engines(1);
     metrics.count_limited_request("sent");
     metrics.count_limit_answer("old");
+    metrics.count_handover("sent");
+    metrics.record_isolated(false);
     metrics.record_waits("s", "r", second, second);
     metrics.record_latency("s", "r", second, second);
     metrics.record_retries_left("s", 1.0);
