--- a/crates/fleet/src/isolation.rs
+++ b/crates/fleet/src/isolation.rs
@@ -35,19 +35,19 @@
     pub failed: usize,
 }
 
-/// Whether this host reaches engines, as far as it knows.
+/// State of the path from this host to the engines, as far as the host knows.
 #[derive(Clone, Debug, Default)]
 pub struct Isolation {
     /// Engines to which a connection failed, with the time of the last failure.
     suspects: HashMap<Key, Time>,
     probed_at: Time,
-    isolated_since: Option<Time>,
+    is_isolated: bool,
 }
 
 impl Isolation {
     /// Returns whether this host is cut off from all engines.
     pub fn is_isolated(&self) -> bool {
-        self.isolated_since.is_some()
+        self.is_isolated
     }
 
     /// Records that a connection to an engine could not be opened, broke, or fell silent.
@@ -70,7 +70,7 @@
         if engines == 0 {
             return false;
         }
-        if self.is_isolated() {
+        if self.is_isolated {
             return self.probed_at + ISOLATED_PROBE_INTERVAL <= now;
         }
         self.is_suspected(engines, now) && self.probed_at + PROBE_INTERVAL <= now
@@ -89,14 +89,13 @@
         contact: Option<Time>,
         now: Time,
     ) -> Option<bool> {
-        let was_isolated = self.is_isolated();
+        let was_isolated = self.is_isolated;
         if probes.reached > 0 {
-            self.isolated_since = None;
+            self.is_isolated = false;
             self.suspects.clear();
         } else if probes.failed > 0 && contact.is_some_and(|it| it + CONTACT_TTL > now) {
-            self.isolated_since.get_or_insert(now);
+            self.is_isolated = true;
         }
-        let is_isolated = self.is_isolated();
-        (is_isolated != was_isolated).then_some(is_isolated)
+        (self.is_isolated != was_isolated).then_some(self.is_isolated)
     }
 }
--- a/crates/fleet/src/request_limit.rs
+++ b/crates/fleet/src/request_limit.rs
@@ -130,11 +130,11 @@
     /// Time after the latest moment of the earlier statement, as told by the host that knows it, at which the engine
     /// allowed more, at the earliest.
     pub later_by: Duration,
-    /// What the engine states since; `None` if it has no limit.
+    /// The newest statement of the engine; `None` if it has no limit.
     pub current: Option<Stated>,
 }
 
-/// What another host's knowledge of a limit has changed.
+/// Effect of another host's knowledge of a limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Observation {
     /// This host adopted the limit.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -75,7 +75,7 @@
     pub pool: Pool,
     /// Connections to other hosts, for requests that are passed on.
     pub host_pool: Pool,
-    /// Whether this host reaches engines.
+    /// State of the path from this host to the engines.
     pub isolation: RefCell<Isolation>,
     /// Notified when this host is cut off from all engines.
     pub isolation_began: Notify,
--- a/crates/gateway/src/gossip/limits.rs
+++ b/crates/gateway/src/gossip/limits.rs
@@ -154,11 +154,8 @@
             let now = clock::now();
             let table = self.gateway.table.borrow();
             let engine = table.get(key)?;
-            let Listing {
-                id, incarnation, ..
-            } = &engine.listing;
             TurnRequest {
-                engine: message::make_incarnation(id, *incarnation),
+                engine: incarnation_of(engine),
                 stated: engine.limit.stated().map(|it| encode_stated(&it, now)),
                 refusal: encode_refusal(engine, now),
                 number,
@@ -443,13 +440,15 @@
     OtherHost,
 }
 
+/// Incarnation of an engine, for messages.
+fn incarnation_of(engine: &Engine) -> EngineIncarnation {
+    message::make_incarnation(&engine.listing.id, engine.listing.incarnation)
+}
+
 /// Limit of an engine, for messages; `None` if it has none.
 fn encode_limit(engine: &Engine, now: Time) -> Option<EngineLimit> {
-    let Listing {
-        id, incarnation, ..
-    } = &engine.listing;
     Some(EngineLimit {
-        engine: message::make_incarnation(id, *incarnation),
+        engine: incarnation_of(engine),
         stated: encode_stated(&engine.limit.stated()?, now),
     })
 }
@@ -464,11 +463,8 @@
 }
 
 fn encode_full(engine: &Engine, now: Time) -> Option<FullEngine> {
-    let Listing {
-        id, incarnation, ..
-    } = &engine.listing;
     Some(FullEngine {
-        engine: message::make_incarnation(id, *incarnation),
+        engine: incarnation_of(engine),
         refusal: encode_refusal(engine, now)?,
     })
 }
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -31,7 +31,7 @@
     trace::End,
 };
 
-/// What the passing host has done with the request, as JSON. Only hosts may set it.
+/// Header with the [`Handover`] of a request, as JSON. Only hosts may set it.
 pub static HANDOVER: HeaderName = HeaderName::from_static("comfreywing-handover");
 
 /// Name of the fault with which the other host didn't take the request. It did not run there, so a third host may.
@@ -49,7 +49,7 @@
 /// Maximum size of the head of a request of another host, in bytes.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
-/// What the host that passes a request on has done with it.
+/// State of a request at the host that passes it on.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Handover {
     /// The host that passes the request on.
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -214,7 +214,7 @@
     pub superseded: StatedLimit,
     /// Time in ms after that statement at which the engine allowed more, at the earliest.
     pub later_ms: u32,
-    /// What the engine states since; `None` if it has no limit.
+    /// The newest statement of the engine; `None` if it has no limit.
     pub current: Option<StatedLimit>,
 }
 
