--- /dev/null
+++ b/review/standin/engine.rs
@@ -0,0 +1,152 @@
+//! Stand-in for an engine, or for an instance of an application service. It is sound.
+
+use std::{
+    net::{SocketAddr, TcpListener},
+    sync::{Arc, Mutex, atomic::{AtomicU32, Ordering}},
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use crate::http::{Connection, Head};
+
+/// One request that reached an engine.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    pub at: Instant,
+    pub id: String,
+    pub has_run: bool,
+}
+
+/// How an engine works.
+#[derive(Clone, Copy, Debug)]
+pub struct Work {
+    /// Time for which a request without a stream runs.
+    pub time: Duration,
+    /// Number of events of a stream, and the time before each.
+    pub events: usize,
+    pub interval: Duration,
+}
+
+#[derive(Clone)]
+pub struct Engine {
+    pub id: String,
+    pub service: String,
+    pub version: String,
+    pub zone: String,
+    pub addr: SocketAddr,
+    pub arrivals: Arc<Mutex<Vec<Arrival>>>,
+    work: Work,
+    runs: Arc<AtomicU32>,
+}
+
+impl Engine {
+    pub fn start(id: &str, service: &str, version: &str, zone: &str, work: Work) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let engine = Self {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            version: version.to_owned(),
+            zone: zone.to_owned(),
+            addr: listener.local_addr().expect("the socket is bound"),
+            arrivals: Arc::default(),
+            work,
+            runs: Arc::default(),
+        };
+        let served = engine.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let served = served.clone();
+                std::thread::spawn(move || served.serve(Connection::new(stream)));
+            }
+        });
+        engine
+    }
+
+    /// Entry in the platform's list.
+    pub fn entry(&self, slots: u32) -> String {
+        let born = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |it| it.as_millis());
+        let models = if self.service == "lugha" {
+            "[{\"name\":\"m0\",\"version\":1,\"adapters\":[]}]"
+        } else {
+            "[]"
+        };
+        format!(
+            "{{\"service\":\"{}\",\"addr\":\"{}\",\"zone\":\"{}\",\"version\":\"{}\",\"slots\":{slots},\
+             \"state\":\"ready\",\"cold_left_ms\":0,\"seq\":1,\"born\":{born},\"stage\":\"both\",\"models\":{models}}}",
+            self.service, self.addr, self.zone, self.version
+        )
+    }
+
+    fn record(&self, id: &str, has_run: bool) {
+        let it = Arrival { at: Instant::now(), id: id.to_owned(), has_run };
+        self.arrivals.lock().expect("no panic").push(it);
+    }
+
+    fn serve(&self, mut connection: Connection) {
+        while let Some(head) = connection.read_head() {
+            if connection.read_request_body(&head).is_none() {
+                return;
+            }
+            let (_, path) = head.target();
+            let is_open = match path {
+                "/-/report" => {
+                    let report = "{\"stage\":\"both\",\"models\":[{\"name\":\"m0\",\"version\":1,\"adapters\":[]}],\
+                         \"busy\":false,\"seq\":0,\"queued\":0,\"running\":0,\"kv_used\":0,\"kv_total\":142398,\
+                         \"handles\":0,\"pending\":[]}";
+                    connection.respond(200, &[("Instance-Id", self.id.clone())], report)
+                }
+                "/healthz" => connection.respond(200, &[("Instance-Id", self.id.clone())], ""),
+                "/-/order" => connection.respond(200, &[], "{}"),
+                _ => self.run(&mut connection, &head),
+            };
+            if !is_open {
+                return;
+            }
+        }
+    }
+
+    /// Runs a request. Returns whether the connection stays open.
+    fn run(&self, connection: &mut Connection, head: &Head) -> bool {
+        let id = head.get("request-id").unwrap_or_default().to_owned();
+        let not_run = [("Not-Executed", "1".to_owned()), ("Instance-Id", self.id.clone()), ("Request-Id", id.clone())];
+        if head.get("expect-instance").is_some_and(|it| it != self.id) {
+            self.record(&id, false);
+            return connection.respond(421, &not_run, "");
+        }
+        let timeout = head.get("timeout-ms").and_then(|it| it.parse().ok()).unwrap_or(60_000);
+        let deadline = Instant::now() + Duration::from_millis(timeout);
+        let run = self.runs.fetch_add(1, Ordering::SeqCst) + 1;
+        let seal = ("Response-Seal", format!("{}.{run:x}", self.id));
+        if self.service == "lugha" {
+            self.record(&id, true);
+            return self.stream(connection, head, &[seal, ("Request-Id", id)], deadline);
+        }
+        self.record(&id, true);
+        std::thread::sleep(self.work.time);
+        connection.respond(200, &[seal, ("Request-Id", id.clone())], &format!("answer to {id}\n"))
+    }
+
+    /// Streams the events after `Last-Event-Id`. Stops when the channel closes or the time is up.
+    fn stream(&self, connection: &mut Connection, head: &Head, headers: &[(&str, String)], deadline: Instant) -> bool {
+        let last: Option<usize> = head.get("last-event-id").and_then(|it| it.parse().ok());
+        let mut text = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\
+            Weight-Versions: 1\r\n"
+            .to_owned();
+        for (name, value) in headers {
+            text += &format!("{name}: {value}\r\n");
+        }
+        text += "\r\n";
+        if !connection.send(text.as_bytes()) {
+            return false;
+        }
+        for number in last.map_or(0, |it| it + 1)..self.work.events {
+            if connection.is_closed_within(self.work.interval) || Instant::now() > deadline {
+                return false;
+            }
+            let event = format!("id: {number}\ndata: {} token {number}\n\n", self.version);
+            if !connection.send(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()) {
+                return false;
+            }
+        }
+        connection.send(b"0\r\n\r\n")
+    }
+}
