Review: requests are handled by an older config when they are passed on

Cause: a host that is cut off from all engines passes requests on to a host that doesn't know the newest config. Change: a script that plays the case.

--- a/review/standin/fleet.rs
+++ b/review/standin/fleet.rs
@@ -20,8 +20,6 @@
     pub zone: String,
     pub ip: String,
     pub store: SocketAddr,
-    /// Settings that replace others, by placeholder.
-    pub changes: Vec<(&'static str, String)>,
 }
 
 /// Process of one host.
@@ -77,7 +75,7 @@
         let template = fs::read_to_string(root.join(entry("template"))).expect("the template is there");
         let seeds: Vec<String> = seeds.iter().take(3).map(|it| format!("\"{it}:{}\"", ports.control)).collect();
         let ip = &place.ip;
-        let mut values: HashMap<&str, String> = HashMap::from([
+        let values: HashMap<&str, String> = HashMap::from([
             ("node|json", format!("\"{}\"", place.name)),
             ("zone|json", format!("\"{}\"", place.zone)),
             ("listen.front|json", format!("\"{ip}:{}\"", ports.callers)),
@@ -97,9 +95,6 @@
             ("bounds.ceiling_window_s", "5".to_owned()),
             ("bounds.grace_s", "8".to_owned()),
         ]);
-        for (key, value) in &place.changes {
-            values.insert(key, value.clone());
-        }
         let mut text = template;
         for (key, value) in values {
             text = text.replace(&format!("{{{{{key}}}}}"), &value);
@@ -119,7 +114,13 @@
         }
     }
 
+    /// Starts the process. Only the first time, the whole system starts for the first time.
     pub fn start(&self, root: &Path) {
+        if self.log.exists() {
+            let text = fs::read_to_string(&self.settings).expect("the settings are there");
+            let text = text.replace("first_start: true", "first_start: false");
+            fs::write(&self.settings, text).expect("the folder is writable");
+        }
         let log = File::options().create(true).append(true).open(&self.log).expect("the folder is writable");
         let child = Command::new(root.join(&self.run[0]))
             .args(&self.run[1..])
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -28,21 +28,24 @@
 const BROKEN: u8 = 1;
 const NOT_RUN: u8 = 2;
 
-/// Config of the deployment: the routes of the site's sheet that the cases use.
-fn config(read_attempts: usize) -> String {
+/// Config of the deployment: the routes of the site's sheet that the cases use. Version 8 moves the route of `bay-count`
+/// to another service.
+fn config(version: u64) -> String {
+    let counting = if version < 8 { "lango" } else { "lango-next" };
     format!(
-        r#"{{"version":7,"routes":[
+        r#"{{"version":{version},"routes":[
  {{"name":"bay-summary","hostname":"a.example","path_prefix":"/bay-summary/","kind":"stream","resumable":true,
    "timeout_ms":15000,"goal_ms":800,"gap_target_ms":250,"priority":1,"service":"lugha","max_attempts":2,"sticky":true}},
  {{"name":"barrier-open","hostname":"a.example","path_prefix":"/barrier-open/","kind":"non_idempotent",
    "timeout_ms":1200,"goal_ms":150,"priority":2,"service":"lango","max_attempts":1}},
  {{"name":"bay-count","hostname":"a.example","path_prefix":"/bay-count/","kind":"idempotent",
-   "timeout_ms":1200,"goal_ms":150,"priority":2,"service":"lango","max_attempts":{read_attempts}}}],
+   "timeout_ms":1200,"goal_ms":150,"priority":2,"service":"{counting}","max_attempts":2}}],
  "services":[
  {{"name":"lugha","health_path":"/healthz","max_conns":360,"engine":{{"slots":64,"kv_capacity":142398,
    "weights_mb":68000,"adapter_slots":20,"loads_per_s":4.5,
    "models":[{{"name":"m0","weights_mb":65500,"load_s":2.9,"adapters":3000,"adapter_mb":40}}]}}}},
- {{"name":"lango","health_path":"/healthz","max_conns":100}}],
+ {{"name":"lango","health_path":"/healthz","max_conns":100}},
+ {{"name":"lango-next","health_path":"/healthz","max_conns":100}}],
  "limits":{{"header_bytes":16384,"body_bytes":4194304,"header_ms":3000,"idle_ms":15000}}}}"#
     )
 }
@@ -56,6 +59,7 @@
     engines: Vec<Engine>,
     hosts: Vec<Host>,
     cut: Cut,
+    store_cut: Cut,
     record: Arc<Record>,
     has_trouble: bool,
 }
@@ -85,6 +89,7 @@
             engines: Vec::new(),
             hosts: Vec::new(),
             cut: Cut::default(),
+            store_cut: Cut::default(),
             record,
             has_trouble,
         }
@@ -102,21 +107,26 @@
         }
     }
 
-    /// Starts the hosts: the first reaches the engines by paths that can be cut, and is alone in its zone.
-    fn start_hosts(&mut self, config: &str, zones: &[&str], changes: &[(&'static str, String)]) -> bool {
-        self.store.put("config", "main", config);
+    /// Starts the hosts: the first reaches the engines by paths that can be cut, and is alone in its zone. The second
+    /// reaches the store by such a path.
+    fn start_hosts(&mut self, zones: &[&str]) -> bool {
+        self.store.put("config", "main", &config(7));
         let paths = self.engines.iter().map(|it| (it.addr, path::start(it.addr, &self.cut)));
         let paths = self.store.serve(paths.collect());
         let direct = self.store.serve(Vec::new());
         let ports = Ports::choose();
         let ips: Vec<String> = (0..zones.len()).map(|it| format!("127.0.7.{}", it + 1)).collect();
         for (number, zone) in zones.iter().enumerate() {
+            let store = match number {
+                0 => paths,
+                1 => path::start(direct, &self.store_cut),
+                _ => direct,
+            };
             let place = Place {
                 name: format!("edge-{}", ["a", "b", "c", "d"][number]),
                 zone: (*zone).to_owned(),
                 ip: ips[number].clone(),
-                store: if number == 0 { paths } else { direct },
-                changes: changes.to_vec(),
+                store,
             };
             self.hosts.push(Host::prepare(&self.root, &self.temp, ports, &place, &ips));
         }
@@ -143,6 +153,27 @@
         }
     }
 
+    /// Cuts the second host off from the store, or heals the cut.
+    fn set_store_cut(&self, is_cut: bool) {
+        if self.has_trouble {
+            self.record.note(if is_cut {
+                "edge-b is partitioned from the store: channels are reset, new ones are refused"
+            } else {
+                "the partition of edge-b from the store ends"
+            });
+            self.store_cut.set(is_cut);
+        }
+    }
+
+    /// Starts clients of a host, with this number of requests a second.
+    fn start_clients(&self, host: usize, per_s: f64, request: fn(&str) -> Request) -> Clients {
+        let host = &self.hosts[host];
+        let name = host.name.clone();
+        let interval = Duration::from_secs_f64(1.0 / per_s);
+        let request = move |count: usize| request(&format!("{name}-{count}"));
+        Clients::start(&self.record, (&host.name, host.callers), interval, request)
+    }
+
     fn finish(self, code: u8) -> ExitCode {
         for host in &self.hosts {
             host.kill();
@@ -281,17 +312,11 @@
     let mut world = World::new(folder);
     let work = Work { time: Duration::from_millis(60), events: 0, interval: Duration::ZERO };
     world.add_engines(3, "lango", &["v1"], work);
-    if !world.start_hosts(&config(2), &["dar-c", "dar-a", "dar-b"], &[]) {
+    if !world.start_hosts(&["dar-c", "dar-a", "dar-b"]) {
         return world.finish(NOT_RUN);
     }
-    let clients = |number: usize, per_s: f64| {
-        let host = &world.hosts[number];
-        let name = host.name.clone();
-        let interval = Duration::from_secs_f64(1.0 / per_s);
-        let request = move |count: usize| plain_request(&format!("{name}-{count}"), "POST", "barrier-open");
-        Clients::start(&world.record, (&host.name, host.callers), interval, request)
-    };
-    let all = [clients(0, 150.0), clients(1, 10.0), clients(2, 10.0)];
+    let open = |id: &str| plain_request(id, "POST", "barrier-open");
+    let all = [(0, 150.0), (1, 10.0), (2, 10.0)].map(|it| world.start_clients(it.0, it.1, open));
     thread::sleep(Duration::from_secs(5));
     world.set_cut(true);
     thread::sleep(Duration::from_secs(3));
@@ -349,17 +374,10 @@
     let mut world = World::new(folder);
     let work = Work { time: Duration::ZERO, events: 40, interval: Duration::from_millis(200) };
     world.add_engines(6, "lugha", &["v1", "v1", "v2", "v2"], work);
-    if !world.start_hosts(&config(2), &["dar-c", "dar-a"], &[]) {
+    if !world.start_hosts(&["dar-c", "dar-a"]) {
         return world.finish(NOT_RUN);
     }
-    let clients = |number: usize, per_s: f64| {
-        let host = &world.hosts[number];
-        let name = host.name.clone();
-        let interval = Duration::from_secs_f64(1.0 / per_s);
-        let request = move |count: usize| stream_request(&format!("{name}-{count}"));
-        Clients::start(&world.record, (&host.name, host.callers), interval, request)
-    };
-    let mut all = [clients(0, 5.0), clients(1, 5.0)];
+    let mut all = [0, 1].map(|it| world.start_clients(it, 5.0, stream_request));
     thread::sleep(Duration::from_secs(2));
     world.set_cut(true);
     thread::sleep(Duration::from_secs(6));
@@ -400,6 +418,118 @@
     world.finish(code)
 }
 
+/// Requests of a host that is partitioned from all engines and knows the newest config, while one of the hosts that take
+/// them over is partitioned from the store.
+fn stale(folder: &str) -> ExitCode {
+    let mut world = World::new(folder);
+    let work = Work { time: Duration::from_millis(30), events: 0, interval: Duration::ZERO };
+    world.add_engines(3, "lango", &["v1"], work);
+    world.add_engines(3, "lango-next", &["v1"], work);
+    if !world.start_hosts(&["dar-c", "dar-a", "dar-b"]) {
+        return world.finish(NOT_RUN);
+    }
+    let count = |id: &str| plain_request(id, "GET", "bay-count");
+    let all = [(0, 40.0), (1, 10.0), (2, 10.0)].map(|it| world.start_clients(it.0, it.1, count));
+    thread::sleep(Duration::from_secs(3));
+    world.set_cut(true);
+    world.set_store_cut(true);
+    thread::sleep(Duration::from_secs(1));
+    world.store.put("config", "main", &config(8));
+    let confirmed_at = Instant::now();
+    world.record.note("the store confirms version 8, by which bay-count goes to lango-next");
+    thread::sleep(Duration::from_millis(6500));
+    world.set_store_cut(false);
+    let healed_at = Instant::now();
+    thread::sleep(Duration::from_millis(500));
+    world.set_cut(false);
+    thread::sleep(Duration::from_secs(1));
+    let exchanges: Vec<Exchange> = all.into_iter().flat_map(Clients::join).collect();
+    count_arrivals(&world);
+    let old = world.engines.iter().filter(|it| it.service == "lango");
+    let old: BTreeSet<String> = (old.flat_map(|it| it.arrivals.lock().expect("no panic").clone()))
+        .filter(|it| it.has_run)
+        .map(|it| it.id)
+        .collect();
+    // edge-a and edge-c are in touch all the while, edge-b is not.
+    let bound = confirmed_at + Duration::from_millis(2000);
+    let late = exchanges.iter().filter(|it| it.host != "edge-b" && it.sent_at > bound && it.sent_at < healed_at);
+    let late: Vec<&Exchange> = late.collect();
+    let stale: Vec<&&Exchange> = late.iter().filter(|it| old.contains(&it.request.id)).collect();
+    for it in &stale {
+        world.record.note_at(it.sent_at, &format!("request {}, sent to {}, was run by lango", it.request.id, it.host));
+    }
+    let served = late.iter().filter(|it| it.answer.status == 200).count();
+    world.record.say(&format!(
+        "{} requests later than 2 s after the confirmation, {served} served; {} were run by the old service",
+        late.len(),
+        stale.len()
+    ));
+    if served * 2 < late.len() {
+        return world.finish(NOT_RUN);
+    }
+    let code = if stale.is_empty() { HELD } else { BROKEN };
+    world.finish(code)
+}
+
+/// Streams of a host that is partitioned from all engines, when one of the hosts that serve them is killed.
+fn budget(folder: &str) -> ExitCode {
+    let mut world = World::new(folder);
+    let work = Work { time: Duration::ZERO, events: 50, interval: Duration::from_millis(240) };
+    world.add_engines(8, "lugha", &["v1"], work);
+    if !world.start_hosts(&["dar-c", "dar-a", "dar-b"]) {
+        return world.finish(NOT_RUN);
+    }
+    let mut all = [(0, 30.0), (1, 1.0), (2, 1.0)].map(|it| world.start_clients(it.0, it.1, stream_request));
+    thread::sleep(Duration::from_millis(300));
+    world.set_cut(true);
+    thread::sleep(Duration::from_millis(9000));
+    if world.has_trouble {
+        world.record.note("edge-b is killed, and starts again after 1 s");
+        world.hosts[1].kill();
+        thread::sleep(Duration::from_secs(1));
+        world.hosts[1].start(&world.root);
+    }
+    all.iter_mut().for_each(Clients::stop);
+    thread::sleep(Duration::from_secs(1));
+    world.set_cut(false);
+    let exchanges: Vec<Exchange> = all.into_iter().flat_map(Clients::join).collect();
+    count_arrivals(&world);
+    let mut arrivals: Vec<(Instant, String)> = (world.engines.iter())
+        .flat_map(|it| it.arrivals.lock().expect("no panic").clone())
+        .map(|it| (it.at, it.id))
+        .collect();
+    arrivals.sort();
+    let mut seen = BTreeSet::new();
+    let repeats: Vec<Instant> = arrivals.iter().filter(|it| !seen.insert(it.1.clone())).map(|it| it.0).collect();
+    let window = Duration::from_secs(10);
+    let count = |times: &[Instant], from: Instant| times.iter().filter(|it| **it >= from && **it < from + window).count();
+    let sent: Vec<Instant> = exchanges.iter().map(|it| it.sent_at).collect();
+    let mut worst: Option<(f64, usize, usize)> = None;
+    for from in repeats.iter().copied() {
+        // The window, the one before it, and the one half a window before it.
+        let before = |time: Duration| from.checked_sub(time).map_or(0, |it| count(&sent, it));
+        let requests = before(Duration::ZERO).max(before(window)).max(before(window / 2));
+        let again = count(&repeats, from);
+        let allowed = 0.2 * f64::from(u32::try_from(requests).unwrap_or(u32::MAX)) + 54.0;
+        let excess = f64::from(u32::try_from(again).unwrap_or(u32::MAX)) - allowed;
+        if worst.is_none_or(|it| excess > it.0) {
+            worst = Some((excess, again, requests));
+        }
+    }
+    let complete = exchanges.iter().filter(|it| it.answer.is_complete && it.answer.status == 200).count();
+    let (excess, again, requests) = worst.unwrap_or((-54.0, 0, 0));
+    world.record.say(&format!(
+        "{} streams, {complete} complete; in the worst 10 s {again} arrivals beyond the first of their request, for \
+         {requests} requests, of which {:.0} are allowed",
+        exchanges.len(),
+        f64::from(u32::try_from(requests).unwrap_or(u32::MAX)) * 0.2 + 54.0
+    ));
+    if complete * 2 < exchanges.len() {
+        return world.finish(NOT_RUN);
+    }
+    world.finish(if excess > 0.0 { BROKEN } else { HELD })
+}
+
 fn main() -> ExitCode {
     let arguments: Vec<String> = std::env::args().skip(1).collect();
     let [case, folder] = &arguments[..] else {
@@ -409,6 +539,8 @@
     match &**case {
         "refused" => refused(folder),
         "order" => order(folder),
+        "stale" => stale(folder),
+        "budget" => budget(folder),
         _ => {
             eprintln!("no case {case}");
             ExitCode::from(NOT_RUN)
