--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -100,6 +100,13 @@
         self.state.1.notify_all();
     }
 
+    /// Removes an object.
+    pub fn remove(&self, kind: &str, name: &str) {
+        let mut state = self.state.0.lock().expect("no panic");
+        state.change(&(kind.to_owned(), name.to_owned()), None);
+        self.state.1.notify_all();
+    }
+
     /// Serves a view of the store.
     pub fn serve(&self, replacements: Replacements) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
