Refuse no request at its deadline that another host may have run

Cause: a timeout was answered with 503 if this host had sent the request to no engine. A request that is passed on to another host is sent to none here, though the wait for that host had recorded that it may have run.

Change: 503 needs that the request can't have run; otherwise the answer is 504, or 502 while this host stops.

Evidence: isolation::a_request_that_ran_at_a_suspended_host_is_not_refused got 503 before and gets 504 now.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -482,7 +482,7 @@
             {
                 Fault::UpstreamLost
             }
-            Fault::Timeout if self.attempts == 0 => Fault::Overload,
+            Fault::Timeout if self.attempts == 0 && !self.may_have_run => Fault::Overload,
             // The wait for the engine has ended because this host is stopping.
             Fault::Timeout if clock::now() < self.deadline => Fault::UpstreamLost,
             it => it,
