Assign streams to builds in the store, so that their origin can be computed

A host whose list of engines was seconds old joined streams of a build that it hadn't seen.

Cause, the same for both: only a few hosts knew which build had begun a stream, in memory. A host without an answer took the only build of its list for it, and refused all streams if it knew two. Either rule alone makes the other fault worse.

Change: one object for each service in the store divides new streams between its builds, and keeps earlier divisions while their streams can be resumed. A host that is to resume a stream without a record reads it after the request has arrived, and goes on if all divisions agree. It grows with the builds, not with streams.

--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -1,7 +1,7 @@
 //! The routes and services that the operator has declared, as one validated revision.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
     time::Duration,
 };
@@ -17,6 +17,8 @@
     pub services: HashMap<Arc<str>, Arc<Service>>,
     /// Limits on requests from callers.
     pub limits: Limits,
+    /// Services with routes whose streams may be resumed.
+    resumable_services: BTreeSet<Arc<str>>,
     /// Shortest latency target of the routes of a service, by priority.
     shortest_targets: HashMap<Arc<str>, BTreeMap<u8, Duration>>,
 }
@@ -174,10 +176,14 @@
     pub fn new(revision: u64, routes: Vec<Route>, services: Vec<Service>, limits: Limits) -> Self {
         let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         let mut shortest_targets: HashMap<Arc<str>, BTreeMap<u8, Duration>> = HashMap::new();
+        let mut resumable_services = BTreeSet::new();
         for route in routes {
             if route.targets.is_empty() {
                 continue;
             }
+            if route.kind == RequestKind::Resumable {
+                resumable_services.extend(route.targets.iter().map(|it| it.service.clone()));
+            }
             for target in &route.targets {
                 let targets = shortest_targets.entry(target.service.clone()).or_default();
                 let shortest = targets.entry(route.priority).or_insert(Duration::MAX);
@@ -195,10 +201,16 @@
             hosts,
             services: services.into_iter().map(by_name).collect(),
             limits,
+            resumable_services,
             shortest_targets,
         }
     }
 
+    /// Returns the services with routes whose streams may be resumed.
+    pub fn resumable_services(&self) -> impl Iterator<Item = &Arc<str>> {
+        self.resumable_services.iter()
+    }
+
     /// Returns the shortest latency target among the more urgent routes of a service.
     pub fn more_urgent_target(&self, route: &Route, service: &str) -> Option<Duration> {
         let targets = self.shortest_targets.get(service)?;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -126,15 +126,7 @@
 
 /// Chooses an engine for a request.
 pub fn place(table: &Table, request: &PlacementRequest, now: Time) -> Placement {
-    let usable: Vec<(Key, &Engine)> = table
-        .iter()
-        .filter(|(key, it)| {
-            &*it.listing.service == request.service
-                && it.accepts_work()
-                && it.is_of_build(request.build)
-                && !request.tried.contains(key)
-        })
-        .collect();
+    let usable: Vec<(Key, &Engine)> = usable_engines(table, request).collect();
     if usable.is_empty() {
         return match request.build {
             Some(_) => Placement::BuildGone,
@@ -214,6 +206,25 @@
     }
 }
 
+/// Returns whether this host reaches an engine that accepts work and to which the request has not been sent.
+pub fn has_reachable_engine(table: &Table, request: &PlacementRequest, now: Time) -> bool {
+    let mut engines = usable_engines(table, request);
+    engines.any(|it| it.1.circuit.state(now) != State::Unreachable)
+}
+
+/// Returns the engines that accept work and to which the request has not been sent.
+fn usable_engines<'a>(
+    table: &'a Table,
+    request: &'a PlacementRequest,
+) -> impl Iterator<Item = (Key, &'a Engine)> {
+    table.iter().filter(|(key, it)| {
+        &*it.listing.service == request.service
+            && it.accepts_work()
+            && it.is_of_build(request.build)
+            && !request.tried.contains(key)
+    })
+}
+
 /// Returns the expected time to the first event at an engine, in ms.
 fn expected_wait_ms(table: &Table, engine: &Engine, request: &PlacementRequest, now: Time) -> f64 {
     let work = engine.total_work(now);
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -256,6 +256,13 @@
             .map(|(build, _)| *build)
     }
 
+    /// Returns the build of the known engines of a service, if all are of one.
+    pub fn only_build(&self, service: &str) -> Option<BuildId> {
+        let mut builds = self.builds_within(service, Duration::ZERO, Time::MAX);
+        let first = builds.next();
+        first.filter(|_| builds.next().is_none())
+    }
+
     /// Returns the services that have, or had, engines.
     pub fn services(&self) -> impl Iterator<Item = &Arc<str>> {
         self.builds.keys()
--- a/crates/fleet/tests/it/main.rs
+++ b/crates/fleet/tests/it/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions, without sockets or clocks.
 
 mod admissions;
+mod assignments;
 mod backoffs;
 mod budgets;
 mod crashes;
--- a/crates/gateway/src/claims.rs
+++ b/crates/gateway/src/claims.rs
@@ -10,6 +10,7 @@
     rendezvous,
     store_call::{Attempt, Schedule},
 };
+use serde::{Deserialize, Serialize};
 use serde_json::json;
 use tokio::time;
 
@@ -55,6 +56,22 @@
     suspects: HashMap<String, (LeaseWatch, Time)>,
 }
 
+/// Lease of a host in the store.
+#[derive(Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct LeaseSpec {
+    /// Address for other hosts.
+    pub peers: String,
+    /// Failure domain of the host.
+    pub domain: String,
+    /// Incarnation of the host.
+    pub life: u64,
+    /// Time of the renewal in ms on the host's clock.
+    pub renewed: u64,
+    /// True if the host begins streams at the builds assigned to them; false in leases of builds that don't know it.
+    pub assigns_streams: bool,
+}
+
 /// Claim as last seen in the store.
 #[derive(Clone)]
 struct StoredClaim {
@@ -179,12 +196,14 @@
 /// Renews the lease of this host, or creates it.
 async fn renew(gateway: &Rc<Gateway>) -> Attempt {
     let sent = clock::now();
-    let spec = json!({
-        "peers": gateway.settings.peers.to_string(),
-        "domain": gateway.settings.domain,
-        "life": gateway.incarnation,
-        "renewed": u64::try_from(sent.as_millis()).unwrap_or(0),
-    });
+    let spec = LeaseSpec {
+        peers: gateway.settings.peers.to_string(),
+        domain: gateway.settings.domain.clone(),
+        life: gateway.incarnation,
+        renewed: u64::try_from(sent.as_millis()).unwrap_or(0),
+        assigns_streams: true,
+    };
+    let spec = serde_json::to_value(spec).unwrap_or_default();
     let position = gateway.claims.borrow().lease_position;
     let result = store::put(gateway, Kind::Hosts, &gateway.holder, &spec, position).await;
     let mut claims = gateway.claims.borrow_mut();
@@ -225,10 +244,11 @@
     };
     let mut peers = gateway.peers.borrow_mut();
     for object in &objects {
-        let text = |field: &str| object.spec.get(field).and_then(|it| it.as_str());
-        if let Some(addr) = text("peers").and_then(|it| it.parse().ok()) {
-            let domain = text("domain").unwrap_or_default();
-            peers.add_listed(&object.name, addr, domain, clock::now());
+        let Ok(lease) = LeaseSpec::deserialize(&object.spec) else {
+            continue;
+        };
+        if let Ok(addr) = lease.peers.parse() {
+            peers.add_listed(&object.name, addr, &lease, clock::now());
         }
     }
     gateway.hosts_listed.notify_waiters();
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -28,6 +28,8 @@
     Hosts,
     /// Claims of hosts on engines.
     Claims,
+    /// Division of the streams of a service between its builds.
+    Assignments,
 }
 
 impl Kind {
@@ -39,6 +41,7 @@
             Self::Versions => "versions",
             Self::Hosts => "hosts",
             Self::Claims => "claims",
+            Self::Assignments => "assignments",
         }
     }
 }
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use fleet::{
     Time,
+    assignment::StreamKey,
     catalog::{RequestKind, Route},
     circuit::State,
     origin::{BuildId, StreamId},
@@ -28,7 +29,7 @@
 pub(crate) use attempt::{Attempt, OpenResponse};
 
 use crate::{
-    call, clock,
+    assignments, call, clock,
     connection::{self, Part},
     dialect::{RequestHead, ResponseHead},
     gateway::{Gateway, ReservedRetry},
@@ -102,6 +103,10 @@
     pub(crate) retry_after: Option<Duration>,
     /// Build that began the stream. Only engines of the same build may continue it; `None` before its first event.
     pub(crate) build: Option<BuildId>,
+    /// Key of the stream that the request begins or resumes, if its origin can be computed.
+    pub(crate) stream_key: Option<StreamKey>,
+    /// Key of a new stream that begins at the build assigned to it, until its first event arrives.
+    pub(crate) assigned: Option<StreamKey>,
     /// Host that has passed the request on to this one.
     pub(crate) received_from: Option<Arc<str>>,
     /// Hosts to which the request was passed on.
@@ -134,6 +139,7 @@
         if let Err(fault) = self.find_origin().await {
             return self.fail(fault);
         }
+        self.assign_build().await;
         // True if the last engine did not hold the adapter.
         let mut adapter_missing = false;
         let mut next_outcome = None;
@@ -219,14 +225,28 @@
         if self.build.is_some() {
             return Ok(());
         }
-        let stream = self.stream();
-        let origin = self
-            .gossip
-            .find_origin(stream, &self.service, self.deadline);
-        self.build = Some(origin.await.ok_or(Fault::OriginUnknown)?);
+        let build = self.find_stream_origin().await;
+        self.build = Some(build.ok_or(Fault::OriginUnknown)?);
         Ok(())
     }
 
+    /// Finds the build that began the stream of this request.
+    pub(crate) async fn find_stream_origin(&self) -> Option<BuildId> {
+        let (stream, key) = (self.stream(), self.stream_key);
+        let gossip = &self.gossip;
+        let origin = gossip.find_origin(stream, key, &self.service, self.deadline);
+        origin.await
+    }
+
+    /// Lets a new stream begin at the build that is assigned to it.
+    async fn assign_build(&mut self) {
+        let is_new = self.build.is_none() && self.request_head.last_event_id.is_none();
+        if let Some(key) = self.stream_key.filter(|_| is_new) {
+            assignments::wait_until_known(&self.gateway, &self.service).await;
+            self.assigned = Some(key);
+        }
+    }
+
     /// The stream of this request, which an earlier request of the caller may have begun.
     fn stream(&self) -> StreamId {
         let began_by = self.request_head.resumed_request.as_ref();
@@ -241,7 +261,12 @@
     /// Records that an engine has sent the first event of its response. From then on, only engines of its build
     /// may continue the stream.
     pub(crate) fn record_origin(&mut self, engine_build: Option<BuildId>) {
-        let Some(build) = self.build.or(engine_build) else {
+        let build = match self.assigned.take() {
+            // The stream may have been assigned to another build while the engine was silent.
+            Some(_) => engine_build.or(self.build),
+            None => self.build.or(engine_build),
+        };
+        let Some(build) = build else {
             return;
         };
         self.build = Some(build);
--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -7,6 +7,7 @@
     admission::{self, Decision},
     listing::{Name, is_adapter},
     loader::Wanted,
+    origin::BuildId,
     placement::{self, Choice, Placement, PlacementRequest},
     quarantine::Verdict,
     rendezvous::short_id,
@@ -15,7 +16,7 @@
 use tokio::time;
 
 use crate::{
-    clock,
+    assignments, clock,
     exchange::Exchange,
     gateway::{Gateway, MAX_WAITERS},
     reply::Fault,
@@ -169,11 +170,6 @@
     /// Chooses an engine. If none holds the adapter, waits for its load until `until`.
     pub(crate) async fn place(&mut self, until: Time) -> Result<Choice, Fault> {
         let name = self.request_head.name.clone();
-        let wanted = name.clone().map(|name| Wanted {
-            name,
-            build: self.build,
-            lost_engine: self.lost_engine(),
-        });
         let until = self.gateway.limit(until.min(self.deadline));
         let mut waiting: Option<WaitGuard> = None;
         loop {
@@ -182,9 +178,16 @@
                 return Err(Fault::NoEngine);
             }
             self.gateway.record_due_loads();
+            if let Some(key) = self.assigned {
+                self.build = assignments::assigned_build(&self.gateway, &self.service, key);
+            }
             let mut tried = self.attempted_engines.clone();
             tried.retain(|it| !self.repeatable_engines.contains(it));
             let placement = self.choose_placement(&tried);
+            let is_placed = matches!(placement, Placement::Send(_) | Placement::Delay(_));
+            if !is_placed && self.leave_assigned_build(&tried).await {
+                continue;
+            }
             let now = clock::now();
             match placement {
                 Placement::Send(choice) => {
@@ -218,18 +221,21 @@
                 Placement::Closed(key, open_at) => {
                     self.wait_while_closed(key, open_at, until).await?;
                 }
-                Placement::BuildGone => return Err(Fault::BuildGone),
-                Placement::Unavailable | Placement::Load if now >= until => {
+                Placement::BuildGone if self.assigned.is_none() => return Err(Fault::BuildGone),
+                Placement::Unavailable | Placement::BuildGone | Placement::Load if now >= until => {
                     return Err(match placement {
                         Placement::Load => Fault::AdapterLoad,
                         _ => Fault::NoEngine,
                     });
                 }
-                Placement::Unavailable => time::sleep(Duration::from_millis(50)).await,
+                Placement::Unavailable | Placement::BuildGone => {
+                    time::sleep(Duration::from_millis(50)).await
+                }
                 Placement::Load => {
-                    let Some(wanted) = &wanted else {
+                    let Some(wanted) = &self.wanted() else {
                         return Err(Fault::NoEngine);
                     };
+                    waiting = waiting.filter(|it| it.wanted == *wanted);
                     if waiting.is_none() {
                         let it = WaitGuard::new(&self.gateway, wanted);
                         if it.wait.waiters.get() > MAX_WAITERS {
@@ -254,6 +260,38 @@
         }
     }
 
+    /// What the request needs to be loaded, if it names an adapter or a base model.
+    fn wanted(&self) -> Option<Wanted> {
+        let name = self.request_head.name.clone()?;
+        Some(Wanted {
+            name,
+            build: self.build,
+            lost_engine: self.lost_engine(),
+        })
+    }
+
+    /// Lets a new stream begin at any build, if no engine of the assigned one is reached and one of another is.
+    async fn leave_assigned_build(&mut self, tried: &[Key]) -> bool {
+        let Some(key) = self.assigned.filter(|_| self.build.is_some()) else {
+            return false;
+        };
+        if self.has_reachable_engine(self.build, tried) || !self.has_reachable_engine(None, tried) {
+            return false;
+        }
+        assignments::allow_exception(&self.gateway, &self.service, key).await;
+        self.assigned = None;
+        self.build = None;
+        true
+    }
+
+    fn has_reachable_engine(&self, build: Option<BuildId>, tried: &[Key]) -> bool {
+        let request = PlacementRequest {
+            build,
+            ..self.placement_request(tried)
+        };
+        placement::has_reachable_engine(&self.gateway.table.borrow(), &request, clock::now())
+    }
+
     /// Returns whether a placed request is sent now. Otherwise it was held for a moment and has to be placed
     /// again. A stream that has begun is always resumed at once, and instances of plain services refuse by
     /// themselves.
@@ -296,7 +334,12 @@
 
     /// Chooses among the engines that are not `tried`.
     fn choose_placement(&self, tried: &[Key]) -> Placement {
-        let request = PlacementRequest {
+        let request = self.placement_request(tried);
+        placement::place(&self.gateway.table.borrow(), &request, clock::now())
+    }
+
+    fn placement_request<'a>(&'a self, tried: &'a [Key]) -> PlacementRequest<'a> {
+        PlacementRequest {
             service: &self.service,
             name: self.request_head.name.as_ref(),
             chain: &self.prefix_chain,
@@ -306,8 +349,7 @@
             build: self.build,
             turn: self.turn.map(|it| it.engine),
             random: rand::random(),
-        };
-        placement::place(&self.gateway.table.borrow(), &request, clock::now())
+        }
     }
 
     /// Waits while the engines that could serve the request take none, until `open_at` at the earliest. Fails if the
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -3,7 +3,8 @@
 use std::{rc::Rc, time::Duration};
 
 use fleet::{
-    catalog::Catalog,
+    assignment::StreamKey,
+    catalog::{Catalog, RequestKind},
     prefix::Chain,
     quarantine::{self, Suspect},
 };
@@ -138,6 +139,17 @@
         &headers,
         &body,
     );
+    let is_resumed = request_head.last_event_id.is_some();
+    let began_by = if is_resumed {
+        request_head.resumed_request.as_deref()
+    } else {
+        Some(request_head.id.as_str())
+    };
+    let stream_key = if route.kind == RequestKind::Resumable {
+        StreamKey::new(request_head.name.as_deref(), began_by)
+    } else {
+        None
+    };
     let mut suspects = quarantine::suspects(&service, &request_head.prompt_parts);
     suspects.push(Suspect::whole(content));
     Ok(Exchange {
@@ -171,6 +183,8 @@
         end_recorded: false,
         retry_after: None,
         build: None,
+        stream_key,
+        assigned: None,
         received_from: None,
         hosts_tried: Vec::new(),
         hosts_left: MAX_HOSTS,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -27,6 +27,7 @@
 use tokio::sync::Notify;
 
 use crate::{
+    assignments::Assignments,
     claims::Claims,
     clock,
     connection::Pool,
@@ -101,6 +102,8 @@
     pub peers: RefCell<Peers>,
     /// Builds that began streams.
     pub origins: RefCell<Origins>,
+    /// Division of the streams of each service between its builds.
+    pub assignments: Assignments,
     /// Queries to other hosts which build began a stream.
     pub origin_queries: OriginQueries,
     /// Questions to other hosts for turns at engines that limit their requests.
@@ -223,6 +226,7 @@
             claims: RefCell::default(),
             peers: RefCell::default(),
             origins: RefCell::default(),
+            assignments: Assignments::default(),
             origin_queries: OriginQueries::default(),
             turn_questions: TurnQuestions::default(),
             crash_watch: CrashWatch::default(),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -104,7 +104,7 @@
                 Some(Message::ListState(it)) => self.handle_list_state(it, from),
                 Some(Message::Workloads(it)) => self.handle_workloads(&it),
                 Some(Message::Origins(it)) => self.handle_origins(&it),
-                Some(Message::OriginQuery(it)) => self.handle_origin_query(&it, from),
+                Some(Message::OriginQuery(it)) => self.handle_origin_query(it, from),
                 Some(Message::OriginReply(it)) => self.handle_origin_reply(&it, from),
                 Some(Message::Crash(it)) => self.handle_crash(&it),
                 Some(Message::PartSuccess(it)) => self.handle_part_success(it),
--- a/crates/gateway/src/gossip/origins.rs
+++ b/crates/gateway/src/gossip/origins.rs
@@ -6,18 +6,20 @@
     collections::HashMap,
     net::SocketAddr,
     rc::Rc,
+    sync::Arc,
     time::Duration,
 };
 
 use fleet::{
     Time,
+    assignment::{Candidates, StreamKey},
     origin::{self, Announcement, BuildId, Holder, Origin, StreamId},
 };
-use tokio::{sync::Notify, time};
+use tokio::{sync::Notify, task::spawn_local, time};
 
 use super::Gossip;
 use crate::{
-    clock,
+    assignments, clock,
     message::{self, MAX_ORIGINS_PER_MESSAGE, Message, OriginQuery, OriginReply, StreamNumber},
 };
 
@@ -175,14 +177,16 @@
         origins.records_within(HANDOVER_AGE, clock::now())
     }
 
-    /// Returns the build that began a stream of a service, if it is known here or to one of the holders.
+    /// Returns the build that began a stream of a service, if it is recorded here or at one of the holders, or if no
+    /// other one can have begun it.
     pub async fn find_origin(
         &self,
         stream: StreamId,
-        service: &str,
+        key: Option<StreamKey>,
+        service: &Arc<str>,
         deadline: Time,
     ) -> Option<BuildId> {
-        let known = self.known_origin(stream, service);
+        let known = self.compute_origin(stream, key, service).await;
         if let Origin::Recorded(it) = known {
             return Some(it);
         }
@@ -195,8 +199,35 @@
             Answers::NobodyAsked => {
                 let table = self.gateway.table.borrow();
                 let origins = self.gateway.origins.borrow();
-                origins.certain_build(service, &table, clock::now())
+                let certain = origins.certain_build(service, &table, clock::now());
+                certain.filter(|it| known == Origin::Only(*it))
+            }
+        }
+    }
+
+    /// Returns what this host knows of the origin of a stream, with the state of the store after this call. Without an
+    /// answer of the store, another build than the listed ones may have begun the stream.
+    async fn compute_origin(
+        &self,
+        stream: StreamId,
+        key: Option<StreamKey>,
+        service: &Arc<str>,
+    ) -> Origin {
+        if let known @ Origin::Recorded(_) = self.known_origin(stream, service) {
+            return known;
+        }
+        let candidates = assignments::candidates(&self.gateway, service, key).await;
+        // A record may have been received meanwhile.
+        let known = self.known_origin(stream, service);
+        match (known, candidates) {
+            (Origin::Recorded(_), _) => known,
+            (_, Some(Candidates::One(it))) => Origin::Recorded(BuildId::new(service, &it)),
+            (_, Some(Candidates::Several)) => Origin::Several,
+            (Origin::Only(_), Some(Candidates::Any(Some(it)))) => {
+                known.or(Origin::Only(BuildId::new(service, &it)))
             }
+            (_, Some(Candidates::Any(_))) | (Origin::Several, None) => known,
+            (_, None) => Origin::Unknown,
         }
     }
 
@@ -240,14 +271,18 @@
         origins.find(stream, service, &table, clock::now())
     }
 
-    /// Answers a query of another host.
-    pub(super) fn handle_origin_query(&self, query: &OriginQuery, from: SocketAddr) {
-        let origin = self.known_origin(StreamId(query.stream), &query.service);
-        let reply = OriginReply {
-            stream: query.stream,
-            origin: origin.into(),
-        };
-        self.try_send(&Message::OriginReply(reply), from);
+    /// Answers a query of another host, after a read of the store if that may tell more.
+    pub(super) fn handle_origin_query(self: &Rc<Self>, query: OriginQuery, from: SocketAddr) {
+        let gossip = self.clone();
+        spawn_local(async move {
+            let (stream, service) = (StreamId(query.stream), query.service.into());
+            let origin = gossip.compute_origin(stream, None, &service).await;
+            let reply = OriginReply {
+                stream: query.stream,
+                origin: origin.into(),
+            };
+            gossip.try_send(&Message::OriginReply(reply), from);
+        });
     }
 
     /// Handles the answer of another host to a query.
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -280,7 +280,10 @@
             attempted: attempted.map(|it| it.listing.id.to_string()).collect(),
             may_have_run: self.may_have_run,
             last_event_id: last_event_id.map(str::to_owned),
-            build: self.build.map(|it| it.0),
+            build: self
+                .build
+                .filter(|_| self.assigned.is_none())
+                .map(|it| it.0),
         };
         let mut request = Request::new(self.body.clone());
         *request.method_mut() = self.method.clone();
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -18,6 +18,7 @@
 };
 
 use crate::{
+    claims::LeaseSpec,
     clock,
     dialect::Kind,
     list_cache::Watermark,
@@ -42,6 +43,15 @@
 /// Time without a message after which no heartbeats are sent to a host, unless the store lists it.
 const FORGET_AFTER: Duration = Duration::from_mins(1);
 
+/// Where a host begins streams.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum StreamStart {
+    /// At the builds assigned to them.
+    Assigned,
+    /// At any build: the host runs a build of this program that doesn't know assignments.
+    Anywhere,
+}
+
 /// Known state of another host.
 #[derive(Debug)]
 struct Peer {
@@ -66,6 +76,7 @@
     distrusted_until: Time,
     /// True if the host was live at the last check for lost hosts.
     was_live: bool,
+    stream_start: StreamStart,
 }
 
 /// Other hosts.
@@ -84,14 +95,25 @@
 
 impl Peers {
     /// Records the address of a host that the store lists.
-    pub fn add_listed(&mut self, name: &str, addr: SocketAddr, domain: &str, now: Time) {
+    pub fn add_listed(&mut self, name: &str, addr: SocketAddr, lease: &LeaseSpec, now: Time) {
         let entry = self.by_name.entry(name.into());
         let peer = entry.or_insert_with(|| Peer::new(addr, now));
         peer.addr = addr;
-        peer.domain = domain.into();
+        peer.domain = lease.domain.as_str().into();
+        peer.stream_start = if lease.assigns_streams {
+            StreamStart::Assigned
+        } else {
+            StreamStart::Anywhere
+        };
         peer.last_listed = now;
     }
 
+    /// Returns whether a live host begins streams without regard to their assignments.
+    pub fn has_unassigned_streams(&self, now: Time) -> bool {
+        let mut peers = self.live_peers(now);
+        peers.any(|it| it.1.stream_start == StreamStart::Anywhere)
+    }
+
     /// Number of hosts that share a retry budget: the known hosts, which include this one once the
     /// store lists it, but no fewer than the seeds, since other hosts may not be known yet.
     pub fn host_count(&self) -> usize {
@@ -451,6 +473,7 @@
             list_state: ListState::default(),
             distrusted_until: Time::ZERO,
             was_live: false,
+            stream_start: StreamStart::Assigned,
         }
     }
 
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -17,7 +17,7 @@
 };
 
 use crate::{
-    claims, clock, dialect,
+    assignments, claims, clock, dialect,
     gateway::Gateway,
     gossip::Gossip,
     isolation,
@@ -116,6 +116,7 @@
         spawn_local(follow(gateway.clone(), kind));
     }
     spawn_local(claims::maintain(gateway.clone()));
+    spawn_local(assignments::maintain(gateway.clone()));
     spawn_local(gossip.clone().receive());
     spawn_local(gossip.clone().send_heartbeats());
     spawn_local(orders::run(gateway.clone(), gossip.clone()));
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -49,6 +49,7 @@
     match (kind, operation) {
         (Kind::Hosts, "write" | "delete") => "lease",
         (Kind::Claims, "write") => "claim",
+        (Kind::Assignments, _) => "assignment",
         _ => operation,
     }
 }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -171,7 +171,7 @@
             .saturating_sub(DRAIN_RESERVE)
             .max(MIN_BATCH_TIME),
         Kind::Versions => MIN_BATCH_TIME,
-        Kind::Config | Kind::Hosts | Kind::Claims => Duration::from_millis(50),
+        Kind::Config | Kind::Hosts | Kind::Claims | Kind::Assignments => Duration::from_millis(50),
     }
 }
 
@@ -417,6 +417,6 @@
                 }
             }
         }
-        Kind::Config | Kind::Hosts | Kind::Claims => {}
+        Kind::Config | Kind::Hosts | Kind::Claims | Kind::Assignments => {}
     }
 }
