Keep streams that another host sends at the build that began them

Cause: a host that forwards the events of another one didn't learn which build sends them, and resumed the stream as one that hadn't begun.

Change: the other host states the build with the head of the stream and keeps to it; this host records it with the first event. Without that statement, by a host of an earlier build of this program, the origin is looked up, or the stream is cut. A stream that has begun isn't taken from a host that states another build.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -307,6 +307,9 @@
         reply::strip_hop_headers(&mut head.headers);
         if head.status.is_success() && self.route.kind.is_stream() {
             head.headers.remove(CONTENT_LENGTH);
+            if self.received_from.is_some() {
+                self.announce_build(in_flight.build(), &mut head.headers);
+            }
             let relay = Relay::new(self, body, in_flight, keep_alive);
             return Ok(Response::from_parts(head, relay.into_body()));
         }
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -37,6 +37,9 @@
 /// Name of the fault with which the other host didn't take the request. It did not run there, so a third host may.
 static NOT_TAKEN: HeaderName = HeaderName::from_static("comfreywing-not-taken");
 
+/// Build of the engines that send a stream to a host that passed the request on ([`BuildId`]), in decimal.
+static BUILD: HeaderName = HeaderName::from_static("comfreywing-build");
+
 /// Maximum number of hosts to which a request is passed on.
 pub const MAX_HOSTS: usize = 3;
 
@@ -82,11 +85,18 @@
 }
 
 impl HostResponse {
+    /// Build that the other host keeps the stream at. Older hosts don't state it.
+    pub(crate) fn build(&self) -> Option<BuildId> {
+        let value = self.response.headers().get(&BUILD)?;
+        value.to_str().ok()?.parse().ok().map(BuildId)
+    }
+
     /// Head of a response to the caller, and the body with its connection.
     pub(crate) fn into_parts(self) -> (Response<()>, connection::Body, Connection) {
         let (mut head, body) = self.response.into_parts();
         reply::strip_hop_headers(&mut head.headers);
         head.headers.remove(&NOT_TAKEN);
+        head.headers.remove(&BUILD);
         (Response::from_parts(head, ()), body, self.connection)
     }
 }
@@ -134,6 +144,7 @@
             let status = response.response.status();
             if status.is_success() && self.route.kind.is_stream() {
                 self.trace.record_status(status);
+                self.adopt_host_build(&response);
                 let (mut head, body, connection) = response.into_parts();
                 head.headers_mut().remove(CONTENT_LENGTH);
                 let relay = Relay::of_host(self, body, connection);
@@ -296,6 +307,30 @@
         request
     }
 
+    /// Keeps a new stream that another host sends at the build of that host's engine.
+    pub(crate) fn adopt_host_build(&mut self, response: &HostResponse) {
+        if self.assigned.take().is_some() {
+            self.build = None;
+        }
+        self.build = self.build.or(response.build());
+    }
+
+    /// Tells the host that passed the request on which build sends the stream, and keeps it at that build.
+    pub(crate) fn announce_build(
+        &mut self,
+        engine_build: Option<BuildId>,
+        headers: &mut HeaderMap,
+    ) {
+        if self.assigned.take().is_some() {
+            self.build = None;
+        }
+        self.build = self.build.or(engine_build);
+        headers.remove(&BUILD);
+        if let Some(build) = self.build {
+            headers.insert(BUILD.clone(), build.0.into());
+        }
+    }
+
     /// Adopts what the host that passed the request on has done with it.
     pub(crate) fn adopt_handover(&mut self, handover: Handover, received_at: Time) {
         let remaining = Duration::from_millis(handover.remaining_ms);
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -32,8 +32,10 @@
     buffer: sse::Buffer,
     /// Id of the last complete event.
     last_event_id: Option<String>,
-    /// True until the current engine has sent a complete event.
+    /// True until the current engine or host has sent a complete event.
     awaiting_first: bool,
+    /// True once the caller was sent an event.
+    has_forwarded: bool,
     ended: bool,
 }
 
@@ -94,6 +96,7 @@
             buffer: sse::Buffer::default(),
             last_event_id,
             awaiting_first: true,
+            has_forwarded: false,
             ended: false,
         }
     }
@@ -120,6 +123,7 @@
             match step {
                 Step::Moved => {}
                 Step::Forward(bytes) => {
+                    self.has_forwarded = true;
                     self.exchange.trace.record_forwarded();
                     return Some(Ok(bytes));
                 }
@@ -167,6 +171,9 @@
         };
         match received {
             Ok(Received::Events(bytes)) => {
+                if std::mem::take(&mut self.awaiting_first) {
+                    self.exchange.record_origin(None);
+                }
                 if let Some(id) = sse::last_event_id(&bytes) {
                     self.last_event_id = Some(id);
                 }
@@ -291,9 +298,15 @@
         while self.exchange.may_hand_over() {
             match self.exchange.send_to_host(last_event_id.as_deref()).await {
                 Ok(response) => {
+                    if !self.has_forwarded {
+                        self.exchange.adopt_host_build(&response);
+                    }
+                    let build = response.build();
+                    let is_same_build = build.is_none() || build == self.exchange.build;
                     let (head, body, connection) = response.into_parts();
-                    if head.status().is_success() {
+                    if head.status().is_success() && is_same_build {
                         self.host = Some((body, connection));
+                        self.awaiting_first = true;
                         return true;
                     }
                 }
@@ -324,6 +337,14 @@
     async fn resume(&mut self, sent: Option<Attempt>) -> bool {
         let mut sent = sent;
         let budget_until = clock::now() + PLACEMENT_TIMEOUT;
+        // An older host doesn't state the build of the stream that it sends.
+        if self.has_forwarded && self.exchange.build.is_none() {
+            self.exchange.build = self.exchange.find_stream_origin().await;
+            if self.exchange.build.is_none() {
+                self.exchange.trace.record_resume_failure("origin-unknown");
+                return false;
+            }
+        }
         loop {
             if sent.is_none() && self.exchange.may_resume_elsewhere() && self.hand_over().await {
                 return true;
