--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -229,7 +229,7 @@
                     });
                 }
                 Placement::Unavailable | Placement::BuildGone => {
-                    time::sleep(Duration::from_millis(50)).await
+                    time::sleep(Duration::from_millis(50)).await;
                 }
                 Placement::Load => {
                     let Some(wanted) = &self.wanted() else {
