Continue a stream only with responses that are the rest of one

Cause: a response continued a stream if its status was of the class 2xx.

Change: it needs status 200 and the type of an event stream, if it states one, in a resume, a takeover and a handover. In the rest of a stream, a line of a head or a block without a field of an event counts as a failure of the engine.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -36,6 +36,8 @@
     awaiting_first: bool,
     /// True once the caller was sent an event.
     has_forwarded: bool,
+    /// True if the current engine was asked for the rest of the stream only.
+    is_resumed: bool,
     ended: bool,
 }
 
@@ -97,6 +99,7 @@
             last_event_id,
             awaiting_first: true,
             has_forwarded: false,
+            is_resumed: false,
             ended: false,
         }
     }
@@ -217,6 +220,9 @@
             return Step::Broken("no engine");
         };
         match received {
+            Ok(Received::Events(bytes)) if self.is_resumed && !sse::are_events(&bytes) => {
+                Step::Broken("not an event")
+            }
             Ok(Received::Events(bytes)) => {
                 if self.awaiting_first {
                     self.awaiting_first = false;
@@ -304,7 +310,7 @@
                     let build = response.build();
                     let is_same_build = build.is_none() || build == self.exchange.build;
                     let (head, body, connection) = response.into_parts();
-                    if head.status().is_success() && is_same_build {
+                    if reply::is_stream(head.status(), head.headers()) && is_same_build {
                         self.host = Some((body, connection));
                         self.awaiting_first = true;
                         return true;
@@ -329,6 +335,7 @@
         let (head, body, _, in_flight) = response;
         self.keep_alive = crate::call::keep_alive_timeout(&head.headers);
         self.awaiting_first = true;
+        self.is_resumed = self.has_forwarded;
         self.upstream = Some((body, in_flight));
     }
 
@@ -371,7 +378,7 @@
                 return false;
             };
             match outcome {
-                Outcome::Response(it) if it.0.status.is_success() => {
+                Outcome::Response(it) if reply::is_stream(it.0.status, &it.0.headers) => {
                     self.switch_to(*it);
                     return true;
                 }
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -136,6 +136,13 @@
     )
 }
 
+/// Returns whether the head of a response begins a stream that may continue another response.
+pub fn is_stream(status: StatusCode, headers: &HeaderMap) -> bool {
+    let kind = headers.get(CONTENT_TYPE);
+    let is_other_kind = kind.is_some_and(|it| !it.as_bytes().starts_with(b"text/event-stream"));
+    status == StatusCode::OK && !is_other_kind
+}
+
 /// Response for a fault. `retry_after` is the delay after which the caller should retry.
 pub fn fault_response(fault: Fault, retry_after: Option<Duration>) -> Response<Body> {
     let text = format!("{{\"error\":\"{}\"}}\n", fault.name());
--- a/crates/gateway/src/sse.rs
+++ b/crates/gateway/src/sse.rs
@@ -84,6 +84,29 @@
     }
 }
 
+/// Returns whether bytes consist of events and comments only. An error in place of the rest of a stream may end with an
+/// empty line too.
+pub fn are_events(bytes: &[u8]) -> bool {
+    const FIELDS: [&[u8]; 5] = [b"data", b"event", b"id", b"retry", b":"];
+    // `None` between two blocks of lines, otherwise whether the block has a field.
+    let mut block = None;
+    for line in bytes.split(|it| *it == b'\n') {
+        let line = line.strip_suffix(b"\r").unwrap_or(line);
+        for line in line.split(|it| *it == b'\r') {
+            if line.starts_with(b"HTTP/") {
+                return false;
+            }
+            let is_field = FIELDS.iter().any(|it| line.starts_with(it));
+            block = match block {
+                Some(false) if line.is_empty() => return false,
+                _ if line.is_empty() => None,
+                it => Some(it.unwrap_or(false) || is_field),
+            };
+        }
+    }
+    true
+}
+
 /// Id of the last event that has one.
 pub fn last_event_id(events: &[u8]) -> Option<String> {
     let lines = events.split(|it| matches!(it, b'\r' | b'\n'));
--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -13,7 +13,7 @@
     exchange::{Attempt, Exchange, OpenResponse, Outcome},
     gateway::ReservedRetry,
     in_flight::InFlight,
-    reply::Fault,
+    reply::{self, Fault},
     stall::{WaitResult, wait_for_engine},
 };
 
@@ -172,7 +172,7 @@
             if let Outcome::Response(it) = self.finish_attempt(next, response).await {
                 let status = it.0.status;
                 let is_accepted = if self.has_begun {
-                    status.is_success()
+                    reply::is_stream(status, &it.0.headers)
                 } else {
                     !status.is_server_error()
                 };
