--- a/crates/gateway/src/assignments.rs
+++ b/crates/gateway/src/assignments.rs
@@ -47,6 +47,9 @@
 /// Maximum time for which a new stream waits for the first read of the assignment.
 const MAX_FIRST_READ: Duration = Duration::from_millis(300);
 
+/// Maximum time for which a new stream waits until the store has recorded that it begins at another build.
+const MAX_EXCEPTION_WRITE: Duration = Duration::from_millis(300);
+
 /// Maximum time for the read that proves which build began a stream.
 const VERIFICATION_TIMEOUT: Duration = Duration::from_millis(600);
 
@@ -235,21 +238,41 @@
 /// it, the stream begins nevertheless, and it is recorded later.
 pub async fn allow_exception(gateway: &Rc<Gateway>, name: &Arc<str>, key: StreamKey) {
     let service = gateway.assignments.service(name);
+    let written = time::timeout(
+        MAX_EXCEPTION_WRITE,
+        write_exception(gateway, name, &service, key),
+    );
+    if written.await != Ok(true) {
+        service.has_unassigned.set(true);
+    }
+}
+
+/// Returns whether the store has recorded that a stream may begin at another build than the assigned one, or will record
+/// that streams began at any build.
+async fn write_exception(
+    gateway: &Rc<Gateway>,
+    name: &Arc<str>,
+    service: &Service,
+    key: StreamKey,
+) -> bool {
     let _write = service.write.lock().await;
     for _ in 0..MAX_WRITES {
+        if service.has_unassigned.get() {
+            return true;
+        }
         let history = service.known.borrow().as_ref().map(|it| it.history.clone());
         let Some(mut history) = history.filter(|_| !gateway.is_store_unavailable()) else {
-            break;
+            return false;
         };
         if history.allows_exception(key) {
-            return;
+            return true;
         }
         history.record_exception(key);
-        if write(gateway, name, &service, history).await == Write::Failed {
-            break;
+        if write(gateway, name, service, history).await == Write::Failed {
+            return false;
         }
     }
-    service.has_unassigned.set(true);
+    false
 }
 
 /// Returns the builds that may have begun a stream, by the store's state after this call. Returns `None` if the store
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -4,7 +4,7 @@
 
 use fleet::{
     assignment::StreamKey,
-    catalog::{Catalog, RequestKind},
+    catalog::{Catalog, RequestKind, Route},
     prefix::Chain,
     quarantine::{self, Suspect},
 };
@@ -18,6 +18,7 @@
 
 use crate::{
     clock, content,
+    dialect::RequestHead,
     exchange::Exchange,
     gateway::Gateway,
     gossip::Gossip,
@@ -123,15 +124,7 @@
     let service = route
         .service(fleet::rendezvous::weight(began_by, ""))
         .clone();
-    let name = request_head.name.as_deref().unwrap_or_default();
-    let mut prefix_chain = Chain::new(name, &request_head.prompt_parts);
-    if request_head.prompt_parts.is_empty() && request_head.prompt_tokens > 0 {
-        let prompt = fleet::prefix::Part {
-            id: rand::random(),
-            tokens: request_head.prompt_tokens,
-        };
-        prefix_chain = Chain::new(name, &[prompt]);
-    }
+    let prefix_chain = prefix_chain(&request_head);
     let content = content::identify(
         &*gateway.dialect,
         &parts.method,
@@ -139,17 +132,7 @@
         &headers,
         &body,
     );
-    let is_resumed = request_head.last_event_id.is_some();
-    let began_by = if is_resumed {
-        request_head.resumed_request.as_deref()
-    } else {
-        Some(request_head.id.as_str())
-    };
-    let stream_key = if route.kind == RequestKind::Resumable {
-        StreamKey::new(request_head.name.as_deref(), began_by)
-    } else {
-        None
-    };
+    let stream_key = stream_key(&route, &request_head);
     let mut suspects = quarantine::suspects(&service, &request_head.prompt_parts);
     suspects.push(Suspect::whole(content));
     Ok(Exchange {
@@ -192,6 +175,31 @@
     })
 }
 
+/// Returns the key of the stream that a request begins or resumes, if its route allows that streams are resumed.
+fn stream_key(route: &Route, request_head: &RequestHead) -> Option<StreamKey> {
+    if route.kind != RequestKind::Resumable {
+        return None;
+    }
+    let began_by = match request_head.last_event_id {
+        Some(_) => request_head.resumed_request.as_deref(),
+        None => Some(request_head.id.as_str()),
+    };
+    StreamKey::new(request_head.name.as_deref(), began_by)
+}
+
+/// Returns the parts of a prompt. One whose parts aren't named is unlike any other.
+fn prefix_chain(request_head: &RequestHead) -> Chain {
+    let name = request_head.name.as_deref().unwrap_or_default();
+    if !request_head.prompt_parts.is_empty() || request_head.prompt_tokens == 0 {
+        return Chain::new(name, &request_head.prompt_parts);
+    }
+    let prompt = fleet::prefix::Part {
+        id: rand::random(),
+        tokens: request_head.prompt_tokens,
+    };
+    Chain::new(name, &[prompt])
+}
+
 /// Returns the headers of a caller's request that are forwarded, with the length of its body.
 fn forwarded_headers(
     gateway: &Gateway,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -34,13 +34,21 @@
     last_event_id: Option<String>,
     /// True until the current engine or host has sent a complete event.
     awaiting_first: bool,
-    /// True once the caller was sent an event.
-    has_forwarded: bool,
-    /// True if the current engine was asked for the rest of the stream only.
-    is_resumed: bool,
+    progress: Progress,
     ended: bool,
 }
 
+/// Progress of a stream to its caller.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Progress {
+    /// The caller was sent no event.
+    Unsent,
+    /// All events are of the first engine that sent one.
+    Begun,
+    /// A later engine was asked for the rest of the stream only.
+    Resumed,
+}
+
 /// Part of the body that an engine sent.
 enum Received {
     /// Complete events.
@@ -98,8 +106,7 @@
             buffer: sse::Buffer::default(),
             last_event_id,
             awaiting_first: true,
-            has_forwarded: false,
-            is_resumed: false,
+            progress: Progress::Unsent,
             ended: false,
         }
     }
@@ -126,7 +133,9 @@
             match step {
                 Step::Moved => {}
                 Step::Forward(bytes) => {
-                    self.has_forwarded = true;
+                    if self.progress == Progress::Unsent {
+                        self.progress = Progress::Begun;
+                    }
                     self.exchange.trace.record_forwarded();
                     return Some(Ok(bytes));
                 }
@@ -220,7 +229,9 @@
             return Step::Broken("no engine");
         };
         match received {
-            Ok(Received::Events(bytes)) if self.is_resumed && !sse::are_events(&bytes) => {
+            Ok(Received::Events(bytes))
+                if self.progress == Progress::Resumed && !sse::are_events(&bytes) =>
+            {
                 Step::Broken("not an event")
             }
             Ok(Received::Events(bytes)) => {
@@ -304,7 +315,7 @@
         while self.exchange.may_hand_over() {
             match self.exchange.send_to_host(last_event_id.as_deref()).await {
                 Ok(response) => {
-                    if !self.has_forwarded {
+                    if self.progress == Progress::Unsent {
                         self.exchange.adopt_host_build(&response);
                     }
                     let build = response.build();
@@ -335,7 +346,9 @@
         let (head, body, _, in_flight) = response;
         self.keep_alive = crate::call::keep_alive_timeout(&head.headers);
         self.awaiting_first = true;
-        self.is_resumed = self.has_forwarded;
+        if self.progress == Progress::Begun {
+            self.progress = Progress::Resumed;
+        }
         self.upstream = Some((body, in_flight));
     }
 
@@ -345,7 +358,7 @@
         let mut sent = sent;
         let budget_until = clock::now() + PLACEMENT_TIMEOUT;
         // An older host doesn't state the build of the stream that it sends.
-        if self.has_forwarded && self.exchange.build.is_none() {
+        if self.progress != Progress::Unsent && self.exchange.build.is_none() {
             self.exchange.build = self.exchange.find_stream_origin().await;
             if self.exchange.build.is_none() {
                 self.exchange.trace.record_resume_failure("origin-unknown");
