--- a/crates/fleet/src/origin.rs
+++ b/crates/fleet/src/origin.rs
@@ -7,7 +7,9 @@
 //!
 //! A service whose engines are all of one build needs no records: whoever began a stream was of that build. No record
 //! is sent while a host has followed the list of engines for as long as a stream can last and has seen one build only.
-//! A stream without a record is continued if the hosts that were asked have all seen the same build only.
+//! The origin of a stream without a record is computed from its assignment ([`crate::assignment`]). Only where streams
+//! began without one, the list decides: such a stream is continued if the hosts that were asked have all seen the same
+//! build only.
 
 use std::{
     collections::{HashMap, HashSet, VecDeque},
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -309,10 +309,15 @@
 
     /// Keeps a new stream that another host sends at the build of that host's engine.
     pub(crate) fn adopt_host_build(&mut self, response: &HostResponse) {
+        self.keep_at_build(response.build());
+    }
+
+    /// Keeps a new stream at a build, whichever is assigned to it.
+    fn keep_at_build(&mut self, build: Option<BuildId>) {
         if self.assigned.take().is_some() {
             self.build = None;
         }
-        self.build = self.build.or(response.build());
+        self.build = self.build.or(build);
     }
 
     /// Tells the host that passed the request on which build sends the stream, and keeps it at that build.
@@ -321,10 +326,7 @@
         engine_build: Option<BuildId>,
         headers: &mut HeaderMap,
     ) {
-        if self.assigned.take().is_some() {
-            self.build = None;
-        }
-        self.build = self.build.or(engine_build);
+        self.keep_at_build(engine_build);
         headers.remove(&BUILD);
         if let Some(build) = self.build {
             headers.insert(BUILD.clone(), build.0.into());
