--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -260,7 +260,7 @@
         }
     }
 
-    /// What the request needs to be loaded, if it names an adapter or a base model.
+    /// The adapter or base model that the request needs at its engine.
     fn wanted(&self) -> Option<Wanted> {
         let name = self.request_head.name.clone()?;
         Some(Wanted {
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -43,7 +43,7 @@
 /// Time without a message after which no heartbeats are sent to a host, unless the store lists it.
 const FORGET_AFTER: Duration = Duration::from_mins(1);
 
-/// Where a host begins streams.
+/// Builds at which a host begins streams.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum StreamStart {
     /// At the builds assigned to them.
