--- a/crates/fleet/src/assignment.rs
+++ b/crates/fleet/src/assignment.rs
@@ -157,6 +157,12 @@
         self.assignments.last()
     }
 
+    /// Returns the number of the oldest assignment.
+    fn first_number(&self) -> u64 {
+        let kept = u64::try_from(self.assignments.len()).unwrap_or(u64::MAX);
+        (self.number + 1).saturating_sub(kept)
+    }
+
     /// Returns the build at which a new stream begins.
     pub fn build(&self, key: StreamKey) -> Option<&Build> {
         self.current()?.build(key)
@@ -278,8 +284,7 @@
 impl Superseded {
     /// Records the history as known to this host.
     pub fn observe(&mut self, history: &History, now: Time) {
-        let kept = u64::try_from(history.assignments.len()).unwrap_or(u64::MAX);
-        let first = (history.number + 1).saturating_sub(kept);
+        let first = history.first_number();
         self.0.retain(|it, _| (first..history.number).contains(it));
         for it in first..history.number {
             self.0.entry(it).or_insert(now);
@@ -289,9 +294,7 @@
     /// Returns whether streams that begin without regard to their assignment now are covered for as long as they can be
     /// resumed.
     pub fn covers_unassigned(&self, history: &History, now: Time) -> bool {
-        let first = (history.number + 1)
-            .saturating_sub(u64::try_from(history.assignments.len()).unwrap_or(0));
-        let numbered = (first..).zip(&history.assignments);
+        let numbered = (history.first_number()..).zip(&history.assignments);
         let newest = numbered.filter(|it| it.1.points.is_empty()).last();
         let since = newest.and_then(|it| self.0.get(&it.0));
         since.is_some_and(|it| now + STREAM_TTL < *it + RETENTION)
