Take a retry from the budget when a request is passed on again

Cause: the next host counts a retry if the handover names engines that have had the request. Engines that a lost host has asked are named by nobody, so neither host took a retry.

The retry is returned if the next host doesn't take the request. No message changes.

Result: isolation::streams_that_lose_the_host_that_sends_them_go_on_within_the_retry_budget failed before (32, 26 and 32 repetitions of 16 allowed) and passes.

--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -549,6 +549,7 @@
             gateway: self.clone(),
             service: service.clone(),
             reserved_at,
+            is_spent: false,
         })
     }
 
@@ -685,15 +686,27 @@
     log::info!(event = "engine-full", engine = id, running, tolerance, why; "engine {id} refuses requests for want of room");
 }
 
-/// Retry that is reserved in the budget. Dropping it returns it to the budget.
+/// Retry that is reserved in the budget. Dropping it returns it to the budget, unless it is spent.
 pub(crate) struct ReservedRetry {
     gateway: Rc<Gateway>,
     service: Arc<str>,
     reserved_at: Time,
+    is_spent: bool,
+}
+
+impl ReservedRetry {
+    /// Records that the retry was sent.
+    pub(crate) fn spend(mut self) {
+        self.is_spent = true;
+        self.gateway.metrics.count_retry(&self.service, "sent");
+    }
 }
 
 impl Drop for ReservedRetry {
     fn drop(&mut self) {
+        if self.is_spent {
+            return;
+        }
         let mut budget = self.gateway.budget(&self.service);
         budget.return_retry(self.reserved_at);
     }
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -22,12 +22,13 @@
 use crate::{
     call, clock,
     connection::{self, Connection, Failure, Reuse},
-    exchange::Exchange,
+    exchange::{BUDGET_PAUSE, Exchange},
     forward,
-    gateway::Gateway,
+    gateway::{Gateway, ReservedRetry},
     gossip::Gossip,
     relay::Relay,
     reply::{self, Body, Fault},
+    takeover::PLACEMENT_TIMEOUT,
     trace::End,
 };
 
@@ -205,10 +206,24 @@
                     Fault::NoEngine
                 });
             };
+            let retry = match self.reserve_repetition().await {
+                Repetition::NoBudget => {
+                    self.gateway.metrics.count_retry(&self.service, "refused");
+                    self.hosts_left = 0;
+                    return Err(Fault::UpstreamLost);
+                }
+                Repetition::Reserved(it) => Some(it),
+                Repetition::None => None,
+            };
             self.hosts_left -= 1;
             self.hosts_tried.push(name.clone());
             self.trace.record_handover(&name);
             let outcome = self.try_host(&name, addr, last_event_id).await;
+            if let Some(retry) = retry
+                && !matches!(outcome, Err(HostFailure::NotTaken(_)))
+            {
+                retry.spend();
+            }
             let metrics = &self.gateway.metrics;
             match outcome {
                 Ok(response) => {
@@ -235,6 +250,32 @@
         }
     }
 
+    /// Reserves a retry if a lost host may have sent the request to an engine. The next host doesn't know of that, so its
+    /// first attempt takes none. It knows of the engines that this host has asked.
+    async fn reserve_repetition(&mut self) -> Repetition {
+        if !self.may_have_run || !self.attempted_ids().is_empty() {
+            return Repetition::None;
+        }
+        let until = self.deadline.min(clock::now() + PLACEMENT_TIMEOUT);
+        loop {
+            if let Some(it) = self.gateway.reserve_retry(&self.service) {
+                return Repetition::Reserved(it);
+            }
+            if clock::now() + BUDGET_PAUSE >= until {
+                return Repetition::NoBudget;
+            }
+            self.wait_for_budget().await;
+        }
+    }
+
+    /// Ids of the engines to which this host has sent the request.
+    fn attempted_ids(&self) -> Vec<String> {
+        let table = self.gateway.table.borrow();
+        let attempted = self.attempted_engines.iter();
+        let attempted = attempted.filter_map(|it| table.get(*it));
+        attempted.map(|it| it.listing.id.to_string()).collect()
+    }
+
     /// Sends the request to a host and reads the head of the response.
     async fn try_host(
         &mut self,
@@ -282,13 +323,10 @@
 
     fn build_handover(&self, last_event_id: Option<&str>) -> Request<Bytes> {
         let remaining = self.deadline.saturating_sub(clock::now());
-        let table = self.gateway.table.borrow();
-        let attempted = self.attempted_engines.iter();
-        let attempted = attempted.filter_map(|it| table.get(*it));
         let handover = Handover {
             host: self.gateway.holder.to_string(),
             remaining_ms: u64::try_from(remaining.as_millis()).unwrap_or(u64::MAX),
-            attempted: attempted.map(|it| it.listing.id.to_string()).collect(),
+            attempted: self.attempted_ids(),
             may_have_run: self.may_have_run,
             last_event_id: last_event_id.map(str::to_owned),
             build: self
@@ -353,6 +391,14 @@
     }
 }
 
+/// Whether passing a request on repeats it.
+enum Repetition {
+    /// It doesn't, or the next host takes the retry.
+    None,
+    Reserved(ReservedRetry),
+    NoBudget,
+}
+
 /// Why there is no response of another host.
 enum HostFailure {
     /// The request did not run there.
