Take newer configurations from other hosts while the store does not answer

Cause: only hosts of one failure domain share lists, and a newer configuration was taken from any host only after a rollback of the store.

Change: a host whose store does not answer takes a newer configuration from any live host, whose heartbeats name the revision. No message changes. Ruled out: passing requests on only to hosts with the newest configuration, which leaves the callers of the host without the store with the old one.

Result: config::a_host_that_lost_the_store_learns_of_a_newer_configuration_from_others failed before (404 after 2 s) and passes, with a silent and a refusing store.

--- a/crates/gateway/src/list_sync.rs
+++ b/crates/gateway/src/list_sync.rs
@@ -158,8 +158,8 @@
     }
 }
 
-/// Takes the configuration from another host that has adopted a newer one than this host. The store may have
-/// lost it, until the operator writes it again.
+/// Takes the configuration from another host that has adopted a newer one than this host. This host may be cut off from
+/// the store, or the store may have lost it until the operator writes it again.
 pub async fn adopt_newer_config(gateway: &Rc<Gateway>) {
     let own = gateway.catalog().map_or(0, |it| it.revision);
     let source = gateway.peers.borrow().newer_config(own, clock::now());
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -49,7 +49,8 @@
     let mut backoff = MIN_BACKOFF;
     let mut last_role = None;
     loop {
-        if kind == Kind::Config && !gateway.is_era_settled() {
+        let store_may_lag = gateway.is_store_unavailable() || !gateway.is_era_settled();
+        if kind == Kind::Config && store_may_lag {
             list_sync::adopt_newer_config(&gateway).await;
         }
         let role = list_sync::current_role(&gateway, kind);
