Let a stopping host finish the requests that another host passed on

A test shows it: a stream with an event a second ends after the third of five.

Cause: a stopping host waits for the connections of its own callers only.

Change: connections with requests of other hosts are counted too, and end after their current request once the host is closing, like those of callers.

--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -3,7 +3,7 @@
 //! The other host handles the request like one of its own callers', with the attempts, the deadline and the build that
 //! this host tells. It doesn't pass the request on again. What it answers goes to the caller unchanged.
 
-use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{convert::Infallible, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use fleet::{Time, catalog::RequestKind, origin::BuildId};
@@ -17,7 +17,7 @@
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use serde::{Deserialize, Serialize};
-use tokio::{net::TcpStream, time};
+use tokio::{net::TcpStream, sync::watch, time};
 
 use crate::{
     call, clock,
@@ -28,6 +28,7 @@
     gossip::Gossip,
     relay::Relay,
     reply::{self, Body, Fault},
+    server::{self, OpenConnection},
     takeover::PLACEMENT_TIMEOUT,
     trace::End,
 };
@@ -409,7 +410,13 @@
 }
 
 /// Serves the requests that another host passes on over a connection. Only hosts of the fleet are let in.
-pub async fn serve(stream: TcpStream, gateway: Rc<Gateway>, gossip: Rc<Gossip>) {
+pub async fn serve(
+    stream: TcpStream,
+    gateway: Rc<Gateway>,
+    gossip: Rc<Gossip>,
+    mut closing: watch::Receiver<bool>,
+) {
+    let _open = OpenConnection::new(gateway.clone());
     let Ok(from) = stream.peer_addr() else { return };
     if !gateway.peers.borrow().is_member(from.ip()) {
         log::warn!(event = "stranger", addr = from.to_string(); "{from} is no host of the fleet: its connection is closed");
@@ -421,14 +428,14 @@
     }
     let service = service_fn(|request: Request<Incoming>| {
         let response = handle(gateway.clone(), gossip.clone(), request);
-        async { Ok::<_, std::convert::Infallible>(response.await) }
+        async { Ok::<_, Infallible>(response.await) }
     });
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
         .max_buf_size(MAX_HEAD_BYTES)
         .serve_connection(TokioIo::new(stream), service);
-    if let Err(error) = connection.await {
+    if let Err(error) = server::drive(&mut connection, &mut closing).await {
         log::debug!("a connection of host {from} failed: {error}");
     }
 }
--- a/crates/gateway/src/list_sync.rs
+++ b/crates/gateway/src/list_sync.rs
@@ -16,6 +16,7 @@
 use tokio::{
     io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
     net::{TcpListener, TcpStream},
+    sync::watch::Receiver,
     time,
 };
 
@@ -213,7 +214,12 @@
 }
 
 /// Serves lists, and requests that are passed on, to other hosts until the process ends.
-pub async fn serve(listener: TcpListener, gateway: Rc<Gateway>, gossip: Rc<Gossip>) {
+pub async fn serve(
+    listener: TcpListener,
+    gateway: Rc<Gateway>,
+    gossip: Rc<Gossip>,
+    closing: Receiver<bool>,
+) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             time::sleep(BOOTSTRAP_INTERVAL).await;
@@ -221,9 +227,10 @@
         };
         let gateway = gateway.clone();
         let gossip = gossip.clone();
+        let closing = closing.clone();
         tokio::task::spawn_local(async move {
             match handover::is_request(&stream, RESPONSE_TIMEOUT).await {
-                Some(true) => handover::serve(stream, gateway, gossip).await,
+                Some(true) => handover::serve(stream, gateway, gossip, closing).await,
                 Some(false) => {
                     let _ = time::timeout(RESPONSE_TIMEOUT, respond(stream, &gateway)).await;
                 }
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -110,7 +110,7 @@
         caller_listener,
         gateway.clone(),
         gossip.clone(),
-        closing,
+        closing.clone(),
     ));
     for kind in LISTS {
         spawn_local(follow(gateway.clone(), kind));
@@ -124,6 +124,7 @@
         peer_listener,
         gateway.clone(),
         gossip.clone(),
+        closing,
     ));
     spawn_local(isolation::watch(gateway.clone()));
     spawn_local(list_sync::bootstrap(gateway.clone()));
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -10,7 +10,7 @@
     header::{CONNECTION, HeaderValue},
     http::StatusCode,
     server::conn::http1,
-    service::service_fn,
+    service::{HttpService, service_fn},
 };
 use hyper_util::rt::{TokioIo, TokioTimer};
 use tokio::{
@@ -71,8 +71,18 @@
     }
 }
 
-/// Guard that counts a caller's connection until its last response is written.
-struct OpenConnection(Rc<Gateway>);
+/// Guard that counts a connection with requests until its last response is written.
+pub(crate) struct OpenConnection(Rc<Gateway>);
+
+impl OpenConnection {
+    /// Counts a connection.
+    pub(crate) fn new(gateway: Rc<Gateway>) -> Self {
+        gateway
+            .open_connections
+            .set(gateway.open_connections.get() + 1);
+        Self(gateway)
+    }
+}
 
 impl Drop for OpenConnection {
     fn drop(&mut self) {
@@ -89,10 +99,7 @@
     gossip: Rc<Gossip>,
     mut closing: watch::Receiver<bool>,
 ) {
-    gateway
-        .open_connections
-        .set(gateway.open_connections.get() + 1);
-    let _open = OpenConnection(gateway.clone());
+    let _open = OpenConnection::new(gateway.clone());
     if let Err(error) = connection::set_socket_options(&stream) {
         log::debug!("cannot set options of a caller's connection: {error}");
         return;
@@ -119,14 +126,7 @@
         .header_read_timeout(gateway.head_timeout.get())
         .max_buf_size(limits.header_bytes.max(8 << 10) * 2)
         .serve_connection(TokioIo::new(stream), service);
-    let result = tokio::select! {
-        it = &mut connection => it,
-        _ = closing.wait_for(|it| *it) => {
-            std::pin::Pin::new(&mut connection).graceful_shutdown();
-            (&mut connection).await
-        }
-    };
-    if let Err(error) = result {
+    if let Err(error) = drive(&mut connection, &mut closing).await {
         log::debug!("a caller's connection failed: {error}");
         // Of the other errors, some come after a whole response, which a reset could discard.
         let is_truncated = error.is_user();
@@ -140,6 +140,23 @@
     }
 }
 
+/// Serves a connection until it ends, and lets it end after its current request once this host is closing.
+pub(crate) async fn drive<S>(
+    connection: &mut http1::Connection<TokioIo<TcpStream>, S>,
+    closing: &mut watch::Receiver<bool>,
+) -> hyper::Result<()>
+where
+    S: HttpService<Incoming, ResBody = Body, Error = Infallible>,
+{
+    tokio::select! {
+        it = &mut *connection => it,
+        _ = closing.wait_for(|it| *it) => {
+            std::pin::Pin::new(&mut *connection).graceful_shutdown();
+            connection.await
+        }
+    }
+}
+
 /// Serves the metrics until the process ends.
 pub async fn serve_metrics(listener: TcpListener, gateway: Rc<Gateway>) {
     serve_endpoint(listener, gateway, |gateway| {
