--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -392,9 +392,9 @@
     }
 }
 
-/// Whether passing a request on repeats it.
+/// Retry that passing a request on takes.
 enum Repetition {
-    /// It doesn't, or the next host takes the retry.
+    /// The request has not run, or the next host takes the retry.
     None,
     Reserved(ReservedRetry),
     NoBudget,
