--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -207,15 +207,7 @@
                     Fault::NoEngine
                 });
             };
-            let retry = match self.reserve_repetition().await {
-                Repetition::NoBudget => {
-                    self.gateway.metrics.count_retry(&self.service, "refused");
-                    self.hosts_left = 0;
-                    return Err(Fault::UpstreamLost);
-                }
-                Repetition::Reserved(it) => Some(it),
-                Repetition::None => None,
-            };
+            let retry = self.reserve_repetition().await?;
             self.hosts_left -= 1;
             self.hosts_tried.push(name.clone());
             self.trace.record_handover(&name);
@@ -252,18 +244,20 @@
     }
 
     /// Reserves a retry if a lost host may have sent the request to an engine. The next host doesn't know of that, so its
-    /// first attempt takes none. It knows of the engines that this host has asked.
-    async fn reserve_repetition(&mut self) -> Repetition {
+    /// first attempt takes none. It knows of the engines that this host has asked. Fails if the budget has no retry.
+    async fn reserve_repetition(&mut self) -> Result<Option<ReservedRetry>, Fault> {
         if !self.may_have_run || !self.attempted_ids().is_empty() {
-            return Repetition::None;
+            return Ok(None);
         }
         let until = self.deadline.min(clock::now() + PLACEMENT_TIMEOUT);
         loop {
             if let Some(it) = self.gateway.reserve_retry(&self.service) {
-                return Repetition::Reserved(it);
+                return Ok(Some(it));
             }
             if clock::now() + BUDGET_PAUSE >= until {
-                return Repetition::NoBudget;
+                self.gateway.metrics.count_retry(&self.service, "refused");
+                self.hosts_left = 0;
+                return Err(Fault::UpstreamLost);
             }
             self.wait_for_budget().await;
         }
@@ -392,14 +386,6 @@
     }
 }
 
-/// Retry that passing a request on takes.
-enum Repetition {
-    /// The request has not run, or the next host takes the retry.
-    None,
-    Reserved(ReservedRetry),
-    NoBudget,
-}
-
 /// Why there is no response of another host.
 enum HostFailure {
     /// The request did not run there.
