Order the incarnations of engines by their entries, not by their clocks

Callers' streams went on at another build: an engine that starts again under its id with its clock set back states an earlier start than before, so its entry was taken for an older copy and ignored as long as the id was known (fleet::engine::update, table::has_departed; gossip::quarantine did not recognise its restart).

The order of starts guarded against older copies of the store. Now a host remembers which incarnations were superseded by another entry, and ignores these.

fleet tables:: has one new test; the assertions on has_departed now name which of three cases holds.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -32,6 +32,9 @@
 /// [`Engine::slowness`] corrects the value for each engine.
 pub const PREFILL_TOKENS_PER_MS: f64 = 22.0;
 
+/// Maximum number of superseded incarnations of an engine that are remembered.
+const MAX_SUPERSEDED: usize = 16;
+
 /// Maximum number of prompts with pending prefill that are tracked per engine.
 const MAX_PENDING_PROMPTS: usize = 256;
 
@@ -152,6 +155,10 @@
 pub struct Engine {
     /// Latest entry of the platform's list.
     pub listing: Listing,
+    /// When this host first read an entry of the current incarnation.
+    pub listed_since: Time,
+    /// Earlier incarnations, the oldest first.
+    superseded: VecDeque<u64>,
     /// Base models and adapters that the engine is estimated to hold.
     pub held: HashMap<Name, Estimate>,
     /// Adapters that were recently found missing or withdrawn for an order, with the time of the removal.
@@ -196,6 +203,8 @@
                 held: Vec::new(),
                 ..listing.clone()
             },
+            listed_since: now,
+            superseded: VecDeque::new(),
             held: HashMap::new(),
             recently_removed: HashMap::new(),
             local_work: Workload::default(),
@@ -219,12 +228,14 @@
     }
 
     /// Adopts the current entry of the platform's list. A new incarnation holds nothing of the previous one.
-    /// An entry of an earlier incarnation comes from an older copy of the store and is ignored.
+    /// An entry of a superseded incarnation comes from an older copy of the store and is ignored.
     pub fn update(&mut self, listing: Listing, now: Time) {
-        if listing.incarnation < self.listing.incarnation {
+        if self.is_superseded(listing.incarnation) {
             return;
         }
         if listing.incarnation != self.listing.incarnation {
+            self.supersede(self.listing.incarnation);
+            self.listed_since = now;
             self.leaving = false;
             self.backoff = Backoff::default();
             self.room.record_restart(now);
@@ -257,6 +268,33 @@
         self.listing = listing;
     }
 
+    /// Returns whether another incarnation was listed after this one. Starts are stated by the engine's clock, which may
+    /// be set back, so only the order of the entries tells which one is later.
+    pub fn is_superseded(&self, incarnation: u64) -> bool {
+        self.superseded.contains(&incarnation)
+    }
+
+    /// Records that an incarnation is no longer the current one.
+    fn supersede(&mut self, incarnation: u64) {
+        self.superseded.push_back(incarnation);
+        if self.superseded.len() > MAX_SUPERSEDED {
+            self.superseded.pop_front();
+        }
+    }
+
+    /// Takes over the last incarnation of an engine that was removed, and those before.
+    pub(crate) fn restore_superseded(&mut self, superseded: VecDeque<u64>, last: u64) {
+        self.superseded = superseded;
+        if last != self.listing.incarnation {
+            self.supersede(last);
+        }
+    }
+
+    /// Returns the earlier incarnations.
+    pub(crate) fn into_superseded(self) -> VecDeque<u64> {
+        self.superseded
+    }
+
     /// Records that the engine should hold an adapter or a base model from now on.
     pub fn record_load(&mut self, name: &Name, version: u64, now: Time) {
         self.recently_removed.remove(name);
--- a/crates/fleet/src/listing.rs
+++ b/crates/fleet/src/listing.rs
@@ -13,7 +13,8 @@
 pub struct Listing {
     /// Its id, which a later incarnation may have again.
     pub id: Arc<str>,
-    /// Start of this incarnation in ms of the wall clock. It is only compared for equality.
+    /// Start of this incarnation in ms of the engine's clock. It is only compared for equality, since the clock may be
+    /// set back.
     pub incarnation: u64,
     /// The service that the engine belongs to.
     pub service: Arc<str>,
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -107,13 +107,27 @@
 }
 
 /// A removed engine.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct Departed {
     incarnation: u64,
+    /// Incarnations before that one, the oldest first.
+    superseded: VecDeque<u64>,
     /// True if it was known to accept no more work, so that it can't come back.
     leaving: bool,
 }
 
+/// Relation of an entry, of which it is unknown when it was written, to what this host knows of the engine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Standing {
+    /// The engine is unknown, or the entry is of its current incarnation.
+    Current,
+    /// Another incarnation was listed later, or the engine was removed. The entry comes from an older copy of the store.
+    Outdated,
+    /// The entry is of another incarnation than the one that this host knows or has seen leave. It may be a later one, or
+    /// an earlier one that this host has not seen.
+    Uncertain,
+}
+
 /// The newest announced version of an adapter.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Announced {
@@ -156,21 +170,37 @@
         self.ids.insert(listing.id.clone(), key);
         self.short_ids.insert(short_id(&listing.id), key);
         self.count_build(&ServiceBuild::of(&listing), now, |it| it + 1);
-        let departed = self.departed.get(&listing.id).copied();
+        let departed = self.departed.get(&listing.id);
         let mut engine = Engine::new(listing, now);
-        if let Some(it) = departed.filter(|it| it.leaving) {
-            engine.mark_leaving(it.incarnation);
+        if let Some(it) = departed {
+            engine.restore_superseded(it.superseded.clone(), it.incarnation);
+            if it.leaving {
+                engine.mark_leaving(it.incarnation);
+            }
         }
         self.engines.insert(key, engine);
         key
     }
 
-    /// Returns whether this incarnation, or a later one, was removed. The entry may then come from an older
-    /// copy of the store.
-    pub fn has_departed(&self, listing: &Listing) -> bool {
-        let departed = self.departed.get(&listing.id);
-        !self.ids.contains_key(&listing.id)
-            && departed.is_some_and(|it| listing.incarnation <= it.incarnation)
+    /// Returns the relation of an entry to what is known of its engine. The entry may come from an older copy of the
+    /// store.
+    pub fn standing(&self, listing: &Listing) -> Standing {
+        let incarnation = listing.incarnation;
+        let engine = self.find(&listing.id).and_then(|it| self.get(it));
+        let (current, is_outdated) = match (engine, self.departed.get(&listing.id)) {
+            (Some(it), _) => (it.listing.incarnation, it.is_superseded(incarnation)),
+            (None, Some(it)) => {
+                let is_outdated =
+                    it.incarnation == incarnation || it.superseded.contains(&incarnation);
+                (it.incarnation, is_outdated)
+            }
+            (None, None) => return Standing::Current,
+        };
+        match (is_outdated, current == incarnation) {
+            (true, _) => Standing::Outdated,
+            (false, true) => Standing::Current,
+            (false, false) => Standing::Uncertain,
+        }
     }
 
     /// Remembers a removed engine.
@@ -222,12 +252,14 @@
             let build = ServiceBuild::of(listing);
             self.count_build(&build, now, |it| it.saturating_sub(1));
             if let Some(key) = self.ids.remove(&listing.id) {
-                let engine = self.engines.remove(&key);
-                let departed = Departed {
-                    incarnation: listing.incarnation,
-                    leaving: engine.is_some_and(|it| it.is_leaving()),
-                };
-                self.record_departure(&listing.id, departed);
+                if let Some(engine) = self.engines.remove(&key) {
+                    let departed = Departed {
+                        incarnation: listing.incarnation,
+                        leaving: engine.is_leaving(),
+                        superseded: engine.into_superseded(),
+                    };
+                    self.record_departure(&listing.id, departed);
+                }
                 self.short_ids.retain(|_, it| *it != key);
             }
         }
--- a/crates/fleet/tests/it/tables.rs
+++ b/crates/fleet/tests/it/tables.rs
@@ -4,7 +4,7 @@
     engine::Workload,
     listing::{Listing, State},
     prefix::{Cache, Chain, Part},
-    table::{Freshness, Removal},
+    table::{Freshness, Removal, Standing, Table},
 };
 
 use crate::fixture::{NOW, at, held, listing, ms, table};
@@ -240,15 +240,15 @@
     for id in ["i-1", "i-2"] {
         table.schedule_removal(id, Removal::StoreAvailable, at(0), at(0));
     }
-    assert!(!table.has_departed(&listing("i-1", &[])));
+    assert_eq!(table.standing(&listing("i-1", &[])), Standing::Current);
     assert_eq!(table.remove_expired(at(LATER)).len(), 2);
     let next = Listing {
         incarnation: 2,
         ..listing("i-1", &[])
     };
-    assert!(table.has_departed(&listing("i-1", &[])));
-    assert!(table.has_departed(&listing("i-2", &[])));
-    assert!(!table.has_departed(&next));
+    assert_eq!(table.standing(&listing("i-1", &[])), Standing::Outdated);
+    assert_eq!(table.standing(&listing("i-2", &[])), Standing::Outdated);
+    assert_eq!(table.standing(&next), Standing::Uncertain);
     // Only a lapsed entry may come back: the engine that drained has ended.
     let keys = ["i-1", "i-2"].map(|it| table.upsert(listing(it, &[]), at(LATER)));
     let used = keys.map(|it| {
@@ -336,3 +336,42 @@
     let wanted: Vec<&str> = wanted.iter().map(|it| &**it).collect();
     assert_eq!(wanted, ["m/c", "m/a"]);
 }
+
+/// An engine's clock may be set back before it starts again.
+#[test]
+fn incarnations_follow_each_other_as_their_entries_do_whatever_their_clocks_say() {
+    let (mut table, keys) = table(&[("i-1", &[])]);
+    let entry = |incarnation, build: &str| Listing {
+        incarnation,
+        build: build.into(),
+        ..listing("i-1", &[])
+    };
+    let build = |table: &Table| table.get(keys[0]).map(|it| it.listing.build.clone());
+    for (time, incarnation, name) in [(1, 1000, "v1"), (2, 700, "v2"), (3, 900, "v3")] {
+        assert_eq!(
+            table.standing(&entry(incarnation, name)),
+            Standing::Uncertain
+        );
+        table.upsert(entry(incarnation, name), at(time));
+        assert_eq!(build(&table).as_deref(), Some(name));
+        assert_eq!(table.standing(&entry(incarnation, name)), Standing::Current);
+    }
+    for (incarnation, name) in [(1, "v1"), (1000, "v1"), (700, "v2")] {
+        let copy = entry(incarnation, name);
+        assert_eq!(table.standing(&copy), Standing::Outdated);
+        table.upsert(copy, at(4));
+        assert_eq!(build(&table).as_deref(), Some("v3"));
+    }
+    table.schedule_removal("i-1", Removal::StoreAvailable, at(5), at(5));
+    assert_eq!(table.remove_expired(at(LATER)).len(), 1);
+    for incarnation in [1, 1000, 700, 900] {
+        assert_eq!(
+            table.standing(&entry(incarnation, "v1")),
+            Standing::Outdated
+        );
+    }
+    let key = table.upsert(entry(800, "v4"), at(LATER));
+    let engine = table.get(key).expect("the engine exists");
+    assert_eq!(&*engine.listing.build, "v4");
+    assert!(engine.is_superseded(900) && engine.is_superseded(1000));
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -39,6 +39,7 @@
     peers::Peers,
     server::HeadTimeout,
     settings::Settings,
+    watch::DeferredEntries,
 };
 
 /// Time after the store's recovery during which engine entries that vanished may be written again.
@@ -170,6 +171,8 @@
     pub full_engines: RefCell<Vec<Key>>,
     /// Engines whose entry has vanished, not yet announced to other hosts.
     pub vanished_engines: RefCell<Vec<crate::message::EngineIncarnation>>,
+    /// Entries of engines that may come from an older copy of the store.
+    pub deferred_entries: DeferredEntries,
     /// Era of the store.
     era: RefCell<era::Tracker>,
     /// True while the store's answers state no readable era.
@@ -257,6 +260,7 @@
             changed_limits: RefCell::default(),
             full_engines: RefCell::default(),
             vanished_engines: RefCell::default(),
+            deferred_entries: DeferredEntries::default(),
             era: RefCell::default(),
             is_era_unknown: Cell::default(),
             invalid_header_logged_at: Cell::default(),
--- a/crates/gateway/src/gossip/quarantine.rs
+++ b/crates/gateway/src/gossip/quarantine.rs
@@ -12,6 +12,7 @@
 use fleet::{
     Time,
     circuit::State,
+    engine::Engine,
     listing::Listing,
     quarantine::{
         Adoption, Incarnation, Notice, PartId, Quarantine, SETTLE_TIME, Suspect, Verdict,
@@ -139,13 +140,14 @@
 
     /// Reports a crash unless the engine turns out to be alive.
     async fn confirm_crash(self: Rc<Self>, key: Key, broke_at: Time) {
-        let listing = {
+        let listed = {
             let table = self.gateway.table.borrow();
-            table.get(key).map(|it| it.listing.clone())
+            let engine = table.get(key);
+            engine.map(|it| (it.listing.clone(), it.listed_since))
         };
         time::sleep(CONFIRM_DELAY).await;
-        let is_alive = match &listing {
-            Some(it) => self.has_answered_since(key, broke_at) || self.accepts(it.addr).await,
+        let is_alive = match &listed {
+            Some((it, _)) => self.has_answered_since(key, broke_at) || self.accepts(it.addr).await,
             None => true,
         };
         let suspicion = self
@@ -154,10 +156,10 @@
             .suspicions
             .borrow_mut()
             .remove(&key);
-        let (Some(listing), Some(suspicion)) = (listing, suspicion) else {
+        let (Some((listing, listed_since)), Some(suspicion)) = (listed, suspicion) else {
             return;
         };
-        if is_alive && !self.restarts(key, &listing).await {
+        if is_alive && !self.restarts(key, &listing, listed_since).await {
             let id = &*listing.id;
             log::info!(event = "engine-alive", engine = id; "a connection to engine {id} broke, but the engine is alive");
             return;
@@ -194,20 +196,23 @@
         engine.is_some_and(|it| it.own_success_at > broke_at + CONFIRM_DELAY / 2)
     }
 
-    /// Returns whether an engine that accepts connections turns out to have started again since it was listed like this.
-    /// It may be back under its id, or under another one at its address.
-    async fn restarts(&self, key: Key, listing: &Listing) -> bool {
+    /// Returns whether an engine that accepts connections turns out to have started again since its incarnation was first
+    /// listed. It may be back under its id, or under another one at its address.
+    async fn restarts(&self, key: Key, listing: &Listing, listed_since: Time) -> bool {
         let until = clock::now() + RESTART_NOTICE_TIME;
         loop {
             {
                 let table = self.gateway.table.borrow();
                 let engine = table.get(key);
-                let is_leaving = engine.is_none_or(fleet::engine::Engine::is_leaving);
+                let is_leaving = engine.is_none_or(Engine::is_leaving);
                 let is_gone =
                     engine.is_some_and(|it| it.circuit.state(clock::now()) == State::Unreachable);
-                let is_successor =
-                    |it: &Listing| it.addr == listing.addr && it.incarnation > listing.incarnation;
-                if table.iter().any(|it| is_successor(&it.1.listing)) || is_gone && !is_leaving {
+                let is_successor = |it: &Engine| {
+                    it.listing.addr == listing.addr
+                        && it.listed_since > listed_since
+                        && incarnation(&it.listing) != incarnation(listing)
+                };
+                if table.iter().any(|it| is_successor(it.1)) || is_gone && !is_leaving {
                     return true;
                 }
                 if is_leaving || clock::now() >= until {
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     attribution::Attribution, call, clock, dialect::Command, gateway::Gateway, gossip::Gossip,
-    message,
+    message, watch,
 };
 
 /// Timeout for an engine's response to an order or a status query. A lost response never arrives.
@@ -52,6 +52,7 @@
         gossip.send_updates().await;
         request_copies(&gateway, &gossip, &mut copied).await;
         remove_expired(&gateway);
+        watch::apply_due(&gateway);
     }
 }
 
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -1,5 +1,7 @@
 //! Follows the configuration, the engines and the announced versions in the store.
 
+mod deferred;
+
 use std::{collections::HashSet, rc::Rc, time::Duration};
 
 use fleet::{
@@ -13,6 +15,7 @@
 use hyper::http::StatusCode;
 use tokio::time;
 
+pub use self::deferred::{DeferredEntries, apply_due};
 use crate::{
     clock,
     dialect::{Change, Changes, Kind, Object},
@@ -212,6 +215,9 @@
     let is_older_copy = known_era < era;
     if is_older_copy {
         gateway.list_cache.begin_era(kind, era);
+        if kind == Kind::Engines {
+            gateway.deferred_entries.begin_era(as_of);
+        }
     }
     let names: HashSet<&str> = objects.iter().map(|it| it.name.as_str()).collect();
     let mut removed = 0;
@@ -226,7 +232,7 @@
         log::warn!(event = "list-rolled-back", list, era = era.0, removed; "read the list {list} again in era {} of the store: {removed} objects are missing", era.0);
     }
     for object in objects {
-        if is_older_copy && kind == Kind::Engines && has_departed(gateway, object) {
+        if kind == Kind::Engines && deferred::defer(gateway, object) {
             gateway.list_cache.put(kind, object);
         } else {
             apply_object(gateway, kind, object);
@@ -239,13 +245,6 @@
     }
 }
 
-/// Returns whether an entry names an engine that this host has seen leave. In an older copy of the store it
-/// shows nothing; a living engine writes its entry again.
-fn has_departed(gateway: &Gateway, object: &Object) -> bool {
-    let listing = gateway.dialect.parse_listing(object);
-    listing.is_some_and(|it| gateway.table.borrow().has_departed(&it))
-}
-
 /// Adopts the configuration among these objects if it is newer than the current one.
 pub fn adopt_configs(gateway: &Rc<Gateway>, objects: &[Object]) {
     // The revision of the object may be from another era than this host's list.
@@ -312,6 +311,7 @@
     }
     gateway.list_cache.remove(kind, name, at);
     if kind == Kind::Engines {
+        gateway.deferred_entries.remove(name);
         log::info!(event = "entry-gone", engine = name; "the entry of engine {name} was removed");
         // The entry vanished after the list was last known to be complete.
         let latest = gateway.complete_at(kind)
@@ -387,6 +387,7 @@
     let now = clock::now();
     match kind {
         Kind::Engines => {
+            gateway.deferred_entries.remove(&object.name);
             let Some(listing) = gateway.dialect.parse_listing(object) else {
                 log::warn!(
                     event = "entry-unreadable", engine = &*object.name;
