Leave engines aside that may have started again as another build

Callers' streams held events of two builds: an engine that starts again under its id serves before its new entry is read, and hosts chose engines by the listed build although their connections to them had broken. Also, nothing compared the build again between the choice of an engine and its first event, and a stream that began at such an engine was recorded at the former build.

An engine is uncertain from a break on until there is proof from after it (fleet::identity): a new entry, a status report with the listed start, data on an old connection, or an answer and a list that has been complete since. No stream begins or goes on at an uncertain engine; hosts tell each other of breaks; the build is checked again with the head and the first event; origins of streams at engines that became uncertain are recorded once they are known.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -10,6 +10,7 @@
     Time,
     backoff::Backoff,
     circuit::Circuit,
+    identity::Identity,
     listing::{Held, Listing, Name, State},
     origin::BuildId,
     prefix::Cache,
@@ -159,6 +160,8 @@
     pub listed_since: Time,
     /// Earlier incarnations, the oldest first.
     superseded: VecDeque<u64>,
+    /// Certainty that the engine is the listed incarnation.
+    pub(crate) identity: Identity,
     /// Base models and adapters that the engine is estimated to hold.
     pub held: HashMap<Name, Estimate>,
     /// Adapters that were recently found missing or withdrawn for an order, with the time of the removal.
@@ -205,6 +208,7 @@
             },
             listed_since: now,
             superseded: VecDeque::new(),
+            identity: Identity::default(),
             held: HashMap::new(),
             recently_removed: HashMap::new(),
             local_work: Workload::default(),
@@ -236,6 +240,7 @@
         if listing.incarnation != self.listing.incarnation {
             self.supersede(self.listing.incarnation);
             self.listed_since = now;
+            self.identity = Identity::default();
             self.leaving = false;
             self.backoff = Backoff::default();
             self.room.record_restart(now);
@@ -472,9 +477,15 @@
         self.leaving
     }
 
-    /// Returns whether the engine may continue a stream that this build began; `None` stands for new work.
+    /// Returns whether the engine is certain to be of a build, which streams need; `None` stands for work that any build
+    /// may do.
     pub fn is_of_build(&self, build: Option<BuildId>) -> bool {
-        build.is_none_or(|it| it == BuildId::of(&self.listing))
+        build.is_none_or(|it| it == BuildId::of(&self.listing) && self.identity.is_certain())
+    }
+
+    /// Returns the certainty that the engine is the listed incarnation.
+    pub fn identity(&self) -> Identity {
+        self.identity
     }
 
     /// Returns whether the engine accepts new work.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod circuit;
 pub mod engine;
 pub mod era;
+pub mod identity;
 pub mod in_flight;
 pub mod isolation;
 pub mod lease;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -212,6 +212,20 @@
     engines.any(|it| it.1.circuit.state(now) != State::Unreachable)
 }
 
+/// Returns the engines that could serve the request if it were certain that they have not started again as another build.
+pub fn uncertain_engines(table: &Table, request: &PlacementRequest, now: Time) -> Vec<Key> {
+    let suits = |it: &Engine| {
+        &*it.listing.service == request.service
+            && it.accepts_work()
+            && request.build == Some(BuildId::of(&it.listing))
+            && it.circuit.state(now) != State::Unreachable
+            && request.name.is_none_or(|name| it.held.contains_key(name))
+    };
+    let engines = table.uncertain_engines();
+    let engines = engines.filter(|(key, it)| suits(it) && !request.tried.contains(key));
+    engines.map(|it| it.0).collect()
+}
+
 /// Returns the engines that accept work and to which the request has not been sent.
 fn usable_engines<'a>(
     table: &'a Table,
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -1,7 +1,7 @@
 //! All engines and instances of plain services that this host knows, and the newest versions of adapters.
 
 use std::{
-    collections::{BTreeMap, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
     sync::Arc,
     time::Duration,
 };
@@ -9,8 +9,9 @@
 use crate::{
     Time,
     engine::{Engine, Workload},
+    identity::{Announcement, Identity},
     listing::{Listing, Name, is_adapter},
-    origin::{BuildId, STREAM_TTL},
+    origin::{BuildId, MAX_LIST_GAP, STREAM_TTL},
     rendezvous::short_id,
 };
 
@@ -79,6 +80,12 @@
     builds: HashMap<Arc<str>, HashMap<BuildId, Presence>>,
     /// Average run time of a request in seconds, by service.
     run_times: HashMap<Arc<str>, f64>,
+    /// Engines that may have started again since their entries were written.
+    uncertain: BTreeSet<Key>,
+    /// Since when the list of engines has been complete without a gap.
+    complete_since: Option<Time>,
+    /// When the list of engines was last complete.
+    complete_at: Time,
 }
 
 /// Service of an engine, with its build.
@@ -157,6 +164,9 @@
             if let Some(engine) = self.engines.get_mut(&key) {
                 let previous = ServiceBuild::of(&engine.listing);
                 engine.update(listing, now);
+                if engine.identity.is_certain() {
+                    self.uncertain.remove(&key);
+                }
                 let current = ServiceBuild::of(&engine.listing);
                 if previous != current {
                     self.count_build(&previous, now, |it| it.saturating_sub(1));
@@ -252,6 +262,7 @@
             let build = ServiceBuild::of(listing);
             self.count_build(&build, now, |it| it.saturating_sub(1));
             if let Some(key) = self.ids.remove(&listing.id) {
+                self.uncertain.remove(&key);
                 if let Some(engine) = self.engines.remove(&key) {
                     let departed = Departed {
                         incarnation: listing.incarnation,
@@ -275,6 +286,70 @@
         builds.retain(|_, it| it.engines > 0 || it.changed_at + STREAM_TTL > now);
     }
 
+    /// Records that a connection to an engine broke at `at`, so that the engine may have ended.
+    pub fn record_break(&mut self, key: Key, at: Time, announcement: Announcement) {
+        self.change_identity(key, |it| it.record_break(at, announcement));
+    }
+
+    /// Returns whether the other hosts have to be told that an engine may have ended, and records that they are.
+    pub fn take_announcement(&mut self, key: Key) -> bool {
+        let engine = self.engines.get_mut(&key);
+        engine.is_some_and(|it| it.identity.take_announcement())
+    }
+
+    /// Records the start that an engine states in the answer to a query that was sent at `asked_at`.
+    pub fn record_start(&mut self, key: Key, incarnation: u64, asked_at: Time) {
+        let listed = self.get(key).map(|it| it.listing.incarnation);
+        self.change_identity(key, |it| {
+            if listed == Some(incarnation) {
+                it.record_listed_start(asked_at);
+            } else {
+                it.record_other_start(asked_at);
+            }
+        });
+    }
+
+    /// Records that an engine has answered on a connection that was opened at `connected_at`.
+    pub fn record_data(&mut self, key: Key, connected_at: Time, now: Time) {
+        if self.uncertain.contains(&key) {
+            self.change_identity(key, |it| it.record_data(connected_at, now));
+        }
+    }
+
+    /// Records that the list of engines is complete as of `at`.
+    pub fn observe_complete_list(&mut self, at: Time) {
+        if self.complete_at + MAX_LIST_GAP < at {
+            self.complete_since = None;
+        }
+        let since = *self.complete_since.get_or_insert(at);
+        self.complete_at = self.complete_at.max(at);
+        for key in self.uncertain.clone() {
+            self.change_identity(key, |it| it.record_list(since, at));
+        }
+    }
+
+    /// Records that entries of live engines may be missing from the list.
+    pub fn interrupt_list(&mut self) {
+        self.complete_since = None;
+    }
+
+    fn change_identity(&mut self, key: Key, change: impl FnOnce(&mut Identity)) {
+        let Some(engine) = self.engines.get_mut(&key) else {
+            return;
+        };
+        change(&mut engine.identity);
+        if engine.identity.is_certain() {
+            self.uncertain.remove(&key);
+        } else {
+            self.uncertain.insert(key);
+        }
+    }
+
+    /// Returns the engines that may have started again since their entries were written.
+    pub fn uncertain_engines(&self) -> impl Iterator<Item = (Key, &Engine)> {
+        (self.uncertain.iter()).filter_map(|it| Some((*it, self.get(*it)?)))
+    }
+
     /// Returns the builds that the engines of a service have, or had within the last `window`.
     pub fn builds_within(
         &self,
--- /dev/null
+++ b/crates/fleet/tests/it/identities.rs
@@ -0,0 +1,171 @@
+//! Tests of the certainty that an engine is still the incarnation that its entry names.
+
+use std::time::Duration;
+
+use fleet::{
+    Time,
+    identity::{Announcement, BREAK_TIME},
+    listing::Listing,
+    origin::{BuildId, MAX_LIST_GAP, SETTLE_TIME},
+    placement::{self, Placement, PlacementRequest},
+    prefix::Chain,
+    table::{Key, Table},
+};
+
+use crate::fixture::{at, listing, ms, table};
+
+/// Time between two complete lists.
+const LIST_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Returns a table of two engines, of which the connections of the first one broke at [`at`] 0.
+fn broken() -> (Table, Key) {
+    let (mut table, keys) = table(&[("i-1", &[]), ("i-2", &[])]);
+    table.record_break(keys[0], at(0), Announcement::Needed);
+    (table, keys[0])
+}
+
+fn is_certain(table: &Table, key: Key) -> bool {
+    table.get(key).is_some_and(|it| it.identity().is_certain())
+}
+
+/// Lists the engines completely from a time on.
+fn follow_list(table: &mut Table, from: Time, time: Duration) {
+    let mut now = from;
+    while now <= from + time {
+        table.observe_complete_list(now);
+        now += LIST_INTERVAL;
+    }
+}
+
+fn place(table: &Table, build: Option<BuildId>) -> Placement {
+    let name = "m".into();
+    let request = PlacementRequest {
+        service: "chat",
+        name: Some(&name),
+        chain: &Chain::new("m", &[]),
+        max_gap: ms(250),
+        domain: "z-1",
+        tried: &[],
+        build,
+        turn: None,
+        random: 7,
+    };
+    placement::place(table, &request, at(1))
+}
+
+/// The entry was read before the engine ended, and the new one is not written yet.
+#[test]
+fn streams_are_not_placed_on_an_engine_whose_connections_broke() {
+    let (mut table, keys) = table(&[("i-1", &[])]);
+    let build = BuildId::of(&listing("i-1", &[]));
+    assert!(matches!(place(&table, Some(build)), Placement::Send(_)));
+    table.record_break(keys[0], at(0), Announcement::Needed);
+    assert_eq!(place(&table, Some(build)), Placement::BuildGone);
+    assert!(matches!(place(&table, None), Placement::Send(_)));
+}
+
+#[test]
+fn an_engine_is_certain_again_once_another_incarnation_is_listed() {
+    let (mut table, key) = broken();
+    table.upsert(listing("i-1", &["a1"]), at(1));
+    assert!(!is_certain(&table, key), "the entry may be older");
+    let next = Listing {
+        incarnation: 2,
+        ..listing("i-1", &[])
+    };
+    table.upsert(next, at(2));
+    assert!(is_certain(&table, key));
+    assert_eq!(table.uncertain_engines().count(), 0);
+}
+
+#[test]
+fn an_engine_that_states_the_listed_start_after_the_break_has_not_ended() {
+    let (mut table, key) = broken();
+    table.record_start(key, 1, at(0) - ms(1));
+    assert!(!is_certain(&table, key), "it was asked before the break");
+    table.record_start(key, 1, at(0));
+    assert!(is_certain(&table, key));
+}
+
+#[test]
+fn an_engine_that_states_another_start_waits_for_its_entry() {
+    let (mut table, key) = broken();
+    table.record_start(key, 2, at(1));
+    table.record_data(key, at(0) - ms(60_000), at(500));
+    follow_list(&mut table, at(2), 2 * SETTLE_TIME);
+    assert!(!is_certain(&table, key));
+    follow_list(&mut table, at(2), 6 * SETTLE_TIME);
+    assert!(is_certain(&table, key), "its reports are wrong");
+}
+
+#[test]
+fn data_proves_that_an_engine_has_not_ended_only_on_an_old_connection() {
+    let after = at(0) + BREAK_TIME;
+    for (connected_at, now, proves) in [
+        (at(0) - ms(1000), after, true),
+        (at(0) - ms(1000), after - ms(1), false),
+        (at(0) - ms(999), after, false),
+        (at(1), after, false),
+    ] {
+        let (mut table, key) = broken();
+        table.record_data(key, connected_at, now);
+        assert_eq!(is_certain(&table, key), proves, "{connected_at:?} {now:?}");
+    }
+}
+
+/// A connection that was opened after the engine had started again is older than a later break.
+#[test]
+fn a_connection_from_after_the_first_break_proves_nothing_after_a_later_one() {
+    let (mut table, key) = broken();
+    table.record_break(key, at(3000), Announcement::Needed);
+    table.record_data(key, at(100), at(3100));
+    assert!(!is_certain(&table, key));
+}
+
+#[test]
+fn a_list_without_a_new_entry_proves_nothing_of_an_engine_that_is_down() {
+    let (mut table, key) = broken();
+    follow_list(&mut table, at(0), 4 * SETTLE_TIME);
+    assert!(!is_certain(&table, key));
+    let now = at(0) + 4 * SETTLE_TIME;
+    table.record_data(key, now, now);
+    follow_list(&mut table, now, SETTLE_TIME - ms(1));
+    assert!(!is_certain(&table, key));
+    table.observe_complete_list(now + SETTLE_TIME);
+    assert!(is_certain(&table, key));
+}
+
+#[test]
+fn a_list_proves_nothing_across_an_outage_of_the_store() {
+    let end = at(0) + SETTLE_TIME;
+    let (mut table, key) = broken();
+    table.record_data(key, at(1), at(1));
+    follow_list(&mut table, at(1), ms(1000));
+    table.interrupt_list();
+    table.observe_complete_list(end + ms(10));
+    assert!(!is_certain(&table, key), "there was an outage");
+    let (mut table, key) = broken();
+    table.record_data(key, at(1), at(1));
+    table.observe_complete_list(at(1));
+    table.observe_complete_list(at(2) + MAX_LIST_GAP);
+    assert!(!is_certain(&table, key), "there was a gap");
+}
+
+#[test]
+fn the_other_hosts_are_told_once_of_an_engine_that_may_have_ended() {
+    let (mut table, key) = broken();
+    assert!(table.take_announcement(key));
+    assert!(!table.take_announcement(key));
+    let (mut table, key) = broken();
+    table.record_break(key, at(1), Announcement::Done);
+    assert!(!table.take_announcement(key));
+}
+
+#[test]
+fn an_engine_that_was_removed_is_no_longer_uncertain() {
+    let (mut table, key) = broken();
+    table.schedule_removal("i-1", fleet::table::Removal::StoreAvailable, at(1), at(1));
+    assert_eq!(table.remove_expired(at(2)).len(), 1);
+    assert_eq!(table.uncertain_engines().count(), 0);
+    assert!(!table.take_announcement(key));
+}
--- a/crates/fleet/tests/it/main.rs
+++ b/crates/fleet/tests/it/main.rs
@@ -7,6 +7,7 @@
 mod crashes;
 mod eras;
 mod fixture;
+mod identities;
 mod leases;
 mod loads;
 mod origins;
--- a/crates/gateway/src/assignments.rs
+++ b/crates/gateway/src/assignments.rs
@@ -207,13 +207,17 @@
 }
 
 /// Returns the build at which a new stream begins. Returns `None` if that is any build: while none is assigned, or while
-/// all engines that this host knows are of the assigned one.
+/// all engines that this host knows are certain to be of the assigned one.
 pub fn assigned_build(gateway: &Gateway, name: &Arc<str>, key: StreamKey) -> Option<BuildId> {
     let service = gateway.assignments.service(name);
     let known = service.known.borrow();
     let build = known.as_ref()?.history.build(key)?;
     let id = BuildId::new(name, build);
-    let is_only = gateway.table.borrow().only_build(name) == Some(id);
+    let table = gateway.table.borrow();
+    let is_uncertain = table
+        .uncertain_engines()
+        .any(|it| it.1.listing.service == *name);
+    let is_only = table.only_build(name) == Some(id) && !is_uncertain;
     (!is_only).then_some(id)
 }
 
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -5,7 +5,7 @@
 
 use std::{
     cell::RefCell,
-    collections::HashMap,
+    collections::{BTreeSet, HashMap},
     net::{IpAddr, SocketAddr},
     pin::Pin,
     rc::Rc,
@@ -29,7 +29,10 @@
     time,
 };
 
+use fleet::Time;
+
 use self::metered::{Allowance, Metered};
+use crate::clock;
 
 /// Timeout for a new connection. Connecting to another failure domain takes a few ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -115,8 +118,18 @@
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
     allowance: Allowance,
+    opened_at: Time,
     expires: Instant,
     idle_since: Instant,
+    /// Time for which the upstream has promised to keep the connection open.
+    promised: Option<Duration>,
+}
+
+impl Pooled {
+    /// Returns whether the upstream has closed the idle connection sooner than promised.
+    fn has_ended_early(&self, now: Instant) -> bool {
+        self.promised.is_some() && self.expires > now && self.sender.is_closed()
+    }
 }
 
 /// Which connection may carry a request.
@@ -134,6 +147,21 @@
     idle: HashMap<SocketAddr, Vec<Pooled>>,
     /// Ends of the times in which connections to an upstream are not reused.
     single_use_until: HashMap<SocketAddr, Instant>,
+    /// Upstreams that have reset a connection, or closed an idle one sooner than promised.
+    ended: BTreeSet<SocketAddr>,
+}
+
+impl Connections {
+    /// Drops the idle connections to an upstream that can't be used any more.
+    fn retain_usable(&mut self, addr: SocketAddr, now: Instant) {
+        let Some(list) = self.idle.get_mut(&addr) else {
+            return;
+        };
+        if list.iter().any(|it| it.has_ended_early(now)) {
+            self.ended.insert(addr);
+        }
+        list.retain(|it| it.expires > now && !it.sender.is_closed());
+    }
 }
 
 /// Connection pool for all upstreams.
@@ -194,7 +222,7 @@
         {
             return Ok(self.wrap(addr, pooled, Origin::Pooled));
         }
-        let pooled = connect(addr, self.local).await?;
+        let pooled = connect(addr, self.local, &self.connections).await?;
         Ok(self.wrap(addr, pooled, Origin::New))
     }
 
@@ -210,9 +238,9 @@
     /// Takes the most recently used connection that was idle for less than `max_idle`.
     fn take_idle(&self, addr: SocketAddr, max_idle: Duration) -> Option<Pooled> {
         let mut connections = self.connections.borrow_mut();
-        let list = connections.idle.get_mut(&addr)?;
         let now = Instant::now();
-        list.retain(|it| it.expires > now && !it.sender.is_closed());
+        connections.retain_usable(addr, now);
+        let list = connections.idle.get_mut(&addr)?;
         let at = list
             .iter()
             .rposition(|it| it.sender.is_ready() && it.idle_since + max_idle > now)?;
@@ -223,13 +251,29 @@
     pub fn close_expired(&self) {
         let now = Instant::now();
         let mut connections = self.connections.borrow_mut();
-        connections.idle.retain(|_, list| {
-            list.retain(|it| it.expires > now && !it.sender.is_closed());
-            !list.is_empty()
-        });
+        let addrs: Vec<SocketAddr> = connections.idle.keys().copied().collect();
+        for addr in addrs {
+            connections.retain_usable(addr, now);
+        }
+        connections.idle.retain(|_, list| !list.is_empty());
         connections.single_use_until.retain(|_, it| *it > now);
     }
 
+    /// Takes the upstreams that have reset a connection, or closed an idle one sooner than promised.
+    pub fn take_ended(&self) -> BTreeSet<SocketAddr> {
+        std::mem::take(&mut self.connections.borrow_mut().ended)
+    }
+
+    /// Returns when the oldest idle connection to an upstream was opened, if that was at `latest` or before.
+    pub fn oldest_idle(&self, addr: SocketAddr, latest: Time) -> Option<Time> {
+        let connections = self.connections.borrow();
+        let open = connections.idle.get(&addr)?.iter();
+        let opened = open
+            .filter(|it| !it.sender.is_closed())
+            .map(|it| it.opened_at);
+        opened.min().filter(|it| *it <= latest)
+    }
+
     /// Closes all idle connections to an upstream.
     pub fn close_idle(&self, addr: SocketAddr) {
         self.connections.borrow_mut().idle.remove(&addr);
@@ -279,6 +323,11 @@
         }
     }
 
+    /// When the connection was opened; `None` once it is closed.
+    pub fn opened_at(&self) -> Option<Time> {
+        self.pooled.as_ref().map(|it| it.opened_at)
+    }
+
     /// Returns whether the upstream has not closed the connection.
     pub fn is_open(&self) -> bool {
         (self.pooled.as_ref()).is_some_and(|it| !it.sender.is_closed())
@@ -294,6 +343,7 @@
             return;
         }
         pooled.idle_since = Instant::now();
+        pooled.promised = keep_alive;
         let idle_time = keep_alive.map_or(MAX_IDLE_TIME, |it| {
             it.mul_f64(KEEP_ALIVE_FRACTION).min(MAX_IDLE_TIME)
         });
@@ -383,7 +433,11 @@
 }
 
 /// Opens a connection to an upstream.
-async fn connect(addr: SocketAddr, local: Option<IpAddr>) -> Result<Pooled, Failure> {
+async fn connect(
+    addr: SocketAddr,
+    local: Option<IpAddr>,
+    connections: &Rc<RefCell<Connections>>,
+) -> Result<Pooled, Failure> {
     let unreachable = |it: &dyn std::fmt::Display| Failure::Unreachable(it.to_string());
     let stream = time::timeout(CONNECT_TIMEOUT, open(addr, local))
         .await
@@ -397,9 +451,15 @@
         .handshake(TokioIo::new(metered))
         .await
         .map_err(|it| unreachable(&it))?;
+    let connections = Rc::downgrade(connections);
     let task = tokio::task::spawn_local(async move {
         if let Err(error) = driver.await {
             log::debug!("connection to {addr} ended: {error}");
+            if !error.is_parse()
+                && let Some(connections) = connections.upgrade()
+            {
+                connections.borrow_mut().ended.insert(addr);
+            }
         }
     });
     let now = Instant::now();
@@ -407,8 +467,10 @@
         sender,
         task: task.abort_handle(),
         allowance,
+        opened_at: clock::now(),
         expires: now + MAX_IDLE_TIME,
         idle_since: now,
+        promised: None,
     })
 }
 
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -220,6 +220,9 @@
     fn build_status_query(&self, instance: &str) -> Request<Bytes>;
     /// Parses an engine's status report.
     fn parse_status(&self, body: &[u8]) -> Option<Status>;
+    /// Parses the start of the engine that its status report states, comparable with
+    /// [`Listing::incarnation`]. Returns `None` if it states none.
+    fn parse_start(&self, body: &[u8]) -> Option<u64>;
 }
 
 /// Registration of a dialect: a function that creates it.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -38,13 +38,16 @@
     relay::Relay,
     reply::{self, Body, Fault},
     stall::{WaitContext, WaitResult, wait_for_engine},
-    takeover::Takeover,
+    takeover::{PLACEMENT_TIMEOUT, Takeover},
     trace::{End, Trace},
 };
 
 /// Time between two checks whether the retry budget has recovered.
 pub(crate) const BUDGET_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time between two looks whether the build that began a stream is recorded by now.
+const ORIGIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Minimum time before the deadline in which another attempt is made.
 const MIN_ATTEMPT_TIME: Duration = Duration::from_millis(50);
 
@@ -107,6 +110,8 @@
     pub(crate) stream_key: Option<StreamKey>,
     /// Key of a new stream that begins at the build assigned to it, until its first event arrives.
     pub(crate) assigned: Option<StreamKey>,
+    /// When the build that begins the stream is recorded.
+    pub(crate) origin_record: OriginRecord,
     /// Host that has passed the request on to this one.
     pub(crate) received_from: Option<Arc<str>>,
     /// Hosts to which the request was passed on.
@@ -117,6 +122,15 @@
     pub(crate) fallback_response: Option<Response<Body>>,
 }
 
+/// When the build that begins a stream is recorded.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum OriginRecord {
+    /// With the first event of the stream.
+    AtFirstEvent,
+    /// Once it is certain whether the engine had started again.
+    Later,
+}
+
 /// Exchange whose request has no response yet.
 struct Unfinished {
     exchange: Exchange,
@@ -238,6 +252,16 @@
         origin.await
     }
 
+    /// Waits until it is known which build began the stream, if its engine may have started again.
+    pub(crate) async fn await_origin(&self) -> Option<BuildId> {
+        let until = self.deadline.min(clock::now() + PLACEMENT_TIMEOUT);
+        let is_recorded = || self.gossip.has_origin(self.stream(), &self.service);
+        while self.origin_record == OriginRecord::Later && !is_recorded() && clock::now() < until {
+            time::sleep(ORIGIN_CHECK_INTERVAL).await;
+        }
+        self.find_stream_origin().await
+    }
+
     /// Lets a new stream begin at the build that is assigned to it.
     async fn assign_build(&mut self) {
         let is_new = self.build.is_none() && self.request_head.last_event_id.is_none();
@@ -258,6 +282,34 @@
         )
     }
 
+    /// Returns whether the response of an engine may not be used, because it is not certain that the engine is of the build
+    /// that began the stream. It may have started again since it was chosen.
+    pub(crate) fn is_of_uncertain_build(&self, in_flight: &InFlight) -> bool {
+        let begun_by = self.build.filter(|_| self.assigned.is_none());
+        let Some(build) = begun_by.filter(|_| self.route.kind == RequestKind::Resumable) else {
+            return false;
+        };
+        self.gossip.observe_ended_connections();
+        !self.gossip.is_certain(in_flight.key) || in_flight.build() != Some(build)
+    }
+
+    /// Records which build begins a new stream, once it is certain.
+    pub(crate) fn record_engine_origin(&mut self, in_flight: &InFlight) {
+        self.gossip.observe_ended_connections();
+        let is_new = self.assigned.is_some() || self.build.is_none();
+        let is_resumable = self.route.kind == RequestKind::Resumable;
+        if !is_new || !is_resumable || self.gossip.is_certain(in_flight.key) {
+            self.record_origin(in_flight.build());
+            return;
+        }
+        self.build = None;
+        self.origin_record = OriginRecord::Later;
+        let (stream, service) = (self.stream(), self.service.clone());
+        let assigned = self.assigned.take();
+        self.gossip
+            .record_origin_later(stream, service, assigned, in_flight.key);
+    }
+
     /// Records that an engine has sent the first event of its response. From then on, only engines of its build
     /// may continue the stream.
     pub(crate) fn record_origin(&mut self, engine_build: Option<BuildId>) {
@@ -307,7 +359,7 @@
         reply::strip_hop_headers(&mut head.headers);
         if head.status.is_success() && self.route.kind.is_stream() {
             head.headers.remove(CONTENT_LENGTH);
-            if self.received_from.is_some() {
+            if self.received_from.is_some() && self.gossip.is_certain(key) {
                 self.announce_build(in_flight.build(), &mut head.headers);
             }
             let relay = Relay::new(self, body, in_flight, keep_alive);
@@ -355,7 +407,7 @@
                     return Err(Unfinished::new(self, None));
                 }
                 if !is_failure {
-                    self.record_success(key);
+                    self.record_success(&in_flight);
                 }
                 self.trace.record_forwarded();
                 let end = if head.status.is_success() {
@@ -380,6 +432,7 @@
 
     /// Records that the connection to an engine broke before the end of the response. The engine may have crashed.
     pub(crate) fn record_break(&self, in_flight: &InFlight) {
+        self.gossip.record_end(in_flight.key);
         if in_flight.may_be_beginning() {
             self.gossip.record_break(in_flight.key, &self.suspects);
         }
@@ -423,10 +476,15 @@
     }
 
     /// Counts a successful response of an engine in its circuit breaker.
-    pub(crate) fn record_success(&self, key: Key) {
+    pub(crate) fn record_success(&self, in_flight: &InFlight) {
         self.gateway.record_engine_contact();
-        if let Some(engine) = self.gateway.table.borrow_mut().get_mut(key) {
-            engine.record_success(clock::now());
+        let (key, now) = (in_flight.key, clock::now());
+        let mut table = self.gateway.table.borrow_mut();
+        if let Some(engine) = table.get_mut(key) {
+            engine.record_success(now);
+        }
+        if let Some(connected_at) = in_flight.connected_at() {
+            table.record_data(key, connected_at, now);
         }
     }
 
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -136,6 +136,11 @@
                 return Err(Outcome::NotExecuted(None));
             }
         };
+        self.gossip.observe_ended_connections();
+        if !self.may_go_to(key) {
+            connection.release(None);
+            return Err(Outcome::NotExecuted(None));
+        }
         if is_reserved {
             self.way_back = None;
         }
@@ -350,10 +355,20 @@
         self.way_back = None;
         self.confirm_adapter(key);
         self.gateway.record_acceptance(key);
+        if status.is_success() && self.is_of_uncertain_build(&in_flight) {
+            self.trace.record_outcome(attempt, "started again");
+            return Outcome::Lost;
+        }
         let (head, body) = response.into_parts();
         Outcome::Response(Box::new((head, body, response_head, in_flight)))
     }
 
+    /// Returns whether the request may go to an engine that was chosen for it. The engine may have ended since.
+    fn may_go_to(&self, key: Key) -> bool {
+        let table = self.gateway.table.borrow();
+        table.get(key).is_some_and(|it| it.is_of_build(self.build))
+    }
+
     /// Returns the engine to which an attempt goes, if it still exists.
     fn target(&self, key: Key) -> Option<Target> {
         let table = self.gateway.table.borrow();
@@ -444,6 +459,7 @@
     /// Records that no connection to an engine could be opened.
     fn record_unreachable(&mut self, key: Key) {
         self.gateway.suspect_path(key);
+        self.gossip.record_end(key);
         if !self.unreachable_engines.contains(&key) {
             self.unreachable_engines.push(key);
         }
--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -13,11 +13,12 @@
     rendezvous::short_id,
     table::{Freshness, Key},
 };
+use futures::future;
 use tokio::time;
 
 use crate::{
     assignments, clock,
-    exchange::Exchange,
+    exchange::{Exchange, OriginRecord},
     gateway::{Gateway, MAX_WAITERS},
     reply::Fault,
     takeover::PLACEMENT_TIMEOUT,
@@ -40,6 +41,16 @@
 /// Time between two checks whether a full engine has room again.
 const ROOM_CHECK_INTERVAL: Duration = Duration::from_millis(20);
 
+/// Maximum time for which a new stream waits until an engine is certain not to have started again. Then it begins at one
+/// that may have.
+const MAX_CHECK_TIME: Duration = Duration::from_millis(500);
+
+/// Time between two attempts to place a request that no engine can serve now.
+const RETRY_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Maximum number of engines that are asked at the same time whether they have started again.
+const MAX_CHECKED_ENGINES: usize = 3;
+
 /// Maximum time for which a request without a placement is held.
 const MAX_HOLD: Duration = Duration::from_millis(2200);
 
@@ -177,15 +188,21 @@
             if self.is_placed_elsewhere() {
                 return Err(Fault::NoEngine);
             }
+            self.gossip.observe_ended_connections();
             self.gateway.record_due_loads();
-            if let Some(key) = self.assigned {
-                self.build = assignments::assigned_build(&self.gateway, &self.service, key);
-            }
+            self.determine_build().await?;
             let mut tried = self.attempted_engines.clone();
             tried.retain(|it| !self.repeatable_engines.contains(it));
             let placement = self.choose_placement(&tried);
             let is_placed = matches!(placement, Placement::Send(_) | Placement::Delay(_));
-            if !is_placed && self.leave_assigned_build(&tried).await {
+            let uncertain = if is_placed {
+                Vec::new()
+            } else {
+                self.uncertain_engines(&tried)
+            };
+            if self.await_certainty(&uncertain).await
+                || !is_placed && self.leave_assigned_build(&tried).await
+            {
                 continue;
             }
             let now = clock::now();
@@ -221,7 +238,11 @@
                 Placement::Closed(key, open_at) => {
                     self.wait_while_closed(key, open_at, until).await?;
                 }
-                Placement::BuildGone if self.assigned.is_none() => return Err(Fault::BuildGone),
+                Placement::BuildGone
+                    if self.assigned.is_none() && (uncertain.is_empty() || now >= until) =>
+                {
+                    return Err(Fault::BuildGone);
+                }
                 Placement::Unavailable | Placement::BuildGone | Placement::Load if now >= until => {
                     return Err(match placement {
                         Placement::Load => Fault::AdapterLoad,
@@ -229,7 +250,7 @@
                     });
                 }
                 Placement::Unavailable | Placement::BuildGone => {
-                    time::sleep(Duration::from_millis(50)).await;
+                    time::sleep(RETRY_INTERVAL).await;
                 }
                 Placement::Load => {
                     let Some(wanted) = &self.wanted() else {
@@ -260,6 +281,17 @@
         }
     }
 
+    /// Determines the build of the engines on which the request may be placed.
+    async fn determine_build(&mut self) -> Result<(), Fault> {
+        if let Some(key) = self.assigned {
+            self.build = assignments::assigned_build(&self.gateway, &self.service, key);
+        }
+        if self.origin_record == OriginRecord::Later && self.build.is_none() {
+            self.build = Some(self.await_origin().await.ok_or(Fault::OriginUnknown)?);
+        }
+        Ok(())
+    }
+
     /// The adapter or base model that the request needs at its engine.
     fn wanted(&self) -> Option<Wanted> {
         let name = self.request_head.name.clone()?;
@@ -284,6 +316,33 @@
         true
     }
 
+    /// Returns engines that could serve the request if it were certain that they have not started again, in random order.
+    fn uncertain_engines(&self, tried: &[Key]) -> Vec<Key> {
+        let request = self.placement_request(tried);
+        let table = self.gateway.table.borrow();
+        let mut engines = placement::uncertain_engines(&table, &request, clock::now());
+        engines.sort_by_cached_key(|_| rand::random::<u32>());
+        engines.truncate(MAX_CHECKED_ENGINES);
+        engines
+    }
+
+    /// Asks engines whether they have started again. Returns whether the request may be placed anew, since one of them has
+    /// not, or it is too early to say.
+    async fn await_certainty(&self, engines: &[Key]) -> bool {
+        if engines.is_empty() {
+            return false;
+        }
+        let checks = engines.iter().map(|it| self.gossip.check_identity(*it));
+        if future::join_all(checks).await.into_iter().any(|it| it) {
+            return true;
+        }
+        let is_early = clock::now() < self.started + MAX_CHECK_TIME;
+        if is_early {
+            time::sleep(RETRY_INTERVAL).await;
+        }
+        is_early
+    }
+
     fn has_reachable_engine(&self, build: Option<BuildId>, tried: &[Key]) -> bool {
         let request = PlacementRequest {
             build,
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -19,7 +19,7 @@
 use crate::{
     clock, content,
     dialect::RequestHead,
-    exchange::Exchange,
+    exchange::{Exchange, OriginRecord},
     gateway::Gateway,
     gossip::Gossip,
     handover::{HANDOVER, Handover, MAX_HOSTS},
@@ -168,6 +168,7 @@
         build: None,
         stream_key,
         assigned: None,
+        origin_record: OriginRecord::AtFirstEvent,
         received_from: None,
         hosts_tried: Vec::new(),
         hosts_left: MAX_HOSTS,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -32,7 +32,7 @@
     clock,
     connection::Pool,
     dialect::{Dialect, Kind, ResponseHead},
-    gossip::{CrashWatch, OriginQueries, TurnQuestions},
+    gossip::{CrashWatch, IdentityChecks, OriginQueries, TurnQuestions},
     list_cache::ListCache,
     list_sync, message,
     metrics::Metrics,
@@ -113,6 +113,8 @@
     pub quarantine: RefCell<Quarantine>,
     /// Crashes of engines that are to be confirmed, or reported to other hosts.
     pub crash_watch: CrashWatch,
+    /// Queries whether engines have started again.
+    pub identity_checks: IdentityChecks,
     /// True once the process was asked to stop.
     pub stopping: Cell<bool>,
     /// Time at which requests in progress are answered because the process is about to terminate; `None` until it was
@@ -233,6 +235,7 @@
             origin_queries: OriginQueries::default(),
             turn_questions: TurnQuestions::default(),
             crash_watch: CrashWatch::default(),
+            identity_checks: IdentityChecks::default(),
             stopping: Cell::default(),
             stop_deadline: Cell::default(),
             stop_began: Notify::new(),
@@ -485,6 +488,11 @@
         known.set(known.get().max(at));
         if kind == Kind::Engines {
             self.origins.borrow_mut().observe_complete_list(at);
+            let mut table = self.table.borrow_mut();
+            match self.removal_kind() {
+                Removal::StoreAvailable => table.observe_complete_list(at),
+                Removal::AfterOutage => table.interrupt_list(),
+            }
         }
     }
 
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -2,6 +2,7 @@
 //! orders, their workload at engines, and loads of adapters. Datagrams may be lost: their contents
 //! are sent again, or reach the store's lists soon.
 
+mod identity;
 mod limits;
 mod origins;
 mod quarantine;
@@ -29,6 +30,7 @@
 use tokio::{net::UdpSocket, time};
 
 pub use self::{
+    identity::IdentityChecks,
     limits::{GrantedTurn, TurnQuestions},
     origins::OriginQueries,
     quarantine::CrashWatch,
@@ -113,6 +115,8 @@
                 Some(Message::LimitSuperseded(it)) => self.handle_superseded(&it),
                 Some(Message::TurnRequest(it)) => self.handle_turn_request(it, from),
                 Some(Message::TurnReply(it)) => self.handle_turn_reply(&it),
+                Some(Message::Ended(it)) => self.handle_ended(&it),
+                Some(Message::Alive(it)) => self.handle_alive(it),
                 None => log::debug!("cannot decode datagram from {from}"),
             }
         }
--- a/crates/gateway/src/gossip/origins.rs
+++ b/crates/gateway/src/gossip/origins.rs
@@ -271,6 +271,11 @@
         origins.find(stream, service, &table, clock::now())
     }
 
+    /// Returns whether this host has a record of the build that began a stream.
+    pub fn has_origin(&self, stream: StreamId, service: &str) -> bool {
+        matches!(self.known_origin(stream, service), Origin::Recorded(_))
+    }
+
     /// Answers a query of another host, after a read of the store if that may tell more.
     pub(super) fn handle_origin_query(self: &Rc<Self>, query: OriginQuery, from: SocketAddr) {
         let gossip = self.clone();
--- a/crates/gateway/src/gossip/quarantine.rs
+++ b/crates/gateway/src/gossip/quarantine.rs
@@ -22,7 +22,7 @@
 };
 use tokio::{task, time};
 
-use super::Gossip;
+use super::{Gossip, identity::ended_engine};
 use crate::{
     clock,
     connection::Reuse,
@@ -77,7 +77,7 @@
 }
 
 /// Contents of a [`Report`]. Ages are computed when it is sent.
-enum Contents {
+pub(super) enum Contents {
     Crash {
         engine: Incarnation,
         suspects: Vec<Suspect>,
@@ -87,6 +87,11 @@
         part: PartId,
         at: Time,
     },
+    /// The engine may have ended.
+    End {
+        engine: Incarnation,
+        at: Time,
+    },
 }
 
 impl Contents {
@@ -116,6 +121,9 @@
                 parts.map(report).collect()
             }
             Self::Success { part, at } => vec![part_success(*part, *at, now)],
+            Self::End { engine, at } => {
+                vec![Message::Ended(ended_engine(*engine, age_ms(*at, now)))]
+            }
         }
     }
 }
@@ -364,7 +372,7 @@
     }
 
     /// Sends a report to all live hosts now, and with the next heartbeats.
-    fn send_report(&self, contents: Contents) {
+    pub(super) fn send_report(&self, contents: Contents) {
         let hosts = self.live_addresses();
         let messages = contents.messages(&self.gateway.quarantine.borrow(), clock::now());
         for message in &messages {
@@ -399,7 +407,7 @@
     }
 }
 
-fn incarnation(listing: &Listing) -> Incarnation {
+pub(super) fn incarnation(listing: &Listing) -> Incarnation {
     Incarnation {
         engine: short_id(&listing.id),
         started_at: listing.incarnation,
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -92,6 +92,11 @@
         listed.or(self.build)
     }
 
+    /// When the connection of the request was opened.
+    pub(crate) fn connected_at(&self) -> Option<Time> {
+        self.connection.as_ref()?.opened_at()
+    }
+
     /// Records that the first event of the response has arrived, so the prefill is done.
     pub(crate) fn record_first_event(&mut self) {
         let now = clock::now();
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -124,7 +124,9 @@
         | Message::PartSuccess(_)
         | Message::TurnRequest(_)
         | Message::TurnReply(_)
-        | Message::LimitSuperseded(_) => None,
+        | Message::LimitSuperseded(_)
+        | Message::Ended(_)
+        | Message::Alive(_) => None,
     }
 }
 
@@ -183,6 +185,10 @@
     TurnRequest(TurnRequest),
     /// Response to a [`TurnRequest`].
     TurnReply(TurnReply),
+    /// An engine that may have ended, and started again under its id.
+    Ended(EndedEngine),
+    /// An engine of which the sender has reported that it may have ended has not ended.
+    Alive(EngineIncarnation),
 }
 
 /// Limit of the requests that an engine takes from all hosts together.
@@ -394,6 +400,15 @@
     pub incarnation: u64,
 }
 
+/// Engine whose connections have ended.
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub struct EndedEngine {
+    /// The incarnation that may have ended.
+    pub engine: EngineIncarnation,
+    /// Time in ms since the connections ended.
+    pub age_ms: u32,
+}
+
 /// Periodic message by which a host shows that it is alive.
 #[derive(Clone, Debug, Default, Deserialize, Serialize)]
 pub struct Heartbeat {
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -53,6 +53,7 @@
         request_copies(&gateway, &gossip, &mut copied).await;
         remove_expired(&gateway);
         watch::apply_due(&gateway);
+        gossip.check_next_identity();
     }
 }
 
@@ -183,7 +184,7 @@
 }
 
 /// Sends an order or a status query. Returns the status and the body of the response; `None` if there is none.
-async fn call_engine(
+pub async fn call_engine(
     gateway: &Rc<Gateway>,
     key: Key,
     id: &str,
@@ -251,13 +252,36 @@
     }
 }
 
+/// Records the start that an engine states in its status report, which was asked for at `asked_at`.
+pub fn record_start(gateway: &Gateway, key: Key, report: &[u8], asked_at: Time) {
+    let Some(start) = gateway.dialect.parse_start(report) else {
+        return;
+    };
+    let mut table = gateway.table.borrow_mut();
+    let Some(engine) = table.get(key) else { return };
+    let listed = engine.listing.incarnation;
+    // An entry may state no start.
+    if listed == 0 {
+        return;
+    }
+    if start != listed {
+        let id = &*engine.listing.id;
+        log::info!(event = "engine-restarted", engine = id, born = start, listed; "engine {id} has started again since its entry was written");
+    }
+    table.record_start(key, start, asked_at);
+}
+
 /// Queries the status of an engine and applies it.
 async fn query_status(gateway: &Rc<Gateway>, key: Key) {
     let status = match order_target(gateway, key) {
         Some((id, addr, _)) => {
+            let asked_at = clock::now();
             let request = gateway.dialect.build_status_query(&id);
             let response = call_engine(gateway, key, &id, addr, request).await;
             let body = response.filter(|it| it.0 == StatusCode::OK).map(|it| it.1);
+            if let Some(body) = &body {
+                record_start(gateway, key, body, asked_at);
+            }
             body.and_then(|it| gateway.dialect.parse_status(&it))
         }
         None => None,
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -234,14 +234,18 @@
             {
                 Step::Broken("not an event")
             }
+            Ok(Received::Events(_))
+                if self.awaiting_first && self.exchange.is_of_uncertain_build(in_flight) =>
+            {
+                Step::Broken("started again")
+            }
             Ok(Received::Events(bytes)) => {
                 if self.awaiting_first {
                     self.awaiting_first = false;
                     in_flight.record_first_event();
-                    let build = in_flight.build();
-                    self.exchange.record_origin(build);
+                    self.exchange.record_engine_origin(in_flight);
                 }
-                self.exchange.record_success(in_flight.key);
+                self.exchange.record_success(in_flight);
                 if let Some(id) = sse::last_event_id(&bytes) {
                     self.last_event_id = Some(id);
                 }
@@ -359,7 +363,7 @@
         let budget_until = clock::now() + PLACEMENT_TIMEOUT;
         // An older host doesn't state the build of the stream that it sends.
         if self.progress != Progress::Unsent && self.exchange.build.is_none() {
-            self.exchange.build = self.exchange.find_stream_origin().await;
+            self.exchange.build = self.exchange.await_origin().await;
             if self.exchange.build.is_none() {
                 self.exchange.trace.record_resume_failure("origin-unknown");
                 return false;
--- a/crates/gateway/src/watch/deferred.rs
+++ b/crates/gateway/src/watch/deferred.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use fleet::{Time, table::Standing};
+use fleet::{Time, identity::Announcement, table::Standing};
 
 use crate::{
     clock,
@@ -73,6 +73,10 @@
             if !due.contains_key(id) {
                 log::info!(event = "entry-deferred", engine = id, born, rev = object.rev; "the entry of engine {id} may be older than the known one");
                 due.insert(id.to_owned(), clock::now() + REWRITE_TIME);
+                let mut table = gateway.table.borrow_mut();
+                if let Some(key) = table.find(id) {
+                    table.record_break(key, clock::now(), Announcement::Done);
+                }
             }
         }
     }
