Take no assignment for certain that was read before the store came back from a copy

A host that had read an earlier assignment than the one that the store lost merged its own with the stored one, and took the result for complete; only hosts that had read none recorded that streams may have begun at any build. The first host to write in the new era now records that. A host that reads an object of the new era adds what it knows from the era before, which it dropped.

--- a/crates/gateway/src/assignments.rs
+++ b/crates/gateway/src/assignments.rs
@@ -342,15 +342,24 @@
     let mut assigned_at = now;
     let mut is_ahead = false;
     match previous {
-        Some(it) if is_current => {
+        Some(it) if is_current && it.era == era => {
             superseded = it.superseded;
             if it.history.number() == history.number() {
                 assigned_at = it.assigned_at;
             }
         }
         Some(it) if it.history.number() > 0 => {
-            history.merge(&it.history);
-            is_ahead = true;
+            let kept = history.assignments().len();
+            let mut merged = history.clone();
+            merged.merge(&it.history);
+            // The store has lost assignments that this host may not have read before.
+            if !is_current {
+                merged.record_unassigned();
+            }
+            if !is_current || merged.assignments().len() > kept {
+                history = merged;
+                is_ahead = true;
+            }
         }
         _ if !is_current && position.is_some() => {
             history.record_unassigned();
