Check the rest of a stream that another host sends

A host that is cut off passes its broken streams on. If the engine of the other host answered the request for the rest with an error under status 200 that ends with an empty line, the caller got the error as part of the stream, which then ended as complete before its last piece. Only answers of a host's own engines were checked: the other host took the rest for a new stream, and the first host forwarded what it sent.

Both check it now: the host that is asked for the rest takes it to another engine, and the host of the caller doesn't rely on that, since hosts of older builds don't check.

--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -45,7 +45,7 @@
     Unsent,
     /// All events are of the first engine that sent one.
     Begun,
-    /// A later engine was asked for the rest of the stream only.
+    /// A later engine or host was asked for the rest of the stream only.
     Resumed,
 }
 
@@ -96,7 +96,8 @@
 
     fn empty(exchange: Exchange) -> Self {
         let mut exchange = exchange;
-        exchange.has_begun = true;
+        // Another host may have begun the stream.
+        let has_begun = std::mem::replace(&mut exchange.has_begun, true);
         let last_event_id = exchange.request_head.last_event_id.clone();
         Self {
             exchange,
@@ -106,7 +107,11 @@
             buffer: sse::Buffer::default(),
             last_event_id,
             awaiting_first: true,
-            progress: Progress::Unsent,
+            progress: if has_begun {
+                Progress::Resumed
+            } else {
+                Progress::Unsent
+            },
             ended: false,
         }
     }
@@ -182,6 +187,9 @@
             () = context.wait_for_end() => return Step::DeadlineExceeded,
         };
         match received {
+            Ok(Received::Events(bytes)) if !self.may_forward(&bytes) => {
+                Step::Broken("not an event")
+            }
             Ok(Received::Events(bytes)) => {
                 if std::mem::take(&mut self.awaiting_first) {
                     self.exchange.record_origin(None);
@@ -223,17 +231,22 @@
         }
     }
 
+    /// Returns whether bytes may belong to the stream. In place of its rest, an engine may have sent an error.
+    fn may_forward(&self, bytes: &[u8]) -> bool {
+        self.progress != Progress::Resumed || sse::are_events(bytes)
+    }
+
     /// Returns the step that follows from what the upstream sent.
     fn forward(&mut self, received: Result<Received, Failure>) -> Step {
+        if let Ok(Received::Events(bytes)) = &received
+            && !self.may_forward(bytes)
+        {
+            return Step::Broken("not an event");
+        }
         let Some((_, in_flight)) = &mut self.upstream else {
             return Step::Broken("no engine");
         };
         match received {
-            Ok(Received::Events(bytes))
-                if self.progress == Progress::Resumed && !sse::are_events(&bytes) =>
-            {
-                Step::Broken("not an event")
-            }
             Ok(Received::Events(_))
                 if self.awaiting_first && self.exchange.is_of_uncertain_build(in_flight) =>
             {
@@ -327,7 +340,7 @@
                     let (head, body, connection) = response.into_parts();
                     if reply::is_stream(head.status(), head.headers()) && is_same_build {
                         self.host = Some((body, connection));
-                        self.awaiting_first = true;
+                        self.await_rest();
                         return true;
                     }
                 }
@@ -344,15 +357,20 @@
         self.buffer.clear();
     }
 
+    /// Waits for the first event of another engine or host.
+    fn await_rest(&mut self) {
+        self.awaiting_first = true;
+        if self.progress == Progress::Begun {
+            self.progress = Progress::Resumed;
+        }
+    }
+
     /// Continues the stream with the response of another engine.
     fn switch_to(&mut self, response: OpenResponse) {
         self.close_upstream();
         let (head, body, _, in_flight) = response;
         self.keep_alive = crate::call::keep_alive_timeout(&head.headers);
-        self.awaiting_first = true;
-        if self.progress == Progress::Begun {
-            self.progress = Progress::Resumed;
-        }
+        self.await_rest();
         self.upstream = Some((body, in_flight));
     }
 
