Refuse streams whose bodies come late in the grace period

Callers saw a stream begin and break off when a host that was told to stop ended: its head had come before the host refused new requests, 2.5 s after SIGTERM, and the last byte of its body later. Such streams were sent to an engine, also those that may run once only, and cut 0.4 s before the end of the grace period, at any time of their arrival.

Cause: whether a host is closing was checked before the body was read only. Plain requests get 502 at the end, but a response that has begun can't be replaced.

Streams whose body is whole only after 2.5 s now get 503 and don't run. Plain requests are forwarded as before.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -74,6 +74,11 @@
     gateway.catalog()
 }
 
+/// Returns the response to a request that this host doesn't begin, because it is stopping.
+fn stopping_response() -> Response<Body> {
+    reply::fault_response(Fault::Stopping, Some(STOPPING_RETRY_AFTER))
+}
+
 /// Reads a request and finds its route.
 async fn accept(
     gateway: &Rc<Gateway>,
@@ -83,10 +88,7 @@
     let started = clock::now();
     if gateway.closing.get() {
         // The request might not finish before the process ends. Another host takes it at once.
-        return Err(reply::fault_response(
-            Fault::Stopping,
-            Some(STOPPING_RETRY_AFTER),
-        ));
+        return Err(stopping_response());
     }
     let Some(catalog) = wait_for_catalog(gateway).await else {
         log::info!(event = "no-config"; "request refused: no configuration is known");
@@ -117,6 +119,10 @@
         Ok(Err(_)) => return Err(reply::fault_response(Fault::TooLarge, None)),
         Err(_) => return Err(reply::fault_response(Fault::Timeout, None)),
     };
+    if gateway.closing.get() && route.kind.is_stream() {
+        // A response that has begun can't be replaced by a failure at the end of the grace period.
+        return Err(stopping_response());
+    }
     let headers = forwarded_headers(gateway, parts.headers, &parts.method, &body);
     // A stream goes on at the service that began it, if the route has several.
     let began_by = request_head.resumed_request.as_ref();
