Send nothing to engines after the last moment for an answer

A request whose body was whole only in the last 0.4 s before the end of the grace period was given to a connection to an engine and at once answered with 502, as one that may have run, since the start of an attempt looked at the request's deadline only. Its caller can't repeat it unless the request allows that. It also could reach the engine.

An attempt now begins only before the moment at which waits for engines end.

--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -88,7 +88,7 @@
         last_event_id: Option<&str>,
     ) -> Result<Attempt, Outcome> {
         let now = clock::now();
-        if now >= self.deadline {
+        if now >= self.gateway.limit(self.deadline) {
             return Err(Outcome::DeadlineExceeded);
         }
         if self.check_quarantine().is_err() {
