Bound the memory that the bodies of all requests of a host use

Operators saw hosts run out of memory beside an engine that sends bytes without end; the requests of other callers ended with the process. Here each body that is read as a whole had a limit (8 MB; callers' bodies: the configuration's), but nothing bounded the sum over all requests. Hosts have 390 MB.

Bodies of callers, of engines and other hosts, and of the store now have a budget for each kind, from the setting memory_megabytes (the process's limit on the platform). A response that was given up is treated as lost (repeated, or 502); a caller's body that was given up has not run (503 with Retry-After).

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -13,7 +13,7 @@
     time::{Duration, Instant},
 };
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use derive_more::{Display, Error};
 use http_body_util::{BodyExt, Full};
 use hyper::{
@@ -32,7 +32,10 @@
 use fleet::Time;
 
 use self::metered::{Allowance, Metered};
-use crate::clock;
+use crate::{
+    clock,
+    memory::{self, Budget},
+};
 
 /// Timeout for a new connection. Connecting to another failure domain takes a few ms.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
@@ -86,6 +89,9 @@
     /// The upstream sent more bytes than are allowed.
     #[display("{_0} too large")]
     TooLarge(#[error(not(source))] Part),
+    /// The memory for the bodies of responses is spent.
+    #[display("no memory for the response")]
+    NoMemory,
 }
 
 /// Part of a response.
@@ -165,9 +171,11 @@
 }
 
 /// Connection pool for all upstreams.
-#[derive(Clone, Default)]
+#[derive(Clone)]
 pub struct Pool {
     connections: Rc<RefCell<Connections>>,
+    /// Memory for bodies of responses that are read as a whole.
+    budget: Budget,
     /// Local address of new connections; `None` for any.
     local: Option<IpAddr>,
 }
@@ -195,6 +203,7 @@
 pub struct Body {
     incoming: Incoming,
     allowance: Allowance,
+    budget: Budget,
 }
 
 /// Connection in use. Dropping it closes the connection.
@@ -207,11 +216,21 @@
 }
 
 impl Pool {
-    /// Creates a pool whose connections have this local address.
-    pub fn bound_to(local: IpAddr) -> Self {
+    /// Creates a pool whose responses share a budget.
+    pub fn new(budget: Budget) -> Self {
+        Self {
+            connections: Rc::default(),
+            budget,
+            local: None,
+        }
+    }
+
+    /// Makes new connections have this local address.
+    #[must_use]
+    pub fn bound_to(self, local: IpAddr) -> Self {
         Self {
             local: Some(local),
-            ..Self::default()
+            ..self
         }
     }
 
@@ -300,7 +319,8 @@
             let response = it.sender.try_send_request(request.map(Full::new));
             (response, it.allowance.clone())
         });
-        async {
+        let budget = self.pool.budget.clone();
+        async move {
             let Some((response, allowance)) = sent else {
                 return Err(Failure::Unreachable("the connection is closed".into()));
             };
@@ -316,6 +336,7 @@
             let mut response = response.map(|incoming| Body {
                 incoming,
                 allowance,
+                budget,
             });
             // The version belongs to this connection. On one to a caller, it would end a stream without a mark.
             *response.version_mut() = Version::HTTP_11;
@@ -360,23 +381,17 @@
     /// Reads the whole body, of [`MAX_BODY_BYTES`] at most. The bytes of small frames are copied, so that the memory in
     /// use does not depend on the number of frames.
     pub async fn collect(mut self) -> Result<Bytes, Failure> {
+        let budget = self.budget.clone();
         if self.size_hint().lower() > MAX_BODY_BYTES as u64 {
+            budget.record_too_large();
             return Err(Failure::TooLarge(Part::Body));
         }
-        let mut bytes = BytesMut::new();
-        while let Some(frame) = self.frame().await {
-            let Ok(data) = frame?.into_data() else {
-                continue;
-            };
-            if bytes.len() + data.len() > MAX_BODY_BYTES {
-                return Err(Failure::TooLarge(Part::Body));
-            }
-            if bytes.is_empty() && self.is_end_stream() {
-                return Ok(data);
-            }
-            bytes.extend_from_slice(&data);
-        }
-        Ok(bytes.freeze())
+        let collected = budget.collect(&mut self, MAX_BODY_BYTES).await;
+        collected.map_err(|it| match it {
+            memory::Failure::TooLarge => Failure::TooLarge(Part::Body),
+            memory::Failure::NoMemory => Failure::NoMemory,
+            memory::Failure::Broken(it) => it,
+        })
     }
 
     /// Reads the body to its end without keeping it, if it has at most `max_bytes`.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -441,6 +441,11 @@
     /// Records a response of an engine whose body could not be read to its end.
     fn record_incomplete(&mut self, in_flight: &InFlight, failure: &connection::Failure) {
         log::debug!("request {}: {failure}", self.request_head.id);
+        if matches!(failure, connection::Failure::NoMemory) {
+            let attempt = in_flight.attempt;
+            self.trace.record_outcome(attempt, "no memory");
+            return;
+        }
         self.record_break(in_flight);
         if let connection::Failure::TooLarge(part) = failure {
             self.record_too_large(in_flight.key, in_flight.attempt, *part);
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -232,7 +232,8 @@
                     .retain(|it| *it != key || origin == Origin::New);
                 Outcome::NotExecuted(None)
             }
-            Failure::Broken(_) => {
+            // Only bodies need memory.
+            Failure::Broken(_) | Failure::NoMemory => {
                 self.trace.record_outcome(number, "connection broke");
                 self.gateway.suspect_path(key);
                 if origin == Origin::New {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -2,6 +2,7 @@
 
 use std::{rc::Rc, time::Duration};
 
+use bytes::Bytes;
 use fleet::{
     assignment::StreamKey,
     catalog::{Catalog, RequestKind, Route},
@@ -23,6 +24,7 @@
     gateway::Gateway,
     gossip::Gossip,
     handover::{HANDOVER, Handover, MAX_HOSTS},
+    memory,
     reply::{self, Body, Fault},
     trace::Trace,
 };
@@ -30,6 +32,12 @@
 /// Retry delay returned while this host is stopping. Another host can serve the caller at once.
 const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 
+/// Retry delay returned while the memory for bodies is spent.
+const MEMORY_RETRY_AFTER: Duration = Duration::from_millis(700);
+
+/// Maximum time for which the rest of a body that was given up is read.
+const MAX_DISCARD_TIME: Duration = Duration::from_secs(1);
+
 /// Maximum time for which a request waits for the host's first configuration.
 const MAX_CONFIG_WAIT: Duration = Duration::from_secs(1);
 
@@ -114,11 +122,7 @@
     let timeout = request_head.timeout.unwrap_or(route.timeout);
     let deadline = started + timeout.min(route.timeout);
     let remaining = deadline.saturating_sub(started);
-    let body = match time::timeout(remaining, Limited::new(body, limit).collect()).await {
-        Ok(Ok(it)) => it.to_bytes(),
-        Ok(Err(_)) => return Err(reply::fault_response(Fault::TooLarge, None)),
-        Err(_) => return Err(reply::fault_response(Fault::Timeout, None)),
-    };
+    let body = read_body(gateway, body, limit, remaining).await?;
     if gateway.closing.get() && route.kind.is_stream() {
         // A response that has begun can't be replaced by a failure at the end of the grace period.
         return Err(stopping_response());
@@ -182,6 +186,32 @@
     })
 }
 
+/// Reads the body of a request.
+async fn read_body(
+    gateway: &Gateway,
+    mut body: Incoming,
+    max_bytes: usize,
+    timeout: Duration,
+) -> Result<Bytes, Response<Body>> {
+    let collect = gateway.request_budget.collect(&mut body, max_bytes);
+    let failure = match time::timeout(timeout, collect).await {
+        Ok(Ok(it)) => return Ok(it),
+        Ok(Err(it)) => it,
+        Err(_) => return Err(reply::fault_response(Fault::Timeout, None)),
+    };
+    if !matches!(failure, memory::Failure::NoMemory) {
+        return Err(reply::fault_response(Fault::TooLarge, None));
+    }
+    // A caller whose connection is closed while it sends may lose the response.
+    let mut rest = Limited::new(body, max_bytes);
+    let discard = async { while let Some(Ok(_)) = rest.frame().await {} };
+    let _ = time::timeout(timeout.min(MAX_DISCARD_TIME), discard).await;
+    Err(reply::fault_response(
+        Fault::NoMemory,
+        Some(MEMORY_RETRY_AFTER),
+    ))
+}
+
 /// Returns the key of the stream that a request begins or resumes, if its route allows that streams are resumed.
 fn stream_key(route: &Route, request_head: &RequestHead) -> Option<StreamKey> {
     if route.kind != RequestKind::Resumable {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -34,7 +34,7 @@
     dialect::{Dialect, Kind, ResponseHead},
     gossip::{CrashWatch, IdentityChecks, OriginQueries, TurnQuestions},
     list_cache::ListCache,
-    list_sync, message,
+    list_sync, memory, message,
     metrics::Metrics,
     peers::Peers,
     server::HeadTimeout,
@@ -73,8 +73,16 @@
     pub metrics: Metrics,
     /// Header names, formats and calls of the platform.
     pub dialect: Arc<dyn Dialect>,
-    /// Connection pool for upstreams.
+    /// Memory for the bodies of callers' requests.
+    pub request_budget: memory::Budget,
+    /// Memory for the bodies of responses of engines and other hosts.
+    response_budget: memory::Budget,
+    /// Memory for the bodies of responses of the store.
+    store_budget: memory::Budget,
+    /// Connection pool for engines.
     pub pool: Pool,
+    /// Connections to the store.
+    pub store_pool: Pool,
     /// Connections to other hosts, for requests that are passed on.
     pub host_pool: Pool,
     /// State of the path from this host to the engines.
@@ -208,16 +216,23 @@
 impl Gateway {
     /// Creates the state of a host that knows no configuration, engines or other hosts.
     pub fn new(settings: Settings, dialect: Arc<dyn Dialect>, incarnation: u64) -> Self {
+        let budget = |kind| memory::Budget::new(kind, settings.body_memory(kind));
+        let response_budget = budget(memory::Kind::Responses);
+        let store_budget = budget(memory::Kind::Store);
         Self {
             holder: settings.holder().into(),
-            host_pool: Pool::bound_to(settings.peers.ip()),
+            request_budget: budget(memory::Kind::Requests),
+            pool: Pool::new(response_budget.clone()),
+            store_pool: Pool::new(store_budget.clone()),
+            host_pool: Pool::new(response_budget.clone()).bound_to(settings.peers.ip()),
+            response_budget,
+            store_budget,
             quarantine: RefCell::new(Quarantine::new(settings.quarantine_term())),
             settings,
             incarnation,
             started_at: clock::now(),
             metrics: Metrics::new(),
             dialect,
-            pool: Pool::default(),
             isolation: RefCell::default(),
             isolation_began: Notify::new(),
             engines_probed: Notify::new(),
@@ -648,6 +663,13 @@
         let live_hosts = self.peers.borrow().live_hosts(clock::now()).len();
         self.metrics
             .record_state(config, engines, live_hosts, self.orderable_engines().len());
+        for budget in [
+            &self.request_budget,
+            &self.response_budget,
+            &self.store_budget,
+        ] {
+            self.metrics.record_body_memory(budget);
+        }
         let quarantined = self.quarantine.borrow().len(clock::now());
         self.metrics.record_quarantined_parts(quarantined);
         for kind in list_sync::LISTS {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod isolation;
 pub mod list_cache;
 pub mod list_sync;
+pub mod memory;
 pub mod message;
 pub mod metrics;
 pub mod orders;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -9,7 +9,7 @@
 };
 use telemetry::exposition::Exposition;
 
-use crate::{attribution::Attribution, connection::Origin};
+use crate::{attribution::Attribution, connection::Origin, memory::Budget};
 
 /// Prefix of all metric names.
 const NAMESPACE: &str = "comfreywing_gateway";
@@ -49,6 +49,8 @@
     limit_answers: Counter<u64>,
     handovers: Counter<u64>,
     isolated: Gauge<u64>,
+    buffered_bytes: Gauge<u64>,
+    bodies_given_up: Counter<u64>,
 }
 
 impl Default for Metrics {
@@ -62,12 +64,7 @@
     pub fn new() -> Self {
         let exposition = Exposition::new(NAMESPACE);
         let meter = exposition.meter();
-        let counter = |name: &'static str, description: &'static str| {
-            meter
-                .u64_counter(name)
-                .with_description(description)
-                .build()
-        };
+        let counter = |name, description| build_counter(&meter, name, description);
         let gauge = |name: &'static str, description: &'static str| {
             meter.u64_gauge(name).with_description(description).build()
         };
@@ -144,6 +141,11 @@
                 "handovers",
                 "Requests that were passed on to other hosts, by outcome",
             ),
+            buffered_bytes: gauge(
+                "buffered_bytes",
+                "Bytes of bodies that are read as a whole and not yet dropped",
+            ),
+            bodies_given_up: counter("bodies_given_up", "Bodies that were given up, by reason"),
             isolated: gauge(
                 "isolated",
                 "1 while this host is cut off from all engines, else 0",
@@ -254,6 +256,18 @@
         self.trials.add(1, &[]);
     }
 
+    /// Records the bytes that a budget has in use, and the bodies that were given up since the last call.
+    pub fn record_body_memory(&self, budget: &Budget) {
+        let kind = KeyValue::new("kind", budget.kind().name());
+        let used = u64::try_from(budget.used()).unwrap_or(u64::MAX);
+        self.buffered_bytes
+            .record(used, std::slice::from_ref(&kind));
+        for (reason, count) in budget.take_given_up() {
+            let reason = KeyValue::new("reason", reason.name());
+            self.bodies_given_up.add(count, &[kind.clone(), reason]);
+        }
+    }
+
     /// Sets the number of quarantined prompt parts.
     pub fn record_quarantined_parts(&self, parts: usize) {
         let parts = u64::try_from(parts).unwrap_or(u64::MAX);
@@ -324,6 +338,13 @@
     KeyValue::new(key, value.to_owned())
 }
 
+fn build_counter(meter: &Meter, name: &'static str, description: &'static str) -> Counter<u64> {
+    meter
+        .u64_counter(name)
+        .with_description(description)
+        .build()
+}
+
 fn build_duration_histogram(
     meter: &Meter,
     name: &'static str,
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -167,6 +167,7 @@
             .metrics
             .record_loop_delay(clock::now().saturating_sub(due));
         gateway.pool.close_expired();
+        gateway.store_pool.close_expired();
         gateway.host_pool.close_expired();
     }
 }
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -33,6 +33,8 @@
     BadRequest,
     /// The body exceeds the operator's limit.
     TooLarge,
+    /// The memory for callers' bodies is spent.
+    NoMemory,
     /// No engine of the service is usable.
     NoEngine,
     /// The engines cannot answer in time.
@@ -61,11 +63,12 @@
 
 impl Fault {
     /// All faults.
-    pub const ALL: [Self; 16] = [
+    pub const ALL: [Self; 17] = [
         Self::NoConfig,
         Self::NoRoute,
         Self::BadRequest,
         Self::TooLarge,
+        Self::NoMemory,
         Self::NoEngine,
         Self::Overload,
         Self::AdapterLoad,
@@ -87,6 +90,7 @@
             Self::NoRoute => "no-route",
             Self::BadRequest => "bad-request",
             Self::TooLarge => "too-large",
+            Self::NoMemory => "no-memory",
             Self::NoEngine => "no-engine",
             Self::Overload => "overload",
             Self::AdapterLoad => "adapter-load",
@@ -109,6 +113,7 @@
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoConfig
+            | Self::NoMemory
             | Self::NoEngine
             | Self::Overload
             | Self::AdapterLoad
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -6,6 +6,14 @@
 use fleet::{era::Start, quarantine};
 use serde::Deserialize;
 
+use crate::memory;
+
+/// Memory of a process, unless the settings name another, in MB.
+const DEFAULT_MEMORY_MEGABYTES: u32 = 390;
+
+/// Minimum memory of a process in MB. A host without requests uses up to 60 MB.
+pub const MIN_MEMORY_MEGABYTES: u32 = 64;
+
 /// Settings as written in the file. Unknown fields are errors.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -48,6 +56,9 @@
     /// tried again; 1 to 3600.
     #[serde(default = "default_quarantine_seconds")]
     pub quarantine_seconds: u32,
+    /// Memory in MB that the process may use; at least [`MIN_MEMORY_MEGABYTES`].
+    #[serde(default)]
+    pub memory_megabytes: Option<u32>,
     /// Log level.
     #[serde(default)]
     pub log: Log,
@@ -177,6 +188,11 @@
             term.as_secs()
         ));
     }
+    if let Some(it) = (settings.memory_megabytes).filter(|it| *it < MIN_MEMORY_MEGABYTES) {
+        return Err(format!(
+            "memory_megabytes: {it} must be at least {MIN_MEMORY_MEGABYTES}"
+        ));
+    }
     if crate::dialect::find(&settings.dialect).is_none() {
         return Err(format!("dialect: {} is unknown", settings.dialect));
     }
@@ -217,6 +233,17 @@
         Duration::from_secs(self.quarantine_seconds.into())
     }
 
+    /// Maximum number of bytes that the bodies of one kind may use. The rest is for the process itself, its sockets and
+    /// streams, and what the allocator can't return.
+    pub fn body_memory(&self, kind: memory::Kind) -> usize {
+        let megabytes = self.memory_megabytes.unwrap_or(DEFAULT_MEMORY_MEGABYTES);
+        let bytes = usize::try_from(megabytes).unwrap_or(usize::MAX) << 20;
+        match kind {
+            memory::Kind::Requests | memory::Kind::Responses => bytes / 6,
+            memory::Kind::Store => bytes / 16,
+        }
+    }
+
     /// Length of the window for the load limit of the weight store.
     pub fn load_window(&self) -> Duration {
         Duration::from_secs_f64(self.orders.window_seconds)
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -61,7 +61,13 @@
     timeout: Duration,
     reason: &'static str,
 ) -> Result<(StatusCode, Bytes, Verdict), Failure> {
-    let response = call::send(&gateway.pool, gateway.settings.store, request, timeout).await;
+    let response = call::send(
+        &gateway.store_pool,
+        gateway.settings.store,
+        request,
+        timeout,
+    )
+    .await;
     let outcome = match &response {
         Ok(it) if it.head.status.is_success() => "done",
         Ok(_) => "refused",
--- a/crates/gateway/tests/page.rs
+++ b/crates/gateway/tests/page.rs
@@ -2,7 +2,13 @@
 
 use std::{collections::BTreeSet, fs, path::Path, time::Duration};
 
-use gateway::{attribution::Attribution, connection::Origin, metrics::Metrics, reply::Fault};
+use gateway::{
+    attribution::Attribution,
+    connection::Origin,
+    memory::{self, Budget},
+    metrics::Metrics,
+    reply::Fault,
+};
 
 const PAGE: &str = include_str!("../../../docs/operating/gateway.md");
 const TEMPLATE: &str = include_str!("../../../deploy/settings.yaml");
@@ -77,6 +83,9 @@
     metrics.count_crash("s");
     metrics.count_trial();
     metrics.record_quarantined_parts(1);
+    let budget = Budget::new(memory::Kind::Store, 1);
+    budget.record_too_large();
+    metrics.record_body_memory(&budget);
     let text = String::from_utf8(metrics.to_text()).expect("the metrics are UTF-8");
     let types = text.lines().filter_map(|it| it.strip_prefix("# TYPE "));
     let names = types.filter_map(|it| it.split(' ').next());
--- a/crates/gateway/tests/pauses.rs
+++ b/crates/gateway/tests/pauses.rs
@@ -8,7 +8,10 @@
 };
 
 use bytes::Bytes;
-use gateway::connection::{self, Pool, Reuse};
+use gateway::{
+    connection::{self, Pool, Reuse},
+    memory::{Budget, Kind},
+};
 use hyper::Request;
 use tokio::{io::AsyncWriteExt, net::TcpStream, runtime::Builder, task::LocalSet};
 
@@ -52,7 +55,7 @@
     let response = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
     let (addr, engine) = start_pausing_peer(BODY_BYTES, response);
     let status = block_on(async {
-        let pool = Pool::default();
+        let pool = Pool::new(Budget::new(Kind::Responses, BODY_BYTES));
         let mut connection = pool.acquire(addr, Reuse::Never).await.unwrap();
         let mut request = Request::new(Bytes::from(vec![b'x'; BODY_BYTES]));
         *request.method_mut() = hyper::Method::POST;
