Soak: bring hosts to their limits, and send bodies while they stop

No step sent slow bodies, many connections at once or bodies of the maximum length, and shutdowns were checked for requests sent before SIGTERM only, so a stopping host that began streams too late was not seen.

run/edges.rs has a generator of its own, so the other steps of a seed stay as they are. At the end, without faults, requests of each route whose last byte comes up to 7.55 s after SIGTERM must not be cut once an engine has them, nor those that callers send on open connections until the host is gone.

--- a/crates/entry/tests/soak/caller.rs
+++ b/crates/entry/tests/soak/caller.rs
@@ -248,6 +248,30 @@
         self.send_on(rng, route, 0, host, &mut connection)
     }
 
+    /// Sends one request on a new connection, its last byte at `at`, with a body of this length if it is given.
+    pub fn send_last_byte_at(
+        &self,
+        rng: &mut StdRng,
+        route: Route,
+        body_length: Option<usize>,
+        host: usize,
+        at: Instant,
+    ) -> Call {
+        let (mut call, _) = self.next_request(rng, route, 0, host);
+        let length = call.body().len();
+        call.padding = body_length.map_or(0, |it| it.saturating_sub(length));
+        let request = if route.is_streamed() {
+            Request::prompt_of(route.path(), &call.id, &call.model, &call.prompt)
+        } else {
+            Request::post(route.path(), &call.id, &call.body())
+        };
+        call.answer = connect(self.hosts[host])
+            .map(|mut it| request.send_last_byte_at(&mut it, at).1)
+            .unwrap_or_default();
+        self.record(call.clone());
+        call
+    }
+
     fn send_on(
         &self,
         rng: &mut StdRng,
--- a/crates/entry/tests/soak/run.rs
+++ b/crates/entry/tests/soak/run.rs
@@ -2,6 +2,7 @@
 //! finally the check of all observations.
 
 mod crashes;
+mod edges;
 mod endings;
 mod floods;
 mod limits;
@@ -23,6 +24,7 @@
 
 use self::{
     crashes::Crashes,
+    edges::Edges,
     endings::Ending,
     floods::Floods,
     limits::Limiting,
@@ -79,8 +81,8 @@
 /// Number of steps of a run.
 const STEPS: usize = 30;
 
-/// Make the generators of rollbacks, pressure, signals, floods, releases, endings, crashes and limits differ from that of
-/// the other steps.
+/// Make the generators of rollbacks, pressure, signals, floods, releases, endings, crashes, limits and edges differ from
+/// that of the other steps.
 const ROLLBACK_SEED: u64 = 0x5eed;
 const PRESSURE_SEED: u64 = 0x9e55;
 const SIGNAL_SEED: u64 = 0x516a;
@@ -89,6 +91,7 @@
 const ENDING_SEED: u64 = 0xe4d5;
 const CRASH_SEED: u64 = 0xc4a5;
 const LIMIT_SEED: u64 = 0x1174;
+const EDGE_SEED: u64 = 0xed6e;
 
 /// Time after the exit of a host in which callers notice the end of their connections.
 const CALLER_TIME: Duration = Duration::from_millis(250);
@@ -188,6 +191,7 @@
     let mut ending_rng = StdRng::seed_from_u64(seed ^ ENDING_SEED);
     let mut crash_rng = StdRng::seed_from_u64(seed ^ CRASH_SEED);
     let mut limit_rng = StdRng::seed_from_u64(seed ^ LIMIT_SEED);
+    let mut edges = Edges::new(seed ^ EDGE_SEED);
     for number in 0..STEPS {
         let step = Step::choose(&mut run.rng, hosts, ENGINES + PLAIN_INSTANCES);
         println!("seed {seed} step {number}: {step:?}");
@@ -225,13 +229,17 @@
             println!("seed {seed} step {number}: {step:?}");
             run.limit_engine(&step);
         }
+        edges.advance(&mut run, number);
         let pause = run.rng.random_range(50..500);
         run.run_for(Duration::from_millis(pause));
         run.check_memory();
     }
     run.heal();
     run.check_memory();
+    let wrong = edges.finish(&run.engines);
+    run.violations.extend(wrong);
     run.check_without_faults();
+    edges.check_late_bodies(&mut run);
     run.traffic
         .stop
         .store(true, std::sync::atomic::Ordering::Relaxed);
--- a/crates/entry/tests/soak/run/signals.rs
+++ b/crates/entry/tests/soak/run/signals.rs
@@ -18,7 +18,7 @@
 const SIGNAL_GAP: Duration = Duration::from_millis(250);
 
 /// The time after SIGTERM in which a host must end, as in the settings.
-const GRACE_TIME: Duration = Duration::from_secs(8);
+pub(super) const GRACE_TIME: Duration = Duration::from_secs(8);
 
 /// A series of signals. Times are in milliseconds.
 #[derive(Clone, Debug)]
