Ask an engine when it started before a stream goes on there

An engine that starts again while no host has a connection to it is not noticed: 9 of 12 streams that callers took up just then went on at its new build (platform restarts::..._unnoticed, entry 0.8 s late). The host now asks for the engine's status before the rest of a stream goes there, at most once a second for each engine.

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -282,11 +282,16 @@
         )
     }
 
+    /// Build that began the stream of which the request is to bring the rest.
+    pub(crate) fn begun_by(&self) -> Option<BuildId> {
+        let build = self.build.filter(|_| self.assigned.is_none());
+        build.filter(|_| self.route.kind == RequestKind::Resumable)
+    }
+
     /// Returns whether the response of an engine may not be used, because it is not certain that the engine is of the build
     /// that began the stream. It may have started again since it was chosen.
     pub(crate) fn is_of_uncertain_build(&self, in_flight: &InFlight) -> bool {
-        let begun_by = self.build.filter(|_| self.assigned.is_none());
-        let Some(build) = begun_by.filter(|_| self.route.kind == RequestKind::Resumable) else {
+        let Some(build) = self.begun_by() else {
             return false;
         };
         self.gossip.observe_ended_connections();
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -110,7 +110,10 @@
         }
         let instance = target.instance;
         let addr = target.addr;
-        if !self.take_turn(key).await {
+        if self.begun_by().is_some() {
+            self.gossip.prove_identity(key).await;
+        }
+        if !self.may_go_to(key) || !self.take_turn(key).await {
             return Err(Outcome::NotExecuted(None));
         }
         if target.is_limited {
--- a/crates/gateway/src/gossip/identity.rs
+++ b/crates/gateway/src/gossip/identity.rs
@@ -29,6 +29,10 @@
 /// Minimum time between two queries of this host whether an engine has started again.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 
+/// Time for which the answer of an engine to a query is relied on. If the engine ends sooner, the connection of the query
+/// shows it.
+const PROOF_TTL: Duration = Duration::from_secs(1);
+
 /// Time after a break before an engine that no request needs is asked whether it has started again.
 const BACKGROUND_DELAY: Duration = Duration::from_millis(300);
 
@@ -222,6 +226,18 @@
         is_certain
     }
 
+    /// Asks an engine when it started, unless that was done a moment ago, before a stream goes on there. It may have started
+    /// again while no host had a connection to it. If it doesn't answer, the list is relied on.
+    pub async fn prove_identity(&self, key: Key) {
+        let query = self.gateway.identity_checks.query(key);
+        let mut asked_at = query.lock().await;
+        let now = clock::now();
+        if asked_at.is_zero() || *asked_at + PROOF_TTL <= now {
+            *asked_at = now;
+            self.query_start(key).await;
+        }
+    }
+
     /// Asks an engine when it started. Returns whether it is the listed incarnation.
     async fn query_start(&self, key: Key) -> bool {
         let target = {
