Rely on the records of streams more than on their assignments

A stream that begins at another build than the assigned one is recorded in the store first. If the write didn't succeed within 0.3 s, as beside many hosts that write the same object, the stream began nevertheless, and the store was told later. Another host computed the origin from the object meanwhile and, as that seemed certain, asked nobody. Now it asks the holders of the record too, and a record counts more; a host without a record answers what it computes as uncertain. A stream begins without a record in the store only while the store doesn't answer its host.

--- a/crates/gateway/src/assignments.rs
+++ b/crates/gateway/src/assignments.rs
@@ -238,17 +238,25 @@
     }
 }
 
-/// Records in the store that a stream is to begin at another build than the assigned one. While the store doesn't take
-/// it, the stream begins nevertheless, and it is recorded later.
-pub async fn allow_exception(gateway: &Rc<Gateway>, name: &Arc<str>, key: StreamKey) {
+/// Records in the store that a stream is to begin at another build than the assigned one. Returns whether it may begin
+/// there: if the store doesn't answer, it may, and that is recorded later.
+pub async fn allow_exception(gateway: &Rc<Gateway>, name: &Arc<str>, key: StreamKey) -> bool {
     let service = gateway.assignments.service(name);
     let written = time::timeout(
         MAX_EXCEPTION_WRITE,
         write_exception(gateway, name, &service, key),
     );
-    if written.await != Ok(true) {
-        service.has_unassigned.set(true);
+    let is_written = written.await == Ok(true);
+    if !is_written && gateway.is_store_unavailable() {
+        record_unassigned(gateway, name);
     }
+    is_written || gateway.is_store_unavailable()
+}
+
+/// Records that a stream of this host began at any build, to be written to the store.
+pub fn record_unassigned(gateway: &Gateway, name: &Arc<str>) {
+    let service = gateway.assignments.service(name);
+    service.has_unassigned.set(true);
 }
 
 /// Returns whether the store has recorded that a stream may begin at another build than the assigned one, or will record
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -249,7 +249,7 @@
         let (stream, key) = (self.stream(), self.stream_key);
         let gossip = &self.gossip;
         let origin = gossip.find_origin(stream, key, &self.service, self.deadline);
-        origin.await
+        Box::pin(origin).await
     }
 
     /// Waits until it is known which build began the stream, if its engine may have started again.
--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -310,7 +310,9 @@
         if self.has_reachable_engine(self.build, tried) || !self.has_reachable_engine(None, tried) {
             return false;
         }
-        assignments::allow_exception(&self.gateway, &self.service, key).await;
+        if !assignments::allow_exception(&self.gateway, &self.service, key).await {
+            return false;
+        }
         self.assigned = None;
         self.build = None;
         true
--- a/crates/gateway/src/gossip/identity.rs
+++ b/crates/gateway/src/gossip/identity.rs
@@ -296,8 +296,10 @@
     ) {
         let gossip = self.clone();
         spawn_local(async move {
-            if let Some(it) = assigned {
-                assignments::allow_exception(&gossip.gateway, &service, it).await;
+            if let Some(it) = assigned
+                && !assignments::allow_exception(&gossip.gateway, &service, it).await
+            {
+                assignments::record_unassigned(&gossip.gateway, &service);
             }
             let until = clock::now() + MAX_ORIGIN_WAIT;
             while !gossip.is_certain(key) && clock::now() < until {
--- a/crates/gateway/src/gossip/origins.rs
+++ b/crates/gateway/src/gossip/origins.rs
@@ -15,6 +15,7 @@
     assignment::{Candidates, StreamKey},
     origin::{self, Announcement, BuildId, Holder, Origin, StreamId},
 };
+use futures::future;
 use tokio::{sync::Notify, task::spawn_local, time};
 
 use super::Gossip;
@@ -186,21 +187,27 @@
         service: &Arc<str>,
         deadline: Time,
     ) -> Option<BuildId> {
-        let known = self.compute_origin(stream, key, service).await;
-        if let Origin::Recorded(it) = known {
+        if let Origin::Recorded(it) = self.known_origin(stream, service) {
             return Some(it);
         }
         let query = self.gateway.origin_queries.begin(stream);
         let pending = &query.pending;
-        match self.query_origin(stream, service, pending, deadline).await {
-            Answers::Received(it) => known.or(it).build(),
-            Answers::None => known.build(),
+        let (computed, answers) = future::join(
+            self.compute_origin(stream, key, service),
+            self.query_origin(stream, service, pending, deadline),
+        )
+        .await;
+        match (answers, computed) {
+            // The stream may have begun at another build than the assigned one before the store recorded that, so the record
+            // of a holder counts more than what the assignments give.
+            (Answers::Received(it), _) => it.or(computed).build(),
+            (Answers::None, _) | (_, Origin::Recorded(_)) => computed.build(),
             // This host may have been cut off since its start, and its list outdated.
-            Answers::NobodyAsked => {
+            (Answers::NobodyAsked, _) => {
                 let table = self.gateway.table.borrow();
                 let origins = self.gateway.origins.borrow();
                 let certain = origins.certain_build(service, &table, clock::now());
-                certain.filter(|it| known == Origin::Only(*it))
+                certain.filter(|it| computed == Origin::Only(*it))
             }
         }
     }
@@ -231,6 +238,19 @@
         }
     }
 
+    /// Returns what this host tells others of the origin of a stream: its record, or what the assignments give, which is less
+    /// certain than the record of another host.
+    async fn origin_for_others(&self, stream: StreamId, service: &Arc<str>) -> Origin {
+        let known = self.known_origin(stream, service);
+        if let Origin::Recorded(_) = known {
+            return known;
+        }
+        match self.compute_origin(stream, None, service).await {
+            Origin::Recorded(it) => Origin::Only(it),
+            it => it,
+        }
+    }
+
     /// Asks the holders of a stream until one of them has a record, or all of them have answered.
     async fn query_origin(
         &self,
@@ -281,7 +301,7 @@
         let gossip = self.clone();
         spawn_local(async move {
             let (stream, service) = (StreamId(query.stream), query.service.into());
-            let origin = gossip.compute_origin(stream, None, &service).await;
+            let origin = gossip.origin_for_others(stream, &service).await;
             let reply = OriginReply {
                 stream: query.stream,
                 origin: origin.into(),
