--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -298,6 +298,13 @@
         !self.gossip.is_certain(in_flight.key) || in_flight.build() != Some(build)
     }
 
+    /// Waits until it is certain whether an engine that is to bring the rest of a stream has started again.
+    pub(crate) async fn confirm_engine(&self, in_flight: &InFlight) {
+        if self.is_of_uncertain_build(in_flight) {
+            Box::pin(self.gossip.confirm_identity(in_flight.key)).await;
+        }
+    }
+
     /// Records which build begins a new stream, once it is certain.
     pub(crate) fn record_engine_origin(&mut self, in_flight: &InFlight) {
         self.gossip.observe_ended_connections();
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -111,7 +111,7 @@
         let instance = target.instance;
         let addr = target.addr;
         if self.begun_by().is_some() {
-            self.gossip.prove_identity(key).await;
+            Box::pin(self.gossip.prove_identity(key)).await;
         }
         if !self.may_go_to(key) || !self.take_turn(key).await {
             return Err(Outcome::NotExecuted(None));
@@ -359,6 +359,7 @@
         self.way_back = None;
         self.confirm_adapter(key);
         self.gateway.record_acceptance(key);
+        self.confirm_engine(&in_flight).await;
         if status.is_success() && self.is_of_uncertain_build(&in_flight) {
             self.trace.record_outcome(attempt, "started again");
             return Outcome::Lost;
--- a/crates/gateway/src/gossip/identity.rs
+++ b/crates/gateway/src/gossip/identity.rs
@@ -40,6 +40,12 @@
 /// after the other.
 const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_millis(500);
 
+/// Maximum time for which a response is held until it is certain whether its engine has started again.
+const MAX_CONFIRM_TIME: Duration = Duration::from_millis(500);
+
+/// Time between two attempts to find that out.
+const CONFIRM_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Time between two looks whether the build that began a stream is known by now.
 const ORIGIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -226,6 +232,15 @@
         is_certain
     }
 
+    /// Waits until an engine that has begun to answer is certain to be the listed incarnation, as far as it can be found out
+    /// in a short time. Another connection to it may have broken meanwhile.
+    pub async fn confirm_identity(&self, key: Key) {
+        let until = clock::now() + MAX_CONFIRM_TIME;
+        while !self.check_identity(key).await && clock::now() < until {
+            time::sleep(CONFIRM_INTERVAL).await;
+        }
+    }
+
     /// Asks an engine when it started, unless that was done a moment ago, before a stream goes on there. It may have started
     /// again while no host had a connection to it. If it doesn't answer, the list is relied on.
     pub async fn prove_identity(&self, key: Key) {
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -225,12 +225,22 @@
         // Parts of an event that never ends must not extend the wait.
         let events = read_events(body, &mut self.buffer);
         match wait_for_engine(&context, key, stage, events).await {
-            WaitResult::Ready(received) => self.forward(received),
+            WaitResult::Ready(received) => {
+                self.confirm_engine().await;
+                self.forward(received)
+            }
             WaitResult::Stalled => self.take_over().await,
             WaitResult::DeadlineExceeded => Step::DeadlineExceeded,
         }
     }
 
+    /// Waits until it is certain whether the engine that sends its first event has started again.
+    async fn confirm_engine(&self) {
+        if let Some((_, in_flight)) = self.upstream.as_ref().filter(|_| self.awaiting_first) {
+            self.exchange.confirm_engine(in_flight).await;
+        }
+    }
+
     /// Returns whether bytes may belong to the stream. In place of its rest, an engine may have sent an error.
     fn may_forward(&self, bytes: &[u8]) -> bool {
         self.progress != Progress::Resumed || sse::are_events(bytes)
@@ -301,7 +311,10 @@
             .take_over(in_flight, answer, is_last, last_event_id.as_deref())
             .await
         {
-            Takeover::Continued(received) => self.forward(received),
+            Takeover::Continued(received) => {
+                self.confirm_engine().await;
+                self.forward(received)
+            }
             Takeover::Accepted(it) => {
                 self.switch_to(*it);
                 Step::Moved
