Write late entries of restarted engines on time in the soak

A step that waits for a host delayed the entries of engines that had restarted, by seconds at 79 hosts, so a run showed hosts older lists than it should. Each entry is now written by a thread of its own, which prints how late it was.

--- a/crates/entry/tests/soak/run.rs
+++ b/crates/entry/tests/soak/run.rs
@@ -608,6 +608,7 @@
             }
         }
         self.relieve_engines();
+        self.remove_retired();
         self.wait_for_drains();
         for it in self.engine_proxies.iter().chain(&self.store_proxies) {
             it.set(Fault::None);
--- a/crates/entry/tests/soak/run/series.rs
+++ b/crates/entry/tests/soak/run/series.rs
@@ -1,7 +1,13 @@
 //! Failures one after the other: engines that start again under their ids, as the same or another build, with their clocks
 //! set back and with late entries; releases; kills and suspensions of hosts; and cuts of engines and of the store.
 
+use std::{
+    thread,
+    time::{Duration, Instant},
+};
+
 use rand::{RngExt, rngs::StdRng};
+use serde_json::json;
 
 use super::{
     Recovery, Run, Size,
@@ -157,6 +163,30 @@
             self.rebuilt.push(engine.run_prefix());
         }
         self.engine_proxies[it].reset();
-        self.recover_after(restart.entry_ms, Recovery::Entry(it));
+        self.entries[it] = Some("ready");
+        self.write_entry_later(it, Duration::from_millis(restart.entry_ms));
+    }
+
+    /// Writes the entry of the current incarnation of an engine after a time, also while a step waits for a host.
+    fn write_entry_later(&self, it: usize, delay: Duration) {
+        let (store, engine) = (self.store.clone(), self.engines[it].clone());
+        let addr = self.engine_proxies[it].addr;
+        let restarted_at = Instant::now();
+        let incarnation = engine.run_prefix();
+        let seed = self.seed;
+        thread::spawn(move || {
+            thread::sleep(delay);
+            if engine.run_prefix() != incarnation {
+                return;
+            }
+            let mut entry = engine.entry("ready");
+            entry["addr"] = json!(addr.to_string());
+            store.put("servers", &engine.id, &entry);
+            println!(
+                "seed {seed}: {incarnation} is listed as {} after {:?}",
+                engine.build(),
+                restarted_at.elapsed()
+            );
+        });
     }
 }
