--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -45,7 +45,7 @@
 /// Time between two checks whether the retry budget has recovered.
 pub(crate) const BUDGET_PAUSE: Duration = Duration::from_millis(100);
 
-/// Time between two looks whether the build that began a stream is recorded by now.
+/// Time between two checks whether the build that began a stream is recorded.
 const ORIGIN_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Minimum time before the deadline in which another attempt is made.
--- a/crates/gateway/src/gossip/identity.rs
+++ b/crates/gateway/src/gossip/identity.rs
@@ -46,7 +46,7 @@
 /// Time between two attempts to find that out.
 const CONFIRM_INTERVAL: Duration = Duration::from_millis(50);
 
-/// Time between two looks whether the build that began a stream is known by now.
+/// Time between two checks whether the build that began a stream is known.
 const ORIGIN_CHECK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// Maximum time for which the build that began a stream is waited for.
@@ -205,15 +205,15 @@
         table.record_break(key, at, Announcement::Done);
     }
 
-    /// Returns whether an engine is certain to be the listed incarnation. One that is no longer listed has not started
-    /// again under its id.
+    /// Returns whether an engine is certain to be the listed incarnation. Of one that is no longer listed, nothing is in
+    /// doubt.
     pub fn is_certain(&self, key: Key) -> bool {
         let table = self.gateway.table.borrow();
         table.get(key).is_none_or(|it| it.identity().is_certain())
     }
 
-    /// Asks an engine when it started, unless that was done a moment ago. Returns whether it is certain to be the listed
-    /// incarnation.
+    /// Asks an engine when it started, unless it was asked within [`CHECK_INTERVAL`]. Returns whether it is certain to be
+    /// the listed incarnation.
     pub async fn check_identity(&self, key: Key) -> bool {
         let query = self.gateway.identity_checks.query(key);
         let mut asked_at = query.lock().await;
@@ -241,8 +241,8 @@
         }
     }
 
-    /// Asks an engine when it started, unless that was done a moment ago, before a stream goes on there. It may have started
-    /// again while no host had a connection to it. If it doesn't answer, the list is relied on.
+    /// Asks an engine when it started, unless it was asked within [`PROOF_TTL`], before a stream goes on there. It may have
+    /// started again while no host had a connection to it. If it doesn't answer, the list is relied on.
     pub async fn prove_identity(&self, key: Key) {
         let query = self.gateway.identity_checks.query(key);
         let mut asked_at = query.lock().await;
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -84,8 +84,8 @@
         }
     }
 
-    /// Build of the engine that sends the response. If the engine has started again since the request was sent, the
-    /// connection is one to its new incarnation, which the list shows later.
+    /// Build of the engine that sends the response, by its current entry. If the engine has started again since the request
+    /// was sent and the connection lives on, it is one to the new incarnation, whose entry may have been read since.
     pub(crate) fn build(&self) -> Option<BuildId> {
         let table = self.gateway.table.borrow();
         let listed = table.get(self.key).map(|it| BuildId::of(&it.listing));
