--- a/crates/gateway/src/gossip/identity.rs
+++ b/crates/gateway/src/gossip/identity.rs
@@ -52,7 +52,7 @@
 /// Maximum time for which the build that began a stream is waited for.
 const MAX_ORIGIN_WAIT: Duration = Duration::from_secs(15);
 
-/// What this host has asked and told about engines that may have started again.
+/// Queries and announcements of this host about engines that may have started again.
 #[derive(Default)]
 pub struct IdentityChecks {
     /// When each engine was last asked. Requests that need the same engine share the query.
