Authenticate callers by the keys of client accounts

Cause: accounts, keys and public routes of the configuration were dropped without a word, so engines got callers' keys, and keys that had been taken away went on working.

Change: fleet::account finds the account of a request by the digest of its key, or 401. Engines get the name of the account instead of the key. A host that passes a request on vouches for its account. The priority of an account goes before that of the route. Without accounts, nothing changes for callers or engines.

--- /dev/null
+++ b/crates/fleet/src/account.rs
@@ -0,0 +1,212 @@
+//! Client accounts: whose request it is, by its key, and what the account may do.
+//!
+//! Keys are kept as digests only, so that neither a log, a message between hosts nor a core dump shows one. They are
+//! looked up by digest, which makes the time of a look-up independent of how much of a key is right.
+
+use std::{collections::HashMap, fmt, sync::Arc};
+
+use sha2::{Digest, Sha256};
+
+/// Number of digits of a digest in hexadecimal.
+const HEX_DIGITS: usize = 64;
+
+/// Digest of an API key.
+#[derive(Clone, Copy, Eq, Hash, PartialEq)]
+pub struct KeyDigest([u8; 32]);
+
+impl KeyDigest {
+    /// Digest of a key as a caller sends it.
+    pub fn of(key: &str) -> Self {
+        Self(Sha256::digest(key.as_bytes()).into())
+    }
+
+    /// Parses the form that [`KeyDigest::to_hex`] returns.
+    pub fn from_hex(text: &str) -> Option<Self> {
+        if text.len() != HEX_DIGITS || !text.is_ascii() {
+            return None;
+        }
+        let mut bytes = [0; 32];
+        for (index, byte) in bytes.iter_mut().enumerate() {
+            *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
+        }
+        Some(Self(bytes))
+    }
+
+    /// Hexadecimal form, for messages between hosts.
+    pub fn to_hex(self) -> String {
+        let digit = |it: u8| char::from_digit(u32::from(it), 16).unwrap_or_default();
+        let digits = self.0.iter().flat_map(|it| [it >> 4, it & 15]);
+        digits.map(digit).collect()
+    }
+}
+
+impl fmt::Debug for KeyDigest {
+    /// Shows no part of the digest, since logs are read by more people than the configuration.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("KeyDigest")
+    }
+}
+
+/// A client account.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Account {
+    /// Its name, which engines are told.
+    pub name: Arc<str>,
+    /// Urgency of its requests, in place of that of their routes; 0 is the most urgent.
+    pub priority: Option<u8>,
+    /// Limit of its requests over all hosts; `None` if there is none.
+    pub quota: Option<Quota>,
+}
+
+/// Limit of the requests of an account over all hosts together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Quota {
+    /// What is counted.
+    pub unit: Unit,
+    /// Units per second.
+    pub rate: f64,
+    /// Units that may be used at once after a pause.
+    pub burst: f64,
+}
+
+/// What a [`Quota`] counts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Unit {
+    /// Requests.
+    Requests,
+    /// Tokens of the prompt and of the longest output that the request allows.
+    Tokens {
+        /// Tokens of a request that states none.
+        unstated: f64,
+    },
+}
+
+impl Quota {
+    /// Units that a request uses, by the tokens that it states.
+    pub fn cost(&self, stated_tokens: Option<u64>) -> f64 {
+        match self.unit {
+            Unit::Requests => 1.0,
+            Unit::Tokens { unstated } => {
+                let stated = stated_tokens.map(|it| u32::try_from(it).unwrap_or(u32::MAX));
+                stated.map_or(unstated, f64::from)
+            }
+        }
+    }
+}
+
+/// Who may use a route.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Access {
+    /// Callers with the key of an account.
+    #[default]
+    Accounts,
+    /// All callers.
+    Public,
+}
+
+/// Request without a key of an account.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Unauthenticated;
+
+/// Holder of a key.
+#[derive(Clone, Debug)]
+enum Holder {
+    One(Arc<Account>),
+    /// Several accounts name the key. It identifies none of them.
+    Several,
+}
+
+/// All accounts of a revision of the configuration.
+#[derive(Clone, Debug, Default)]
+pub struct Accounts {
+    by_key: HashMap<KeyDigest, Holder>,
+    by_name: HashMap<Arc<str>, Arc<Account>>,
+    shared_keys: Vec<[Arc<str>; 2]>,
+}
+
+impl Accounts {
+    /// Creates accounts, each with its keys. A key that two accounts name is refused: whichever account its requests were
+    /// counted for, it would be the wrong one for some of them.
+    pub fn new(accounts: impl IntoIterator<Item = (Account, Vec<KeyDigest>)>) -> Self {
+        let mut all = Self::default();
+        for (account, keys) in accounts {
+            let account = Arc::new(account);
+            all.by_name.insert(account.name.clone(), account.clone());
+            for key in keys {
+                all.add_key(key, &account);
+            }
+        }
+        all
+    }
+
+    fn add_key(&mut self, key: KeyDigest, account: &Arc<Account>) {
+        let previous = self.by_key.get(&key);
+        let holder = match previous {
+            None => Holder::One(account.clone()),
+            Some(Holder::One(it)) if it.name == account.name => Holder::One(account.clone()),
+            Some(Holder::One(it)) => {
+                let names = [it.name.clone(), account.name.clone()];
+                self.shared_keys.push(names);
+                Holder::Several
+            }
+            Some(Holder::Several) => Holder::Several,
+        };
+        self.by_key.insert(key, holder);
+    }
+
+    /// The account that holds a key.
+    pub fn by_key(&self, key: &KeyDigest) -> Option<&Arc<Account>> {
+        match self.by_key.get(key)? {
+            Holder::One(it) => Some(it),
+            Holder::Several => None,
+        }
+    }
+
+    /// The account of this name.
+    pub fn by_name(&self, name: &str) -> Option<&Arc<Account>> {
+        self.by_name.get(name)
+    }
+
+    /// All accounts.
+    pub fn iter(&self) -> impl Iterator<Item = &Arc<Account>> {
+        self.by_name.values()
+    }
+
+    /// Pairs of accounts that name the same key.
+    pub fn shared_keys(&self) -> &[[Arc<str>; 2]] {
+        &self.shared_keys
+    }
+
+    /// Returns the account of a request. A caller that needs no key is known by the one that it sends all the same.
+    pub fn authenticate(
+        &self,
+        access: Access,
+        key: Option<&KeyDigest>,
+    ) -> Result<Option<Arc<Account>>, Unauthenticated> {
+        match (key.and_then(|it| self.by_key(it)), access) {
+            (Some(it), _) => Ok(Some(it.clone())),
+            (None, Access::Public) => Ok(None),
+            (None, Access::Accounts) => Err(Unauthenticated),
+        }
+    }
+
+    /// Returns the account that another host has found for a request, by revision `theirs` of the configuration, where
+    /// this host has `own`. An account that this host doesn't know yet has no limit here, since that host has counted the
+    /// request.
+    pub fn vouched(
+        &self,
+        name: &Arc<str>,
+        theirs: u64,
+        own: u64,
+    ) -> Result<Arc<Account>, Unauthenticated> {
+        match self.by_name(name) {
+            Some(it) => Ok(it.clone()),
+            None if theirs > own => Ok(Arc::new(Account {
+                name: name.clone(),
+                priority: None,
+                quota: None,
+            })),
+            None => Err(Unauthenticated),
+        }
+    }
+}
--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -6,6 +6,8 @@
     time::Duration,
 };
 
+use crate::account::{Access, Accounts};
+
 /// One revision of the operator's configuration.
 #[derive(Clone, Debug, Default)]
 pub struct Catalog {
@@ -17,6 +19,8 @@
     pub services: HashMap<Arc<str>, Arc<Service>>,
     /// Limits on requests from callers.
     pub limits: Limits,
+    /// Client accounts; `None` if the operator has declared none, so that requests need no key.
+    pub accounts: Option<Accounts>,
     /// Services with routes whose streams may be resumed.
     resumable_services: BTreeSet<Arc<str>>,
     /// Shortest latency target of the routes of a service, by priority.
@@ -94,6 +98,8 @@
     pub priority: u8,
     /// Maximum number of engines that one request may be sent to.
     pub attempts: usize,
+    /// Who may use the route, if there are client accounts.
+    pub access: Access,
     /// Services and their weights; never empty.
     pub targets: Vec<Target>,
 }
@@ -201,20 +207,30 @@
             hosts,
             services: services.into_iter().map(by_name).collect(),
             limits,
+            accounts: None,
             resumable_services,
             shortest_targets,
         }
     }
 
+    /// Adds the client accounts.
+    #[must_use]
+    pub fn with_accounts(self, accounts: Accounts) -> Self {
+        Self {
+            accounts: Some(accounts),
+            ..self
+        }
+    }
+
     /// Returns the services with routes whose streams may be resumed.
     pub fn resumable_services(&self) -> impl Iterator<Item = &Arc<str>> {
         self.resumable_services.iter()
     }
 
-    /// Returns the shortest latency target among the more urgent routes of a service.
-    pub fn more_urgent_target(&self, route: &Route, service: &str) -> Option<Duration> {
+    /// Returns the shortest latency target among the routes of a service that are more urgent than a request.
+    pub fn more_urgent_target(&self, priority: u8, service: &str) -> Option<Duration> {
         let targets = self.shortest_targets.get(service)?;
-        let more_urgent = targets.range(..route.priority);
+        let more_urgent = targets.range(..priority);
         more_urgent.map(|it| *it.1).min()
     }
 
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -10,6 +10,7 @@
 //!
 //! This crate has no I/O, threads or clock. The time is an argument: a [`Time`] since an arbitrary origin.
 
+pub mod account;
 pub mod admission;
 pub mod assignment;
 pub mod backoff;
--- a/crates/fleet/tests/it/fixture.rs
+++ b/crates/fleet/tests/it/fixture.rs
@@ -4,6 +4,7 @@
 
 use fleet::{
     Time,
+    account::Access,
     catalog::{Capacity, Catalog, Limits, Model, RequestKind, Route, Service, Target},
     listing::{Held, Listing, State},
     prefix::{Chain, Part},
@@ -93,6 +94,7 @@
         max_gap: ms(250),
         priority: 1,
         attempts: 2,
+        access: Access::Accounts,
         targets: vec![Target {
             service: Arc::from("chat"),
             weight: 1,
--- a/crates/fleet/tests/it/main.rs
+++ b/crates/fleet/tests/it/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions, without sockets or clocks.
 
+mod accounts;
 mod admissions;
 mod assignments;
 mod backoffs;
--- a/crates/gateway/src/dialect.rs
+++ b/crates/gateway/src/dialect.rs
@@ -5,6 +5,7 @@
 
 use bytes::Bytes;
 use fleet::{
+    account::KeyDigest,
     catalog::Catalog,
     era::Statement,
     listing::{Listing, Name},
@@ -59,6 +60,10 @@
     pub prompt_parts: Vec<Part>,
     /// Number of prompt tokens.
     pub prompt_tokens: u32,
+    /// Tokens of the prompt and of the longest output that the caller allows, if it states both.
+    pub total_tokens: Option<u64>,
+    /// Digest of the API key of the caller.
+    pub key: Option<KeyDigest>,
     /// Id of the last event that the caller has received, if it resumes a stream.
     pub last_event_id: Option<String>,
     /// Id of the request whose response began the stream, if the caller resumes a stream.
@@ -169,6 +174,13 @@
     fn parse_request_head(&self, headers: &HeaderMap) -> Result<RequestHead, &'static str>;
     /// Returns whether a caller's header must not be forwarded, because only hosts may set it.
     fn is_reserved(&self, header: &http::HeaderName) -> bool;
+    /// Returns whether a header says who the caller is. Where there are client accounts, engines don't get those that a
+    /// caller sends.
+    fn is_credential(&self, header: &http::HeaderName) -> bool;
+    /// Writes the header that tells an engine the client account of a request.
+    fn write_account(&self, headers: &mut HeaderMap, account: &str);
+    /// Value of `WWW-Authenticate`, which says how a caller has to send its key.
+    fn challenge(&self) -> http::HeaderValue;
     /// Returns whether a caller's header may differ between attempts of the same request.
     fn is_per_attempt(&self, header: &http::HeaderName) -> bool;
     /// Writes the headers that a host adds to a request for an engine.
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use fleet::{
     Time,
+    account::Account,
     assignment::StreamKey,
     catalog::{RequestKind, Route},
     circuit::State,
@@ -65,6 +66,8 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: Arc<str>,
     pub(crate) request_head: RequestHead,
+    /// Client account of the request; `None` if it needs none.
+    pub(crate) account: Option<Arc<Account>>,
     pub(crate) prefix_chain: Chain,
     /// Parts of the request, on one of which engines may crash.
     pub(crate) suspects: Vec<Suspect>,
@@ -271,6 +274,14 @@
         }
     }
 
+    /// Urgency of the request: that of its client account, or of its route.
+    pub(crate) fn priority(&self) -> u8 {
+        let account = self.account.as_ref();
+        account
+            .and_then(|it| it.priority)
+            .unwrap_or(self.route.priority)
+    }
+
     /// The stream of this request, which an earlier request of the caller may have begun.
     fn stream(&self) -> StreamId {
         let began_by = self.request_head.resumed_request.as_ref();
--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -370,7 +370,7 @@
         let most_urgent = self
             .gateway
             .catalog()
-            .and_then(|it| it.more_urgent_target(&self.route, &self.service));
+            .and_then(|it| it.more_urgent_target(self.priority(), &self.service));
         let candidate = admission::Candidate {
             waited: now.saturating_sub(self.started),
             target: admission::queue_target(target, most_urgent),
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,9 +1,10 @@
 //! Entry point for callers' requests: reads a request, finds its route and forwards it.
 
-use std::{rc::Rc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 
 use bytes::Bytes;
 use fleet::{
+    account::{Account, Unauthenticated},
     assignment::StreamKey,
     catalog::{Catalog, RequestKind, Route},
     prefix::Chain,
@@ -13,7 +14,7 @@
 use hyper::{
     HeaderMap, Method, Request, Response,
     body::Incoming,
-    header::{CONTENT_LENGTH, HOST, HeaderValue},
+    header::{CONTENT_LENGTH, HOST, HeaderName, HeaderValue, WWW_AUTHENTICATE},
 };
 use tokio::time;
 
@@ -47,7 +48,7 @@
     gossip: Rc<Gossip>,
     request: Request<Incoming>,
 ) -> Response<Body> {
-    let exchange = match accept(&gateway, &gossip, request).await {
+    let exchange = match accept(&gateway, &gossip, request, None).await {
         Ok(it) => it,
         Err(response) => return response,
     };
@@ -63,7 +64,7 @@
     handover: Handover,
 ) -> Response<Body> {
     let received_at = clock::now();
-    match accept(&gateway, &gossip, request).await {
+    match accept(&gateway, &gossip, request, Some(&handover)).await {
         Ok(mut exchange) => {
             exchange.adopt_handover(handover, received_at);
             exchange.run().await
@@ -87,11 +88,40 @@
     reply::fault_response(Fault::Stopping, Some(STOPPING_RETRY_AFTER))
 }
 
-/// Reads a request and finds its route.
+/// Returns the client account of a request, by its key or by the host that passes it on.
+fn authenticate(
+    catalog: &Catalog,
+    route: &Route,
+    request_head: &RequestHead,
+    handover: Option<&Handover>,
+) -> Result<Option<Arc<Account>>, Unauthenticated> {
+    let Some(accounts) = &catalog.accounts else {
+        return Ok(None);
+    };
+    let vouched = handover.and_then(|it| Some((it.account.as_deref()?, it.revision)));
+    match vouched {
+        Some((name, revision)) => {
+            let account = accounts.vouched(&name.into(), revision, catalog.revision);
+            account.map(Some)
+        }
+        None => accounts.authenticate(route.access, request_head.key.as_ref()),
+    }
+}
+
+/// Response to a request without a valid key, which says how to send one.
+fn unauthenticated_response(gateway: &Gateway) -> Response<Body> {
+    let mut response = reply::fault_response(Fault::Unauthenticated, None);
+    let challenge = gateway.dialect.challenge();
+    response.headers_mut().insert(WWW_AUTHENTICATE, challenge);
+    response
+}
+
+/// Reads a request and finds its route and client account.
 async fn accept(
     gateway: &Rc<Gateway>,
     gossip: &Rc<Gossip>,
     request: Request<Incoming>,
+    handover: Option<&Handover>,
 ) -> Result<Exchange, Response<Body>> {
     let started = clock::now();
     if gateway.closing.get() {
@@ -118,6 +148,8 @@
             log::info!(event = "bad-request", why = it; "request refused: invalid headers: {it}");
             reply::fault_response(Fault::BadRequest, None)
         })?;
+    let account = authenticate(&catalog, &route, &request_head, handover)
+        .map_err(|Unauthenticated| unauthenticated_response(gateway))?;
     let limit = catalog.limits.body_bytes;
     let timeout = request_head.timeout.unwrap_or(route.timeout);
     let deadline = started + timeout.min(route.timeout);
@@ -127,7 +159,10 @@
         // A response that has begun can't be replaced by a failure at the end of the grace period.
         return Err(stopping_response());
     }
-    let headers = forwarded_headers(gateway, parts.headers, &parts.method, &body);
+    let mut headers = forwarded_headers(gateway, parts.headers, &parts.method, &body);
+    if catalog.accounts.is_some() {
+        replace_credentials(gateway, &mut headers, account.as_deref());
+    }
     // A stream goes on at the service that began it, if the route has several.
     let began_by = request_head.resumed_request.as_ref();
     let began_by = began_by.unwrap_or(&request_head.id);
@@ -145,6 +180,8 @@
     let stream_key = stream_key(&route, &request_head);
     let mut suspects = quarantine::suspects(&service, &request_head.prompt_parts);
     suspects.push(Suspect::whole(content));
+    let mut trace = Trace::new(started, catalog.revision);
+    trace.account = account.as_ref().map(|it| it.name.clone());
     Ok(Exchange {
         gateway: gateway.clone(),
         gossip: gossip.clone(),
@@ -155,6 +192,7 @@
         route,
         service,
         request_head,
+        account,
         prefix_chain,
         suspects,
         trial: None,
@@ -172,7 +210,7 @@
         attempts: 0,
         has_begun: false,
         may_have_run: false,
-        trace: Trace::new(started, catalog.revision),
+        trace,
         end_recorded: false,
         retry_after: None,
         build: None,
@@ -237,6 +275,18 @@
     Chain::new(name, &[prompt])
 }
 
+/// Replaces what a caller says of itself by its client account.
+fn replace_credentials(gateway: &Gateway, headers: &mut HeaderMap, account: Option<&Account>) {
+    let is_credential = |it: &&HeaderName| gateway.dialect.is_credential(it);
+    let credentials: Vec<_> = headers.keys().filter(is_credential).cloned().collect();
+    for name in credentials {
+        headers.remove(name);
+    }
+    if let Some(account) = account {
+        gateway.dialect.write_account(headers, &account.name);
+    }
+}
+
 /// Returns the headers of a caller's request that are forwarded, with the length of its body.
 fn forwarded_headers(
     gateway: &Gateway,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,6 +11,7 @@
 
 use fleet::{
     Time,
+    account::Accounts,
     budget::Budget,
     catalog::Catalog,
     engine::Engine,
@@ -310,6 +311,10 @@
         if newer {
             let version = catalog.revision;
             log::info!(event = "config", version; "adopted configuration revision {version}");
+            let shared = catalog.accounts.iter().flat_map(Accounts::shared_keys);
+            for [first, second] in shared {
+                log::warn!(event = "key-shared", account = &**first, other = &**second; "a key is refused, since the accounts {first} and {second} both name it");
+            }
             self.head_timeout.set(&catalog.limits);
             *self.catalog.borrow_mut() = Some(Rc::new(catalog));
             self.config_adopted.notify_waiters();
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -69,6 +69,12 @@
     pub last_event_id: Option<String>,
     /// Build that began the stream, if it is known.
     pub build: Option<u64>,
+    /// Client account of the request, if that host knows client accounts and the request has one.
+    #[serde(default)]
+    pub account: Option<String>,
+    /// Revision of the configuration by which that host found the account.
+    #[serde(default)]
+    pub revision: u64,
 }
 
 impl Handover {
@@ -328,6 +334,8 @@
                 .build
                 .filter(|_| self.assigned.is_none())
                 .map(|it| it.0),
+            account: (self.account.as_ref()).map(|it| it.name.to_string()),
+            revision: self.trace.config,
         };
         let mut request = Request::new(self.body.clone());
         *request.method_mut() = self.method.clone();
@@ -413,7 +421,7 @@
         return;
     }
     let service = service_fn(|request: Request<Incoming>| {
-        let response = handle(gateway.clone(), gossip.clone(), request);
+        let response = Box::pin(handle(gateway.clone(), gossip.clone(), request));
         async { Ok::<_, Infallible>(response.await) }
     });
     let mut connection = http1::Builder::new()
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -29,6 +29,8 @@
     NoConfig,
     /// No route matches the host name and path.
     NoRoute,
+    /// The request carries no key of a client account, and its route needs one.
+    Unauthenticated,
     /// The headers of the request are invalid.
     BadRequest,
     /// The body exceeds the operator's limit.
@@ -63,9 +65,10 @@
 
 impl Fault {
     /// All faults.
-    pub const ALL: [Self; 17] = [
+    pub const ALL: [Self; 18] = [
         Self::NoConfig,
         Self::NoRoute,
+        Self::Unauthenticated,
         Self::BadRequest,
         Self::TooLarge,
         Self::NoMemory,
@@ -88,6 +91,7 @@
         match self {
             Self::NoConfig => "no-config",
             Self::NoRoute => "no-route",
+            Self::Unauthenticated => "unauthenticated",
             Self::BadRequest => "bad-request",
             Self::TooLarge => "too-large",
             Self::NoMemory => "no-memory",
@@ -110,6 +114,7 @@
     pub fn status(self) -> StatusCode {
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::Unauthenticated => StatusCode::UNAUTHORIZED,
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoConfig
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -22,6 +22,8 @@
 #[derive(Clone, Debug)]
 pub struct Trace {
     started: fleet::Time,
+    /// Client account of the request; `None` if it needs none.
+    pub account: Option<Arc<str>>,
     /// Revision of the configuration that routed the request.
     pub config: u64,
     /// Time spent waiting for the load of the adapter.
@@ -94,6 +96,7 @@
     pub fn new(started: fleet::Time, config: u64) -> Self {
         Self {
             started,
+            account: None,
             config,
             load_wait: Duration::ZERO,
             queue_wait: Duration::ZERO,
@@ -237,6 +240,7 @@
             service,
             adapter = request_head.name.as_deref().unwrap_or("-"),
             config = self.config,
+            account = self.account.as_deref().unwrap_or("-"),
             took_ms = as_millis(elapsed),
             first_ms = self.first_forwarded.map_or(0, as_millis),
             gap_ms = as_millis(self.longest_gap),
