Keep the quotas of client accounts over all hosts

Change: each host has a bucket for each account in use, which is charged with what it admits and what the other hosts report (fleet::account::ledger). Near the limit each use is reported at once. Over it: 429 with the time at which there is room. Messages are of a new kind at the end of the list, which earlier builds discard.

Ruled out: equal shares, grants by one host, the store (docs/design/accounts.md).

--- a/crates/fleet/src/account.rs
+++ b/crates/fleet/src/account.rs
@@ -3,6 +3,8 @@
 //! Keys are kept as digests only, so that neither a log, a message between hosts nor a core dump shows one. They are
 //! looked up by digest, which makes the time of a look-up independent of how much of a key is right.
 
+pub mod ledger;
+
 use std::{collections::HashMap, fmt, sync::Arc};
 
 use sha2::{Digest, Sha256};
--- a/crates/fleet/tests/it/main.rs
+++ b/crates/fleet/tests/it/main.rs
@@ -10,6 +10,7 @@
 mod fixture;
 mod identities;
 mod leases;
+mod ledgers;
 mod loads;
 mod origins;
 mod placements;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use fleet::{
     Time,
-    account::Account,
+    account::{Account, ledger::Charge},
     assignment::StreamKey,
     catalog::{RequestKind, Route},
     circuit::State,
@@ -35,6 +35,7 @@
     dialect::{RequestHead, ResponseHead},
     gateway::{Gateway, ReservedRetry},
     gossip::{Gossip, GrantedTurn},
+    handover::MAX_HOSTS,
     in_flight::InFlight,
     relay::Relay,
     reply::{self, Body, Fault},
@@ -68,6 +69,8 @@
     pub(crate) request_head: RequestHead,
     /// Client account of the request; `None` if it needs none.
     pub(crate) account: Option<Arc<Account>>,
+    /// Units of the quota of the account that the request was charged, until its end.
+    pub(crate) charge: Option<Charge>,
     pub(crate) prefix_chain: Chain,
     /// Parts of the request, on one of which engines may crash.
     pub(crate) suspects: Vec<Suspect>,
@@ -125,6 +128,76 @@
     pub(crate) fallback_response: Option<Response<Body>>,
 }
 
+/// A caller's request as received, with what the host has found out about it.
+pub(crate) struct Received {
+    pub(crate) method: Method,
+    pub(crate) uri: Uri,
+    /// Headers that are forwarded.
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: Arc<str>,
+    pub(crate) request_head: RequestHead,
+    pub(crate) account: Option<Arc<Account>>,
+    pub(crate) charge: Option<Charge>,
+    pub(crate) prefix_chain: Chain,
+    pub(crate) suspects: Vec<Suspect>,
+    pub(crate) stream_key: Option<StreamKey>,
+    pub(crate) started: Time,
+    pub(crate) deadline: Time,
+    /// Revision of the configuration that routed the request.
+    pub(crate) revision: u64,
+}
+
+impl Exchange {
+    /// Begins the exchange for a request.
+    pub(crate) fn new(gateway: &Rc<Gateway>, gossip: &Rc<Gossip>, received: Received) -> Self {
+        let mut trace = Trace::new(received.started, received.revision);
+        trace.account = received.account.as_ref().map(|it| it.name.clone());
+        Self {
+            gateway: gateway.clone(),
+            gossip: gossip.clone(),
+            method: received.method,
+            uri: received.uri,
+            headers: received.headers,
+            body: received.body,
+            route: received.route,
+            service: received.service,
+            request_head: received.request_head,
+            account: received.account,
+            charge: received.charge,
+            prefix_chain: received.prefix_chain,
+            suspects: received.suspects,
+            trial: None,
+            turn: None,
+            started: received.started,
+            deadline: received.deadline,
+            attempted_engines: Vec::new(),
+            repeatable_engines: Vec::new(),
+            left_engine: None,
+            last_after_left: None,
+            way_back: None,
+            unreachable_engines: Vec::new(),
+            attempted_addrs: Vec::new(),
+            mismatched_instances: 0,
+            attempts: 0,
+            has_begun: false,
+            may_have_run: false,
+            trace,
+            end_recorded: false,
+            retry_after: None,
+            build: None,
+            stream_key: received.stream_key,
+            assigned: None,
+            origin_record: OriginRecord::AtFirstEvent,
+            received_from: None,
+            hosts_tried: Vec::new(),
+            hosts_left: MAX_HOSTS,
+            fallback_response: None,
+        }
+    }
+}
+
 /// When the build that begins a stream is recorded.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum OriginRecord {
@@ -519,6 +592,7 @@
     /// Records the end of the request. Only the first call has an effect.
     pub(crate) fn record_end(&mut self, end: End) {
         if !std::mem::replace(&mut self.end_recorded, true) {
+            self.settle(end);
             if end == End::Served {
                 self.gossip.record_part_success(&self.suspects);
             }
@@ -534,6 +608,20 @@
         }
     }
 
+    /// Returns what the request was charged to its account, if it certainly has not run.
+    fn settle(&mut self, end: End) {
+        let has_not_run = match end {
+            End::Refused(_) => !self.may_have_run,
+            End::CallerLeft => {
+                !self.may_have_run && self.attempts == 0 && self.hosts_tried.is_empty()
+            }
+            End::Served | End::Failed | End::Truncated(_) => false,
+        };
+        if let Some(charge) = self.charge.take().filter(|_| has_not_run) {
+            self.gateway.ledger.borrow_mut().give_back(&charge);
+        }
+    }
+
     /// Limits of a wait for an engine.
     pub(crate) fn wait_context(&self) -> WaitContext {
         WaitContext {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -1,10 +1,10 @@
 //! Entry point for callers' requests: reads a request, finds its route and forwards it.
 
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{rc::Rc, time::Duration};
 
 use bytes::Bytes;
 use fleet::{
-    account::{Account, Unauthenticated},
+    account::Unauthenticated,
     assignment::StreamKey,
     catalog::{Catalog, RequestKind, Route},
     prefix::Chain,
@@ -14,20 +14,19 @@
 use hyper::{
     HeaderMap, Method, Request, Response,
     body::Incoming,
-    header::{CONTENT_LENGTH, HOST, HeaderName, HeaderValue, WWW_AUTHENTICATE},
+    header::{CONTENT_LENGTH, HOST, HeaderValue, WWW_AUTHENTICATE},
 };
 use tokio::time;
 
 use crate::{
-    clock, content,
+    account, clock, content,
     dialect::RequestHead,
-    exchange::{Exchange, OriginRecord},
+    exchange::{Exchange, Received},
     gateway::Gateway,
     gossip::Gossip,
-    handover::{HANDOVER, Handover, MAX_HOSTS},
+    handover::{HANDOVER, Handover},
     memory,
     reply::{self, Body, Fault},
-    trace::Trace,
 };
 
 /// Retry delay returned while this host is stopping. Another host can serve the caller at once.
@@ -88,26 +87,6 @@
     reply::fault_response(Fault::Stopping, Some(STOPPING_RETRY_AFTER))
 }
 
-/// Returns the client account of a request, by its key or by the host that passes it on.
-fn authenticate(
-    catalog: &Catalog,
-    route: &Route,
-    request_head: &RequestHead,
-    handover: Option<&Handover>,
-) -> Result<Option<Arc<Account>>, Unauthenticated> {
-    let Some(accounts) = &catalog.accounts else {
-        return Ok(None);
-    };
-    let vouched = handover.and_then(|it| Some((it.account.as_deref()?, it.revision)));
-    match vouched {
-        Some((name, revision)) => {
-            let account = accounts.vouched(&name.into(), revision, catalog.revision);
-            account.map(Some)
-        }
-        None => accounts.authenticate(route.access, request_head.key.as_ref()),
-    }
-}
-
 /// Response to a request without a valid key, which says how to send one.
 fn unauthenticated_response(gateway: &Gateway) -> Response<Body> {
     let mut response = reply::fault_response(Fault::Unauthenticated, None);
@@ -148,7 +127,7 @@
             log::info!(event = "bad-request", why = it; "request refused: invalid headers: {it}");
             reply::fault_response(Fault::BadRequest, None)
         })?;
-    let account = authenticate(&catalog, &route, &request_head, handover)
+    let account = account::authenticate(&catalog, &route, &request_head, handover)
         .map_err(|Unauthenticated| unauthenticated_response(gateway))?;
     let limit = catalog.limits.body_bytes;
     let timeout = request_head.timeout.unwrap_or(route.timeout);
@@ -159,9 +138,15 @@
         // A response that has begun can't be replaced by a failure at the end of the grace period.
         return Err(stopping_response());
     }
+    // The host that passes the request on has charged it.
+    let charge = match (&account, handover) {
+        (Some(it), None) => account::charge(gateway, gossip, it, &request_head)
+            .map_err(|wait| reply::fault_response(Fault::Quota, Some(wait)))?,
+        _ => None,
+    };
     let mut headers = forwarded_headers(gateway, parts.headers, &parts.method, &body);
     if catalog.accounts.is_some() {
-        replace_credentials(gateway, &mut headers, account.as_deref());
+        account::replace_credentials(gateway, &mut headers, account.as_deref());
     }
     // A stream goes on at the service that began it, if the route has several.
     let began_by = request_head.resumed_request.as_ref();
@@ -180,11 +165,7 @@
     let stream_key = stream_key(&route, &request_head);
     let mut suspects = quarantine::suspects(&service, &request_head.prompt_parts);
     suspects.push(Suspect::whole(content));
-    let mut trace = Trace::new(started, catalog.revision);
-    trace.account = account.as_ref().map(|it| it.name.clone());
-    Ok(Exchange {
-        gateway: gateway.clone(),
-        gossip: gossip.clone(),
+    let received = Received {
         method: parts.method,
         uri: parts.uri,
         headers,
@@ -193,35 +174,15 @@
         service,
         request_head,
         account,
+        charge,
         prefix_chain,
         suspects,
-        trial: None,
-        turn: None,
+        stream_key,
         started,
         deadline,
-        attempted_engines: Vec::new(),
-        repeatable_engines: Vec::new(),
-        left_engine: None,
-        last_after_left: None,
-        way_back: None,
-        unreachable_engines: Vec::new(),
-        attempted_addrs: Vec::new(),
-        mismatched_instances: 0,
-        attempts: 0,
-        has_begun: false,
-        may_have_run: false,
-        trace,
-        end_recorded: false,
-        retry_after: None,
-        build: None,
-        stream_key,
-        assigned: None,
-        origin_record: OriginRecord::AtFirstEvent,
-        received_from: None,
-        hosts_tried: Vec::new(),
-        hosts_left: MAX_HOSTS,
-        fallback_response: None,
-    })
+        revision: catalog.revision,
+    };
+    Ok(Exchange::new(gateway, gossip, received))
 }
 
 /// Reads the body of a request.
@@ -275,18 +236,6 @@
     Chain::new(name, &[prompt])
 }
 
-/// Replaces what a caller says of itself by its client account.
-fn replace_credentials(gateway: &Gateway, headers: &mut HeaderMap, account: Option<&Account>) {
-    let is_credential = |it: &&HeaderName| gateway.dialect.is_credential(it);
-    let credentials: Vec<_> = headers.keys().filter(is_credential).cloned().collect();
-    for name in credentials {
-        headers.remove(name);
-    }
-    if let Some(account) = account {
-        gateway.dialect.write_account(headers, &account.name);
-    }
-}
-
 /// Returns the headers of a caller's request that are forwarded, with the length of its body.
 fn forwarded_headers(
     gateway: &Gateway,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,7 +11,10 @@
 
 use fleet::{
     Time,
-    account::Accounts,
+    account::{
+        Accounts,
+        ledger::{AccountId, Ledger},
+    },
     budget::Budget,
     catalog::Catalog,
     engine::Engine,
@@ -98,6 +101,10 @@
     pub catalog: RefCell<Option<Rc<Catalog>>>,
     /// Timeout for the heads of callers' requests, by the current configuration.
     pub head_timeout: HeadTimeout,
+    /// Use of the quotas of client accounts.
+    pub ledger: RefCell<Ledger>,
+    /// Number of reports of that use that this host has sent.
+    pub usage_reports: Cell<u64>,
     /// Known engines with their estimated state.
     pub table: RefCell<Table>,
     /// True once a whole list of engines has been applied.
@@ -240,6 +247,8 @@
             engine_contact: Cell::default(),
             catalog: RefCell::default(),
             head_timeout: HeadTimeout::default(),
+            ledger: RefCell::new(Ledger::new(clock::now())),
+            usage_reports: Cell::default(),
             table: RefCell::default(),
             engines_listed: Cell::default(),
             loader: RefCell::default(),
@@ -675,6 +684,14 @@
         ] {
             self.metrics.record_body_memory(budget);
         }
+        let catalog = self.catalog();
+        let accounts = catalog.iter().filter_map(|it| it.accounts.as_ref());
+        for account in accounts.flat_map(Accounts::iter) {
+            let state = (self.ledger.borrow()).state(AccountId::of(&account.name), clock::now());
+            if let Some(it) = state {
+                self.metrics.accounts.record_level(&account.name, it.level);
+            }
+        }
         let quarantined = self.quarantine.borrow().len(clock::now());
         self.metrics.record_quarantined_parts(quarantined);
         for kind in list_sync::LISTS {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -2,6 +2,7 @@
 //! orders, their workload at engines, and loads of adapters. Datagrams may be lost: their contents
 //! are sent again, or reach the store's lists soon.
 
+mod accounts;
 mod identity;
 mod limits;
 mod origins;
@@ -117,6 +118,7 @@
                 Some(Message::TurnReply(it)) => self.handle_turn_reply(&it),
                 Some(Message::Ended(it)) => self.handle_ended(&it),
                 Some(Message::Alive(it)) => self.handle_alive(it),
+                Some(Message::AccountUsage(it)) => self.handle_account_usage(&it, from),
                 None => log::debug!("cannot decode datagram from {from}"),
             }
         }
@@ -302,6 +304,7 @@
         let reports = self.report_messages(now);
         self.update_coordination(now);
         let limits = self.limit_messages(now);
+        let accounts = self.account_messages(now);
         self.announce_held_origins();
         let mut usage = self.usage_by_steward();
         for host in self.gateway.peers.borrow_mut().take_lost(now) {
@@ -320,7 +323,7 @@
             };
             heartbeat = it;
             let parts = workloads.iter().chain(&drains);
-            for part in parts.chain(&reports).chain(&limits) {
+            for part in parts.chain(&reports).chain(&limits).chain(&accounts) {
                 self.send(part, addr).await;
             }
         }
--- a/crates/gateway/src/gossip/origins.rs
+++ b/crates/gateway/src/gossip/origins.rs
@@ -326,9 +326,16 @@
 
     /// Sends a message at once, without waiting for room in the socket's buffer.
     pub(super) fn try_send(&self, message: &Message, addr: SocketAddr) {
+        self.try_send_all(message, &[addr]);
+    }
+
+    /// Sends a message to several hosts, encoded once, unless the socket is full.
+    pub(super) fn try_send_all(&self, message: &Message, to: &[SocketAddr]) {
         for datagram in message::encode_within_limit(message) {
-            if let Err(error) = self.socket.try_send_to(&datagram, addr) {
-                log::debug!("cannot send datagram to {addr}: {error}");
+            for addr in to {
+                if let Err(error) = self.socket.try_send_to(&datagram, *addr) {
+                    log::debug!("cannot send datagram to {addr}: {error}");
+                }
             }
         }
     }
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -421,7 +421,7 @@
         return;
     }
     let service = service_fn(|request: Request<Incoming>| {
-        let response = Box::pin(handle(gateway.clone(), gossip.clone(), request));
+        let response = handle(gateway.clone(), gossip.clone(), request);
         async { Ok::<_, Infallible>(response.await) }
     });
     let mut connection = http1::Builder::new()
@@ -451,7 +451,8 @@
     if gateway.catalog().is_none() {
         return mark_not_taken(reply::fault_response(Fault::NoConfig, None), "no-config");
     }
-    let response = forward::handle_from_host(gateway.clone(), gossip, request, handover).await;
+    let response = forward::handle_from_host(gateway.clone(), gossip, request, handover);
+    let response = Box::pin(response).await;
     // This host may have been cut off meanwhile. The status promises that the request has not run here.
     if gateway.is_isolated() && response.status() == StatusCode::SERVICE_UNAVAILABLE {
         return mark_not_taken(response, "isolated");
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 //! than the step that the thread would run. The platform is reached through a [`dialect::Dialect`],
 //! which registers itself.
 
+pub(crate) mod account;
 pub mod assignments;
 pub mod attribution;
 pub mod call;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -111,6 +111,16 @@
             let (first, rest) = halves(list)?;
             Some((Message::Limits(first), Message::Limits(rest)))
         }
+        Message::AccountUsage(it) => {
+            let (first, rest) = halves(&it.accounts)?;
+            let part = |accounts| {
+                Message::AccountUsage(AccountUsage {
+                    accounts,
+                    ..it.clone()
+                })
+            };
+            Some((part(first), part(rest)))
+        }
         Message::Full(list) => {
             let (first, rest) = halves(list)?;
             Some((Message::Full(first), Message::Full(rest)))
@@ -189,6 +199,19 @@
     Ended(EndedEngine),
     /// An engine of which the sender has reported that it may have ended has not ended.
     Alive(EngineIncarnation),
+    /// What the host has admitted of client accounts with a quota. Earlier builds, which know no accounts, discard it.
+    AccountUsage(AccountUsage),
+}
+
+/// What a host has admitted of client accounts with a quota.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct AccountUsage {
+    /// Start of the host's process in ms since the Unix epoch.
+    pub incarnation: u64,
+    /// Number of the report; each process counts its own.
+    pub number: u64,
+    /// Account ([`fleet::account::ledger::AccountId`]), units since the first use, and time in ms since then.
+    pub accounts: Vec<(u32, i64, u32)>,
 }
 
 /// Limit of the requests that an engine takes from all hosts together.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -1,6 +1,8 @@
 //! Metrics of a host, in the Prometheus text format. `docs/operating/gateway.md` describes each of
 //! them.
 
+mod account;
+
 use std::time::Duration;
 
 use opentelemetry::{
@@ -9,6 +11,7 @@
 };
 use telemetry::exposition::Exposition;
 
+pub use self::account::AccountMetrics;
 use crate::{attribution::Attribution, connection::Origin, memory::Budget};
 
 /// Prefix of all metric names.
@@ -51,6 +54,8 @@
     isolated: Gauge<u64>,
     buffered_bytes: Gauge<u64>,
     bodies_given_up: Counter<u64>,
+    /// Use of client accounts.
+    pub accounts: AccountMetrics,
 }
 
 impl Default for Metrics {
@@ -158,6 +163,7 @@
                 "limited_requests",
                 "Requests for engines with a limit, by whether they were sent",
             ),
+            accounts: AccountMetrics::new(&meter),
             exposition,
         }
     }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -37,6 +37,9 @@
 /// Time since its last message for which a host counts as live, at the full heartbeat rate.
 const LIVENESS_TIMEOUT: Duration = Duration::from_millis(1500);
 
+/// Heartbeats after which a host that is silent doesn't count as heard.
+const HEARD_HEARTBEATS: f64 = 3.5;
+
 /// Time since an engine answered a host in which the host is preferred for requests that are passed on.
 const CONTACT_TTL: Duration = Duration::from_secs(2);
 
@@ -123,6 +126,17 @@
     /// Share of the hosts that are known and not about to terminate that are live, this host (`own`) included. Hosts
     /// that were heard of within the last minute may still run behind a cut.
     pub fn reachable_share(&self, own: &str, now: Time) -> f64 {
+        self.share_within(own, self.liveness_timeout(), now)
+    }
+
+    /// The same share, of the hosts whose last message came within a few heartbeats. A cut shows in it sooner, and so does
+    /// a lost message.
+    pub fn heard_share(&self, own: &str, now: Time) -> f64 {
+        let timeout = HEARTBEAT_INTERVAL.mul_f64(HEARD_HEARTBEATS * self.slowdown());
+        self.share_within(own, timeout, now)
+    }
+
+    fn share_within(&self, own: &str, timeout: Duration, now: Time) -> f64 {
         let count = |it: usize| f64::from(u32::try_from(it).unwrap_or(u32::MAX));
         let others = (self.by_name.iter()).filter(|(name, it)| ***name != *own && !it.leaving);
         let known = if self.has_heard_of_hosts() {
@@ -130,7 +144,8 @@
         } else {
             (others.count() + 1).max(self.seeds.len())
         };
-        let live = self.live_peers(now).count() + 1;
+        let live = (self.by_name.values()).filter(|it| it.is_live(timeout, now));
+        let live = live.count() + 1;
         count(live) / count(known.max(live))
     }
 
--- a/crates/gateway/src/reply.rs
+++ b/crates/gateway/src/reply.rs
@@ -31,6 +31,8 @@
     NoRoute,
     /// The request carries no key of a client account, and its route needs one.
     Unauthenticated,
+    /// The client account has used up its quota.
+    Quota,
     /// The headers of the request are invalid.
     BadRequest,
     /// The body exceeds the operator's limit.
@@ -65,10 +67,11 @@
 
 impl Fault {
     /// All faults.
-    pub const ALL: [Self; 18] = [
+    pub const ALL: [Self; 19] = [
         Self::NoConfig,
         Self::NoRoute,
         Self::Unauthenticated,
+        Self::Quota,
         Self::BadRequest,
         Self::TooLarge,
         Self::NoMemory,
@@ -92,6 +95,7 @@
             Self::NoConfig => "no-config",
             Self::NoRoute => "no-route",
             Self::Unauthenticated => "unauthenticated",
+            Self::Quota => "quota",
             Self::BadRequest => "bad-request",
             Self::TooLarge => "too-large",
             Self::NoMemory => "no-memory",
@@ -115,6 +119,7 @@
         match self {
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Unauthenticated => StatusCode::UNAUTHORIZED,
+            Self::Quota => StatusCode::TOO_MANY_REQUESTS,
             Self::BadRequest => StatusCode::BAD_REQUEST,
             Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
             Self::NoConfig
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -226,8 +226,7 @@
             && self.resume_failure.is_none()
             && self.handed_to.is_empty()
             && self.received_from.is_none();
-        let hash = fleet::rendezvous::weight(&request_head.id, "sample");
-        if is_normal && !hash.is_multiple_of(SAMPLE_INTERVAL) {
+        if is_normal && !is_sampled(&request_head.id) {
             return;
         }
         log::info!(
@@ -263,6 +262,11 @@
     }
 }
 
+/// Returns whether an event of a frequent kind is logged for this request.
+pub fn is_sampled(request: &str) -> bool {
+    fleet::rendezvous::weight(request, "sample").is_multiple_of(SAMPLE_INTERVAL)
+}
+
 /// Formats the ids of the first parts of a prompt for the log.
 fn format_prompt(parts: &[Suspect]) -> String {
     let parts = parts.iter().filter(|it| !it.is_whole());
