Let accounts overdraw their quota within the slack

Change: a setting quota_slack names the units that all hosts together may admit beyond a quota; half of it is an overdraft of each bucket. Buckets of a process that starts are overdrawn, so a restart gives out nothing anew.

--- a/crates/fleet/src/account/ledger.rs
+++ b/crates/fleet/src/account/ledger.rs
@@ -14,6 +14,11 @@
 use super::Quota;
 use crate::{Time, rendezvous::short_id};
 
+/// Part of the units beyond a quota by which requests may overdraw a bucket. An account whose burst is that of one or two
+/// requests would be refused some below its rate otherwise, since requests don't come at equal intervals. The rest is for
+/// what hosts admit before they hear of each other.
+const OVERDRAFT_FRACTION: f64 = 0.5;
+
 /// Time of the refill up to which debts are remembered. Longer ones would punish an account for a fault of the hosts.
 const MAX_DEBT_TIME: Duration = Duration::from_secs(10);
 
@@ -133,6 +138,8 @@
 #[derive(Clone, Debug)]
 pub struct Ledger {
     started_at: Time,
+    /// Units by which requests may overdraw a bucket before one is refused.
+    overdraft: f64,
     /// Part of the hosts of the fleet from which this host hears, itself included.
     share: f64,
     buckets: HashMap<AccountId, Bucket>,
@@ -140,11 +147,13 @@
 }
 
 impl Ledger {
-    /// Creates the ledger of a process that starts at `now`. Its buckets are empty, since other processes may have used
-    /// the quotas just before.
-    pub fn new(now: Time) -> Self {
+    /// Creates the ledger of a process that starts at `now`. Its buckets are overdrawn, since other processes may have used
+    /// the quotas just before. All hosts together may admit `slack` units beyond the quota of an account in any span of
+    /// time.
+    pub fn new(slack: f64, now: Time) -> Self {
         Self {
             started_at: now,
+            overdraft: slack * OVERDRAFT_FRACTION,
             share: 1.0,
             buckets: HashMap::new(),
             forgotten_at: now,
@@ -171,15 +180,15 @@
         cost: f64,
         now: Time,
     ) -> (Decision, Urgency) {
-        let share = self.share;
-        let started_at = self.started_at;
+        let (share, started_at) = (self.share, self.started_at);
+        let overdraft = self.overdraft;
         let bucket = self.bucket(account, now);
-        bucket.adopt(*quota, started_at, share, now);
+        bucket.adopt(*quota, started_at, (share, overdraft), now);
         bucket.refill(share, now);
         bucket.last_use = now;
-        if bucket.level <= 0.0 {
+        if bucket.level + overdraft <= 0.0 {
             bucket.is_exhausted = true;
-            let wait = bucket.retry_after(*quota, cost, share, now);
+            let wait = bucket.retry_after(*quota, cost, (share, overdraft), now);
             return (Decision::Refuse(wait), Urgency::Heartbeat);
         }
         bucket.is_exhausted = false;
@@ -294,14 +303,15 @@
 
     /// Applies the quota of the current configuration. Until the account is first used, its bucket has been filling since
     /// the process started.
-    fn adopt(&mut self, quota: Quota, started_at: Time, share: f64, now: Time) {
+    fn adopt(&mut self, quota: Quota, started_at: Time, (share, overdraft): (f64, f64), now: Time) {
         if self.quota == Some(quota) {
             return;
         }
         self.refill(share, now);
         if self.quota.is_none() {
             let unused = self.refilled_at.saturating_sub(started_at).as_secs_f64();
-            self.level += (quota.rate * share * unused).min(quota.burst);
+            let filled = quota.rate * share * unused - overdraft;
+            self.level += filled.min(quota.burst);
         }
         self.quota = Some(quota);
     }
@@ -319,13 +329,19 @@
 
     /// Time after which a refused caller should come back: when the bucket has something for it, behind the callers that
     /// were refused before. Those of other hosts are assumed to be as many for each host that uses the account.
-    fn retry_after(&mut self, quota: Quota, cost: f64, share: f64, now: Time) -> Duration {
+    fn retry_after(
+        &mut self,
+        quota: Quota,
+        cost: f64,
+        (share, overdraft): (f64, f64),
+        now: Time,
+    ) -> Duration {
         let rate = (quota.rate * share).max(f64::MIN_POSITIVE);
         let seconds = |it: f64| {
             let time = Duration::try_from_secs_f64(it.max(0.0));
             time.unwrap_or(MAX_RETRY_AFTER).min(MAX_RETRY_AFTER)
         };
-        let first = now + seconds(-self.level / rate);
+        let first = now + seconds(-(self.level + overdraft) / rate);
         let turn = first.max(self.last_return);
         let reports = self.others.values();
         let users = reports.filter(|it| it.received_at + USER_TTL > now).count() + 1;
--- a/crates/fleet/tests/it/ledgers.rs
+++ b/crates/fleet/tests/it/ledgers.rs
@@ -10,6 +10,8 @@
     },
 };
 
+use rand::{RngExt, SeedableRng, rngs::SmallRng};
+
 use crate::fixture::{NOW, at, ms};
 
 /// Start of hosts whose buckets are full.
@@ -20,8 +22,7 @@
 /// Tokens of a request: an average prompt with its longest output.
 const COST: f64 = 1500.0;
 
-/// Units beyond rate and burst that callers may get in any span: one request, and what hosts admit before they hear of
-/// each other.
+/// Units beyond rate and burst that callers may get in any span.
 const SLACK: f64 = 11_000.0;
 
 /// Time between two heartbeats.
@@ -62,7 +63,7 @@
     fn new(count: usize) -> Self {
         let host = |number: usize| Host {
             name: format!("h-{number}").into(),
-            ledger: Ledger::new(LONG_AGO),
+            ledger: Ledger::new(SLACK, LONG_AGO),
             incarnation: 1,
             side: 0,
         };
@@ -155,7 +156,7 @@
 
     fn restart(&mut self, host: usize) {
         let it = &mut self.hosts[host];
-        it.ledger = Ledger::new(self.now);
+        it.ledger = Ledger::new(SLACK, self.now);
         it.incarnation += 1;
     }
 }
@@ -276,8 +277,8 @@
 
 #[test]
 fn reports_that_are_repeated_late_or_lost_change_nothing() {
-    let mut sender = Ledger::new(NOW);
-    let mut receiver = Ledger::new(NOW);
+    let mut sender = Ledger::new(0.0, NOW);
+    let mut receiver = Ledger::new(0.0, NOW);
     let name: Arc<str> = "h-1".into();
     receiver.admit(north(), &quota(), 1.0, at(1000));
     let mut reports = Vec::new();
@@ -308,7 +309,7 @@
 /// Replays a configuration with a lower limit in the middle of a burst.
 #[test]
 fn a_lower_quota_is_kept_at_once() {
-    let mut ledger = Ledger::new(LONG_AGO);
+    let mut ledger = Ledger::new(0.0, LONG_AGO);
     let lower = Quota {
         rate: 1000.0,
         burst: 1000.0,
@@ -327,7 +328,7 @@
 /// Replays callers that are refused together: each comes back when there is room for it.
 #[test]
 fn refused_callers_come_back_at_the_rate_of_the_quota() {
-    let mut ledger = Ledger::new(LONG_AGO);
+    let mut ledger = Ledger::new(0.0, LONG_AGO);
     while matches!(
         ledger.admit(north(), &quota(), COST, NOW).0,
         Decision::Admit(_)
@@ -346,7 +347,7 @@
 
 #[test]
 fn one_request_larger_than_the_burst_passes_after_a_pause() {
-    let mut ledger = Ledger::new(LONG_AGO);
+    let mut ledger = Ledger::new(0.0, LONG_AGO);
     let small = Quota {
         burst: 100.0,
         ..quota()
@@ -356,3 +357,24 @@
     let (decision, _) = ledger.admit(north(), &small, COST, at(100));
     assert!(matches!(decision, Decision::Refuse(_)));
 }
+
+/// Replays an account with a small quota whose requests come at random, at half of its rate.
+#[test]
+fn an_account_that_stays_below_its_rate_is_not_refused_because_its_requests_come_unevenly() {
+    let small = Quota {
+        rate: 3000.0,
+        burst: 3000.0,
+        ..quota()
+    };
+    let mut random = SmallRng::seed_from_u64(5);
+    let mut ledger = Ledger::new(SLACK, LONG_AGO);
+    let mut refused = 0;
+    for time in (0..60_000).step_by(10) {
+        // One request of 1,500 units in a second on average.
+        if random.random_range(0..100) == 0 {
+            let (decision, _) = ledger.admit(north(), &small, COST, at(time));
+            refused += u32::from(matches!(decision, Decision::Refuse(_)));
+        }
+    }
+    assert_eq!(refused, 0);
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -48,6 +48,9 @@
     pub first_start: bool,
     /// Retry budget.
     pub retries: Retries,
+    /// Units (tokens or requests) that all hosts together may admit beyond the quota of a client account in any span of time.
+    #[serde(default)]
+    pub quota_slack: Option<f64>,
     /// Settings for orders to engines.
     pub orders: Orders,
     /// Time in seconds from the stop signal to the end of the process.
@@ -174,6 +177,7 @@
     let non_negative = [
         ("retries.ratio", settings.retries.ratio),
         ("retries.slack", settings.retries.slack),
+        ("quota_slack", settings.quota_slack()),
     ];
     for (field, value) in non_negative {
         if !value.is_finite() || value < 0.0 {
@@ -228,6 +232,11 @@
         }
     }
 
+    /// Units that all hosts together may admit beyond the quota of a client account.
+    pub fn quota_slack(&self) -> f64 {
+        self.quota_slack.unwrap_or(0.0)
+    }
+
     /// Time after which a quarantined prompt part is first tried again.
     pub fn quarantine_term(&self) -> Duration {
         Duration::from_secs(self.quarantine_seconds.into())
