--- a/crates/experiment/src/platform/hosts.rs
+++ b/crates/experiment/src/platform/hosts.rs
@@ -5,6 +5,7 @@
 
 use fleet::{
     Time,
+    capacity::{Load, Samples},
     catalog::{Capacity, Catalog, Limits, Model, Service},
     engine::Workload,
     in_flight::{self, InFlightLoads},
@@ -114,8 +115,10 @@
 struct SentRequest {
     /// Prompt tokens that the engine has to process before the first event.
     prefill_tokens: u32,
-    /// Wait for the first event that the placement expected.
-    expected_wait: Duration,
+    /// Prompt tokens that the engine had to process until the first event; `None` if the request had to wait for a slot.
+    tokens_ahead: Option<f64>,
+    /// Load of the engine when the request was sent.
+    load: Load,
     sent_at: Time,
 }
 
@@ -366,6 +369,9 @@
         let prefill_tokens = chain
             .tokens()
             .saturating_sub(it.prefix_cache.cached_tokens(chain));
+        let load = it.load(now);
+        let ahead = it.pending_prefill_tokens(now) + f64::from(prefill_tokens);
+        let tokens_ahead = it.has_free_slot(now).then_some(ahead);
         it.local_work.running += 1;
         it.local_work.prefill_tokens += prefill_tokens;
         it.record_prompt(prefill_tokens, now);
@@ -380,7 +386,8 @@
             .or_default() += 1;
         let sent = SentRequest {
             prefill_tokens,
-            expected_wait: choice.expected_wait,
+            tokens_ahead,
+            load,
             sent_at: now,
         };
         self.sent_requests.insert(request, sent);
@@ -685,9 +692,10 @@
             .local_work
             .prefill_tokens
             .saturating_sub(sent.prefill_tokens);
-        if sent.prefill_tokens > 0 {
-            it.record_first_event(sent.sent_at, sent.expected_wait, now);
-        }
+        it.record_prefilled(sent.sent_at, now);
+        let ahead = sent.tokens_ahead.filter(|_| sent.prefill_tokens > 0);
+        let sample = ahead.map(|it| Samples::of(it, now.saturating_sub(sent.sent_at)));
+        let load = sent.load;
         sent.prefill_tokens = 0;
         let estimate = it.held.get_mut(name);
         if estimate.is_some_and(fleet::engine::Estimate::confirm) {
@@ -695,6 +703,14 @@
             let adapter = arrival.adapter;
             self.wake_waiters(simulation, host, Some(adapter));
         }
+        // Heartbeats, which carry the samples, aren't delayed here.
+        for (number, state) in self.states.iter_mut().enumerate() {
+            let load = if number == host { load } else { Load::Busy };
+            if let Some(it) = sample {
+                let key = self.engine_keys[engine];
+                state.table.record_speed(key, it, load, now);
+            }
+        }
     }
 
     fn on_request_end(
--- /dev/null
+++ b/crates/fleet/src/capacity.rs
@@ -0,0 +1,362 @@
+//! How fast each engine reads prompts, learned from the first events of all hosts' requests.
+//!
+//! Expected load: engines of one service that differ in speed by a factor of three, some of which turn slow for seconds
+//! and recover, while each of many hosts sends one of them a request every few seconds.
+//!
+//! A request's first event comes when its engine has read the prompts before it and its own, and some steps later. A line
+//! through the samples of a service, time over tokens, gives the rate of an average engine and the time of those steps. The
+//! time that an engine takes relative to that line is its slowness. Hosts send each other the sums of their samples, so each
+//! learns from the requests of all, and a host with a slow path of its own has one voice among many.
+//!
+//! Long sums give a steady estimate; recent ones replace them when they show that the speed has changed. Without samples an
+//! engine returns to the average of its service, so one that was slow gets requests again and can show that it has recovered.
+
+use std::time::Duration;
+
+use crate::Time;
+
+/// Line that is assumed until requests have shown another one: a rate in prompt tokens a ms, and the time in ms until the
+/// first event of a prompt that needs no reading.
+const INITIAL_TOKENS_PER_MS: f64 = 22.0;
+const INITIAL_BASE_MS: f64 = 25.0;
+
+/// Samples on the initial line that count among those of a service, half of them at each of two sizes of prompts.
+const INITIAL_SAMPLES: f64 = 20.0;
+const INITIAL_TOKENS: [f64; 2] = [300.0, 3000.0];
+
+/// Bounds of the rate of a service in tokens a ms, and of the time of a prompt without reading in ms. Samples whose prompts
+/// are nearly equal don't tell the two apart.
+const MIN_TOKENS_PER_MS: f64 = 2.0;
+const MAX_TOKENS_PER_MS: f64 = 100.0;
+const MAX_BASE_MS: f64 = 300.0;
+
+/// Half-lives of the sums.
+const LONG_HALF_LIFE: Duration = Duration::from_secs(8);
+const RECENT_HALF_LIFE: Duration = Duration::from_secs(1);
+const SERVICE_HALF_LIFE: Duration = Duration::from_mins(1);
+
+/// Time of samples of average speed that count among those of an engine, in ms.
+const PRIOR_MS: f64 = 200.0;
+
+/// Recent samples that can show a change of speed.
+const MIN_RECENT_SAMPLES: f64 = 2.0;
+
+/// Ratio of the recent to the long slowness, or the inverse, that shows a change of speed. Samples of a steady engine differ
+/// less, taken two at a time.
+const CHANGE_RATIO: f64 = 1.8;
+
+/// Longest and shortest time of a sample relative to the expected one. Longer ones come from paths and pauses of hosts as
+/// often as from engines; a slow engine shows in several samples.
+const MAX_TIME_RATIO: f64 = 5.0;
+const MIN_TIME_RATIO: f64 = 0.2;
+
+/// Bounds of the slowness.
+const MAX_SLOWNESS: f64 = 10.0;
+const MIN_SLOWNESS: f64 = 0.1;
+
+/// Standard deviation of the logarithm of a sample's time, until samples have shown another one.
+const INITIAL_DEVIATION: f64 = 0.2;
+
+/// Standard deviations by which an engine is taken to be slower where a delay would be felt by many.
+const CAUTION: f64 = 1.3;
+
+/// What the engine of a sample had to do beside the request.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Load {
+    /// Nothing of which the host knew: the tokens are exactly those of the request's own prompt.
+    Idle,
+    /// It was reading other prompts, or may have been.
+    #[default]
+    Busy,
+}
+
+/// Samples of first events at one engine, summed.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Samples {
+    /// Number of samples.
+    pub count: f64,
+    /// Prompt tokens that the engine had to read until the first events.
+    pub tokens: f64,
+    /// Time until the first events in ms.
+    pub millis: f64,
+}
+
+impl Samples {
+    /// The sample of a request whose first event took `took`, and before which the engine had to read `tokens`.
+    pub fn of(tokens: f64, took: Duration) -> Self {
+        Self {
+            count: 1.0,
+            tokens,
+            millis: took.as_secs_f64() * 1000.0,
+        }
+    }
+
+    /// Adds samples.
+    pub fn add(&mut self, it: Samples) {
+        self.count += it.count;
+        self.tokens += it.tokens;
+        self.millis += it.millis;
+    }
+}
+
+/// Factor by which a sum has decayed since `at`.
+fn decay(at: Time, half_life: Duration, now: Time) -> f64 {
+    let age = now.saturating_sub(at).as_secs_f64();
+    (-age / half_life.as_secs_f64()).exp2()
+}
+
+/// Time of an engine of average speed until the first event: a line over the prompt tokens that it has to read.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Line {
+    /// Time of a prompt that needs no reading, in ms.
+    pub base_ms: f64,
+    /// Prompt tokens that the engine reads in a ms.
+    pub tokens_per_ms: f64,
+    /// Standard deviation of the logarithm of the time.
+    pub deviation: f64,
+}
+
+impl Default for Line {
+    fn default() -> Self {
+        Self {
+            base_ms: INITIAL_BASE_MS,
+            tokens_per_ms: INITIAL_TOKENS_PER_MS,
+            deviation: INITIAL_DEVIATION,
+        }
+    }
+}
+
+impl Line {
+    /// Expected time of all samples together in ms.
+    fn expected_ms(&self, samples: Samples) -> f64 {
+        self.base_ms * samples.count + samples.tokens / self.tokens_per_ms
+    }
+}
+
+/// Sums over the samples of the idle engines of a service, through which the [`Line`] goes. At busy ones the number of
+/// tokens is an estimate, whose errors would make the line too flat.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Average {
+    at: Time,
+    count: f64,
+    tokens: f64,
+    millis: f64,
+    tokens_squared: f64,
+    tokens_millis: f64,
+    /// Sum of the squared logarithms of the samples' times relative to the expected ones.
+    log_squared: f64,
+}
+
+impl Average {
+    /// Records samples of an idle engine with a known slowness.
+    fn record(&mut self, samples: Samples, slowness: f64, now: Time) {
+        if samples.count <= 0.0 {
+            return;
+        }
+        let factor = decay(self.at, SERVICE_HALF_LIFE, now);
+        self.at = now;
+        let count = samples.count;
+        let (tokens, millis) = (samples.tokens / count, samples.millis / count / slowness);
+        let expected = self.line().expected_ms(samples) * slowness;
+        let log = (samples.millis / expected).max(MIN_TIME_RATIO).ln();
+        let add = |sum: &mut f64, value: f64| *sum = *sum * factor + value * count;
+        add(&mut self.count, 1.0);
+        add(&mut self.tokens, tokens);
+        add(&mut self.millis, millis);
+        add(&mut self.tokens_squared, tokens * tokens);
+        add(&mut self.tokens_millis, tokens * millis);
+        add(&mut self.log_squared, log * log);
+    }
+
+    /// The line of least squares through the samples and those of the initial line.
+    pub fn line(&self) -> Line {
+        let initial = Line::default();
+        let weight = INITIAL_SAMPLES / 2.0;
+        let mut sums = *self;
+        for tokens in INITIAL_TOKENS {
+            let millis = initial.base_ms + tokens / initial.tokens_per_ms;
+            sums.count += weight;
+            sums.tokens += weight * tokens;
+            sums.millis += weight * millis;
+            sums.tokens_squared += weight * tokens * tokens;
+            sums.tokens_millis += weight * tokens * millis;
+            sums.log_squared += weight * INITIAL_DEVIATION * INITIAL_DEVIATION;
+        }
+        let spread = sums.tokens_squared - sums.tokens * sums.tokens / sums.count;
+        let common = sums.tokens_millis - sums.tokens * sums.millis / sums.count;
+        let slope = (common / spread).clamp(1.0 / MAX_TOKENS_PER_MS, 1.0 / MIN_TOKENS_PER_MS);
+        let base = (sums.millis - slope * sums.tokens) / sums.count;
+        Line {
+            base_ms: base.clamp(0.0, MAX_BASE_MS),
+            tokens_per_ms: 1.0 / slope,
+            deviation: (sums.log_squared / sums.count).sqrt(),
+        }
+    }
+}
+
+/// Sums of actual and expected times, whose weight decays.
+#[derive(Clone, Copy, Debug, Default)]
+struct Sums {
+    at: Time,
+    count: f64,
+    actual_ms: f64,
+    expected_ms: f64,
+}
+
+impl Sums {
+    fn add(
+        &mut self,
+        count: f64,
+        actual_ms: f64,
+        expected_ms: f64,
+        half_life: Duration,
+        now: Time,
+    ) {
+        let factor = decay(self.at, half_life, now);
+        *self = Self {
+            at: now,
+            count: self.count * factor + count,
+            actual_ms: self.actual_ms * factor + actual_ms,
+            expected_ms: self.expected_ms * factor + expected_ms,
+        };
+    }
+
+    /// Actual over expected time. Samples of average speed count with [`PRIOR_MS`].
+    fn slowness(&self, half_life: Duration, now: Time) -> f64 {
+        let factor = decay(self.at, half_life, now);
+        let actual = self.actual_ms * factor + PRIOR_MS;
+        let expected = self.expected_ms * factor + PRIOR_MS;
+        (actual / expected).clamp(MIN_SLOWNESS, MAX_SLOWNESS)
+    }
+}
+
+/// Geometric mean of the slowness that the latest samples show. A few long times don't outweigh many short ones in it, so it
+/// shows a recovery as soon as a slow-down.
+#[derive(Clone, Copy, Debug, Default)]
+struct Recent {
+    at: Time,
+    count: f64,
+    logs: f64,
+    expected_ms: f64,
+}
+
+impl Recent {
+    fn add(&mut self, count: f64, slowness: f64, expected_ms: f64, now: Time) {
+        let factor = decay(self.at, RECENT_HALF_LIFE, now);
+        *self = Self {
+            at: now,
+            count: self.count * factor + count,
+            logs: self.logs * factor + count * slowness.ln(),
+            expected_ms: self.expected_ms * factor + expected_ms,
+        };
+    }
+
+    fn slowness(&self) -> f64 {
+        (self.logs / self.count.max(f64::MIN_POSITIVE)).exp()
+    }
+
+    /// The same samples, as sums of times.
+    fn sums(&self) -> Sums {
+        Sums {
+            at: self.at,
+            count: self.count,
+            actual_ms: self.expected_ms * self.slowness(),
+            expected_ms: self.expected_ms,
+        }
+    }
+}
+
+/// What is known of the speed of one engine.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Speed {
+    long: Sums,
+    recent: Recent,
+    /// Line of the service when the last sample was recorded.
+    line: Line,
+}
+
+/// Estimate of an engine's rate.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Rate {
+    /// Prompt tokens that the engine reads in a millisecond while it also generates.
+    pub tokens_per_ms: f64,
+    /// Standard deviation of the rate, relative to it.
+    pub relative_error: f64,
+    /// Time since the last sample; `None` if there is none.
+    pub age: Option<Duration>,
+}
+
+impl Speed {
+    /// Speed of a new engine of a service.
+    pub fn of_service(line: Line) -> Self {
+        Self {
+            line,
+            ..Self::default()
+        }
+    }
+
+    /// The line of the service.
+    pub fn line(&self) -> Line {
+        self.line
+    }
+
+    /// Records samples, here and in the sums of the service. Returns whether they show that the speed has changed.
+    pub fn record(
+        &mut self,
+        samples: Samples,
+        load: Load,
+        service: &mut Average,
+        now: Time,
+    ) -> bool {
+        let slowness = self.slowness(now);
+        let expected_ms = self.line.expected_ms(samples);
+        let (min, max) = (MIN_TIME_RATIO * slowness, MAX_TIME_RATIO * slowness);
+        let actual_ms = samples.millis.clamp(expected_ms * min, expected_ms * max);
+        let clipped = Samples {
+            millis: actual_ms,
+            ..samples
+        };
+        if load == Load::Idle {
+            service.record(clipped, slowness, now);
+        }
+        self.line = service.line();
+        let count = samples.count;
+        self.long
+            .add(count, actual_ms, expected_ms, LONG_HALF_LIFE, now);
+        self.recent
+            .add(count, actual_ms / expected_ms, expected_ms, now);
+        let ratio = self.recent.slowness() / self.slowness(now);
+        let has_changed =
+            self.recent.count >= MIN_RECENT_SAMPLES && ratio.max(1.0 / ratio) > CHANGE_RATIO;
+        if has_changed {
+            // The recent samples may include some from before the change, so the next ones are taken apart.
+            self.long = std::mem::take(&mut self.recent).sums();
+        }
+        has_changed
+    }
+
+    /// Time that the engine takes, relative to an engine of average speed.
+    pub fn slowness(&self, now: Time) -> f64 {
+        self.long.slowness(LONG_HALF_LIFE, now)
+    }
+
+    /// Prompt tokens that the engine reads in a millisecond.
+    pub fn tokens_per_ms(&self, now: Time) -> f64 {
+        self.line.tokens_per_ms / self.slowness(now)
+    }
+
+    /// Prompt tokens that the engine reads in a millisecond in all but its worst moments.
+    pub fn cautious_tokens_per_ms(&self, now: Time) -> f64 {
+        self.tokens_per_ms(now) / (self.line.deviation * CAUTION).exp()
+    }
+
+    /// The estimate, for operators.
+    pub fn rate(&self, now: Time) -> Rate {
+        let count = self.long.count * decay(self.long.at, LONG_HALF_LIFE, now);
+        Rate {
+            tokens_per_ms: self.tokens_per_ms(now),
+            relative_error: self.line.deviation / (count + 1.0).sqrt(),
+            age: (!self.long.at.is_zero()).then(|| now.saturating_sub(self.long.at)),
+        }
+    }
+}
--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -9,6 +9,7 @@
 use crate::{
     Time,
     backoff::Backoff,
+    capacity::{Load, Speed},
     circuit::Circuit,
     identity::Identity,
     listing::{Held, Listing, Name, State},
@@ -29,10 +30,6 @@
 /// adapters within seconds, and loading an adapter again costs a third of a second.
 const USES_HALF_LIFE: Duration = Duration::from_secs(8);
 
-/// Prompt tokens that an engine is expected to prefill in a millisecond while it also generates tokens.
-/// [`Engine::slowness`] corrects the value for each engine.
-pub const PREFILL_TOKENS_PER_MS: f64 = 22.0;
-
 /// Maximum number of superseded incarnations of an engine that are remembered.
 const MAX_SUPERSEDED: usize = 16;
 
@@ -43,6 +40,9 @@
 /// that a stream may have.
 const RECENT_PROMPTS_TTL: Duration = Duration::from_millis(600);
 
+/// Time after the last prompt from which an engine is known to read none.
+const IDLE_TIME: Duration = Duration::from_millis(500);
+
 /// Pause after the first request that arrived before the load of its adapter was done. It doubles with each
 /// further one up to [`MAX_RETRY_PAUSE`], since each of them spends a retry.
 const MIN_RETRY_PAUSE: Duration = Duration::from_millis(30);
@@ -53,9 +53,6 @@
 /// Refused requests up to which a load that should be done is still expected.
 const MAX_REFUSALS: u32 = 6;
 
-/// Weight of the newest sample in [`Engine::slowness`].
-const NEWEST_SAMPLE_WEIGHT: f64 = 0.1;
-
 /// Work that one host has sent to one engine.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Workload {
@@ -188,8 +185,8 @@
     recent_prompts: VecDeque<(Time, u32)>,
     /// Prompt prefixes that the engine is estimated to have cached.
     pub prefix_cache: Cache,
-    /// Ratio of the actual to the expected time to the first event, smoothed.
-    pub slowness: f64,
+    /// How fast the engine reads prompts.
+    pub speed: Speed,
     /// When the engine is removed because its entry has vanished; `None` while it is listed.
     pub expires_at: Option<Time>,
     /// When any host is known to have received the last successful response or event.
@@ -222,7 +219,7 @@
             pending_prompts: VecDeque::new(),
             recent_prompts: VecDeque::new(),
             prefix_cache: Cache::default(),
-            slowness: 1.0,
+            speed: Speed::default(),
             expires_at: None,
             last_success_at: Time::ZERO,
             own_success_at: Time::ZERO,
@@ -248,7 +245,7 @@
             self.recently_removed.clear();
             self.prefix_cache.clear();
             self.circuit = Circuit::default();
-            self.slowness = 1.0;
+            self.speed = Speed::of_service(self.speed.line());
         }
         self.expires_at = None;
         self.recently_removed
@@ -413,7 +410,7 @@
         if self.pending_prompts.len() > MAX_PENDING_PROMPTS {
             self.pending_prompts.pop_front();
         }
-        self.prefill_end = self.prefill_end.max(now) + self.prefill_time(f64::from(tokens));
+        self.prefill_end = self.prefill_end.max(now) + self.prefill_time(f64::from(tokens), now);
     }
 
     /// Returns the prompt tokens that were sent to the engine within the last `window`.
@@ -426,34 +423,36 @@
     }
 
     /// Records that the prefill of the prompt sent at `sent`, and of all earlier ones, is done.
-    fn record_prefilled(&mut self, sent: Time, now: Time) {
+    pub fn record_prefilled(&mut self, sent: Time, now: Time) {
         while self.pending_prompts.front().is_some_and(|it| it.0 <= sent) {
             self.pending_prompts.pop_front();
         }
         let left: f64 = self.pending_prompts.iter().map(|it| f64::from(it.1)).sum();
-        self.prefill_end = self.prefill_end.min(now + self.prefill_time(left));
+        self.prefill_end = self.prefill_end.min(now + self.prefill_time(left, now));
+    }
+
+    /// Returns whether the engine is reading prompts, as far as this host knows.
+    pub fn load(&self, now: Time) -> Load {
+        let is_reading =
+            self.pending_prefill_tokens(now) > 0.0 || self.tokens_sent_within(IDLE_TIME, now) > 0.0;
+        if is_reading { Load::Busy } else { Load::Idle }
+    }
+
+    /// Returns whether one more request gets a slot at once.
+    pub fn has_free_slot(&self, now: Time) -> bool {
+        let slots = u32::try_from(self.listing.slots).unwrap_or(u32::MAX);
+        self.total_work(now).running < slots
     }
 
     /// Returns the expected duration of a prefill.
-    fn prefill_time(&self, tokens: f64) -> Duration {
-        Duration::from_secs_f64(tokens / PREFILL_TOKENS_PER_MS / 1000.0 * self.slowness)
+    fn prefill_time(&self, tokens: f64, now: Time) -> Duration {
+        Duration::from_secs_f64(tokens / self.speed.tokens_per_ms(now) / 1000.0)
     }
 
     /// Returns the prompt tokens that the engine still has to prefill.
     pub fn pending_prefill_tokens(&self, now: Time) -> f64 {
         let left = self.prefill_end.saturating_sub(now).as_secs_f64();
-        left * 1000.0 * PREFILL_TOKENS_PER_MS / self.slowness
-    }
-
-    /// Records the first event of a request that was sent at `sent` and expected to take `expected`.
-    pub fn record_first_event(&mut self, sent: Time, expected: Duration, now: Time) {
-        self.record_prefilled(sent, now);
-        let took = now.saturating_sub(sent);
-        // An expected wait close to zero would make the ratio arbitrarily large.
-        let ratio = took.as_secs_f64() / expected.as_secs_f64().max(0.02);
-        self.slowness = (self.slowness * (1.0 - NEWEST_SAMPLE_WEIGHT)
-            + ratio * NEWEST_SAMPLE_WEIGHT)
-            .clamp(0.8, 20.0);
+        left * 1000.0 * self.speed.tokens_per_ms(now)
     }
 
     /// Records that an incarnation of the engine accepts no more work. Only a new incarnation undoes this.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod assignment;
 pub mod backoff;
 pub mod budget;
+pub mod capacity;
 pub mod catalog;
 pub mod circuit;
 pub mod engine;
--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -895,7 +895,7 @@
         Self {
             // One running request counts as much as 16 prompt tokens.
             cost: (f64::from(work.prefill_tokens) / 16.0 + f64::from(work.running))
-                * engine.slowness,
+                * engine.speed.slowness(now),
             victim: None,
         }
     }
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -8,7 +8,7 @@
 use crate::{
     Time,
     circuit::State,
-    engine::{Engine, PREFILL_TOKENS_PER_MS},
+    engine::Engine,
     listing::Name,
     loader::Wanted,
     origin::BuildId,
@@ -29,16 +29,18 @@
 /// Cost in ms of the round trip to another failure domain and of its traffic.
 const REMOTE_DOMAIN_COST_MS: f64 = 6.0;
 
-/// Maximum prompt tokens that may wait for prefill at an engine. An engine prefills a piece of a prompt in
-/// each step, and an event carries the tokens of a few steps. More tokens at once would delay the events
-/// of all streams of the engine for longer than their gap target. The limit doesn't apply to a prompt for an
-/// idle engine.
-const MAX_PENDING_TOKENS: f64 = 2800.0;
+/// Part of the longest allowed gap between two events in which an engine may read the prompts that wait for prefill. An
+/// engine reads a piece of a prompt in each step, and an event carries the tokens of a few steps. More tokens at once would
+/// delay the events of all its streams for too long. The limit doesn't apply to a prompt for an idle engine.
+const PENDING_FRACTION: f64 = 0.42;
 
-/// Part of the gap between two events in ms that the steps of an engine take without any prefill: an event
+/// Part of the gap between two events in ms that the steps of an engine of average speed take without any prefill: an event
 /// carries the tokens of three or four steps of some 10 ms each.
 const DECODE_TIME_PER_EVENT_MS: f64 = 45.0;
 
+/// Longest allowed gap that is assumed for requests whose route names none.
+const DEFAULT_MAX_GAP: Duration = Duration::from_millis(250);
+
 /// Cost in ms of each running stream that would pause because too many prompt tokens wait for prefill.
 const PAUSED_STREAM_COST_MS: f64 = 8.0;
 
@@ -244,10 +246,11 @@
     let work = engine.total_work(now);
     let slots = u32::try_from(engine.listing.slots.max(1)).unwrap_or(u32::MAX);
     let excess = (work.running + 1).saturating_sub(slots);
+    let slowness = engine.speed.slowness(now);
     let wait_ms = if request.name.is_some() {
         (engine.pending_prefill_tokens(now) + uncached_tokens(engine, request))
-            / PREFILL_TOKENS_PER_MS
-            + f64::from(work.running) * RUNNING_DELAY_MS
+            / engine.speed.tokens_per_ms(now)
+            + (engine.speed.line().base_ms + f64::from(work.running) * RUNNING_DELAY_MS) * slowness
     } else {
         f64::from(work.running) / f64::from(slots) * PLAIN_DELAY_MS
     };
@@ -257,7 +260,7 @@
     } else {
         PLAIN_FULL_DELAY_MS
     };
-    (wait_ms + f64::from(excess) * full_delay_ms) * engine.slowness.max(0.8)
+    wait_ms + f64::from(excess) * full_delay_ms * slowness
 }
 
 /// Returns the tokens of the prompt that the engine hasn't cached.
@@ -276,9 +279,17 @@
     let new = uncached_tokens(engine, request);
     let pending = engine.pending_prefill_tokens(now);
     let sent = engine.tokens_sent_within(request.max_gap, now);
-    let limit =
-        (request.max_gap.as_secs_f64() * 1000.0 - DECODE_TIME_PER_EVENT_MS) * PREFILL_TOKENS_PER_MS;
-    (pending > 0.0 && pending + new > MAX_PENDING_TOKENS) || (sent > 0.0 && sent + new > limit)
+    let max_gap = if request.max_gap.is_zero() {
+        DEFAULT_MAX_GAP
+    } else {
+        request.max_gap
+    };
+    let gap_ms = max_gap.as_secs_f64() * 1000.0;
+    let tokens_per_ms = engine.speed.tokens_per_ms(now);
+    let max_pending = gap_ms * PENDING_FRACTION * tokens_per_ms;
+    let decode_ms = DECODE_TIME_PER_EVENT_MS * engine.speed.slowness(now);
+    let limit = (gap_ms - decode_ms).max(0.0) * tokens_per_ms;
+    (pending > 0.0 && pending + new > max_pending) || (sent > 0.0 && sent + new > limit)
 }
 
 /// Returns the cost of an engine beside the expected wait, in ms.
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -8,6 +8,7 @@
 
 use crate::{
     Time,
+    capacity::{Average, Load, Samples, Speed},
     engine::{Engine, Workload},
     identity::{Announcement, Identity},
     listing::{Listing, Name, is_adapter},
@@ -80,6 +81,8 @@
     builds: HashMap<Arc<str>, HashMap<BuildId, Presence>>,
     /// Average run time of a request in seconds, by service.
     run_times: HashMap<Arc<str>, f64>,
+    /// Average speed of the engines of each service.
+    averages: HashMap<Arc<str>, Average>,
     /// Engines that may have started again since their entries were written.
     uncertain: BTreeSet<Key>,
     /// Since when the list of engines has been complete without a gap.
@@ -181,7 +184,10 @@
         self.short_ids.insert(short_id(&listing.id), key);
         self.count_build(&ServiceBuild::of(&listing), now, |it| it + 1);
         let departed = self.departed.get(&listing.id);
+        let average = self.averages.get(&listing.service);
+        let line = average.copied().unwrap_or_default().line();
         let mut engine = Engine::new(listing, now);
+        engine.speed = Speed::of_service(line);
         if let Some(it) = departed {
             engine.restore_superseded(it.superseded.clone(), it.incarnation);
             if it.leaving {
@@ -450,6 +456,17 @@
         *average += (time.as_secs_f64() - *average) * NEWEST_RUN_WEIGHT;
     }
 
+    /// Records samples of the speed of an engine. Returns whether it has changed.
+    pub fn record_speed(&mut self, key: Key, samples: Samples, load: Load, now: Time) -> bool {
+        let Some(engine) = self.engines.get_mut(&key) else {
+            return false;
+        };
+        let average = self.averages.entry(engine.listing.service.clone());
+        engine
+            .speed
+            .record(samples, load, average.or_default(), now)
+    }
+
     /// Returns the average run time of a request.
     pub fn run_time(&self, service: &str) -> Duration {
         let average = self.run_times.get(service);
--- a/crates/fleet/tests/it/main.rs
+++ b/crates/fleet/tests/it/main.rs
@@ -5,6 +5,7 @@
 mod assignments;
 mod backoffs;
 mod budgets;
+mod capacities;
 mod crashes;
 mod eras;
 mod fixture;
--- a/crates/fleet/tests/it/tables.rs
+++ b/crates/fleet/tests/it/tables.rs
@@ -7,7 +7,7 @@
     table::{Freshness, Removal, Standing, Table},
 };
 
-use crate::fixture::{NOW, at, held, listing, ms, table};
+use crate::fixture::{NOW, at, held, listing, table};
 
 #[test]
 fn a_new_incarnation_with_the_same_id_holds_nothing_of_the_previous_one() {
@@ -171,7 +171,7 @@
     );
     engine.record_prompt(2200, at(1000));
     engine.record_prompt(1100, at(1001));
-    engine.record_first_event(at(1000), ms(100), at(1050));
+    engine.record_prefilled(at(1000), at(1050));
     let left = engine.pending_prefill_tokens(at(1050));
     assert!((1000.0..1200.0).contains(&left), "{left}");
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -16,6 +16,7 @@
         ledger::{AccountId, Ledger},
     },
     budget::Budget,
+    capacity::{Load, Samples},
     catalog::Catalog,
     engine::Engine,
     era::{self, Era, Statement, Verdict},
@@ -105,6 +106,8 @@
     pub ledger: RefCell<Ledger>,
     /// Number of reports of that use that this host has sent.
     pub usage_reports: Cell<u64>,
+    /// Samples of the speed of engines that the other hosts have not been sent.
+    pub speed_samples: RefCell<HashMap<Key, Samples>>,
     /// Known engines with their estimated state.
     pub table: RefCell<Table>,
     /// True once a whole list of engines has been applied.
@@ -249,6 +252,7 @@
             catalog: RefCell::default(),
             head_timeout: HeadTimeout::default(),
             usage_reports: Cell::default(),
+            speed_samples: RefCell::default(),
             table: RefCell::default(),
             engines_listed: Cell::default(),
             loader: RefCell::default(),
@@ -442,6 +446,25 @@
         }
     }
 
+    /// Records samples of the speed of an engine, and logs it if it has changed. `why` says who has taken them.
+    pub fn record_speed(&self, key: Key, samples: Samples, load: Load, why: &'static str) {
+        let now = clock::now();
+        let mut table = self.table.borrow_mut();
+        if !table.record_speed(key, samples, load, now) {
+            return;
+        }
+        if let Some(engine) = table.get(key) {
+            let id = &*engine.listing.id;
+            let rate = engine.speed.rate(now);
+            let average = engine.speed.line().tokens_per_ms;
+            log::info!(
+                event = "engine-speed", engine = id, tokens_per_ms = rate.tokens_per_ms, average,
+                relative_error = rate.relative_error, why;
+                "engine {id} now reads {:.1} prompt tokens a ms", rate.tokens_per_ms
+            );
+        }
+    }
+
     /// Records that an engine accepted a request.
     pub fn record_acceptance(&self, key: Key) {
         if let Some(engine) = self.table.borrow_mut().get_mut(key) {
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -3,6 +3,7 @@
 //! are sent again, or reach the store's lists soon.
 
 mod accounts;
+mod capacity;
 mod identity;
 mod limits;
 mod origins;
@@ -118,6 +119,7 @@
                 Some(Message::TurnReply(it)) => self.handle_turn_reply(&it),
                 Some(Message::Ended(it)) => self.handle_ended(&it),
                 Some(Message::Alive(it)) => self.handle_alive(it),
+                Some(Message::Speeds(it)) => self.handle_speeds(&it),
                 Some(Message::AccountUsage(it)) => self.handle_account_usage(&it, from),
                 None => log::debug!("cannot decode datagram from {from}"),
             }
@@ -305,6 +307,7 @@
         self.update_coordination(now);
         let limits = self.limit_messages(now);
         let accounts = self.account_messages(now);
+        let speeds = self.speed_messages();
         self.announce_held_origins();
         let mut usage = self.usage_by_steward();
         for host in self.gateway.peers.borrow_mut().take_lost(now) {
@@ -323,7 +326,12 @@
             };
             heartbeat = it;
             let parts = workloads.iter().chain(&drains);
-            for part in parts.chain(&reports).chain(&limits).chain(&accounts) {
+            for part in parts
+                .chain(&reports)
+                .chain(&limits)
+                .chain(&accounts)
+                .chain(&speeds)
+            {
                 self.send(part, addr).await;
             }
         }
--- /dev/null
+++ b/crates/gateway/src/gossip/capacity.rs
@@ -0,0 +1,52 @@
+//! Samples of the speed of engines, which hosts share (`fleet::capacity`).
+
+use fleet::{
+    capacity::{Load, Samples},
+    rendezvous::short_id,
+};
+
+use super::Gossip;
+use crate::message::{MAX_WORKLOADS_PER_MESSAGE, Message, SpeedSamples};
+
+impl Gossip {
+    /// Samples since the last heartbeat.
+    pub(super) fn speed_messages(&self) -> Vec<Message> {
+        let samples = self.gateway.speed_samples.take();
+        let table = self.gateway.table.borrow();
+        let samples = samples.iter().filter_map(|(key, it)| {
+            let engine = table.get(*key)?;
+            Some(encode(short_id(&engine.listing.id), it))
+        });
+        let samples: Vec<SpeedSamples> = samples.collect();
+        let parts = samples.chunks(MAX_WORKLOADS_PER_MESSAGE);
+        parts.map(|it| Message::Speeds(it.to_vec())).collect()
+    }
+
+    /// Records the samples of another host. Sums over several requests can't tell the time of a step from that of a token.
+    pub(super) fn handle_speeds(&self, samples: &[SpeedSamples]) {
+        for (engine, count, tokens, millis) in samples {
+            let key = self.gateway.table.borrow().find_by_short_id(*engine);
+            let samples = Samples {
+                count: f64::from(*count),
+                tokens: f64::from(*tokens),
+                millis: f64::from(*millis),
+            };
+            if let Some(key) = key.filter(|_| *count > 0) {
+                self.gateway
+                    .record_speed(key, samples, Load::Busy, "other-host");
+            }
+        }
+    }
+}
+
+fn encode(engine: u32, samples: &Samples) -> SpeedSamples {
+    // The clamp keeps the value within the range.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let whole = |it: f64| it.clamp(0.0, f64::from(u32::MAX)).round() as u32;
+    let Samples {
+        count,
+        tokens,
+        millis,
+    } = *samples;
+    (engine, whole(count), whole(tokens), whole(millis))
+}
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -2,7 +2,14 @@
 
 use std::{rc::Rc, time::Duration};
 
-use fleet::{Time, listing::Name, origin::BuildId, prefix::Chain, table::Key};
+use fleet::{
+    Time,
+    capacity::{Load, Samples},
+    listing::Name,
+    origin::BuildId,
+    prefix::Chain,
+    table::Key,
+};
 use hyper::Response;
 use tokio::time;
 
@@ -37,6 +44,11 @@
     begun_at: Option<Time>,
     /// Time to the first event that was expected at placement.
     pub(crate) expected_wait: Duration,
+    /// Prompt tokens that the engine had to prefill until the first event, when the request was sent; `None` if the request
+    /// had to wait for a slot first.
+    tokens_ahead: Option<f64>,
+    /// Load of the engine when the request was sent.
+    load: Load,
     /// Number of the attempt in the trace of its request.
     pub(crate) attempt: usize,
 }
@@ -52,12 +64,19 @@
         let now = clock::now();
         let mut prefill_tokens = 0;
         let mut build = None;
+        let mut tokens_ahead = None;
+        let mut load = Load::Busy;
         if let Some(engine) = gateway.table.borrow_mut().get_mut(key) {
             build = Some(BuildId::of(&engine.listing));
             prefill_tokens = chain
                 .tokens()
                 .saturating_sub(engine.prefix_cache.cached_tokens(chain));
             engine.backoff.record_start(now);
+            if engine.has_free_slot(now) {
+                let pending = engine.pending_prefill_tokens(now);
+                load = engine.load(now);
+                tokens_ahead = Some(pending + f64::from(prefill_tokens));
+            }
             engine.local_work.running += 1;
             engine.local_work.prefill_tokens += prefill_tokens;
             engine.record_prompt(prefill_tokens, now);
@@ -80,6 +99,8 @@
             sent_at: now,
             begun_at: None,
             expected_wait: Duration::ZERO,
+            tokens_ahead,
+            load,
             attempt: 0,
         }
     }
@@ -105,14 +126,27 @@
                 .local_work
                 .prefill_tokens
                 .saturating_sub(self.prefill_tokens);
-            if self.prefill_tokens > 0 {
-                engine.record_first_event(self.sent_at, self.expected_wait, now);
-            }
+            engine.record_prefilled(self.sent_at, now);
         }
+        self.record_speed(now);
         self.prefill_tokens = 0;
         self.begun_at = Some(now);
     }
 
+    /// Records how long the engine took until the first event. After a suspension of this host that isn't known.
+    fn record_speed(&self, now: Time) {
+        let tokens = self.tokens_ahead.filter(|_| self.prefill_tokens > 0);
+        let Some(tokens) = tokens.filter(|_| self.sent_at >= self.gateway.caught_up_at.get())
+        else {
+            return;
+        };
+        let sample = Samples::of(tokens, now.saturating_sub(self.sent_at));
+        self.gateway
+            .record_speed(self.key, sample, self.load, "own");
+        let mut samples = self.gateway.speed_samples.borrow_mut();
+        samples.entry(self.key).or_default().add(sample);
+    }
+
     /// Returns whether the engine has just begun to generate the response, or may be about to.
     pub(crate) fn may_be_beginning(&self) -> bool {
         (self.begun_at).is_none_or(|it| clock::now() < it + BEGINNING)
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -121,6 +121,10 @@
             };
             Some((part(first), part(rest)))
         }
+        Message::Speeds(list) => {
+            let (first, rest) = halves(list)?;
+            Some((Message::Speeds(first), Message::Speeds(rest)))
+        }
         Message::Full(list) => {
             let (first, rest) = halves(list)?;
             Some((Message::Full(first), Message::Full(rest)))
@@ -201,8 +205,13 @@
     Alive(EngineIncarnation),
     /// What the host has admitted of client accounts with a quota. Earlier builds, which know no accounts, discard it.
     AccountUsage(AccountUsage),
+    /// Samples of the speed of engines since the last message. Earlier builds discard it.
+    Speeds(Vec<SpeedSamples>),
 }
 
+/// Samples of the speed of an engine ([`fleet::capacity::Samples`]): the engine, their number, prompt tokens, and time in ms.
+pub type SpeedSamples = (ShortId, u32, u32, u32);
+
 /// What a host has admitted of client accounts with a quota.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 pub struct AccountUsage {
