--- a/crates/fleet/src/capacity.rs
+++ b/crates/fleet/src/capacity.rs
@@ -54,8 +54,17 @@
 const MAX_SLOWNESS: f64 = 10.0;
 const MIN_SLOWNESS: f64 = 0.1;
 
-/// Standard deviation of the logarithm of a sample's time, until samples have shown another one.
-const INITIAL_DEVIATION: f64 = 0.2;
+/// Steps of an engine's share of the adapters for each doubling of its speed.
+const SHARE_STEPS: f64 = 2.0;
+
+/// Power of the speed to which the share is proportional. A prompt makes the streams of a slow engine pause for longer, so
+/// it gets less than its speed alone would allow.
+const SHARE_EXPONENT: f64 = 2.0;
+
+/// Standard deviation of the logarithm of a sample's time, until samples have shown another one, and the least one that is
+/// stated: there are always errors that samples don't show.
+const INITIAL_DEVIATION: f64 = 0.0;
+const MIN_DEVIATION: f64 = 0.1;
 
 /// Standard deviations by which an engine is taken to be slower where a delay would be felt by many.
 const CAUTION: f64 = 1.3;
@@ -345,6 +354,13 @@
         self.line.tokens_per_ms / self.slowness(now)
     }
 
+    /// Share of the adapters that the engine should hold, relative to an engine of average speed. It changes in steps only,
+    /// so that hosts agree on it and adapters stay where they are.
+    pub fn share(&self, now: Time) -> f64 {
+        let steps = -SHARE_STEPS * self.slowness(now).log2();
+        (SHARE_EXPONENT * steps.round() / SHARE_STEPS).exp2()
+    }
+
     /// Prompt tokens that the engine reads in a millisecond in all but its worst moments.
     pub fn cautious_tokens_per_ms(&self, now: Time) -> f64 {
         self.tokens_per_ms(now) / (self.line.deviation * CAUTION).exp()
@@ -355,7 +371,7 @@
         let count = self.long.count * decay(self.long.at, LONG_HALF_LIFE, now);
         Rate {
             tokens_per_ms: self.tokens_per_ms(now),
-            relative_error: self.line.deviation / (count + 1.0).sqrt(),
+            relative_error: self.line.deviation.max(MIN_DEVIATION) / (count + 1.0).sqrt(),
             age: (!self.long.at.is_zero()).then(|| now.saturating_sub(self.long.at)),
         }
     }
--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -15,6 +15,7 @@
     listing::{Held, Listing, Name, State},
     origin::BuildId,
     prefix::Cache,
+    rendezvous,
     request_limit::{Limit, Rate},
     room::Room,
 };
@@ -444,6 +445,12 @@
         self.total_work(now).running < slots
     }
 
+    /// Returns the rank of the engine among those on which an adapter may be loaded; the highest is the best. A faster
+    /// engine gets more of the adapters.
+    pub fn load_rank(&self, name: &str, now: Time) -> f64 {
+        rendezvous::score(name, &self.listing.id, self.speed.share(now))
+    }
+
     /// Returns the expected duration of a prefill.
     fn prefill_time(&self, tokens: f64, now: Time) -> Duration {
         Duration::from_secs_f64(tokens / self.speed.tokens_per_ms(now) / 1000.0)
--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -999,11 +999,11 @@
 /// Returns the number of engines of the service that rank higher for an adapter.
 fn count_better_ranked(view: &View, engine: &Engine, name: &Name) -> f64 {
     let listing = &engine.listing;
-    let own = rendezvous::weight(name, &listing.id);
+    let own = engine.load_rank(name, view.now);
     let better = view.table.iter().filter(|(_, it)| {
         it.listing.service == listing.service
             && it.accepts_work()
-            && rendezvous::weight(name, &it.listing.id) > own
+            && it.load_rank(name, view.now) > own
     });
     to_f64(better.count())
 }
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -13,7 +13,6 @@
     loader::Wanted,
     origin::BuildId,
     prefix::Chain,
-    rendezvous,
     table::{Freshness, Key, Table},
 };
 
@@ -273,6 +272,13 @@
 /// without a break, its running streams pause. Within the longest allowed gap, it is therefore sent fewer
 /// tokens than it can prefill in that time.
 fn must_delay(engine: &Engine, request: &PlacementRequest, now: Time) -> bool {
+    let has_prompts = engine.tokens_sent_within(request.max_gap, now) > 0.0
+        || engine.pending_prefill_tokens(now) > 0.0;
+    has_prompts && pauses_streams(engine, request, now)
+}
+
+/// Returns whether the running streams of an engine would pause for too long if it got the prompt now.
+fn pauses_streams(engine: &Engine, request: &PlacementRequest, now: Time) -> bool {
     if request.name.is_none() {
         return false;
     }
@@ -285,18 +291,18 @@
         request.max_gap
     };
     let gap_ms = max_gap.as_secs_f64() * 1000.0;
-    let tokens_per_ms = engine.speed.tokens_per_ms(now);
+    let tokens_per_ms = engine.speed.cautious_tokens_per_ms(now);
     let max_pending = gap_ms * PENDING_FRACTION * tokens_per_ms;
     let decode_ms = DECODE_TIME_PER_EVENT_MS * engine.speed.slowness(now);
     let limit = (gap_ms - decode_ms).max(0.0) * tokens_per_ms;
-    (pending > 0.0 && pending + new > max_pending) || (sent > 0.0 && sent + new > limit)
+    (pending > 0.0 && pending + new > max_pending) || sent + new > limit
 }
 
 /// Returns the cost of an engine beside the expected wait, in ms.
 fn extra_cost_ms(engine: &Engine, request: &PlacementRequest, now: Time) -> f64 {
     let failure_rate = engine.circuit.failure_rate();
     let mut cost = failure_rate * failure_rate * FAILURE_COST_MS;
-    if must_delay(engine, request, now) {
+    if pauses_streams(engine, request, now) {
         cost += f64::from(engine.total_work(now).running) * PAUSED_STREAM_COST_MS;
     }
     if &*engine.listing.domain != request.domain {
@@ -344,11 +350,14 @@
             && it.closed_until(now).is_none()
             && !it.needs_turn(now)
             && table.queue_wait_for_one_more(key, now).is_zero();
-        (is_usable, rendezvous::weight(name, &it.listing.id), key)
+        (is_usable, it.load_rank(name, now), key)
     };
     let engines = table.iter().filter(|it| is_candidate(it.1));
     let mut ranked: Vec<_> = engines.map(rank).collect();
-    ranked.sort_unstable_by(|a, b| b.cmp(a));
+    ranked.sort_unstable_by(|a, b| {
+        let usable = b.0.cmp(&a.0);
+        usable.then_with(|| b.1.total_cmp(&a.1)).then(b.2.cmp(&a.2))
+    });
     ranked.into_iter().map(|it| it.2).collect()
 }
 
