--- a/crates/experiment/src/platform/engine.rs
+++ b/crates/experiment/src/platform/engine.rs
@@ -2,7 +2,9 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use super::installation::Installation;
+use fleet::rendezvous;
+
+use super::installation::{Installation, NOISE_FACTOR, NOISE_PERIOD};
 use crate::event_queue::{MILLISECOND, Micros};
 
 /// A request at an engine.
@@ -28,6 +30,8 @@
 /// A simulated engine.
 #[derive(Clone, Debug, Default)]
 pub struct Engine {
+    /// Number of the engine, by which its speed and its noise are chosen.
+    number: usize,
     /// Loaded adapters and the time of their last use.
     pub held: BTreeMap<usize, Micros>,
     /// Adapters whose loads are in flight.
@@ -46,8 +50,9 @@
 
 impl Engine {
     /// Creates an engine without adapters.
-    pub fn new() -> Self {
+    pub fn new(number: usize) -> Self {
         Self {
+            number,
             is_up: true,
             incarnation: 1,
             ..Self::default()
@@ -67,7 +72,7 @@
 
     /// Starts a step: admits waiting requests to the batch and processes the next chunk of prompts.
     /// Returns the duration of the step, or `None` if there are no requests.
-    pub fn begin_step(&mut self, installation: &Installation) -> Option<Micros> {
+    pub fn begin_step(&mut self, installation: &Installation, now: Micros) -> Option<Micros> {
         while self.running.len() < installation.batch_slots
             && let Some(run) = self.waiting.pop_front()
         {
@@ -89,7 +94,21 @@
         let batch_time =
             u64::try_from(self.running.len()).unwrap_or(0) * installation.step_time_per_request;
         self.is_stepping = true;
-        Some(installation.step_time + batch_time + prefill_time)
+        let time = installation.step_time + batch_time + prefill_time;
+        Some(time * self.slowness_percent(installation, now) / 100)
+    }
+
+    /// Time that the engine takes for its work at a time, in percent of the usual time of an engine of average speed.
+    fn slowness_percent(&self, installation: &Installation, now: Micros) -> u64 {
+        let speeds = installation.speeds;
+        let slowness = 100 * 100 / speeds[self.number % speeds.len()];
+        let period = (now / NOISE_PERIOD).to_string();
+        let hash = rendezvous::weight(&period, &self.number.to_string());
+        if hash % 100 < installation.noise_percent {
+            slowness * NOISE_FACTOR / 100
+        } else {
+            slowness
+        }
     }
 
     /// Ends a step. Each request whose prompt is processed has one token more.
--- a/crates/experiment/src/platform/installation.rs
+++ b/crates/experiment/src/platform/installation.rs
@@ -33,8 +33,18 @@
     pub requests_per_second: f64,
     /// Maximum pause between events of a stream that is on time.
     pub max_event_gap: Micros,
+    /// Speeds of the engines in percent, which take turns.
+    pub speeds: &'static [u64],
+    /// Percent of the time in which an engine is slower by [`NOISE_FACTOR`].
+    pub noise_percent: u64,
 }
 
+/// Time for which an engine stays in the same state of noise.
+pub const NOISE_PERIOD: Micros = 600 * MILLISECOND;
+
+/// Percent of its usual time that an engine takes while it is slower by noise.
+pub const NOISE_FACTOR: u64 = 250;
+
 /// Duration of a load from the weight store at full speed.
 pub const LOAD_TIME: Micros = 250 * MILLISECOND;
 
@@ -80,6 +90,8 @@
             adapters: 3000,
             requests_per_second: 144.0,
             max_event_gap: 250 * MILLISECOND,
+            speeds: &[100],
+            noise_percent: 0,
         }
     }
 
@@ -116,8 +128,33 @@
         }
     }
 
+    /// An installation with many small hosts and engines of three speeds, which are slow at times.
+    pub fn uneven() -> Self {
+        Self {
+            name: "uneven",
+            hosts: 60,
+            batch_slots: 48,
+            step_time: 9_470,
+            step_time_per_request: 27,
+            prefill_tokens_per_ms: 19,
+            max_prefill_tokens_per_step: 4096,
+            tokens_per_event: 3,
+            adapter_slots: 14,
+            max_full_speed_loads: 40,
+            requests_per_second: 230.0,
+            speeds: &[60, 100, 160],
+            noise_percent: 15,
+            ..Self::dar_grown()
+        }
+    }
+
     /// All installations.
-    pub fn all() -> [Self; 3] {
-        [Self::dar(), Self::institute(), Self::dar_grown()]
+    pub fn all() -> [Self; 4] {
+        [
+            Self::dar(),
+            Self::institute(),
+            Self::dar_grown(),
+            Self::uneven(),
+        ]
     }
 }
--- a/crates/experiment/src/platform/simulation.rs
+++ b/crates/experiment/src/platform/simulation.rs
@@ -293,7 +293,7 @@
         Self {
             installation: installation.clone(),
             now: 0,
-            engines: vec![Engine::new(); installation.engines],
+            engines: (0..installation.engines).map(Engine::new).collect(),
             requests: requests.collect(),
             events,
             loads_in_flight: 0,
@@ -385,7 +385,7 @@
     /// Starts the next step of an engine if it has requests.
     fn begin_step(&mut self, engine: usize) {
         let installation = self.installation.clone();
-        if let Some(time) = self.engines[engine].begin_step(&installation) {
+        if let Some(time) = self.engines[engine].begin_step(&installation, self.now) {
             let incarnation = self.engines[engine].incarnation;
             self.events
                 .schedule(self.now + time, Event::StepEnd(engine, incarnation));
