--- a/crates/fleet/src/capacity.rs
+++ b/crates/fleet/src/capacity.rs
@@ -67,7 +67,7 @@
 const MIN_DEVIATION: f64 = 0.1;
 
 /// Standard deviations by which an engine is taken to be slower where a delay would be felt by many.
-const CAUTION: f64 = 1.3;
+const CAUTION: f64 = 1.6;
 
 /// What the engine of a sample had to do beside the request.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -41,7 +41,7 @@
 const DEFAULT_MAX_GAP: Duration = Duration::from_millis(250);
 
 /// Cost in ms of each running stream that would pause because too many prompt tokens wait for prefill.
-const PAUSED_STREAM_COST_MS: f64 = 8.0;
+const PAUSED_STREAM_COST_MS: f64 = 25.0;
 
 /// Cost in ms of a failure rate of 1. The cost grows with the square of the rate, since a few failures are
 /// normal.
