--- a/crates/experiment/src/platform/hosts.rs
+++ b/crates/experiment/src/platform/hosts.rs
@@ -11,9 +11,8 @@
     in_flight::{self, InFlightLoads},
     listing::{Held, Listing, Name, State},
     loader::{self, Action, Loader, Op, Order, Outcome, Status, View},
-    placement::{self, Placement},
+    placement::{self, Placement, Purpose},
     prefix::{Chain, Part},
-    rendezvous,
     table::{Freshness, Key, Table},
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -259,22 +258,23 @@
         }
     }
 
-    /// Returns the `nth` host in the order in which hosts are asked to load an adapter. For a
-    /// replica, engines that already hold the adapter are skipped.
-    fn find_steward(&self, host: usize, adapter: usize, is_replica: bool, nth: usize) -> usize {
-        let name = &self.adapter_names[adapter];
-        let mut candidates: Vec<(u64, usize)> = Vec::new();
-        for (engine, id) in self.engine_ids.iter().enumerate() {
-            let it = self.states[host].table.get(self.engine_keys[engine]);
-            if it.is_some_and(|it| !is_replica || !it.held.contains_key(name)) {
-                candidates.push((rendezvous::weight(name, id), engine % self.states.len()));
-            }
-        }
-        candidates.sort_unstable();
+    /// Returns the `nth` host in the order in which hosts are asked to load an adapter.
+    fn find_steward(
+        &self,
+        host: usize,
+        adapter: usize,
+        purpose: Purpose,
+        nth: usize,
+        now: Time,
+    ) -> usize {
+        let wanted = loader::Wanted::anywhere(self.adapter_names[adapter].clone());
+        let table = &self.states[host].table;
+        let ranked = placement::rank_for_load(table, SERVICE, &wanted, purpose, now);
         let mut stewards: Vec<usize> = Vec::new();
-        for (_, it) in candidates.into_iter().rev() {
-            if !stewards.contains(&it) {
-                stewards.push(it);
+        for key in ranked {
+            let steward = self.engine_index(key) % self.states.len();
+            if !stewards.contains(&steward) {
+                stewards.push(steward);
             }
         }
         stewards[nth % stewards.len().max(1)]
@@ -294,7 +294,7 @@
         wait.load_requests += 1;
         let nth = usize::try_from((wait.load_requests - 1) / LOAD_REQUESTS_PER_HOST).unwrap_or(0);
         let waiting = to_u32(wait.requests.len());
-        let to = self.find_steward(host, adapter, false, nth);
+        let to = self.find_steward(host, adapter, Purpose::Missing, nth, to_time(now));
         let demand = Demand {
             from: host,
             adapter,
@@ -338,7 +338,7 @@
         }
         *entry = (now, entry.1 + 1);
         let nth = entry.1 - 1;
-        let to = self.find_steward(host, adapter, true, nth);
+        let to = self.find_steward(host, adapter, Purpose::Replica, nth, to_time(now));
         // A replica takes half of the uses of the engine. The host's own uses are extrapolated to
         // all hosts.
         let demand = Demand {
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -108,6 +108,8 @@
     pub usage_reports: Cell<u64>,
     /// Samples of the speed of engines that the other hosts have not been sent.
     pub speed_samples: RefCell<HashMap<Key, Samples>>,
+    /// When they were last sent.
+    pub speeds_sent_at: Cell<Time>,
     /// Known engines with their estimated state.
     pub table: RefCell<Table>,
     /// True once a whole list of engines has been applied.
@@ -253,6 +255,7 @@
             head_timeout: HeadTimeout::default(),
             usage_reports: Cell::default(),
             speed_samples: RefCell::default(),
+            speeds_sent_at: Cell::default(),
             table: RefCell::default(),
             engines_listed: Cell::default(),
             loader: RefCell::default(),
@@ -707,6 +710,7 @@
         ] {
             self.metrics.record_body_memory(budget);
         }
+        self.record_engine_speeds();
         let catalog = self.catalog();
         let accounts = catalog.iter().filter_map(|it| it.accounts.as_ref());
         for account in accounts.flat_map(Accounts::iter) {
@@ -729,6 +733,26 @@
         }
     }
 
+    /// Updates the gauges of the speeds of engines.
+    fn record_engine_speeds(&self) {
+        let now = clock::now();
+        let mut speeds: HashMap<Arc<str>, Vec<f64>> = HashMap::new();
+        for (_, engine) in self.table.borrow().iter() {
+            let rate = engine.speed.rate(now);
+            if engine.accepts_work() && rate.age.is_some() {
+                let of_service = speeds.entry(engine.listing.service.clone()).or_default();
+                of_service.push(rate.tokens_per_ms);
+            }
+        }
+        for (service, mut speeds) in speeds {
+            speeds.sort_by(f64::total_cmp);
+            let last = speeds.len() - 1;
+            for (which, index) in [("slowest", 0), ("median", last / 2), ("fastest", last)] {
+                (self.metrics.capacity).record_speed(&service, which, speeds[index]);
+            }
+        }
+    }
+
     /// Engines to which this host may send orders now.
     pub fn orderable_engines(&self) -> Vec<Key> {
         let table = self.table.borrow();
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -307,7 +307,7 @@
         self.update_coordination(now);
         let limits = self.limit_messages(now);
         let accounts = self.account_messages(now);
-        let speeds = self.speed_messages();
+        let speeds = self.speed_messages(now);
         self.announce_held_origins();
         let mut usage = self.usage_by_steward();
         for host in self.gateway.peers.borrow_mut().take_lost(now) {
--- a/crates/gateway/src/gossip/capacity.rs
+++ b/crates/gateway/src/gossip/capacity.rs
@@ -1,6 +1,9 @@
 //! Samples of the speed of engines, which hosts share (`fleet::capacity`).
 
+use std::time::Duration;
+
 use fleet::{
+    Time,
     capacity::{Load, Samples},
     rendezvous::short_id,
 };
@@ -8,9 +11,17 @@
 use super::Gossip;
 use crate::message::{MAX_WORKLOADS_PER_MESSAGE, Message, SpeedSamples};
 
+/// Time between two messages with samples. Each costs as much as a heartbeat.
+const SAMPLE_INTERVAL: Duration = Duration::from_millis(800);
+
 impl Gossip {
-    /// Samples since the last heartbeat.
-    pub(super) fn speed_messages(&self) -> Vec<Message> {
+    /// Samples since they were last sent, if that is due.
+    pub(super) fn speed_messages(&self, now: Time) -> Vec<Message> {
+        let sent_at = &self.gateway.speeds_sent_at;
+        if sent_at.get() + SAMPLE_INTERVAL > now {
+            return Vec::new();
+        }
+        sent_at.set(now);
         let samples = self.gateway.speed_samples.take();
         let table = self.gateway.table.borrow();
         let samples = samples.iter().filter_map(|(key, it)| {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 //! them.
 
 mod account;
+mod capacity;
 
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 };
 use telemetry::exposition::Exposition;
 
-pub use self::account::AccountMetrics;
+pub use self::{account::AccountMetrics, capacity::CapacityMetrics};
 use crate::{attribution::Attribution, connection::Origin, memory::Budget};
 
 /// Prefix of all metric names.
@@ -54,6 +55,8 @@
     isolated: Gauge<u64>,
     buffered_bytes: Gauge<u64>,
     bodies_given_up: Counter<u64>,
+    /// Learned speeds of engines.
+    pub capacity: CapacityMetrics,
     /// Use of client accounts.
     pub accounts: AccountMetrics,
 }
@@ -114,9 +117,7 @@
             engines: gauge("engines", "Engines and instances that are known"),
             hosts: gauge("hosts", "Other hosts that live"),
             claims: gauge("claims", "Engines that this host may order"),
-            retries_left: (meter.f64_gauge("repeats_left"))
-                .with_description("Repeats that the budget has left at this host")
-                .build(),
+            retries_left: build_gauge(&meter, "repeats_left", "Repeats that the budget has left"),
             list_age: (meter.f64_gauge("list_age"))
                 .with_description("Time since the store's answer that a list rests on")
                 .with_unit("s")
@@ -163,6 +164,7 @@
                 "limited_requests",
                 "Requests for engines with a limit, by whether they were sent",
             ),
+            capacity: CapacityMetrics::new(&meter),
             accounts: AccountMetrics::new(&meter),
             exposition,
         }
@@ -351,6 +353,11 @@
         .build()
 }
 
+fn build_gauge(meter: &Meter, name: &'static str, description: &'static str) -> Gauge<f64> {
+    let gauge = meter.f64_gauge(name);
+    gauge.with_description(description).build()
+}
+
 fn build_duration_histogram(
     meter: &Meter,
     name: &'static str,
--- a/crates/gateway/tests/page.rs
+++ b/crates/gateway/tests/page.rs
@@ -82,6 +82,7 @@
     metrics.record_state(1, 1, 1, 1);
     metrics.count_crash("s");
     metrics.count_trial();
+    metrics.capacity.record_speed("s", "median", 1.0);
     metrics.accounts.count_units("a", "admitted", 1.0);
     metrics.accounts.record_level("a", 1.0);
     metrics.record_quarantined_parts(1);
