--- a/crates/fleet/src/capacity.rs
+++ b/crates/fleet/src/capacity.rs
@@ -57,15 +57,14 @@
 /// Steps of an engine's share of the adapters for each doubling of its speed.
 const SHARE_STEPS: f64 = 2.0;
 
-/// Power of the speed to which the share is proportional. A prompt makes the streams of a slow engine pause for longer, so
-/// it gets less than its speed alone would allow.
-const SHARE_EXPONENT: f64 = 2.0;
-
 /// Standard deviation of the logarithm of a sample's time, until samples have shown another one, and the least one that is
 /// stated: there are always errors that samples don't show.
 const INITIAL_DEVIATION: f64 = 0.0;
 const MIN_DEVIATION: f64 = 0.1;
 
+/// Steepness of a logistic curve in standard deviations: pi / sqrt(3).
+const LOGISTIC_SCALE: f64 = 1.813_799_364;
+
 /// Standard deviations by which an engine is taken to be slower where a delay would be felt by many.
 const CAUTION: f64 = 1.6;
 
@@ -358,7 +357,7 @@
     /// so that hosts agree on it and adapters stay where they are.
     pub fn share(&self, now: Time) -> f64 {
         let steps = -SHARE_STEPS * self.slowness(now).log2();
-        (SHARE_EXPONENT * steps.round() / SHARE_STEPS).exp2()
+        (steps.round() / SHARE_STEPS).exp2()
     }
 
     /// Prompt tokens that the engine reads in a millisecond in all but its worst moments.
@@ -366,6 +365,22 @@
         self.tokens_per_ms(now) / (self.line.deviation * CAUTION).exp()
     }
 
+    /// Time in ms that the engine takes to read prompts in all but its worst moments.
+    pub fn cautious_time_ms(&self, tokens: f64, now: Time) -> f64 {
+        tokens / self.cautious_tokens_per_ms(now)
+    }
+
+    /// Probability that the engine takes longer than `allowed_ms` to read prompts. The logarithm of the time is taken to be
+    /// distributed as a logistic curve around that of the expected one.
+    pub fn overrun_probability(&self, tokens: f64, allowed_ms: f64, now: Time) -> f64 {
+        if tokens <= 0.0 {
+            return 0.0;
+        }
+        let expected_ms = tokens / self.tokens_per_ms(now);
+        let deviations = (allowed_ms / expected_ms).ln() / self.line.deviation.max(MIN_DEVIATION);
+        1.0 / (1.0 + (LOGISTIC_SCALE * deviations).exp())
+    }
+
     /// The estimate, for operators.
     pub fn rate(&self, now: Time) -> Rate {
         let count = self.long.count * decay(self.long.at, LONG_HALF_LIFE, now);
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -40,7 +40,7 @@
 /// Longest allowed gap that is assumed for requests whose route names none.
 const DEFAULT_MAX_GAP: Duration = Duration::from_millis(250);
 
-/// Cost in ms of each running stream that would pause because too many prompt tokens wait for prefill.
+/// Cost in ms of each running stream that would pause because the engine reads prompts for too long.
 const PAUSED_STREAM_COST_MS: f64 = 25.0;
 
 /// Cost in ms of a failure rate of 1. The cost grows with the square of the rate, since a few failures are
@@ -277,34 +277,60 @@
     has_prompts && pauses_streams(engine, request, now)
 }
 
-/// Returns whether the running streams of an engine would pause for too long if it got the prompt now.
+/// Returns whether the running streams of an engine are likely to pause for too long if it gets the prompt now.
 fn pauses_streams(engine: &Engine, request: &PlacementRequest, now: Time) -> bool {
     if request.name.is_none() {
         return false;
     }
+    let gap_ms = allowed_gap_ms(request);
     let new = uncached_tokens(engine, request);
     let pending = engine.pending_prefill_tokens(now);
-    let sent = engine.tokens_sent_within(request.max_gap, now);
+    let max_pending = gap_ms * PENDING_FRACTION * engine.speed.cautious_tokens_per_ms(now);
+    (pending > 0.0 && pending + new > max_pending)
+        || engine
+            .speed
+            .cautious_time_ms(read_within_gap(engine, request, now), now)
+            > reading_time_ms(engine, request, now)
+}
+
+/// Returns the probability that the running streams of an engine pause for too long if it gets the prompt now.
+fn pause_probability(engine: &Engine, request: &PlacementRequest, now: Time) -> f64 {
+    if request.name.is_none() {
+        return 0.0;
+    }
+    let tokens = read_within_gap(engine, request, now);
+    let allowed_ms = reading_time_ms(engine, request, now);
+    engine.speed.overrun_probability(tokens, allowed_ms, now)
+}
+
+/// Longest allowed gap between two events of the streams of an engine, in ms. Those of other routes are taken to allow the
+/// same.
+fn allowed_gap_ms(request: &PlacementRequest) -> f64 {
     let max_gap = if request.max_gap.is_zero() {
         DEFAULT_MAX_GAP
     } else {
         request.max_gap
     };
-    let gap_ms = max_gap.as_secs_f64() * 1000.0;
-    let tokens_per_ms = engine.speed.cautious_tokens_per_ms(now);
-    let max_pending = gap_ms * PENDING_FRACTION * tokens_per_ms;
+    max_gap.as_secs_f64() * 1000.0
+}
+
+/// Time in ms within the longest allowed gap in which an engine can read prompts.
+fn reading_time_ms(engine: &Engine, request: &PlacementRequest, now: Time) -> f64 {
     let decode_ms = DECODE_TIME_PER_EVENT_MS * engine.speed.slowness(now);
-    let limit = (gap_ms - decode_ms).max(0.0) * tokens_per_ms;
-    (pending > 0.0 && pending + new > max_pending) || sent + new > limit
+    (allowed_gap_ms(request) - decode_ms).max(0.0)
+}
+
+/// Prompt tokens that an engine would have to read within the longest allowed gap.
+fn read_within_gap(engine: &Engine, request: &PlacementRequest, now: Time) -> f64 {
+    engine.tokens_sent_within(request.max_gap, now) + uncached_tokens(engine, request)
 }
 
 /// Returns the cost of an engine beside the expected wait, in ms.
 fn extra_cost_ms(engine: &Engine, request: &PlacementRequest, now: Time) -> f64 {
     let failure_rate = engine.circuit.failure_rate();
     let mut cost = failure_rate * failure_rate * FAILURE_COST_MS;
-    if pauses_streams(engine, request, now) {
-        cost += f64::from(engine.total_work(now).running) * PAUSED_STREAM_COST_MS;
-    }
+    let running = f64::from(engine.total_work(now).running);
+    cost += running * pause_probability(engine, request, now) * PAUSED_STREAM_COST_MS;
     if &*engine.listing.domain != request.domain {
         cost += REMOTE_DOMAIN_COST_MS;
     }
