--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -68,8 +68,8 @@
 const RANDOM_COST_MS: f64 = 10.0;
 
 /// Cost in ms above which a replica of the adapter is wanted, provided that the least loaded engine has
-/// less than half of that cost.
-const REPLICA_MIN_COST_MS: f64 = 120.0;
+/// less than half of that cost. It is about the time of a load.
+const REPLICA_MIN_COST_MS: f64 = 250.0;
 
 /// A request that needs an engine.
 #[derive(Clone, Debug)]
