Let requests wait for room at engines in one order

Cause: each request that admission holds or that is paced asked again on its own every 15 to 60 ms. Chance decided who got a free slot, so whoever sends most got most, and large prompts waited longest. A request that could get no slot in its time was held to the end of it. All that were refused came back after the queue of one engine, at once.

Change: `fleet::queue` orders the requests that compete for an engine: who can still be on time, priority, share of the account, deadline, arrival. The first is woken when a request of this host ends there. Accounts with more than their share leave others a part of the queueing time while others wait. A request that gets no slot in its time is refused at once. Refused callers come back one after the other, at half of the rate at which the host gets requests served, within a third of their time. Metrics for length, wait and refusals.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -37,6 +37,8 @@
     pub expected_wait: Duration,
     /// Part of `expected_wait` until the engine has a free slot.
     pub queue_wait: Duration,
+    /// Time that the requests take which come first among those held for the engine.
+    pub wait_ahead: Duration,
     /// Random number between 0 and 1.
     pub random: f64,
 }
@@ -61,25 +63,39 @@
         queue_wait,
         ..
     } = *candidate;
-    let is_on_time = waited + expected_wait + queue_wait.mul_f64(QUEUE_MARGIN) <= target;
-    if is_on_time || queue_wait.is_zero() {
+    if may_queue(waited, target, expected_wait, queue_wait) {
         return Decision::Send;
     }
-    if waited + CHECK_INTERVAL < candidate.max_hold {
+    // It gets no slot in the time for which it may be held, so its caller is told at once.
+    let until_slot = (queue_wait + candidate.wait_ahead).max(CHECK_INTERVAL);
+    if waited + until_slot < candidate.max_hold {
         let jitter = 0.5 + candidate.random.clamp(0.0, 1.0);
         return Decision::Hold(CHECK_INTERVAL.mul_f64(jitter));
     }
     Decision::Refuse(retry_after(queue_wait, candidate.random))
 }
 
+/// Returns whether a request may be sent to an engine: it is expected to be on time, or takes a free slot.
+pub fn may_queue(
+    waited: Duration,
+    target: Duration,
+    expected_wait: Duration,
+    queue_wait: Duration,
+) -> bool {
+    queue_wait.is_zero() || waited + expected_wait + queue_wait.mul_f64(QUEUE_MARGIN) <= target
+}
+
+/// Returns the target by which requests may queue that leave a part of their time to others.
+pub fn yielding_target(target: Duration) -> Duration {
+    target.mul_f64(LESS_URGENT_FRACTION)
+}
+
 /// Returns the target by which requests of a route may queue. A less urgent route must not keep the queues longer
 /// than a more urgent one of the same service can bear, and leaves it a part of its time. Half of its own target
 /// is its minimum.
 pub fn queue_target(target: Duration, most_urgent_target: Option<Duration>) -> Duration {
     match most_urgent_target {
-        Some(it) => (target.min(it))
-            .max(target / 2)
-            .mul_f64(LESS_URGENT_FRACTION),
+        Some(it) => yielding_target(target.min(it).max(target / 2)),
         None => target,
     }
 }
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod placement;
 pub mod prefix;
 pub mod quarantine;
+pub mod queue;
 pub mod rate_limit;
 pub mod reader;
 pub mod rendezvous;
--- a/crates/fleet/tests/it/admissions.rs
+++ b/crates/fleet/tests/it/admissions.rs
@@ -71,6 +71,7 @@
                 max_hold: ms(MAX_HOLD),
                 expected_wait: queue_wait + ms(100),
                 queue_wait,
+                wait_ahead: Duration::ZERO,
                 random: 0.5,
             };
             let decision = match admission {
@@ -134,6 +135,7 @@
         max_hold: ms(2200),
         expected_wait: ms(300),
         queue_wait: Duration::ZERO,
+        wait_ahead: Duration::ZERO,
         random: 0.5,
     };
     assert_eq!(decide(&late), Decision::Send);
--- a/crates/fleet/tests/it/main.rs
+++ b/crates/fleet/tests/it/main.rs
@@ -15,6 +15,7 @@
 mod origins;
 mod placements;
 mod quarantines;
+mod queues;
 mod readers;
 mod request_limits;
 mod rooms;
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod placement;
 mod turn;
+mod waiting;
 
 use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -4,7 +4,6 @@
 
 use fleet::{
     Time,
-    admission::{self, Decision},
     listing::{Name, is_adapter},
     loader::Wanted,
     origin::BuildId,
@@ -20,6 +19,7 @@
     assignments, clock,
     exchange::{Exchange, OriginRecord},
     gateway::{Gateway, MAX_WAITERS},
+    queues::Place,
     reply::Fault,
     takeover::PLACEMENT_TIMEOUT,
 };
@@ -183,6 +183,7 @@
         let name = self.request_head.name.clone();
         let until = self.gateway.limit(until.min(self.deadline));
         let mut waiting: Option<WaitGuard> = None;
+        let mut place: Option<Place> = None;
         loop {
             self.check_quarantine()?;
             if self.is_placed_elsewhere() {
@@ -195,6 +196,9 @@
             tried.retain(|it| !self.repeatable_engines.contains(it));
             let placement = self.choose_placement(&tried);
             let is_placed = matches!(placement, Placement::Send(_) | Placement::Delay(_));
+            if !is_placed {
+                place = None;
+            }
             let uncertain = if is_placed {
                 Vec::new()
             } else {
@@ -216,7 +220,7 @@
                     if name.is_some() && now + choice.expected_wait > self.deadline {
                         return Err(Fault::Overload);
                     }
-                    if self.admit(name.as_ref(), &choice, now, until).await? {
+                    if self.admit(&choice, &mut place, now, until).await? {
                         return Ok(choice);
                     }
                 }
@@ -229,9 +233,8 @@
                         self.request_replica(name.as_ref(), choice.key).await;
                     }
                     if pacing_allowed {
-                        time::sleep(PACING_INTERVAL).await;
-                        self.trace.pacing_wait += PACING_INTERVAL;
-                    } else if self.admit(name.as_ref(), &choice, now, until).await? {
+                        self.pace(&choice, &mut place, PACING_INTERVAL).await;
+                    } else if self.admit(&choice, &mut place, now, until).await? {
                         return Ok(choice);
                     }
                 }
@@ -353,46 +356,6 @@
         placement::has_reachable_engine(&self.gateway.table.borrow(), &request, clock::now())
     }
 
-    /// Returns whether a placed request is sent now. Otherwise it was held for a moment and has to be placed
-    /// again. A stream that has begun is always resumed at once, and instances of plain services refuse by
-    /// themselves.
-    async fn admit(
-        &mut self,
-        name: Option<&Name>,
-        choice: &Choice,
-        now: Time,
-        until: Time,
-    ) -> Result<bool, Fault> {
-        if name.is_none() || self.has_begun {
-            return Ok(true);
-        }
-        let target = self.route.latency_target;
-        let most_urgent = self
-            .gateway
-            .catalog()
-            .and_then(|it| it.more_urgent_target(self.priority(), &self.service));
-        let candidate = admission::Candidate {
-            waited: now.saturating_sub(self.started),
-            target: admission::queue_target(target, most_urgent),
-            max_hold: until.saturating_sub(self.started),
-            expected_wait: choice.expected_wait,
-            queue_wait: choice.queue_wait,
-            random: rand::random(),
-        };
-        match admission::decide(&candidate) {
-            Decision::Send => Ok(true),
-            Decision::Hold(pause) => {
-                time::sleep(pause).await;
-                self.trace.queue_wait += pause;
-                Ok(false)
-            }
-            Decision::Refuse(retry_after) => {
-                self.retry_after = Some(retry_after);
-                Err(Fault::Overload)
-            }
-        }
-    }
-
     /// Chooses among the engines that are not `tried`.
     fn choose_placement(&self, tried: &[Key]) -> Placement {
         let request = self.placement_request(tried);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -41,6 +41,7 @@
     list_sync, memory, message,
     metrics::Metrics,
     peers::Peers,
+    queues::Queues,
     server::HeadTimeout,
     settings::Settings,
     watch::DeferredEntries,
@@ -103,6 +104,8 @@
     pub head_timeout: HeadTimeout,
     /// Use of the quotas of client accounts.
     pub ledger: RefCell<Ledger>,
+    /// Requests that wait for room at engines.
+    pub(crate) queues: Queues,
     /// Number of reports of that use that this host has sent.
     pub usage_reports: Cell<u64>,
     /// Known engines with their estimated state.
@@ -248,6 +251,7 @@
             catalog: RefCell::default(),
             head_timeout: HeadTimeout::default(),
             ledger: RefCell::new(Ledger::new(clock::now())),
+            queues: Queues::default(),
             usage_reports: Cell::default(),
             table: RefCell::default(),
             engines_listed: Cell::default(),
@@ -692,6 +696,9 @@
                 self.metrics.accounts.record_level(&account.name, it.level);
             }
         }
+        for (service, length) in self.queues.lengths() {
+            self.metrics.queue.record_length(&service, length);
+        }
         let quarantined = self.quarantine.borrow().len(clock::now());
         self.metrics.record_quarantined_parts(quarantined);
         for kind in list_sync::LISTS {
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -152,9 +152,12 @@
         if let Some(estimate) = self.name.as_ref().and_then(|it| engine.held.get_mut(it)) {
             estimate.running = estimate.running.saturating_sub(1);
         }
+        let service = engine.listing.service.clone();
+        let now = clock::now();
         if let Some(it) = self.begun_at {
-            let service = engine.listing.service.clone();
-            table.record_run(&service, clock::now().saturating_sub(it));
+            table.record_run(&service, now.saturating_sub(it));
         }
+        drop(table);
+        self.gateway.queues.wake_first(&service, self.key, now);
     }
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod orders;
 pub mod peers;
 pub mod process;
+mod queues;
 pub mod relay;
 pub mod reply;
 pub mod server;
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -2,6 +2,7 @@
 //! them.
 
 mod account;
+mod queue;
 
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 };
 use telemetry::exposition::Exposition;
 
-pub use self::account::AccountMetrics;
+pub use self::{account::AccountMetrics, queue::QueueMetrics};
 use crate::{attribution::Attribution, connection::Origin, memory::Budget};
 
 /// Prefix of all metric names.
@@ -56,6 +57,8 @@
     bodies_given_up: Counter<u64>,
     /// Use of client accounts.
     pub accounts: AccountMetrics,
+    /// Requests that wait for room at engines.
+    pub queue: QueueMetrics,
 }
 
 impl Default for Metrics {
@@ -164,6 +167,7 @@
                 "Requests for engines with a limit, by whether they were sent",
             ),
             accounts: AccountMetrics::new(&meter),
+            queue: QueueMetrics::new(&meter),
             exposition,
         }
     }
--- a/crates/gateway/src/trace.rs
+++ b/crates/gateway/src/trace.rs
@@ -30,6 +30,8 @@
     pub load_wait: Duration,
     /// Time held at this host because the engines had queues.
     pub queue_wait: Duration,
+    /// Most requests that came first at the engine for which this one was held.
+    queue_ahead: usize,
     /// Time spent waiting for a turn at an engine that limits its requests.
     pub limit_wait: Duration,
     /// Time spent waiting for the retry budget to recover.
@@ -100,6 +102,7 @@
             config,
             load_wait: Duration::ZERO,
             queue_wait: Duration::ZERO,
+            queue_ahead: 0,
             limit_wait: Duration::ZERO,
             budget_wait: Duration::ZERO,
             pacing_wait: Duration::ZERO,
@@ -137,6 +140,11 @@
         }
     }
 
+    /// Records how many requests come first at the engine for which this one is held.
+    pub fn record_ahead(&mut self, ahead: usize) {
+        self.queue_ahead = self.queue_ahead.max(ahead);
+    }
+
     /// Records the status of the response to the caller.
     pub fn record_status(&mut self, status: StatusCode) {
         self.status = Some(status);
@@ -211,6 +219,8 @@
         let (event, why) = end.labels();
         metrics.record_request(service, &route.name, event, why);
         metrics.record_waits(service, &route.name, self.load_wait, self.pacing_wait);
+        let queue = &metrics.queue;
+        queue.record_wait(service, &route.name, self.queue_wait);
         if let Some(first) = self.first_forwarded {
             metrics.record_latency(service, &route.name, first, self.longest_gap);
         }
@@ -245,6 +255,7 @@
             gap_ms = as_millis(self.longest_gap),
             load_wait_ms = as_millis(self.load_wait),
             queue_wait_ms = as_millis(self.queue_wait),
+            queue_ahead = self.queue_ahead,
             limit_wait_ms = as_millis(self.limit_wait),
             budget_wait_ms = as_millis(self.budget_wait),
             paced_ms = as_millis(self.pacing_wait),
--- a/crates/gateway/tests/page.rs
+++ b/crates/gateway/tests/page.rs
@@ -69,6 +69,9 @@
     metrics.count_handover("sent");
     metrics.record_isolated(false);
     metrics.record_waits("s", "r", second, second);
+    metrics.queue.record_wait("s", "r", second);
+    metrics.queue.record_length("s", 1);
+    metrics.queue.count_refusal("s", "r", "no-room");
     metrics.record_latency("s", "r", second, second);
     metrics.record_retries_left("s", 1.0);
     metrics.record_list_age("engines", second);
