Decide on the return of refused callers in one place

Cause: admission still stated when a refused caller comes back, by the queue of one engine; the schedule of the queue has replaced it.

Change: `admission::Decision::Refuse` states no time. The test of the spread of `admission::retry_after` is replaced by checks of the schedule in the test of returns, with the same bounds (at least 250 ms, at most 6 s) and more: in order of refusal, at most 40 in any second where 40 a second are served, within a third of the time left. Adds the replay of requests that get no slot in the time for which they may wait.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -16,14 +16,6 @@
 /// Part of the queueing time of a more urgent route that the requests of a less urgent one may use.
 const LESS_URGENT_FRACTION: f64 = 0.85;
 
-/// Shortest and longest time after which a refused caller is asked to come back.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
-
-/// Relative range of the random part of the time after which a refused caller is asked to come back. Callers that
-/// are refused together must not return together.
-const RETRY_AFTER_SPREAD: f64 = 0.5;
-
 /// A request with a chosen engine.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
@@ -50,8 +42,8 @@
     Send,
     /// Place the request again after this time.
     Hold(Duration),
-    /// Refuse the request and ask the caller to come back after this time.
-    Refuse(Duration),
+    /// Refuse the request.
+    Refuse,
 }
 
 /// Decides on a request.
@@ -72,7 +64,7 @@
         let jitter = 0.5 + candidate.random.clamp(0.0, 1.0);
         return Decision::Hold(CHECK_INTERVAL.mul_f64(jitter));
     }
-    Decision::Refuse(retry_after(queue_wait, candidate.random))
+    Decision::Refuse
 }
 
 /// Returns whether a request may be sent to an engine: it is expected to be on time, or takes a free slot.
@@ -99,12 +91,3 @@
         None => target,
     }
 }
-
-/// Returns the time after which a refused caller is asked to come back: when the queue that was in its way is
-/// expected to have drained, with a random part.
-pub fn retry_after(queue_wait: Duration, random: f64) -> Duration {
-    let spread = 1.0 + RETRY_AFTER_SPREAD * (2.0 * random.clamp(0.0, 1.0) - 1.0);
-    queue_wait
-        .clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
-        .mul_f64(spread)
-}
--- a/crates/fleet/src/queue/returns.rs
+++ b/crates/fleet/src/queue/returns.rs
@@ -6,7 +6,7 @@
 
 /// Shortest and longest time after which a refused caller is asked to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(8);
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(6);
 
 /// Part of the rate at which this host gets requests served that is meant for callers who come back.
 const RETURN_FRACTION: f64 = 0.5;
--- a/crates/fleet/tests/it/admissions.rs
+++ b/crates/fleet/tests/it/admissions.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use fleet::admission::{Candidate, Decision, decide, queue_target, retry_after};
+use fleet::admission::{Candidate, Decision, decide, queue_target};
 
 use crate::fixture::ms;
 
@@ -84,7 +84,7 @@
                     let pause = u64::try_from(pause.as_millis()).expect("it fits");
                     held.push((arrived, now + pause));
                 }
-                Decision::Refuse(_) => results.refused += 1,
+                Decision::Refuse => results.refused += 1,
             }
         }
         while running.len() < slots
@@ -141,17 +141,22 @@
     assert_eq!(decide(&late), Decision::Send);
 }
 
+/// A burst that a service drains in 3 s: who is among its last third is not held for 2.2 s in vain.
 #[test]
-fn refused_callers_are_spread_over_the_time_that_the_queue_takes() {
-    let returns = |queue: u64| -> Vec<Duration> {
-        let random = (0..10).map(|it| f64::from(it) / 9.0);
-        random.map(|it| retry_after(ms(queue), it)).collect()
+fn a_request_that_gets_no_slot_in_its_time_is_refused_at_once() {
+    let arriving = |ahead: u64| Candidate {
+        waited: ms(0),
+        target: ms(800),
+        max_hold: ms(MAX_HOLD),
+        expected_wait: ms(1000),
+        queue_wait: ms(900),
+        wait_ahead: ms(ahead),
+        random: 0.5,
     };
-    let times = returns(2000);
-    assert_eq!((times[0], times[9]), (ms(1000), ms(3000)));
-    assert!(times.is_sorted_by(|a, b| a < b));
-    assert!(returns(0).iter().all(|it| *it >= ms(250)));
-    assert!(returns(60_000).iter().all(|it| *it <= ms(6000)));
+    let decisions = (0..=20).map(|it| decide(&arriving(it * 100)));
+    let (held, refused): (Vec<_>, Vec<_>) =
+        decisions.partition(|it| matches!(it, Decision::Hold(_)));
+    assert_eq!((held.len(), refused.len()), (13, 8));
 }
 
 /// A route with a longer target must not fill the queues up to it, or a more urgent one with a shorter target finds
--- a/crates/fleet/tests/it/queues.rs
+++ b/crates/fleet/tests/it/queues.rs
@@ -124,7 +124,7 @@
                 }
                 (Decision::Send, Turn::After(_)) => 20,
                 (Decision::Hold(pause), _) => millis(pause),
-                (Decision::Refuse(_), _) => {
+                (Decision::Refuse, _) => {
                     if let Some(ticket) = it.ticket {
                         queue.leave(ticket);
                     }
@@ -391,4 +391,15 @@
     assert!(most.is_some_and(|it| it <= 40), "{times:?}");
     let hurried = back(&mut queue, 5100, 1200);
     assert!(hurried <= ms(5500), "{hurried:?}");
+    let alone = |drain: u64, random: f64| {
+        Queue::default().retry_after(ms(drain), ms(60_000), random, at(0))
+    };
+    assert!(alone(0, 1.0) >= ms(250));
+    assert_eq!(alone(2000, 0.5), ms(2000));
+    // Where nobody can be given a moment of its own, chance spreads them.
+    let spread: Vec<Duration> = (0..10)
+        .map(|it| alone(60_000, f64::from(it) / 9.0))
+        .collect();
+    assert!(spread.is_sorted_by(|a, b| a > b) && spread[0] <= ms(6000));
+    assert!(spread[9] <= ms(4500), "{spread:?}");
 }
--- a/crates/gateway/src/exchange/waiting.rs
+++ b/crates/gateway/src/exchange/waiting.rs
@@ -59,7 +59,7 @@
                 self.hold(claim, place, pause).await?;
                 Ok(false)
             }
-            Decision::Refuse(_) => Err(self.refuse(choice.queue_wait, "no-room")),
+            Decision::Refuse => Err(self.refuse(choice.queue_wait, "no-room")),
         }
     }
 
