--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -16,14 +16,6 @@
 /// Part of the queueing time of a more urgent route that the requests of a less urgent one may use.
 const LESS_URGENT_FRACTION: f64 = 0.85;
 
-/// Shortest and longest time after which a refused caller is asked to come back.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(500);
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(4);
-
-/// Relative range of the random part of the time after which a refused caller is asked to come back. Callers that
-/// are refused together must not return together.
-const RETRY_AFTER_SPREAD: f64 = 0.5;
-
 /// A request with a chosen engine.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
@@ -37,6 +29,8 @@
     pub expected_wait: Duration,
     /// Part of `expected_wait` until the engine has a free slot.
     pub queue_wait: Duration,
+    /// Time that the requests take which come first among those held for the engine.
+    pub wait_ahead: Duration,
     /// Random number between 0 and 1.
     pub random: f64,
 }
@@ -48,8 +42,8 @@
     Send,
     /// Place the request again after this time.
     Hold(Duration),
-    /// Refuse the request and ask the caller to come back after this time.
-    Refuse(Duration),
+    /// Refuse the request.
+    Refuse,
 }
 
 /// Decides on a request.
@@ -61,15 +55,31 @@
         queue_wait,
         ..
     } = *candidate;
-    let is_on_time = waited + expected_wait + queue_wait.mul_f64(QUEUE_MARGIN) <= target;
-    if is_on_time || queue_wait.is_zero() {
+    if may_queue(waited, target, expected_wait, queue_wait) {
         return Decision::Send;
     }
-    if waited + CHECK_INTERVAL < candidate.max_hold {
+    // It gets no slot in the time for which it may be held, so its caller is told at once.
+    let until_slot = (queue_wait + candidate.wait_ahead).max(CHECK_INTERVAL);
+    if waited + until_slot < candidate.max_hold {
         let jitter = 0.5 + candidate.random.clamp(0.0, 1.0);
         return Decision::Hold(CHECK_INTERVAL.mul_f64(jitter));
     }
-    Decision::Refuse(retry_after(queue_wait, candidate.random))
+    Decision::Refuse
+}
+
+/// Returns whether a request may be sent to an engine: it is expected to be on time, or takes a free slot.
+pub fn may_queue(
+    waited: Duration,
+    target: Duration,
+    expected_wait: Duration,
+    queue_wait: Duration,
+) -> bool {
+    queue_wait.is_zero() || waited + expected_wait + queue_wait.mul_f64(QUEUE_MARGIN) <= target
+}
+
+/// Returns the target by which requests may queue that leave a part of their time to others.
+pub fn yielding_target(target: Duration) -> Duration {
+    target.mul_f64(LESS_URGENT_FRACTION)
 }
 
 /// Returns the target by which requests of a route may queue. A less urgent route must not keep the queues longer
@@ -77,18 +87,7 @@
 /// is its minimum.
 pub fn queue_target(target: Duration, most_urgent_target: Option<Duration>) -> Duration {
     match most_urgent_target {
-        Some(it) => (target.min(it))
-            .max(target / 2)
-            .mul_f64(LESS_URGENT_FRACTION),
+        Some(it) => yielding_target(target.min(it).max(target / 2)),
         None => target,
     }
 }
-
-/// Returns the time after which a refused caller is asked to come back: when the queue that was in its way is
-/// expected to have drained, with a random part.
-pub fn retry_after(queue_wait: Duration, random: f64) -> Duration {
-    let spread = 1.0 + RETRY_AFTER_SPREAD * (2.0 * random.clamp(0.0, 1.0) - 1.0);
-    queue_wait
-        .clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
-        .mul_f64(spread)
-}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -42,6 +42,7 @@
     list_sync, memory, message,
     metrics::Metrics,
     peers::Peers,
+    queues::Queues,
     server::HeadTimeout,
     settings::Settings,
     watch::DeferredEntries,
@@ -104,6 +105,8 @@
     pub head_timeout: HeadTimeout,
     /// Use of the quotas of client accounts.
     pub ledger: RefCell<Ledger>,
+    /// Requests that wait for room at engines.
+    pub(crate) queues: Queues,
     /// Number of reports of that use that this host has sent.
     pub usage_reports: Cell<u64>,
     /// Samples of the speed of engines that the other hosts have not been sent.
@@ -253,6 +256,7 @@
             engine_contact: Cell::default(),
             catalog: RefCell::default(),
             head_timeout: HeadTimeout::default(),
+            queues: Queues::default(),
             usage_reports: Cell::default(),
             speed_samples: RefCell::default(),
             speeds_sent_at: Cell::default(),
@@ -719,6 +723,9 @@
                 self.metrics.accounts.record_level(&account.name, it.level);
             }
         }
+        for (service, length) in self.queues.lengths() {
+            self.metrics.queue.record_length(&service, length);
+        }
         let quarantined = self.quarantine.borrow().len(clock::now());
         self.metrics.record_quarantined_parts(quarantined);
         for kind in list_sync::LISTS {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 
 mod account;
 mod capacity;
+mod queue;
 
 use std::time::Duration;
 
@@ -12,7 +13,7 @@
 };
 use telemetry::exposition::Exposition;
 
-pub use self::{account::AccountMetrics, capacity::CapacityMetrics};
+pub use self::{account::AccountMetrics, capacity::CapacityMetrics, queue::QueueMetrics};
 use crate::{attribution::Attribution, connection::Origin, memory::Budget};
 
 /// Prefix of all metric names.
@@ -59,6 +60,8 @@
     pub capacity: CapacityMetrics,
     /// Use of client accounts.
     pub accounts: AccountMetrics,
+    /// Requests that wait for room at engines.
+    pub queue: QueueMetrics,
 }
 
 impl Default for Metrics {
@@ -166,6 +169,7 @@
             ),
             capacity: CapacityMetrics::new(&meter),
             accounts: AccountMetrics::new(&meter),
+            queue: QueueMetrics::new(&meter),
             exposition,
         }
     }
