Count the use of client accounts once over cuts, pauses and restarts

Cause: a review of the ledger of quotas found ways in which hosts gave out more than the quota, or refused below it. A host where an account was new had a full burst again although others had used it up; each side of a cut had a whole burst; a host that woke from a suspension refilled for its time; a process that had heard nobody took itself for the whole fleet; a total that began anew after a pause took back what had been counted; two processes of one name were charged again with each report. After a cut, hosts owed what the other side had rightly used, and the smaller side refused all for as long as the account was over its limit. Callers waited for an earlier, lower quota.

Change: observe() knows the quota; the share holds for 3.5 heartbeats and limits the burst, too; what is not refilled meanwhile pays for the reports of those who were not heard; reports are kept by process; totals begin anew after 30 s without use.

--- a/crates/fleet/src/account.rs
+++ b/crates/fleet/src/account.rs
@@ -5,15 +5,21 @@
 
 pub mod ledger;
 
-use std::{collections::HashMap, fmt, sync::Arc};
+use std::{
+    collections::{BTreeSet, HashMap},
+    fmt,
+    sync::Arc,
+};
 
 use sha2::{Digest, Sha256};
 
+use self::ledger::AccountId;
+
 /// Number of digits of a digest in hexadecimal.
 const HEX_DIGITS: usize = 64;
 
 /// Digest of an API key.
-#[derive(Clone, Copy, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct KeyDigest([u8; 32]);
 
 impl KeyDigest {
@@ -123,6 +129,8 @@
 pub struct Accounts {
     by_key: HashMap<KeyDigest, Holder>,
     by_name: HashMap<Arc<str>, Arc<Account>>,
+    by_id: HashMap<AccountId, Arc<Account>>,
+    keyless: Vec<Arc<str>>,
     shared_keys: Vec<[Arc<str>; 2]>,
 }
 
@@ -134,6 +142,11 @@
         for (account, keys) in accounts {
             let account = Arc::new(account);
             all.by_name.insert(account.name.clone(), account.clone());
+            let id = AccountId::of(&account.name);
+            all.by_id.insert(id, account.clone());
+            if keys.is_empty() {
+                all.keyless.push(account.name.clone());
+            }
             for key in keys {
                 all.add_key(key, &account);
             }
@@ -169,6 +182,23 @@
         self.by_name.get(name)
     }
 
+    /// The account with this id in messages.
+    pub fn by_id(&self, id: AccountId) -> Option<&Arc<Account>> {
+        self.by_id.get(&id)
+    }
+
+    /// Accounts without a key.
+    pub fn keyless(&self) -> &[Arc<str>] {
+        &self.keyless
+    }
+
+    /// The keys of an account, as digests. A key that several accounts name is none of them.
+    pub fn keys_of(&self, name: &str) -> BTreeSet<KeyDigest> {
+        let holds = |it: &Holder| matches!(it, Holder::One(it) if &*it.name == name);
+        let keys = self.by_key.iter().filter(|it| holds(it.1));
+        keys.map(|it| *it.0).collect()
+    }
+
     /// All accounts.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Account>> {
         self.by_name.values()
--- a/crates/fleet/src/account/ledger.rs
+++ b/crates/fleet/src/account/ledger.rs
@@ -7,7 +7,8 @@
 //! host admits and with what the others report that they have admitted. A report states a total since the first use, so
 //! one that is lost, repeated or late does no harm. What hosts admit before they hear of each other is a debt, which the
 //! refill pays off before more is admitted. A host that doesn't hear from some of the others refills its buckets with the
-//! share of those that it does hear from, so the sides of a cut stay within the quota together.
+//! share of those that it does hear from, so the sides of a cut stay within the quota together. What it doesn't refill
+//! meanwhile pays for what the others report after the cut, so nothing is counted twice.
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
@@ -30,6 +31,15 @@
 /// that has just started.
 const IDLE_TTL: Duration = Duration::from_mins(1);
 
+/// Time without use after which a host begins a new total. Other hosts may forget the earlier one after [`IDLE_TTL`].
+const SERIES_TTL: Duration = Duration::from_secs(30);
+
+/// Time after a cut in which the reports of the hosts behind it arrive.
+const REUNION_TIME: Duration = Duration::from_secs(2);
+
+/// Time in which a host reads the reports that came while it was suspended.
+const BACKLOG_TIME: Duration = Duration::from_millis(100);
+
 /// Periodic reports that state a change, since some are lost.
 const REPORTS: u8 = 3;
 
@@ -104,12 +114,41 @@
     pub is_exhausted: bool,
 }
 
+/// What a host hears of the others.
+#[derive(Clone, Copy, Debug)]
+struct Hearing {
+    /// Part of the hosts of the fleet from which this host hears, itself included.
+    share: f64,
+    /// Until when the share holds. After that, this process has not run.
+    until: Time,
+    /// When this host last stopped hearing from all.
+    lost_at: Time,
+    /// Since when this host has heard from all again.
+    restored_at: Time,
+}
+
+impl Hearing {
+    fn is_whole(&self) -> bool {
+        self.share >= 1.0
+    }
+
+    /// Notes a time in which this process has not run, and so has heard from nobody.
+    fn note_pause(&mut self, now: Time) {
+        if self.is_whole() && self.until < now {
+            self.lost_at = self.lost_at.max(self.until);
+            self.restored_at = now;
+        }
+    }
+}
+
 /// Latest report of another host about an account.
 #[derive(Clone, Copy, Debug)]
 struct Reported {
-    id: ReportId,
+    number: u64,
     total: i64,
     received_at: Time,
+    /// When its first report came after this host last stopped hearing from all.
+    returned_at: Time,
 }
 
 /// Bucket of one account.
@@ -121,9 +160,14 @@
     own_total: i64,
     first_use: Option<Time>,
     last_use: Time,
+    /// When `own_total` last changed.
+    changed_at: Time,
     /// Periodic reports in which `own_total` is still to be stated since its last change.
     reports_due: u8,
-    others: HashMap<Arc<str>, Reported>,
+    /// Reports by host and incarnation, since two processes may have the same name for a while.
+    others: HashMap<(Arc<str>, u64), Reported>,
+    /// Units that were not refilled, since other hosts were not heard.
+    withheld: f64,
     /// When the last caller that was refused should come back.
     last_return: Time,
     is_exhausted: bool,
@@ -133,33 +177,51 @@
 #[derive(Clone, Debug)]
 pub struct Ledger {
     started_at: Time,
-    /// Part of the hosts of the fleet from which this host hears, itself included.
-    share: f64,
+    hearing: Hearing,
     buckets: HashMap<AccountId, Bucket>,
     forgotten_at: Time,
 }
 
 impl Ledger {
     /// Creates the ledger of a process that starts at `now`. Its buckets are empty, since other processes may have used
-    /// the quotas just before.
+    /// the quotas just before, and stay empty until the share of the hosts that it hears is known.
     pub fn new(now: Time) -> Self {
         Self {
             started_at: now,
-            share: 1.0,
+            hearing: Hearing {
+                share: 0.0,
+                until: now,
+                lost_at: Time::ZERO,
+                restored_at: now,
+            },
             buckets: HashMap::new(),
             forgotten_at: now,
         }
     }
 
-    /// Sets the part of the hosts of the fleet from which this host hears.
-    pub fn set_share(&mut self, share: f64, now: Time) {
+    /// Sets the part of the hosts of the fleet from which this host hears. It holds for `validity`, unless it is set
+    /// again: a process that was suspended doesn't refill its buckets for the time in which it could hear nothing.
+    pub fn set_share(&mut self, share: f64, validity: Duration, now: Time) {
+        self.hearing.note_pause(now);
         for bucket in self.buckets.values_mut() {
-            bucket.refill(self.share, now);
+            bucket.refill(self.hearing, now);
+        }
+        let share = share.clamp(0.0, 1.0);
+        let was_whole = self.hearing.is_whole();
+        let hearing = &mut self.hearing;
+        hearing.share = share;
+        hearing.until = now + validity;
+        match (was_whole, hearing.is_whole()) {
+            (true, false) => hearing.lost_at = now,
+            (false, true) => hearing.restored_at = now,
+            _ => {}
         }
-        self.share = share.clamp(0.0, 1.0);
         if self.forgotten_at + IDLE_TTL < now {
             self.forgotten_at = now;
             self.buckets.retain(|_, it| it.last_use + IDLE_TTL > now);
+            for bucket in self.buckets.values_mut() {
+                (bucket.others).retain(|_, it| it.received_at + IDLE_TTL > now);
+            }
         }
     }
 
@@ -171,21 +233,21 @@
         cost: f64,
         now: Time,
     ) -> (Decision, Urgency) {
-        let share = self.share;
+        self.hearing.note_pause(now);
+        let hearing = self.hearing;
         let started_at = self.started_at;
         let bucket = self.bucket(account, now);
-        bucket.adopt(*quota, started_at, share, now);
-        bucket.refill(share, now);
+        bucket.adopt(*quota, started_at, hearing, now);
+        bucket.refill(hearing, now);
         bucket.last_use = now;
         if bucket.level <= 0.0 {
             bucket.is_exhausted = true;
-            let wait = bucket.retry_after(*quota, cost, share, now);
+            let wait = bucket.retry_after(*quota, cost, hearing.share, now);
             return (Decision::Refuse(wait), Urgency::Heartbeat);
         }
         bucket.is_exhausted = false;
         let units = to_units(cost);
-        bucket.first_use.get_or_insert(now);
-        bucket.change_own(units);
+        bucket.change_own(units, now);
         let low = (quota.burst * LOW_FRACTION).min(quota.rate * LOW_TIME.as_secs_f64());
         let urgency = if bucket.level < low {
             Urgency::Immediate
@@ -196,37 +258,63 @@
     }
 
     /// Returns what a request was charged that has not run and will not.
-    pub fn give_back(&mut self, charge: &Charge) {
+    pub fn give_back(&mut self, charge: &Charge, now: Time) {
         if let Some(bucket) = self.buckets.get_mut(&charge.account) {
-            bucket.change_own(-charge.units);
+            bucket.change_own(-charge.units, now);
         }
     }
 
-    /// Records what another host has admitted.
-    pub fn observe(&mut self, host: &Arc<str>, id: ReportId, usage: &Usage, now: Time) {
-        let share = self.share;
-        let uptime = now.saturating_sub(self.started_at);
+    /// Records what another host has admitted of an account, which has this `quota` if it is known.
+    pub fn observe(
+        &mut self,
+        host: &Arc<str>,
+        id: ReportId,
+        usage: &Usage,
+        quota: Option<&Quota>,
+        now: Time,
+    ) {
+        self.hearing.note_pause(now);
+        let hearing = self.hearing;
+        let started_at = self.started_at;
+        let uptime = now.saturating_sub(started_at);
         let bucket = self.bucket(usage.account, now);
-        bucket.refill(share, now);
-        let previous = bucket.others.get(host);
-        let previous = previous.filter(|it| it.id.incarnation == id.incarnation);
-        if previous.is_some_and(|it| it.id.number >= id.number) {
+        if let Some(it) = quota {
+            bucket.adopt(*it, started_at, hearing, now);
+        }
+        bucket.refill(hearing, now);
+        let process = (host.clone(), id.incarnation);
+        let previous = bucket.others.get(&process).copied();
+        if previous.is_some_and(|it| it.number >= id.number) {
             return;
         }
+        let first_use = now.saturating_sub(usage.age);
         let counted = match previous {
-            Some(it) => usage.total - it.total,
+            Some(it) if first_use < it.received_at + SERIES_TTL / 2 => {
+                usage.total.saturating_sub(it.total)
+            }
             // All of it was used while this process was running.
-            None if usage.age <= uptime => usage.total,
-            None => 0,
+            _ if usage.age <= uptime => usage.total,
+            _ => 0,
+        };
+        let returned_at = match previous {
+            Some(it) if hearing.lost_at < it.received_at => it.returned_at,
+            Some(_) => now,
+            // It began behind the cut, since this host would have heard sooner.
+            None if hearing.lost_at <= first_use && REUNION_TIME < usage.age => now,
+            None => Time::ZERO,
         };
         let reported = Reported {
-            id,
+            number: id.number,
             total: usage.total,
             received_at: now,
+            returned_at,
         };
-        bucket.others.insert(host.clone(), reported);
+        bucket.others.insert(process, reported);
         bucket.last_use = now;
         bucket.change_level(counted);
+        if now < returned_at + BACKLOG_TIME {
+            bucket.return_withheld(counted);
+        }
     }
 
     /// What this host has admitted of the account.
@@ -255,7 +343,7 @@
     /// State of an account; `None` if it was not used of late.
     pub fn state(&self, account: AccountId, now: Time) -> Option<State> {
         let mut bucket = self.buckets.get(&account)?.clone();
-        bucket.refill(self.share, now);
+        bucket.refill(self.hearing, now);
         let reports = bucket.others.values();
         let latest = reports.map(|it| it.received_at).max();
         Some(State {
@@ -267,7 +355,7 @@
 
     /// Part of the hosts of the fleet from which this host hears.
     pub fn share(&self) -> f64 {
-        self.share
+        self.hearing.share
     }
 
     fn bucket(&mut self, account: AccountId, now: Time) -> &mut Bucket {
@@ -285,8 +373,10 @@
             own_total: 0,
             first_use: None,
             last_use: Time::ZERO,
+            changed_at: Time::ZERO,
             reports_due: 0,
             others: HashMap::new(),
+            withheld: 0.0,
             last_return: Time::ZERO,
             is_exhausted: false,
         }
@@ -294,27 +384,50 @@
 
     /// Applies the quota of the current configuration. Until the account is first used, its bucket has been filling since
     /// the process started.
-    fn adopt(&mut self, quota: Quota, started_at: Time, share: f64, now: Time) {
+    fn adopt(&mut self, quota: Quota, started_at: Time, hearing: Hearing, now: Time) {
         if self.quota == Some(quota) {
             return;
         }
-        self.refill(share, now);
+        self.refill(hearing, now);
         if self.quota.is_none() {
             let unused = self.refilled_at.saturating_sub(started_at).as_secs_f64();
-            self.level += (quota.rate * share * unused).min(quota.burst);
+            self.level += (quota.rate * hearing.share * unused).min(quota.burst);
         }
         self.quota = Some(quota);
+        // Those who were refused by the earlier quota come back at times that say nothing about this one.
+        self.last_return = Time::ZERO;
     }
 
-    fn refill(&mut self, share: f64, now: Time) {
+    fn refill(&mut self, hearing: Hearing, now: Time) {
         let Some(quota) = self.quota else {
             return;
         };
-        let time = now.saturating_sub(self.refilled_at).as_secs_f64();
+        let time = now.saturating_sub(self.refilled_at);
+        let heard = hearing.until.min(now).saturating_sub(self.refilled_at);
         self.refilled_at = self.refilled_at.max(now);
         let max_debt = quota.rate * MAX_DEBT_TIME.as_secs_f64();
-        let level = self.level.max(-max_debt) + quota.rate * share * time;
-        self.level = level.min(quota.burst.max(1.0));
+        let gained = quota.rate * hearing.share * heard.as_secs_f64();
+        let level = self.level + gained;
+        // Each side of a cut has its part of the burst, too.
+        let full = quota.burst.max(1.0);
+        let own_part = (quota.burst * hearing.share).max(1.0);
+        let withheld = quota.rate * time.as_secs_f64() - gained;
+        let withheld = self.withheld + withheld + (level.min(full) - own_part).max(0.0);
+        let is_over = hearing.is_whole() && hearing.restored_at + REUNION_TIME < now;
+        self.withheld = if is_over {
+            0.0
+        } else {
+            withheld.min(max_debt + full)
+        };
+        self.level = level.clamp(-max_debt, own_part);
+    }
+
+    /// Takes a debt of `counted` units, which hosts behind a cut have admitted, from what was not refilled meanwhile.
+    fn return_withheld(&mut self, counted: i64) {
+        let counted = to_f64(counted.max(0));
+        let returned = counted.min(self.withheld).min(-self.level).max(0.0);
+        self.withheld -= returned;
+        self.level += returned;
     }
 
     /// Time after which a refused caller should come back: when the bucket has something for it, behind the callers that
@@ -337,22 +450,31 @@
     }
 
     /// Records units that this host has admitted, or returned if negative.
-    fn change_own(&mut self, units: i64) {
-        self.own_total += units;
+    fn change_own(&mut self, units: i64, now: Time) {
+        if self.first_use.is_none() || self.changed_at + SERIES_TTL < now {
+            self.first_use = Some(now);
+            self.own_total = 0;
+        }
+        self.changed_at = now;
+        self.own_total = self.own_total.saturating_add(units);
         self.reports_due = REPORTS;
         self.change_level(units);
     }
 
     fn change_level(&mut self, units: i64) {
-        let magnitude = u32::try_from(units.unsigned_abs()).unwrap_or(u32::MAX);
-        let units = f64::from(magnitude).copysign(if units < 0 { -1.0 } else { 1.0 });
-        self.level -= units;
+        self.level -= to_f64(units);
     }
 }
 
-/// Rounds a cost to whole units.
+/// Converts units, of which no account uses as many as a number of this type can't hold.
+fn to_f64(units: i64) -> f64 {
+    let magnitude = u32::try_from(units.unsigned_abs()).unwrap_or(u32::MAX);
+    f64::from(magnitude).copysign(if units < 0 { -1.0 } else { 1.0 })
+}
+
+/// Rounds a cost up to whole units, so that no request with a cost is free.
 fn to_units(cost: f64) -> i64 {
-    let cost = cost.clamp(0.0, f64::from(u32::MAX)).round();
+    let cost = cost.clamp(0.0, f64::from(u32::MAX)).ceil();
     // The clamp keeps the value within the range.
     #[allow(clippy::cast_possible_truncation)]
     let units = cost as i64;
--- a/crates/fleet/tests/it/ledgers.rs
+++ b/crates/fleet/tests/it/ledgers.rs
@@ -6,7 +6,7 @@
     Time,
     account::{
         Quota, Unit,
-        ledger::{AccountId, Charge, Decision, Ledger, ReportId, Urgency},
+        ledger::{AccountId, Charge, Decision, Ledger, ReportId, Urgency, Usage},
     },
 };
 
@@ -27,6 +27,9 @@
 /// Time between two heartbeats.
 const HEARTBEAT: u64 = 200;
 
+/// Time for which a share holds in tests that set it once.
+const HEARING: Duration = Duration::from_hours(1);
+
 fn quota() -> Quota {
     Quota {
         unit: Unit::Tokens { unstated: 200.0 },
@@ -35,6 +38,13 @@
     }
 }
 
+/// The ledger of a process that hears from all hosts.
+fn ledger(start: Time) -> Ledger {
+    let mut ledger = Ledger::new(start);
+    ledger.set_share(1.0, HEARING, start);
+    ledger
+}
+
 fn north() -> AccountId {
     AccountId::of("north")
 }
@@ -62,7 +72,7 @@
     fn new(count: usize) -> Self {
         let host = |number: usize| Host {
             name: format!("h-{number}").into(),
-            ledger: Ledger::new(LONG_AGO),
+            ledger: ledger(LONG_AGO),
             incarnation: 1,
             side: 0,
         };
@@ -114,7 +124,7 @@
         };
         for (index, host) in self.hosts.iter_mut().enumerate() {
             if index != from && host.side == side {
-                host.ledger.observe(&name, id, &usage, now);
+                host.ledger.observe(&name, id, &usage, Some(&quota()), now);
             }
         }
     }
@@ -155,7 +165,7 @@
 
     fn restart(&mut self, host: usize) {
         let it = &mut self.hosts[host];
-        it.ledger = Ledger::new(self.now);
+        it.ledger = ledger(self.now);
         it.incarnation += 1;
     }
 }
@@ -215,12 +225,12 @@
     let now = fleet.now;
     for host in &mut fleet.hosts {
         let share = if host.side == 1 { 0.25 } else { 0.75 };
-        host.ledger.set_share(share, now);
+        host.ledger.set_share(share, HEARING, now);
     }
     fleet.run(&all, 20, 6000);
     for host in &mut fleet.hosts {
         host.side = 0;
-        host.ledger.set_share(1.0, fleet.now);
+        host.ledger.set_share(1.0, HEARING, fleet.now);
     }
     fleet.run(&all, 20, 6000);
     fleet.assert_within_quota();
@@ -267,7 +277,7 @@
     let before = [level(&fleet, 0), level(&fleet, 2)];
     let charge = fleet.send(0).expect("there is room");
     fleet.report(0);
-    fleet.hosts[0].ledger.give_back(&charge);
+    fleet.hosts[0].ledger.give_back(&charge, fleet.now);
     fleet.report(0);
     for (host, before) in [(0, before[0]), (2, before[1])] {
         assert!((level(&fleet, host) - before).abs() < 1e-6);
@@ -276,8 +286,8 @@
 
 #[test]
 fn reports_that_are_repeated_late_or_lost_change_nothing() {
-    let mut sender = Ledger::new(NOW);
-    let mut receiver = Ledger::new(NOW);
+    let mut sender = ledger(NOW);
+    let mut receiver = ledger(NOW);
     let name: Arc<str> = "h-1".into();
     receiver.admit(north(), &quota(), 1.0, at(1000));
     let mut reports = Vec::new();
@@ -296,7 +306,7 @@
     // The first report is lost, the third overtakes the second, and both are repeated.
     for index in [2, 1, 2, 1] {
         let (id, usage) = reports[index];
-        receiver.observe(&name, id, &usage, at(1000));
+        receiver.observe(&name, id, &usage, Some(&quota()), at(1000));
     }
     let state = receiver.state(north(), at(1000)).expect("it was used");
     assert!(
@@ -308,7 +318,7 @@
 /// Replays a configuration with a lower limit in the middle of a burst.
 #[test]
 fn a_lower_quota_is_kept_at_once() {
-    let mut ledger = Ledger::new(LONG_AGO);
+    let mut ledger = ledger(LONG_AGO);
     let lower = Quota {
         rate: 1000.0,
         burst: 1000.0,
@@ -327,7 +337,7 @@
 /// Replays callers that are refused together: each comes back when there is room for it.
 #[test]
 fn refused_callers_come_back_at_the_rate_of_the_quota() {
-    let mut ledger = Ledger::new(LONG_AGO);
+    let mut ledger = ledger(LONG_AGO);
     while matches!(
         ledger.admit(north(), &quota(), COST, NOW).0,
         Decision::Admit(_)
@@ -346,7 +356,7 @@
 
 #[test]
 fn one_request_larger_than_the_burst_passes_after_a_pause() {
-    let mut ledger = Ledger::new(LONG_AGO);
+    let mut ledger = ledger(LONG_AGO);
     let small = Quota {
         burst: 100.0,
         ..quota()
@@ -356,3 +366,200 @@
     let (decision, _) = ledger.admit(north(), &small, COST, at(100));
     assert!(matches!(decision, Decision::Refuse(_)));
 }
+
+/// Replays callers that send little to one host, then much to some hosts, and then to others.
+#[test]
+fn hosts_where_an_account_is_new_know_what_others_have_given_out() {
+    let mut fleet = Fleet::new(26);
+    fleet.run(&[0], 1000, 20_000);
+    fleet.run(&[0, 1, 2], 20, 20_000);
+    let rest: Vec<usize> = (3..26).collect();
+    fleet.run(&rest, 2, 4000);
+    fleet.assert_within_quota();
+}
+
+/// Replays a cut in which both sides use their part of the quota.
+#[test]
+fn after_a_cut_the_smaller_side_is_served_again() {
+    let mut fleet = Fleet::new(24);
+    let all: Vec<usize> = (0..24).collect();
+    fleet.run(&all, 20, 4000);
+    for host in &mut fleet.hosts {
+        host.side = u8::from(host.name.len() < 4);
+        let share = if host.side == 1 {
+            10.0 / 24.0
+        } else {
+            14.0 / 24.0
+        };
+        host.ledger.set_share(share, HEARING, fleet.now);
+    }
+    fleet.run(&all, 20, 12_000);
+    for host in &mut fleet.hosts {
+        host.side = 0;
+        host.ledger.set_share(1.0, HEARING, fleet.now);
+    }
+    fleet.run(&all, 20, 600);
+    let healed = fleet.now;
+    let smaller: Vec<usize> = (0..10).collect();
+    fleet.run(&smaller, 20, 4000);
+    fleet.assert_within_quota();
+    let steady = fleet.admitted_since(healed) / 4.0;
+    assert!(steady > 0.9 * RATE, "{steady} of {RATE} units a second");
+}
+
+/// Replays single hosts that are cut off while an account is idle, and a burst that then comes to all of them.
+#[test]
+fn the_sides_of_a_cut_share_the_burst() {
+    let mut ledger = ledger(LONG_AGO);
+    ledger.admit(north(), &quota(), 1.0, NOW);
+    ledger.set_share(0.1, HEARING, at(1000));
+    let now = at(2000);
+    let is_admitted = |_: &u32| {
+        let (decision, _) = ledger.admit(north(), &quota(), 100.0, now);
+        matches!(decision, Decision::Admit(_))
+    };
+    let admitted = (0..200).filter(is_admitted).count();
+    assert!(admitted <= 10, "{admitted} requests of 100 units");
+}
+
+/// Replays hosts that are suspended in the middle of a burst and find requests when they wake.
+#[test]
+fn a_suspended_host_gives_out_nothing_for_the_time_of_its_suspension() {
+    let mut ledger = Ledger::new(LONG_AGO);
+    ledger.set_share(1.0, HEARING, LONG_AGO);
+    while matches!(
+        ledger.admit(north(), &quota(), COST, NOW).0,
+        Decision::Admit(_)
+    ) {}
+    ledger.set_share(1.0, ms(700), NOW);
+    let is_admitted = |_: &u32| {
+        let (decision, _) = ledger.admit(north(), &quota(), 100.0, at(9000));
+        matches!(decision, Decision::Admit(_))
+    };
+    let admitted = (0..200).filter(is_admitted).count();
+    assert!(admitted <= 70, "{admitted} requests of 100 units");
+}
+
+/// Replays a host that reads, after a suspension, what the others have admitted meanwhile.
+#[test]
+fn after_a_suspension_nothing_is_owed_for_its_time() {
+    let mut fleet = Fleet::new(3);
+    let all: Vec<usize> = (0..3).collect();
+    fleet.run(&all, 20, 3000);
+    let now = fleet.now;
+    fleet.hosts[0].ledger.set_share(1.0, ms(700), now);
+    fleet.hosts[0].side = 1;
+    fleet.run(&[1, 2], 20, 8000);
+    fleet.hosts[0].side = 0;
+    for it in 1..3 {
+        fleet.report(it);
+    }
+    let state = fleet.hosts[0].ledger.state(north(), fleet.now);
+    let level = state.map_or(f64::MIN, |it| it.level);
+    assert!(level > -0.5 * RATE, "{level}");
+}
+
+/// Replays hosts that have just started and have heard of no other.
+#[test]
+fn a_host_that_knows_no_others_gives_out_nothing() {
+    let mut ledger = Ledger::new(NOW);
+    let (decision, _) = ledger.admit(north(), &quota(), COST, at(1000));
+    assert!(matches!(decision, Decision::Refuse(_)), "{decision:?}");
+}
+
+/// Replays an account that comes back after a pause, at hosts of which some have forgotten it.
+#[test]
+fn a_total_that_begins_anew_takes_nothing_back() {
+    let mut sender = ledger(LONG_AGO);
+    let mut receiver = ledger(LONG_AGO);
+    let name: Arc<str> = "h-1".into();
+    for (number, time, units) in [(1, 1000, 9000.0), (2, 46_000, 5000.0)] {
+        sender.admit(north(), &quota(), units, at(time));
+        let usage = sender.usage(north(), at(time)).expect("it was used");
+        let id = ReportId {
+            incarnation: 1,
+            number,
+        };
+        receiver.observe(&name, id, &usage, Some(&quota()), at(time));
+    }
+    let state = receiver.state(north(), at(46_000)).expect("it was used");
+    assert!((state.level - (RATE - 5000.0)).abs() < 1e-6, "{state:?}");
+    let usage = sender.usage(north(), at(46_000)).expect("it was used");
+    assert_eq!(usage.total, 5000, "hosts that have forgotten it count all");
+}
+
+/// Replays a process that goes on while another of its name has started.
+#[test]
+fn processes_of_one_name_are_counted_each() {
+    let mut receiver = ledger(LONG_AGO);
+    let name: Arc<str> = "h-1".into();
+    let mut senders = [ledger(NOW), ledger(NOW)];
+    for number in 1..=4 {
+        for (sender, incarnation) in senders.iter_mut().zip([1, 2]) {
+            sender.admit(north(), &quota(), 100.0, at(2000));
+            let usage = sender.usage(north(), at(2000)).expect("it was used");
+            let id = ReportId {
+                incarnation,
+                number,
+            };
+            receiver.observe(&name, id, &usage, Some(&quota()), at(2000));
+        }
+    }
+    let state = receiver.state(north(), at(2000)).expect("it was used");
+    assert!((state.level - (RATE - 800.0)).abs() < 1e-6, "{state:?}");
+}
+
+/// Replays a datagram with the largest numbers.
+#[test]
+fn totals_of_any_size_are_taken() {
+    let mut receiver = ledger(LONG_AGO);
+    let name: Arc<str> = "h-1".into();
+    for (number, total) in [(1, i64::MIN), (2, i64::MAX)] {
+        let usage = Usage {
+            account: north(),
+            total,
+            age: ms(1000),
+        };
+        let id = ReportId {
+            incarnation: 1,
+            number,
+        };
+        receiver.observe(&name, id, &usage, Some(&quota()), at(1000));
+    }
+    let state = receiver.state(north(), at(1000)).expect("it was used");
+    assert!(
+        state.level >= -10.0 * RATE - f64::from(u32::MAX),
+        "{state:?}"
+    );
+}
+
+/// Replays a quota that is raised while callers wait for the earlier one.
+#[test]
+fn a_raised_quota_does_not_keep_callers_waiting_for_the_earlier_one() {
+    let mut ledger = ledger(LONG_AGO);
+    let lower = Quota {
+        rate: 100.0,
+        burst: 100.0,
+        ..quota()
+    };
+    for _ in 0..50 {
+        ledger.admit(north(), &lower, COST, NOW);
+    }
+    let (decision, _) = ledger.admit(north(), &quota(), COST, at(10));
+    let Decision::Refuse(wait) = decision else {
+        panic!("there is a debt: {decision:?}");
+    };
+    assert!(wait < ms(1000), "{wait:?}");
+}
+
+/// Replays requests that count a part of a unit each.
+#[test]
+fn fractions_of_a_unit_are_not_free() {
+    let mut ledger = ledger(LONG_AGO);
+    let is_admitted = |_: &u32| {
+        let (decision, _) = ledger.admit(north(), &quota(), 0.4, NOW);
+        matches!(decision, Decision::Admit(_))
+    };
+    let admitted = (0..30_000).filter(is_admitted).count();
+    assert_eq!(admitted, 10_000);
+}
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -618,7 +618,10 @@
             End::Served | End::Failed | End::Truncated(_) => false,
         };
         if let Some(charge) = self.charge.take().filter(|_| has_not_run) {
-            self.gateway.ledger.borrow_mut().give_back(&charge);
+            self.gateway
+                .ledger
+                .borrow_mut()
+                .give_back(&charge, clock::now());
         }
     }
 
--- a/crates/gateway/src/gossip/accounts.rs
+++ b/crates/gateway/src/gossip/accounts.rs
@@ -68,9 +68,12 @@
 
     /// Reports of the accounts that were used of late, for a heartbeat.
     pub(super) fn account_messages(&self, now: Time) -> Vec<Message> {
-        let share = (self.gateway.peers.borrow()).heard_share(&self.gateway.holder, now);
+        let peers = self.gateway.peers.borrow();
+        let share = peers.heard_share(&self.gateway.holder, now);
+        let validity = peers.hearing_timeout();
+        drop(peers);
         let mut ledger = self.gateway.ledger.borrow_mut();
-        ledger.set_share(share, now);
+        ledger.set_share(share, validity, now);
         let changes = ledger.take_changes(now);
         let parts = changes.chunks(MAX_WORKLOADS_PER_MESSAGE);
         parts.map(|it| self.report_usage(it)).collect()
@@ -86,6 +89,8 @@
             incarnation: report.incarnation,
             number: report.number,
         };
+        let catalog = self.gateway.catalog();
+        let accounts = catalog.as_ref().and_then(|it| it.accounts.as_ref());
         let mut ledger = self.gateway.ledger.borrow_mut();
         for (account, total, age_ms) in &report.accounts {
             let usage = Usage {
@@ -93,7 +98,8 @@
                 total: *total,
                 age: Duration::from_millis((*age_ms).into()),
             };
-            ledger.observe(&host, id, &usage, now);
+            let quota = accounts.and_then(|it| it.by_id(usage.account)?.quota.as_ref());
+            ledger.observe(&host, id, &usage, quota, now);
         }
     }
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -132,8 +132,12 @@
     /// The same share, of the hosts whose last message came within a few heartbeats. A cut shows in it sooner, and so does
     /// a lost message.
     pub fn heard_share(&self, own: &str, now: Time) -> f64 {
-        let timeout = HEARTBEAT_INTERVAL.mul_f64(HEARD_HEARTBEATS * self.slowdown());
-        self.share_within(own, timeout, now)
+        self.share_within(own, self.hearing_timeout(), now)
+    }
+
+    /// Time since its last message for which a host counts as heard.
+    pub fn hearing_timeout(&self) -> Duration {
+        HEARTBEAT_INTERVAL.mul_f64(HEARD_HEARTBEATS * self.slowdown())
     }
 
     fn share_within(&self, own: &str, timeout: Duration, now: Time) -> f64 {
