Check a platform's configuration before it is sent

Cause: operators of a deployment on a platform saw what a configuration did only after it was in force; nothing told of routes that no request reaches, limits that contradict each other, or what a new version would change.

Change: fleet::check finds such entries and lists differences; `comfreywing config FILE [--against FILE]` prints them, with the parser of the hosts and without a key. Exit codes are those of the other commands: 1 if something was found, 2 if the file is invalid.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -69,6 +69,8 @@
     Explain(Explain),
     /// Checks a deploy file.
     Deploy(Deploy),
+    /// Checks a configuration of a platform.
+    Config(Config),
 }
 
 /// check a config file offline and print every problem with its position
@@ -143,6 +145,20 @@
     pub show: bool,
 }
 
+/// check a platform's configuration offline: entries that can never match, limits that contradict
+/// each other, and what differs from another one
+#[derive(FromArgs)]
+#[argh(subcommand, name = "config")]
+pub struct Config {
+    /// the configuration, or the object of the store with it, as JSON or YAML
+    #[argh(positional)]
+    pub file: PathBuf,
+
+    /// the configuration to compare with, such as the one in force
+    #[argh(option)]
+    pub against: Option<PathBuf>,
+}
+
 /// Returns the name of the user of this process, or `unknown`.
 fn user() -> String {
     std::env::var("USER").unwrap_or_else(|_| "unknown".to_owned())
--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -2,13 +2,14 @@
 
 pub mod apply;
 pub mod check;
+pub mod config;
 pub mod deploy;
 pub mod diff;
 pub mod explain;
 pub mod show;
 pub mod status;
 
-use config::{
+use ::config::{
     Document,
     change::{Change, describe},
 };
--- a/crates/cli/src/file.rs
+++ b/crates/cli/src/file.rs
@@ -12,6 +12,12 @@
 
 /// Reads and checks a config file. A file over the size limit is rejected without being read.
 pub fn read(path: &Path) -> Result<Edit, Report> {
+    let content = read_bytes(path)?;
+    Ok(parse_edit(&path.display().to_string(), &content)?)
+}
+
+/// Reads a file, unless it is over the size limit.
+pub fn read_bytes(path: &Path) -> Result<Vec<u8>, Report> {
     let name = path.display().to_string();
     let to_report = |error: std::io::Error| Report::bad_input(format!("{name}: {error}"));
     let file = File::open(path).map_err(to_report)?;
@@ -26,5 +32,5 @@
     file.take(limit)
         .read_to_end(&mut content)
         .map_err(to_report)?;
-    Ok(parse_edit(&name, &content)?)
+    Ok(content)
 }
--- a/crates/cli/tests/cli/main.rs
+++ b/crates/cli/tests/cli/main.rs
@@ -2,6 +2,7 @@
 //! the entry hosts.
 
 mod check;
+mod config;
 mod deploy;
 mod edit;
 mod hosts;
--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -21,6 +21,8 @@
     pub limits: Limits,
     /// Client accounts; `None` if the operator has declared none, so that requests need no key.
     pub accounts: Option<Accounts>,
+    /// Names of the routes that are left out, since they have no target.
+    routes_without_target: Vec<String>,
     /// Services with routes whose streams may be resumed.
     resumable_services: BTreeSet<Arc<str>>,
     /// Shortest latency target of the routes of a service, by priority.
@@ -183,8 +185,10 @@
         let mut hosts: HashMap<String, Vec<Arc<Route>>> = HashMap::new();
         let mut shortest_targets: HashMap<Arc<str>, BTreeMap<u8, Duration>> = HashMap::new();
         let mut resumable_services = BTreeSet::new();
+        let mut routes_without_target = Vec::new();
         for route in routes {
             if route.targets.is_empty() {
+                routes_without_target.push(route.name);
                 continue;
             }
             if route.kind == RequestKind::Resumable {
@@ -208,6 +212,7 @@
             services: services.into_iter().map(by_name).collect(),
             limits,
             accounts: None,
+            routes_without_target,
             resumable_services,
             shortest_targets,
         }
@@ -222,6 +227,16 @@
         }
     }
 
+    /// Returns all routes with a target; those of the same host and prefix in the order of their declaration.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.hosts.values().flatten()
+    }
+
+    /// Returns the names of the routes that are left out, since they have no target.
+    pub fn routes_without_target(&self) -> &[String] {
+        &self.routes_without_target
+    }
+
     /// Returns the services with routes whose streams may be resumed.
     pub fn resumable_services(&self) -> impl Iterator<Item = &Arc<str>> {
         self.resumable_services.iter()
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod backoff;
 pub mod budget;
 pub mod catalog;
+pub mod check;
 pub mod circuit;
 pub mod engine;
 pub mod era;
