Give back what another host has refused to the quota of its account

Cause: a host that is cut off from all engines passes requests on and charges them to their accounts. If the other host refused one, the charge stayed, though the request had not run: the account was refused below its quota.

Change: the host that has charged the request returns the charge on a refusal (429 or 503 without an engine's seal).

--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -617,11 +617,16 @@
             }
             End::Served | End::Failed | End::Truncated(_) => false,
         };
-        if let Some(charge) = self.charge.take().filter(|_| has_not_run) {
-            self.gateway
-                .ledger
-                .borrow_mut()
-                .give_back(&charge, clock::now());
+        if has_not_run {
+            self.give_back();
+        }
+    }
+
+    /// Returns what the request was charged to its account.
+    pub(crate) fn give_back(&mut self) {
+        if let Some(charge) = self.charge.take() {
+            let mut ledger = self.gateway.ledger.borrow_mut();
+            ledger.give_back(&charge, clock::now());
         }
     }
 
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -174,6 +174,7 @@
                     head.headers_mut().remove(CONTENT_LENGTH);
                     self.trace.record_status(status);
                     self.trace.record_forwarded();
+                    self.give_back_if_refused(&head);
                     self.record_end(if status.is_success() {
                         End::Served
                     } else {
@@ -192,6 +193,24 @@
         }
     }
 
+    /// Returns what the request was charged to its account, if the other host has refused it. Its status promises that
+    /// the request has not run; an engine's own answer promises nothing.
+    fn give_back_if_refused(&mut self, head: &Response<()>) {
+        let is_refusal = [
+            StatusCode::SERVICE_UNAVAILABLE,
+            StatusCode::TOO_MANY_REQUESTS,
+        ]
+        .contains(&head.status());
+        let is_sealed = self
+            .gateway
+            .dialect
+            .parse_response_head(head.headers())
+            .sealed;
+        if is_refusal && !is_sealed && !self.may_have_run {
+            self.give_back();
+        }
+    }
+
     /// Sends the request to another host, or to a further one if it doesn't take it.
     pub(crate) async fn send_to_host(
         &mut self,
