--- a/crates/fleet/src/account.rs
+++ b/crates/fleet/src/account.rs
@@ -5,15 +5,22 @@
 
 pub mod ledger;
 
-use std::{collections::HashMap, fmt, sync::Arc};
+use std::{
+    collections::{BTreeSet, HashMap},
+    fmt,
+    sync::Arc,
+    time::Duration,
+};
 
 use sha2::{Digest, Sha256};
 
+use self::ledger::AccountId;
+
 /// Number of digits of a digest in hexadecimal.
 const HEX_DIGITS: usize = 64;
 
 /// Digest of an API key.
-#[derive(Clone, Copy, Eq, Hash, PartialEq)]
+#[derive(Clone, Copy, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct KeyDigest([u8; 32]);
 
 impl KeyDigest {
@@ -96,6 +103,49 @@
     }
 }
 
+/// Parts of a [`Tolerance`] that hosts use. The rest is for what they admit before they hear of each other, and for the last
+/// request, which may be larger than what is left.
+const USED_RATIO: f64 = 0.5;
+const SLACK_IN_RATE: f64 = 0.25;
+const SLACK_IN_BURST: f64 = 0.1;
+
+/// What all hosts together may admit beyond the quota of an account. An account whose burst is that of one or two requests
+/// would be refused some below its rate otherwise, since requests don't come at equal intervals.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Tolerance {
+    /// Span of time in which the use of an account is judged.
+    pub window: Duration,
+    /// Part of the quota.
+    pub ratio: f64,
+    /// Units in a window in addition to that.
+    pub slack: f64,
+}
+
+impl Default for Tolerance {
+    /// Returns a tolerance of nothing.
+    fn default() -> Self {
+        Self {
+            window: Duration::from_secs(1),
+            ratio: 0.0,
+            slack: 0.0,
+        }
+    }
+}
+
+impl Quota {
+    /// The quota by which hosts admit requests.
+    #[must_use]
+    pub fn tolerant(self, tolerance: &Tolerance) -> Self {
+        let factor = 1.0 + tolerance.ratio * USED_RATIO;
+        let slack = tolerance.slack;
+        Self {
+            rate: self.rate * factor + slack * SLACK_IN_RATE / tolerance.window.as_secs_f64(),
+            burst: self.burst * factor + slack * SLACK_IN_BURST,
+            ..self
+        }
+    }
+}
+
 /// Who may use a route.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Access {
@@ -123,6 +173,8 @@
 pub struct Accounts {
     by_key: HashMap<KeyDigest, Holder>,
     by_name: HashMap<Arc<str>, Arc<Account>>,
+    by_id: HashMap<AccountId, Arc<Account>>,
+    keyless: Vec<Arc<str>>,
     shared_keys: Vec<[Arc<str>; 2]>,
 }
 
@@ -134,6 +186,11 @@
         for (account, keys) in accounts {
             let account = Arc::new(account);
             all.by_name.insert(account.name.clone(), account.clone());
+            let id = AccountId::of(&account.name);
+            all.by_id.insert(id, account.clone());
+            if keys.is_empty() {
+                all.keyless.push(account.name.clone());
+            }
             for key in keys {
                 all.add_key(key, &account);
             }
@@ -169,6 +226,23 @@
         self.by_name.get(name)
     }
 
+    /// The account with this id in messages.
+    pub fn by_id(&self, id: AccountId) -> Option<&Arc<Account>> {
+        self.by_id.get(&id)
+    }
+
+    /// Accounts without a key.
+    pub fn keyless(&self) -> &[Arc<str>] {
+        &self.keyless
+    }
+
+    /// The keys of an account, as digests. A key that several accounts name is none of them.
+    pub fn keys_of(&self, name: &str) -> BTreeSet<KeyDigest> {
+        let holds = |it: &Holder| matches!(it, Holder::One(it) if &*it.name == name);
+        let keys = self.by_key.iter().filter(|it| holds(it.1));
+        keys.map(|it| *it.0).collect()
+    }
+
     /// All accounts.
     pub fn iter(&self) -> impl Iterator<Item = &Arc<Account>> {
         self.by_name.values()
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod budget;
 pub mod capacity;
 pub mod catalog;
+pub mod check;
 pub mod circuit;
 pub mod engine;
 pub mod era;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -244,7 +244,7 @@
             response_budget,
             store_budget,
             quarantine: RefCell::new(Quarantine::new(settings.quarantine_term())),
-            ledger: RefCell::new(Ledger::new(settings.quota_slack(), clock::now())),
+            ledger: RefCell::new(Ledger::new(clock::now())),
             settings,
             incarnation,
             started_at: clock::now(),
--- a/crates/gateway/src/gossip/accounts.rs
+++ b/crates/gateway/src/gossip/accounts.rs
@@ -28,10 +28,11 @@
             return Ok(None);
         };
         let now = clock::now();
+        let quota = quota.tolerant(&self.gateway.settings.quota_tolerance());
         let cost = quota.cost(stated_tokens);
         let id = AccountId::of(&account.name);
         let mut ledger = self.gateway.ledger.borrow_mut();
-        let (decision, urgency) = ledger.admit(id, quota, cost, now);
+        let (decision, urgency) = ledger.admit(id, &quota, cost, now);
         let usage = ledger.usage(id, now);
         drop(ledger);
         match decision {
@@ -68,9 +69,12 @@
 
     /// Reports of the accounts that were used of late, for a heartbeat.
     pub(super) fn account_messages(&self, now: Time) -> Vec<Message> {
-        let share = (self.gateway.peers.borrow()).heard_share(&self.gateway.holder, now);
+        let peers = self.gateway.peers.borrow();
+        let share = peers.heard_share(&self.gateway.holder, now);
+        let validity = peers.hearing_timeout();
+        drop(peers);
         let mut ledger = self.gateway.ledger.borrow_mut();
-        ledger.set_share(share, now);
+        ledger.set_share(share, validity, now);
         let changes = ledger.take_changes(now);
         let parts = changes.chunks(MAX_WORKLOADS_PER_MESSAGE);
         parts.map(|it| self.report_usage(it)).collect()
@@ -86,6 +90,9 @@
             incarnation: report.incarnation,
             number: report.number,
         };
+        let catalog = self.gateway.catalog();
+        let accounts = catalog.as_ref().and_then(|it| it.accounts.as_ref());
+        let tolerance = self.gateway.settings.quota_tolerance();
         let mut ledger = self.gateway.ledger.borrow_mut();
         for (account, total, age_ms) in &report.accounts {
             let usage = Usage {
@@ -93,7 +100,9 @@
                 total: *total,
                 age: Duration::from_millis((*age_ms).into()),
             };
-            ledger.observe(&host, id, &usage, now);
+            let quota = accounts.and_then(|it| it.by_id(usage.account)?.quota);
+            let quota = quota.map(|it| it.tolerant(&tolerance));
+            ledger.observe(&host, id, &usage, quota.as_ref(), now);
         }
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -3,7 +3,7 @@
 use std::{fs, net::SocketAddr, path::Path, time::Duration};
 
 use derive_more::{Display, Error};
-use fleet::{era::Start, quarantine};
+use fleet::{account::Tolerance, era::Start, quarantine};
 use serde::Deserialize;
 
 use crate::memory;
@@ -48,9 +48,9 @@
     pub first_start: bool,
     /// Retry budget.
     pub retries: Retries,
-    /// Units (tokens or requests) that all hosts together may admit beyond the quota of a client account in any span of time.
+    /// Tolerance of the quotas of client accounts.
     #[serde(default)]
-    pub quota_slack: Option<f64>,
+    pub quotas: Quotas,
     /// Settings for orders to engines.
     pub orders: Orders,
     /// Time in seconds from the stop signal to the end of the process.
@@ -91,6 +91,21 @@
     pub slack: f64,
 }
 
+/// Tolerance of the quotas of client accounts: what all hosts together may admit beyond them, nothing by default.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
+#[serde(deny_unknown_fields)]
+pub struct Quotas {
+    /// Span of time in seconds in which the use of an account is judged.
+    #[serde(default)]
+    pub window_seconds: Option<f64>,
+    /// Part of the quota.
+    #[serde(default)]
+    pub ratio: Option<f64>,
+    /// Units (tokens or requests) in a window in addition to that.
+    #[serde(default)]
+    pub slack: Option<f64>,
+}
+
 /// Settings for orders to engines.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
@@ -168,6 +183,10 @@
         ("retries.window_seconds", settings.retries.window_seconds),
         ("orders.window_seconds", settings.orders.window_seconds),
         ("grace_seconds", settings.grace_seconds),
+        (
+            "quotas.window_seconds",
+            settings.quotas.window_seconds.unwrap_or(1.0),
+        ),
     ];
     for (field, value) in positive {
         if !value.is_finite() || value <= 0.0 {
@@ -177,7 +196,8 @@
     let non_negative = [
         ("retries.ratio", settings.retries.ratio),
         ("retries.slack", settings.retries.slack),
-        ("quota_slack", settings.quota_slack()),
+        ("quotas.ratio", settings.quota_tolerance().ratio),
+        ("quotas.slack", settings.quota_tolerance().slack),
     ];
     for (field, value) in non_negative {
         if !value.is_finite() || value < 0.0 {
@@ -232,9 +252,15 @@
         }
     }
 
-    /// Units that all hosts together may admit beyond the quota of a client account.
-    pub fn quota_slack(&self) -> f64 {
-        self.quota_slack.unwrap_or(0.0)
+    /// What all hosts together may admit beyond the quota of a client account.
+    pub fn quota_tolerance(&self) -> Tolerance {
+        let default = Tolerance::default();
+        let window = self.quotas.window_seconds;
+        Tolerance {
+            window: window.map_or(default.window, Duration::from_secs_f64),
+            ratio: self.quotas.ratio.unwrap_or(default.ratio),
+            slack: self.quotas.slack.unwrap_or(default.slack),
+        }
     }
 
     /// Time after which a quarantined prompt part is first tried again.
