Learn how long loads of adapters take

Cause: loads were due after constants (262 ms from the weight store, 45 ms from the engine's memory).

Change: `fleet::load_time` learns both durations from the first requests after loads: a refused one is a lower bound, the one that is served an upper bound. A host that tried tells the steward, which knows when the load began and from where; stewards tell all hosts with their heartbeats. A miss counts for the duration if too few loads were in flight to delay each other, otherwise for the number of loads at full speed. Two message kinds at the end of the enumeration; earlier builds discard them.

`Estimate::confirm` and `Engine::record_miss` return what they show, so two existing tests compare the result with the exact times instead of a truth value.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -12,6 +12,7 @@
     circuit::Circuit,
     identity::Identity,
     listing::{Held, Listing, Name, State},
+    loader::Arrival,
     origin::BuildId,
     prefix::Cache,
     request_limit::{Limit, Rate},
@@ -89,10 +90,23 @@
 struct Trial {
     /// Refused requests so far.
     refusals: u32,
+    /// When the last of them was sent.
+    last_refused: Time,
     /// When the next request may be sent.
     next_attempt: Time,
 }
 
+impl Trial {
+    /// Returns what the refused requests show about a load that was expected to end at `due`.
+    fn arrival(&self, due: Time) -> Arrival {
+        Arrival {
+            misses: self.refusals,
+            missing_after: self.last_refused.saturating_sub(due),
+            found_after: None,
+        }
+    }
+}
+
 impl Estimate {
     /// Returns whether a request may be sent: any request after the load is confirmed, a single one before.
     pub fn accepts_request(&self, now: Time) -> bool {
@@ -105,18 +119,23 @@
         self.trial.is_some()
     }
 
-    /// Records that a request was served. Returns whether the load was unconfirmed.
-    pub fn confirm(&mut self) -> bool {
-        self.trial.take().is_some()
+    /// Records that a request, sent at `sent`, was served. Returns what that shows about the load if it was unconfirmed.
+    pub fn confirm(&mut self, sent: Time) -> Option<Arrival> {
+        let trial = self.trial.take()?;
+        Some(Arrival {
+            found_after: Some(sent.saturating_sub(self.loaded_at)),
+            ..trial.arrival(self.loaded_at)
+        })
     }
 
-    /// Records a refused request. Returns whether the adapter is still expected to be loaded.
-    fn record_refusal(&mut self, now: Time) -> bool {
+    /// Records a refused request, sent at `sent`. Returns whether the adapter is still expected to be loaded.
+    fn record_refusal(&mut self, sent: Time, now: Time) -> bool {
         let Some(trial) = &mut self.trial else {
             return false;
         };
         let pause = MIN_RETRY_PAUSE * (1 << trial.refusals.min(8));
         trial.refusals += 1;
+        trial.last_refused = sent;
         trial.next_attempt = now + pause.min(MAX_RETRY_PAUSE);
         trial.refusals <= MAX_REFUSALS
     }
@@ -151,6 +170,17 @@
     }
 }
 
+/// Meaning of a request that an engine refused because it doesn't hold the adapter.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Miss {
+    /// The adapter was unloaded, or never loaded.
+    Unexpected,
+    /// The load of the adapter may still be in progress.
+    Early,
+    /// The load of the adapter may still be in progress, but it is no longer expected to end.
+    Last(Arrival),
+}
+
 /// An engine or an instance of a plain service.
 #[derive(Clone, Debug)]
 pub struct Engine {
@@ -309,17 +339,21 @@
         estimate.trial = Some(Trial::default());
     }
 
-    /// Records that the engine refused a request because it doesn't hold the adapter. Returns whether the
-    /// load of the adapter was unconfirmed, so that it may still be in progress.
-    pub fn record_miss(&mut self, name: &str, now: Time) -> bool {
+    /// Records that the engine refused a request, sent at `sent`, because it doesn't hold the adapter.
+    pub fn record_miss(&mut self, name: &str, sent: Time, now: Time) -> Miss {
         let Some(estimate) = self.held.get_mut(name) else {
-            return false;
+            return Miss::Unexpected;
         };
-        let expected = estimate.is_unconfirmed();
-        if !estimate.record_refusal(now) {
+        let is_expected = estimate.record_refusal(sent, now);
+        let arrival = estimate.trial.map(|it| it.arrival(estimate.loaded_at));
+        if !is_expected {
             self.remove_held(name, now);
         }
-        expected
+        match arrival {
+            Some(_) if is_expected => Miss::Early,
+            Some(it) => Miss::Last(it),
+            None => Miss::Unexpected,
+        }
     }
 
     /// Records that the engine doesn't hold an adapter, or is about to unload it.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod isolation;
 pub mod lease;
 pub mod listing;
+pub mod load_time;
 pub mod loader;
 pub mod origin;
 pub mod placement;
--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -18,6 +18,7 @@
     engine::{Engine, Estimate},
     in_flight::{self, InFlightLoads},
     listing::{Name, base_model, is_adapter},
+    load_time::{LoadTime, Observation, Source},
     origin::BuildId,
     rate_limit::{self, RateLimiter},
     rendezvous,
@@ -27,13 +28,6 @@
 /// Maximum number of in-flight adapter loads per engine, as limited by the platform.
 const MAX_IN_FLIGHT: usize = 4;
 
-/// Expected duration of an adapter load from the weight store at full speed.
-const ADAPTER_LOAD_TIME: Duration = Duration::from_millis(262);
-
-/// Expected duration of an adapter load if the engine held the adapter recently: a little more than a
-/// tenth of a load from the weight store.
-const ADAPTER_RELOAD_TIME: Duration = Duration::from_millis(45);
-
 /// Number of recently unloaded adapters per engine that are expected to reload fast.
 const MAX_RECENTLY_UNLOADED: usize = 110;
 
@@ -92,6 +86,15 @@
 /// that requests wait for.
 const REPLICA_MAX_UTILIZATION: f64 = 0.7;
 
+/// Maximum number of ordered loads of which the outcome of the first requests is awaited.
+const MAX_AWAITED_LOADS: usize = 64;
+
+/// Time after the expected end of a load for which its first requests are awaited.
+const AWAITED_TTL: Duration = Duration::from_secs(2);
+
+/// Maximum number of observed loads that a host announces at once.
+const MAX_ANNOUNCED_LOADS: usize = 16;
+
 /// Time for which a load still counts as in flight after its expected end.
 const IN_FLIGHT_GRACE: Duration = Duration::from_millis(30);
 
@@ -263,8 +266,46 @@
     recently_unloaded: VecDeque<Name>,
 }
 
-/// Loads and evictions on the engines of which this host is the steward.
+/// An ordered load of which the first requests show how long it took.
+#[derive(Clone, Debug)]
+struct AwaitedLoad {
+    key: Key,
+    name: Name,
+    source: Source,
+    /// Expected duration.
+    expected: Duration,
+    /// Expected end.
+    due: Time,
+    /// True if so many loads were in flight that they may have delayed each other.
+    is_shared: bool,
+    /// True if a host has found the adapter at its first attempt.
+    was_in_time: bool,
+    /// True if a host has found the adapter missing.
+    was_late: bool,
+}
+
+/// First requests of one host after a load, which show whether it was done when expected.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Arrival {
+    /// Requests that found the adapter missing.
+    pub misses: u32,
+    /// Time from the expected end of the load to the last of them.
+    pub missing_after: Duration,
+    /// Time from the expected end to the request that found the adapter; `None` if none did.
+    pub found_after: Option<Duration>,
+}
+
+/// Loads that nothing slowed down, observed since the last announcement.
 #[derive(Clone, Debug, Default)]
+pub struct ObservedLoads {
+    /// Loads from the weight store.
+    pub fetches: Vec<Observation>,
+    /// Loads from the memory of the engines.
+    pub reloads: Vec<Observation>,
+}
+
+/// Loads and evictions on the engines of which this host is the steward.
+#[derive(Clone, Debug)]
 pub struct Loader {
     demands: HashMap<Wanted, Demand>,
     states: HashMap<Key, EngineState>,
@@ -275,6 +316,29 @@
     pub remote_loads: usize,
     /// Number of engines that load adapters.
     engine_count: usize,
+    /// Duration of a load from the weight store at full speed.
+    pub fetch_time: LoadTime,
+    /// Duration of a load from the memory of the engine.
+    pub reload_time: LoadTime,
+    awaited: VecDeque<AwaitedLoad>,
+    observed: ObservedLoads,
+}
+
+impl Default for Loader {
+    fn default() -> Self {
+        Self {
+            demands: HashMap::new(),
+            states: HashMap::new(),
+            base_model_limiter: RateLimiter::default(),
+            full_speed_loads: 0.0,
+            remote_loads: 0,
+            engine_count: 0,
+            fetch_time: LoadTime::new(Source::Store),
+            reload_time: LoadTime::new(Source::Memory),
+            awaited: VecDeque::new(),
+            observed: ObservedLoads::default(),
+        }
+    }
 }
 
 /// A host's request for an adapter.
@@ -715,17 +779,22 @@
         outcome: Outcome,
         now: Time,
     ) -> Option<in_flight::Load> {
-        let load_time = self.load_time();
+        let fetch_time = self.stretched_fetch_time();
+        let is_shared = self.loads_may_delay_each_other();
         let state = self.states.get_mut(&order.key)?;
         state.awaiting_answer = false;
         let mut started = None;
         match (outcome, order.op) {
             (Outcome::Accepted, Op::Load(version)) => {
                 state.record_accepted();
-                let reload = state.recently_unloaded.contains(&order.name);
-                let duration = match (is_adapter(&order.name), reload) {
-                    (true, true) => ADAPTER_RELOAD_TIME,
-                    (true, false) => load_time,
+                let source = if state.recently_unloaded.contains(&order.name) {
+                    Source::Memory
+                } else {
+                    Source::Store
+                };
+                let duration = match (is_adapter(&order.name), source) {
+                    (true, Source::Memory) => self.reload_time.expected(),
+                    (true, Source::Store) => fetch_time,
                     (false, _) => {
                         state.needs_query = true;
                         state.paused_until = now + QUERY_INTERVAL;
@@ -734,6 +803,21 @@
                     }
                 };
                 if is_adapter(&order.name) {
+                    let is_same = |it: &AwaitedLoad| it.key == order.key && it.name == order.name;
+                    self.awaited.retain(|it| !is_same(it));
+                    if self.awaited.len() >= MAX_AWAITED_LOADS {
+                        self.awaited.pop_front();
+                    }
+                    self.awaited.push_back(AwaitedLoad {
+                        key: order.key,
+                        name: order.name.clone(),
+                        source,
+                        expected: duration,
+                        due: now + duration,
+                        is_shared: is_shared && source == Source::Store,
+                        was_in_time: false,
+                        was_late: false,
+                    });
                     started = Some(in_flight::Load {
                         key: order.key,
                         version: version.unwrap_or(0),
@@ -826,7 +910,7 @@
                 state.in_flight.push(InFlight {
                     name: name.clone(),
                     version: 0,
-                    due: now + ADAPTER_LOAD_TIME,
+                    due: now + self.fetch_time.expected(),
                     completed: false,
                 });
             }
@@ -847,6 +931,74 @@
         };
     }
 
+    /// Learns from the first requests of a host after a load that this host has ordered. A load that others may have
+    /// delayed shows how many loads the weight store serves at full speed, another one how long a load takes.
+    pub fn record_first_requests(&mut self, key: Key, name: &str, arrival: &Arrival, now: Time) {
+        self.awaited.retain(|it| it.due + AWAITED_TTL > now);
+        let is_same = |it: &&mut AwaitedLoad| it.key == key && *it.name == *name;
+        let Some(load) = self.awaited.iter_mut().find(is_same) else {
+            return;
+        };
+        let is_late = arrival.misses > 0;
+        let was_observed = if is_late {
+            &mut load.was_late
+        } else {
+            &mut load.was_in_time
+        };
+        if std::mem::replace(was_observed, true) {
+            return;
+        }
+        let AwaitedLoad {
+            source,
+            expected,
+            is_shared,
+            ..
+        } = *load;
+        if is_late && is_shared {
+            for _ in 0..arrival.misses {
+                self.record_arrival(false);
+            }
+        } else if !is_late && source == Source::Store {
+            self.record_arrival(true);
+        }
+        let Some(found_after) = arrival.found_after.filter(|_| !is_shared) else {
+            return;
+        };
+        let observation = Observation {
+            missing_at: is_late.then(|| expected + arrival.missing_after),
+            found_at: expected + found_after,
+        };
+        let observed = match source {
+            Source::Memory => &mut self.observed.reloads,
+            Source::Store => &mut self.observed.fetches,
+        };
+        if observed.len() < MAX_ANNOUNCED_LOADS {
+            observed.push(observation);
+        }
+        self.load_time_mut(source).observe(&observation, now);
+    }
+
+    /// Returns the loads that nothing slowed down and that were observed since the last call.
+    pub fn take_observed(&mut self) -> ObservedLoads {
+        std::mem::take(&mut self.observed)
+    }
+
+    /// Learns from the loads that another host has observed.
+    pub fn record_remote_loads(&mut self, remote: &ObservedLoads, now: Time) {
+        let fetches = remote.fetches.iter().take(MAX_ANNOUNCED_LOADS);
+        fetches.for_each(|it| self.fetch_time.observe(it, now));
+        let reloads = remote.reloads.iter().take(MAX_ANNOUNCED_LOADS);
+        reloads.for_each(|it| self.reload_time.observe(it, now));
+    }
+
+    /// Returns the duration of a load at full speed.
+    pub fn load_time_mut(&mut self, source: Source) -> &mut LoadTime {
+        match source {
+            Source::Memory => &mut self.reload_time,
+            Source::Store => &mut self.fetch_time,
+        }
+    }
+
     /// Adjusts the estimated speed of loads after a request has shown whether a load was done in time.
     pub fn record_arrival(&mut self, in_time: bool) {
         let step = if in_time { IN_TIME_FACTOR } else { LATE_FACTOR };
@@ -874,10 +1026,17 @@
 
     /// Returns the expected duration of one more load from the weight store, whose speed all in-flight
     /// loads share.
-    fn load_time(&self) -> Duration {
+    fn stretched_fetch_time(&self) -> Duration {
         let loads = to_f64(self.in_flight_count() + self.remote_loads + 1);
         let full_speed = (self.full_speed_loads() * to_f64(self.engine_count)).max(1.0);
-        ADAPTER_LOAD_TIME.mul_f64((loads / full_speed).max(1.0))
+        (self.fetch_time.expected()).mul_f64((loads / full_speed).max(1.0))
+    }
+
+    /// Returns whether one more load and those in flight may delay each other, however many the weight store serves at
+    /// full speed.
+    fn loads_may_delay_each_other(&self) -> bool {
+        let loads = to_f64(self.in_flight_count() + self.remote_loads + 1);
+        loads > (MIN_FULL_SPEED_LOADS * to_f64(self.engine_count)).max(1.0)
     }
 }
 
--- a/crates/fleet/tests/it/loads.rs
+++ b/crates/fleet/tests/it/loads.rs
@@ -638,7 +638,7 @@
         .held
         .get_mut("m/a")
         .expect("the adapter is held")
-        .confirm();
+        .confirm(at(455));
     steward.request("m/a", 1, at(460));
     assert_eq!(steward.send_orders(at(460), Outcome::Accepted).len(), 1);
 }
--- a/crates/fleet/tests/it/main.rs
+++ b/crates/fleet/tests/it/main.rs
@@ -11,6 +11,7 @@
 mod identities;
 mod leases;
 mod ledgers;
+mod load_times;
 mod loads;
 mod origins;
 mod placements;
--- a/crates/fleet/tests/it/tables.rs
+++ b/crates/fleet/tests/it/tables.rs
@@ -1,7 +1,7 @@
 //! Tests of the estimated state of engines.
 
 use fleet::{
-    engine::Workload,
+    engine::{Miss, Workload},
     listing::{Listing, State},
     prefix::{Cache, Chain, Part},
     table::{Freshness, Removal, Standing, Table},
@@ -49,8 +49,9 @@
     estimate.running = 1;
     assert!(!estimate.accepts_request(at(0)), "a second request waits");
     estimate.running = 0;
-    assert!(
-        engine.record_miss("m/a1", at(1)),
+    assert_eq!(
+        engine.record_miss("m/a1", at(1), at(1)),
+        Miss::Early,
         "the load is still expected"
     );
     let estimate = engine
@@ -59,11 +60,14 @@
         .expect("the adapter is still held");
     assert!(!estimate.accepts_request(at(2)), "the next attempt waits");
     assert!(estimate.accepts_request(at(500)));
-    assert!(estimate.confirm());
+    let arrival = estimate.confirm(at(500)).expect("the load was unconfirmed");
+    assert_eq!((arrival.misses, arrival.missing_after), (1, ms(1)));
+    assert_eq!(arrival.found_after, Some(ms(500)));
     estimate.running = 5;
     assert!(estimate.accepts_request(at(501)));
-    assert!(
-        !engine.record_miss("m/a1", at(502)),
+    assert_eq!(
+        engine.record_miss("m/a1", at(502), at(502)),
+        Miss::Unexpected,
         "a miss after the confirmation means that the adapter was unloaded"
     );
     assert!(!engine.held.contains_key("m/a1"));
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddr, pin::Pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use fleet::{listing::Build, placement::Choice, table::Key};
+use fleet::{Time, engine::Miss, listing::Build, placement::Choice, table::Key};
 use hyper::{
     Request, Response,
     http::{StatusCode, response},
@@ -322,7 +322,7 @@
             self.gateway.back_off_engine(key, time);
         }
         if status == StatusCode::MISDIRECTED_REQUEST && !response_head.sealed {
-            self.handle_misdirected(key, instance, &response_head);
+            self.handle_misdirected(key, instance, in_flight.sent_at, &response_head);
             self.trace.record_outcome(attempt, "421 not held");
             in_flight.discard_response(response).await;
             return Outcome::NotExecuted(Some(status));
@@ -357,7 +357,7 @@
             .record_outcome(attempt, format!("answers {}", status.as_u16()));
         self.may_have_run = true;
         self.way_back = None;
-        self.confirm_adapter(key);
+        self.confirm_adapter(key, in_flight.sent_at);
         self.gateway.record_acceptance(key);
         self.confirm_engine(&in_flight).await;
         if status.is_success() && self.is_of_uncertain_build(&in_flight) {
@@ -417,7 +417,13 @@
     }
 
     /// Handles status 421: the engine does not hold the adapter, or another engine has its address.
-    fn handle_misdirected(&mut self, key: Key, instance: &str, response_head: &ResponseHead) {
+    fn handle_misdirected(
+        &mut self,
+        key: Key,
+        instance: &str,
+        sent_at: Time,
+        response_head: &ResponseHead,
+    ) {
         let mismatch = response_head
             .instance
             .as_ref()
@@ -433,30 +439,35 @@
             return;
         }
         if let Some(name) = &self.request_head.name {
-            let unconfirmed = engine.record_miss(name, clock::now());
-            log::debug!("engine {instance} does not hold {name}; load unconfirmed: {unconfirmed}");
-            if unconfirmed {
+            let miss = engine.record_miss(name, sent_at, clock::now());
+            log::debug!("engine {instance} does not hold {name}: {miss:?}");
+            if miss != Miss::Unexpected {
                 self.gateway.metrics.count_load("early");
-                self.gateway.loader.borrow_mut().record_arrival(false);
                 // The load may still be in flight, so the next attempt may go to the same engine.
                 self.attempted_engines.retain(|it| *it != key);
             }
             if !engine.held.contains_key(name) {
                 self.gateway.in_flight_loads.borrow_mut().remove(name, key);
             }
+            drop(table);
+            if let Miss::Last(arrival) = miss {
+                self.gossip.report_first_requests(key, name, &arrival);
+            }
         }
     }
 
     /// Records that the engine holds the adapter.
-    fn confirm_adapter(&self, key: Key) {
+    fn confirm_adapter(&self, key: Key, sent_at: Time) {
         let Some(name) = &self.request_head.name else {
             return;
         };
         let mut table = self.gateway.table.borrow_mut();
         let estimate = table.get_mut(key).and_then(|it| it.held.get_mut(name));
-        if estimate.is_some_and(fleet::engine::Estimate::confirm) {
+        let arrival = estimate.and_then(|it| it.confirm(sent_at));
+        drop(table);
+        if let Some(arrival) = arrival {
             self.gateway.metrics.count_load("in-time");
-            self.gateway.loader.borrow_mut().record_arrival(true);
+            self.gossip.report_first_requests(key, name, &arrival);
             self.gateway.wake_waiters(name);
         }
     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -674,6 +674,15 @@
         let is_limited = |it: &(_, &Engine)| it.1.limit.rate().is_some();
         let limited = self.table.borrow().iter().filter(is_limited).count();
         self.metrics.record_limited_engines(limited);
+        let loader = self.loader.borrow();
+        let times = [
+            ("store", &loader.fetch_time),
+            ("memory", &loader.reload_time),
+        ];
+        for (source, it) in times {
+            self.metrics.record_load_time(source, it.expected());
+        }
+        drop(loader);
         let live_hosts = self.peers.borrow().live_hosts(clock::now()).len();
         self.metrics
             .record_state(config, engines, live_hosts, self.orderable_engines().len());
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -5,6 +5,7 @@
 mod accounts;
 mod identity;
 mod limits;
+mod load_times;
 mod origins;
 mod quarantine;
 
@@ -119,6 +120,8 @@
                 Some(Message::Ended(it)) => self.handle_ended(&it),
                 Some(Message::Alive(it)) => self.handle_alive(it),
                 Some(Message::AccountUsage(it)) => self.handle_account_usage(&it, from),
+                Some(Message::FirstRequests(it)) => self.handle_first_requests(&it),
+                Some(Message::LoadTimes(it)) => self.handle_load_times(&it),
                 None => log::debug!("cannot decode datagram from {from}"),
             }
         }
@@ -305,6 +308,7 @@
         self.update_coordination(now);
         let limits = self.limit_messages(now);
         let accounts = self.account_messages(now);
+        let load_times = self.load_times_message();
         self.announce_held_origins();
         let mut usage = self.usage_by_steward();
         for host in self.gateway.peers.borrow_mut().take_lost(now) {
@@ -323,7 +327,8 @@
             };
             heartbeat = it;
             let parts = workloads.iter().chain(&drains);
-            for part in parts.chain(&reports).chain(&limits).chain(&accounts) {
+            let parts = parts.chain(&reports).chain(&limits).chain(&accounts);
+            for part in parts.chain(&load_times) {
                 self.send(part, addr).await;
             }
         }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -136,7 +136,9 @@
         | Message::TurnReply(_)
         | Message::LimitSuperseded(_)
         | Message::Ended(_)
-        | Message::Alive(_) => None,
+        | Message::Alive(_)
+        | Message::FirstRequests(_)
+        | Message::LoadTimes(_) => None,
     }
 }
 
@@ -201,6 +203,46 @@
     Alive(EngineIncarnation),
     /// What the host has admitted of client accounts with a quota. Earlier builds, which know no accounts, discard it.
     AccountUsage(AccountUsage),
+    /// The first requests after a load, sent to the steward of the engine. Earlier builds discard it.
+    FirstRequests(FirstRequests),
+    /// Observed durations of loads. Earlier builds discard it.
+    LoadTimes(LoadTimes),
+}
+
+/// First requests of a host after a load. Encoding of [`fleet::loader::Arrival`].
+#[derive(Debug, Deserialize, Serialize)]
+pub struct FirstRequests {
+    /// Id of the engine.
+    pub engine: ShortId,
+    /// Name of the adapter.
+    pub name: String,
+    /// Requests that found the adapter missing.
+    pub misses: u32,
+    /// Time in ms from the expected end of the load to the last of them.
+    pub missing_after_ms: u32,
+    /// Time in ms from the expected end to the request that found the adapter; `None` if none did.
+    pub found_after_ms: Option<u32>,
+}
+
+/// Durations of loads that nothing slowed down, as the sender has observed them.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct LoadTimes {
+    /// Loads from the weight store.
+    pub fetches: ObservedTimes,
+    /// Loads from the memory of the engines.
+    pub reloads: ObservedTimes,
+}
+
+/// Durations of one kind of load.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct ObservedTimes {
+    /// The sender's estimate in ms.
+    pub expected_ms: u32,
+    /// Number of loads on which it is based.
+    pub samples: u32,
+    /// Loads since the last message: time in ms after which the adapter was still missing, if it was, and after which it
+    /// was found.
+    pub observations: Vec<(Option<u32>, u32)>,
 }
 
 /// What a host has admitted of client accounts with a quota.
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -43,6 +43,7 @@
     claims: Gauge<u64>,
     retries_left: Gauge<f64>,
     list_age: Gauge<f64>,
+    load_time: Gauge<f64>,
     loop_delay: Histogram<f64>,
     crashes: Counter<u64>,
     trials: Counter<u64>,
@@ -69,6 +70,7 @@
     pub fn new() -> Self {
         let exposition = Exposition::new(NAMESPACE);
         let meter = exposition.meter();
+        let seconds = |name, description| build_duration_gauge(&meter, name, description);
         let counter = |name, description| build_counter(&meter, name, description);
         let gauge = |name: &'static str, description: &'static str| {
             meter.u64_gauge(name).with_description(description).build()
@@ -117,10 +119,8 @@
             retries_left: (meter.f64_gauge("repeats_left"))
                 .with_description("Repeats that the budget has left at this host")
                 .build(),
-            list_age: (meter.f64_gauge("list_age"))
-                .with_description("Time since the store's answer that a list rests on")
-                .with_unit("s")
-                .build(),
+            list_age: seconds("list_age", "Age of the answer that a list rests on"),
+            load_time: seconds("load_time", "Expected time of an adapter load"),
             loop_delay: build_duration_histogram(
                 &meter,
                 "loop_delay",
@@ -329,6 +329,12 @@
         self.list_age.record(age.as_secs_f64(), &labels);
     }
 
+    /// Records how long loads of adapters are expected to take.
+    pub fn record_load_time(&self, source: &'static str, expected: Duration) {
+        let labels = [KeyValue::new("source", source)];
+        self.load_time.record(expected.as_secs_f64(), &labels);
+    }
+
     /// Records the delay of a timer of the event loop.
     pub fn record_loop_delay(&self, delay: Duration) {
         self.loop_delay.record(delay.as_secs_f64(), &[]);
@@ -351,6 +357,15 @@
         .build()
 }
 
+fn build_duration_gauge(
+    meter: &Meter,
+    name: &'static str,
+    description: &'static str,
+) -> Gauge<f64> {
+    let gauge = meter.f64_gauge(name).with_description(description);
+    gauge.with_unit("s").build()
+}
+
 fn build_duration_histogram(
     meter: &Meter,
     name: &'static str,
--- a/crates/gateway/tests/message.rs
+++ b/crates/gateway/tests/message.rs
@@ -1,9 +1,9 @@
 //! Encoding of datagrams between hosts.
 
 use gateway::message::{
-    AdapterUsage, EngineLimit, Heartbeat, LoadRequest, MAX_DATAGRAM_BYTES, Message, StatedLimit,
-    TurnOutcome, TurnReply, TurnRequest, Workloads, decode, encode, encode_within_limit,
-    make_adapter_update, make_incarnation,
+    AdapterUsage, EngineLimit, FirstRequests, Heartbeat, LoadRequest, LoadTimes,
+    MAX_DATAGRAM_BYTES, Message, ObservedTimes, StatedLimit, TurnOutcome, TurnReply, TurnRequest,
+    Workloads, decode, encode, encode_within_limit, make_adapter_update, make_incarnation,
 };
 
 #[test]
@@ -123,3 +123,26 @@
     assert!(bytes <= 110 * 25, "{bytes} bytes");
     assert!(sizes.iter().all(|it| *it <= 36), "{sizes:?}");
 }
+
+/// Each load is reported to the steward, and each steward tells all hosts about the loads of a heartbeat interval.
+#[test]
+fn reports_about_loads_take_few_bytes() {
+    let times = || ObservedTimes {
+        expected_ms: 290,
+        samples: 100_000,
+        observations: vec![(Some(290), 320); 16],
+    };
+    let times = Message::LoadTimes(LoadTimes {
+        fetches: times(),
+        reloads: times(),
+    });
+    let report = Message::FirstRequests(FirstRequests {
+        engine: u32::MAX,
+        name: "model-m0/adapter-9999".to_owned(),
+        misses: 2,
+        missing_after_ms: 40,
+        found_after_ms: Some(90),
+    });
+    let sizes = [report, times].map(|it| encode_within_limit(&it)[0].len());
+    assert!(sizes[0] <= 40 && sizes[1] <= 200, "{sizes:?}");
+}
--- a/crates/gateway/tests/page.rs
+++ b/crates/gateway/tests/page.rs
@@ -72,6 +72,7 @@
     metrics.record_latency("s", "r", second, second);
     metrics.record_retries_left("s", 1.0);
     metrics.record_list_age("engines", second);
+    metrics.record_load_time("store", second);
     metrics.record_loop_delay(second);
     metrics.count_retry("s", "sent");
     metrics.count_connection(Origin::New);
