--- a/crates/experiment/src/platform/hosts.rs
+++ b/crates/experiment/src/platform/hosts.rs
@@ -7,10 +7,10 @@
     Time,
     capacity::{Load, Samples},
     catalog::{Capacity, Catalog, Limits, Model, Service},
-    engine::Workload,
+    engine::{Miss, Workload},
     in_flight::{self, InFlightLoads},
     listing::{Held, Listing, Name, State},
-    loader::{self, Action, Loader, Op, Order, Outcome, Status, View},
+    loader::{self, Action, Arrival, Loader, Op, Order, Outcome, Status, View},
     placement::{self, Placement, Purpose},
     prefix::{Chain, Part},
     table::{Freshness, Key, Table},
@@ -280,6 +280,14 @@
         stewards[nth % stewards.len().max(1)]
     }
 
+    /// Reports the first requests after a load to the steward of the engine. The message isn't delayed here.
+    fn report_first_requests(&mut self, engine: usize, name: &Name, arrival: &Arrival, now: Time) {
+        let steward = engine % self.states.len();
+        let key = self.engine_keys[engine];
+        let loader = &mut self.states[steward].loader;
+        loader.record_first_requests(key, name, arrival, now);
+    }
+
     /// Sends a load request unless one was sent recently.
     fn request_load(&mut self, simulation: &mut Simulation<Message>, host: usize, adapter: usize) {
         let now = simulation.now;
@@ -637,17 +645,22 @@
         engine: usize,
     ) {
         let arrival = simulation.requests[request].arrival.clone();
+        let now = to_time(simulation.now);
+        let sent = self
+            .sent_requests
+            .get(&request)
+            .map_or(now, |it| it.sent_at);
         self.release_request(request, arrival.host, arrival.adapter, engine);
         let name = self.adapter_names[arrival.adapter].clone();
-        let now = to_time(simulation.now);
         let it = &mut self.states[arrival.host];
         if let Some(found) = it.table.get_mut(self.engine_keys[engine]) {
-            if found.record_miss(&name, now) {
-                it.loader.record_arrival(false);
-            }
+            let miss = found.record_miss(&name, sent, now);
             if !found.held.contains_key(&name) {
                 it.in_flight.remove(&name, self.engine_keys[engine]);
             }
+            if let Miss::Last(it) = miss {
+                self.report_first_requests(engine, &name, &it, now);
+            }
         }
         simulation.schedule_placement(2 * MESSAGE_DELAY, request);
     }
@@ -698,9 +711,11 @@
         let load = sent.load;
         sent.prefill_tokens = 0;
         let estimate = it.held.get_mut(name);
-        if estimate.is_some_and(fleet::engine::Estimate::confirm) {
-            self.states[host].loader.record_arrival(true);
+        let sent_at = sent.sent_at;
+        if let Some(it) = estimate.and_then(|it| it.confirm(sent_at)) {
             let adapter = arrival.adapter;
+            let name = name.clone();
+            self.report_first_requests(engine, &name, &it, now);
             self.wake_waiters(simulation, host, Some(adapter));
         }
         // Heartbeats, which carry the samples, aren't delayed here.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -6,6 +6,7 @@
 mod capacity;
 mod identity;
 mod limits;
+mod load_times;
 mod origins;
 mod quarantine;
 
@@ -121,6 +122,8 @@
                 Some(Message::Alive(it)) => self.handle_alive(it),
                 Some(Message::Speeds(it)) => self.handle_speeds(&it),
                 Some(Message::AccountUsage(it)) => self.handle_account_usage(&it, from),
+                Some(Message::FirstRequests(it)) => self.handle_first_requests(&it),
+                Some(Message::LoadTimes(it)) => self.handle_load_times(&it),
                 None => log::debug!("cannot decode datagram from {from}"),
             }
         }
@@ -308,6 +311,7 @@
         let limits = self.limit_messages(now);
         let accounts = self.account_messages(now);
         let speeds = self.speed_messages(now);
+        let load_times = self.load_times_message();
         self.announce_held_origins();
         let mut usage = self.usage_by_steward();
         for host in self.gateway.peers.borrow_mut().take_lost(now) {
@@ -326,12 +330,8 @@
             };
             heartbeat = it;
             let parts = workloads.iter().chain(&drains);
-            for part in parts
-                .chain(&reports)
-                .chain(&limits)
-                .chain(&accounts)
-                .chain(&speeds)
-            {
+            let parts = parts.chain(&reports).chain(&limits).chain(&accounts);
+            for part in parts.chain(&speeds).chain(&load_times) {
                 self.send(part, addr).await;
             }
         }
