Count the requests before one by the engines that can take them

Cause: with the order of waiting requests, a request was refused at once if those before it at its engine took longer than it may be held, though they may go to any engine that holds the adapter.

Change: the time per request before it is divided by the engines that hold the adapter. Also: heartbeats are encoded once for all hosts, and this host's work is reported to other domains with every second one, as long as heartbeats are not slowed down: reports made up most of the traffic between domains (computed).

--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -520,6 +520,14 @@
             .collect()
     }
 
+    /// Returns the number of engines of a service that accept work and hold an adapter or a base model.
+    pub fn count_holders(&self, service: &str, name: &Name) -> usize {
+        let holds = |it: &&Engine| {
+            *it.listing.service == *service && it.accepts_work() && it.held.contains_key(name)
+        };
+        self.engines.values().filter(holds).count()
+    }
+
     /// Returns the key of an id.
     pub fn find(&self, id: &str) -> Option<Key> {
         self.ids.get(id).copied()
--- a/crates/gateway/src/exchange/waiting.rs
+++ b/crates/gateway/src/exchange/waiting.rs
@@ -171,12 +171,16 @@
         }
     }
 
-    /// Expected time between two slots that come free at an engine.
+    /// Expected time between two slots that come free at an engine which the requests before this one may take: most of them
+    /// may go to any that holds the adapter.
     fn time_per_request(&self, choice: &Choice) -> Duration {
         let table = self.gateway.table.borrow();
         let slots = table
             .get(choice.key)
             .map_or(1, |it| it.listing.slots.max(1));
-        table.run_time(&self.service) / u32::try_from(slots).unwrap_or(u32::MAX)
+        let name = self.request_head.name.as_ref();
+        let holders = name.map_or(1, |it| table.count_holders(&self.service, it).max(1));
+        let slots = u32::try_from(slots * holders).unwrap_or(u32::MAX);
+        table.run_time(&self.service) / slots
     }
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -113,6 +113,8 @@
     pub speed_samples: RefCell<HashMap<Key, Samples>>,
     /// When they were last sent.
     pub speeds_sent_at: Cell<Time>,
+    /// Number of heartbeats that this host has sent.
+    pub heartbeats_sent: Cell<u32>,
     /// Known engines with their estimated state.
     pub table: RefCell<Table>,
     /// True once a whole list of engines has been applied.
@@ -258,6 +260,7 @@
             head_timeout: HeadTimeout::default(),
             queues: Queues::default(),
             usage_reports: Cell::default(),
+            heartbeats_sent: Cell::default(),
             speed_samples: RefCell::default(),
             speeds_sent_at: Cell::default(),
             table: RefCell::default(),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -48,9 +48,15 @@
         LoadRequest, MAX_ADAPTERS_PER_MESSAGE, MAX_WORKLOADS_PER_MESSAGE, Message, ShortId,
         Workloads,
     },
-    peers::HEARTBEAT_INTERVAL,
+    peers::{HEARTBEAT_INTERVAL, HeartbeatTarget},
 };
 
+/// Heartbeats from one report of this host's work to hosts of other domains to the next.
+const WORK_REPORT_INTERVAL: u32 = 2;
+
+/// Slowdown of the heartbeats up to which reports of work are left out. Beyond, they would be outdated before the next.
+const MAX_SLOWDOWN_OF_RARE_REPORTS: f64 = 1.6;
+
 /// Maximum number of hosts to which each prompt is announced.
 const MAX_PROMPT_RECIPIENTS: usize = 100;
 
@@ -304,24 +310,28 @@
     async fn send_heartbeat(&self) {
         let now = clock::now();
         let mut heartbeat = self.build_heartbeat(now);
-        let workloads = self.workload_messages();
-        let drains = self.drain_messages();
-        let reports = self.report_messages(now);
+        // These describe this host's work, most of which is at engines of its own domain.
+        let work = [self.workload_messages(), self.account_messages(now)];
+        let work = encode_all(work.iter().flatten());
+        let news = [self.drain_messages(), self.report_messages(now)];
         self.update_coordination(now);
         let limits = self.limit_messages(now);
-        let accounts = self.account_messages(now);
         let speeds = self.speed_messages(now);
         let load_times = self.load_times_message();
+        let news = news.iter().flatten().chain(&limits).chain(&speeds);
+        let news = encode_all(news.chain(&load_times));
+        let sends_work_afar = self.sends_work_afar();
         self.announce_held_origins();
         let mut usage = self.usage_by_steward();
         for host in self.gateway.peers.borrow_mut().take_lost(now) {
             log::info!(event = "host-lost", host = &*host; "host {host} is silent or shutting down");
         }
         let targets = self.gateway.peers.borrow_mut().heartbeat_targets(now);
-        for (name, addr) in targets {
+        for HeartbeatTarget { name, addr, domain } in targets {
             if addr == self.gateway.settings.peers {
                 continue;
             }
+            let is_afar = domain.is_some_and(|it| *it != *self.gateway.settings.domain);
             heartbeat.adapter_usage = name.and_then(|it| usage.remove(&it)).unwrap_or_default();
             let message = Message::Heartbeat(heartbeat);
             self.send(&message, addr).await;
@@ -329,14 +339,22 @@
                 return;
             };
             heartbeat = it;
-            let parts = workloads.iter().chain(&drains);
-            let parts = parts.chain(&reports).chain(&limits).chain(&accounts);
-            for part in parts.chain(&speeds).chain(&load_times) {
-                self.send(part, addr).await;
+            let work = work.iter().filter(|_| sends_work_afar || !is_afar);
+            for datagram in news.iter().chain(work) {
+                self.send_datagram(datagram, addr).await;
             }
         }
     }
 
+    /// Returns whether this heartbeat reports this host's work to other domains, too. Traffic between domains is scarce, and
+    /// what changes at once is announced at once.
+    fn sends_work_afar(&self) -> bool {
+        let number = self.gateway.heartbeats_sent.get();
+        self.gateway.heartbeats_sent.set(number.wrapping_add(1));
+        let is_rare = self.gateway.peers.borrow().slowdown() > MAX_SLOWDOWN_OF_RARE_REPORTS;
+        is_rare || number.is_multiple_of(WORK_REPORT_INTERVAL)
+    }
+
     /// Sends the state of this host's lists to the hosts of its domain at once.
     async fn send_list_state(&self) {
         let message = Message::ListState(list_sync::list_state(&self.gateway));
@@ -626,10 +644,19 @@
     async fn send_all(&self, message: &Message, to: &[SocketAddr]) {
         for datagram in message::encode_within_limit(message) {
             for addr in to {
-                if let Err(error) = self.socket.send_to(&datagram, addr).await {
-                    log::debug!("cannot send datagram to {addr}: {error}");
-                }
+                self.send_datagram(&datagram, *addr).await;
             }
         }
     }
+
+    async fn send_datagram(&self, datagram: &[u8], to: SocketAddr) {
+        if let Err(error) = self.socket.send_to(datagram, to).await {
+            log::debug!("cannot send datagram to {to}: {error}");
+        }
+    }
+}
+
+/// Encodes messages that several hosts receive.
+fn encode_all<'a>(messages: impl Iterator<Item = &'a Message>) -> Vec<Vec<u8>> {
+    messages.flat_map(message::encode_within_limit).collect()
 }
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -55,6 +55,17 @@
     Anywhere,
 }
 
+/// Host that gets heartbeats.
+#[derive(Debug)]
+pub struct HeartbeatTarget {
+    /// Its name; `None` if only its address is known.
+    pub name: Option<Arc<str>>,
+    /// Its address.
+    pub addr: SocketAddr,
+    /// Its failure domain, if it is known.
+    pub domain: Option<Arc<str>>,
+}
+
 /// Known state of another host.
 #[derive(Debug)]
 struct Peer {
@@ -224,7 +235,7 @@
 
     /// Names and addresses of all known hosts, and the seeds until a message of any host was
     /// received. Forgets hosts that have been silent for long.
-    pub fn heartbeat_targets(&mut self, now: Time) -> Vec<(Option<Arc<str>>, SocketAddr)> {
+    pub fn heartbeat_targets(&mut self, now: Time) -> Vec<HeartbeatTarget> {
         self.by_name.retain(|_, it| {
             it.last_received
                 .unwrap_or(it.last_listed)
@@ -233,9 +244,19 @@
                 > now
         });
         let known = self.by_name.iter();
-        let mut known: Vec<_> = known.map(|it| (Some(it.0.clone()), it.1.addr)).collect();
+        let mut known: Vec<_> = known
+            .map(|(name, it)| HeartbeatTarget {
+                name: Some(name.clone()),
+                addr: it.addr,
+                domain: Some(it.domain.clone()),
+            })
+            .collect();
         if self.by_name.values().all(|it| it.last_received.is_none()) {
-            known.extend(self.seeds.iter().map(|it| (None, *it)));
+            known.extend(self.seeds.iter().map(|it| HeartbeatTarget {
+                name: None,
+                addr: *it,
+                domain: None,
+            }));
         }
         known
     }
