Refuse a request only when its engine is known to be full

Cause: in the first moments of a burst a host counts requests of another host twice, as announced and as reported, and takes all engines for full.

Change: such a request is held for the 0.4 s in which reports of the others correct the estimate.

--- a/crates/fleet/src/admission.rs
+++ b/crates/fleet/src/admission.rs
@@ -16,6 +16,10 @@
 /// Part of the queueing time of a more urgent route that the requests of a less urgent one may use.
 const LESS_URGENT_FRACTION: f64 = 0.85;
 
+/// Time in which the reports of other hosts correct what a host believes of an engine. For a moment, a request of another
+/// host may count twice: once as announced, once as reported.
+pub const CONFIRMATION_TIME: Duration = Duration::from_millis(400);
+
 /// A request with a chosen engine.
 #[derive(Clone, Copy, Debug)]
 pub struct Candidate {
@@ -29,6 +33,8 @@
     pub expected_wait: Duration,
     /// Part of `expected_wait` until the engine has a free slot.
     pub queue_wait: Duration,
+    /// Time from the arrival after which what is believed of the engine is confirmed.
+    pub confirmed_after: Duration,
     /// Time that the requests take which come first among those held for the engine.
     pub wait_ahead: Duration,
     /// Random number between 0 and 1.
@@ -58,9 +64,12 @@
     if may_queue(waited, target, expected_wait, queue_wait) {
         return Decision::Send;
     }
-    // It gets no slot in the time for which it may be held, so its caller is told at once.
+    // It gets no slot in the time for which it may be held, so its caller is told at once if that is certain.
     let until_slot = (queue_wait + candidate.wait_ahead).max(CHECK_INTERVAL);
-    if waited + until_slot < candidate.max_hold {
+    let is_confirmed = waited >= candidate.confirmed_after;
+    if waited + until_slot < candidate.max_hold
+        || !is_confirmed && waited + CHECK_INTERVAL < candidate.max_hold
+    {
         let jitter = 0.5 + candidate.random.clamp(0.0, 1.0);
         return Decision::Hold(CHECK_INTERVAL.mul_f64(jitter));
     }
--- a/crates/fleet/tests/it/admissions.rs
+++ b/crates/fleet/tests/it/admissions.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::VecDeque, time::Duration};
 
-use fleet::admission::{Candidate, Decision, decide, queue_target};
+use fleet::admission::{CONFIRMATION_TIME, Candidate, Decision, decide, queue_target};
 
 use crate::fixture::ms;
 
@@ -71,6 +71,7 @@
                 max_hold: ms(MAX_HOLD),
                 expected_wait: queue_wait + ms(100),
                 queue_wait,
+                confirmed_after: Duration::ZERO,
                 wait_ahead: Duration::ZERO,
                 random: 0.5,
             };
@@ -135,6 +136,7 @@
         max_hold: ms(2200),
         expected_wait: ms(300),
         queue_wait: Duration::ZERO,
+        confirmed_after: Duration::ZERO,
         wait_ahead: Duration::ZERO,
         random: 0.5,
     };
@@ -150,6 +152,7 @@
         max_hold: ms(MAX_HOLD),
         expected_wait: ms(1000),
         queue_wait: ms(900),
+        confirmed_after: Duration::ZERO,
         wait_ahead: ms(ahead),
         random: 0.5,
     };
@@ -169,3 +172,22 @@
     // The target of another route never takes the whole time.
     assert!(queue_target(ms(800), Some(ms(1))) >= ms(300));
 }
+
+/// Replays the first moments of a burst, in which a host counts requests of others twice and takes all engines for full.
+#[test]
+fn a_request_is_not_refused_before_it_is_certain_that_the_engine_is_full() {
+    let decide_after = |waited: u64| {
+        decide(&Candidate {
+            waited: ms(waited),
+            target: ms(800),
+            max_hold: ms(2200),
+            expected_wait: ms(2400),
+            queue_wait: ms(2400),
+            confirmed_after: CONFIRMATION_TIME,
+            wait_ahead: Duration::ZERO,
+            random: 0.5,
+        })
+    };
+    assert!(matches!(decide_after(100), Decision::Hold(_)));
+    assert_eq!(decide_after(400), Decision::Refuse);
+}
--- a/crates/fleet/tests/it/queues.rs
+++ b/crates/fleet/tests/it/queues.rs
@@ -109,6 +109,7 @@
                 max_hold: ms(MAX_HOLD),
                 expected_wait: queue_wait + ms(SERVICE_TIME),
                 queue_wait,
+                confirmed_after: Duration::ZERO,
                 wait_ahead: ms(RUN_TIME / SLOTS * count(ahead)),
                 random: f64::from(u8::try_from(random >> 56).expect("it fits")) / 255.0,
             });
--- a/crates/gateway/src/exchange/waiting.rs
+++ b/crates/gateway/src/exchange/waiting.rs
@@ -4,7 +4,7 @@
 
 use fleet::{
     Time,
-    admission::{self, Decision},
+    admission::{self, CONFIRMATION_TIME, Decision},
     placement::Choice,
     queue::{Claim, Turn},
 };
@@ -87,6 +87,7 @@
                 max_hold: until.saturating_sub(self.started),
                 expected_wait: choice.expected_wait,
                 queue_wait: choice.queue_wait,
+                confirmed_after: CONFIRMATION_TIME,
                 wait_ahead: per_request * u32::try_from(ahead).unwrap_or(u32::MAX),
                 random: rand::random(),
             };
