Share the decay of sums, the time of messages and the request of tests

Cause: a read of the whole change. The decay of sums stood in three places (capacity, queue::shares, engine::Estimate), the conversion of milliseconds of messages in two files, the request of placement tests three times, and each admission counted the holders of its adapter, though only requests with others before them need it.

Change: crate-private decay::factor; message::from_millis; fixture::request; the time per request is computed if another comes first. No behaviour and no assertion changes.

--- a/crates/fleet/src/capacity.rs
+++ b/crates/fleet/src/capacity.rs
@@ -13,7 +13,7 @@
 
 use std::time::Duration;
 
-use crate::Time;
+use crate::{Time, decay};
 
 /// Line that is assumed until requests have shown another one: a rate in prompt tokens a ms, and the time in ms until the
 /// first event of a prompt that needs no reading.
@@ -107,12 +107,6 @@
     }
 }
 
-/// Factor by which a sum has decayed since `at`.
-fn decay(at: Time, half_life: Duration, now: Time) -> f64 {
-    let age = now.saturating_sub(at).as_secs_f64();
-    (-age / half_life.as_secs_f64()).exp2()
-}
-
 /// Time of an engine of average speed until the first event: a line over the prompt tokens that it has to read.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Line {
@@ -161,7 +155,7 @@
         if samples.count <= 0.0 {
             return;
         }
-        let factor = decay(self.at, SERVICE_HALF_LIFE, now);
+        let factor = decay::factor(self.at, SERVICE_HALF_LIFE, now);
         self.at = now;
         let count = samples.count;
         let (tokens, millis) = (samples.tokens / count, samples.millis / count / slowness);
@@ -220,7 +214,7 @@
         half_life: Duration,
         now: Time,
     ) {
-        let factor = decay(self.at, half_life, now);
+        let factor = decay::factor(self.at, half_life, now);
         *self = Self {
             at: now,
             count: self.count * factor + count,
@@ -231,7 +225,7 @@
 
     /// Actual over expected time. Samples of average speed count with [`PRIOR_MS`].
     fn slowness(&self, half_life: Duration, now: Time) -> f64 {
-        let factor = decay(self.at, half_life, now);
+        let factor = decay::factor(self.at, half_life, now);
         let actual = self.actual_ms * factor + PRIOR_MS;
         let expected = self.expected_ms * factor + PRIOR_MS;
         (actual / expected).clamp(MIN_SLOWNESS, MAX_SLOWNESS)
@@ -250,7 +244,7 @@
 
 impl Recent {
     fn add(&mut self, count: f64, slowness: f64, expected_ms: f64, now: Time) {
-        let factor = decay(self.at, RECENT_HALF_LIFE, now);
+        let factor = decay::factor(self.at, RECENT_HALF_LIFE, now);
         *self = Self {
             at: now,
             count: self.count * factor + count,
@@ -383,7 +377,7 @@
 
     /// The estimate, for operators.
     pub fn rate(&self, now: Time) -> Rate {
-        let count = self.long.count * decay(self.long.at, LONG_HALF_LIFE, now);
+        let count = self.long.count * decay::factor(self.long.at, LONG_HALF_LIFE, now);
         Rate {
             tokens_per_ms: self.tokens_per_ms(now),
             relative_error: self.line.deviation.max(MIN_DEVIATION) / (count + 1.0).sqrt(),
--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -11,6 +11,7 @@
     backoff::Backoff,
     capacity::{Load, Speed},
     circuit::Circuit,
+    decay,
     identity::Identity,
     listing::{Held, Listing, Name, State},
     loader::Arrival,
@@ -146,8 +147,7 @@
 
     /// Returns the decayed number of uses.
     pub fn uses(&self, now: Time) -> f64 {
-        let age = now.saturating_sub(self.last_used).as_secs_f64();
-        self.uses * (-age / USES_HALF_LIFE.as_secs_f64()).exp2()
+        self.uses * decay::factor(self.last_used, USES_HALF_LIFE, now)
     }
 
     /// Returns the time of the last use or of the load.
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod catalog;
 pub mod check;
 pub mod circuit;
+mod decay;
 pub mod engine;
 pub mod era;
 pub mod identity;
--- a/crates/fleet/src/queue/shares.rs
+++ b/crates/fleet/src/queue/shares.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use crate::Time;
+use crate::{Time, decay};
 
 /// Time in which recorded work loses half of its weight.
 const HALF_LIFE: Duration = Duration::from_secs(2);
@@ -70,6 +70,5 @@
 }
 
 fn decayed((work, at): (f64, Time), now: Time) -> f64 {
-    let half_lives = now.saturating_sub(at).as_secs_f64() / HALF_LIFE.as_secs_f64();
-    work * (-half_lives).exp2()
+    work * decay::factor(at, HALF_LIFE, now)
 }
--- a/crates/fleet/tests/it/capacities.rs
+++ b/crates/fleet/tests/it/capacities.rs
@@ -5,11 +5,11 @@
 use fleet::{
     Time,
     capacity::{Average, Line, Load, Samples, Speed},
-    placement::{Placement, PlacementRequest, place},
+    placement::{Placement, place},
 };
 use rand::{Rng, RngExt, SeedableRng, rngs::SmallRng};
 
-use crate::fixture::{NOW, at, ms, prompt, table};
+use crate::fixture::{NOW, at, ms, prompt, request, table};
 
 /// Rate of an engine of average speed in the tests, in tokens a ms.
 const AVERAGE: f64 = 20.0;
@@ -180,17 +180,7 @@
     for _ in 0..12 {
         let name = "m/a1".into();
         let chain = prompt(1500);
-        let request = PlacementRequest {
-            service: "chat",
-            name: Some(&name),
-            chain: &chain,
-            max_gap: ms(300),
-            domain: "z-1",
-            tried: &[],
-            build: None,
-            turn: None,
-            random: random.next_u64(),
-        };
+        let request = request(&name, &chain, random.next_u64());
         let (Placement::Send(choice) | Placement::Delay(choice)) = place(&table, &request, now)
         else {
             panic!("both engines hold the adapter");
@@ -219,17 +209,7 @@
         it.record_prompt(1500, now);
         let name = "m/a1".into();
         let chain = prompt(1500);
-        let request = PlacementRequest {
-            service: "chat",
-            name: Some(&name),
-            chain: &chain,
-            max_gap: ms(300),
-            domain: "z-1",
-            tried: &[],
-            build: None,
-            turn: None,
-            random: 5,
-        };
+        let request = request(&name, &chain, 5);
         let placement = place(&table, &request, now);
         let delays = matches!(placement, Placement::Delay(_));
         assert_eq!(delays, is_delayed, "{tokens_per_ms}: {placement:?}");
--- a/crates/fleet/tests/it/fixture.rs
+++ b/crates/fleet/tests/it/fixture.rs
@@ -6,7 +6,8 @@
     Time,
     account::Access,
     catalog::{Capacity, Catalog, Limits, Model, RequestKind, Route, Service, Target},
-    listing::{Held, Listing, State},
+    listing::{Held, Listing, Name, State},
+    placement::PlacementRequest,
     prefix::{Chain, Part},
     table::{Key, Table},
 };
@@ -102,6 +103,21 @@
     }
 }
 
+/// A request of domain `z-1` for an adapter.
+pub fn request<'a>(name: &'a Name, chain: &'a Chain, random: u64) -> PlacementRequest<'a> {
+    PlacementRequest {
+        service: "chat",
+        name: Some(name),
+        chain,
+        max_gap: ms(300),
+        domain: "z-1",
+        tried: &[],
+        build: None,
+        turn: None,
+        random,
+    }
+}
+
 pub fn prompt(tokens: u32) -> Chain {
     Chain::new("m/a", &[Part { id: 7, tokens }])
 }
--- a/crates/fleet/tests/it/placements.rs
+++ b/crates/fleet/tests/it/placements.rs
@@ -9,7 +9,7 @@
     table::{Key, Table},
 };
 
-use crate::fixture::{NOW, at, listing, ms, prompt, table};
+use crate::fixture::{NOW, at, listing, ms, prompt, request, table};
 
 /// Places a request of domain `z-1` for the adapter `name`.
 fn place_request(table: &Table, name: Option<&str>, chain: &Chain, tried: &[Key]) -> Placement {
@@ -87,17 +87,7 @@
     }
     for random in 0..20 {
         let name = "m/a1".into();
-        let request = PlacementRequest {
-            service: "chat",
-            name: Some(&name),
-            chain: &chain,
-            max_gap: ms(300),
-            domain: "z-1",
-            tried: &[],
-            build: None,
-            turn: None,
-            random,
-        };
+        let request = request(&name, &chain, random);
         assert_eq!(chosen(place(&table, &request, at(0))), Some(keys[1]));
     }
     assert_eq!(
--- a/crates/gateway/src/exchange/waiting.rs
+++ b/crates/gateway/src/exchange/waiting.rs
@@ -78,9 +78,12 @@
             .catalog()
             .and_then(|it| it.more_urgent_target(priority, &self.service));
         let target = admission::queue_target(self.route.latency_target, most_urgent);
-        let per_request = self.time_per_request(choice);
         self.gateway.queues.with(&self.service, |queue| {
             let ahead = queue.ahead(claim, ticket, now);
+            let wait_ahead = match u32::try_from(ahead).unwrap_or(u32::MAX) {
+                0 => Duration::ZERO,
+                it => self.time_per_request(choice) * it,
+            };
             let candidate = admission::Candidate {
                 waited: now.saturating_sub(self.started),
                 target: queue.target(target, claim.account.as_ref(), priority, now),
@@ -88,7 +91,7 @@
                 expected_wait: choice.expected_wait,
                 queue_wait: choice.queue_wait,
                 confirmed_after: CONFIRMATION_TIME,
-                wait_ahead: per_request * u32::try_from(ahead).unwrap_or(u32::MAX),
+                wait_ahead,
                 random: rand::random(),
             };
             let turn = queue.turn(claim, ticket, choice.queue_wait, now);
--- a/crates/gateway/src/gossip/accounts.rs
+++ b/crates/gateway/src/gossip/accounts.rs
@@ -98,7 +98,7 @@
             let usage = Usage {
                 account: AccountId(*account),
                 total: *total,
-                age: Duration::from_millis((*age_ms).into()),
+                age: message::from_millis(*age_ms),
             };
             let quota = accounts.and_then(|it| it.by_id(usage.account)?.quota);
             let quota = quota.map(|it| it.tolerant(&tolerance));
--- a/crates/gateway/src/gossip/limits.rs
+++ b/crates/gateway/src/gossip/limits.rs
@@ -200,8 +200,8 @@
             return;
         };
         let patience = Patience {
-            on_time: Duration::from_millis(request.on_time_ms.into()),
-            longest: Duration::from_millis(request.longest_wait_ms.into()),
+            on_time: message::from_millis(request.on_time_ms),
+            longest: message::from_millis(request.longest_wait_ms),
         };
         match self.coordinator(key) {
             Coordinator::None => self.reply_to(&request, from, Turn::Unlimited),
@@ -291,7 +291,7 @@
         let now = clock::now();
         let proof = Supersession {
             superseded: StatementId(proof.superseded.id),
-            later_by: Duration::from_millis(proof.later_ms.into()),
+            later_by: message::from_millis(proof.later_ms),
             current: (proof.current.as_ref()).map(|it| decode_stated(it, now)),
         };
         let previous = engine.limit.stated_until();
@@ -329,7 +329,7 @@
         };
         let now = clock::now();
         let Refusal { tolerance, age_ms } = full.refusal;
-        let refused_at = now.saturating_sub(Duration::from_millis(age_ms.into()));
+        let refused_at = now.saturating_sub(message::from_millis(age_ms));
         if engine.room.tolerance().is_none() {
             engine.room.observe(Some(tolerance));
         }
@@ -481,7 +481,7 @@
     Stated {
         id: StatementId(it.id),
         rate: Rate::from_thousandths(it.rate),
-        until: now.saturating_sub(Duration::from_millis(it.age_ms.into())),
+        until: now.saturating_sub(message::from_millis(it.age_ms)),
     }
 }
 
@@ -505,13 +505,12 @@
 
 impl From<TurnOutcome> for Turn {
     fn from(outcome: TurnOutcome) -> Self {
-        let millis = |it: u32| Duration::from_millis(it.into());
         match outcome {
             TurnOutcome::Unlimited => Self::Unlimited,
             TurnOutcome::Granted { wait_ms, rate } => {
-                Self::Granted(millis(wait_ms), Rate::from_thousandths(rate))
+                Self::Granted(message::from_millis(wait_ms), Rate::from_thousandths(rate))
             }
-            TurnOutcome::Taken(wait_ms) => Self::Taken(millis(wait_ms)),
+            TurnOutcome::Taken(wait_ms) => Self::Taken(message::from_millis(wait_ms)),
         }
     }
 }
--- a/crates/gateway/src/gossip/load_times.rs
+++ b/crates/gateway/src/gossip/load_times.rs
@@ -1,7 +1,5 @@
 //! Durations of adapter loads, learned over all hosts (`fleet::load_time`).
 
-use std::time::Duration;
-
 use fleet::{
     load_time::{LoadTime, Observation, Source},
     loader::{Arrival, ObservedLoads},
@@ -51,8 +49,8 @@
         };
         let arrival = Arrival {
             misses: report.misses.min(MAX_MISSES),
-            missing_after: from_millis(report.missing_after_ms),
-            found_after: report.found_after_ms.map(from_millis),
+            missing_after: message::from_millis(report.missing_after_ms),
+            found_after: report.found_after_ms.map(message::from_millis),
         };
         let mut loader = self.gateway.loader.borrow_mut();
         loader.record_first_requests(key, &report.name, &arrival, clock::now());
@@ -86,8 +84,8 @@
     pub(super) fn handle_load_times(&self, times: &LoadTimes) {
         let observations = |it: &ObservedTimes| {
             let observation = |it: &(Option<u32>, u32)| Observation {
-                missing_at: it.0.map(from_millis),
-                found_at: from_millis(it.1),
+                missing_at: it.0.map(message::from_millis),
+                found_at: message::from_millis(it.1),
             };
             it.observations.iter().map(observation).collect()
         };
@@ -101,12 +99,8 @@
             (Source::Memory, &times.reloads),
         ] {
             let estimate = loader.load_time_mut(source);
-            estimate.blend(from_millis(it.expected_ms), it.samples);
+            estimate.blend(message::from_millis(it.expected_ms), it.samples);
         }
         loader.record_remote_loads(&observed, clock::now());
     }
 }
-
-fn from_millis(it: u32) -> Duration {
-    Duration::from_millis(it.into())
-}
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -582,6 +582,11 @@
     u32::try_from(it.as_millis()).unwrap_or(u32::MAX)
 }
 
+/// Time of this many milliseconds.
+pub fn from_millis(it: u32) -> Duration {
+    Duration::from_millis(it.into())
+}
+
 /// Identifies an incarnation of an engine, to announce that it accepts no more work.
 pub fn make_incarnation(id: &str, incarnation: u64) -> EngineIncarnation {
     EngineIncarnation {
