Take engines that nobody has tried for as fast as the others

The line of a service is normalised by the slowness of the engines in use, so it stays at its first guess though all of them are faster than that; engines without samples were taken for that guess, and the line that they kept was never renewed.

Change: an engine without samples is assumed to be as slow as the engines with samples are on average, by the latest line of the service. Each 0.2 s at most, a sample renews this at all engines of the service.

--- a/crates/fleet/src/capacity.rs
+++ b/crates/fleet/src/capacity.rs
@@ -10,6 +10,8 @@
 //!
 //! Long sums give a steady estimate; recent ones replace them when they show that the speed has changed. Without samples an
 //! engine returns to the average of its service, so one that was slow gets requests again and can show that it has recovered.
+//! The average is that of the engines that have samples: the first line is only a guess, and an engine that nobody has tried
+//! must not seem slow because all others are faster than that.
 
 use std::time::Duration;
 
@@ -35,6 +37,9 @@
 const RECENT_HALF_LIFE: Duration = Duration::from_secs(1);
 const SERVICE_HALF_LIFE: Duration = Duration::from_mins(1);
 
+/// Minimum time from one update of the engines of a service by its average to the next.
+const AVERAGE_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Time of samples of average speed that count among those of an engine, in ms.
 const PRIOR_MS: f64 = 200.0;
 
@@ -147,6 +152,32 @@
     tokens_millis: f64,
     /// Sum of the squared logarithms of the samples' times relative to the expected ones.
     log_squared: f64,
+    slowness: LogMean,
+    engines_updated_at: Time,
+}
+
+/// Geometric mean of the slowness of engines over the samples of all of them.
+#[derive(Clone, Copy, Debug, Default)]
+struct LogMean {
+    at: Time,
+    count: f64,
+    logs: f64,
+}
+
+impl LogMean {
+    fn add(&mut self, count: f64, slowness: f64, now: Time) {
+        let factor = decay::factor(self.at, SERVICE_HALF_LIFE, now);
+        *self = Self {
+            at: now,
+            count: self.count * factor + count,
+            logs: self.logs * factor + count * slowness.ln(),
+        };
+    }
+
+    /// The mean; 1 without samples.
+    fn value(&self) -> f64 {
+        (self.logs / self.count.max(f64::MIN_POSITIVE)).exp()
+    }
 }
 
 impl Average {
@@ -170,6 +201,15 @@
         add(&mut self.log_squared, log * log);
     }
 
+    /// Returns whether the engines of the service are to be updated by this average now.
+    pub fn is_update_due(&mut self, now: Time) -> bool {
+        let is_due = self.engines_updated_at + AVERAGE_INTERVAL <= now;
+        if is_due {
+            self.engines_updated_at = now;
+        }
+        is_due
+    }
+
     /// The line of least squares through the samples and those of the initial line.
     pub fn line(&self) -> Line {
         let initial = Line::default();
@@ -223,10 +263,10 @@
         };
     }
 
-    /// Actual over expected time. Samples of average speed count with [`PRIOR_MS`].
-    fn slowness(&self, half_life: Duration, now: Time) -> f64 {
+    /// Actual over expected time. Samples of the `average` slowness count with [`PRIOR_MS`].
+    fn slowness(&self, average: f64, half_life: Duration, now: Time) -> f64 {
         let factor = decay::factor(self.at, half_life, now);
-        let actual = self.actual_ms * factor + PRIOR_MS;
+        let actual = self.actual_ms * factor + PRIOR_MS * average;
         let expected = self.expected_ms * factor + PRIOR_MS;
         (actual / expected).clamp(MIN_SLOWNESS, MAX_SLOWNESS)
     }
@@ -269,12 +309,25 @@
 }
 
 /// Learned speed of one engine.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Copy, Debug)]
 pub struct Speed {
     long: Sums,
     recent: Recent,
-    /// Line of the service when the last sample was recorded.
+    /// Line of the service when the last sample was recorded, or when it was last passed on to all engines.
     line: Line,
+    /// Slowness that is assumed without samples.
+    average: f64,
+}
+
+impl Default for Speed {
+    fn default() -> Self {
+        Self {
+            long: Sums::default(),
+            recent: Recent::default(),
+            line: Line::default(),
+            average: 1.0,
+        }
+    }
 }
 
 /// Estimate of an engine's rate.
@@ -290,13 +343,28 @@
 
 impl Speed {
     /// Speed of a new engine of a service.
-    pub fn of_service(line: Line) -> Self {
+    pub fn of_service(service: &Average) -> Self {
+        let mut speed = Self::default();
+        speed.follow(service);
+        speed
+    }
+
+    /// The speed of the next incarnation of the engine, of which nothing is known but its service.
+    #[must_use]
+    pub fn restarted(self) -> Self {
         Self {
-            line,
-            ..Self::default()
+            long: Sums::default(),
+            recent: Recent::default(),
+            ..self
         }
     }
 
+    /// Adopts what is known of the service as a whole.
+    pub fn follow(&mut self, service: &Average) {
+        self.line = service.line();
+        self.average = service.slowness.value();
+    }
+
     /// The line of the service.
     pub fn line(&self) -> Line {
         self.line
@@ -323,6 +391,7 @@
         }
         self.line = service.line();
         let count = samples.count;
+        service.slowness.add(count, slowness, now);
         self.long
             .add(count, actual_ms, expected_ms, LONG_HALF_LIFE, now);
         self.recent
@@ -339,7 +408,7 @@
 
     /// Time that the engine takes, relative to an engine of average speed.
     pub fn slowness(&self, now: Time) -> f64 {
-        self.long.slowness(LONG_HALF_LIFE, now)
+        self.long.slowness(self.average, LONG_HALF_LIFE, now)
     }
 
     /// Prompt tokens that the engine reads in a millisecond.
--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -276,7 +276,7 @@
             self.recently_removed.clear();
             self.prefix_cache.clear();
             self.circuit = Circuit::default();
-            self.speed = Speed::of_service(self.speed.line());
+            self.speed = self.speed.restarted();
         }
         self.expires_at = None;
         self.recently_removed
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -185,9 +185,9 @@
         self.count_build(&ServiceBuild::of(&listing), now, |it| it + 1);
         let departed = self.departed.get(&listing.id);
         let average = self.averages.get(&listing.service);
-        let line = average.copied().unwrap_or_default().line();
+        let speed = Speed::of_service(&average.copied().unwrap_or_default());
         let mut engine = Engine::new(listing, now);
-        engine.speed = Speed::of_service(line);
+        engine.speed = speed;
         if let Some(it) = departed {
             engine.restore_superseded(it.superseded.clone(), it.incarnation);
             if it.leaving {
@@ -461,10 +461,16 @@
         let Some(engine) = self.engines.get_mut(&key) else {
             return false;
         };
-        let average = self.averages.entry(engine.listing.service.clone());
-        engine
-            .speed
-            .record(samples, load, average.or_default(), now)
+        let service = engine.listing.service.clone();
+        let average = self.averages.entry(service.clone()).or_default();
+        let has_changed = engine.speed.record(samples, load, average, now);
+        if average.is_update_due(now) {
+            let engines = self.engines.values_mut();
+            for it in engines.filter(|it| it.listing.service == service) {
+                it.speed.follow(average);
+            }
+        }
+        has_changed
     }
 
     /// Returns the average run time of a request.
--- a/crates/fleet/tests/it/capacities.rs
+++ b/crates/fleet/tests/it/capacities.rs
@@ -193,6 +193,33 @@
     assert!((8..=10).contains(&counts[1]), "{counts:?}");
 }
 
+/// Replays short requests, one after the other, for engines that answer sooner than is assumed at first. Those that were
+/// tried first must not keep all requests.
+#[test]
+fn engines_that_nobody_has_tried_get_requests_too() {
+    let (mut table, keys) = table(&[
+        ("i-1", &["a1"]),
+        ("i-2", &["a1"]),
+        ("i-3", &["a1"]),
+        ("i-4", &["a1"]),
+    ]);
+    let mut random = SmallRng::seed_from_u64(3);
+    let mut counts = [0; 4];
+    for number in 0..300 {
+        let now = at(number * 50);
+        let name = "m/a1".into();
+        let chain = prompt(60);
+        let request = request(&name, &chain, random.next_u64());
+        let Placement::Send(choice) = place(&table, &request, now) else {
+            panic!("all engines hold the adapter and are idle");
+        };
+        let index = keys.iter().position(|it| *it == choice.key);
+        counts[index.expect("the engine is listed")] += 1;
+        table.record_speed(choice.key, Samples::of(60.0, ms(3)), Load::Idle, now);
+    }
+    assert!(counts.iter().all(|it| *it >= 30), "{counts:?}");
+}
+
 /// Replays two prompts at once for an engine with running streams: a slow engine can't read both within the gap that its
 /// streams allow, a fast one can.
 #[test]
