Count the work of all hosts for the shares of accounts

Cause: the shares by which requests of accounts wait knew what this host sent only.

Change: hosts add what others do for an account. The reports of quotas in tokens state it; of other accounts a host sends a report with its heartbeat, only of what takes room while requests wait there (new message at the end; earlier builds discard it). Without accounts, or while nobody waits, no message more.

Measured: cargo test -p fleet queues::an_account_that_is_hot -- in a replay of an engine with 1.4 times its load, the small account is on time for less than 85% by the work of this host and for more than 95% by that of all; as many are served.

--- a/crates/fleet/src/account/ledger.rs
+++ b/crates/fleet/src/account/ledger.rs
@@ -264,7 +264,8 @@
         }
     }
 
-    /// Records what another host has admitted of an account, which has this `quota` if it is known.
+    /// Records what another host has admitted of an account, which has this `quota` if it is known. Returns the units since
+    /// its last report; negative if requests were returned.
     pub fn observe(
         &mut self,
         host: &Arc<str>,
@@ -272,7 +273,7 @@
         usage: &Usage,
         quota: Option<&Quota>,
         now: Time,
-    ) {
+    ) -> f64 {
         self.hearing.note_pause(now);
         let hearing = self.hearing;
         let started_at = self.started_at;
@@ -285,7 +286,7 @@
         let process = (host.clone(), id.incarnation);
         let previous = bucket.others.get(&process).copied();
         if previous.is_some_and(|it| it.number >= id.number) {
-            return;
+            return 0.0;
         }
         let first_use = now.saturating_sub(usage.age);
         let counted = match previous {
@@ -315,6 +316,7 @@
         if now < returned_at + BACKLOG_TIME {
             bucket.return_withheld(counted);
         }
+        to_f64(counted)
     }
 
     /// Returns the units that this host has admitted of the account.
--- a/crates/fleet/src/queue.rs
+++ b/crates/fleet/src/queue.rs
@@ -9,6 +9,7 @@
 //! Only requests for the same engine compete. An engine whose adapters are asked for too often therefore doesn't keep
 //! back the requests for others, nor does an adapter that is still loaded.
 
+pub mod elsewhere;
 mod returns;
 mod shares;
 
@@ -20,7 +21,7 @@
 
 use crate::{Time, admission, table::Key};
 
-use self::{returns::Returns, shares::Shares};
+use self::{elsewhere::Elsewhere, returns::Returns, shares::Shares};
 
 /// Maximum number of requests of a host that wait for one engine. It bounds the work of a decision.
 const MAX_WAITING_PER_ENGINE: usize = 64;
@@ -122,6 +123,7 @@
     lines: BTreeMap<Key, Vec<Ticket>>,
     next_ticket: u64,
     shares: Shares,
+    elsewhere: Arc<Elsewhere>,
     returns: Returns,
     /// When a request of an account within its share last had to wait, and the urgency of the request.
     last_fair_wait: Option<(Time, u8)>,
@@ -249,6 +251,11 @@
         self.returns.record_served(now);
     }
 
+    /// Sets the work of other hosts, which counts for the shares of accounts.
+    pub fn set_elsewhere(&mut self, work: Arc<Elsewhere>) {
+        self.elsewhere = work;
+    }
+
     /// Returns the target by which a request may queue at an engine. As long as requests of other accounts have to wait,
     /// an account that has more than its share leaves them a part of the time, as a less urgent route does. Otherwise the
     /// account that sends most would take all room at the engines as it comes free.
@@ -262,7 +269,7 @@
         let others_wait = self.last_fair_wait.is_some_and(|(at, urgency)| {
             now.saturating_sub(at) <= YIELD_TIME && urgency <= priority
         });
-        if others_wait && self.shares.has_excess(account, now) {
+        if others_wait && self.shares.has_excess(account, &self.elsewhere, now) {
             admission::yielding_target(target)
         } else {
             target
@@ -281,7 +288,7 @@
     }
 
     fn rank(&mut self, claim: &Claim, own: Option<Ticket>, now: Time) -> Rank {
-        let has_excess = self.shares.has_excess(claim.account.as_ref(), now);
+        let has_excess = (self.shares).has_excess(claim.account.as_ref(), &self.elsewhere, now);
         let ticket = own.unwrap_or(Ticket(self.next_ticket));
         (
             !claim.can_be_on_time(now),
--- a/crates/fleet/tests/it/queues.rs
+++ b/crates/fleet/tests/it/queues.rs
@@ -4,8 +4,12 @@
 
 use fleet::{
     Time,
+    account::{Account, Quota, Unit, ledger::AccountId},
     admission::{Candidate, Decision, decide},
-    queue::{Claim, Entry, Queue, Ticket, Turn},
+    queue::{
+        Claim, Entry, Queue, Ticket, Turn,
+        elsewhere::{Collector, Unreported},
+    },
     table::Key,
 };
 
@@ -52,9 +56,15 @@
 
 /// Replays loads at one engine. A request that waits asks again after 20 to 60 ms, and the first when a slot is free.
 fn replay(order: Order, loads: &[Load]) -> Vec<Results> {
+    replay_beside(order, loads, &[])
+}
+
+/// Replays loads at one engine, while other hosts report each second how many tokens they do for accounts.
+fn replay_beside(order: Order, loads: &[Load], reports: &[(&str, f64)]) -> Vec<Results> {
     let (_, keys) = table(&[("e-1", &[])]);
     let mut results = vec![Results::default(); loads.len()];
     let mut queue = Queue::default();
+    let mut elsewhere = Collector::default();
     let mut held: Vec<Request> = Vec::new();
     let mut engine: Vec<(u64, usize, u64)> = Vec::new();
     let mut running: Vec<u64> = Vec::new();
@@ -70,6 +80,14 @@
                 results[load].late += 1;
             }
         }
+        if now % 1000 == 0 {
+            for (account, tokens) in reports {
+                elsewhere.record(&Arc::from(*account), *tokens, at(now));
+            }
+            if let Some(it) = elsewhere.take_snapshot(at(now)) {
+                queue.set_elsewhere(it);
+            }
+        }
         for (index, load) in loads.iter().enumerate() {
             if now % load.interval == count(index) % load.interval {
                 results[index].sent += 1;
@@ -207,6 +225,68 @@
     );
 }
 
+/// The engine serves 20 requests a second. Two accounts send 15 and 13 of them, which is no more than a share of either. Other hosts
+/// do 90 a second for the first of them, three times its usual, and 30 for each of four more.
+#[test]
+fn an_account_that_is_hot_at_other_hosts_comes_after_a_small_one_here() {
+    let loads = [load("hot", 1, 67), load("small", 1, 77)];
+    let usual = 30_000.0;
+    let reports = [
+        ("hot", 3.0 * usual),
+        ("b", usual),
+        ("c", usual),
+        ("d", usual),
+        ("e", usual),
+    ];
+    let alone = replay(Order::Queue, &loads);
+    let beside = replay_beside(Order::Queue, &loads, &reports);
+    assert!(share(&alone[1]) < 0.85, "{alone:?}");
+    assert!(share(&beside[1]) > 0.95, "{beside:?}");
+    // What the small one leaves is still used.
+    let served = |it: &[Results]| -> u32 { it.iter().map(|it| it.on_time + it.late).sum() };
+    assert!(
+        served(&beside) * 100 >= served(&alone) * 97,
+        "{alone:?} {beside:?}"
+    );
+}
+
+/// As above, but no request here has to wait, or the other hosts do as much for each account.
+#[test]
+fn work_elsewhere_keeps_nobody_back_without_need() {
+    let few = [load("hot", 1, 134), load("small", 1, 154)];
+    let results = replay_beside(Order::Queue, &few, &[("hot", 90_000.0), ("b", 30_000.0)]);
+    assert!(results.iter().all(|it| share(it) > 0.99), "{results:?}");
+    let loads = [load("a", 1, 67), load("b", 1, 77)];
+    let even = [("a", 30_000.0), ("b", 30_000.0)];
+    let beside = replay_beside(Order::Queue, &loads, &even);
+    let alone = replay(Order::Queue, &loads);
+    assert!((share(&beside[0]) - share(&alone[0])).abs() < 0.05);
+    assert!((share(&beside[1]) - share(&alone[1])).abs() < 0.05);
+}
+
+/// Without accounts, and while nobody waits, hosts report nothing more; quotas in tokens are reported anyway.
+#[test]
+fn work_is_reported_only_while_requests_wait() {
+    let account = |unit: Option<Unit>| Account {
+        name: Arc::from("a"),
+        priority: None,
+        quota: unit.map(|unit| Quota {
+            unit,
+            rate: 10.0,
+            burst: 10.0,
+        }),
+    };
+    let mut unreported = Unreported::default();
+    unreported.record(&account(None), 100.0, 0);
+    let tokens = Unit::Tokens { unstated: 1.0 };
+    unreported.record(&account(Some(tokens)), 100.0, 3);
+    assert!(unreported.take().is_empty());
+    unreported.record(&account(None), 100.0, 1);
+    unreported.record(&account(Some(Unit::Requests)), 50.0, 2);
+    assert_eq!(unreported.take(), [(AccountId::of("a"), 150.0)]);
+    assert!(unreported.take().is_empty());
+}
+
 /// Replays bursts of prompts at an engine that prefills 10 tokens per ms, and takes no more while over 2,800 would wait there. One
 /// in ten has 2,500 tokens, the others 300. Returns how many of each kind are sent in the time for which they may wait.
 fn replay_prompts(order: Order) -> [Results; 2] {
--- a/crates/gateway/src/exchange/waiting.rs
+++ b/crates/gateway/src/exchange/waiting.rs
@@ -38,11 +38,10 @@
                 let first = match turn {
                     Turn::After(it) if now + TURN_CHECK_INTERVAL < until => it,
                     _ => {
-                        let account = claim.account.as_ref();
-                        self.gateway.queues.with(&self.service, |it| {
-                            // The next one is woken once this one has been counted at the engine.
-                            it.record_taken(account, claim.work, now);
-                        });
+                        // The next one is woken once this one has been counted at the engine.
+                        let queues = &self.gateway.queues;
+                        let account = self.account.as_deref();
+                        queues.record_taken(&self.service, &claim, account, now);
                         *place = None;
                         return Ok(true);
                     }
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -128,6 +128,7 @@
                 Some(Message::Alive(it)) => self.handle_alive(it),
                 Some(Message::Speeds(it)) => self.handle_speeds(&it),
                 Some(Message::AccountUsage(it)) => self.handle_account_usage(&it, from),
+                Some(Message::AccountWork(it)) => self.handle_account_work(&it, from),
                 Some(Message::FirstRequests(it)) => self.handle_first_requests(&it),
                 Some(Message::LoadTimes(it)) => self.handle_load_times(&it),
                 None => log::debug!("cannot decode datagram from {from}"),
@@ -311,7 +312,11 @@
         let now = clock::now();
         let mut heartbeat = self.build_heartbeat(now);
         // These describe this host's work, most of which is at engines of its own domain.
-        let work = [self.workload_messages(), self.account_messages(now)];
+        let work = [
+            self.workload_messages(),
+            self.account_messages(now),
+            self.account_work_messages(),
+        ];
         let work = encode_all(work.iter().flatten());
         let news = [self.drain_messages(), self.report_messages(now)];
         self.update_coordination(now);
--- a/crates/gateway/src/gossip/accounts.rs
+++ b/crates/gateway/src/gossip/accounts.rs
@@ -8,6 +8,7 @@
         Account,
         ledger::{AccountId, Charge, Decision, ReportId, Urgency, Usage},
     },
+    queue::elsewhere,
 };
 
 use super::Gossip;
@@ -93,6 +94,7 @@
         let catalog = self.gateway.catalog();
         let accounts = catalog.as_ref().and_then(|it| it.accounts.as_ref());
         let tolerance = self.gateway.settings.quota_tolerance();
+        let mut work = Vec::new();
         let mut ledger = self.gateway.ledger.borrow_mut();
         for (account, total, age_ms) in &report.accounts {
             let usage = Usage {
@@ -100,9 +102,42 @@
                 total: *total,
                 age: message::from_millis(*age_ms),
             };
-            let quota = accounts.and_then(|it| it.by_id(usage.account)?.quota);
+            let account = accounts.and_then(|it| it.by_id(usage.account));
+            let quota = account.and_then(|it| it.quota);
             let quota = quota.map(|it| it.tolerant(&tolerance));
-            ledger.observe(&host, id, &usage, quota.as_ref(), now);
+            let units = ledger.observe(&host, id, &usage, quota.as_ref(), now);
+            if let Some(it) = account.filter(|it| elsewhere::is_in_ledger(it)) {
+                work.push((it.name.clone(), units));
+            }
+        }
+        drop(ledger);
+        self.gateway.queues.record_elsewhere(&work, now);
+    }
+
+    /// Reports of the work for accounts that no report of a quota states.
+    pub(super) fn account_work_messages(&self) -> Vec<Message> {
+        let work = self.gateway.queues.take_unreported();
+        let parts = work.chunks(MAX_WORKLOADS_PER_MESSAGE);
+        let encode = |it: &(AccountId, f64)| (it.0.0, message::to_whole(it.1));
+        parts
+            .map(|it| Message::AccountWork(it.iter().map(encode).collect()))
+            .collect()
+    }
+
+    /// Records the work of another host for accounts.
+    pub(super) fn handle_account_work(&self, work: &[(u32, u32)], from: SocketAddr) {
+        if self.gateway.peers.borrow().name_at(from).is_none() {
+            return;
         }
+        let catalog = self.gateway.catalog();
+        let Some(accounts) = catalog.as_ref().and_then(|it| it.accounts.as_ref()) else {
+            return;
+        };
+        let named = |(id, tokens): &(u32, u32)| {
+            let account = accounts.by_id(AccountId(*id))?;
+            Some((account.name.clone(), f64::from(*tokens)))
+        };
+        let work: Vec<_> = work.iter().filter_map(named).collect();
+        self.gateway.queues.record_elsewhere(&work, clock::now());
     }
 }
--- a/crates/gateway/src/gossip/capacity.rs
+++ b/crates/gateway/src/gossip/capacity.rs
@@ -9,7 +9,7 @@
 };
 
 use super::Gossip;
-use crate::message::{MAX_WORKLOADS_PER_MESSAGE, Message, SpeedSamples};
+use crate::message::{self, MAX_WORKLOADS_PER_MESSAGE, Message, SpeedSamples};
 
 /// Time between two messages with samples. Each costs as much as a heartbeat.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(800);
@@ -51,13 +51,11 @@
 }
 
 fn encode(engine: u32, samples: &Samples) -> SpeedSamples {
-    // The clamp keeps the value within the range.
-    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
-    let whole = |it: f64| it.clamp(0.0, f64::from(u32::MAX)).round() as u32;
     let Samples {
         count,
         tokens,
         millis,
     } = *samples;
-    (engine, whole(count), whole(tokens), whole(millis))
+    let [count, tokens, millis] = [count, tokens, millis].map(message::to_whole);
+    (engine, count, tokens, millis)
 }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -121,6 +121,10 @@
             };
             Some((part(first), part(rest)))
         }
+        Message::AccountWork(list) => {
+            let (first, rest) = halves(list)?;
+            Some((Message::AccountWork(first), Message::AccountWork(rest)))
+        }
         Message::Speeds(list) => {
             let (first, rest) = halves(list)?;
             Some((Message::Speeds(first), Message::Speeds(rest)))
@@ -213,6 +217,9 @@
     FirstRequests(FirstRequests),
     /// Observed durations of loads. Earlier builds discard it.
     LoadTimes(LoadTimes),
+    /// Account ([`fleet::account::ledger::AccountId`]) and tokens of its requests that took room since the last message,
+    /// while requests waited at the host. Earlier builds discard it.
+    AccountWork(Vec<(u32, u32)>),
 }
 
 /// First requests of a host after a load. Encoding of [`fleet::loader::Arrival`].
@@ -577,6 +584,14 @@
     pub arrival: Option<(u64, u32)>,
 }
 
+/// Nearest whole number.
+pub fn to_whole(it: f64) -> u32 {
+    // The clamp keeps the value within the range.
+    #[allow(clippy::cast_possible_truncation, clippy::cast_sign_loss)]
+    let whole = it.clamp(0.0, f64::from(u32::MAX)).round() as u32;
+    whole
+}
+
 /// Time in whole milliseconds.
 pub fn to_millis(it: Duration) -> u32 {
     u32::try_from(it.as_millis()).unwrap_or(u32::MAX)
--- a/crates/gateway/src/queues.rs
+++ b/crates/gateway/src/queues.rs
@@ -4,7 +4,11 @@
 
 use fleet::{
     Time,
-    queue::{Entry, Queue, Ticket},
+    account::{Account, ledger::AccountId},
+    queue::{
+        Claim, Entry, Queue, Ticket,
+        elsewhere::{Collector, Unreported},
+    },
     table::Key,
 };
 use tokio::{sync::Notify, time};
@@ -16,18 +20,59 @@
 /// Requests that wait, by service.
 #[derive(Default)]
 pub(crate) struct Queues {
-    queues: RefCell<HashMap<Arc<str>, Queue>>,
+    by_service: RefCell<HashMap<Arc<str>, Queue>>,
     sleepers: RefCell<Sleepers>,
+    elsewhere: RefCell<Collector>,
+    unreported: RefCell<Unreported>,
 }
 
 impl Queues {
     /// Calls `function` with the queue of a service.
     pub(crate) fn with<T>(&self, service: &Arc<str>, function: impl FnOnce(&mut Queue) -> T) -> T {
-        let mut queues = self.queues.borrow_mut();
+        let mut queues = self.by_service.borrow_mut();
         if let Some(it) = queues.get_mut(service) {
             return function(it);
         }
-        function(queues.entry(service.clone()).or_default())
+        let queue = queues.entry(service.clone()).or_default();
+        queue.set_elsewhere(self.elsewhere.borrow().snapshot().clone());
+        function(queue)
+    }
+
+    /// Records that a request takes room at its engine.
+    pub(crate) fn record_taken(
+        &self,
+        service: &Arc<str>,
+        claim: &Claim,
+        account: Option<&Account>,
+        now: Time,
+    ) {
+        let waiting = self.with(service, |it| {
+            it.record_taken(claim.account.as_ref(), claim.work, now);
+            it.len()
+        });
+        if let Some(it) = account {
+            let mut unreported = self.unreported.borrow_mut();
+            unreported.record(it, claim.work, waiting);
+        }
+    }
+
+    /// Returns the work of this host since the last call, of accounts whose use isn't reported otherwise.
+    pub(crate) fn take_unreported(&self) -> Vec<(AccountId, f64)> {
+        self.unreported.borrow_mut().take()
+    }
+
+    /// Records tokens that another host does for accounts, or returns if negative.
+    pub(crate) fn record_elsewhere(&self, work: &[(Arc<str>, f64)], now: Time) {
+        let mut collector = self.elsewhere.borrow_mut();
+        for (account, tokens) in work {
+            collector.record(account, *tokens, now);
+        }
+        let Some(snapshot) = collector.take_snapshot(now) else {
+            return;
+        };
+        for queue in self.by_service.borrow_mut().values_mut() {
+            queue.set_elsewhere(snapshot.clone());
+        }
     }
 
     /// Wakes a request.
@@ -51,7 +96,7 @@
 
     /// Number of requests that wait, by service.
     pub(crate) fn lengths(&self) -> Vec<(Arc<str>, usize)> {
-        let queues = self.queues.borrow();
+        let queues = self.by_service.borrow();
         let lengths = queues
             .iter()
             .map(|(service, it)| (service.clone(), it.len()));
--- a/crates/gateway/tests/message.rs
+++ b/crates/gateway/tests/message.rs
@@ -146,3 +146,13 @@
     let sizes = [report, times].map(|it| encode_within_limit(&it)[0].len());
     assert!(sizes[0] <= 40 && sizes[1] <= 200, "{sizes:?}");
 }
+
+/// While requests wait, each host states the work for its accounts without a quota in tokens.
+#[test]
+fn reports_of_the_work_for_accounts_take_few_bytes() {
+    let work = Message::AccountWork(vec![(u32::MAX, 100_000); 80]);
+    let datagrams = encode_within_limit(&work);
+    let bytes: usize = datagrams.iter().map(Vec::len).sum();
+    assert!(bytes <= 80 * 10, "{bytes} bytes");
+    assert_eq!(datagrams.len(), 1);
+}
