Compute the state of an account without a copy of its bucket

Cause: for each account in use the bucket was copied once a second, with the reports of all hosts (at 2,000 accounts and 520 hosts a million of them).

Change: the level is a value of its own; the age of the latest report is kept.

--- a/crates/fleet/src/account/ledger.rs
+++ b/crates/fleet/src/account/ledger.rs
@@ -151,11 +151,19 @@
     returned_at: Time,
 }
 
+/// What a bucket holds.
+#[derive(Clone, Copy, Debug)]
+struct Level {
+    units: f64,
+    refilled_at: Time,
+    /// Units that were not refilled, since other hosts were not heard.
+    withheld: f64,
+}
+
 /// Bucket of one account.
 #[derive(Clone, Debug)]
 struct Bucket {
-    level: f64,
-    refilled_at: Time,
+    level: Level,
     quota: Option<Quota>,
     own_total: i64,
     first_use: Option<Time>,
@@ -166,8 +174,8 @@
     reports_due: u8,
     /// Reports by host and incarnation, since two processes may have the same name for a while.
     others: HashMap<(Arc<str>, u64), Reported>,
-    /// Units that were not refilled, since other hosts were not heard.
-    withheld: f64,
+    /// When the latest of them was received.
+    last_report: Time,
     /// When the last caller that was refused should come back.
     last_return: Time,
     is_exhausted: bool,
@@ -240,7 +248,7 @@
         bucket.adopt(*quota, started_at, hearing, now);
         bucket.refill(hearing, now);
         bucket.last_use = now;
-        if bucket.level <= 0.0 {
+        if bucket.level.units <= 0.0 {
             bucket.is_exhausted = true;
             let wait = bucket.retry_after(*quota, cost, hearing.share, now);
             return (Decision::Refuse(wait), Urgency::Heartbeat);
@@ -249,7 +257,7 @@
         let units = to_units(cost);
         bucket.change_own(units, now);
         let low = (quota.burst * LOW_FRACTION).min(quota.rate * LOW_TIME.as_secs_f64());
-        let urgency = if bucket.level < low {
+        let urgency = if bucket.level.units < low {
             Urgency::Immediate
         } else {
             Urgency::Heartbeat
@@ -311,10 +319,11 @@
             returned_at,
         };
         bucket.others.insert(process, reported);
+        bucket.last_report = now;
         bucket.last_use = now;
         bucket.change_level(counted);
         if now < returned_at + BACKLOG_TIME {
-            bucket.return_withheld(counted);
+            bucket.level.return_withheld(counted);
         }
         to_f64(counted)
     }
@@ -344,13 +353,15 @@
 
     /// State of an account; `None` if it was not used of late.
     pub fn state(&self, account: AccountId, now: Time) -> Option<State> {
-        let mut bucket = self.buckets.get(&account)?.clone();
-        bucket.refill(self.hearing, now);
-        let reports = bucket.others.values();
-        let latest = reports.map(|it| it.received_at).max();
+        let bucket = self.buckets.get(&account)?;
+        let mut level = bucket.level;
+        if let Some(quota) = &bucket.quota {
+            level.refill(quota, self.hearing, now);
+        }
+        let is_alone = bucket.others.is_empty();
         Some(State {
-            level: bucket.level,
-            report_age: latest.map(|it| now.saturating_sub(it)),
+            level: level.units,
+            report_age: (!is_alone).then(|| now.saturating_sub(bucket.last_report)),
             is_exhausted: bucket.is_exhausted,
         })
     }
@@ -366,11 +377,45 @@
     }
 }
 
+impl Level {
+    fn refill(&mut self, quota: &Quota, hearing: Hearing, now: Time) {
+        let time = now.saturating_sub(self.refilled_at);
+        let heard = hearing.until.min(now).saturating_sub(self.refilled_at);
+        self.refilled_at = self.refilled_at.max(now);
+        let max_debt = quota.rate * MAX_DEBT_TIME.as_secs_f64();
+        let gained = quota.rate * hearing.share * heard.as_secs_f64();
+        let units = self.units + gained;
+        // Each side of a cut has its part of the burst, too.
+        let full = quota.burst.max(1.0);
+        let own_part = (quota.burst * hearing.share).max(1.0);
+        let withheld = quota.rate * time.as_secs_f64() - gained;
+        let withheld = self.withheld + withheld + (units.min(full) - own_part).max(0.0);
+        let is_over = hearing.is_whole() && hearing.restored_at + REUNION_TIME < now;
+        self.withheld = if is_over {
+            0.0
+        } else {
+            withheld.min(max_debt + full)
+        };
+        self.units = units.clamp(-max_debt, own_part);
+    }
+
+    /// Takes a debt of `counted` units, which hosts behind a cut have admitted, from what was not refilled meanwhile.
+    fn return_withheld(&mut self, counted: i64) {
+        let counted = to_f64(counted.max(0));
+        let returned = counted.min(self.withheld).min(-self.units).max(0.0);
+        self.withheld -= returned;
+        self.units += returned;
+    }
+}
+
 impl Bucket {
     fn new(now: Time) -> Self {
         Self {
-            level: 0.0,
-            refilled_at: now,
+            level: Level {
+                units: 0.0,
+                refilled_at: now,
+                withheld: 0.0,
+            },
             quota: None,
             own_total: 0,
             first_use: None,
@@ -378,7 +423,7 @@
             changed_at: Time::ZERO,
             reports_due: 0,
             others: HashMap::new(),
-            withheld: 0.0,
+            last_report: Time::ZERO,
             last_return: Time::ZERO,
             is_exhausted: false,
         }
@@ -392,8 +437,9 @@
         }
         self.refill(hearing, now);
         if self.quota.is_none() {
-            let unused = self.refilled_at.saturating_sub(started_at).as_secs_f64();
-            self.level += (quota.rate * hearing.share * unused).min(quota.burst);
+            let refilled_at = self.level.refilled_at;
+            let unused = refilled_at.saturating_sub(started_at).as_secs_f64();
+            self.level.units += (quota.rate * hearing.share * unused).min(quota.burst);
         }
         self.quota = Some(quota);
         // Those who were refused by the earlier quota come back at times that say nothing about this one.
@@ -401,35 +447,9 @@
     }
 
     fn refill(&mut self, hearing: Hearing, now: Time) {
-        let Some(quota) = self.quota else {
-            return;
-        };
-        let time = now.saturating_sub(self.refilled_at);
-        let heard = hearing.until.min(now).saturating_sub(self.refilled_at);
-        self.refilled_at = self.refilled_at.max(now);
-        let max_debt = quota.rate * MAX_DEBT_TIME.as_secs_f64();
-        let gained = quota.rate * hearing.share * heard.as_secs_f64();
-        let level = self.level + gained;
-        // Each side of a cut has its part of the burst, too.
-        let full = quota.burst.max(1.0);
-        let own_part = (quota.burst * hearing.share).max(1.0);
-        let withheld = quota.rate * time.as_secs_f64() - gained;
-        let withheld = self.withheld + withheld + (level.min(full) - own_part).max(0.0);
-        let is_over = hearing.is_whole() && hearing.restored_at + REUNION_TIME < now;
-        self.withheld = if is_over {
-            0.0
-        } else {
-            withheld.min(max_debt + full)
-        };
-        self.level = level.clamp(-max_debt, own_part);
-    }
-
-    /// Takes a debt of `counted` units, which hosts behind a cut have admitted, from what was not refilled meanwhile.
-    fn return_withheld(&mut self, counted: i64) {
-        let counted = to_f64(counted.max(0));
-        let returned = counted.min(self.withheld).min(-self.level).max(0.0);
-        self.withheld -= returned;
-        self.level += returned;
+        if let Some(quota) = &self.quota {
+            self.level.refill(quota, hearing, now);
+        }
     }
 
     /// Time after which a refused caller should come back: when the bucket has something for it, behind the callers that
@@ -440,7 +460,7 @@
             let time = Duration::try_from_secs_f64(it.max(0.0));
             time.unwrap_or(MAX_RETRY_AFTER).min(MAX_RETRY_AFTER)
         };
-        let first = now + seconds(-self.level / rate);
+        let first = now + seconds(-self.level.units / rate);
         let turn = first.max(self.last_return);
         let reports = self.others.values();
         let users = reports.filter(|it| it.received_at + USER_TTL > now).count() + 1;
@@ -464,7 +484,7 @@
     }
 
     fn change_level(&mut self, units: i64) {
-        self.level -= to_f64(units);
+        self.level.units -= to_f64(units);
     }
 }
 
