--- a/crates/fleet/src/queue/elsewhere.rs
+++ b/crates/fleet/src/queue/elsewhere.rs
@@ -105,10 +105,10 @@
 
 impl Unreported {
     /// Records tokens of a request that took its room, while `waiting` requests wait at this host.
-    pub fn record(&mut self, account: &Account, tokens: f64, waiting: usize) {
-        if waiting == 0 || is_in_ledger(account) {
+    pub fn record(&mut self, account: Option<&Account>, tokens: f64, waiting: usize) {
+        let Some(account) = account.filter(|it| waiting > 0 && !is_in_ledger(it)) else {
             return;
-        }
+        };
         let id = AccountId::of(&account.name);
         if self.work.len() < MAX_REPORTED || self.work.contains_key(&id) {
             *self.work.entry(id).or_default() += tokens;
--- a/crates/fleet/tests/it/queues.rs
+++ b/crates/fleet/tests/it/queues.rs
@@ -277,12 +277,13 @@
         }),
     };
     let mut unreported = Unreported::default();
-    unreported.record(&account(None), 100.0, 0);
+    unreported.record(None, 100.0, 5);
+    unreported.record(Some(&account(None)), 100.0, 0);
     let tokens = Unit::Tokens { unstated: 1.0 };
-    unreported.record(&account(Some(tokens)), 100.0, 3);
+    unreported.record(Some(&account(Some(tokens))), 100.0, 3);
     assert!(unreported.take().is_empty());
-    unreported.record(&account(None), 100.0, 1);
-    unreported.record(&account(Some(Unit::Requests)), 50.0, 2);
+    unreported.record(Some(&account(None)), 100.0, 1);
+    unreported.record(Some(&account(Some(Unit::Requests))), 50.0, 2);
     assert_eq!(unreported.take(), [(AccountId::of("a"), 150.0)]);
     assert!(unreported.take().is_empty());
 }
--- a/crates/gateway/src/queues.rs
+++ b/crates/gateway/src/queues.rs
@@ -50,10 +50,8 @@
             it.record_taken(claim.account.as_ref(), claim.work, now);
             it.len()
         });
-        if let Some(it) = account {
-            let mut unreported = self.unreported.borrow_mut();
-            unreported.record(it, claim.work, waiting);
-        }
+        let mut unreported = self.unreported.borrow_mut();
+        unreported.record(account, claim.work, waiting);
     }
 
     /// Returns the work of this host since the last call, of accounts whose use isn't reported otherwise.
