Record no build of a stream between two restarts by the entry of the second

Host 2 was certain of that record and continued them.

Change: an entry counts for streams that began before it only if no break was noticed, and the engine stated no other start, between their first event and the entry, or shortly after it. Otherwise the origin stays unknown, and the stream is refused when it is taken up.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -268,7 +268,7 @@
         if listing.incarnation != self.listing.incarnation {
             self.supersede(self.listing.incarnation);
             self.listed_since = now;
-            self.identity = Identity::default();
+            self.identity = self.identity.replaced(listing.incarnation, now);
             self.leaving = false;
             self.backoff = Backoff::default();
             self.room.record_restart(now);
--- a/crates/fleet/src/identity.rs
+++ b/crates/fleet/src/identity.rs
@@ -27,15 +27,28 @@
 
 /// Certainty of the incarnation of one engine.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub struct Identity(Option<Doubt>);
+pub struct Identity {
+    doubt: Option<Doubt>,
+    replacement: Option<Replacement>,
+}
+
+/// Entry that replaced that of an earlier incarnation.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct Replacement {
+    adopted_at: Time,
+    /// When a break of an earlier incarnation was last noticed.
+    broke_at: Time,
+}
 
 /// Reason why the incarnation of an engine is uncertain.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 struct Doubt {
     /// When the first break was noticed.
     began_at: Time,
-    /// When the last break was noticed.
+    /// When the last break was noticed, or the engine was last asked that states another start than its entry.
     since: Time,
+    /// When the last break was noticed, or the engine was first asked that states a start that it had not stated before.
+    broke_at: Time,
     /// When the engine has answered for the first time since, so that it is not down.
     answered_at: Option<Time>,
     evidence: Evidence,
@@ -47,8 +60,8 @@
 enum Evidence {
     /// A connection broke.
     Break,
-    /// The engine states another start than its entry.
-    Report,
+    /// The engine states this start, which is not that of its entry.
+    Report(u64),
 }
 
 /// Knowledge of the other hosts.
@@ -63,24 +76,58 @@
 impl Identity {
     /// Returns whether the engine is known to be the listed incarnation.
     pub fn is_certain(self) -> bool {
-        self.0.is_none()
+        self.doubt.is_none()
+    }
+
+    /// Returns whether the listed incarnation is the one that sent the first event of a stream at `sent_at`, on a connection
+    /// that was opened at `connected_at`. If the engine may have ended between the event and its entry, the entry may be that
+    /// of the next incarnation. To be asked [`BREAK_TIME`] after the engine has become certain.
+    pub fn has_sent(self, connected_at: Option<Time>, sent_at: Time) -> bool {
+        let is_since = |it: Replacement| {
+            connected_at.is_some_and(|connected_at| it.broke_at <= connected_at)
+                || it.broke_at + BREAK_TIME <= sent_at
+        };
+        self.is_certain() && self.replacement.is_none_or(is_since)
+    }
+
+    /// Returns the certainty after an entry of another incarnation was adopted.
+    pub(crate) fn replaced(self, incarnation: u64, now: Time) -> Self {
+        let broke_at = self.doubt.map_or(now, |it| match it.evidence {
+            Evidence::Report(last) if last != incarnation => now,
+            Evidence::Break | Evidence::Report(_) => it.broke_at,
+        });
+        Self {
+            doubt: None,
+            replacement: Some(Replacement {
+                adopted_at: now,
+                broke_at,
+            }),
+        }
     }
 
     /// When the last break was noticed, while the engine is uncertain.
     pub fn uncertain_since(self) -> Option<Time> {
-        self.0.map(|it| it.since)
+        self.doubt.map(|it| it.since)
     }
 
     /// Records that a connection to the engine broke at `at`.
     pub(crate) fn record_break(&mut self, at: Time, announcement: Announcement) {
-        let doubt = self.0.get_or_insert(Doubt {
+        // The end of the replaced incarnation may be noticed after the entry was read.
+        if let Some(it) = &mut self.replacement
+            && at <= it.adopted_at + BREAK_TIME
+        {
+            it.broke_at = it.broke_at.max(at);
+        }
+        let doubt = self.doubt.get_or_insert(Doubt {
             began_at: at,
             since: at,
+            broke_at: at,
             answered_at: None,
             evidence: Evidence::Break,
             announcement,
         });
         doubt.began_at = doubt.began_at.min(at);
+        doubt.broke_at = doubt.broke_at.max(at);
         if doubt.since < at {
             doubt.since = at;
             doubt.answered_at = None;
@@ -92,38 +139,43 @@
 
     /// Returns whether the other hosts have to be told of the break, and records that they are.
     pub(crate) fn take_announcement(&mut self) -> bool {
-        let Some(doubt) = &mut self.0 else {
+        let Some(doubt) = &mut self.doubt else {
             return false;
         };
         std::mem::replace(&mut doubt.announcement, Announcement::Done) == Announcement::Needed
     }
 
     /// Records that the engine states another start than its entry, in the answer to a query that was sent at `asked_at`.
-    pub(crate) fn record_other_start(&mut self, asked_at: Time) {
-        let announcement = self.0.map_or(Announcement::Needed, |it| it.announcement);
-        self.0 = Some(Doubt {
-            began_at: self.0.map_or(asked_at, |it| it.began_at),
+    pub(crate) fn record_other_start(&mut self, start: u64, asked_at: Time) {
+        let announcement = (self.doubt).map_or(Announcement::Needed, |it| it.announcement);
+        let broke_at = self.doubt.map_or(asked_at, |it| match it.evidence {
+            Evidence::Report(last) if last != start => it.broke_at.max(asked_at),
+            Evidence::Break | Evidence::Report(_) => it.broke_at,
+        });
+        self.doubt = Some(Doubt {
+            began_at: self.doubt.map_or(asked_at, |it| it.began_at),
             since: asked_at,
+            broke_at,
             answered_at: Some(asked_at),
-            evidence: Evidence::Report,
+            evidence: Evidence::Report(start),
             announcement,
         });
     }
 
     /// Records that the engine states the listed start, in the answer to a query that was sent at `asked_at`.
     pub(crate) fn record_listed_start(&mut self, asked_at: Time) {
-        self.0 = self.0.filter(|it| asked_at < it.since);
+        self.doubt = self.doubt.filter(|it| asked_at < it.since);
     }
 
     /// Records that the engine has answered on a connection that was opened at `connected_at`.
     pub(crate) fn record_data(&mut self, connected_at: Time, now: Time) {
-        let Some(doubt) = &mut self.0 else { return };
+        let Some(doubt) = &mut self.doubt else { return };
         if connected_at < doubt.since && now < doubt.since + BREAK_TIME {
             return;
         }
         doubt.answered_at.get_or_insert(now);
         if doubt.evidence == Evidence::Break && connected_at + NOTICE_TIME <= doubt.began_at {
-            self.0 = None;
+            self.doubt = None;
         }
     }
 
@@ -132,17 +184,17 @@
         let proves = |it: &Doubt| {
             let wait = match it.evidence {
                 Evidence::Break => SETTLE_TIME,
-                Evidence::Report => MAX_REPORT_LEAD,
+                Evidence::Report(_) => MAX_REPORT_LEAD,
             };
             let answered_at = it.answered_at.map(|it| it.max(since));
             answered_at.is_some_and(|it| it + wait <= at)
         };
-        self.0 = self.0.filter(|it| !proves(it));
+        self.doubt = self.doubt.filter(|it| !proves(it));
     }
 
     /// Returns when a connection must have been opened at the latest, so that it shows that the engine has not ended.
     pub fn proving_connection(self) -> Option<Time> {
-        let doubt = self.0.filter(|it| it.evidence == Evidence::Break)?;
+        let doubt = self.doubt.filter(|it| it.evidence == Evidence::Break)?;
         doubt.began_at.checked_sub(NOTICE_TIME)
     }
 }
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -310,7 +310,7 @@
             if listed == Some(incarnation) {
                 it.record_listed_start(asked_at);
             } else {
-                it.record_other_start(asked_at);
+                it.record_other_start(incarnation, asked_at);
             }
         });
     }
--- a/crates/fleet/tests/it/identities.rs
+++ b/crates/fleet/tests/it/identities.rs
@@ -174,6 +174,83 @@
     assert!(!table.take_announcement(key));
 }
 
+/// Reads the entry of an incarnation of the first engine at [`after`] 800, and returns whether that has sent an event.
+fn has_sent_once_listed(
+    table: &mut Table,
+    incarnation: u64,
+    connected_at: Option<Time>,
+    sent_at: Time,
+) -> bool {
+    let next = Listing {
+        incarnation,
+        ..listing("i-1", &[])
+    };
+    let key = table.upsert(next, after(800));
+    let engine = table.get(key).expect("it is listed");
+    engine.identity().has_sent(connected_at, sent_at)
+}
+
+/// A stream begins at the second incarnation, whose entry is not written yet, and the third one starts as another build.
+#[test]
+fn a_stream_is_not_of_an_incarnation_that_started_after_it_had_begun() {
+    let settled = u64::try_from(BREAK_TIME.as_millis()).expect("it is short");
+    let has_sent = |later_break, connected_at, sent_at| {
+        let (mut table, key) = broken();
+        if let Some(at) = later_break {
+            table.record_break(key, at, Announcement::Done);
+        }
+        has_sent_once_listed(&mut table, 3, connected_at, sent_at)
+    };
+    let connected_at = Some(after(1));
+    assert!(has_sent(None, connected_at, after(2)));
+    assert!(has_sent(None, None, after(settled)));
+    assert!(!has_sent(None, None, after(settled - 1)));
+    let later = Some(after(600));
+    assert!(!has_sent(later, connected_at, after(400)));
+    assert!(has_sent(later, connected_at, after(600 + settled)));
+}
+
+/// No connection was open when the second incarnation ended.
+#[test]
+fn a_stream_is_of_the_incarnation_that_the_engine_stated_before_and_after_it_had_begun() {
+    for (stated, listed, is_same) in [(2, 2, true), (2, 3, false), (3, 3, false)] {
+        let (mut table, key) = broken();
+        table.record_start(key, 2, after(300));
+        table.record_start(key, stated, after(600));
+        let has_sent = has_sent_once_listed(&mut table, listed, Some(after(1)), after(400));
+        assert_eq!(has_sent, is_same, "{stated} {listed}");
+    }
+}
+
+#[test]
+fn the_end_of_an_incarnation_may_be_noticed_after_the_entry_of_the_next_one() {
+    let (mut table, key) = broken();
+    assert!(has_sent_once_listed(
+        &mut table,
+        3,
+        Some(after(1)),
+        after(400)
+    ));
+    table.record_break(key, after(830), Announcement::Done);
+    table.record_start(key, 3, after(840));
+    let engine = table.get(key).expect("it is listed");
+    assert!(engine.identity().is_certain());
+    assert!(!engine.identity().has_sent(Some(after(1)), after(400)));
+}
+
+#[test]
+fn a_stream_is_of_the_listed_incarnation_if_that_has_not_ended() {
+    let (mut table, key) = broken();
+    table.record_break(key, after(500), Announcement::Done);
+    let has_sent = |table: &Table| {
+        let engine = table.get(key).expect("it is listed");
+        engine.identity().has_sent(Some(after(1)), after(2))
+    };
+    assert!(!has_sent(&table), "it is uncertain");
+    table.record_start(key, 1, after(600));
+    assert!(has_sent(&table));
+}
+
 #[test]
 fn an_engine_that_was_removed_is_no_longer_uncertain() {
     let (mut table, key) = broken();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -403,8 +403,9 @@
         self.origin_record = OriginRecord::Later;
         let (stream, service) = (self.stream(), self.service.clone());
         let assigned = self.assigned.take();
+        let (engine, connected_at) = (in_flight.key, in_flight.connected_at());
         self.gossip
-            .record_origin_later(stream, service, assigned, in_flight.key);
+            .record_origin_later(stream, service, assigned, engine, connected_at);
     }
 
     /// Records that an engine has sent the first event of its response. From then on, only engines of its build
--- a/crates/gateway/src/gossip/identity.rs
+++ b/crates/gateway/src/gossip/identity.rs
@@ -300,16 +300,19 @@
         }
     }
 
-    /// Records which build began a stream at an engine that may have started again, once that is known. The stream may
-    /// have begun at another build than the one assigned to it.
+    /// Records which build began a stream at an engine that may have started again, once that is known. Its first event came
+    /// now, on a connection that was opened at `connected_at`. The stream may have begun at another build than the one
+    /// assigned to it.
     pub fn record_origin_later(
         self: &Rc<Self>,
         stream: StreamId,
         service: Arc<str>,
         assigned: Option<StreamKey>,
         key: Key,
+        connected_at: Option<Time>,
     ) {
         let gossip = self.clone();
+        let begun_at = clock::now();
         spawn_local(async move {
             if let Some(it) = assigned
                 && !assignments::allow_exception(&gossip.gateway, &service, it).await
@@ -317,13 +320,21 @@
                 assignments::record_unassigned(&gossip.gateway, &service);
             }
             let until = clock::now() + MAX_ORIGIN_WAIT;
-            while !gossip.is_certain(key) && clock::now() < until {
-                gossip.check_identity(key).await;
-                time::sleep(ORIGIN_CHECK_INTERVAL).await;
+            loop {
+                while !gossip.is_certain(key) && clock::now() < until {
+                    gossip.check_identity(key).await;
+                    time::sleep(ORIGIN_CHECK_INTERVAL).await;
+                }
+                // Another break may be noticed just after the entry was read.
+                time::sleep(BREAK_TIME).await;
+                if gossip.is_certain(key) || clock::now() >= until {
+                    break;
+                }
             }
             let build = {
                 let table = gossip.gateway.table.borrow();
-                let engine = table.get(key).filter(|it| it.identity().is_certain());
+                let engine = table.get(key);
+                let engine = engine.filter(|it| it.identity().has_sent(connected_at, begun_at));
                 engine.map(|it| BuildId::of(&it.listing))
             };
             if let Some(build) = build {
