Take the noise of engines from successive requests of each

Cause: the deviation by which prompts are paced counted misfits of the line and prompts that a host learned of after sending its own. Even engines were paced as if slower by a fifth to two thirds.

Change: capacity::noise compares successive requests of one engine that read nothing else until the first event (Engine::load_since), and takes an upper quantile of the differences over all engines of the service. Samples of idle engines go to the other hosts in a message of their own (IdleSpeeds), so all have enough of them.

--- a/crates/experiment/src/platform/hosts.rs
+++ b/crates/experiment/src/platform/hosts.rs
@@ -708,7 +708,7 @@
         it.record_prefilled(sent.sent_at, now);
         let ahead = sent.tokens_ahead.filter(|_| sent.prefill_tokens > 0);
         let sample = ahead.map(|it| Samples::of(it, now.saturating_sub(sent.sent_at)));
-        let load = sent.load;
+        let load = it.load_since(sent.sent_at, sent.load);
         sent.prefill_tokens = 0;
         let estimate = it.held.get_mut(name);
         let sent_at = sent.sent_at;
@@ -719,8 +719,7 @@
             self.wake_waiters(simulation, host, Some(adapter));
         }
         // Heartbeats, which carry the samples, aren't delayed here.
-        for (number, state) in self.states.iter_mut().enumerate() {
-            let load = if number == host { load } else { Load::Busy };
+        for state in &mut self.states {
             if let Some(it) = sample {
                 let key = self.engine_keys[engine];
                 state.table.record_speed(key, it, load, now);
--- a/crates/fleet/src/capacity.rs
+++ b/crates/fleet/src/capacity.rs
@@ -13,8 +13,11 @@
 //! The average is that of the engines that have samples: the first line is only a guess, and an engine that nobody has tried
 //! must not seem slow because all others are faster than that.
 
+mod noise;
+
 use std::time::Duration;
 
+use self::noise::Noise;
 use crate::{Time, decay};
 
 /// Line that is assumed until requests have shown another one: a rate in prompt tokens a ms, and the time in ms until the
@@ -55,6 +58,10 @@
 const MAX_TIME_RATIO: f64 = 5.0;
 const MIN_TIME_RATIO: f64 = 0.2;
 
+/// Longest time of a sample of a line relative to the expected one. Squares of the tokens weigh in a line, so a long time
+/// tilts it.
+const MAX_LINE_TIME_RATIO: f64 = 2.0;
+
 /// Bounds of the slowness.
 const MAX_SLOWNESS: f64 = 10.0;
 const MIN_SLOWNESS: f64 = 0.1;
@@ -62,9 +69,8 @@
 /// Steps of an engine's share of the adapters for each doubling of its speed.
 const SHARE_STEPS: f64 = 2.0;
 
-/// Standard deviation of the logarithm of a sample's time, until samples have shown another one, and the least one that is
-/// stated: there are always errors that samples don't show.
-const INITIAL_DEVIATION: f64 = 0.0;
+/// Least standard deviation of the logarithm of a sample's time that is stated: there are always errors that samples don't
+/// show.
 const MIN_DEVIATION: f64 = 0.1;
 
 /// Steepness of a logistic curve in standard deviations: pi / sqrt(3).
@@ -74,9 +80,9 @@
 const CAUTION: f64 = 1.6;
 
 /// Work of the engine of a sample beside the request.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq)]
 pub enum Load {
-    /// Nothing of which the host knew: the tokens are exactly those of the request's own prompt.
+    /// Nothing of which the host knew, until the first event: the tokens are exactly those of the request's own prompt.
     Idle,
     /// It was reading other prompts, or may have been.
     #[default]
@@ -119,7 +125,7 @@
     pub base_ms: f64,
     /// Prompt tokens that the engine reads in a ms.
     pub tokens_per_ms: f64,
-    /// Standard deviation of the logarithm of the time.
+    /// Standard deviation of the logarithm of the time of one engine.
     pub deviation: f64,
 }
 
@@ -128,7 +134,7 @@
         Self {
             base_ms: INITIAL_BASE_MS,
             tokens_per_ms: INITIAL_TOKENS_PER_MS,
-            deviation: INITIAL_DEVIATION,
+            deviation: 0.0,
         }
     }
 }
@@ -150,8 +156,7 @@
     millis: f64,
     tokens_squared: f64,
     tokens_millis: f64,
-    /// Sum of the squared logarithms of the samples' times relative to the expected ones.
-    log_squared: f64,
+    noise: Noise,
     slowness: LogMean,
     engines_updated_at: Time,
 }
@@ -189,16 +194,15 @@
         let factor = decay::factor(self.at, SERVICE_HALF_LIFE, now);
         self.at = now;
         let count = samples.count;
-        let (tokens, millis) = (samples.tokens / count, samples.millis / count / slowness);
-        let expected = self.line().expected_ms(samples) * slowness;
-        let log = (samples.millis / expected).max(MIN_TIME_RATIO).ln();
+        let longest = self.line().expected_ms(samples) * MAX_LINE_TIME_RATIO;
+        let millis = (samples.millis / slowness).min(longest) / count;
+        let tokens = samples.tokens / count;
         let add = |sum: &mut f64, value: f64| *sum = *sum * factor + value * count;
         add(&mut self.count, 1.0);
         add(&mut self.tokens, tokens);
         add(&mut self.millis, millis);
         add(&mut self.tokens_squared, tokens * tokens);
         add(&mut self.tokens_millis, tokens * millis);
-        add(&mut self.log_squared, log * log);
     }
 
     /// Returns whether the engines of the service are to be updated by this average now.
@@ -222,7 +226,6 @@
             sums.millis += weight * millis;
             sums.tokens_squared += weight * tokens * tokens;
             sums.tokens_millis += weight * tokens * millis;
-            sums.log_squared += weight * INITIAL_DEVIATION * INITIAL_DEVIATION;
         }
         let spread = sums.tokens_squared - sums.tokens * sums.tokens / sums.count;
         let common = sums.tokens_millis - sums.tokens * sums.millis / sums.count;
@@ -231,7 +234,7 @@
         Line {
             base_ms: base.clamp(0.0, MAX_BASE_MS),
             tokens_per_ms: 1.0 / slope,
-            deviation: (sums.log_squared / sums.count).sqrt(),
+            deviation: self.noise.deviation(),
         }
     }
 }
@@ -317,6 +320,8 @@
     line: Line,
     /// Slowness that is assumed without samples.
     average: f64,
+    /// Logarithm of the time, relative to the expected one, of the last sample that shows noise.
+    last_log: Option<f64>,
 }
 
 impl Default for Speed {
@@ -326,6 +331,7 @@
             recent: Recent::default(),
             line: Line::default(),
             average: 1.0,
+            last_log: None,
         }
     }
 }
@@ -355,6 +361,7 @@
         Self {
             long: Sums::default(),
             recent: Recent::default(),
+            last_log: None,
             ..self
         }
     }
@@ -388,6 +395,7 @@
         };
         if load == Load::Idle {
             service.record(clipped, slowness, now);
+            self.record_noise(samples, &mut service.noise);
         }
         self.line = service.line();
         let count = samples.count;
@@ -406,6 +414,18 @@
         has_changed
     }
 
+    /// Compares a request of the idle engine with the one before. What they have in common, as a misfit of the line or an
+    /// error of the slowness, is no noise.
+    fn record_noise(&mut self, samples: Samples, noise: &mut Noise) {
+        if samples.tokens < self.line.tokens_per_ms * noise::MIN_READING_MS {
+            return;
+        }
+        let log = (samples.millis / self.line.expected_ms(samples)).ln();
+        if let Some(last) = self.last_log.replace(log) {
+            noise.record(log - last);
+        }
+    }
+
     /// Time that the engine takes, relative to an engine of average speed.
     pub fn slowness(&self, now: Time) -> f64 {
         self.long.slowness(self.average, LONG_HALF_LIFE, now)
--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -473,6 +473,14 @@
         if is_reading { Load::Busy } else { Load::Idle }
     }
 
+    /// Returns the load of the engine until the first event of a prompt, as far as this host knows, from that when the prompt
+    /// was sent. Prompts that came after it share its steps.
+    pub fn load_since(&self, sent: Time, load: Load) -> Load {
+        let mut since = self.recent_prompts.iter().filter(|it| it.0 >= sent);
+        let is_alone = since.next().is_some_and(|it| it.0 == sent) && since.next().is_none();
+        if is_alone { load } else { Load::Busy }
+    }
+
     /// Returns whether one more request gets a slot at once.
     pub fn has_free_slot(&self, now: Time) -> bool {
         let slots = u32::try_from(self.listing.slots).unwrap_or(u32::MAX);
--- a/crates/fleet/tests/it/capacities.rs
+++ b/crates/fleet/tests/it/capacities.rs
@@ -120,6 +120,65 @@
     assert!(engine.error() < 0.35, "{}", engine.error());
 }
 
+/// Replays requests of idle engines of one service, of which every `percent`-th takes longer, to the deviation that is then
+/// learned.
+fn deviation(requests: u64, percent: u64, lengthen: impl Fn(f64) -> f64) -> f64 {
+    let mut engine = Engine::new(AVERAGE);
+    for number in 0..requests {
+        engine.now += ms(200);
+        let mut sample = engine.sample();
+        // A line that fits badly, and the step during which the prompt arrives.
+        sample.millis +=
+            30.0 * (sample.tokens / 1000.0).sin() + engine.random.random_range(0.0..10.0);
+        if number * percent % 100 < percent {
+            sample.millis = lengthen(sample.millis);
+        }
+        engine.record(sample);
+    }
+    engine.average.line().deviation
+}
+
+/// Replays engines that take 2.5 times as long in 15 of 100 cases, even ones, even ones of which one host in twenty has a bad
+/// path, and a few requests.
+#[test]
+fn only_frequent_noise_of_the_engines_calls_for_caution() {
+    for requests in [60, 120, 300, 500] {
+        let noisy = deviation(requests, 15, |it| it * 2.5);
+        assert!((0.3..0.6).contains(&noisy), "{requests}: {noisy}");
+        let even = deviation(requests, 0, |it| it);
+        assert!(even.abs() < f64::EPSILON, "{requests}: {even}");
+        let bad_path = deviation(requests, 5, |it| it + 3000.0);
+        assert!(bad_path.abs() < f64::EPSILON, "{requests}: {bad_path}");
+    }
+    assert!(deviation(10, 15, |it| it * 2.5).abs() < f64::EPSILON);
+}
+
+#[test]
+fn noise_that_ends_is_forgotten() {
+    let mut engine = Engine::new(AVERAGE);
+    for number in 0..400 {
+        engine.now += ms(200);
+        let mut sample = engine.sample();
+        if number < 120 && number % 6 == 0 {
+            sample.millis *= 2.5;
+        }
+        engine.record(sample);
+    }
+    assert!(engine.average.line().deviation.abs() < f64::EPSILON);
+}
+
+/// A prompt that comes before the first event of another shares the steps of the engine with it.
+#[test]
+fn an_engine_that_gets_another_prompt_before_the_first_event_is_not_idle() {
+    let (mut table, keys) = table(&[("i-1", &["a1"])]);
+    let engine = table.get_mut(keys[0]).expect("the engine exists");
+    let load = engine.load(NOW);
+    engine.record_prompt(1500, NOW);
+    assert_eq!(engine.load_since(NOW, load), Load::Idle);
+    engine.record_prompt(300, NOW + ms(20));
+    assert_eq!(engine.load_since(NOW, load), Load::Busy);
+}
+
 #[test]
 fn an_engine_without_requests_returns_to_the_average() {
     let mut engine = Engine::new(AVERAGE / 4.0);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -110,7 +110,7 @@
     /// Number of reports of that use that this host has sent.
     pub usage_reports: Cell<u64>,
     /// Samples of the speed of engines that the other hosts have not been sent.
-    pub speed_samples: RefCell<HashMap<Key, Samples>>,
+    pub speed_samples: RefCell<HashMap<(Key, Load), Samples>>,
     /// When they were last sent.
     pub speeds_sent_at: Cell<Time>,
     /// Number of heartbeats that this host has sent.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -20,6 +20,7 @@
 
 use fleet::{
     Time,
+    capacity::Load,
     engine::Workload,
     era::Era,
     in_flight,
@@ -126,7 +127,8 @@
                 Some(Message::TurnReply(it)) => self.handle_turn_reply(&it),
                 Some(Message::Ended(it)) => self.handle_ended(&it),
                 Some(Message::Alive(it)) => self.handle_alive(it),
-                Some(Message::Speeds(it)) => self.handle_speeds(&it),
+                Some(Message::Speeds(it)) => self.handle_speeds(&it, Load::Busy),
+                Some(Message::IdleSpeeds(it)) => self.handle_speeds(&it, Load::Idle),
                 Some(Message::AccountUsage(it)) => self.handle_account_usage(&it, from),
                 Some(Message::FirstRequests(it)) => self.handle_first_requests(&it),
                 Some(Message::LoadTimes(it)) => self.handle_load_times(&it),
--- a/crates/gateway/src/gossip/capacity.rs
+++ b/crates/gateway/src/gossip/capacity.rs
@@ -24,17 +24,27 @@
         sent_at.set(now);
         let samples = self.gateway.speed_samples.take();
         let table = self.gateway.table.borrow();
-        let samples = samples.iter().filter_map(|(key, it)| {
-            let engine = table.get(*key)?;
-            Some(encode(short_id(&engine.listing.id), it))
-        });
-        let samples: Vec<SpeedSamples> = samples.collect();
-        let parts = samples.chunks(MAX_WORKLOADS_PER_MESSAGE);
-        parts.map(|it| Message::Speeds(it.to_vec())).collect()
+        let (mut idle, mut busy) = (Vec::new(), Vec::new());
+        for ((key, load), it) in &samples {
+            let Some(engine) = table.get(*key) else {
+                continue;
+            };
+            let samples = encode(short_id(&engine.listing.id), it);
+            match load {
+                Load::Idle => idle.push(samples),
+                Load::Busy => busy.push(samples),
+            }
+        }
+        let idle = idle.chunks(MAX_WORKLOADS_PER_MESSAGE);
+        let busy = busy.chunks(MAX_WORKLOADS_PER_MESSAGE);
+        idle.map(|it| Message::IdleSpeeds(it.to_vec()))
+            .chain(busy.map(|it| Message::Speeds(it.to_vec())))
+            .collect()
     }
 
-    /// Records the samples of another host. Sums over several requests can't tell the time of a step from that of a token.
-    pub(super) fn handle_speeds(&self, samples: &[SpeedSamples]) {
+    /// Records the samples of another host. Sums over several requests can't tell the time of a step from that of a token,
+    /// so they count as those of busy engines.
+    pub(super) fn handle_speeds(&self, samples: &[SpeedSamples], load: Load) {
         for (engine, count, tokens, millis) in samples {
             let key = self.gateway.table.borrow().find_by_short_id(*engine);
             let samples = Samples {
@@ -43,8 +53,8 @@
                 millis: f64::from(*millis),
             };
             if let Some(key) = key.filter(|_| *count > 0) {
-                self.gateway
-                    .record_speed(key, samples, Load::Busy, "other-host");
+                let load = if *count == 1 { load } else { Load::Busy };
+                self.gateway.record_speed(key, samples, load, "other-host");
             }
         }
     }
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -47,7 +47,7 @@
     /// Prompt tokens that the engine had to prefill until the first event, when the request was sent; `None` if the request
     /// had to wait for a slot first.
     tokens_ahead: Option<f64>,
-    /// Load of the engine when the request was sent.
+    /// Load of the engine when the request was sent, and until its first event.
     load: Load,
     /// Number of the attempt in the trace of its request.
     pub(crate) attempt: usize,
@@ -122,6 +122,7 @@
     pub(crate) fn record_first_event(&mut self) {
         let now = clock::now();
         if let Some(engine) = self.gateway.table.borrow_mut().get_mut(self.key) {
+            self.load = engine.load_since(self.sent_at, self.load);
             engine.local_work.prefill_tokens = engine
                 .local_work
                 .prefill_tokens
@@ -144,7 +145,10 @@
         self.gateway
             .record_speed(self.key, sample, self.load, "own");
         let mut samples = self.gateway.speed_samples.borrow_mut();
-        samples.entry(self.key).or_default().add(sample);
+        samples
+            .entry((self.key, self.load))
+            .or_default()
+            .add(sample);
     }
 
     /// Returns whether the engine has just begun to generate the response, or may be about to.
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -125,6 +125,10 @@
             let (first, rest) = halves(list)?;
             Some((Message::Speeds(first), Message::Speeds(rest)))
         }
+        Message::IdleSpeeds(list) => {
+            let (first, rest) = halves(list)?;
+            Some((Message::IdleSpeeds(first), Message::IdleSpeeds(rest)))
+        }
         Message::Full(list) => {
             let (first, rest) = halves(list)?;
             Some((Message::Full(first), Message::Full(rest)))
@@ -213,6 +217,8 @@
     FirstRequests(FirstRequests),
     /// Observed durations of loads. Earlier builds discard it.
     LoadTimes(LoadTimes),
+    /// Samples like [`Message::Speeds`], of engines that did nothing else. Earlier builds discard it.
+    IdleSpeeds(Vec<SpeedSamples>),
 }
 
 /// First requests of a host after a load. Encoding of [`fleet::loader::Arrival`].
