--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -129,6 +129,10 @@
             let (first, rest) = halves(list)?;
             Some((Message::Speeds(first), Message::Speeds(rest)))
         }
+        Message::IdleSpeeds(list) => {
+            let (first, rest) = halves(list)?;
+            Some((Message::IdleSpeeds(first), Message::IdleSpeeds(rest)))
+        }
         Message::Full(list) => {
             let (first, rest) = halves(list)?;
             Some((Message::Full(first), Message::Full(rest)))
@@ -220,6 +224,8 @@
     /// Account ([`fleet::account::ledger::AccountId`]) and tokens of its requests that took room since the last message,
     /// while requests waited at the host. Earlier builds discard it.
     AccountWork(Vec<(u32, u32)>),
+    /// Samples like [`Message::Speeds`], of engines that did nothing else. Earlier builds discard it.
+    IdleSpeeds(Vec<SpeedSamples>),
 }
 
 /// First requests of a host after a load. Encoding of [`fleet::loader::Arrival`].
