Count prompts at an engine until their first event

Cause: hosts estimated what an engine has yet to read from its learned speed.

Change: `fleet::reading` keeps the prompts that hosts have sent and whose end they haven't announced, and how long the engine took for the last ones. The expected wait and the chance of a pause use them.

--- a/crates/experiment/src/platform/hosts.rs
+++ b/crates/experiment/src/platform/hosts.rs
@@ -13,6 +13,7 @@
     loader::{self, Action, Arrival, Loader, Op, Order, Outcome, Status, View},
     placement::{self, Placement, Purpose},
     prefix::{Chain, Part},
+    reading::End,
     table::{Freshness, Key, Table},
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -59,8 +60,10 @@
 
 /// Content of a message. Engines and adapters are given by their indexes.
 enum Payload {
-    /// A prompt was sent to an engine: the engine and the prompt tokens that it has to process.
-    PromptSent(usize, u32),
+    /// A prompt was sent to an engine: the host that sent it, the engine and the prompt tokens that it has to process.
+    PromptSent(usize, usize, u32),
+    /// A prompt has ended: the host that sent it, the engine, the prompt tokens, and how.
+    PromptEnded(usize, usize, u32, End),
     /// A load was ordered, or the adapter is already loaded: the engine, the adapter, its version (0
     /// if it is unknown), and the due time.
     LoadOrdered(usize, usize, u64, Micros),
@@ -125,6 +128,7 @@
 pub struct Hosts {
     states: Vec<Host>,
     engine_keys: Vec<Key>,
+    host_names: Vec<Arc<str>>,
     adapter_names: Vec<Name>,
     engine_ids: Vec<Arc<str>>,
     catalog: Catalog,
@@ -174,6 +178,9 @@
         Self {
             states: host_states,
             engine_keys,
+            host_names: (0..installation.hosts)
+                .map(|it| format!("h-{it}").into())
+                .collect(),
             adapter_names,
             engine_ids,
             catalog: new_catalog(installation),
@@ -380,6 +387,7 @@
         let load = it.load(now);
         let ahead = it.pending_prefill_tokens(now) + f64::from(prefill_tokens);
         let tokens_ahead = it.has_free_slot(now).then_some(ahead);
+        it.record_sent(None, prefill_tokens, now);
         it.local_work.running += 1;
         it.local_work.prefill_tokens += prefill_tokens;
         it.record_prompt(prefill_tokens, now);
@@ -404,13 +412,36 @@
                 MESSAGE_DELAY,
                 Message {
                     to,
-                    payload: Payload::PromptSent(engine, prefill_tokens),
+                    payload: Payload::PromptSent(arrival.host, engine, prefill_tokens),
                 },
             );
         }
         simulation.send_request(request, engine, prefill_tokens);
     }
 
+    /// Records the end of a request's prompt and announces it to the other hosts.
+    fn end_prompt(
+        &mut self,
+        simulation: &mut Simulation<Message>,
+        request: usize,
+        engine: usize,
+        end: End,
+    ) {
+        let host = simulation.requests[request].arrival.host;
+        let sent = self.sent_requests.get(&request);
+        let Some(tokens) = sent.map(|it| it.prefill_tokens).filter(|it| *it > 0) else {
+            return;
+        };
+        let now = to_time(simulation.now);
+        if let Some(it) = self.states[host].table.get_mut(self.engine_keys[engine]) {
+            it.reading.record_end(None, tokens, end, now);
+        }
+        for to in self.other_hosts(host) {
+            let payload = Payload::PromptEnded(host, engine, tokens, end);
+            simulation.schedule_message(MESSAGE_DELAY, Message { to, payload });
+        }
+    }
+
     /// Removes a request from the estimated state of an engine.
     fn release_request(&mut self, request: usize, host: usize, adapter: usize, engine: usize) {
         let sent = self.sent_requests.remove(&request).unwrap_or_default();
@@ -650,6 +681,7 @@
             .sent_requests
             .get(&request)
             .map_or(now, |it| it.sent_at);
+        self.end_prompt(simulation, request, engine, End::Dropped);
         self.release_request(request, arrival.host, arrival.adapter, engine);
         let name = self.adapter_names[arrival.adapter].clone();
         let it = &mut self.states[arrival.host];
@@ -672,6 +704,7 @@
         engine: usize,
     ) {
         let arrival = simulation.requests[request].arrival.clone();
+        self.end_prompt(simulation, request, engine, End::Dropped);
         self.release_request(request, arrival.host, arrival.adapter, engine);
         let now = to_time(simulation.now);
         if let Some(it) = self.states[arrival.host]
@@ -689,6 +722,7 @@
         request: usize,
         engine: usize,
     ) {
+        self.end_prompt(simulation, request, engine, End::Read);
         let arrival = &simulation.requests[request].arrival;
         let now = to_time(simulation.now);
         let name = &self.adapter_names[arrival.adapter];
@@ -758,10 +792,18 @@
         let now = to_time(simulation.now);
         let to = message.to;
         match message.payload {
-            Payload::PromptSent(engine, tokens) => {
-                if let Some(it) = self.states[to].table.get_mut(self.engine_keys[engine]) {
+            Payload::PromptEnded(from, engine, tokens, end) => {
+                let (host, key) = (&self.host_names[from], self.engine_keys[engine]);
+                let table = &mut self.states[to].table;
+                table.record_remote_prompt_end(host, key, tokens, end, now);
+            }
+            Payload::PromptSent(from, engine, tokens) => {
+                let (host, key) = (&self.host_names[from], self.engine_keys[engine]);
+                let table = &mut self.states[to].table;
+                if let Some(it) = table.get_mut(key) {
                     it.record_prompt(tokens, now);
                 }
+                table.record_remote_prompt(host, key, tokens, now);
             }
             Payload::LoadOrdered(engine, adapter, version, due) => {
                 let load = in_flight::Load {
--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -17,6 +17,7 @@
     loader::Arrival,
     origin::BuildId,
     prefix::Cache,
+    reading::Reading,
     rendezvous,
     request_limit::{Limit, Rate},
     room::Room,
@@ -210,6 +211,8 @@
     leaving: bool,
     /// When the engine is expected to finish the prefill of all prompts that are known to be sent.
     prefill_end: Time,
+    /// Prompts that the engine is reading, and has read of late.
+    pub reading: Reading,
     /// Send time and tokens of the prompts whose prefill isn't known to be done.
     pending_prompts: VecDeque<(Time, u32)>,
     /// Send time and tokens of recently sent prompts, whether their prefill is done or not.
@@ -247,6 +250,7 @@
             room: Room::default(),
             leaving: false,
             prefill_end: Time::ZERO,
+            reading: Reading::default(),
             pending_prompts: VecDeque::new(),
             recent_prompts: VecDeque::new(),
             prefix_cache: Cache::default(),
@@ -277,6 +281,7 @@
             self.prefix_cache.clear();
             self.circuit = Circuit::default();
             self.speed = self.speed.restarted();
+            self.reading = Reading::default();
         }
         self.expires_at = None;
         self.recently_removed
@@ -448,6 +453,14 @@
         self.prefill_end = self.prefill_end.max(now) + self.prefill_time(f64::from(tokens), now);
     }
 
+    /// Records a prompt of a host, `None` for this one, that the engine reads at once. One that waits for a slot says nothing
+    /// about the reading.
+    pub fn record_sent(&mut self, host: Option<&Arc<str>>, tokens: u32, now: Time) {
+        if self.has_free_slot(now) {
+            self.reading.record_sent(host, tokens, now);
+        }
+    }
+
     /// Returns the prompt tokens that were sent to the engine within the last `window`.
     pub fn tokens_sent_within(&self, window: Duration, now: Time) -> f64 {
         let recent = self.recent_prompts.iter().rev();
@@ -485,6 +498,14 @@
         rendezvous::score(name, &self.listing.id, self.speed.share(now))
     }
 
+    /// Prompt tokens that the engine reads in a millisecond at present: the learned speed, less if prompts of the last moment
+    /// took longer than that.
+    pub fn present_tokens_per_ms(&self, now: Time) -> f64 {
+        let learned = self.speed.tokens_per_ms(now);
+        let base_ms = self.speed.line().base_ms * self.speed.slowness(now);
+        learned / self.reading.strain(learned, base_ms, now)
+    }
+
     /// Returns the expected duration of a prefill.
     fn prefill_time(&self, tokens: f64, now: Time) -> Duration {
         Duration::from_secs_f64(tokens / self.speed.tokens_per_ms(now) / 1000.0)
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod queue;
 pub mod rate_limit;
 pub mod reader;
+pub mod reading;
 pub mod rendezvous;
 pub mod request_limit;
 pub mod room;
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -40,6 +40,10 @@
 /// Longest allowed gap that is assumed for requests whose route names none.
 const DEFAULT_MAX_GAP: Duration = Duration::from_millis(250);
 
+/// Part of the prompt tokens that an engine is known not to have read which it is taken to have still before it, at least:
+/// it may be anywhere within them.
+const UNREAD_FRACTION: f64 = 0.5;
+
 /// Cost in ms of each running stream that would pause because the engine reads prompts for too long.
 const PAUSED_STREAM_COST_MS: f64 = 25.0;
 
@@ -247,8 +251,9 @@
     let excess = (work.running + 1).saturating_sub(slots);
     let slowness = engine.speed.slowness(now);
     let wait_ms = if request.name.is_some() {
-        (engine.pending_prefill_tokens(now) + uncached_tokens(engine, request))
-            / engine.speed.tokens_per_ms(now)
+        let unread = f64::from(engine.reading.unread_tokens(now)) * UNREAD_FRACTION;
+        let pending = engine.pending_prefill_tokens(now).max(unread);
+        (pending + uncached_tokens(engine, request)) / engine.present_tokens_per_ms(now)
             + (engine.speed.line().base_ms + f64::from(work.running) * RUNNING_DELAY_MS) * slowness
     } else {
         f64::from(work.running) / f64::from(slots) * PLAIN_DELAY_MS
@@ -298,8 +303,14 @@
     if request.name.is_none() {
         return 0.0;
     }
-    let tokens = read_within_gap(engine, request, now);
+    let reading = &engine.reading;
+    let rate = engine.present_tokens_per_ms(now);
+    let busy_ms = reading.busy(request.max_gap, now).as_secs_f64() * 1000.0;
+    let reading_ms = busy_ms.max(f64::from(reading.unread_tokens(now)) / rate);
+    let total_ms = reading_ms + uncached_tokens(engine, request) / rate;
     let allowed_ms = reading_time_ms(engine, request, now);
+    // The learned speed and its deviation tell how far the time may differ from the expected one.
+    let tokens = total_ms * engine.speed.tokens_per_ms(now);
     engine.speed.overrun_probability(tokens, allowed_ms, now)
 }
 
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -1,7 +1,7 @@
 //! All engines and instances of plain services that this host knows, and the newest versions of adapters.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
     sync::Arc,
     time::Duration,
 };
@@ -13,6 +13,7 @@
     identity::{Announcement, Identity},
     listing::{Listing, Name, is_adapter},
     origin::{BuildId, MAX_LIST_GAP, STREAM_TTL},
+    reading::End,
     rendezvous::short_id,
 };
 
@@ -83,6 +84,8 @@
     run_times: HashMap<Arc<str>, f64>,
     /// Average speed of the engines of each service.
     averages: HashMap<Arc<str>, Average>,
+    /// Hosts that announce the ends of their prompts.
+    announcing_hosts: HashSet<Arc<str>>,
     /// Engines that may have started again since their entries were written.
     uncertain: BTreeSet<Key>,
     /// Since when the list of engines has been complete without a gap.
@@ -410,6 +413,32 @@
         }
     }
 
+    /// Records a prompt that another host has sent to an engine. It counts only if the host is known to announce the ends
+    /// of its prompts too; earlier builds don't.
+    pub fn record_remote_prompt(&mut self, host: &Arc<str>, key: Key, tokens: u32, now: Time) {
+        if !self.announcing_hosts.contains(host) {
+            return;
+        }
+        if let Some(engine) = self.engines.get_mut(&key) {
+            engine.record_sent(Some(host), tokens, now);
+        }
+    }
+
+    /// Records the end of a prompt that another host has sent to an engine.
+    pub fn record_remote_prompt_end(
+        &mut self,
+        host: &Arc<str>,
+        key: Key,
+        tokens: u32,
+        end: End,
+        now: Time,
+    ) {
+        self.announcing_hosts.insert(host.clone());
+        if let Some(engine) = self.engines.get_mut(&key) {
+            engine.reading.record_end(Some(host), tokens, end, now);
+        }
+    }
+
     /// Records a request that another host has sent since its last report.
     pub fn record_remote_start(&mut self, host: &Arc<str>, key: Key, now: Time) {
         if let Some(engine) = self.engines.get_mut(&key) {
--- a/crates/fleet/tests/it/main.rs
+++ b/crates/fleet/tests/it/main.rs
@@ -19,6 +19,7 @@
 mod quarantines;
 mod queues;
 mod readers;
+mod readings;
 mod request_limits;
 mod rooms;
 mod stalls;
