Announce the end of each announced prompt

Cause: `fleet::reading` needs to know when an engine has read a prompt of another host.

Change: a datagram of some 10 bytes at the first event, or when a request ends without one, to the hosts that heard of the prompt. Prompts of hosts that don't announce ends, as those of earlier builds, don't count.

--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -121,6 +121,7 @@
         }
         let mut in_flight = InFlight::start(
             &self.gateway,
+            &self.gossip,
             key,
             self.request_head.name.clone(),
             &self.prefix_chain,
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -27,6 +27,7 @@
     loader::{self, Wanted},
     origin::BuildId,
     placement::{self, Purpose},
+    reading::End,
     rendezvous::{self, short_id},
     table::{Freshness, Key},
 };
@@ -45,8 +46,8 @@
     list_sync::{self, ListState},
     message::{
         self, AdapterUpdate, AdapterUsage, EngineIncarnation, EngineWorkload, Heartbeat,
-        LoadRequest, MAX_ADAPTERS_PER_MESSAGE, MAX_WORKLOADS_PER_MESSAGE, Message, ShortId,
-        Workloads,
+        LoadRequest, MAX_ADAPTERS_PER_MESSAGE, MAX_WORKLOADS_PER_MESSAGE, Message, PromptEnd,
+        ShortId, Workloads,
     },
     peers::{HEARTBEAT_INTERVAL, HeartbeatTarget},
 };
@@ -130,6 +131,9 @@
                 Some(Message::AccountUsage(it)) => self.handle_account_usage(&it, from),
                 Some(Message::FirstRequests(it)) => self.handle_first_requests(&it),
                 Some(Message::LoadTimes(it)) => self.handle_load_times(&it),
+                Some(Message::PromptEnded(engine, tokens, end)) => {
+                    self.handle_prompt_end(engine, tokens, end, from);
+                }
                 None => log::debug!("cannot decode datagram from {from}"),
             }
         }
@@ -178,7 +182,22 @@
     /// Announces at once that an engine has a prompt to prefill. The next heartbeat would be too
     /// late, because the prefill would be done by then.
     pub fn announce_prompt(&self, id: &str, tokens: u32) {
-        let bytes = message::encode(&Message::PromptSent(short_id(id), tokens));
+        self.announce(id, &Message::PromptSent(short_id(id), tokens));
+    }
+
+    /// Announces at once that a prompt which was announced has ended, so that others know what the engine still has to
+    /// prefill.
+    pub fn announce_prompt_end(&self, id: &str, tokens: u32, end: End) {
+        let end = match end {
+            End::Read => PromptEnd::Read,
+            End::Dropped => PromptEnd::Dropped,
+        };
+        self.announce(id, &Message::PromptEnded(short_id(id), tokens, end));
+    }
+
+    /// Sends a message about an engine to those that hear of its prompts, or to none whose datagrams wait.
+    fn announce(&self, id: &str, message: &Message) {
+        let bytes = message::encode(message);
         for addr in self.prompt_recipients(id) {
             if let Err(error) = self.socket.try_send_to(&bytes, addr) {
                 log::debug!("cannot send datagram to {addr}: {error}");
@@ -217,14 +236,31 @@
         let Some(key) = table.find_by_short_id(engine) else {
             return;
         };
+        let host = self.gateway.peers.borrow().name_at(from);
         if let Some(engine) = table.get_mut(key) {
             engine.record_prompt(tokens, now);
         }
-        if let Some(host) = self.gateway.peers.borrow().name_at(from) {
+        if let Some(host) = host {
+            table.record_remote_prompt(&host, key, tokens, now);
             table.record_remote_start(&host, key, now);
         }
     }
 
+    /// Records that a prompt of another host has ended.
+    fn handle_prompt_end(&self, engine: ShortId, tokens: u32, end: PromptEnd, from: SocketAddr) {
+        let Some(host) = self.gateway.peers.borrow().name_at(from) else {
+            return;
+        };
+        let end = match end {
+            PromptEnd::Read => End::Read,
+            PromptEnd::Dropped => End::Dropped,
+        };
+        let mut table = self.gateway.table.borrow_mut();
+        if let Some(key) = table.find_by_short_id(engine) {
+            table.record_remote_prompt_end(&host, key, tokens, end, clock::now());
+        }
+    }
+
     /// Requests a load from the steward at position `nth` in the order for this adapter. Returns
     /// false if no suitable engine has a steward.
     pub async fn request_load(
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -8,6 +8,7 @@
     listing::Name,
     origin::BuildId,
     prefix::Chain,
+    reading::End,
     table::Key,
 };
 use hyper::Response;
@@ -17,6 +18,7 @@
     call, clock,
     connection::{self, Connection},
     gateway::Gateway,
+    gossip::Gossip,
 };
 
 /// Maximum time for the rest of a response that is not forwarded. The next attempt waits for it.
@@ -32,6 +34,7 @@
 /// connection, which cancels the request at the engine.
 pub struct InFlight {
     gateway: Rc<Gateway>,
+    gossip: Rc<Gossip>,
     pub(crate) key: Key,
     /// Build of the engine when the request was sent; `None` if the engine is unknown.
     build: Option<BuildId>,
@@ -57,6 +60,7 @@
     /// Counts a request that is about to be sent to an engine.
     pub(crate) fn start(
         gateway: &Rc<Gateway>,
+        gossip: &Rc<Gossip>,
         key: Key,
         name: Option<Name>,
         chain: &Chain,
@@ -77,6 +81,7 @@
                 load = engine.load(now);
                 tokens_ahead = Some(pending + f64::from(prefill_tokens));
             }
+            engine.record_sent(None, prefill_tokens, now);
             engine.local_work.running += 1;
             engine.local_work.prefill_tokens += prefill_tokens;
             engine.record_prompt(prefill_tokens, now);
@@ -91,6 +96,7 @@
         }
         Self {
             gateway: gateway.clone(),
+            gossip: gossip.clone(),
             key,
             build,
             name,
@@ -129,10 +135,27 @@
             engine.record_prefilled(self.sent_at, now);
         }
         self.record_speed(now);
+        self.end_prompt(End::Read, now);
         self.prefill_tokens = 0;
         self.begun_at = Some(now);
     }
 
+    /// Records the end of the prompt, and announces it to other hosts.
+    fn end_prompt(&self, end: End, now: Time) {
+        if self.prefill_tokens == 0 {
+            return;
+        }
+        let mut table = self.gateway.table.borrow_mut();
+        let Some(engine) = table.get_mut(self.key) else {
+            return;
+        };
+        let tokens = self.prefill_tokens;
+        engine.reading.record_end(None, tokens, end, now);
+        let id = engine.listing.id.clone();
+        drop(table);
+        self.gossip.announce_prompt_end(&id, tokens, end);
+    }
+
     /// Records how long the engine took until the first event. After a suspension of this host that isn't known.
     fn record_speed(&self, now: Time) {
         let tokens = self.tokens_ahead.filter(|_| self.prefill_tokens > 0);
@@ -174,6 +197,7 @@
 
 impl Drop for InFlight {
     fn drop(&mut self) {
+        self.end_prompt(End::Dropped, clock::now());
         let mut table = self.gateway.table.borrow_mut();
         let Some(engine) = table.get_mut(self.key) else {
             return;
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -142,7 +142,8 @@
         | Message::Ended(_)
         | Message::Alive(_)
         | Message::FirstRequests(_)
-        | Message::LoadTimes(_) => None,
+        | Message::LoadTimes(_)
+        | Message::PromptEnded(..) => None,
     }
 }
 
@@ -213,6 +214,18 @@
     FirstRequests(FirstRequests),
     /// Observed durations of loads. Earlier builds discard it.
     LoadTimes(LoadTimes),
+    /// A prompt that was announced with [`Message::PromptSent`] has ended: the engine, the prompt tokens, and how. Earlier
+    /// builds discard it.
+    PromptEnded(ShortId, u32, PromptEnd),
+}
+
+/// Encoding of [`fleet::reading::End`].
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub enum PromptEnd {
+    /// Its first event has come.
+    Read,
+    /// It was refused, or its request was cancelled or lost.
+    Dropped,
 }
 
 /// First requests of a host after a load. Encoding of [`fleet::loader::Arrival`].
