--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -150,7 +150,8 @@
         | Message::Ended(_)
         | Message::Alive(_)
         | Message::FirstRequests(_)
-        | Message::LoadTimes(_) => None,
+        | Message::LoadTimes(_)
+        | Message::PromptEnded(..) => None,
     }
 }
 
@@ -226,6 +227,18 @@
     AccountWork(Vec<(u32, u32)>),
     /// Samples like [`Message::Speeds`], of engines that did nothing else. Earlier builds discard it.
     IdleSpeeds(Vec<SpeedSamples>),
+    /// A prompt that was announced with [`Message::PromptSent`] has ended: the engine, the prompt tokens, and how. Earlier
+    /// builds discard it.
+    PromptEnded(ShortId, u32, PromptEnd),
+}
+
+/// Encoding of [`fleet::reading::End`].
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+pub enum PromptEnd {
+    /// Its first event has come.
+    Read,
+    /// It was refused, or its request was cancelled or lost.
+    Dropped,
 }
 
 /// First requests of a host after a load. Encoding of [`fleet::loader::Arrival`].
