--- a/crates/gateway/tests/message.rs
+++ b/crates/gateway/tests/message.rs
@@ -146,3 +146,13 @@
     let sizes = [report, times].map(|it| encode_within_limit(&it)[0].len());
     assert!(sizes[0] <= 40 && sizes[1] <= 200, "{sizes:?}");
 }
+
+/// Samples of idle engines go out beside those of busy ones, each in a message that is split like the other.
+#[test]
+fn samples_of_idle_engines_take_few_bytes() {
+    let samples = || vec![(u32::MAX, 1, 4000, 400); 60];
+    let bytes = [Message::IdleSpeeds(samples()), Message::Speeds(samples())]
+        .map(|it| encode_within_limit(&it).iter().map(Vec::len).sum::<usize>());
+    assert_eq!(bytes[0], bytes[1]);
+    assert!(bytes[0] <= 60 * 12, "{bytes:?}");
+}
