Pace prompts by the present speed of their engine

Cause: pacing took an engine to read as fast as in the last seconds, also while it didn't answer.

Change: the time of the tokens within the gap is that at the present speed; an engine with unread prompts counts as one with prompts.

--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -501,9 +501,14 @@
     /// Prompt tokens that the engine reads in a millisecond at present: the learned speed, less if prompts of the last moment
     /// took longer than that.
     pub fn present_tokens_per_ms(&self, now: Time) -> f64 {
-        let learned = self.speed.tokens_per_ms(now);
+        self.speed.tokens_per_ms(now) / self.strain(now)
+    }
+
+    /// Time that the engine took for the prompts of the last moment over the time at its learned speed, at least 1.
+    pub fn strain(&self, now: Time) -> f64 {
         let base_ms = self.speed.line().base_ms * self.speed.slowness(now);
-        learned / self.reading.strain(learned, base_ms, now)
+        self.reading
+            .strain(self.speed.tokens_per_ms(now), base_ms, now)
     }
 
     /// Returns the expected duration of a prefill.
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -278,7 +278,8 @@
 /// tokens than it can prefill in that time.
 fn must_delay(engine: &Engine, request: &PlacementRequest, now: Time) -> bool {
     let has_prompts = engine.tokens_sent_within(request.max_gap, now) > 0.0
-        || engine.pending_prefill_tokens(now) > 0.0;
+        || engine.pending_prefill_tokens(now) > 0.0
+        || engine.reading.unread_tokens(now) > 0;
     has_prompts && pauses_streams(engine, request, now)
 }
 
@@ -295,6 +296,7 @@
         || engine
             .speed
             .cautious_time_ms(read_within_gap(engine, request, now), now)
+            * engine.strain(now)
             > reading_time_ms(engine, request, now)
 }
 
--- a/crates/fleet/tests/it/readings.rs
+++ b/crates/fleet/tests/it/readings.rs
@@ -110,3 +110,26 @@
     }
     assert_eq!(chosen(&table, 7000), keys[0]);
 }
+
+/// Replays two prompts, one after the other, for the only engine that holds the adapter: it reads them in time as a rule,
+/// but not while it takes four times as long.
+#[test]
+fn prompts_are_paced_by_the_present_speed() {
+    for (read_after, is_delayed) in [(30, false), (280, true)] {
+        let (mut table, keys) = table(&[("i-1", &["a1"])]);
+        for number in 0..60 {
+            let sample = Samples::of(900.0, ms(25 + 30));
+            table.record_speed(keys[0], sample, Load::Idle, at(number * 100));
+        }
+        let engine = table.get_mut(keys[0]).expect("the engine exists");
+        engine.record_prompt(1500, at(6000));
+        engine.record_sent(None, 1500, at(6000));
+        let now = at(6000 + read_after);
+        engine.record_prefilled(at(6000), now);
+        engine.reading.record_end(None, 1500, End::Read, now);
+        let (name, chain) = ("m/a1".into(), prompt(1500));
+        let placement = place(&table, &request(&name, &chain, 5), now);
+        let delays = matches!(placement, Placement::Delay(_));
+        assert_eq!(delays, is_delayed, "{read_after}: {placement:?}");
+    }
+}
--- a/crates/gateway/tests/message.rs
+++ b/crates/gateway/tests/message.rs
@@ -2,8 +2,9 @@
 
 use gateway::message::{
     AdapterUsage, EngineLimit, FirstRequests, Heartbeat, LoadRequest, LoadTimes,
-    MAX_DATAGRAM_BYTES, Message, ObservedTimes, StatedLimit, TurnOutcome, TurnReply, TurnRequest,
-    Workloads, decode, encode, encode_within_limit, make_adapter_update, make_incarnation,
+    MAX_DATAGRAM_BYTES, Message, ObservedTimes, PromptEnd, StatedLimit, TurnOutcome, TurnReply,
+    TurnRequest, Workloads, decode, encode, encode_within_limit, make_adapter_update,
+    make_incarnation,
 };
 
 #[test]
@@ -146,3 +147,14 @@
     let sizes = [report, times].map(|it| encode_within_limit(&it)[0].len());
     assert!(sizes[0] <= 40 && sizes[1] <= 200, "{sizes:?}");
 }
+
+#[test]
+fn the_end_of_a_prompt_takes_few_bytes() {
+    let message = Message::PromptEnded(u32::MAX, 100_000, PromptEnd::Dropped);
+    let datagram = encode(&message);
+    assert!(datagram.len() <= 12, "{} bytes", datagram.len());
+    assert!(matches!(
+        decode(&datagram),
+        Some(Message::PromptEnded(u32::MAX, 100_000, PromptEnd::Dropped))
+    ));
+}
