--- a/crates/gateway/tests/message.rs
+++ b/crates/gateway/tests/message.rs
@@ -2,8 +2,9 @@
 
 use gateway::message::{
     AdapterUsage, EngineLimit, FirstRequests, Heartbeat, LoadRequest, LoadTimes,
-    MAX_DATAGRAM_BYTES, Message, ObservedTimes, StatedLimit, TurnOutcome, TurnReply, TurnRequest,
-    Workloads, decode, encode, encode_within_limit, make_adapter_update, make_incarnation,
+    MAX_DATAGRAM_BYTES, Message, ObservedTimes, PromptEnd, StatedLimit, TurnOutcome, TurnReply,
+    TurnRequest, Workloads, decode, encode, encode_within_limit, make_adapter_update,
+    make_incarnation,
 };
 
 #[test]
@@ -166,3 +167,14 @@
     assert_eq!(bytes[0], bytes[1]);
     assert!(bytes[0] <= 60 * 12, "{bytes:?}");
 }
+
+#[test]
+fn the_end_of_a_prompt_takes_few_bytes() {
+    let message = Message::PromptEnded(u32::MAX, 100_000, PromptEnd::Dropped);
+    let datagram = encode(&message);
+    assert!(datagram.len() <= 12, "{} bytes", datagram.len());
+    assert!(matches!(
+        decode(&datagram),
+        Some(Message::PromptEnded(u32::MAX, 100_000, PromptEnd::Dropped))
+    ));
+}
