Model the memory of engines in the experiment of platforms

Cause: the model brought every adapter from the weight store, also one that the engine had unloaded a moment before. Change: an engine keeps the last 87 unloaded adapters and loads them in 40 ms without the store; the table counts these loads.

--- a/crates/experiment/src/platform/engine.rs
+++ b/crates/experiment/src/platform/engine.rs
@@ -4,7 +4,7 @@
 
 use fleet::rendezvous;
 
-use super::installation::{Installation, NOISE_FACTOR, NOISE_PERIOD};
+use super::installation::{COPIES_IN_MEMORY, Installation, NOISE_FACTOR, NOISE_PERIOD};
 use crate::event_queue::{MILLISECOND, Micros};
 
 /// A request at an engine.
@@ -34,6 +34,8 @@
     number: usize,
     /// Loaded adapters and the time of their last use.
     pub held: BTreeMap<usize, Micros>,
+    /// Adapters that were unloaded and are still in memory, oldest first.
+    in_memory: VecDeque<usize>,
     /// Adapters whose loads are in flight.
     pub in_flight: Vec<usize>,
     /// Number of accepted orders.
@@ -59,6 +61,21 @@
         }
     }
 
+    /// Takes an adapter from the memory. Returns whether it was there.
+    pub fn take_from_memory(&mut self, adapter: usize) -> bool {
+        let index = self.in_memory.iter().position(|it| *it == adapter);
+        index.and_then(|it| self.in_memory.remove(it)).is_some()
+    }
+
+    /// Unloads an adapter, whose weights stay in memory until others need the room.
+    pub fn unload(&mut self, adapter: usize) {
+        self.held.remove(&adapter);
+        self.in_memory.push_back(adapter);
+        if self.in_memory.len() > COPIES_IN_MEMORY {
+            self.in_memory.pop_front();
+        }
+    }
+
     /// Queues a request. `prefill_tokens` is the number of prompt tokens that are not in the prefix
     /// cache.
     pub fn enqueue(&mut self, request: usize, prefill_tokens: u32, answer_tokens: u32) {
@@ -139,6 +156,7 @@
         let runs = self.running.drain(..).chain(self.waiting.drain(..));
         let lost = runs.map(|it| it.request).collect();
         self.held.clear();
+        self.in_memory.clear();
         self.in_flight.clear();
         self.accepted_orders = 0;
         self.is_up = false;
--- a/crates/experiment/src/platform/installation.rs
+++ b/crates/experiment/src/platform/installation.rs
@@ -48,6 +48,12 @@
 /// Duration of a load from the weight store at full speed.
 pub const LOAD_TIME: Micros = 250 * MILLISECOND;
 
+/// Duration of a load from the memory of the engine.
+pub const RELOAD_TIME: Micros = 40 * MILLISECOND;
+
+/// Adapters whose weights an engine keeps in its memory, beside those that it holds.
+pub const COPIES_IN_MEMORY: usize = 87;
+
 /// Maximum time to the first event of a request that is on time.
 pub const FIRST_EVENT_TARGET: Micros = 800 * MILLISECOND;
 
--- a/crates/experiment/src/platform/metrics.rs
+++ b/crates/experiment/src/platform/metrics.rs
@@ -21,6 +21,8 @@
     pub first_event_times: Vec<Micros>,
     /// Loads that were ordered from the weight store.
     pub loads: usize,
+    /// Loads that an engine served from its memory.
+    pub reloads: usize,
     /// Number of different adapters that were requested.
     pub unique_adapters: usize,
     /// Requests that arrived at an engine that did not hold the adapter.
@@ -44,7 +46,7 @@
     /// Returns the header of a table of measurements.
     pub fn table_header() -> String {
         "| shape | pattern | policy | in time % | late first % | late pause % | unserved % | first p50 ms | p95 ms | \
-         loads | for adapters | missed |\n| --- | --- | --- | --: | --: | --: | --: | --: | --: | --: | --: | --: |"
+         loads | from memory | for adapters | missed |\n| --- | --- | --- | --: | --: | --: | --: | --: | --: | --: | --: | --: | --: |"
             .to_owned()
     }
 
@@ -61,10 +63,11 @@
         }
         let _ = write!(
             row,
-            " {} | {} | {} | {} | {} |",
+            " {} | {} | {} | {} | {} | {} |",
             self.first_event_quantile(500) / MILLISECOND,
             self.first_event_quantile(950) / MILLISECOND,
             self.loads,
+            self.reloads,
             self.unique_adapters,
             self.adapter_misses
         );
--- a/crates/experiment/src/platform/simulation.rs
+++ b/crates/experiment/src/platform/simulation.rs
@@ -2,9 +2,11 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
+use fleet::load_time::Source;
+
 use super::{
     engine::{Engine, Output},
-    installation::{CALLER_TIMEOUT, FIRST_EVENT_TARGET, Installation, LOAD_TIME},
+    installation::{CALLER_TIMEOUT, FIRST_EVENT_TARGET, Installation, LOAD_TIME, RELOAD_TIME},
     metrics::Metrics,
     pattern::{Arrival, DISTURBANCE, Pattern},
 };
@@ -32,8 +34,8 @@
     RequestReceived(usize, usize, u32),
     /// A step of an engine ends. The number is the incarnation in which the step started.
     StepEnd(usize, u64),
-    /// A load ends: the engine, the incarnation in which the load started, and the adapter.
-    LoadEnd(usize, u64, usize),
+    /// A load ends: the engine, the incarnation in which the load started, the adapter, and its source.
+    LoadEnd(usize, u64, usize, Source),
     /// Hosts send their heartbeats.
     Heartbeat,
     /// A message between hosts arrives, or a timer of a host expires.
@@ -162,8 +164,10 @@
             Event::StepEnd(engine, incarnation) => {
                 end_step(&mut simulation, &mut placer, engine, incarnation);
             }
-            Event::LoadEnd(engine, incarnation, adapter) => {
-                simulation.loads_in_flight -= 1;
+            Event::LoadEnd(engine, incarnation, adapter, source) => {
+                if source == Source::Store {
+                    simulation.loads_in_flight -= 1;
+                }
                 if simulation.engines[engine].incarnation == incarnation
                     && simulation.engines[engine].is_up
                 {
@@ -361,6 +365,12 @@
             "an engine has more adapters than slots"
         );
         it.accepted_orders += 1;
+        if it.take_from_memory(adapter) {
+            self.metrics.reloads += 1;
+            let event = Event::LoadEnd(engine, it.incarnation, adapter, Source::Memory);
+            self.events.schedule(self.now + RELOAD_TIME, event);
+            return;
+        }
         self.metrics.loads += 1;
         self.loads_in_flight += 1;
         let load_count = self
@@ -368,7 +378,7 @@
             .max(self.installation.max_full_speed_loads);
         let time = LOAD_TIME * u64::try_from(load_count).unwrap_or(1);
         let time = time / u64::try_from(self.installation.max_full_speed_loads).unwrap_or(1);
-        let event = Event::LoadEnd(engine, it.incarnation, adapter);
+        let event = Event::LoadEnd(engine, it.incarnation, adapter, Source::Store);
         self.events.schedule(self.now + time, event);
     }
 
@@ -377,7 +387,7 @@
         if self.running_requests(engine, adapter) > 0 {
             return false;
         }
-        self.engines[engine].held.remove(&adapter);
+        self.engines[engine].unload(adapter);
         self.engines[engine].accepted_orders += 1;
         true
     }
