Return adapters to an engine that has them in memory

Cause: only the steward of an engine knew what it had unloaded, so a load went to an engine that had to fetch the adapter although another one still had it. Change: every host remembers the last unloads of each engine until it starts again, and prefers such an engine if it has a free slot.

--- a/crates/experiment/src/platform/hosts.rs
+++ b/crates/experiment/src/platform/hosts.rs
@@ -498,7 +498,7 @@
         if let (Some(it), Some(adapter)) = (held, adapter)
             && it.held.contains_key(&order.name)
         {
-            it.remove_held(&order.name, now);
+            it.record_unload(&order.name, now);
             for to in self.other_hosts(host) {
                 simulation.schedule_message(
                     MESSAGE_DELAY,
@@ -778,7 +778,7 @@
                 let key = self.engine_keys[engine];
                 let name = self.adapter_names[adapter].clone();
                 if let Some(it) = self.states[to].table.get_mut(key) {
-                    it.remove_held(&name, now);
+                    it.record_unload(&name, now);
                 }
                 self.states[to].in_flight.remove(&name, key);
             }
--- a/crates/fleet/src/engine.rs
+++ b/crates/fleet/src/engine.rs
@@ -14,7 +14,7 @@
     decay,
     identity::Identity,
     listing::{Held, Listing, Name, State},
-    loader::Arrival,
+    loader::{Arrival, memory::RecentlyUnloaded},
     origin::BuildId,
     prefix::Cache,
     rendezvous,
@@ -194,6 +194,8 @@
     pub held: HashMap<Name, Estimate>,
     /// Adapters that were recently found missing or withdrawn for an order, with the time of the removal.
     recently_removed: HashMap<Name, Time>,
+    /// Adapters that the engine probably still has in its memory.
+    pub(crate) recently_unloaded: RecentlyUnloaded,
     /// Work of this host.
     pub local_work: Workload,
     /// Work of other hosts, with the time of their last report.
@@ -239,6 +241,7 @@
             identity: Identity::default(),
             held: HashMap::new(),
             recently_removed: HashMap::new(),
+            recently_unloaded: RecentlyUnloaded::default(),
             local_work: Workload::default(),
             remote_work: HashMap::new(),
             circuit: Circuit::default(),
@@ -274,6 +277,7 @@
             self.room.record_restart(now);
             self.held.clear();
             self.recently_removed.clear();
+            self.recently_unloaded.clear();
             self.prefix_cache.clear();
             self.circuit = Circuit::default();
             self.speed = self.speed.restarted();
@@ -361,6 +365,13 @@
         }
     }
 
+    /// Records that a host orders the unload of an adapter, or of the version that the engine holds. The engine then has it
+    /// in its memory.
+    pub fn record_unload(&mut self, name: &Name, now: Time) {
+        self.remove_held(name, now);
+        self.recently_unloaded.insert(name);
+    }
+
     /// Records the work that another host reports for this engine.
     pub fn record_remote_work(&mut self, host: &Arc<str>, work: Workload, now: Time) {
         self.remote_work.insert(host.clone(), (now, work));
--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -5,6 +5,8 @@
 //! adapters within seconds, and engines restart empty. One load serves all requests that wait for an
 //! adapter. The least used adapter is evicted, but never one with running requests.
 
+pub(crate) mod memory;
+
 use std::{
     collections::{HashMap, HashSet, VecDeque},
     sync::Arc,
@@ -19,6 +21,7 @@
     in_flight::{self, InFlightLoads},
     listing::{Name, base_model, is_adapter},
     load_time::{LoadTime, Observation, Source},
+    loader::memory::RecentlyUnloaded,
     origin::BuildId,
     rate_limit::{self, RateLimiter},
     rendezvous,
@@ -28,9 +31,6 @@
 /// Maximum number of in-flight adapter loads per engine, as limited by the platform.
 const MAX_IN_FLIGHT: usize = 4;
 
-/// Number of recently unloaded adapters per engine that are expected to reload fast.
-const MAX_RECENTLY_UNLOADED: usize = 110;
-
 /// Time after which a demand that isn't requested again is dropped.
 const DEMAND_TTL: Duration = Duration::from_millis(1500);
 
@@ -262,8 +262,7 @@
     no_answers: u32,
     needs_query: bool,
     paused_until: Time,
-    /// Recently unloaded adapters, oldest first.
-    recently_unloaded: VecDeque<Name>,
+    recently_unloaded: RecentlyUnloaded,
 }
 
 /// An ordered load of which the first requests show how long it took.
@@ -739,7 +738,7 @@
             return (!newest && idle).then(|| Candidate::without_victim(engine, now));
         }
         let mut candidate = Candidate::without_victim(engine, now);
-        if !state.recently_unloaded.contains(name) {
+        if !state.recently_unloaded.contains(name) && !engine.recently_unloaded.contains(name) {
             candidate.cost +=
                 FETCH_COST_MS + RANK_COST_MS * count_better_ranked(view, engine, name);
         }
@@ -1096,11 +1095,7 @@
     fn record_unloaded(&mut self, name: &Name) {
         self.confirmed.remove(name);
         self.unloading.retain(|it| it.0 != *name);
-        self.recently_unloaded.retain(|it| it != name);
-        self.recently_unloaded.push_back(name.clone());
-        if self.recently_unloaded.len() > MAX_RECENTLY_UNLOADED {
-            self.recently_unloaded.pop_front();
-        }
+        self.recently_unloaded.insert(name);
     }
 
     /// Returns whether a load or an unload of the adapter or base model is in progress.
--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -355,8 +355,9 @@
 ///
 /// Expected load: in a large fleet, a host is the steward of one or two engines, so asking a steward nearly chooses the
 /// engine. An adapter that is loaded on an engine without a free slot makes its requests wait there while other
-/// engines have free slots. Engines with a free slot therefore come first. Among them the order is the same on all
-/// hosts and stays the same, so that an adapter usually returns to an engine that still has it in memory.
+/// engines have free slots. Engines with a free slot therefore come first, and among them those that still have the adapter
+/// in memory. Otherwise the order is the same on all hosts and stays the same, so that an adapter usually returns to the
+/// same engine.
 pub fn rank_for_load(
     table: &Table,
     service: &str,
@@ -376,13 +377,16 @@
             && it.closed_until(now).is_none()
             && !it.needs_turn(now)
             && table.queue_wait_for_one_more(key, now).is_zero();
-        (is_usable, it.load_rank(name, now), key)
+        // A load from memory takes a fraction of the time of one from the weight store, which it leaves to others.
+        let loads_from_memory = is_usable && it.recently_unloaded.contains(name);
+        let class = (is_usable, loads_from_memory);
+        (class, it.load_rank(name, now), key)
     };
     let engines = table.iter().filter(|it| is_candidate(it.1));
     let mut ranked: Vec<_> = engines.map(rank).collect();
     ranked.sort_unstable_by(|a, b| {
-        let usable = b.0.cmp(&a.0);
-        usable.then_with(|| b.1.total_cmp(&a.1)).then(b.2.cmp(&a.2))
+        let class = b.0.cmp(&a.0);
+        class.then_with(|| b.1.total_cmp(&a.1)).then(b.2.cmp(&a.2))
     });
     ranked.into_iter().map(|it| it.2).collect()
 }
--- a/crates/fleet/tests/it/main.rs
+++ b/crates/fleet/tests/it/main.rs
@@ -14,6 +14,7 @@
 mod ledgers;
 mod load_times;
 mod loads;
+mod memories;
 mod origins;
 mod placements;
 mod quarantines;
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -610,7 +610,7 @@
                 // Waiting requests can now wait until the load is due.
                 self.gateway.wake_waiters(&name);
             } else if let Some(engine) = self.gateway.table.borrow_mut().get_mut(key) {
-                engine.remove_held(&name, now);
+                engine.record_unload(&name, now);
                 self.gateway.in_flight_loads.borrow_mut().remove(&name, key);
             }
         }
--- a/crates/gateway/src/orders.rs
+++ b/crates/gateway/src/orders.rs
@@ -246,7 +246,7 @@
         return;
     };
     if engine.held.contains_key(&order.name) && is_adapter(&order.name) {
-        engine.remove_held(&order.name, clock::now());
+        engine.record_unload(&order.name, clock::now());
         let update = message::make_adapter_update(id, &order.name, None);
         gateway.adapter_updates.borrow_mut().push_back(update);
     }
