Load further copies by the uses of all hosts

Cause: a host that found an engine busy multiplied its own uses by the number of hosts, so an adapter that one request named got a copy. Change: the host tells the steward of the busy engine (CopyWanted), which knows the uses by all hosts; a copy must take over twice the uses that its load and its victim lose.

--- a/crates/experiment/src/platform/hosts.rs
+++ b/crates/experiment/src/platform/hosts.rs
@@ -10,7 +10,7 @@
     engine::{Miss, Workload},
     in_flight::{self, InFlightLoads},
     listing::{Held, Listing, Name, State},
-    loader::{self, Action, Arrival, Loader, Op, Order, Outcome, Status, View},
+    loader::{self, Action, Arrival, Loader, Op, Order, Outcome, Status, View, copies},
     placement::{self, Placement, Purpose},
     prefix::{Chain, Part},
     table::{Freshness, Key, Table},
@@ -44,9 +44,9 @@
 /// ms for which `fleet::loader` counts an overdue load as in flight.
 const ORDER_GRACE: Micros = 31 * MILLISECOND;
 
-/// Minimum time between two replica requests of a host for an adapter, as in `gateway`.
+/// Minimum time between two messages of a host that a copy of an adapter is wanted, as in `gateway`.
 const REPLICA_REQUEST_INTERVAL: Micros = 300 * MILLISECOND;
-/// Time without a replica request after which the count of requests for an adapter restarts at
+/// Time without such a message after which the count for an adapter restarts at
 /// zero, as in `gateway`.
 const REPLICA_COUNT_TTL: Micros = 5000 * MILLISECOND;
 
@@ -66,6 +66,8 @@
     LoadOrdered(usize, usize, u64, Micros),
     /// An adapter is about to be unloaded: the engine and the adapter.
     UnloadOrdered(usize, usize),
+    /// A copy of an adapter is wanted: the busy engine, the adapter, and the number of earlier such messages of the host.
+    CopyWanted(usize, usize, usize),
     /// A load is requested.
     LoadRequested(Demand),
     /// Timer: loads that this host has ordered are due.
@@ -101,8 +103,8 @@
     in_flight: InFlightLoads,
     /// Waiting requests by adapter.
     waits: BTreeMap<usize, LoadWait>,
-    /// Time of the last replica request and the number of requests, by adapter.
-    replica_requests: BTreeMap<usize, (Micros, usize)>,
+    /// When a copy was wanted last and how often, by adapter.
+    wanted_copies: BTreeMap<usize, (Micros, usize)>,
     /// Engines of which the host is the steward.
     own_engines: Vec<Key>,
     /// Requests that were sent since the last heartbeat, by engine and adapter.
@@ -167,7 +169,7 @@
                 loader: Loader::default(),
                 in_flight: InFlightLoads::default(),
                 waits: BTreeMap::new(),
-                replica_requests: BTreeMap::new(),
+                wanted_copies: BTreeMap::new(),
                 sent_counts: BTreeMap::new(),
             });
         }
@@ -319,40 +321,50 @@
         simulation.schedule_message(delay, Message { to, payload });
     }
 
-    /// Requests one more replica of an adapter unless a replica was requested recently. `from` is
-    /// the engine whose uses the replica would share.
-    fn request_replica(
+    /// Tells the steward of the engine `busy` that a copy of an adapter is wanted, unless one was wanted recently.
+    fn want_copy(
         &mut self,
         simulation: &mut Simulation<Message>,
         host: usize,
         adapter: usize,
-        from: Key,
+        busy: Key,
     ) {
         let now = simulation.now;
-        let hosts = f64::from(to_u32(self.states.len()));
         let it = &mut self.states[host];
-        let estimate = it
-            .table
-            .get(from)
-            .and_then(|it| it.held.get(&self.adapter_names[adapter]));
-        let Some(uses) = estimate.map(|it| it.uses(to_time(now))) else {
-            return;
-        };
-        it.replica_requests
+        it.wanted_copies
             .retain(|_, it| it.0 + REPLICA_COUNT_TTL > now);
-        let entry = it.replica_requests.entry(adapter).or_insert((0, 0));
+        let entry = it.wanted_copies.entry(adapter).or_insert((0, 0));
         if entry.1 > 0 && entry.0 + REPLICA_REQUEST_INTERVAL > now {
             return;
         }
         *entry = (now, entry.1 + 1);
         let nth = entry.1 - 1;
-        let to = self.find_steward(host, adapter, Purpose::Replica, nth, to_time(now));
-        // A replica takes half of the uses of the engine. The host's own uses are extrapolated to
-        // all hosts.
+        let engine = self.engine_index(busy);
+        let to = engine % self.states.len();
+        let delay = if host == to { 0 } else { MESSAGE_DELAY };
+        let payload = Payload::CopyWanted(engine, adapter, nth);
+        simulation.schedule_message(delay, Message { to, payload });
+    }
+
+    /// Requests a copy of an adapter that takes over half of the uses of an engine of the host.
+    fn request_copy(
+        &mut self,
+        simulation: &mut Simulation<Message>,
+        host: usize,
+        (engine, adapter): (usize, usize),
+        nth: usize,
+    ) {
+        let now = to_time(simulation.now);
+        let busy = self.states[host].table.get(self.engine_keys[engine]);
+        let estimate = busy.and_then(|it| it.held.get(&self.adapter_names[adapter]));
+        let Some(uses) = estimate.map(|it| it.uses(now)) else {
+            return;
+        };
+        let to = self.find_steward(host, adapter, Purpose::Replica, nth, now);
         let demand = Demand {
             from: host,
             adapter,
-            replica_uses: Some(uses * hosts / 2.0),
+            replica_uses: Some(copies::uses_taken_over(uses)),
             waiting: 0,
         };
         Self::send_demand(simulation, to, demand);
@@ -587,13 +599,13 @@
         match placement::place(&self.states[host].table, &placement_request, now) {
             Placement::Send(choice) => {
                 if choice.wants_replica {
-                    self.request_replica(simulation, host, adapter, choice.key);
+                    self.want_copy(simulation, host, adapter, choice.key);
                 }
                 self.send_request(simulation, request, &choice, &chain);
             }
             Placement::Delay(choice) => {
                 if choice.wants_replica {
-                    self.request_replica(simulation, host, adapter, choice.key);
+                    self.want_copy(simulation, host, adapter, choice.key);
                 }
                 // As in `gateway::exchange`, a prompt is paced for at most 0.6 of the target time.
                 if waited < FIRST_EVENT_TARGET * 6 / 10 {
@@ -782,6 +794,9 @@
                 }
                 self.states[to].in_flight.remove(&name, key);
             }
+            Payload::CopyWanted(engine, adapter, nth) => {
+                self.request_copy(simulation, to, (engine, adapter), nth);
+            }
             Payload::LoadRequested(demand) => self.handle_demand(simulation, to, &demand),
             Payload::LoadsDue => {
                 self.apply_due_loads(simulation, to);
--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -5,6 +5,7 @@
 //! adapters within seconds, and engines restart empty. One load serves all requests that wait for an
 //! adapter. The least used adapter is evicted, but never one with running requests.
 
+pub mod copies;
 pub(crate) mod memory;
 
 use std::{
@@ -75,10 +76,6 @@
 /// Loads that a host may have in flight beyond its share while all hosts together are below the full speed.
 const MIN_SHARE: f64 = 2.0;
 
-/// Maximum uses of a victim relative to the uses that a new replica would take over. Requests for the
-/// victim then wait for a load, whereas those served by the replica would only have waited in a queue.
-const MAX_VICTIM_USE_RATIO: f64 = 0.2;
-
 /// Waiting time that raises the urgency of a demand as much as one more waiting request.
 const WAITER_AGE: Duration = Duration::from_millis(300);
 
@@ -742,8 +739,12 @@
             candidate.cost +=
                 FETCH_COST_MS + RANK_COST_MS * count_better_ranked(view, engine, name);
         }
+        let is_worth = |victim_uses| {
+            let copy_uses = demand.replica_uses;
+            copy_uses.is_none_or(|it| copies::is_worth_load(it, victim_uses))
+        };
         if state.fits(engine, capacity, model.adapter_mb) {
-            return Some(candidate);
+            return is_worth(0.0).then_some(candidate);
         }
         let victims = engine.held.iter().filter(|(name, it)| {
             is_adapter(name)
@@ -758,11 +759,7 @@
         let (victim, uses) = victims
             .map(|(name, it)| (name, value(name, it)))
             .min_by(|a, b| a.1.total_cmp(&b.1).then_with(|| a.0.cmp(b.0)))?;
-        // A replica is worth an eviction only if the victim is used far less.
-        if demand
-            .replica_uses
-            .is_some_and(|it| uses > it * MAX_VICTIM_USE_RATIO)
-        {
+        if !is_worth(uses) {
             return None;
         }
         // An eviction costs 5 ms, and 40 ms for each decayed use of the victim.
--- /dev/null
+++ b/crates/fleet/src/loader/copies.rs
@@ -0,0 +1,23 @@
+//! Decides whether a further copy of an adapter is worth its load.
+//!
+//! Expected load: hosts that each see one request in sixty find the engine of an adapter busy and want a copy of it on
+//! another one, also for adapters that hardly anyone else requests. A copy takes a place from an adapter that is requested
+//! again, and its load competes with those that requests wait for. So the uses by all hosts decide, which the steward of the
+//! busy engine knows, and a copy must take over several uses for each one that its load and its victim lose.
+
+/// Uses that a copy must take over for each use that is lost by its load and by its victim. A lost use waits for a load,
+/// one that is taken over would have waited in a queue.
+const MIN_USES_FOR_EACH_LOST: f64 = 2.0;
+
+/// Uses lost by the load itself, which delays others while the weight store is busy.
+const USES_LOST_BY_LOAD: f64 = 0.35;
+
+/// Returns the uses that a copy would take over of the decayed uses that an engine serves for all hosts.
+pub fn uses_taken_over(uses: f64) -> f64 {
+    uses / 2.0
+}
+
+/// Returns whether a copy that takes over `uses` is worth a load and the uses of its victim.
+pub(crate) fn is_worth_load(uses: f64, victim_uses: f64) -> bool {
+    uses >= MIN_USES_FOR_EACH_LOST * (USES_LOST_BY_LOAD + victim_uses.max(0.0))
+}
--- /dev/null
+++ b/crates/fleet/tests/it/copies.rs
@@ -0,0 +1,58 @@
+//! Tests of further copies of adapters.
+
+use fleet::{
+    Time,
+    in_flight::InFlightLoads,
+    loader::{Action, LoadRequest, Loader, Op, Status, View, Wanted, copies::uses_taken_over},
+};
+
+use crate::fixture::{at, catalog, held, ms, table};
+
+/// Returns the first order at the only engine after a copy of `m/a` is wanted that takes over half of `uses`. The engine has
+/// two places, in which adapters are used once each.
+fn order_for_copy(held_names: &[&str], uses: f64) -> Option<Op> {
+    let (mut table, keys) = table(&[("i-1", held_names)]);
+    let engine = table.get_mut(keys[0]).expect("the engine exists");
+    let estimates = engine.held.iter_mut().filter(|it| &**it.0 != "m");
+    estimates.for_each(|it| it.1.record_uses(at(0), 1));
+    let status = Status {
+        held: engine.held.keys().map(|it| held(it, 1)).collect(),
+        ..Status::default()
+    };
+    let mut loader = Loader::default();
+    let next_actions = |loader: &mut Loader, now: Time| {
+        loader.next_actions(&View {
+            table: &table,
+            catalog: &catalog(),
+            orderable: &keys,
+            hosts: 60,
+            window: ms(5000),
+            in_flight: &InFlightLoads::default(),
+            now,
+        })
+    };
+    next_actions(&mut loader, at(0));
+    loader.record_status(keys[0], Some(&status), at(0));
+    let request = LoadRequest {
+        host: "h-1".into(),
+        service: "chat".into(),
+        wanted: Wanted::anywhere("m/a".into()),
+        replica_uses: Some(uses_taken_over(uses)),
+        waiting: 0,
+    };
+    loader.add_request(&request, at(1000));
+    match next_actions(&mut loader, at(1000)).first()? {
+        Action::Send(order) => Some(order.op),
+        Action::QueryStatus(_) => None,
+    }
+}
+
+#[test]
+fn a_copy_is_loaded_if_it_takes_over_several_uses_for_each_lost_one() {
+    // An adapter that one request in a long time wants gets no copy, although a place is free.
+    assert_eq!(order_for_copy(&["x"], 1.0), None);
+    assert_eq!(order_for_copy(&["x"], 2.5), Some(Op::Load(None)));
+    // The copy evicts an adapter that is used once.
+    assert_eq!(order_for_copy(&["x", "y"], 4.0), None);
+    assert_eq!(order_for_copy(&["x", "y"], 8.0), Some(Op::Unload));
+}
--- a/crates/fleet/tests/it/main.rs
+++ b/crates/fleet/tests/it/main.rs
@@ -6,6 +6,7 @@
 mod backoffs;
 mod budgets;
 mod capacities;
+mod copies;
 mod crashes;
 mod eras;
 mod fixture;
--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -4,7 +4,7 @@
 
 use fleet::{
     Time,
-    listing::{Name, is_adapter},
+    listing::Name,
     loader::Wanted,
     origin::BuildId,
     placement::{self, Choice, Placement, PlacementRequest},
@@ -213,7 +213,7 @@
             match placement {
                 Placement::Send(choice) => {
                     if choice.wants_replica {
-                        self.request_replica(name.as_ref(), choice.key).await;
+                        self.want_copy(name.as_ref(), choice.key).await;
                     }
                     // A full instance of a plain service refuses at once, so its expected wait is
                     // no reason to refuse here.
@@ -230,7 +230,7 @@
                     let pacing_allowed =
                         now < self.started + self.route.latency_target.mul_f64(MAX_PACING_FRACTION);
                     if choice.wants_replica {
-                        self.request_replica(name.as_ref(), choice.key).await;
+                        self.want_copy(name.as_ref(), choice.key).await;
                     }
                     if pacing_allowed {
                         self.pace(&choice, &mut place, PACING_INTERVAL).await;
@@ -418,7 +418,7 @@
             return Ok(());
         }
         let name = self.request_head.name.clone();
-        self.request_replica(name.as_ref(), key).await;
+        self.want_copy(name.as_ref(), key).await;
         let pause = open_at.saturating_sub(now).min(CLOSED_CHECK_INTERVAL);
         time::sleep(pause).await;
         self.trace.load_wait += pause;
@@ -449,20 +449,11 @@
         }
     }
 
-    /// Requests one more replica of an adapter in demand. Successive requests go to successive
-    /// stewards.
-    async fn request_replica(&self, name: Option<&Name>, from: Key) {
-        let Some(name) = name.filter(|it| is_adapter(it)) else {
-            return;
-        };
-        let now = clock::now();
-        let Some((nth, uses)) = self.gateway.next_replica_request(name, from, now) else {
-            return;
-        };
-        let wanted = Wanted::anywhere(name.clone());
-        self.gossip
-            .request_load(&self.service, &wanted, Some(uses), 0, nth)
-            .await;
+    /// Asks for a copy of an adapter in demand, of which a request finds the engine `busy`.
+    async fn want_copy(&self, name: Option<&Name>, busy: Key) {
+        if let Some(name) = name {
+            self.gossip.want_copy(name, busy).await;
+        }
     }
 }
 
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -51,13 +51,12 @@
 /// Time after the store's recovery during which engine entries that vanished may be written again.
 const ENTRY_RETURN_WINDOW: Duration = Duration::from_millis(2500);
 
-/// Minimum time between two requests of this host for one more replica of an adapter. A new replica
-/// is available after about 300 ms.
-const REPLICA_REQUEST_INTERVAL: Duration = Duration::from_millis(300);
+/// Minimum time between two messages of this host that a copy of an adapter is wanted. A new copy is available after
+/// about 300 ms.
+const WANTED_COPY_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Time without a replica request after which the count of requests for an adapter restarts at
-/// zero.
-const REPLICA_COUNT_TTL: Duration = Duration::from_secs(5);
+/// Time without such a message after which the count for an adapter restarts at zero.
+const WANTED_COPY_TTL: Duration = Duration::from_secs(5);
 
 /// Minimum time between two log lines about invalid headers of engines.
 const INVALID_HEADER_LOG_INTERVAL: Duration = Duration::from_secs(10);
@@ -184,8 +183,8 @@
     budgets: RefCell<HashMap<Arc<str>, Budget>>,
     /// Requests that wait for a load, by adapter.
     load_waits: RefCell<HashMap<Wanted, Rc<LoadWait>>>,
-    /// Time of the last replica request for each adapter, and the number of requests so far.
-    replica_requests: RefCell<HashMap<Name, (Time, usize)>>,
+    /// When a copy of each adapter was wanted last, and how often so far.
+    wanted_copies: RefCell<HashMap<Name, (Time, usize)>>,
     /// Store objects by kind, from which other hosts are served. They also serve hosts that start
     /// during a store outage.
     pub list_cache: ListCache,
@@ -295,7 +294,7 @@
             probed_at: Cell::default(),
             budgets: RefCell::default(),
             load_waits: RefCell::default(),
-            replica_requests: RefCell::default(),
+            wanted_copies: RefCell::default(),
             list_cache: ListCache::default(),
             adapter_updates: RefCell::default(),
             leaving_engines: RefCell::default(),
@@ -640,21 +639,17 @@
         self.orders_wakeup.notify_one();
     }
 
-    /// Decides whether to request one more replica of an adapter now. Returns the number of earlier
-    /// requests, and the decayed use count that the replica would take over from the engine `from`.
-    pub fn next_replica_request(&self, name: &Name, from: Key, now: Time) -> Option<(usize, f64)> {
-        let hosts = u32::try_from(self.peers.borrow().host_count()).unwrap_or(u32::MAX);
-        let table = self.table.borrow();
-        let estimate = table.get(from)?.held.get(name)?;
-        let mut requests = self.replica_requests.borrow_mut();
-        requests.retain(|_, it| it.0 + REPLICA_COUNT_TTL > now);
-        let entry = requests.entry(name.clone()).or_insert((Time::ZERO, 0));
-        if entry.0 + REPLICA_REQUEST_INTERVAL > now {
+    /// Decides whether to tell the steward of a busy engine now that a copy of an adapter is wanted. Returns the number of
+    /// earlier such messages.
+    pub fn next_wanted_copy(&self, name: &Name, now: Time) -> Option<usize> {
+        let mut wanted = self.wanted_copies.borrow_mut();
+        wanted.retain(|_, it| it.0 + WANTED_COPY_TTL > now);
+        let entry = wanted.entry(name.clone()).or_insert((Time::ZERO, 0));
+        if entry.0 + WANTED_COPY_INTERVAL > now {
             return None;
         }
         *entry = (now, entry.1 + 1);
-        // All hosts are assumed to use the adapter equally. The replica takes over half of the uses.
-        Some((entry.1 - 1, estimate.uses(now) * f64::from(hosts) / 2.0))
+        Some(entry.1 - 1)
     }
 
     /// Requests that wait for the load of an adapter.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -4,6 +4,7 @@
 
 mod accounts;
 mod capacity;
+mod copies;
 mod identity;
 mod limits;
 mod load_times;
@@ -130,6 +131,7 @@
                 Some(Message::AccountUsage(it)) => self.handle_account_usage(&it, from),
                 Some(Message::FirstRequests(it)) => self.handle_first_requests(&it),
                 Some(Message::LoadTimes(it)) => self.handle_load_times(&it),
+                Some(Message::CopyWanted(it)) => self.handle_copy_wanted(&it).await,
                 None => log::debug!("cannot decode datagram from {from}"),
             }
         }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -142,7 +142,8 @@
         | Message::Ended(_)
         | Message::Alive(_)
         | Message::FirstRequests(_)
-        | Message::LoadTimes(_) => None,
+        | Message::LoadTimes(_)
+        | Message::CopyWanted(_) => None,
     }
 }
 
@@ -213,6 +214,20 @@
     FirstRequests(FirstRequests),
     /// Observed durations of loads. Earlier builds discard it.
     LoadTimes(LoadTimes),
+    /// A further copy of an adapter is wanted, sent to the steward of the engine that is busy with it. Earlier builds
+    /// discard it.
+    CopyWanted(CopyWanted),
+}
+
+/// Adapter of which a request would wait less at another engine.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct CopyWanted {
+    /// Id of the busy engine, which holds the adapter.
+    pub engine: ShortId,
+    /// Name of the adapter.
+    pub name: String,
+    /// Number of earlier such messages of the sender about the adapter.
+    pub earlier: u32,
 }
 
 /// First requests of a host after a load. Encoding of [`fleet::loader::Arrival`].
