--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -5,6 +5,9 @@
 //! adapters within seconds, and engines restart empty. One load serves all requests that wait for an
 //! adapter. The least used adapter is evicted, but never one with running requests.
 
+pub mod copies;
+pub(crate) mod memory;
+
 use std::{
     collections::{HashMap, HashSet, VecDeque},
     sync::Arc,
@@ -19,6 +22,7 @@
     in_flight::{self, InFlightLoads},
     listing::{Name, base_model, is_adapter},
     load_time::{LoadTime, Observation, Source},
+    loader::memory::RecentlyUnloaded,
     origin::BuildId,
     rate_limit::{self, RateLimiter},
     rendezvous,
@@ -28,9 +32,6 @@
 /// Maximum number of in-flight adapter loads per engine, as limited by the platform.
 const MAX_IN_FLIGHT: usize = 4;
 
-/// Number of recently unloaded adapters per engine that are expected to reload fast.
-const MAX_RECENTLY_UNLOADED: usize = 110;
-
 /// Time after which a demand that isn't requested again is dropped.
 const DEMAND_TTL: Duration = Duration::from_millis(1500);
 
@@ -75,10 +76,6 @@
 /// Loads that a host may have in flight beyond its share while all hosts together are below the full speed.
 const MIN_SHARE: f64 = 2.0;
 
-/// Maximum uses of a victim relative to the uses that a new replica would take over. Requests for the
-/// victim then wait for a load, whereas those served by the replica would only have waited in a queue.
-const MAX_VICTIM_USE_RATIO: f64 = 0.2;
-
 /// Waiting time that raises the urgency of a demand as much as one more waiting request.
 const WAITER_AGE: Duration = Duration::from_millis(300);
 
@@ -262,8 +259,7 @@
     no_answers: u32,
     needs_query: bool,
     paused_until: Time,
-    /// Recently unloaded adapters, oldest first.
-    recently_unloaded: VecDeque<Name>,
+    recently_unloaded: RecentlyUnloaded,
 }
 
 /// An ordered load of which the first requests show how long it took.
@@ -739,12 +735,16 @@
             return (!newest && idle).then(|| Candidate::without_victim(engine, now));
         }
         let mut candidate = Candidate::without_victim(engine, now);
-        if !state.recently_unloaded.contains(name) {
+        if !state.recently_unloaded.contains(name) && !engine.recently_unloaded.contains(name) {
             candidate.cost +=
                 FETCH_COST_MS + RANK_COST_MS * count_better_ranked(view, engine, name);
         }
+        let is_worth = |victim_uses| {
+            let copy_uses = demand.replica_uses;
+            copy_uses.is_none_or(|it| copies::is_worth_load(it, victim_uses))
+        };
         if state.fits(engine, capacity, model.adapter_mb) {
-            return Some(candidate);
+            return is_worth(0.0).then_some(candidate);
         }
         let victims = engine.held.iter().filter(|(name, it)| {
             is_adapter(name)
@@ -759,11 +759,7 @@
         let (victim, uses) = victims
             .map(|(name, it)| (name, value(name, it)))
             .min_by(|a, b| a.1.total_cmp(&b.1).then_with(|| a.0.cmp(b.0)))?;
-        // A replica is worth an eviction only if the victim is used far less.
-        if demand
-            .replica_uses
-            .is_some_and(|it| uses > it * MAX_VICTIM_USE_RATIO)
-        {
+        if !is_worth(uses) {
             return None;
         }
         // An eviction costs 5 ms, and 40 ms for each decayed use of the victim.
@@ -1096,11 +1092,7 @@
     fn record_unloaded(&mut self, name: &Name) {
         self.confirmed.remove(name);
         self.unloading.retain(|it| it.0 != *name);
-        self.recently_unloaded.retain(|it| it != name);
-        self.recently_unloaded.push_back(name.clone());
-        if self.recently_unloaded.len() > MAX_RECENTLY_UNLOADED {
-            self.recently_unloaded.pop_front();
-        }
+        self.recently_unloaded.insert(name);
     }
 
     /// Returns whether a load or an unload of the adapter or base model is in progress.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -4,6 +4,7 @@
 
 mod accounts;
 mod capacity;
+mod copies;
 mod identity;
 mod limits;
 mod load_times;
@@ -137,6 +138,7 @@
                 Some(Message::PromptEnded(engine, tokens, end)) => {
                     self.handle_prompt_end(engine, tokens, end, from);
                 }
+                Some(Message::CopyWanted(it)) => self.handle_copy_wanted(&it).await,
                 None => log::debug!("cannot decode datagram from {from}"),
             }
         }
@@ -653,7 +655,7 @@
                 // Waiting requests can now wait until the load is due.
                 self.gateway.wake_waiters(&name);
             } else if let Some(engine) = self.gateway.table.borrow_mut().get_mut(key) {
-                engine.remove_held(&name, now);
+                engine.record_unload(&name, now);
                 self.gateway.in_flight_loads.borrow_mut().remove(&name, key);
             }
         }
--- a/crates/gateway/src/message.rs
+++ b/crates/gateway/src/message.rs
@@ -151,7 +151,8 @@
         | Message::Alive(_)
         | Message::FirstRequests(_)
         | Message::LoadTimes(_)
-        | Message::PromptEnded(..) => None,
+        | Message::PromptEnded(..)
+        | Message::CopyWanted(_) => None,
     }
 }
 
@@ -230,6 +231,9 @@
     /// A prompt that was announced with [`Message::PromptSent`] has ended: the engine, the prompt tokens, and how. Earlier
     /// builds discard it.
     PromptEnded(ShortId, u32, PromptEnd),
+    /// A further copy of an adapter is wanted, sent to the steward of the engine that is busy with it. Earlier builds
+    /// discard it.
+    CopyWanted(CopyWanted),
 }
 
 /// Encoding of [`fleet::reading::End`].
@@ -241,6 +245,17 @@
     Dropped,
 }
 
+/// Adapter of which a request would wait less at another engine.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct CopyWanted {
+    /// Id of the busy engine, which holds the adapter.
+    pub engine: ShortId,
+    /// Name of the adapter.
+    pub name: String,
+    /// Number of earlier such messages of the sender about the adapter.
+    pub earlier: u32,
+}
+
 /// First requests of a host after a load. Encoding of [`fleet::loader::Arrival`].
 #[derive(Debug, Deserialize, Serialize)]
 pub struct FirstRequests {
