--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -739,12 +739,8 @@
             candidate.cost +=
                 FETCH_COST_MS + RANK_COST_MS * count_better_ranked(view, engine, name);
         }
-        let is_worth = |victim_uses| {
-            let copy_uses = demand.replica_uses;
-            copy_uses.is_none_or(|it| copies::is_worth_load(it, victim_uses))
-        };
         if state.fits(engine, capacity, model.adapter_mb) {
-            return is_worth(0.0).then_some(candidate);
+            return Some(candidate);
         }
         let victims = engine.held.iter().filter(|(name, it)| {
             is_adapter(name)
@@ -759,7 +755,8 @@
         let (victim, uses) = victims
             .map(|(name, it)| (name, value(name, it)))
             .min_by(|a, b| a.1.total_cmp(&b.1).then_with(|| a.0.cmp(b.0)))?;
-        if !is_worth(uses) {
+        let copy_uses = demand.replica_uses;
+        if copy_uses.is_some_and(|it| !copies::is_worth_eviction(it, uses)) {
             return None;
         }
         // An eviction costs 5 ms, and 40 ms for each decayed use of the victim.
--- a/crates/fleet/src/loader/copies.rs
+++ b/crates/fleet/src/loader/copies.rs
@@ -1,9 +1,10 @@
 //! Decides whether a further copy of an adapter is worth its load.
 //!
 //! Expected load: hosts that each see one request in sixty find the engine of an adapter busy and want a copy of it on
-//! another one, also for adapters that hardly anyone else requests. A copy takes a place from an adapter that is requested
-//! again, and its load competes with those that requests wait for. So the uses by all hosts decide, which the steward of the
-//! busy engine knows, and a copy must take over several uses for each one that its load and its victim lose.
+//! another one, also for adapters that hardly anyone else requests. On a free place a copy helps the requests of a rare
+//! adapter whose engine is slow. Elsewhere it takes the place of an adapter that is requested again, and its load competes
+//! with those that requests wait for. There the uses by all hosts decide, which the steward of the busy engine knows, and a
+//! copy must take over several uses for each one that its load and its victim lose.
 
 /// Uses that a copy must take over for each use that is lost by its load and by its victim. A lost use waits for a load,
 /// one that is taken over would have waited in a queue.
@@ -18,6 +19,6 @@
 }
 
 /// Returns whether a copy that takes over `uses` is worth a load and the uses of its victim.
-pub(crate) fn is_worth_load(uses: f64, victim_uses: f64) -> bool {
+pub(crate) fn is_worth_eviction(uses: f64, victim_uses: f64) -> bool {
     uses >= MIN_USES_FOR_EACH_LOST * (USES_LOST_BY_LOAD + victim_uses.max(0.0))
 }
