Weigh accounts that compete for room by their quotas

Cause: shares over all hosts were equal, so an account that is large by contract counted as one with more than its share whenever anybody waited.

Change: work is counted in tokens over the weight of the account: its quota in tokens to the mean of those quotas, at least 0.05; 1 without such a quota.

--- a/crates/fleet/src/account.rs
+++ b/crates/fleet/src/account.rs
@@ -90,6 +90,14 @@
     },
 }
 
+impl Account {
+    /// Tokens per second of its quota, if that counts tokens.
+    fn token_rate(&self) -> Option<f64> {
+        let quota = self.quota.as_ref()?;
+        matches!(quota.unit, Unit::Tokens { .. }).then_some(quota.rate)
+    }
+}
+
 impl Quota {
     /// Units that a request uses, by the tokens that it states.
     pub fn cost(&self, stated_tokens: Option<u64>) -> f64 {
@@ -160,6 +168,9 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Unauthenticated;
 
+/// Least weight of an account. A quota of nearly nothing is a way to close an account, and says nothing of its share.
+const MIN_WEIGHT: f64 = 0.05;
+
 /// Holder of a key.
 #[derive(Clone, Debug)]
 enum Holder {
@@ -176,6 +187,8 @@
     by_id: HashMap<AccountId, Arc<Account>>,
     keyless: Vec<Arc<str>>,
     shared_keys: Vec<[Arc<str>; 2]>,
+    /// Mean of the quotas that count tokens, in tokens per second; `None` if there is none.
+    mean_token_rate: Option<f64>,
 }
 
 impl Accounts {
@@ -195,9 +208,19 @@
                 all.add_key(key, &account);
             }
         }
+        let rates = all.by_name.values().filter_map(|it| it.token_rate());
+        let (sum, count) = rates.fold((0.0, 0.0), |sum, it| (sum.0 + it, sum.1 + 1.0));
+        all.mean_token_rate = (sum > 0.0).then(|| sum / count);
         all
     }
 
+    /// Weight of an account among those that compete for room, as their quotas in tokens are to each other. Accounts without
+    /// such a quota weigh as much as the mean of the others.
+    pub fn weight(&self, account: &Account) -> f64 {
+        let weight = account.token_rate().zip(self.mean_token_rate);
+        weight.map_or(1.0, |(rate, mean)| (rate / mean).max(MIN_WEIGHT))
+    }
+
     fn add_key(&mut self, key: KeyDigest, account: &Arc<Account>) {
         let previous = self.by_key.get(&key);
         let holder = match previous {
--- a/crates/fleet/src/queue.rs
+++ b/crates/fleet/src/queue.rs
@@ -245,7 +245,8 @@
         ranks.filter(|it| *it < rank).count()
     }
 
-    /// Records that a request takes room at its engine.
+    /// Records that a request takes room at its engine. `work` is its tokens over the weight of its account
+    /// ([`crate::account::Accounts::weight`]).
     pub fn record_taken(&mut self, account: Option<&Arc<str>>, work: f64, now: Time) {
         self.shares.record(account, work, now);
         self.returns.record_served(now);
--- a/crates/fleet/src/queue/elsewhere.rs
+++ b/crates/fleet/src/queue/elsewhere.rs
@@ -3,6 +3,8 @@
 //! Expected load: an account sends many times its usual, and most of its requests come to other hosts. Each host would see a
 //! small part of them, and take the account for one that has no more than its share.
 //!
+//! Work is counted in tokens over the weight of the account.
+//!
 //! Reports of the use of quotas in tokens state such work anyway. Of other accounts, a host states it only while requests
 //! wait there: nothing is short otherwise. A lost report is not repeated, since its weight halves every two seconds.
 
@@ -14,7 +16,7 @@
     account::{Account, Unit, ledger::AccountId},
 };
 
-/// Tokens below which work is forgotten.
+/// Work below which an account is forgotten.
 const MIN_WORK: f64 = 1.0;
 
 /// Maximum number of accounts whose work is recorded.
@@ -39,14 +41,14 @@
 }
 
 impl Elsewhere {
-    /// Records tokens that another host does for an account, or returns if negative.
-    pub fn record(&mut self, account: &Arc<str>, tokens: f64, now: Time) {
+    /// Records work of another host for an account, or work that it returns if negative.
+    pub fn record(&mut self, account: &Arc<str>, work: f64, now: Time) {
         let is_known = self.work.contains_key(account);
-        if !is_known && (tokens < MIN_WORK || self.work.len() >= MAX_ACCOUNTS) {
+        if !is_known && (work < MIN_WORK || self.work.len() >= MAX_ACCOUNTS) {
             return;
         }
         let entry = self.work.entry(account.clone()).or_insert((0.0, now));
-        *entry = ((decayed(*entry, now) + tokens).max(0.0), now);
+        *entry = ((decayed(*entry, now) + work).max(0.0), now);
     }
 
     pub(super) fn work(&self, account: &str, now: Time) -> f64 {
@@ -74,9 +76,9 @@
 }
 
 impl Collector {
-    /// Records tokens that another host does for an account, or returns if negative.
-    pub fn record(&mut self, account: &Arc<str>, tokens: f64, now: Time) {
-        self.work.record(account, tokens, now);
+    /// Records work of another host for an account, or work that it returns if negative.
+    pub fn record(&mut self, account: &Arc<str>, work: f64, now: Time) {
+        self.work.record(account, work, now);
     }
 
     /// What was collected when the last snapshot was taken.
--- a/crates/fleet/src/queue/shares.rs
+++ b/crates/fleet/src/queue/shares.rs
@@ -1,4 +1,6 @@
 //! Recent work of each client account, and which of them have more than their share.
+//!
+//! Work is counted in tokens over the weight of the account, so equal shares of it are shares in proportion to the weights.
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
--- a/crates/fleet/tests/it/accounts.rs
+++ b/crates/fleet/tests/it/accounts.rs
@@ -106,3 +106,30 @@
     assert!((tokens.cost(None) - 200.0).abs() < 1e-9);
     assert!((quota(Unit::Requests).cost(Some(1540)) - 1.0).abs() < 1e-9);
 }
+
+/// Accounts of three sizes compete: each weighs what its quota in tokens is to the mean of those, 1,000 a second.
+#[test]
+fn accounts_weigh_as_much_as_their_quotas_in_tokens() {
+    let tokens = Unit::Tokens { unstated: 1.0 };
+    let quotas = [
+        ("large", Some((tokens, 1990.0))),
+        ("closed", Some((tokens, 10.0))),
+        ("by-requests", Some((Unit::Requests, 5.0))),
+        ("unlimited", None),
+    ];
+    let accounts = Accounts::new(quotas.map(|(name, quota)| {
+        let quota = quota.map(|(unit, rate)| Quota {
+            unit,
+            rate,
+            burst: rate,
+        });
+        let account = Account {
+            quota,
+            ..account(name)
+        };
+        (account, Vec::new())
+    }));
+    let weight = |name| accounts.weight(accounts.by_name(name).expect("it is listed"));
+    let weights = quotas.map(|it| format!("{:.2}", weight(it.0)));
+    assert_eq!(weights, ["1.99", "0.05", "1.00", "1.00"]);
+}
--- a/crates/gateway/src/exchange/waiting.rs
+++ b/crates/gateway/src/exchange/waiting.rs
@@ -41,7 +41,8 @@
                         // The next one is woken once this one has been counted at the engine.
                         let queues = &self.gateway.queues;
                         let account = self.account.as_deref();
-                        queues.record_taken(&self.service, &claim, account, now);
+                        let weight = account.map_or(1.0, |it| self.gateway.account_weight(it));
+                        queues.record_taken(&self.service, &claim, account, weight, now);
                         *place = None;
                         return Ok(true);
                     }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,6 +11,7 @@
 
 use fleet::{
     Time,
+    account::Account,
     account::{
         Accounts,
         ledger::{AccountId, Ledger},
@@ -323,6 +324,13 @@
         self.catalog.borrow().clone()
     }
 
+    /// Weight of a client account among those that compete for room.
+    pub(crate) fn account_weight(&self, account: &Account) -> f64 {
+        let catalog = self.catalog.borrow();
+        let accounts = catalog.as_ref().and_then(|it| it.accounts.as_ref());
+        accounts.map_or(1.0, |it| it.weight(account))
+    }
+
     /// Adopts a configuration if it is newer than the current one.
     pub fn adopt_catalog(&self, catalog: Catalog) {
         let newer = self
--- a/crates/gateway/src/gossip/accounts.rs
+++ b/crates/gateway/src/gossip/accounts.rs
@@ -106,8 +106,10 @@
             let quota = account.and_then(|it| it.quota);
             let quota = quota.map(|it| it.tolerant(&tolerance));
             let units = ledger.observe(&host, id, &usage, quota.as_ref(), now);
-            if let Some(it) = account.filter(|it| elsewhere::is_in_ledger(it)) {
-                work.push((it.name.clone(), units));
+            if let Some((all, it)) = accounts.zip(account)
+                && elsewhere::is_in_ledger(it)
+            {
+                work.push((it.name.clone(), units / all.weight(it)));
             }
         }
         drop(ledger);
@@ -135,7 +137,8 @@
         };
         let named = |(id, tokens): &(u32, u32)| {
             let account = accounts.by_id(AccountId(*id))?;
-            Some((account.name.clone(), f64::from(*tokens)))
+            let work = f64::from(*tokens) / accounts.weight(account);
+            Some((account.name.clone(), work))
         };
         let work: Vec<_> = work.iter().filter_map(named).collect();
         self.gateway.queues.record_elsewhere(&work, clock::now());
--- a/crates/gateway/src/queues.rs
+++ b/crates/gateway/src/queues.rs
@@ -38,16 +38,17 @@
         function(queue)
     }
 
-    /// Records that a request takes room at its engine.
+    /// Records that a request of an account of this weight takes room at its engine.
     pub(crate) fn record_taken(
         &self,
         service: &Arc<str>,
         claim: &Claim,
         account: Option<&Account>,
+        weight: f64,
         now: Time,
     ) {
         let waiting = self.with(service, |it| {
-            it.record_taken(claim.account.as_ref(), claim.work, now);
+            it.record_taken(claim.account.as_ref(), claim.work / weight, now);
             it.len()
         });
         let mut unreported = self.unreported.borrow_mut();
@@ -59,11 +60,11 @@
         self.unreported.borrow_mut().take()
     }
 
-    /// Records tokens that another host does for accounts, or returns if negative.
+    /// Records work of another host for accounts, or work that it returns if negative: tokens over the weight of the account.
     pub(crate) fn record_elsewhere(&self, work: &[(Arc<str>, f64)], now: Time) {
         let mut collector = self.elsewhere.borrow_mut();
-        for (account, tokens) in work {
-            collector.record(account, *tokens, now);
+        for (account, amount) in work {
+            collector.record(account, *amount, now);
         }
         let Some(snapshot) = collector.take_snapshot(now) else {
             return;
