--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -11,9 +11,8 @@
 
 use fleet::{
     Time,
-    account::Account,
     account::{
-        Accounts,
+        Account, Accounts,
         ledger::{AccountId, Ledger},
     },
     budget::Budget,
