Load copies for many requests before the adapters of few

At the start the one adapter that has a tenth of the requests stayed on its first engine for 1.2 s: copies were loaded only while fewer than 0.7 of the loads at full speed were in flight, after all others.

Change: a copy that takes over four uses or more competes with the loads that requests wait for, by half of those uses, also while the weight store is busy.

--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -213,15 +213,15 @@
 
 impl Demand {
     /// Returns the rank of this demand; the highest is served first. The rank grows with the number of
-    /// waiting requests and with their waiting time, so that rare adapters aren't starved. Replicas rank
-    /// last.
+    /// waiting requests and with their waiting time, so that rare adapters aren't starved. Copies rank last, unless they
+    /// take over the requests of many.
     fn urgency(&self, now: Time) -> f64 {
         let waiting: u32 = self.waiting.values().sum();
         let age = now.saturating_sub(self.first_requested).as_secs_f64() / WAITER_AGE.as_secs_f64();
-        if self.replica_uses.is_some() {
-            age - 1000.0
-        } else {
-            f64::from(waiting) + age
+        match self.replica_uses {
+            Some(uses) if copies::is_urgent(uses) => copies::requests_relieved(uses),
+            Some(_) => age - 1000.0,
+            None => f64::from(waiting) + age,
         }
     }
 }
@@ -589,7 +589,7 @@
             if available.is_empty() || (own >= share && !has_room) {
                 return;
             }
-            if demand.replica_uses.is_some() && !allows_replicas {
+            if !allows_replicas && demand.replica_uses.is_some_and(|it| !copies::is_urgent(it)) {
                 return;
             }
             if self.is_served(view, &wanted, &demand) {
