--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -200,7 +200,7 @@
         self.announce(id, &Message::PromptEnded(short_id(id), tokens, end));
     }
 
-    /// Sends a message about an engine to those that hear of its prompts, or to none whose datagrams wait.
+    /// Sends a message about an engine to the hosts that hear of its prompts. A datagram that can't be sent at once is lost.
     fn announce(&self, id: &str, message: &Message) {
         let bytes = message::encode(message);
         for addr in self.prompt_recipients(id) {
