--- a/crates/cli/src/command/accounts.rs
+++ b/crates/cli/src/command/accounts.rs
@@ -33,7 +33,7 @@
 /// Limit and use of an account over the hosts that answered.
 #[derive(Clone, Debug, Default, PartialEq, Serialize)]
 struct Account {
-    /// What the quota counts, `tokens` or `requests`. More than one while hosts have different configurations.
+    /// Units of the quota, `tokens` or `requests`. More than one while hosts have different configurations.
     units: BTreeSet<String>,
     /// Units a second. The least, if hosts differ.
     rate: Option<f64>,
--- a/crates/fleet/src/account/ledger.rs
+++ b/crates/fleet/src/account/ledger.rs
@@ -151,7 +151,7 @@
     returned_at: Time,
 }
 
-/// What a bucket holds.
+/// Contents of a bucket.
 #[derive(Clone, Copy, Debug)]
 struct Level {
     units: f64,
--- a/crates/fleet/src/capacity/noise.rs
+++ b/crates/fleet/src/capacity/noise.rs
@@ -1,4 +1,4 @@
-//! How much the time of one engine for like work varies, for all engines of a service together.
+//! Variation of the time that one engine takes for like work, for all engines of a service together.
 //!
 //! Expected load: engines that are slower by two to three at times, for a half second or so; engines that aren't, among
 //! errors of the samples that are as large (prompts that the host didn't know of, the step during which a prompt arrived, a
--- a/crates/fleet/src/loader/memory.rs
+++ b/crates/fleet/src/loader/memory.rs
@@ -1,4 +1,4 @@
-//! Which adapters an engine still has in its memory after it has unloaded them.
+//! Adapters that an engine still has in its memory after it has unloaded them.
 //!
 //! Expected load: some adapters are evicted each second, and many of them are requested again within a minute. The engine
 //! that held such an adapter loads it several times as fast as any other, without the weight store, so all hosts remember
--- a/crates/fleet/src/queue/elsewhere.rs
+++ b/crates/fleet/src/queue/elsewhere.rs
@@ -81,7 +81,7 @@
         self.work.record(account, work, now);
     }
 
-    /// What was collected when the last snapshot was taken.
+    /// The last snapshot.
     pub fn snapshot(&self) -> &Arc<Elsewhere> {
         &self.snapshot
     }
--- a/crates/fleet/src/reading.rs
+++ b/crates/fleet/src/reading.rs
@@ -1,4 +1,4 @@
-//! Which prompts an engine is reading, and how long it has read of late.
+//! Prompts that an engine is reading, and the time for which it has read of late.
 //!
 //! Expected load: sixty hosts that each send an engine a prompt every few seconds, and engines that turn slow for half a
 //! second. All streams of an engine pause while it reads, so those who send must know at once that it hasn't read what it has.
@@ -129,7 +129,7 @@
         for spell in self.spells(now) {
             let spell_ms = spell.end.saturating_sub(spell.start).as_secs_f64() * 1000.0;
             let usual_ms = spell.tokens / tokens_per_ms + base_ms;
-            // What is still being read shows nothing until it takes longer than usual.
+            // A spell that isn't over shows nothing until it takes longer than usual.
             if spell.is_over || spell_ms > usual_ms {
                 took_ms += spell_ms;
                 expected_ms += usual_ms;
