Name the intervals of wanted copies in the experiment as in the gateway

Cause: a read of the whole change. Two constants of the experiment kept the names of what the gateway no longer has; a comment began with a question word.

Change: names and a comment only.

--- a/crates/experiment/src/platform/hosts.rs
+++ b/crates/experiment/src/platform/hosts.rs
@@ -46,10 +46,10 @@
 const ORDER_GRACE: Micros = 31 * MILLISECOND;
 
 /// Minimum time between two messages of a host that a copy of an adapter is wanted, as in `gateway`.
-const REPLICA_REQUEST_INTERVAL: Micros = 300 * MILLISECOND;
+const WANTED_COPY_INTERVAL: Micros = 300 * MILLISECOND;
 /// Time without such a message after which the count for an adapter restarts at
 /// zero, as in `gateway`.
-const REPLICA_COUNT_TTL: Micros = 5000 * MILLISECOND;
+const WANTED_COPY_TTL: Micros = 5000 * MILLISECOND;
 
 /// A message between hosts, or a timer of a host.
 pub struct Message {
@@ -339,9 +339,9 @@
         let now = simulation.now;
         let it = &mut self.states[host];
         it.wanted_copies
-            .retain(|_, it| it.0 + REPLICA_COUNT_TTL > now);
+            .retain(|_, it| it.0 + WANTED_COPY_TTL > now);
         let entry = it.wanted_copies.entry(adapter).or_insert((0, 0));
-        if entry.1 > 0 && entry.0 + REPLICA_REQUEST_INTERVAL > now {
+        if entry.1 > 0 && entry.0 + WANTED_COPY_INTERVAL > now {
             return;
         }
         *entry = (now, entry.1 + 1);
--- a/crates/fleet/tests/it/queues.rs
+++ b/crates/fleet/tests/it/queues.rs
@@ -242,7 +242,7 @@
     let beside = replay_beside(Order::Queue, &loads, &reports);
     assert!(share(&alone[1]) < 0.85, "{alone:?}");
     assert!(share(&beside[1]) > 0.95, "{beside:?}");
-    // What the small one leaves is still used.
+    // The others still use the room that the small one leaves.
     let served = |it: &[Results]| -> u32 { it.iter().map(|it| it.on_time + it.late).sum() };
     assert!(
         served(&beside) * 100 >= served(&alone) * 97,
