--- a/review/6/case.py
+++ b/review/6/case.py
@@ -117,7 +117,7 @@
     for it in world.hosts:
         it.start()
     started_at = world.record.now()
-    is_ready = all([await it.wait_until_ready() for it in world.hosts])
+    is_ready = await world.are_ready()
     await asyncio.sleep(max(0.0, started_at + CONTACT_S + 0.5 - world.record.now()))
     return is_ready
 
--- a/review/stand_in_2/world.py
+++ b/review/stand_in_2/world.py
@@ -386,7 +386,7 @@
     def __init__(self, world, number, zone):
         self.world, self.zone = world, zone
         self.name = f"edge-{zone}-{number}"
-        self.ip = f"127.0.1.{number}"
+        self.ip = f"{world.network}.{number}"
         self.process = None
         self.started_at = 0.0
         self.store_addr = None
@@ -397,7 +397,7 @@
             "node": self.name, "role": "entry", "class": "edge", "ip": self.ip, "zone": self.zone, "bootstrap": first,
             "listen": {"front": f"{self.ip}:{ports[0]}", "ready": f"{self.ip}:{ports[1]}", "control": f"{self.ip}:{ports[2]}"},
             "port_range": [ports[3], ports[4]],
-            "seeds": [f"127.0.1.{it}:{ports[2]}" for it in (1, 2, 3)],
+            "seeds": [f"{self.world.network}.{it}:{ports[2]}" for it in (1, 2, 3)],
             "limits": {"memory_mb": 390}, "bounds": BOUNDS, "platform": {"addr": self.store_addr or self.world.store.addr},
         }
 
@@ -476,7 +476,7 @@
 
 
 def free_ports(count):
-    """Ports that are free at all addresses of the hosts."""
+    """Ports for the hosts. Each run has addresses of its own, so they are free there."""
     held, ports = [], []
     for _ in range(count):
         it = socket.socket()
@@ -494,6 +494,8 @@
         self.run_request = run
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.ports = free_ports(5)
+        # Runs at the same time have addresses of their own.
+        self.network = f"127.{64 + os.getpid() % 128}.{os.getpid() // 128 % 250}"
         self.store = Store()
         self.engines, self.hosts, self.tasks = [], [], set()
         self.engine_count = 0
@@ -523,7 +525,14 @@
             await self.set_apart(self.hosts[self.apart])
         for it in self.hosts:
             it.start(first=True)
-        return all([await it.wait_until_ready() for it in self.hosts])
+        return await self.are_ready()
+
+    async def are_ready(self):
+        """Waits until all hosts are ready."""
+        late = [it.name for it in self.hosts if not await it.wait_until_ready()]
+        if late:
+            print(f"not ready: {', '.join(late)}")
+        return not late
 
     async def add_engine(self, service, zone, slots, version="1.0"):
         self.engine_count += 1
