Let a script of the review that fails itself exit with 2

An exception, or an interruption, ended a script with 1, which says that the rule was broken. Both give 2 now (tried).

--- a/review/stand_in_2/world.py
+++ b/review/stand_in_2/world.py
@@ -15,6 +15,7 @@
 import subprocess
 import tempfile
 import time
+import traceback
 import urllib.parse
 
 REPOSITORY = os.path.abspath(os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", ".."))
@@ -580,5 +581,12 @@
     except asyncio.TimeoutError:
         print("the case took too long")
         return 2
+    except asyncio.CancelledError:
+        print("the case was interrupted")
+        return 2
+    except Exception:
+        # Exit code 1 would say that the rule was broken.
+        traceback.print_exc()
+        return 2
     finally:
         world.end()
