--- a/review/stand_in_3/world.py
+++ b/review/stand_in_3/world.py
@@ -276,6 +276,8 @@
         await self.store.put("servers", self.ident, entry)
 
     async def serve(self, reader, writer):
+        # The end of the caller's channel, for engines that drop its request then.
+        writer.is_abandoned = lambda: reader.at_eof() or reader.exception() is not None
         try:
             while True:
                 first, headers = await read_head(reader)
