--- a/review/stand_in_3/world.py
+++ b/review/stand_in_3/world.py
@@ -104,6 +104,8 @@
         self.history = []
         self.changed = asyncio.Condition()
         self.reads = {}
+        # While it is down, it answers 503 and does nothing.
+        self.is_down = False
 
     async def start(self, ip="127.0.0.1"):
         self.server = await asyncio.start_server(self.serve, ip, 0)
@@ -159,8 +161,12 @@
                 first, headers = await read_head(reader)
                 body = await read_body(reader, headers)
                 method, target, _ = first.split(" ")
-                status, answer = await self.respond(method, target, body)
-                reason = {200: "OK", 201: "Created", 404: "Not Found", 409: "Conflict"}[status]
+                if self.is_down:
+                    status, answer = 503, b"{}"
+                else:
+                    status, answer = await self.respond(method, target, body)
+                reasons = {200: "OK", 201: "Created", 404: "Not Found", 409: "Conflict", 503: "Service Unavailable"}
+                reason = reasons[status]
                 head = {"Content-Type": "application/json", "Content-Length": len(answer)}
                 writer.write(message(f"HTTP/1.1 {status} {reason}", head, answer))
                 await writer.drain()
@@ -264,7 +270,8 @@
 
     async def beat(self):
         while self.listed:
-            await self.check_in()
+            if not self.store.is_down:
+                await self.check_in()
             await asyncio.sleep(BEAT_S)
 
     async def check_in(self):
