--- a/review/stand_in_2/world.py
+++ b/review/stand_in_2/world.py
@@ -153,7 +153,7 @@
                 text = text.encode()
                 writer.write(response(status, {"Content-Type": "application/json"}, text))
                 await writer.drain()
-        except (ConnectionError, asyncio.IncompleteReadError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             self.writers.discard(writer)
@@ -313,7 +313,7 @@
                 else:
                     await self.world.run(self, method, target, headers, body, writer)
                 await writer.drain()
-        except (ConnectionError, asyncio.IncompleteReadError):
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             self.writers.discard(writer)
