Let hosts without the store begin streams by another host's copy of the assignment

Change: a host that can't read the assignment asks up to three others for their copy of it, and begins streams by that. What a copy says is recorded in the store, which outlives all hosts. Without any copy, streams begin by the assignment that follows from the list of engines. Earlier builds close the connection of the new request, and the next host is asked.

--- a/crates/fleet/src/assignment.rs
+++ b/crates/fleet/src/assignment.rs
@@ -143,6 +143,13 @@
         }
     }
 
+    /// Returns the history of a service whose streams were first assigned by these engines, if there are any.
+    pub fn presume(engines: &Counts) -> Option<Self> {
+        let mut history = Self::default();
+        history.assign(history.needed_points(engines, Duration::ZERO)?);
+        Some(history)
+    }
+
     /// Returns the number of the current assignment; 0 if there is none.
     pub fn number(&self) -> u64 {
         self.number
--- a/crates/fleet/tests/it/assignments.rs
+++ b/crates/fleet/tests/it/assignments.rs
@@ -47,6 +47,17 @@
     assert_eq!(builds.join(" "), "v1 v3 v1 v3 v3 v1 v1 v1 v1 v1 v1 v2");
 }
 
+/// A host that can't read the assignment begins streams by the one that follows from its list of engines.
+#[test]
+fn streams_are_presumed_to_begin_where_the_same_engines_had_them_assigned() {
+    let engines = counts(&[("v1", 3), ("v2", 2)]);
+    let mut stored = History::default();
+    stored.assign(stored.needed_points(&engines, ms(0)).expect("the first"));
+    let presumed = History::presume(&engines).expect("there are engines");
+    assert!(keys().all(|it| presumed.build(it) == stored.build(it)));
+    assert_eq!(History::presume(&Counts::new()), None);
+}
+
 #[test]
 fn streams_are_divided_like_the_engines() {
     for engines in [[1, 3], [3, 3], [400, 800], [20_000, 60_000]] {
--- a/crates/gateway/src/assignments.rs
+++ b/crates/gateway/src/assignments.rs
@@ -3,6 +3,9 @@
 //!
 //! One object a service, written on condition of its revision. Each host decides by its own list of engines whether a
 //! change is needed. The hosts take turns, so that usually one of them writes and the others read what it has written.
+//!
+//! A host that can't read the object begins streams by the copy of another host. Only what the store has recorded outlives
+//! all hosts, so streams that begin by any copy of it can be taken up though all hosts are lost.
 
 use std::{
     cell::{Cell, RefCell},
@@ -19,6 +22,7 @@
     origin::BuildId,
     rendezvous,
 };
+use futures::{StreamExt, stream::FuturesUnordered};
 use serde::{Deserialize, Serialize};
 use tokio::{
     sync::{Mutex, Notify},
@@ -29,6 +33,7 @@
     clock,
     dialect::{Kind, Object},
     gateway::Gateway,
+    list_sync,
     store::{self, WriteResult},
 };
 
@@ -47,6 +52,12 @@
 /// Maximum time for which a new stream waits for the first read of the assignment.
 const MAX_FIRST_READ: Duration = Duration::from_millis(300);
 
+/// Time for which the store may answer before other hosts are asked for the assignment too.
+const COPY_DELAY: Duration = Duration::from_millis(60);
+
+/// Number of hosts that are asked for the assignment, those with the most recent messages.
+const MAX_ASKED_HOSTS: usize = 3;
+
 /// Maximum time for which a new stream waits until the store has recorded that it begins at another build.
 const MAX_EXCEPTION_WRITE: Duration = Duration::from_millis(300);
 
@@ -77,6 +88,9 @@
     needed_since: Cell<Option<Time>>,
     /// True if streams of this host began at any build, and the store doesn't know it yet.
     has_unassigned: Cell<bool>,
+    /// Division of the streams by the engines that this host knows, used while it knows of no stored one. The stored one
+    /// is most likely the same.
+    presumed: RefCell<Option<History>>,
 }
 
 /// Last known object of a service.
@@ -93,6 +107,25 @@
     is_ahead: bool,
 }
 
+impl Known {
+    /// Restores the copy of another host. A write on condition of its position fails while the store has the object.
+    fn copied(copy: StoredHistory) -> Self {
+        let era = Era(copy.era);
+        let history = copy.into_history();
+        let now = clock::now();
+        let mut superseded = Superseded::default();
+        superseded.observe(&history, now);
+        Self {
+            history,
+            position: None,
+            era,
+            superseded,
+            assigned_at: now,
+            is_ahead: false,
+        }
+    }
+}
+
 /// Reads of one object. Those who ask during a read share the next one.
 #[derive(Default)]
 struct Reads {
@@ -136,9 +169,10 @@
     }
 }
 
-/// Object of a service in the store. Fields that a later build adds are ignored.
-#[derive(Deserialize, Serialize)]
-struct StoredHistory {
+/// Object of a service in the store, and the copy of it that one host gives to another. Fields that a later build adds are
+/// ignored.
+#[derive(Debug, Deserialize, Serialize)]
+pub struct StoredHistory {
     /// Era of the store as known to the host that wrote it. In a later era, the store may have lost a part.
     era: u64,
     number: u64,
@@ -146,7 +180,7 @@
 }
 
 /// An assignment in the store.
-#[derive(Deserialize, Serialize)]
+#[derive(Debug, Deserialize, Serialize)]
 struct StoredAssignment {
     /// Points of each build; empty if streams began at any build.
     points: BTreeMap<String, u32>,
@@ -191,8 +225,11 @@
 /// Keeps the assignments of all services with resumable streams up to date until the process ends.
 pub async fn maintain(gateway: Rc<Gateway>) {
     loop {
-        if !gateway.is_store_unavailable() {
-            for name in resumable_services(&gateway) {
+        for name in resumable_services(&gateway) {
+            if gateway.is_store_unavailable() {
+                let service = gateway.assignments.service(&name);
+                copy_from_hosts(&gateway, &name, &service).await;
+            } else {
                 update(&gateway, &name).await;
             }
         }
@@ -211,7 +248,12 @@
 pub fn assigned_build(gateway: &Gateway, name: &Arc<str>, key: StreamKey) -> Option<BuildId> {
     let service = gateway.assignments.service(name);
     let known = service.known.borrow();
-    let build = known.as_ref()?.history.build(key)?;
+    let stored = known.as_ref().and_then(|it| it.history.build(key));
+    let mut presumed = service.presumed.borrow_mut();
+    if stored.is_none() && presumed.is_none() {
+        *presumed = History::presume(&count_engines(gateway, name));
+    }
+    let build = stored.or_else(|| presumed.as_ref()?.build(key))?;
     let id = BuildId::new(name, build);
     let table = gateway.table.borrow();
     let is_uncertain = table
@@ -225,19 +267,84 @@
 pub async fn wait_until_known(gateway: &Rc<Gateway>, name: &Arc<str>) {
     let service = gateway.assignments.service(name);
     let is_known = || service.known.borrow().is_some();
-    let until = clock::now() + MAX_FIRST_READ;
-    while !is_known() && !service.has_unassigned.get() {
-        let wait = until.saturating_sub(clock::now());
-        let read = time::timeout(wait, read_from_now_on(gateway, name, &service));
-        if read.await != Ok(true) {
-            break;
-        }
+    if is_known() {
+        return;
+    }
+    if !service.has_unassigned.get() {
+        let found = find_history(gateway, name, &service);
+        let _ = time::timeout(MAX_FIRST_READ, found).await;
     }
     if !is_known() {
         service.has_unassigned.set(true);
     }
 }
 
+/// Takes the history of a service from the store, or from another host if the store doesn't answer soon.
+async fn find_history(gateway: &Rc<Gateway>, name: &Arc<str>, service: &Service) {
+    let read = read_from_now_on(gateway, name, service);
+    let copy = async {
+        if !gateway.is_store_unavailable() {
+            time::sleep(COPY_DELAY).await;
+        }
+        copy_from_hosts(gateway, name, service).await;
+    };
+    tokio::pin!(read, copy);
+    let rest = tokio::select! {
+        _ = &mut read => Rest::Copy,
+        () = &mut copy => Rest::Read,
+    };
+    if service.known.borrow().is_some() {
+        return;
+    }
+    match rest {
+        Rest::Copy => copy.await,
+        Rest::Read => {
+            read.await;
+        }
+    }
+}
+
+/// Source of a history that has not answered yet.
+enum Rest {
+    Copy,
+    Read,
+}
+
+/// Takes the history of a service from another host, unless this host knows it.
+async fn copy_from_hosts(gateway: &Rc<Gateway>, name: &Arc<str>, service: &Service) {
+    if service.known.borrow().is_some() {
+        return;
+    }
+    let hosts = gateway.peers.borrow().addresses();
+    let others = hosts
+        .into_iter()
+        .filter(|it| *it != gateway.settings.peers)
+        .take(MAX_ASKED_HOSTS);
+    let mut answers: FuturesUnordered<_> = others
+        .map(|it| list_sync::fetch_assignment(it, name))
+        .collect();
+    while let Some(answer) = answers.next().await {
+        let copy = answer.filter(|it| it.number > 0);
+        let mut known = service.known.borrow_mut();
+        if let Some(it) = copy.filter(|_| known.is_none()) {
+            let number = it.number;
+            log::info!(event = "assignment-copied", service = &**name, number; "took assignment {number} of the streams of service {name} from another host");
+            *known = Some(Known::copied(it));
+        }
+        if known.is_some() {
+            return;
+        }
+    }
+}
+
+/// Returns the history of a service for another host, if this host knows it.
+pub fn copy(gateway: &Gateway, name: &str) -> Option<StoredHistory> {
+    let services = gateway.assignments.services.borrow();
+    let known = services.get(name)?.known.borrow();
+    let known = known.as_ref()?;
+    Some(StoredHistory::new(&known.history, known.era))
+}
+
 /// Records in the store that a stream is to begin at another build than the assigned one. Returns whether it may begin
 /// there: if the store doesn't answer, it may, and that is recorded later.
 pub async fn allow_exception(gateway: &Rc<Gateway>, name: &Arc<str>, key: StreamKey) -> bool {
--- a/crates/gateway/src/list_sync.rs
+++ b/crates/gateway/src/list_sync.rs
@@ -12,7 +12,7 @@
     reader::Role,
     store_call::RecoveryBound,
 };
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::{
     io::{AsyncBufReadExt, AsyncReadExt, AsyncWriteExt, BufReader},
     net::{TcpListener, TcpStream},
@@ -21,6 +21,7 @@
 };
 
 use crate::{
+    assignments::{self, StoredHistory},
     clock,
     dialect::Kind,
     gateway::Gateway,
@@ -65,8 +66,8 @@
 /// Time within which heartbeats of all live hosts are received.
 const HEARTBEAT_WAIT: Duration = Duration::from_millis(450);
 
-/// Maximum size of a request.
-const MAX_REQUEST_BYTES: u64 = 100;
+/// Maximum size of a request, in bytes. It may hold the name of a service.
+const MAX_REQUEST_BYTES: u64 = 1 << 10;
 
 /// State of a host's lists, as sent to other hosts.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
@@ -102,6 +103,21 @@
     era: u64,
 }
 
+/// Request for the assignment of the streams of a service, sent as one line of JSON. The response is a
+/// [`StoredHistory`], or `null` if the host doesn't know it. Earlier builds close the connection.
+#[derive(Debug, Deserialize, Serialize)]
+struct AssignmentRequest {
+    assignment_of: String,
+}
+
+/// Request of another host.
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum HostRequest {
+    List(ListRequest),
+    Assignment(AssignmentRequest),
+}
+
 /// Index of a list in [`LISTS`].
 pub fn list_index(kind: Kind) -> usize {
     LISTS.iter().position(|it| *it == kind).unwrap_or(0)
@@ -247,8 +263,12 @@
     BufReader::new(read.take(MAX_REQUEST_BYTES))
         .read_line(&mut line)
         .await?;
-    let request: ListRequest = serde_json::from_str(&line)?;
-    let body = cached_response(gateway, &request)?;
+    let body = match serde_json::from_str(&line)? {
+        HostRequest::List(it) => cached_response(gateway, &it)?,
+        HostRequest::Assignment(it) => {
+            serde_json::to_vec(&assignments::copy(gateway, &it.assignment_of))?.into()
+        }
+    };
     write.write_all(&body).await?;
     write.shutdown().await
 }
@@ -283,13 +303,28 @@
 
 /// Requests the changes of a list from one host.
 async fn fetch(addr: SocketAddr, kind: Kind, since: Position) -> Option<Delta> {
-    let mut stream = TcpStream::connect(addr).await.ok()?;
     let request = ListRequest {
         kind,
         since: since.rev,
         era: since.era.0,
     };
-    let mut line = serde_json::to_vec(&request).ok()?;
+    ask(addr, &request).await
+}
+
+/// Requests the assignment of the streams of a service from one host.
+pub async fn fetch_assignment(addr: SocketAddr, service: &str) -> Option<StoredHistory> {
+    let request = AssignmentRequest {
+        assignment_of: service.to_owned(),
+    };
+    time::timeout(READER_TIMEOUT, ask::<Option<StoredHistory>>(addr, &request))
+        .await
+        .ok()??
+}
+
+/// Sends a request to one host and reads the response. Returns `None` if it fails.
+async fn ask<T: DeserializeOwned>(addr: SocketAddr, request: &impl Serialize) -> Option<T> {
+    let mut stream = TcpStream::connect(addr).await.ok()?;
+    let mut line = serde_json::to_vec(request).ok()?;
     line.push(b'\n');
     stream.write_all(&line).await.ok()?;
     let mut body = Vec::new();
