Send the rest of a stream to the service that began it

Cause: the service of a resumed stream was computed from the current weights, and is another one than that whose build began the stream.

Change: the record of a stream names a build of one service, so the request goes to the service of the route that has it, also if another host passes the stream on. Streams of split routes get records though each service has one build only. No message changes.

--- a/crates/fleet/src/origin.rs
+++ b/crates/fleet/src/origin.rs
@@ -132,6 +132,15 @@
 }
 
 /// Need of other hosts for a record.
+/// Number of services at which the streams of a route may begin.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Services {
+    /// The service follows from the route.
+    One,
+    /// The route is split, and its weights may change. Only the record tells which service began a stream.
+    Several,
+}
+
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Announcement {
     /// The holders of the stream need the record now.
@@ -145,12 +154,13 @@
     pub fn record_own(
         &mut self,
         stream: StreamId,
-        service: &str,
+        (service, services): (&str, Services),
         build: BuildId,
         table: &Table,
         now: Time,
     ) -> Announcement {
-        let is_only = self.certain_build(service, table, now) == Some(build);
+        let is_only =
+            services == Services::One && self.certain_build(service, table, now) == Some(build);
         let it = Record {
             build,
             recorded_at: now,
--- a/crates/fleet/tests/it/origins.rs
+++ b/crates/fleet/tests/it/origins.rs
@@ -61,7 +61,13 @@
 fn a_recorded_build_is_known_for_as_long_as_a_stream_lasts() {
     let table = table(&[("i-1", "v1"), ("i-2", "v2")]);
     let mut origins = Origins::default();
-    let announcement = origins.record_own(stream("r-1"), SERVICE, build("v1"), &table, at(0));
+    let announcement = origins.record_own(
+        stream("r-1"),
+        (SERVICE, Services::One),
+        build("v1"),
+        &table,
+        at(0),
+    );
     assert_eq!(announcement, Announcement::Needed);
     origins.record_remote(stream("r-2"), build("v2"), at(0));
     // Whoever resumes the stream later doesn't change who began it.
@@ -85,7 +91,13 @@
     follow(&mut origins, young);
     assert_eq!(find(&origins, &table, young), Origin::Only(build("v1")));
     // Other hosts may have seen another build, so they get a record.
-    let announcement = origins.record_own(stream("r-2"), SERVICE, build("v1"), &table, young);
+    let announcement = origins.record_own(
+        stream("r-2"),
+        (SERVICE, Services::One),
+        build("v1"),
+        &table,
+        young,
+    );
     assert_eq!(announcement, Announcement::Needed);
     follow(&mut origins, later());
     assert_eq!(find(&origins, &table, later()), Origin::Only(build("v1")));
@@ -135,7 +147,13 @@
     let mut origins = Origins::default();
     follow(&mut origins, later());
     let now = later();
-    let announcement = origins.record_own(stream("r-1"), SERVICE, build("v1"), &table, now);
+    let announcement = origins.record_own(
+        stream("r-1"),
+        (SERVICE, Services::One),
+        build("v1"),
+        &table,
+        now,
+    );
     assert_eq!(announcement, Announcement::NotNeeded);
     assert!(origins.take_unannounced(&table, now).is_empty());
     table.upsert(engine("i-2", "v2", &[]), now);
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -14,9 +14,9 @@
     assignment::StreamKey,
     catalog::{RequestKind, Route},
     circuit::State,
-    origin::{BuildId, StreamId},
+    origin::{BuildId, STREAM_TTL, Services, StreamId},
     prefix::Chain,
-    quarantine::{PartId, Suspect},
+    quarantine::{self, PartId, Suspect},
     stall::Stage,
     table::Key,
 };
@@ -332,9 +332,35 @@
     /// Waits until it is known which build began the stream, if its engine may have started again.
     pub(crate) async fn await_origin(&self) -> Option<BuildId> {
         let until = self.deadline.min(clock::now() + PLACEMENT_TIMEOUT);
+        self.keep_service();
         let is_recorded = || self.gossip.has_origin(self.stream(), &self.service);
         while self.origin_record == OriginRecord::Later && !is_recorded() && clock::now() < until {
             time::sleep(ORIGIN_CHECK_INTERVAL).await;
+    /// Sends the rest of a stream to the service whose build began it. The weights of the route may have changed since, so
+    /// that they give another service.
+    pub(crate) fn keep_service(&mut self) {
+        let Some(build) = self.build else { return };
+        let now = clock::now();
+        let table = self.gateway.table.borrow();
+        let has_build = |service: &str| {
+            let mut builds = table.builds_within(service, STREAM_TTL, now);
+            builds.any(|it| it == build)
+        };
+        if has_build(&self.service) {
+            return;
+        }
+        let mut targets = self.route.targets.iter();
+        let Some(target) = targets.find(|it| has_build(&it.service)) else {
+            return;
+        };
+        let service = target.service.clone();
+        drop(table);
+        self.suspects.retain(|it| it.is_whole());
+        let parts = quarantine::suspects(&service, &self.request_head.prompt_parts);
+        self.suspects.splice(0..0, parts);
+        self.service = service;
+    }
+
         }
         self.find_stream_origin().await
     }
@@ -402,10 +428,15 @@
         self.build = None;
         self.origin_record = OriginRecord::Later;
         let (stream, service) = (self.stream(), self.service.clone());
-        let assigned = self.assigned.take();
+        let (services, assigned) = (self.services(), self.assigned.take());
         let (engine, connected_at) = (in_flight.key, in_flight.connected_at());
-        self.gossip
-            .record_origin_later(stream, service, assigned, engine, connected_at);
+        self.gossip.record_origin_later(
+            stream,
+            (service, services),
+            assigned,
+            engine,
+            connected_at,
+        );
     }
 
     /// Records that an engine has sent the first event of its response. From then on, only engines of its build
@@ -421,7 +452,16 @@
         };
         self.build = Some(build);
         self.gossip
-            .record_origin(self.stream(), &self.service, build);
+            .record_origin(stream, &self.service, services, build);
+    }
+
+    /// Number of services at which the streams of the route may begin.
+    fn services(&self) -> Services {
+        if self.route.targets.len() > 1 {
+            Services::Several
+        } else {
+            Services::One
+        }
     }
 
     /// Sends the request to the engine on which it is placed.
@@ -434,6 +474,7 @@
         let last_event_id = self.request_head.last_event_id.clone();
         Ok(self.send(choice, last_event_id.as_deref()).await)
     }
+        let (stream, services) = (self.stream(), self.services());
 
     /// Forwards a response to the caller. Returns the exchange if the request has no response yet.
     async fn relay_response(
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -148,7 +148,8 @@
     if catalog.accounts.is_some() {
         account::replace_credentials(gateway, &mut headers, account.as_deref());
     }
-    // A stream goes on at the service that began it, if the route has several.
+    // All tries of a stream go to one service while the weights of the route stay. Once the build that began it is known,
+    // the service is that of the build.
     let began_by = request_head.resumed_request.as_ref();
     let began_by = began_by.unwrap_or(&request_head.id);
     let service = route
--- a/crates/gateway/src/gossip/identity.rs
+++ b/crates/gateway/src/gossip/identity.rs
@@ -9,7 +9,7 @@
     circuit::State,
     engine::Engine,
     identity::{Announcement, BREAK_TIME},
-    origin::{BuildId, StreamId},
+    origin::{BuildId, Services, StreamId},
     quarantine::Incarnation,
     table::Key,
 };
@@ -306,7 +306,7 @@
     pub fn record_origin_later(
         self: &Rc<Self>,
         stream: StreamId,
-        service: Arc<str>,
+        (service, services): (Arc<str>, Services),
         assigned: Option<StreamKey>,
         key: Key,
         connected_at: Option<Time>,
@@ -338,7 +338,7 @@
                 engine.map(|it| BuildId::of(&it.listing))
             };
             if let Some(build) = build {
-                gossip.record_origin(stream, &service, build);
+                gossip.record_origin(stream, &service, services, build);
             }
         });
     }
--- a/crates/gateway/src/gossip/origins.rs
+++ b/crates/gateway/src/gossip/origins.rs
@@ -13,7 +13,7 @@
 use fleet::{
     Time,
     assignment::{Candidates, StreamKey},
-    origin::{self, Announcement, BuildId, Holder, Origin, StreamId},
+    origin::{self, Announcement, BuildId, Catchup, Holder, Origin, Services, StreamId},
 };
 use futures::future;
 use tokio::{sync::Notify, task::spawn_local, time};
@@ -101,11 +101,17 @@
 
 impl Gossip {
     /// Records which build began a stream of this host, and sends the record to its holders if they need it.
-    pub fn record_origin(&self, stream: StreamId, service: &str, build: BuildId) {
+    pub fn record_origin(
+        &self,
+        stream: StreamId,
+        service: &str,
+        services: Services,
+        build: BuildId,
+    ) {
         let now = clock::now();
         let table = self.gateway.table.borrow();
         let mut origins = self.gateway.origins.borrow_mut();
-        match origins.record_own(stream, service, build, &table, now) {
+        match origins.record_own(stream, (service, services), build, &table, now) {
             Announcement::Needed => self.announce_origins(&[(stream, build)]),
             Announcement::NotNeeded => {}
         }
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -423,6 +423,7 @@
 }
 
 /// Serves the requests that another host passes on over a connection. Only hosts of the fleet are let in.
+        self.keep_service();
 pub async fn serve(
     stream: TcpStream,
     gateway: Rc<Gateway>,
