Check once more at the moment of sending that an engine may have a request

Cause: what allows a request to go to an engine was checked when the engine was chosen. After the waits that follow (proof of identity, turn, connection) only the build was checked.

Change: one check without which no request can be built, and after which nothing waits: drain, back-off, build and address, version, quarantine, deadline, and whether the caller's connection is still open, by a look into the kernel. All paths go through it. The wait for a turn ends when the engine takes no more work. An older version takes only requests that get a slot at once.

--- a/crates/fleet/src/backoff.rs
+++ b/crates/fleet/src/backoff.rs
@@ -49,6 +49,12 @@
         (now < until + RAMP_TIME && next > now).then_some(next)
     }
 
+    /// Returns whether the engine wants no requests now. Unlike [`Self::closed_until`], this doesn't depend on the requests
+    /// of this host.
+    pub fn is_closed(&self, now: Time) -> bool {
+        self.closed_until.is_some_and(|it| it > now)
+    }
+
     /// Records that a request is sent.
     pub fn record_start(&mut self, now: Time) {
         self.last_start = now;
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -624,7 +624,8 @@
     }
 
     /// Compares a version as [`Self::freshness`] does, for a request that is expected to wait for `wait` at the
-    /// engine before it begins. The wait counts twice, since it is an estimate.
+    /// engine before it begins. The wait counts twice, since it is an estimate. An older version is stale for a request
+    /// that has to wait for a slot, since an engine that turns slow may keep it waiting for any time.
     pub fn freshness_after(
         &self,
         name: &str,
@@ -632,7 +633,47 @@
         now: Time,
         wait: Duration,
     ) -> Freshness {
-        self.freshness(name, version, now + wait * 2)
+        match (self.freshness(name, version, now + wait * 2), slot) {
+            (Freshness::Older, Slot::Taken) => Freshness::Stale,
+            (it, _) => it,
+        }
+    }
+
+    /// Returns when a request that waits at an engine for a version of an adapter is to be taken back, because a newer
+    /// version is announced; `None` if none is. No request is sent for a stale version, so one that is still waiting is
+    /// late.
+    pub fn recall_time(&self, name: &str, version: u64) -> Option<Time> {
+        let announced = self.versions.get(name)?;
+        announced.expiry(version).map(|it| it + RECALL_DELAY)
+    }
+
+    /// Returns whether an engine has a slot for one more request.
+    pub fn slot(&self, key: Key, now: Time) -> Slot {
+        Slot::of_wait(self.queue_wait_for_one_more(key, now))
+    }
+
+    /// Returns whether an engine has a slot for a request that is among those counted there.
+    pub fn slot_of_counted(&self, key: Key, now: Time) -> Slot {
+        Slot::of_wait(self.queue_wait(key, now))
+    }
+}
+
+/// Slot of an engine for a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Slot {
+    /// The request gets one at once.
+    Free,
+    /// The request has to wait for one.
+    Taken,
+}
+
+impl Slot {
+    fn of_wait(wait: Duration) -> Self {
+        if wait.is_zero() {
+            Self::Free
+        } else {
+            Self::Taken
+        }
     }
 }
 
@@ -645,4 +686,5 @@
     Older,
     /// The copy must not be used any more.
     Stale,
+        slot: Slot,
 }
--- a/crates/fleet/tests/it/tables.rs
+++ b/crates/fleet/tests/it/tables.rs
@@ -4,7 +4,7 @@
     engine::{Miss, Workload},
     listing::{Listing, State},
     prefix::{Cache, Chain, Part},
-    table::{Freshness, Removal, Standing, Table},
+    table::{Freshness, Removal, Slot, Standing, Table},
 };
 
 use crate::fixture::{NOW, at, held, listing, ms, table};
@@ -136,6 +136,20 @@
     assert_eq!(table.freshness("m/a1", 3, at(5000)), Freshness::Older);
 }
 
+/// Nothing bounds how long a request waits for a slot at an engine that turns slow.
+#[test]
+fn a_request_that_waits_for_a_slot_needs_the_newest_version() {
+    let (mut table, _) = table(&[]);
+    assert!(table.announce("m/a1".into(), 3, at(0)));
+    let freshness = |version, slot| {
+        let wait = ms(0);
+        table.freshness_after("m/a1", version, at(100), wait, slot)
+    };
+    assert_eq!(freshness(1, Slot::Free), Freshness::Older);
+    assert_eq!(freshness(1, Slot::Taken), Freshness::Stale);
+    assert_eq!(freshness(3, Slot::Taken), Freshness::Newest);
+}
+
 #[test]
 fn cached_parts_count_up_to_the_first_missing_one() {
     let part = |id, tokens| Part { id, tokens };
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -31,7 +31,9 @@
 pub(crate) use attempt::{Attempt, OpenResponse};
 
 use crate::{
-    assignments, call, clock,
+    assignments, call,
+    caller::Caller,
+    clock,
     connection::{self, Part},
     dialect::{RequestHead, ResponseHead},
     gateway::{Gateway, ReservedRetry},
@@ -121,6 +123,8 @@
     pub(crate) origin_record: OriginRecord,
     /// Host that has passed the request on to this one.
     pub(crate) received_from: Option<Arc<str>>,
+    /// Connection on which the request came.
+    pub(crate) caller: Caller,
     /// Hosts to which the request was passed on.
     pub(crate) hosts_tried: Vec<Arc<str>>,
     /// Number of further hosts to which the request may be passed on.
@@ -148,6 +152,8 @@
     pub(crate) deadline: Time,
     /// Revision of the configuration that routed the request.
     pub(crate) revision: u64,
+    /// Connection on which the request came.
+    pub(crate) caller: Caller,
 }
 
 impl Exchange {
@@ -192,6 +198,7 @@
             assigned: None,
             origin_record: OriginRecord::AtFirstEvent,
             received_from: None,
+            caller: received.caller,
             hosts_tried: Vec::new(),
             hosts_left: MAX_HOSTS,
             fallback_response: None,
@@ -275,6 +282,7 @@
                 Outcome::Lost if self.route.kind.is_retryable() => {}
                 Outcome::Lost => return self.fail(Fault::UpstreamLost),
                 Outcome::DeadlineExceeded => return self.fail(Fault::Timeout),
+                Outcome::CallerLeft => return self.end_without_caller(),
                 Outcome::NoBudget if self.left_engine.is_some() => {}
                 // The request is first to get the next retry of this host, sooner than a new request of
                 // the caller would.
@@ -301,6 +309,12 @@
         }
     }
 
+    /// Ends the request of a caller that has disconnected. Nobody reads the response.
+    fn end_without_caller(&mut self) -> Response<Body> {
+        self.record_end(End::CallerLeft);
+        reply::fault_response(Fault::UpstreamLost, None)
+    }
+
     /// Waits for a moment in which the retry budget may recover.
     pub(crate) async fn wait_for_budget(&mut self) {
         time::sleep(BUDGET_PAUSE).await;
@@ -318,24 +332,10 @@
         }
         let build = self.find_stream_origin().await;
         self.build = Some(build.ok_or(Fault::OriginUnknown)?);
+        self.keep_service();
         Ok(())
     }
 
-    /// Finds the build that began the stream of this request.
-    pub(crate) async fn find_stream_origin(&self) -> Option<BuildId> {
-        let (stream, key) = (self.stream(), self.stream_key);
-        let gossip = &self.gossip;
-        let origin = gossip.find_origin(stream, key, &self.service, self.deadline);
-        Box::pin(origin).await
-    }
-
-    /// Waits until it is known which build began the stream, if its engine may have started again.
-    pub(crate) async fn await_origin(&self) -> Option<BuildId> {
-        let until = self.deadline.min(clock::now() + PLACEMENT_TIMEOUT);
-        self.keep_service();
-        let is_recorded = || self.gossip.has_origin(self.stream(), &self.service);
-        while self.origin_record == OriginRecord::Later && !is_recorded() && clock::now() < until {
-            time::sleep(ORIGIN_CHECK_INTERVAL).await;
     /// Sends the rest of a stream to the service whose build began it. The weights of the route may have changed since, so
     /// that they give another service.
     pub(crate) fn keep_service(&mut self) {
@@ -361,6 +361,20 @@
         self.service = service;
     }
 
+    /// Finds the build that began the stream of this request.
+    pub(crate) async fn find_stream_origin(&self) -> Option<BuildId> {
+        let (stream, key) = (self.stream(), self.stream_key);
+        let gossip = &self.gossip;
+        let origin = gossip.find_origin(stream, key, &self.service, self.deadline);
+        Box::pin(origin).await
+    }
+
+    /// Waits until it is known which build began the stream, if its engine may have started again.
+    pub(crate) async fn await_origin(&self) -> Option<BuildId> {
+        let until = self.deadline.min(clock::now() + PLACEMENT_TIMEOUT);
+        let is_recorded = || self.gossip.has_origin(self.stream(), &self.service);
+        while self.origin_record == OriginRecord::Later && !is_recorded() && clock::now() < until {
+            time::sleep(ORIGIN_CHECK_INTERVAL).await;
         }
         self.find_stream_origin().await
     }
@@ -451,6 +465,7 @@
             return;
         };
         self.build = Some(build);
+        let (stream, services) = (self.stream(), self.services());
         self.gossip
             .record_origin(stream, &self.service, services, build);
     }
@@ -474,7 +489,6 @@
         let last_event_id = self.request_head.last_event_id.clone();
         Ok(self.send(choice, last_event_id.as_deref()).await)
     }
-        let (stream, services) = (self.stream(), self.services());
 
     /// Forwards a response to the caller. Returns the exchange if the request has no response yet.
     async fn relay_response(
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -3,7 +3,13 @@
 use std::{net::SocketAddr, pin::Pin, sync::Arc, time::Duration};
 
 use bytes::Bytes;
-use fleet::{Time, engine::Miss, listing::Build, placement::Choice, table::Key};
+use fleet::{
+    Time,
+    engine::Miss,
+    listing::{Build, Name},
+    placement::Choice,
+    table::{Freshness, Key, Table},
+};
 use hyper::{
     Request, Response,
     http::{StatusCode, response},
@@ -48,19 +54,33 @@
     DeadlineExceeded,
     /// The retry budget is spent.
     NoBudget,
+    /// The caller has closed its connection.
+    CallerLeft,
 }
 
-/// Engine to which an attempt goes.
+/// Engine that may be sent the request at this moment. Only [`Exchange::clear`] makes one, and it is outdated after any
+/// wait.
 struct Target {
     addr: SocketAddr,
     instance: Arc<str>,
     build: Build,
+    /// Version of the adapter that the engine is estimated to hold.
+    held: Option<u64>,
     /// Version of the adapter to require: the newest version, if the engine is estimated to hold it.
-    version: Option<u64>,
+    required: Option<u64>,
     /// True if the engine limits the requests of all hosts.
     is_limited: bool,
 }
 
+/// Whether the request is among those that are counted at its engine.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Counted {
+    /// It was not sent there.
+    No,
+    /// It is about to be sent there, and its load counts already.
+    Yes,
+}
+
 /// Request that was sent to an engine, whose response has not begun. Dropping it closes the connection, which cancels
 /// the request at the engine.
 pub(crate) struct Attempt {
@@ -68,6 +88,8 @@
     instance: Arc<str>,
     origin: Origin,
     pub(crate) in_flight: InFlight,
+    /// Version of the adapter that the engine was estimated to hold when the request was sent.
+    pub(crate) version: Option<u64>,
     /// Head of the response.
     pub(crate) response: Pin<Box<dyn Future<Output = Result<Response<Body>, Failure>>>>,
 }
@@ -87,20 +109,11 @@
         choice: Choice,
         last_event_id: Option<&str>,
     ) -> Result<Attempt, Outcome> {
-        let now = clock::now();
-        if now >= self.gateway.limit(self.deadline) {
-            return Err(Outcome::DeadlineExceeded);
-        }
-        if self.check_quarantine().is_err() {
-            return Err(Outcome::NotExecuted(None));
-        }
         let key = choice.key;
+        self.clear(key, Counted::No)?;
         if self.unreachable_engines.contains(&key) {
             time::sleep(RECONNECT_PAUSE).await;
         }
-        let Some(target) = self.target(key) else {
-            return Err(Outcome::NotExecuted(None));
-        };
         let is_retry = self.attempts > 0;
         let is_reserved = self.way_back.is_some() && self.attempted_engines.contains(&key);
         if is_retry && !is_reserved && !self.gateway.has_retry(&self.service) {
@@ -108,17 +121,20 @@
             metrics.count_retry(&self.service, "refused");
             return Err(Outcome::NoBudget);
         }
-        let instance = target.instance;
-        let addr = target.addr;
         if self.begun_by().is_some() {
             Box::pin(self.gossip.prove_identity(key)).await;
         }
-        if !self.may_go_to(key) || !self.take_turn(key).await {
+        // A turn for a request that can't be sent would be lost to the other hosts.
+        self.clear(key, Counted::No)?;
+        if !self.take_turn(key).await {
             return Err(Outcome::NotExecuted(None));
         }
-        if target.is_limited {
-            self.gateway.metrics.count_limited_request("sent");
-        }
+        let Target {
+            addr,
+            instance,
+            is_limited,
+            ..
+        } = self.clear(key, Counted::No)?;
         let mut in_flight = InFlight::start(
             &self.gateway,
             &self.gossip,
@@ -141,10 +157,18 @@
             }
         };
         self.gossip.observe_ended_connections();
-        if !self.may_go_to(key) {
-            connection.release(None);
-            return Err(Outcome::NotExecuted(None));
-        }
+        // Nothing may wait from here until the request is sent.
+        let target = match self.clear(key, Counted::Yes) {
+            Ok(it) if it.addr == addr => it,
+            Ok(_) => {
+                connection.release(None);
+                return Err(Outcome::NotExecuted(None));
+            }
+            Err(outcome) => {
+                connection.release(None);
+                return Err(outcome);
+            }
+        };
         if is_reserved {
             self.way_back = None;
         }
@@ -152,6 +176,9 @@
             connection.release(None);
             return Err(Outcome::NoBudget);
         }
+        if is_limited {
+            self.gateway.metrics.count_limited_request("sent");
+        }
         self.attempts += 1;
         self.trial = None;
         self.attempted_addrs.push(addr);
@@ -162,7 +189,7 @@
             self.attempted_engines.push(key);
         }
         self.repeatable_engines.retain(|it| *it != key);
-        let request = self.build_request(&instance, target.version, last_event_id);
+        let request = self.build_request(&target, last_event_id);
         let response = Box::pin(connection.send(request));
         in_flight.connection = Some(connection);
         Ok(Attempt {
@@ -170,6 +197,7 @@
             instance,
             origin,
             in_flight,
+            version: target.held,
             response,
         })
     }
@@ -369,45 +397,82 @@
         Outcome::Response(Box::new((head, body, response_head, in_flight)))
     }
 
-    /// Returns whether the request may go to an engine that was chosen for it. The engine may have ended since.
-    fn may_go_to(&self, key: Key) -> bool {
-        let table = self.gateway.table.borrow();
-        table.get(key).is_some_and(|it| it.is_of_build(self.build))
+    /// Checks whether the request may be sent to an engine now, by all that may have changed since the engine was chosen.
+    fn clear(&mut self, key: Key, counted: Counted) -> Result<Target, Outcome> {
+        let now = clock::now();
+        if self.caller.has_left() {
+            return Err(Outcome::CallerLeft);
+        }
+        if now >= self.gateway.limit(self.deadline) {
+            return Err(Outcome::DeadlineExceeded);
+        }
+        if self.check_quarantine().is_err() {
+            return Err(Outcome::NotExecuted(None));
+        }
+        self.target(key, counted).ok_or(Outcome::NotExecuted(None))
     }
 
-    /// Returns the engine to which an attempt goes, if it still exists.
-    fn target(&self, key: Key) -> Option<Target> {
+    /// Returns the engine to which an attempt may go, if it still exists and takes the request.
+    fn target(&self, key: Key, counted: Counted) -> Option<Target> {
+        let now = clock::now();
         let table = self.gateway.table.borrow();
+        if !self.may_take(key, &table, counted, now) {
+            return None;
+        }
         let engine = table.get(key)?;
         let name = self.request_head.name.as_deref();
         let newest = name.and_then(|it| table.newest_version(it));
         let held = name.and_then(|it| engine.held.get(it)).map(|it| it.version);
-        let version = newest.map(|it| it.version).filter(|it| held == Some(*it));
         let listing = &engine.listing;
         Some(Target {
             addr: listing.addr,
             instance: listing.id.clone(),
             build: listing.build.clone(),
-            version,
-            is_limited: engine.needs_turn(clock::now()),
+            held,
+            required: newest.map(|it| it.version).filter(|it| held == Some(*it)),
+            is_limited: engine.needs_turn(now),
         })
     }
 
+    /// Returns whether an engine takes the request: it accepts work, asks for no back-off, is of the build that may serve
+    /// the request, and holds a version of the adapter on which the request may still begin.
+    pub(super) fn may_take(&self, key: Key, table: &Table, counted: Counted, now: Time) -> bool {
+        let Some(engine) = table.get(key) else {
+            return false;
+        };
+        let (slot, is_closed) = match counted {
+            Counted::No => (
+                table.slot(key, now),
+                engine.backoff.closed_until(now).is_some(),
+            ),
+            Counted::Yes => (
+                table.slot_of_counted(key, now),
+                engine.backoff.is_closed(now),
+            ),
+        };
+        let is_fresh = |name: &Name| {
+            engine.held.get(name).is_some_and(|it| {
+                let freshness = table.freshness_after(name, it.version, now, Duration::ZERO, slot);
+                freshness != Freshness::Stale
+            })
+        };
+        let name = self.request_head.name.as_ref();
+        engine.accepts_work()
+            && engine.is_of_build(self.build)
+            && !is_closed
+            && name.is_none_or(is_fresh)
+    }
+
     /// Builds the request for an engine.
-    fn build_request(
-        &self,
-        instance: &str,
-        version: Option<u64>,
-        last_event_id: Option<&str>,
-    ) -> Request<Bytes> {
+    fn build_request(&self, target: &Target, last_event_id: Option<&str>) -> Request<Bytes> {
         let mut request = Request::new(self.body.clone());
         *request.method_mut() = self.method.clone();
         *request.uri_mut() = self.uri.clone();
         *request.headers_mut() = self.headers.clone();
         let upstream_head = UpstreamHead {
             timeout: self.deadline.saturating_sub(clock::now()),
-            instance,
-            version,
+            instance: &target.instance,
+            version: target.required,
             priority: self.request_head.name.as_ref().map(|_| ENGINE_PRIORITY),
             last_event_id,
         };
--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -10,14 +10,14 @@
     placement::{self, Choice, Placement, PlacementRequest},
     quarantine::Verdict,
     rendezvous::short_id,
-    table::{Freshness, Key},
+    table::Key,
 };
 use futures::future;
 use tokio::time;
 
 use crate::{
     assignments, clock,
-    exchange::{Exchange, OriginRecord},
+    exchange::{Exchange, OriginRecord, attempt::Counted},
     gateway::{Gateway, MAX_WAITERS},
     queues::Place,
     reply::Fault,
@@ -160,16 +160,8 @@
         let table = self.gateway.table.borrow();
         let engine = table.get(key)?;
         let queue_wait = table.queue_wait_for_one_more(key, now);
-        let name = self.request_head.name.as_ref();
-        let holds_adapter = name.is_none_or(|name| {
-            engine.held.get(name).is_some_and(|it| {
-                table.freshness_after(name, it.version, now, queue_wait) != Freshness::Stale
-            })
-        });
-        let is_usable = engine.accepts_work()
-            && engine.is_of_build(self.build)
-            && engine.closed_until(now).is_none()
-            && holds_adapter;
+        let is_usable =
+            self.may_take(key, &table, Counted::No, now) && engine.closed_until(now).is_none();
         is_usable.then_some(Choice {
             key,
             expected_wait: queue_wait,
--- a/crates/gateway/src/exchange/turn.rs
+++ b/crates/gateway/src/exchange/turn.rs
@@ -83,7 +83,11 @@
             return false;
         };
         let Some(turn) = turn else { return true };
-        while clock::now() < turn.at && self.needs_turn(key) && self.is_valid_turn(&turn) {
+        while clock::now() < turn.at
+            && self.needs_turn(key)
+            && self.is_valid_turn(&turn)
+            && self.accepts_work(key)
+        {
             let wait = turn.at.saturating_sub(clock::now());
             time::sleep(wait.min(CLOSED_CHECK_INTERVAL)).await;
         }
@@ -92,6 +96,14 @@
         self.turn.is_some() || !self.needs_turn(key)
     }
 
+    /// Returns whether an engine still accepts work of this host, at its turns.
+    fn accepts_work(&self, key: Key) -> bool {
+        let now = clock::now();
+        let table = self.gateway.table.borrow();
+        let engine = table.get(key);
+        engine.is_some_and(|it| it.accepts_work() && !it.backoff.is_closed(now))
+    }
+
     /// Returns whether the request may be sent by a turn.
     fn is_valid_turn(&self, turn: &GrantedTurn) -> bool {
         let table = self.gateway.table.borrow();
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -19,7 +19,9 @@
 use tokio::time;
 
 use crate::{
-    account, clock, content,
+    account,
+    caller::Caller,
+    clock, content,
     dialect::RequestHead,
     exchange::{Exchange, Received},
     gateway::Gateway,
@@ -46,8 +48,9 @@
     gateway: Rc<Gateway>,
     gossip: Rc<Gossip>,
     request: Request<Incoming>,
+    caller: Caller,
 ) -> Response<Body> {
-    let exchange = match accept(&gateway, &gossip, request, None).await {
+    let exchange = match accept(&gateway, &gossip, request, caller, None).await {
         Ok(it) => it,
         Err(response) => return response,
     };
@@ -61,9 +64,10 @@
     gossip: Rc<Gossip>,
     request: Request<Incoming>,
     handover: Handover,
+    caller: Caller,
 ) -> Response<Body> {
     let received_at = clock::now();
-    match accept(&gateway, &gossip, request, Some(&handover)).await {
+    match accept(&gateway, &gossip, request, caller, Some(&handover)).await {
         Ok(mut exchange) => {
             exchange.adopt_handover(handover, received_at);
             exchange.run().await
@@ -100,6 +104,7 @@
     gateway: &Rc<Gateway>,
     gossip: &Rc<Gossip>,
     request: Request<Incoming>,
+    caller: Caller,
     handover: Option<&Handover>,
 ) -> Result<Exchange, Response<Body>> {
     let started = clock::now();
@@ -182,6 +187,7 @@
         started,
         deadline,
         revision: catalog.revision,
+        caller,
     };
     Ok(Exchange::new(gateway, gossip, received))
 }
--- a/crates/gateway/src/handover.rs
+++ b/crates/gateway/src/handover.rs
@@ -20,7 +20,9 @@
 use tokio::{net::TcpStream, sync::watch, time};
 
 use crate::{
-    call, clock,
+    call,
+    caller::{self, Caller},
+    clock,
     connection::{self, Connection, Failure, Reuse},
     exchange::{BUDGET_PAUSE, Exchange},
     forward,
@@ -238,7 +240,10 @@
             self.trace.record_handover(&name);
             let outcome = self.try_host(&name, addr, last_event_id).await;
             if let Some(retry) = retry
-                && !matches!(outcome, Err(HostFailure::NotTaken(_)))
+                && !matches!(
+                    outcome,
+                    Err(HostFailure::NotTaken(_) | HostFailure::CallerLeft)
+                )
             {
                 retry.spend();
             }
@@ -264,6 +269,11 @@
                     self.may_have_run = true;
                     return Err(Fault::Timeout);
                 }
+                Err(HostFailure::CallerLeft) => {
+                    self.hosts_left = 0;
+                    self.record_end(End::CallerLeft);
+                    return Err(Fault::UpstreamLost);
+                }
             }
         }
     }
@@ -314,6 +324,10 @@
             log::debug!("host {name}: {error}");
             HostFailure::NotTaken("unreachable".to_owned())
         })?;
+        if self.caller.has_left() {
+            connection.release(None);
+            return Err(HostFailure::CallerLeft);
+        }
         let request = self.build_handover(last_event_id);
         let response = connection.send(request);
         let context = self.wait_context();
@@ -409,6 +423,7 @@
             self.request_head.last_event_id = handover.last_event_id;
         }
         self.build = handover.build.map(BuildId);
+        self.keep_service();
         self.received_from = Some(handover.host.into());
     }
 }
@@ -420,10 +435,11 @@
     /// The request may have run there.
     Lost,
     DeadlineExceeded,
+    /// The caller has closed its connection.
+    CallerLeft,
 }
 
 /// Serves the requests that another host passes on over a connection. Only hosts of the fleet are let in.
-        self.keep_service();
 pub async fn serve(
     stream: TcpStream,
     gateway: Rc<Gateway>,
@@ -440,8 +456,10 @@
         log::debug!("cannot set options of a connection of host {from}: {error}");
         return;
     }
+    let stream = caller::Connection::new(stream);
+    let caller = stream.caller();
     let service = service_fn(|request: Request<Incoming>| {
-        let response = handle(gateway.clone(), gossip.clone(), request);
+        let response = handle(gateway.clone(), gossip.clone(), request, caller.clone());
         async { Ok::<_, Infallible>(response.await) }
     });
     let mut connection = http1::Builder::new()
@@ -458,6 +476,7 @@
     gateway: Rc<Gateway>,
     gossip: Rc<Gossip>,
     mut request: Request<Incoming>,
+    caller: Caller,
 ) -> Response<Body> {
     let Some(handover) = Handover::take(request.headers_mut()) else {
         return reply::fault_response(Fault::BadRequest, None);
@@ -471,7 +490,7 @@
     if gateway.catalog().is_none() {
         return mark_not_taken(reply::fault_response(Fault::NoConfig, None), "no-config");
     }
-    let response = forward::handle_from_host(gateway.clone(), gossip, request, handover);
+    let response = forward::handle_from_host(gateway.clone(), gossip, request, handover, caller);
     let response = Box::pin(response).await;
     // This host may have been cut off meanwhile. The status promises that the request has not run here.
     if gateway.is_isolated() && response.status() == StatusCode::SERVICE_UNAVAILABLE {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod assignments;
 pub mod attribution;
 pub mod call;
+pub mod caller;
 pub mod claims;
 pub mod clock;
 pub mod connection;
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -440,6 +440,10 @@
                     self.exchange.trace.record_resume_failure("timeout");
                     return false;
                 }
+                Outcome::CallerLeft => {
+                    self.exchange.record_end(End::CallerLeft);
+                    return false;
+                }
                 Outcome::NoBudget => {
                     self.exchange.trace.record_resume_failure("no-budget");
                     return false;
--- a/crates/gateway/src/server.rs
+++ b/crates/gateway/src/server.rs
@@ -22,7 +22,7 @@
 pub use head_timer::HeadTimeout;
 
 use crate::{
-    connection, forward,
+    caller, connection, forward,
     gateway::Gateway,
     gossip::Gossip,
     reply::{self, Body},
@@ -106,13 +106,16 @@
     }
     let limits = gateway.catalog().map(|it| it.limits).unwrap_or_default();
     let has_chunks = Cell::new(true);
+    let stream = caller::Connection::new(stream);
+    let caller = stream.caller();
     let service = service_fn(|request: Request<Incoming>| {
+        let caller = caller.clone();
         has_chunks.set(request.version() == Version::HTTP_11);
         let gateway = gateway.clone();
         let gossip = gossip.clone();
         async move {
             let stopping = gateway.clone();
-            let mut response = forward::handle(gateway, gossip, request).await;
+            let mut response = forward::handle(gateway, gossip, request, caller).await;
             if stopping.stopping.get() {
                 let close = HeaderValue::from_static("close");
                 response.headers_mut().insert(CONNECTION, close);
@@ -133,7 +136,7 @@
         if is_truncated && !has_chunks.get() {
             // A response that ends with its connection must not look complete.
             let stream = connection.into_parts().io.into_inner();
-            if let Err(error) = stream.set_zero_linger() {
+            if let Err(error) = stream.reset_on_close() {
                 log::debug!("a caller's connection can't be reset: {error}");
             }
         }
@@ -142,7 +145,7 @@
 
 /// Serves a connection until it ends, and lets it end after its current request once this host is closing.
 pub(crate) async fn drive<S>(
-    connection: &mut http1::Connection<TokioIo<TcpStream>, S>,
+    connection: &mut http1::Connection<TokioIo<caller::Connection>, S>,
     closing: &mut watch::Receiver<bool>,
 ) -> hyper::Result<()>
 where
