Take back a request that waits on an older version for too long

Cause: a request could go to an older version if twice its expected wait was short. Nothing bounded the real wait at the engine.

--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -37,6 +37,9 @@
 /// platform's limit is 5 s, of which up to 1 s passes before the announcement is read.
 const OLDER_VERSION_TTL: Duration = Duration::from_millis(2500);
 
+/// Time after the end of [`OLDER_VERSION_TTL`] in which a request that was sent before may still begin.
+const RECALL_DELAY: Duration = Duration::from_secs(1);
+
 /// Decayed uses from which an adapter of a draining engine is loaded elsewhere before a request misses it.
 const MIN_COPY_USES: f64 = 2.0;
 
@@ -161,6 +164,17 @@
             self.stale_below
         }
     }
+
+    /// Returns when a version becomes stale; `None` if no newer one is announced.
+    fn expiry(self, version: u64) -> Option<Time> {
+        if version >= self.version {
+            None
+        } else if version < self.stale_below {
+            Some(Time::ZERO)
+        } else {
+            Some(self.received_at + OLDER_VERSION_TTL)
+        }
+    }
 }
 
 impl Table {
@@ -632,6 +646,7 @@
         version: u64,
         now: Time,
         wait: Duration,
+        slot: Slot,
     ) -> Freshness {
         match (self.freshness(name, version, now + wait * 2), slot) {
             (Freshness::Older, Slot::Taken) => Freshness::Stale,
@@ -686,5 +701,4 @@
     Older,
     /// The copy must not be used any more.
     Stale,
-        slot: Slot,
 }
--- a/crates/fleet/tests/it/tables.rs
+++ b/crates/fleet/tests/it/tables.rs
@@ -150,6 +150,21 @@
     assert_eq!(freshness(3, Slot::Taken), Freshness::Newest);
 }
 
+#[test]
+fn a_request_that_waits_on_an_older_version_is_recalled_before_it_may_not_begin() {
+    let (mut table, _) = table(&[]);
+    assert_eq!(table.recall_time("m/a1", 1), None);
+    assert!(table.announce("m/a1".into(), 3, at(0)));
+    assert_eq!(table.recall_time("m/a1", 3), None);
+    // The platform's limit is 5 s, of which up to 1 s passes before the announcement is read.
+    let recall_at = table.recall_time("m/a1", 1);
+    assert!(recall_at.is_some_and(|it| it < at(4000)), "{recall_at:?}");
+    // A further announcement doesn't postpone it.
+    assert!(table.announce("m/a1".into(), 4, at(3000)));
+    assert!(table.recall_time("m/a1", 1) <= recall_at);
+    assert!(table.recall_time("m/a1", 3) > recall_at);
+}
+
 #[test]
 fn cached_parts_count_up_to_the_first_missing_one() {
     let part = |id, tokens| Part { id, tokens };
--- a/crates/gateway/src/takeover.rs
+++ b/crates/gateway/src/takeover.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use fleet::{Time, stall::Stage};
+use futures::future;
 use hyper::Response;
 use tokio::time;
 
@@ -26,6 +27,9 @@
 /// Maximum time for which two engines have the same request. Both may work on it in that time.
 const MAX_OVERLAP: Duration = Duration::from_millis(250);
 
+/// Maximum time between two checks whether a newer version of the adapter was announced to a request that waits.
+const RECALL_CHECK_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Result of a wait for a silent engine.
 pub(crate) enum Takeover<T> {
     /// The engine has gone on.
@@ -40,6 +44,16 @@
     Isolated,
 }
 
+/// Result of a wait for the head of a response.
+enum HeadWait {
+    /// The engine of the attempt has responded, or failed.
+    Responded(Box<Attempt>, Result<Response<Body>, Failure>),
+    /// The attempt has ended.
+    Ended(Outcome),
+    /// Another engine has the request, and has not responded yet.
+    Moved(Box<Attempt>),
+}
+
 /// First event while two engines have the same request.
 enum Overlap<T> {
     /// The engine that takes over has responded, or failed.
@@ -59,41 +73,87 @@
     ) -> Outcome {
         let mut attempt = attempt;
         loop {
-            let key = attempt.in_flight.key;
-            let stage = Stage::Head(attempt.in_flight.expected_wait);
-            let context = self.wait_context();
-            match wait_for_engine(&context, key, stage, &mut attempt.response).await {
-                WaitResult::Ready(response) => {
-                    return self.finish_attempt(attempt, response).await;
-                }
-                WaitResult::Stalled => {}
-                WaitResult::DeadlineExceeded => {
+            let recall = self.wait_for_recall(attempt.version);
+            let recalled = attempt.in_flight.attempt;
+            let step = tokio::select! {
+                biased;
+                it = self.await_head_or_takeover(attempt, last_event_id) => it,
+                () = recall => {
+                    self.trace.record_outcome(recalled, "version superseded");
                     self.may_have_run = true;
-                    return Outcome::DeadlineExceeded;
+                    return Outcome::Lost;
                 }
-            }
-            let Attempt {
-                in_flight,
-                response,
-                ..
-            } = &mut attempt;
-            // A whole answer follows the head at once, but a stream goes on for seconds.
-            let is_stream = self.route.kind.is_stream();
-            let is_last = move |it: &Result<Response<_>, _>| {
-                !is_stream && it.as_ref().is_ok_and(|it| !it.status().is_server_error())
             };
-            let taken_over = self.take_over(in_flight, response, is_last, last_event_id);
-            match taken_over.await {
-                Takeover::Continued(response) => {
-                    return self.finish_attempt(attempt, response).await;
-                }
-                Takeover::Accepted(it) => return Outcome::Response(it),
-                Takeover::Sent(next) => attempt = *next,
-                Takeover::DeadlineExceeded => return Outcome::DeadlineExceeded,
-                Takeover::Isolated => {
-                    self.may_have_run = true;
-                    return Outcome::Lost;
+            match step {
+                HeadWait::Responded(attempt, response) => {
+                    return self.finish_attempt(*attempt, response).await;
                 }
+                HeadWait::Ended(it) => return it,
+                HeadWait::Moved(next) => attempt = *next,
+            }
+        }
+    }
+
+    /// Completes when a request that waits at an engine for a version of its adapter is to be taken back. Nothing bounds
+    /// the wait at an engine that turns slow.
+    fn wait_for_recall(&self, version: Option<u64>) -> impl Future<Output = ()> + use<> {
+        let gateway = self.gateway.clone();
+        let name = self.request_head.name.clone();
+        async move {
+            let (Some(name), Some(version)) = (name, version) else {
+                return future::pending().await;
+            };
+            loop {
+                let recall_at = gateway.table.borrow().recall_time(&name, version);
+                let now = clock::now();
+                let wait = match recall_at {
+                    Some(it) if it <= now => return,
+                    Some(it) => (it.saturating_sub(now)).min(RECALL_CHECK_INTERVAL),
+                    None => RECALL_CHECK_INTERVAL,
+                };
+                time::sleep(wait).await;
+            }
+        }
+    }
+
+    /// Waits for the head of the response to an attempt, until another engine has the request.
+    async fn await_head_or_takeover(
+        &mut self,
+        mut attempt: Attempt,
+        last_event_id: Option<&str>,
+    ) -> HeadWait {
+        let key = attempt.in_flight.key;
+        let stage = Stage::Head(attempt.in_flight.expected_wait);
+        let context = self.wait_context();
+        match wait_for_engine(&context, key, stage, &mut attempt.response).await {
+            WaitResult::Ready(response) => {
+                return HeadWait::Responded(Box::new(attempt), response);
+            }
+            WaitResult::Stalled => {}
+            WaitResult::DeadlineExceeded => {
+                self.may_have_run = true;
+                return HeadWait::Ended(Outcome::DeadlineExceeded);
+            }
+        }
+        let Attempt {
+            in_flight,
+            response,
+            ..
+        } = &mut attempt;
+        // A whole answer follows the head at once, but a stream goes on for seconds.
+        let is_stream = self.route.kind.is_stream();
+        let is_last = move |it: &Result<Response<_>, _>| {
+            !is_stream && it.as_ref().is_ok_and(|it| !it.status().is_server_error())
+        };
+        let taken_over = self.take_over(in_flight, response, is_last, last_event_id);
+        match taken_over.await {
+            Takeover::Continued(response) => HeadWait::Responded(Box::new(attempt), response),
+            Takeover::Accepted(it) => HeadWait::Ended(Outcome::Response(it)),
+            Takeover::Sent(next) => HeadWait::Moved(next),
+            Takeover::DeadlineExceeded => HeadWait::Ended(Outcome::DeadlineExceeded),
+            Takeover::Isolated => {
+                self.may_have_run = true;
+                HeadWait::Ended(Outcome::Lost)
             }
         }
     }
@@ -248,6 +308,7 @@
     match outcome {
         Outcome::NoBudget => "no-budget",
         Outcome::DeadlineExceeded => "timeout",
+        Outcome::CallerLeft => "caller-left",
         _ => "no-engine",
     }
 }
