Bound what a host that joins costs, and what counts as the silence of others

Cause, by reading and by the operators' trace: for each host that joined, the others ranked all hosts for each recent record, in one step of the event loop. Heartbeats waited meanwhile, hosts were taken for lost and joined again.

Change: the records for hosts that have joined are selected in small steps, with a number of comparisons that grows with the logarithm of the number of hosts. Silence counts only while all messages that have arrived are read; the shares by which turns are granted ignore that, since a wrong "live" would exceed a limit there.

--- a/crates/fleet/src/origin.rs
+++ b/crates/fleet/src/origin.rs
@@ -12,6 +12,7 @@
 //! build only.
 
 use std::{
+    cmp::Reverse,
     collections::{HashMap, HashSet, VecDeque},
     hash::{DefaultHasher, Hash, Hasher},
     sync::Arc,
@@ -131,7 +132,6 @@
     last_complete: Time,
 }
 
-/// Need of other hosts for a record.
 /// Number of services at which the streams of a route may begin.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Services {
@@ -141,6 +141,7 @@
     Several,
 }
 
+/// Need of other hosts for a record.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Announcement {
     /// The holders of the stream need the record now.
@@ -151,6 +152,7 @@
 
 impl Origins {
     /// Records the build that began a stream of this host, whenever an event of it arrives first in a response.
+    /// `services` tells whether another service may have begun it, by the route of the request.
     pub fn record_own(
         &mut self,
         stream: StreamId,
@@ -296,12 +298,116 @@
 /// another, as far as there are so many.
 pub fn record_holders<A: Copy>(stream: StreamId, domain: &str, hosts: &[Holder<A>]) -> Vec<A> {
     let (own, others) = rank(stream, domain, hosts);
-    let remote = others.len().min(HOLDERS - own.len().min(DOMAIN_HOLDERS));
+    let remote = remote_holders(own.len(), others.len());
     let own = own.into_iter().take(HOLDERS - remote);
     let holders = own.chain(others.into_iter().take(remote));
     holders.map(|it| it.addr).collect()
 }
 
+/// Selects the records that hosts which have joined are to hold, a few at a time: a host has thousands of records, and
+/// many hosts may join at once.
+#[derive(Debug)]
+pub struct Catchup<A> {
+    /// The hosts that have joined.
+    joined: Vec<Holder<A>>,
+    records: Vec<(StreamId, BuildId)>,
+    /// Number of pairs of a record and a host that have been looked at.
+    next: usize,
+    /// Number of weights that have been computed.
+    weights: usize,
+}
+
+impl<A: Copy> Catchup<A> {
+    /// Begins the selection among the records of this host.
+    pub fn new(joined: Vec<Holder<A>>, records: Vec<(StreamId, BuildId)>) -> Self {
+        Self {
+            joined,
+            records,
+            next: 0,
+            weights: 0,
+        }
+    }
+
+    /// Returns whether all records have been looked at.
+    pub fn is_done(&self) -> bool {
+        self.next >= self.records.len() * self.joined.len()
+    }
+
+    /// Number of weights that have been computed so far, which the time of the selection depends on.
+    pub fn weights(&self) -> usize {
+        self.weights
+    }
+
+    /// Goes on until `max_weights` further weights have been computed, or one record and host more. Returns the selected
+    /// records, each with the address of its holder. `hosts` are all live hosts, and `domain` is that of this host.
+    pub fn step(
+        &mut self,
+        domain: &str,
+        hosts: &[Holder<A>],
+        max_weights: usize,
+    ) -> Vec<(A, (StreamId, BuildId))> {
+        let (own, others): (Vec<_>, Vec<_>) = hosts.iter().partition(|it| *it.domain == *domain);
+        let remote = remote_holders(own.len(), others.len());
+        let end = self.weights + max_weights;
+        let mut selected = Vec::new();
+        while !self.is_done() && self.weights < end {
+            let record = self.records[self.next / self.joined.len()];
+            let host = &self.joined[self.next % self.joined.len()];
+            self.next += 1;
+            let (rivals, holders) = if *host.domain == *domain {
+                (&own, HOLDERS - remote)
+            } else {
+                (&others, remote)
+            };
+            let rank = Rank::of(record.0, host, rivals, holders);
+            self.weights += rank.weights;
+            if rank.is_holder {
+                selected.push((host.addr, record));
+            }
+        }
+        selected
+    }
+}
+
+/// Rank of a host among others for a stream.
+struct Rank {
+    is_holder: bool,
+    /// Number of weights computed.
+    weights: usize,
+}
+
+impl Rank {
+    /// Compares the host with `rivals` until as many as there are `holders` rank higher.
+    fn of<A>(stream: StreamId, host: &Holder<A>, rivals: &[&Holder<A>], holders: usize) -> Self {
+        let key = stream.0.to_string();
+        let own = weighted_rank(&key, host);
+        let mut weights = 1;
+        let mut higher = 0;
+        for rival in rivals.iter().filter(|it| it.name != host.name) {
+            if higher == holders {
+                break;
+            }
+            weights += 1;
+            higher += usize::from(weighted_rank(&key, rival) > own);
+        }
+        Self {
+            is_holder: higher < holders,
+            weights,
+        }
+    }
+}
+
+/// Returns the rank of a host for a stream; the highest comes first.
+fn weighted_rank<'a, A>(key: &str, host: &'a Holder<A>) -> (u64, Reverse<&'a str>) {
+    (rendezvous::weight(key, &host.name), Reverse(&host.name))
+}
+
+/// Returns how many holders of a record are in other failure domains, by the number of hosts in the own domain and in
+/// others.
+fn remote_holders(own: usize, others: usize) -> usize {
+    others.min(HOLDERS - own.min(DOMAIN_HOLDERS))
+}
+
 /// Returns the addresses of the hosts that a host asks for the record of a stream, whichever failure domain the
 /// stream began in: the best of the own domain, and the best of each other one. A ranking keeps its order when hosts
 /// are lost, so one of the holders that are left is among them.
@@ -320,11 +426,7 @@
     hosts: &'a [Holder<A>],
 ) -> (Vec<&'a Holder<A>>, Vec<&'a Holder<A>>) {
     let key = stream.0.to_string();
-    let mut ranked: Vec<_> = hosts
-        .iter()
-        .map(|it| (rendezvous::weight(&key, &it.name), it))
-        .collect();
-    ranked.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.name.cmp(&b.1.name)));
-    let ranked = ranked.into_iter().map(|it| it.1);
-    ranked.partition(|it| *it.domain == *domain)
+    let mut ranked: Vec<_> = hosts.iter().collect();
+    ranked.sort_by_cached_key(|it| Reverse(weighted_rank(&key, it)));
+    ranked.into_iter().partition(|it| *it.domain == *domain)
 }
--- a/crates/fleet/tests/it/origins.rs
+++ b/crates/fleet/tests/it/origins.rs
@@ -7,8 +7,8 @@
     listing::{Listing, Name},
     loader::Wanted,
     origin::{
-        Announcement, BuildId, Holder, MAX_LIST_GAP, Origin, Origins, SETTLE_TIME, STREAM_TTL,
-        StreamId, holders_to_ask, record_holders,
+        Announcement, BuildId, Catchup, Holder, MAX_LIST_GAP, Origin, Origins, SETTLE_TIME,
+        STREAM_TTL, Services, StreamId, holders_to_ask, record_holders,
     },
     placement::{Placement, PlacementRequest, Purpose, place, rank_for_load},
     rendezvous::short_id,
@@ -286,3 +286,94 @@
     engine.mark_leaving(1);
     assert_eq!(place(&table, required), Placement::BuildGone);
 }
+
+/// Returns hosts in `domains` failure domains.
+fn fleet(hosts: usize, domains: usize) -> Vec<Holder<usize>> {
+    (0..hosts)
+        .map(|it| Holder {
+            name: format!("h-{it}").into(),
+            domain: format!("z-{}", it % domains).into(),
+            addr: it,
+        })
+        .collect()
+}
+
+/// Each join ranked all hosts for each record, which kept a host of a large fleet busy for longer than its heartbeats may
+/// wait.
+#[test]
+fn a_host_that_joins_costs_little_and_gets_the_records_of_which_it_is_a_holder() {
+    const RECORDS: usize = 2000;
+    const MAX_WEIGHTS: usize = 400;
+    let records: Vec<_> = (0..RECORDS)
+        .map(|it| (stream(&format!("r-{it}")), build("v1")))
+        .collect();
+    for (count, domains) in [(60, 3), (300, 6), (520, 10)] {
+        let hosts = fleet(count, domains);
+        // One host of the own failure domain, and one of another.
+        for joined in [domains, domains + 1] {
+            let holder = hosts[joined].clone();
+            let mut catchup = Catchup::new(vec![holder], records.clone());
+            let mut selected = Vec::new();
+            while !catchup.is_done() {
+                let before = catchup.weights();
+                selected.extend(catchup.step("z-0", &hosts, MAX_WEIGHTS));
+                assert!(catchup.weights() - before < MAX_WEIGHTS + count);
+            }
+            let is_held =
+                |it: &&(StreamId, BuildId)| record_holders(it.0, "z-0", &hosts).contains(&joined);
+            let expected: Vec<_> = records
+                .iter()
+                .filter(is_held)
+                .map(|it| (joined, *it))
+                .collect();
+            assert_eq!(selected, expected);
+            let per_record = catchup.weights() / RECORDS;
+            let bound = 2 * usize::try_from(count.ilog2() + 1).expect("it is small");
+            assert!(per_record <= bound, "{count} hosts: {per_record}, {bound}");
+        }
+    }
+}
+
+/// After the loss of a failure domain, many hosts join at once.
+#[test]
+fn hosts_that_join_together_are_served_in_steps() {
+    let hosts = fleet(60, 3);
+    let records = vec![(stream("r-1"), build("v1")); 100];
+    let mut catchup = Catchup::new(hosts.clone(), records);
+    let mut steps = 0;
+    while !catchup.is_done() {
+        catchup.step("z-0", &hosts, 100);
+        steps += 1;
+    }
+    assert!(steps >= catchup.weights() / 160, "{steps} steps");
+    assert!(Catchup::new(hosts.clone(), Vec::new()).is_done());
+    assert!(
+        Catchup::new(
+            Vec::<Holder<usize>>::new(),
+            vec![(stream("r-1"), build("v1"))]
+        )
+        .is_done()
+    );
+}
+
+/// Only the record tells at which service a stream of a split route began.
+#[test]
+fn streams_of_a_split_route_are_announced_also_if_their_service_has_one_build() {
+    let table = table(&[("i-1", "v1")]);
+    let mut origins = Origins::default();
+    follow(&mut origins, later());
+    let record = |origins: &mut Origins, services| {
+        origins.record_own(
+            stream("r-1"),
+            (SERVICE, services),
+            build("v1"),
+            &table,
+            later(),
+        )
+    };
+    assert_eq!(
+        record(&mut origins, Services::Several),
+        Announcement::Needed
+    );
+    assert_eq!(record(&mut origins, Services::One), Announcement::NotNeeded);
+}
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -37,7 +37,7 @@
     clock,
     connection::Pool,
     dialect::{Dialect, Kind, ResponseHead},
-    gossip::{CrashWatch, IdentityChecks, OriginQueries, TurnQuestions},
+    gossip::{CrashWatch, IdentityChecks, JoinedHosts, OriginQueries, TurnQuestions},
     list_cache::ListCache,
     list_sync, memory, message,
     metrics::Metrics,
@@ -132,6 +132,8 @@
     pub assignments: Assignments,
     /// Queries to other hosts which build began a stream.
     pub origin_queries: OriginQueries,
+    /// Hosts that have joined and that have not been sent their records.
+    pub joined_hosts: JoinedHosts,
     /// Questions to other hosts for turns at engines that limit their requests.
     pub turn_questions: TurnQuestions,
     /// Prompt parts that crash engines.
@@ -271,6 +273,7 @@
             origins: RefCell::default(),
             assignments: Assignments::default(),
             origin_queries: OriginQueries::default(),
+            joined_hosts: JoinedHosts::default(),
             turn_questions: TurnQuestions::default(),
             crash_watch: CrashWatch::default(),
             identity_checks: IdentityChecks::default(),
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -13,9 +13,12 @@
 
 use std::{
     collections::{HashMap, HashSet},
+    mem::MaybeUninit,
     net::SocketAddr,
+    pin::{Pin, pin},
     rc::Rc,
     sync::Arc,
+    task::Poll,
     time::Duration,
 };
 
@@ -33,12 +36,13 @@
     rendezvous::{self, short_id},
     table::{Freshness, Key},
 };
+use socket2::SockRef;
 use tokio::{net::UdpSocket, time};
 
 pub use self::{
     identity::IdentityChecks,
     limits::{GrantedTurn, TurnQuestions},
-    origins::OriginQueries,
+    origins::{JoinedHosts, OriginQueries},
     quarantine::CrashWatch,
 };
 
@@ -102,7 +106,11 @@
     pub async fn receive(self: Rc<Self>) {
         let mut buffer = vec![0; 64 << 10];
         loop {
-            let Ok((length, from)) = self.socket.recv_from(&mut buffer).await else {
+            let next = {
+                let receive = pin!(self.socket.recv_from(&mut buffer));
+                self.receive_next(receive).await
+            };
+            let Ok((length, from)) = next else {
                 time::sleep(HEARTBEAT_INTERVAL).await;
                 continue;
             };
@@ -144,6 +152,25 @@
         }
     }
 
+    /// Waits for the next message. Other hosts count as silent only for the time in which all messages were read.
+    async fn receive_next<T>(&self, mut receive: Pin<&mut impl Future<Output = T>>) -> T {
+        if let Poll::Ready(it) = futures::poll!(&mut receive) {
+            return it;
+        }
+        self.observe_all_read();
+        receive.await
+    }
+
+    /// Records that all messages of other hosts are read, unless some wait in the socket.
+    fn observe_all_read(&self) {
+        let mut byte = [MaybeUninit::uninit()];
+        let waiting = SockRef::from(&self.socket).peek(&mut byte);
+        if waiting.is_err_and(|it| it.kind() == std::io::ErrorKind::WouldBlock) {
+            let mut peers = self.gateway.peers.borrow_mut();
+            peers.observe_all_read(clock::now());
+        }
+    }
+
     /// Sends the queued updates to all live hosts.
     pub async fn send_updates(&self) {
         let leaving: Vec<EngineIncarnation> = self
@@ -368,6 +395,7 @@
         let sends_work_afar = self.sends_work_afar();
         self.announce_held_origins();
         let mut usage = self.usage_by_steward();
+        self.observe_all_read();
         for host in self.gateway.peers.borrow_mut().take_lost(now) {
             log::info!(event = "host-lost", host = &*host; "host {host} is silent or shutting down");
         }
@@ -562,7 +590,7 @@
         }
         self.gateway.lists_received.notify_waiters();
         if has_joined {
-            self.send_origins_to(from);
+            self.gateway.joined_hosts.record(&host);
         }
         self.handle_quarantined(&heartbeat.quarantined_parts, from);
         let mut table = self.gateway.table.borrow_mut();
--- a/crates/gateway/src/gossip/origins.rs
+++ b/crates/gateway/src/gossip/origins.rs
@@ -3,7 +3,7 @@
 
 use std::{
     cell::{Cell, RefCell},
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
@@ -37,6 +37,28 @@
 /// holders of a stream are lost, and each host is the holder of few streams.
 const MAX_HANDOVER_HOSTS: usize = 64;
 
+/// Weights that are computed in one step of the selection of records for hosts that have joined, some 30 µs of processor
+/// time.
+const WEIGHTS_PER_STEP: usize = 400;
+
+/// Time between two such steps.
+const STEP_INTERVAL: Duration = Duration::from_millis(10);
+
+/// Hosts that have joined and that have not been sent their records.
+#[derive(Default)]
+pub struct JoinedHosts {
+    names: RefCell<HashSet<Arc<str>>>,
+    arrived: Notify,
+}
+
+impl JoinedHosts {
+    /// Records that a host has joined.
+    pub(super) fn record(&self, name: &Arc<str>) {
+        self.names.borrow_mut().insert(name.clone());
+        self.arrived.notify_one();
+    }
+}
+
 /// Queries of this host that wait for answers, by stream.
 #[derive(Default)]
 pub struct OriginQueries(RefCell<HashMap<StreamId, Rc<Pending>>>);
@@ -136,25 +158,25 @@
             return;
         }
         let hosts = self.gateway.peers.borrow().live_holders(clock::now());
-        self.send_origins(records, &hosts, |_| true);
+        self.send_origins(records, &hosts);
     }
 
-    /// Sends recent records to those of their holders for which `is_new` is true.
-    fn send_origins(
-        &self,
-        records: &[(StreamId, BuildId)],
-        hosts: &[Holder<SocketAddr>],
-        is_new: impl Fn(SocketAddr) -> bool,
-    ) {
+    /// Sends records to all of their holders.
+    fn send_origins(&self, records: &[(StreamId, BuildId)], hosts: &[Holder<SocketAddr>]) {
         let domain = &self.gateway.settings.domain;
+        let held = records.iter().flat_map(|it| {
+            let holders = origin::record_holders(it.0, domain, hosts);
+            holders.into_iter().map(move |addr| (addr, *it))
+        });
+        self.send_held_origins(held);
+    }
+
+    /// Sends records, each to the address with it.
+    fn send_held_origins(&self, records: impl Iterator<Item = (SocketAddr, (StreamId, BuildId))>) {
         let mut by_holder: HashMap<SocketAddr, Vec<(u64, u64)>> = HashMap::new();
-        for (stream, build) in records {
-            for addr in origin::record_holders(*stream, domain, hosts) {
-                if is_new(addr) {
-                    let list = by_holder.entry(addr).or_default();
-                    list.push((stream.0, build.0));
-                }
-            }
+        for (addr, (stream, build)) in records {
+            let list = by_holder.entry(addr).or_default();
+            list.push((stream.0, build.0));
         }
         for (addr, list) in by_holder {
             for part in list.chunks(MAX_ORIGINS_PER_MESSAGE) {
@@ -163,11 +185,26 @@
         }
     }
 
-    /// Sends the recent records to a host that has just started, as far as it is one of their holders.
-    pub(super) fn send_origins_to(&self, host: SocketAddr) {
-        let hosts = self.gateway.peers.borrow().live_holders(clock::now());
-        if hosts.len() <= MAX_HANDOVER_HOSTS {
-            self.send_origins(&self.recent_origins(), &hosts, |it| it == host);
+    /// Sends the recent records to hosts that have joined, as far as they are their holders, until the process ends. Hosts
+    /// that join meanwhile come next, together.
+    pub async fn serve_joined_hosts(self: Rc<Self>) {
+        loop {
+            self.gateway.joined_hosts.arrived.notified().await;
+            let names = self.gateway.joined_hosts.names.take();
+            let mut hosts = self.gateway.peers.borrow().live_holders(clock::now());
+            if hosts.len() > MAX_HANDOVER_HOSTS {
+                continue;
+            }
+            let mut joined = hosts.clone();
+            joined.retain(|it| names.contains(&it.name));
+            let mut catchup = Catchup::new(joined, self.recent_origins());
+            while !catchup.is_done() {
+                let domain = &self.gateway.settings.domain;
+                let selected = catchup.step(domain, &hosts, WEIGHTS_PER_STEP);
+                self.send_held_origins(selected.into_iter());
+                time::sleep(STEP_INTERVAL).await;
+                hosts = self.gateway.peers.borrow().live_holders(clock::now());
+            }
         }
     }
 
@@ -175,7 +212,7 @@
     pub fn hand_over_origins(&self) {
         let hosts = self.gateway.peers.borrow().live_holders(clock::now());
         if hosts.len() <= MAX_HANDOVER_HOSTS {
-            self.send_origins(&self.recent_origins(), &hosts, |_| true);
+            self.send_origins(&self.recent_origins(), &hosts);
         }
     }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -1,7 +1,7 @@
 //! Other hosts, as known from their messages and from the store.
 
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     net::{IpAddr, SocketAddr},
     sync::Arc,
     time::Duration,
@@ -40,6 +40,14 @@
 /// Heartbeats after which a host that is silent doesn't count as heard.
 const HEARD_HEARTBEATS: f64 = 3.5;
 
+/// Maximum time between two moments at which all messages that had arrived were read, at the full heartbeat rate. What
+/// lies beyond is this host's own delay: other hosts were not silent in it.
+const MAX_READ_GAP: Duration = Duration::from_millis(400);
+
+/// Maximum delay of this host that is not counted as the silence of another one since its last message. Otherwise a host
+/// that is always late would never notice a loss.
+const MAX_OWN_DELAY: Duration = Duration::from_secs(4);
+
 /// Time since an engine answered a host in which the host is preferred for requests that are passed on.
 const CONTACT_TTL: Duration = Duration::from_secs(2);
 
@@ -72,6 +80,8 @@
     addr: SocketAddr,
     /// Time of the last heartbeat or list state.
     last_received: Option<Time>,
+    /// This host's own delay since then.
+    own_delay: Duration,
     /// Time at which the store last listed the host, or at which it first became known.
     last_listed: Time,
     domain: Arc<str>,
@@ -105,6 +115,8 @@
     seeds: Vec<SocketAddr>,
     /// Number of requests started since the last heartbeat, by engine and adapter.
     started_requests: HashMap<(Key, Name), u32>,
+    /// When all messages that had arrived were last read.
+    read_up_to: Option<Time>,
 }
 
 impl Peers {
@@ -122,6 +134,30 @@
         peer.last_listed = now;
     }
 
+    /// Records that all messages which have arrived by now are read.
+    pub fn observe_all_read(&mut self, now: Time) {
+        let delay = self.own_delay(now);
+        if !delay.is_zero() {
+            for it in self.by_name.values_mut() {
+                it.own_delay = (it.own_delay + delay).min(MAX_OWN_DELAY);
+            }
+        }
+        self.read_up_to = Some(now);
+    }
+
+    /// Time for which messages of other hosts may have waited to be read.
+    fn own_delay(&self, now: Time) -> Duration {
+        let gap = self.read_up_to.map(|it| now.saturating_sub(it));
+        let max_gap = MAX_READ_GAP.mul_f64(self.slowdown());
+        gap.unwrap_or_default().saturating_sub(max_gap)
+    }
+
+    /// Returns whether a host is live: not about to terminate, and not silent for long beside this host's own delay.
+    fn counts_as_live(&self, peer: &Peer, now: Time) -> bool {
+        let delay = (peer.own_delay + self.own_delay(now)).min(MAX_OWN_DELAY);
+        peer.is_live(self.liveness_timeout() + delay, now)
+    }
+
     /// Returns whether a live host begins streams without regard to their assignments.
     pub fn has_unassigned_streams(&self, now: Time) -> bool {
         let mut peers = self.live_peers(now);
@@ -263,10 +299,10 @@
 
     /// Hosts that were live at the last call and no longer are.
     pub fn take_lost(&mut self, now: Time) -> Vec<Arc<str>> {
-        let timeout = self.liveness_timeout();
+        let live: HashSet<Arc<str>> = self.live_peers(now).map(|it| it.0.clone()).collect();
         let mut lost = Vec::new();
         for (name, peer) in &mut self.by_name {
-            let is_live = peer.is_live(timeout, now);
+            let is_live = live.contains(name);
             if std::mem::replace(&mut peer.was_live, is_live) && !is_live {
                 lost.push(name.clone());
             }
@@ -296,7 +332,7 @@
         let entry = self.by_name.entry(host.clone());
         let peer = entry.or_insert_with(|| Peer::new(from, now));
         peer.addr = from;
-        peer.last_received = Some(now);
+        peer.record_message(now);
         peer.leaving = heartbeat.leaving;
         peer.isolated = heartbeat.isolated;
         let contact = heartbeat.engine_contact_ms;
@@ -318,7 +354,7 @@
         let peer = self.by_name.values_mut().find(|it| it.addr == from);
         let Some(peer) = peer else { return false };
         peer.list_state = list_state;
-        peer.last_received = Some(now);
+        peer.record_message(now);
         true
     }
 
@@ -351,9 +387,8 @@
 
     /// Hosts whose last message is recent and that are not about to terminate.
     fn live_peers(&self, now: Time) -> impl Iterator<Item = (&Arc<str>, &Peer)> {
-        let timeout = self.liveness_timeout();
         let hosts = self.by_name.iter();
-        hosts.filter(move |it| it.1.is_live(timeout, now))
+        hosts.filter(move |it| self.counts_as_live(it.1, now))
     }
 
     /// Live hosts of a domain.
@@ -439,7 +474,7 @@
     /// Returns whether a host is live.
     pub fn is_live(&self, name: &str, now: Time) -> bool {
         let peer = self.by_name.get(name);
-        peer.is_some_and(|it| it.is_live(self.liveness_timeout(), now))
+        peer.is_some_and(|it| self.counts_as_live(it, now))
     }
 
     /// Live host that is the steward of an engine, by its own announcement.
@@ -503,6 +538,7 @@
         Self {
             addr,
             last_received: None,
+            own_delay: Duration::ZERO,
             last_listed: now,
             domain: "".into(),
             leaving: false,
@@ -517,6 +553,11 @@
         }
     }
 
+    fn record_message(&mut self, now: Time) {
+        self.last_received = Some(now);
+        self.own_delay = Duration::ZERO;
+    }
+
     /// Returns whether the last message is more recent than `timeout` and the host is not about to
     /// terminate.
     fn is_live(&self, timeout: Duration, now: Time) -> bool {
--- a/crates/gateway/src/process.rs
+++ b/crates/gateway/src/process.rs
@@ -119,6 +119,7 @@
     spawn_local(assignments::maintain(gateway.clone()));
     spawn_local(gossip.clone().receive());
     spawn_local(gossip.clone().send_heartbeats());
+    spawn_local(gossip.clone().serve_joined_hosts());
     spawn_local(orders::run(gateway.clone(), gossip.clone()));
     spawn_local(list_sync::serve(
         peer_listener,
