Name the check before sending, and ask other hosts for assignments less often

Cause: reading the change as a newcomer. While no host had a copy of the assignment, each asked three others ten times a second; the check had a name that says nothing.

Change: one round of questions in 400 ms; Exchange::check_target.

--- a/crates/gateway/src/assignments.rs
+++ b/crates/gateway/src/assignments.rs
@@ -55,6 +55,9 @@
 /// Time for which the store may answer before other hosts are asked for the assignment too.
 const COPY_DELAY: Duration = Duration::from_millis(60);
 
+/// Time between two rounds of questions to other hosts while the store doesn't answer.
+const COPY_INTERVAL: Duration = Duration::from_millis(400);
+
 /// Number of hosts that are asked for the assignment, those with the most recent messages.
 const MAX_ASKED_HOSTS: usize = 3;
 
@@ -224,14 +227,19 @@
 
 /// Keeps the assignments of all services with resumable streams up to date until the process ends.
 pub async fn maintain(gateway: Rc<Gateway>) {
+    let mut next_copy = Time::ZERO;
     loop {
-        for name in resumable_services(&gateway) {
-            if gateway.is_store_unavailable() {
+        let services = resumable_services(&gateway);
+        if !gateway.is_store_unavailable() {
+            for name in services {
+                update(&gateway, &name).await;
+            }
+        } else if clock::now() >= next_copy {
+            for name in services {
                 let service = gateway.assignments.service(&name);
                 copy_from_hosts(&gateway, &name, &service).await;
-            } else {
-                update(&gateway, &name).await;
             }
+            next_copy = clock::now() + COPY_INTERVAL;
         }
         time::sleep(CHECK_INTERVAL).await;
     }
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -58,7 +58,7 @@
     CallerLeft,
 }
 
-/// Engine that may be sent the request at this moment. Only [`Exchange::clear`] makes one, and it is outdated after any
+/// Engine that may be sent the request at this moment. Only [`Exchange::check_target`] makes one, and it is outdated after any
 /// wait.
 struct Target {
     addr: SocketAddr,
@@ -110,7 +110,7 @@
         last_event_id: Option<&str>,
     ) -> Result<Attempt, Outcome> {
         let key = choice.key;
-        self.clear(key, Counted::No)?;
+        self.check_target(key, Counted::No)?;
         if self.unreachable_engines.contains(&key) {
             time::sleep(RECONNECT_PAUSE).await;
         }
@@ -125,7 +125,7 @@
             Box::pin(self.gossip.prove_identity(key)).await;
         }
         // A turn for a request that can't be sent would be lost to the other hosts.
-        self.clear(key, Counted::No)?;
+        self.check_target(key, Counted::No)?;
         if !self.take_turn(key).await {
             return Err(Outcome::NotExecuted(None));
         }
@@ -134,7 +134,7 @@
             instance,
             is_limited,
             ..
-        } = self.clear(key, Counted::No)?;
+        } = self.check_target(key, Counted::No)?;
         let mut in_flight = InFlight::start(
             &self.gateway,
             &self.gossip,
@@ -158,12 +158,13 @@
         };
         self.gossip.observe_ended_connections();
         // Nothing may wait from here until the request is sent.
-        let target = match self.clear(key, Counted::Yes) {
-            Ok(it) if it.addr == addr => it,
-            Ok(_) => {
-                connection.release(None);
-                return Err(Outcome::NotExecuted(None));
-            }
+        let target = match self.check_target(key, Counted::Yes) {
+            Ok(it) if it.addr == addr => Ok(it),
+            Ok(_) => Err(Outcome::NotExecuted(None)),
+            Err(it) => Err(it),
+        };
+        let target = match target {
+            Ok(it) => it,
             Err(outcome) => {
                 connection.release(None);
                 return Err(outcome);
@@ -398,7 +399,7 @@
     }
 
     /// Checks whether the request may be sent to an engine now, by all that may have changed since the engine was chosen.
-    fn clear(&mut self, key: Key, counted: Counted) -> Result<Target, Outcome> {
+    fn check_target(&mut self, key: Key, counted: Counted) -> Result<Target, Outcome> {
         let now = clock::now();
         if self.caller.has_left() {
             return Err(Outcome::CallerLeft);
