Keep the way back to a silent engine that may take the request later

The silent engine asks for a back-off while the host proves its identity. The check before sending refuses the request, and the engine was no longer the one that was left, so the stream was cut.

Change: an engine to which a request was to return stays the one that was left if the check after a wait refuses it.

--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -125,7 +125,7 @@
             Box::pin(self.gossip.prove_identity(key)).await;
         }
         // A turn for a request that can't be sent would be lost to the other hosts.
-        self.check_target(key, Counted::No)?;
+        self.check_target_again(key, Counted::No)?;
         if !self.take_turn(key).await {
             return Err(Outcome::NotExecuted(None));
         }
@@ -134,7 +134,7 @@
             instance,
             is_limited,
             ..
-        } = self.check_target(key, Counted::No)?;
+        } = self.check_target_again(key, Counted::No)?;
         let mut in_flight = InFlight::start(
             &self.gateway,
             &self.gossip,
@@ -158,7 +158,7 @@
         };
         self.gossip.observe_ended_connections();
         // Nothing may wait from here until the request is sent.
-        let target = match self.check_target(key, Counted::Yes) {
+        let target = match self.check_target_again(key, Counted::Yes) {
             Ok(it) if it.addr == addr => Ok(it),
             Ok(_) => Err(Outcome::NotExecuted(None)),
             Err(it) => Err(it),
@@ -413,6 +413,18 @@
         self.target(key, counted).ok_or(Outcome::NotExecuted(None))
     }
 
+    /// Checks after a wait what [`Self::check_target`] does. A silent engine to which the request was to return stays the
+    /// one that was left: it may take the request later, for example after a back-off.
+    fn check_target_again(&mut self, key: Key, counted: Counted) -> Result<Target, Outcome> {
+        let checked = self.check_target(key, counted);
+        let is_way_back =
+            self.attempted_engines.contains(&key) && !self.repeatable_engines.contains(&key);
+        if is_way_back && matches!(checked, Err(Outcome::NotExecuted(_))) {
+            self.left_engine.get_or_insert(key);
+        }
+        checked
+    }
+
     /// Returns the engine to which an attempt may go, if it still exists and takes the request.
     fn target(&self, key: Key, counted: Counted) -> Option<Target> {
         let now = clock::now();
