Ask for the slot of an engine only if its version is older

For each engine that holds an adapter, a placement summed up the work of all hosts there to learn whether it has a slot, which matters for older versions only.

Change: Table::freshness_after takes the question for the slot, and asks it for an older version. Nothing else changes; a comment says what its item is.

--- a/crates/fleet/src/placement.rs
+++ b/crates/fleet/src/placement.rs
@@ -173,7 +173,7 @@
                 continue;
             }
             let queue_time = Duration::from_secs_f64(wait_ms.max(0.0) / 1000.0);
-            let slot = table.slot(*key, now);
+            let slot = || table.slot(*key, now);
             match table.freshness_after(name, estimate.version, now, queue_time, slot) {
                 Freshness::Newest => {}
                 Freshness::Older => cost += OLDER_VERSION_COST_MS,
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -639,18 +639,19 @@
 
     /// Compares a version as [`Self::freshness`] does, for a request that is expected to wait for `wait` at the
     /// engine before it begins. The wait counts twice, since it is an estimate. An older version is stale for a request
-    /// that has to wait for a slot, since an engine that turns slow may keep it waiting for any time.
+    /// that has to wait for a slot, since an engine that turns slow may keep it waiting for any time. `slot` is asked for an
+    /// older version only.
     pub fn freshness_after(
         &self,
         name: &str,
         version: u64,
         now: Time,
         wait: Duration,
-        slot: Slot,
+        slot: impl FnOnce() -> Slot,
     ) -> Freshness {
-        match (self.freshness(name, version, now + wait * 2), slot) {
-            (Freshness::Older, Slot::Taken) => Freshness::Stale,
-            (it, _) => it,
+        match self.freshness(name, version, now + wait * 2) {
+            Freshness::Older if slot() == Slot::Taken => Freshness::Stale,
+            it => it,
         }
     }
 
--- a/crates/fleet/tests/it/tables.rs
+++ b/crates/fleet/tests/it/tables.rs
@@ -143,7 +143,7 @@
     assert!(table.announce("m/a1".into(), 3, at(0)));
     let freshness = |version, slot| {
         let wait = ms(0);
-        table.freshness_after("m/a1", version, at(100), wait, slot)
+        table.freshness_after("m/a1", version, at(100), wait, || slot)
     };
     assert_eq!(freshness(1, Slot::Free), Freshness::Older);
     assert_eq!(freshness(1, Slot::Taken), Freshness::Stale);
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -72,7 +72,7 @@
     is_limited: bool,
 }
 
-/// Whether the request is among those that are counted at its engine.
+/// Presence of the request among those that are counted at its engine.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Counted {
     /// It was not sent there.
@@ -453,15 +453,13 @@
         let Some(engine) = table.get(key) else {
             return false;
         };
-        let (slot, is_closed) = match counted {
-            Counted::No => (
-                table.slot(key, now),
-                engine.backoff.closed_until(now).is_some(),
-            ),
-            Counted::Yes => (
-                table.slot_of_counted(key, now),
-                engine.backoff.is_closed(now),
-            ),
+        let is_closed = match counted {
+            Counted::No => engine.backoff.closed_until(now).is_some(),
+            Counted::Yes => engine.backoff.is_closed(now),
+        };
+        let slot = || match counted {
+            Counted::No => table.slot(key, now),
+            Counted::Yes => table.slot_of_counted(key, now),
         };
         let is_fresh = |name: &Name| {
             engine.held.get(name).is_some_and(|it| {
