Show that streams which begin in an outage of the store go on at another version

A stream that can't begin at its assigned version while the store is down is noted in memory only. Once all hosts are lost, its stored assignment seems certain.

--- a/review/world_3/drain.rs
+++ b/review/world_3/drain.rs
@@ -1,4 +1,4 @@
-//! An engine that never reports `draining` leaves while the platform cuts off the watches that wait.
+//! An engine that never reports `draining` leaves some seconds after the open channels to the store have gone silent.
 
 use std::{
     path::Path,
@@ -23,12 +23,12 @@
 /// Time after the bound for which the engine serves on before it exits.
 const LINGER: Duration = Duration::from_millis(250);
 
-/// Time between the cut of the watches and the removal of the entry.
-const REMOVAL_DELAY: Duration = Duration::from_millis(50);
-
-/// Time in which all machines are in touch.
+/// Time after which all machines are in touch again.
 const CONTACT: Duration = Duration::from_millis(3000);
 
+/// Time from then until the entry is removed.
+const REMOVAL_DELAY: Duration = Duration::from_millis(100);
+
 const CONFIG: &str = r#"{"version":1,"routes":[{"name":"open","hostname":"signs.example","path_prefix":"/open/","kind":"non_idempotent","timeout_ms":1200,"goal_ms":150,"priority":2,"service":"lango","max_attempts":1}],"services":[{"name":"lango","health_path":"/healthz","max_conns":100,"proto":"h1","tls":false}],"limits":{"header_bytes":16384,"body_bytes":4194304,"header_ms":3000,"idle_ms":15000}}"#;
 
 pub fn run(folder: &Path, trouble: bool) -> Result<Verdict, String> {
@@ -93,10 +93,11 @@
     thread::sleep(CONTACT + Duration::from_millis(1500));
     let leaving = engines[0].clone();
     if trouble {
-        let kinds = store.cut_watches();
-        record.line(&format!("the store cuts off {} watches that wait: {}", kinds.len(), kinds.join(" ")));
-        thread::sleep(REMOVAL_DELAY);
+        let watches = store.silence_channels();
+        record.line(&format!("the open channels to the store go silent, {watches} watches wait on them; new ones work"));
     }
+    thread::sleep(CONTACT + REMOVAL_DELAY);
+    record.line("all machines are in touch again");
     let confirmed = store.remove("servers", &leaving.id);
     record.line_at(confirmed, &format!("the store confirms that the entry of engine {} is removed", leaving.id));
     thread::sleep((DRAIN + LINGER).saturating_sub(confirmed.elapsed()));
--- a/review/world_3/main.rs
+++ b/review/world_3/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod json;
 mod llm;
+mod mixed;
 mod odd;
 mod plain;
 mod poison;
@@ -31,6 +32,7 @@
     let result = match scenario.as_str() {
         "drain" => drain::run(&folder, trouble),
         "takeup" => takeup::run(&folder, trouble),
+        "mixed" => mixed::run(&folder, trouble),
         "odd" => odd::run(&folder, trouble),
         "poison" => poison::run(&folder, trouble),
         _ => Err(format!("unknown scenario {scenario:?}")),
--- a/review/world_3/store.rs
+++ b/review/world_3/store.rs
@@ -4,7 +4,7 @@
 use std::{
     collections::BTreeMap,
     io::BufReader,
-    net::{Shutdown, SocketAddr, TcpListener, TcpStream},
+    net::{SocketAddr, TcpListener, TcpStream},
     sync::{Arc, Condvar, Mutex, MutexGuard},
     thread,
     time::{Duration, Instant},
@@ -31,11 +31,12 @@
     rev: u64,
     objects: BTreeMap<(String, String), Object>,
     history: Vec<Change>,
-    /// Number of times that the waiting watches were cut off.
-    cuts: u64,
-    /// Connections with a watch that waits, by kind.
-    waiting: Vec<(u64, String, TcpStream)>,
-    next_watch: u64,
+    /// Number of times that all open channels went silent.
+    silences: u64,
+    /// Number of watches that wait.
+    waiting: usize,
+    /// True while the store turns every call away.
+    is_busy: bool,
 }
 
 /// Stand-in of the store.
@@ -89,38 +90,48 @@
         Instant::now()
     }
 
-    /// Cuts off the watches that wait at this moment. Returns their kinds.
-    pub fn cut_watches(&self) -> Vec<String> {
+    /// Lets all open channels go silent for good, without a reset. New ones work. Returns the number of watches that wait.
+    pub fn silence_channels(&self) -> usize {
         let mut state = self.lock();
-        state.cuts += 1;
-        let cut = std::mem::take(&mut state.waiting);
-        for it in &cut {
-            let _ = it.2.shutdown(Shutdown::Both);
-        }
+        state.silences += 1;
+        let waiting = std::mem::take(&mut state.waiting);
         drop(state);
         self.state.1.notify_all();
-        cut.into_iter().map(|it| it.1).collect()
+        waiting
+    }
+
+    /// Lets the store turn every call away, or answer again. It does nothing meanwhile, as 503 says.
+    pub fn set_busy(&self, is_busy: bool) {
+        self.lock().is_busy = is_busy;
+        self.state.1.notify_all();
     }
 
     fn serve(&self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
         let Ok(clone) = stream.try_clone() else { return };
         let mut reader = BufReader::new(clone);
+        let silences = self.lock().silences;
         while let Ok(Some(request)) = http::read(&mut reader) {
             // The store takes some ms for an answer.
             thread::sleep(Duration::from_millis(4));
-            let Some((status, body)) = self.answer(&request, &stream) else {
+            let answer = self.answer(&request, silences);
+            if self.lock().silences != silences {
+                // The channel stays open, and nothing is ever heard on it.
+                while let Ok(Some(_)) = http::read(&mut reader) {}
                 return;
-            };
+            }
             let headers = [("Content-Type", "application/json")];
-            if http::respond(&stream, status, &headers, &body).is_err() {
+            if http::respond(&stream, answer.0, &headers, &answer.1).is_err() {
                 return;
             }
         }
     }
 
-    /// Returns the status and the body of the answer; `None` if the connection was cut off.
-    fn answer(&self, request: &http::Message, stream: &TcpStream) -> Option<(&'static str, String)> {
+    /// Returns the status and the body of the answer on a channel that was opened after so many silences.
+    fn answer(&self, request: &http::Message, silences: u64) -> (&'static str, String) {
+        if self.lock().is_busy {
+            return ("503 Service Unavailable", "{}".to_owned());
+        }
         let (path, query) = request.target().split_once('?').unwrap_or((request.target(), ""));
         let parameter = |name: &str| {
             let mut pairs = query.split('&').filter_map(|it| it.split_once('='));
@@ -130,11 +141,11 @@
         let (kind, name) = path.split_once('/').unwrap_or((path, ""));
         if let Some(since) = parameter("watch").and_then(|it| it.parse().ok()) {
             let wait = parameter("wait_ms").and_then(|it| it.parse().ok()).unwrap_or(0);
-            return self.watch(kind, since, Duration::from_millis(wait), stream);
+            return self.watch(kind, since, Duration::from_millis(wait), silences);
         }
         if request.method() == "GET" && name.is_empty() {
             let after = parameter("after").unwrap_or_default();
-            return Some(("200 OK", self.lock().list(kind, &after)));
+            return ("200 OK", self.lock().list(kind, &after));
         }
         let body = json::parse(&String::from_utf8_lossy(&request.body));
         let metadata = body.as_ref().and_then(|it| it.get("metadata"));
@@ -145,7 +156,7 @@
         let spec = body.as_ref().and_then(|it| it.raw("spec")).unwrap_or("null");
         let answer = self.lock().write(request.method(), kind, name, rev, spec);
         self.state.1.notify_all();
-        Some(answer)
+        answer
     }
 
     fn watch(
@@ -153,30 +164,28 @@
         kind: &str,
         since: u64,
         wait: Duration,
-        stream: &TcpStream,
-    ) -> Option<(&'static str, String)> {
+        silences: u64,
+    ) -> (&'static str, String) {
         let end = Instant::now() + wait;
         let mut state = self.lock();
         if since > state.rev {
-            return Some(("410 Gone", "{}".to_owned()));
-        }
-        let cuts = state.cuts;
-        let id = state.next_watch;
-        state.next_watch += 1;
-        if let Ok(it) = stream.try_clone() {
-            state.waiting.push((id, kind.to_owned(), it));
+            return ("410 Gone", "{}".to_owned());
         }
+        state.waiting += 1;
         loop {
-            if state.cuts != cuts {
-                return None;
+            if state.silences != silences {
+                return ("", String::new());
             }
             let events = state.events(kind, since);
             let now = Instant::now();
-            if !events.is_empty() || now >= end {
-                state.waiting.retain(|it| it.0 != id);
+            if state.is_busy || !events.is_empty() || now >= end {
+                state.waiting -= 1;
+                if state.is_busy {
+                    return ("503 Service Unavailable", "{}".to_owned());
+                }
                 let rev = state.rev;
                 let body = format!("{{\"events\":[{}],\"as_of\":{rev}}}", events.join(","));
-                return Some(("200 OK", body));
+                return ("200 OK", body);
             }
             let (next, _) = self.state.1.wait_timeout(state, end - now).expect("no holder panics");
             state = next;
