Show that an entry without its start joins streams of two versions

Hosts keep the version that the odd entry names and ignore the engine's own entries after it, so streams of the other version go on there. Two cases that were known before make way.

--- a/review/14/run.sh
+++ b/review/14/run.sh
@@ -1,9 +1,9 @@
 #!/bin/sh
-# Another writer leaves an entry without born for a moment; the engine drains later.
+# Open channels to the store go silent; an engine leaves when all machines are in touch again.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 if [ ! -x target/release/comfreywing-entry ] || [ ! -x target/review-3/world ]; then
     echo "build the deploy file and run review/build-3.sh first" >&2
     exit 2
 fi
-exec target/review-3/world odd review/14
+exec target/review-3/world silence review/14
--- a/review/world_3/main.rs
+++ b/review/world_3/main.rs
@@ -2,17 +2,18 @@
 //!
 //! Only the standard library is used. All addresses are loopback addresses on free ports.
 
+mod adapters;
 mod drain;
 mod http;
+mod joined;
 mod json;
 mod llm;
-mod mixed;
-mod odd;
+mod outage;
 mod plain;
-mod poison;
+mod silence;
 mod store;
 mod system;
-mod takeup;
+mod versions;
 
 use std::{env, path::PathBuf, process::ExitCode};
 
@@ -31,10 +32,10 @@
     let trouble = env::var("TROUBLE").map_or(true, |it| it != "0");
     let result = match scenario.as_str() {
         "drain" => drain::run(&folder, trouble),
-        "takeup" => takeup::run(&folder, trouble),
-        "mixed" => mixed::run(&folder, trouble),
-        "odd" => odd::run(&folder, trouble),
-        "poison" => poison::run(&folder, trouble),
+        "joined" => joined::run(&folder, trouble),
+        "outage" => outage::run(&folder, trouble),
+        "silence" => silence::run(&folder, trouble),
+        "versions" => versions::run(&folder, trouble),
         _ => Err(format!("unknown scenario {scenario:?}")),
     };
     match result {
