Prove the origin of streams by engines that outlive all hosts

Cause: that a stream begins at another build than the assigned one was in the memory of hosts only while the store was away, in one flag for three different facts (no engine of the build is reached; the engine may have started again as another build; the host had no assignment). After the loss of all hosts the stored assignment was taken for complete. While the flag waited to be written, further exceptions counted as recorded.

Change: each assignment names up to 8 engines of each build as witnesses. A stream leaves its build only while none of its engines is reached, so after the loss of all hosts an assignment proves an origin only if a witness answers in the same incarnation, asked after the request came. Otherwise the stream is refused. A host that the store doesn't answer has another one record the exception. All exceptions are recorded before the first event is forwarded. A host that reaches no engine passes a stream whose origin it can't find on to one that does.

--- a/crates/fleet/src/assignment.rs
+++ b/crates/fleet/src/assignment.rs
@@ -14,6 +14,7 @@
 
 use std::{
     collections::{BTreeMap, BTreeSet},
+    sync::Arc,
     time::Duration,
 };
 
@@ -45,12 +46,15 @@
 /// Number of buckets of streams, one for each bit of [`Assignment::exceptions`].
 const BUCKETS: u64 = 32;
 
+/// Maximum number of witnesses of each build in an assignment.
+const MAX_WITNESSES: usize = 8;
+
 /// Number of engines, or of points, of each build.
 pub type Counts = BTreeMap<Build, u32>;
 
 /// Decides which build a stream is assigned to.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct StreamKey(u64);
+pub struct StreamKey(pub u64);
 
 impl StreamKey {
     /// Returns the key of a stream of an adapter or base model (`name`), if it is known. All streams of an adapter have
@@ -82,6 +86,29 @@
     it ^ (it >> 31)
 }
 
+/// Engine that served a build when an assignment was made.
+#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub struct Witness {
+    /// Id of the engine.
+    pub engine: Arc<str>,
+    /// Its incarnation then.
+    pub incarnation: u64,
+}
+
+/// Witnesses of each build.
+pub type Witnesses = BTreeMap<Build, Vec<Witness>>;
+
+/// State of the witnesses of the current assignment.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WitnessState {
+    /// A witness of each build serves.
+    Serving,
+    /// There are none: the assignment was written by an earlier build of this program.
+    Unnamed,
+    /// A build has engines, but none of its witnesses serves any more.
+    Gone,
+}
+
 /// Division of the streams between builds.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Assignment {
@@ -89,6 +116,8 @@
     pub points: Counts,
     /// Buckets of which some streams began at another build than the assigned one.
     pub exceptions: u32,
+    /// Some engines of each build. Empty if an earlier build of this program wrote the assignment.
+    pub witnesses: Witnesses,
 }
 
 impl Assignment {
@@ -175,6 +204,11 @@
         self.current()?.build(key)
     }
 
+    /// Returns the builds to which the assignments give a stream.
+    pub fn builds(&self, key: StreamKey) -> impl Iterator<Item = &Build> {
+        self.assignments.iter().filter_map(move |it| it.build(key))
+    }
+
     /// Returns the builds that may have begun a stream.
     pub fn candidates(&self, key: Option<StreamKey>) -> Candidates {
         let mut builds: BTreeSet<&Build> = BTreeSet::new();
@@ -201,6 +235,62 @@
         }
     }
 
+    /// Returns whether the assignments name another build.
+    pub fn names_other_than(&self, build: &Build) -> bool {
+        let mut builds = self.assignments.iter().flat_map(|it| it.points.keys());
+        builds.any(|it| it != build)
+    }
+
+    /// Returns the witnesses of a build in each assignment that names any. If one of each list still serves, no stream of the
+    /// build has begun at another one for lack of a reachable engine.
+    pub fn witnesses(&self, build: &Build) -> Vec<&[Witness]> {
+        let named = self
+            .assignments
+            .iter()
+            .filter_map(|it| it.witnesses.get(build));
+        named.map(Vec::as_slice).collect()
+    }
+
+    /// Returns the state of the witnesses of the current assignment, by the engines of each build that accept work.
+    pub fn witness_state(
+        &self,
+        engines: &Counts,
+        serves: impl Fn(&Build, &Witness) -> bool,
+    ) -> WitnessState {
+        let Some(current) = self.current().filter(|it| !it.points.is_empty()) else {
+            return WitnessState::Serving;
+        };
+        if current.witnesses.is_empty() {
+            return WitnessState::Unnamed;
+        }
+        let is_gone = |(build, witnesses): (&Build, &Vec<Witness>)| {
+            engines.contains_key(build) && !witnesses.iter().any(|it| serves(build, it))
+        };
+        if current.witnesses.iter().any(is_gone) {
+            WitnessState::Gone
+        } else {
+            WitnessState::Serving
+        }
+    }
+
+    /// Names the witnesses of the current assignment: [`MAX_WITNESSES`] of each build at most, the first ones of each list.
+    pub fn name_witnesses(&mut self, mut witnesses: Witnesses) {
+        for it in witnesses.values_mut() {
+            it.truncate(MAX_WITNESSES);
+        }
+        if let Some(it) = self.assignments.last_mut() {
+            witnesses.retain(|build, _| it.points.contains_key(build));
+            it.witnesses = witnesses;
+        }
+    }
+
+    /// Adds an assignment like the current one, for which other witnesses can be named.
+    pub fn repeat(&mut self) {
+        if let Some(it) = self.current() {
+            self.assign(it.points.clone());
+        }
+    }
+
     /// Returns the points for a new assignment if one is needed, by the engines of each build that accept work. `age` is
     /// the age of the current assignment.
     pub fn needed_points(&self, engines: &Counts, age: Duration) -> Option<Counts> {
@@ -231,7 +321,7 @@
         self.number += 1;
         self.assignments.push(Assignment {
             points,
-            exceptions: 0,
+            ..Assignment::default()
         });
     }
 
@@ -258,7 +348,9 @@
     pub fn merge(&mut self, known: &Self) {
         let lost = known.assignments.iter().filter(|it| {
             let is_kept = |other: &&Assignment| {
-                other.points == it.points && it.exceptions & !other.exceptions == 0
+                other.points == it.points
+                    && other.witnesses == it.witnesses
+                    && it.exceptions & !other.exceptions == 0
             };
             !self.assignments.iter().any(|other| is_kept(&other))
         });
--- a/crates/fleet/tests/it/assignments.rs
+++ b/crates/fleet/tests/it/assignments.rs
@@ -3,7 +3,10 @@
 use std::{collections::HashMap, time::Duration};
 
 use fleet::{
-    assignment::{Assignment, Candidates, Counts, History, RETENTION, StreamKey, Superseded},
+    assignment::{
+        Assignment, Candidates, Counts, History, RETENTION, StreamKey, Superseded, Witness,
+        WitnessState, Witnesses,
+    },
     listing::Build,
 };
 
@@ -230,8 +233,84 @@
     let lost = Assignment {
         points: counts(&[("v1", 2), ("v2", 1)]),
         exceptions: known.assignments()[1].exceptions,
+        ..Assignment::default()
     };
     assert_eq!(restored.assignments().len(), 2);
     assert!(restored.assignments().contains(&lost));
     assert_eq!(restored.build(key(1)).map(|it| &**it), Some("v1"));
 }
+
+fn witness(engine: &str) -> Witness {
+    Witness {
+        engine: engine.into(),
+        incarnation: 1,
+    }
+}
+
+fn witnesses(builds: &[(&str, &[&str])]) -> Witnesses {
+    let of_build = |it: &&[&str]| it.iter().map(|it| witness(it)).collect();
+    let builds = builds
+        .iter()
+        .map(|(build, it)| ((*build).into(), of_build(it)));
+    builds.collect()
+}
+
+/// While the store was away, streams began at another build, since all engines of the assigned one had crashed.
+#[test]
+fn an_assignment_names_engines_that_tell_whether_its_builds_were_reached() {
+    let mut history = history(&[&[("v1", 2), ("v2", 1)]]);
+    let engines = counts(&[("v1", 2), ("v2", 1)]);
+    let all = |_: &Build, _: &Witness| true;
+    assert_eq!(history.witness_state(&engines, all), WitnessState::Unnamed);
+    assert!(history.witnesses(&"v2".into()).is_empty());
+
+    history.name_witnesses(witnesses(&[
+        ("v1", &["a", "b"]),
+        ("v2", &["c"]),
+        ("v3", &["d"]),
+    ]));
+    assert_eq!(history.witness_state(&engines, all), WitnessState::Serving);
+    assert_eq!(
+        history.witnesses(&"v1".into()),
+        [[witness("a"), witness("b")]]
+    );
+    assert!(
+        history.witnesses(&"v3".into()).is_empty(),
+        "it has no points"
+    );
+    let only = |engine: &'static str| move |_: &Build, it: &Witness| &*it.engine != engine;
+    assert_eq!(
+        history.witness_state(&engines, only("a")),
+        WitnessState::Serving
+    );
+    assert_eq!(
+        history.witness_state(&engines, only("c")),
+        WitnessState::Gone
+    );
+    assert_eq!(
+        history.witness_state(&counts(&[("v1", 2)]), only("c")),
+        WitnessState::Serving,
+        "no other engine of the build can be named"
+    );
+
+    history.repeat();
+    history.name_witnesses(witnesses(&[("v1", &["a"]), ("v2", &["e"])]));
+    assert_eq!(history.number(), 2);
+    let of_v2 = history.witnesses(&"v2".into());
+    assert_eq!(
+        of_v2,
+        [[witness("c")], [witness("e")]],
+        "streams of both may be resumed"
+    );
+    assert!(history.names_other_than(&"v1".into()));
+}
+
+#[test]
+fn an_assignment_names_few_of_many_engines() {
+    let mut history = history(&[&[("v1", 900)]]);
+    let ids: Vec<String> = (0..900).map(|it| format!("e{it}")).collect();
+    let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+    history.name_witnesses(witnesses(&[("v1", &ids)]));
+    assert_eq!(history.witnesses(&"v1".into())[0].len(), 8);
+    assert!(!history.names_other_than(&"v1".into()));
+}
--- a/crates/gateway/src/assignments.rs
+++ b/crates/gateway/src/assignments.rs
@@ -5,7 +5,9 @@
 //! change is needed. The hosts take turns, so that usually one of them writes and the others read what it has written.
 //!
 //! A host that can't read the object begins streams by the copy of another host. Only what the store has recorded outlives
-//! all hosts, so streams that begin by any copy of it can be taken up though all hosts are lost.
+//! all hosts, so streams that begin by any copy of it can be taken up though all hosts are lost. A stream that is to begin at
+//! another build than the assigned one is recorded before its first event is forwarded, by another host if the store answers
+//! only that one. If it answers none, the witnesses of the assignments tell later whether there can be such streams.
 
 use std::{
     cell::{Cell, RefCell},
@@ -17,10 +19,16 @@
 
 use fleet::{
     Time,
-    assignment::{Assignment, Candidates, Counts, History, StreamKey, Superseded},
+    assignment::{
+        Assignment, Candidates, Counts, History, StreamKey, Superseded, Witness, WitnessState,
+        Witnesses,
+    },
+    circuit,
     era::{Era, Position, Start},
-    origin::BuildId,
+    listing::Build,
+    origin::{BuildId, SETTLE_TIME},
     rendezvous,
+    table::{Key, Table},
 };
 use futures::{StreamExt, stream::FuturesUnordered};
 use serde::{Deserialize, Serialize};
@@ -189,6 +197,9 @@
     points: BTreeMap<String, u32>,
     #[serde(default)]
     exceptions: u32,
+    /// Id and incarnation of some engines of each build. Earlier builds of this program neither write nor keep them.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    witnesses: BTreeMap<String, Vec<(String, u64)>>,
 }
 
 impl StoredHistory {
@@ -198,6 +209,9 @@
                 .map(|(build, points)| (build.to_string(), *points))
                 .collect(),
             exceptions: it.exceptions,
+            witnesses: (it.witnesses.iter())
+                .map(|(build, it)| (build.to_string(), it.iter().map(to_pair).collect()))
+                .collect(),
         };
         Self {
             era: era.0,
@@ -212,12 +226,26 @@
                 .map(|(build, points)| (build.into(), points))
                 .collect(),
             exceptions: it.exceptions,
+            witnesses: (it.witnesses.into_iter())
+                .map(|(build, it)| (build.into(), it.into_iter().map(from_pair).collect()))
+                .collect(),
         };
         let assignments = self.assignments.into_iter().map(assignment);
         History::new(self.number, assignments.collect())
     }
 }
 
+fn to_pair(it: &Witness) -> (String, u64) {
+    (it.engine.to_string(), it.incarnation)
+}
+
+fn from_pair((engine, incarnation): (String, u64)) -> Witness {
+    Witness {
+        engine: engine.into(),
+        incarnation,
+    }
+}
+
 impl Assignments {
     fn service(&self, name: &Arc<str>) -> Rc<Service> {
         let mut services = self.services.borrow_mut();
@@ -353,19 +381,37 @@
     Some(StoredHistory::new(&known.history, known.era))
 }
 
-/// Records in the store that a stream is to begin at another build than the assigned one. Returns whether it may begin
-/// there: if the store doesn't answer, it may, and that is recorded later.
-pub async fn allow_exception(gateway: &Rc<Gateway>, name: &Arc<str>, key: StreamKey) -> bool {
+/// Whether a stream may begin at another build than the assigned one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Exception {
+    /// The store has recorded that it may.
+    Recorded,
+    /// The store answers no host. This host records later that streams began at any build.
+    Unrecorded,
+    /// It may not: the store answers, and could not record it.
+    Refused,
+}
+
+/// Records in the store that a stream is to begin at another build than the assigned one.
+pub async fn allow_exception(gateway: &Rc<Gateway>, name: &Arc<str>, key: StreamKey) -> Exception {
     let service = gateway.assignments.service(name);
     let written = time::timeout(
         MAX_EXCEPTION_WRITE,
         write_exception(gateway, name, &service, key),
     );
-    let is_written = written.await == Ok(true);
-    if !is_written && gateway.is_store_unavailable() {
-        record_unassigned(gateway, name);
+    if written.await == Ok(true) {
+        return Exception::Recorded;
     }
-    is_written || gateway.is_store_unavailable()
+    if gateway.is_store_unavailable() {
+        let asked = time::timeout(MAX_EXCEPTION_WRITE, ask_hosts_to_record(gateway, name, key));
+        if asked.await == Ok(true) {
+            return Exception::Recorded;
+        }
+    } else if !service.has_unassigned.get() {
+        return Exception::Refused;
+    }
+    service.has_unassigned.set(true);
+    Exception::Unrecorded
 }
 
 /// Records that a stream of this host began at any build, to be written to the store.
@@ -374,8 +420,43 @@
     service.has_unassigned.set(true);
 }
 
-/// Returns whether the store has recorded that a stream may begin at another build than the assigned one, or will record
-/// that streams began at any build.
+/// Asks hosts that the store answers to record that a stream may begin at another build than the assigned one.
+async fn ask_hosts_to_record(gateway: &Rc<Gateway>, name: &Arc<str>, key: StreamKey) -> bool {
+    let hosts = gateway.peers.borrow().hosts_with_store(clock::now());
+    let hosts = hosts.into_iter().take(MAX_ASKED_HOSTS);
+    let mut answers: FuturesUnordered<_> = hosts
+        .map(|it| list_sync::request_exception(it, name, key))
+        .collect();
+    while let Some(is_recorded) = answers.next().await {
+        if is_recorded {
+            return true;
+        }
+    }
+    false
+}
+
+/// Records for another host, which the store doesn't answer, that a stream may begin at another build than the assigned
+/// one. Returns whether the store has recorded it.
+pub async fn record_for_host(gateway: &Rc<Gateway>, name: &Arc<str>, key: StreamKey) -> bool {
+    let is_known = gateway.assignments.services.borrow().contains_key(name);
+    if !is_known {
+        return false;
+    }
+    let service = gateway.assignments.service(name);
+    write_exception(gateway, name, &service, key).await
+}
+
+/// Returns whether an assignment that this host knows gives a stream to a build, or says that it may begin at any.
+pub fn covers(gateway: &Gateway, name: &Arc<str>, key: StreamKey, build: BuildId) -> bool {
+    let service = gateway.assignments.service(name);
+    let known = service.known.borrow();
+    known.as_ref().is_some_and(|it| {
+        let mut builds = it.history.builds(key);
+        it.history.allows_exception(key) || builds.any(|it| BuildId::new(name, it) == build)
+    })
+}
+
+/// Returns whether the store has recorded that a stream may begin at another build than the assigned one.
 async fn write_exception(
     gateway: &Rc<Gateway>,
     name: &Arc<str>,
@@ -384,9 +465,6 @@
 ) -> bool {
     let _write = service.write.lock().await;
     for _ in 0..MAX_WRITES {
-        if service.has_unassigned.get() {
-            return true;
-        }
         let history = service.known.borrow().as_ref().map(|it| it.history.clone());
         let Some(mut history) = history.filter(|_| !gateway.is_store_unavailable()) else {
             return false;
@@ -402,13 +480,22 @@
     false
 }
 
+/// What the assignments tell of the build that began a stream.
+pub struct Evidence {
+    /// Builds that may have begun it.
+    pub candidates: Candidates,
+    /// Lists of engines, one of each of which must still serve, if just one build is a candidate and the service has had
+    /// another one. Otherwise the stream may have begun at any build.
+    pub witnesses: Vec<Vec<Witness>>,
+}
+
 /// Returns the builds that may have begun a stream, by the store's state after this call. Returns `None` if the store
 /// does not answer.
 pub async fn candidates(
     gateway: &Rc<Gateway>,
     name: &Arc<str>,
     key: Option<StreamKey>,
-) -> Option<Candidates> {
+) -> Option<Evidence> {
     let service = gateway.assignments.service(name);
     let read = read_from_now_on(gateway, name, &service);
     let is_read = time::timeout(VERIFICATION_TIMEOUT, read).await;
@@ -417,7 +504,19 @@
     if service.has_unassigned.get() {
         history.record_unassigned();
     }
-    Some(history.candidates(key))
+    let candidates = history.candidates(key);
+    let mut witnesses = Vec::new();
+    if let Candidates::One(build) = &candidates {
+        let is_only = gateway.table.borrow().only_build(name) == Some(BuildId::new(name, build));
+        if !is_only || history.names_other_than(build) {
+            let lists = history.witnesses(build);
+            witnesses = lists.into_iter().map(<[Witness]>::to_vec).collect();
+        }
+    }
+    Some(Evidence {
+        candidates,
+        witnesses,
+    })
 }
 
 /// Reads the object of a service from now on at the earliest. Returns whether the store answered.
@@ -600,13 +699,19 @@
     let mut history = known.history.clone();
     let age = now.saturating_sub(known.assigned_at);
     let is_first = history.number() == 0;
-    let points = history.needed_points(&count_engines(gateway, name), age);
-    let has_new_points = points.is_some();
+    let engines = count_engines(gateway, name);
+    let points = history.needed_points(&engines, age);
+    let is_divided_anew = points.is_some();
     if let Some(it) = points {
         history.assign(it);
     } else if is_first {
         return None;
     }
+    let needs_witnesses =
+        is_divided_anew || renew_witnesses(gateway, name, &mut history, known, &engines);
+    if needs_witnesses {
+        history.name_witnesses(list_witnesses(gateway, name));
+    }
     let is_unknown = is_first && gateway.settings.start() == Start::Later;
     // Hosts of an earlier build of this program begin streams at any build.
     let has_unassigned = gateway.peers.borrow().has_unassigned_streams(now)
@@ -615,13 +720,87 @@
     if records_unassigned {
         history.record_unassigned();
     }
-    let mut is_needed = has_new_points || records_unassigned || known.is_ahead;
+    let mut is_needed = needs_witnesses || records_unassigned || known.is_ahead;
     if rank == 0 && !is_needed {
         is_needed = known.superseded.expire(&mut history, now);
     }
     is_needed.then_some(history)
 }
 
+/// Prepares a history for other witnesses, if the current assignment has none that serve. Returns whether it needs them.
+fn renew_witnesses(
+    gateway: &Gateway,
+    name: &str,
+    history: &mut History,
+    known: &Known,
+    engines: &Counts,
+) -> bool {
+    let table = gateway.table.borrow();
+    // A witness that isn't listed here may be in the next list.
+    let is_list_older = gateway.complete_at(Kind::Engines) < known.assigned_at + SETTLE_TIME;
+    let serves = |build: &Build, it: &Witness| {
+        find_witness(&table, name, build, it).is_some()
+            || is_list_older && table.find(&it.engine).is_none()
+    };
+    match history.witness_state(engines, serves) {
+        WitnessState::Serving => return false,
+        WitnessState::Unnamed => {}
+        // Streams of the build may have begun at another one, so the assignment keeps its witnesses.
+        WitnessState::Gone => history.repeat(),
+    }
+    true
+}
+
+/// Returns the engine that is a witness, if it still accepts work in the same incarnation.
+fn find_witness(table: &Table, service: &str, build: &Build, witness: &Witness) -> Option<Key> {
+    let key = table.find(&witness.engine)?;
+    let engine = table.get(key)?;
+    let listing = &engine.listing;
+    let serves = listing.incarnation == witness.incarnation
+        && *listing.service == *service
+        && listing.build == *build
+        && engine.accepts_work();
+    serves.then_some(key)
+}
+
+/// Returns the witnesses in one of the lists that still accept work, by what this host knows.
+pub fn serving_witnesses(
+    gateway: &Gateway,
+    service: &str,
+    build: &Build,
+    witnesses: &[Witness],
+) -> Vec<Key> {
+    let table = gateway.table.borrow();
+    let found = witnesses
+        .iter()
+        .filter_map(|it| find_witness(&table, service, build, it));
+    found.collect()
+}
+
+/// Returns the engines of each build that accept work, those that are reached first.
+fn list_witnesses(gateway: &Gateway, name: &str) -> Witnesses {
+    let now = clock::now();
+    let table = gateway.table.borrow();
+    let engines = table.iter().map(|it| it.1);
+    let mut engines: Vec<_> = engines
+        .filter(|it| &*it.listing.service == name && it.accepts_work())
+        .collect();
+    engines.sort_by_cached_key(|it| {
+        let is_unreached =
+            !it.identity().is_certain() || it.circuit.state(now) == circuit::State::Unreachable;
+        (is_unreached, rendezvous::weight(name, &it.listing.id))
+    });
+    let mut witnesses = Witnesses::new();
+    for it in engines {
+        let of_build = witnesses.entry(it.listing.build.clone()).or_default();
+        of_build.push(Witness {
+            engine: it.listing.id.clone(),
+            incarnation: it.listing.incarnation,
+        });
+    }
+    witnesses
+}
+
 /// Returns the number of engines of each build that accept work.
 fn count_engines(gateway: &Gateway, name: &Arc<str>) -> Counts {
     let table = gateway.table.borrow();
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -31,7 +31,8 @@
 pub(crate) use attempt::{Attempt, OpenResponse};
 
 use crate::{
-    assignments, call,
+    assignments::{self, Exception},
+    call,
     caller::Caller,
     clock,
     connection::{self, Part},
@@ -235,6 +236,10 @@
     /// Sends the request to engines until there is a response.
     pub(crate) async fn run(mut self) -> Response<Body> {
         if let Err(fault) = self.find_origin().await {
+            // A host that reaches engines may find it.
+            if self.may_hand_over_instead().await {
+                return self.hand_over().await;
+            }
             return self.fail(fault);
         }
         self.assign_build().await;
@@ -430,6 +435,32 @@
         }
     }
 
+    /// Records in the store that a new stream may begin at another build than the assigned one, if it does not follow from
+    /// the assignments, before its first event is forwarded. `in_flight` is the request at the engine that sends it.
+    pub(crate) async fn secure_origin(&self, in_flight: &InFlight) {
+        let is_resumable = self.route.kind == RequestKind::Resumable;
+        let Some(key) = self.assigned.filter(|_| is_resumable) else {
+            return;
+        };
+        self.gossip.observe_ended_connections();
+        if !self.gossip.is_certain(in_flight.key) {
+            Box::pin(self.gossip.check_identity(in_flight.key)).await;
+            self.gossip.observe_ended_connections();
+        }
+        let (gateway, service) = (&self.gateway, &self.service);
+        let is_covered = self.build.is_none()
+            || in_flight
+                .build()
+                .is_some_and(|it| assignments::covers(gateway, service, key, it));
+        if is_covered && self.gossip.is_certain(in_flight.key) {
+            return;
+        }
+        let exception = Box::pin(assignments::allow_exception(gateway, service, key)).await;
+        if exception == Exception::Refused {
+            assignments::record_unassigned(gateway, service);
+        }
+    }
+
     /// Records which build begins a new stream, once it is certain.
     pub(crate) fn record_engine_origin(&mut self, in_flight: &InFlight) {
         self.gossip.observe_ended_connections();
@@ -442,15 +473,10 @@
         self.build = None;
         self.origin_record = OriginRecord::Later;
         let (stream, service) = (self.stream(), self.service.clone());
-        let (services, assigned) = (self.services(), self.assigned.take());
+        self.assigned = None;
         let (engine, connected_at) = (in_flight.key, in_flight.connected_at());
-        self.gossip.record_origin_later(
-            stream,
-            (service, services),
-            assigned,
-            engine,
-            connected_at,
-        );
+        self.gossip
+            .record_origin_later(stream, (service, self.services()), engine, connected_at);
     }
 
     /// Records that an engine has sent the first event of its response. From then on, only engines of its build
--- a/crates/gateway/src/exchange/placement.rs
+++ b/crates/gateway/src/exchange/placement.rs
@@ -16,7 +16,8 @@
 use tokio::time;
 
 use crate::{
-    assignments, clock,
+    assignments::{self, Exception},
+    clock,
     exchange::{Exchange, OriginRecord, attempt::Counted},
     gateway::{Gateway, MAX_WAITERS},
     queues::Place,
@@ -305,7 +306,9 @@
         if self.has_reachable_engine(self.build, tried) || !self.has_reachable_engine(None, tried) {
             return false;
         }
-        if !assignments::allow_exception(&self.gateway, &self.service, key).await {
+        if assignments::allow_exception(&self.gateway, &self.service, key).await
+            == Exception::Refused
+        {
             return false;
         }
         self.assigned = None;
--- a/crates/gateway/src/gossip/identity.rs
+++ b/crates/gateway/src/gossip/identity.rs
@@ -5,14 +5,16 @@
 
 use fleet::{
     Time,
-    assignment::StreamKey,
+    assignment::Witness,
     circuit::State,
     engine::Engine,
     identity::{Announcement, BREAK_TIME},
+    listing::Build,
     origin::{BuildId, Services, StreamId},
     quarantine::Incarnation,
     table::Key,
 };
+use futures::future;
 use hyper::http::StatusCode;
 use tokio::{sync::Mutex, task::spawn_local, time};
 
@@ -33,6 +35,13 @@
 /// shows it.
 const PROOF_TTL: Duration = Duration::from_secs(1);
 
+/// Time between two queries of a host whether an engine still runs, for each host of the fleet. After the loss of all hosts,
+/// all of them ask the same few engines.
+const PROOF_INTERVAL_PER_HOST: Duration = Duration::from_millis(1);
+
+/// Number of engines that are asked at the same time whether they still run.
+const MAX_ASKED_WITNESSES: usize = 3;
+
 /// Time after a break before an engine that no request needs is asked whether it has started again.
 const BACKGROUND_DELAY: Duration = Duration::from_millis(300);
 
@@ -55,15 +64,31 @@
 /// Queries and announcements of this host about engines that may have started again.
 #[derive(Default)]
 pub struct IdentityChecks {
-    /// When each engine was last asked. Requests that need the same engine share the query.
-    asked_at: RefCell<HashMap<Key, Rc<Mutex<Time>>>>,
+    /// The last query of each engine. Requests that need the same engine share it.
+    queries: RefCell<HashMap<Key, Rc<Mutex<Query>>>>,
     /// When this host last told the others that an engine may have ended.
     announced_at: RefCell<HashMap<Key, Time>>,
 }
 
+/// Query of an engine's status.
+#[derive(Clone, Copy, Debug, Default)]
+struct Query {
+    /// When the engine was asked; zero if it never was.
+    asked_at: Time,
+    /// True if it answered that it is the listed incarnation, and accepts work.
+    has_confirmed: bool,
+}
+
+impl Query {
+    /// Returns whether the engine was asked within `time`.
+    fn is_within(self, time: Duration, now: Time) -> bool {
+        !self.asked_at.is_zero() && self.asked_at + time > now
+    }
+}
+
 impl IdentityChecks {
-    fn query(&self, key: Key) -> Rc<Mutex<Time>> {
-        self.asked_at.borrow_mut().entry(key).or_default().clone()
+    fn query(&self, key: Key) -> Rc<Mutex<Query>> {
+        self.queries.borrow_mut().entry(key).or_default().clone()
     }
 
     /// Returns whether an announcement is due, and counts it.
@@ -216,16 +241,17 @@
     /// the listed incarnation.
     pub async fn check_identity(&self, key: Key) -> bool {
         let query = self.gateway.identity_checks.query(key);
-        let mut asked_at = query.lock().await;
-        let now = clock::now();
+        let mut query = query.lock().await;
         if self.is_certain(key) {
             return true;
         }
-        if !asked_at.is_zero() && *asked_at + CHECK_INTERVAL > now {
+        if query.is_within(CHECK_INTERVAL, clock::now()) {
             return false;
         }
-        *asked_at = now;
-        let is_certain = self.has_older_connection(key) || self.query_start(key).await;
+        if !self.has_older_connection(key) {
+            self.query_start(key, &mut query).await;
+        }
+        let is_certain = self.is_certain(key);
         if is_certain {
             self.announce_alive(key);
         }
@@ -245,26 +271,69 @@
     /// started again while no host had a connection to it. If it doesn't answer, the list is relied on.
     pub async fn prove_identity(&self, key: Key) {
         let query = self.gateway.identity_checks.query(key);
-        let mut asked_at = query.lock().await;
-        let now = clock::now();
-        if asked_at.is_zero() || *asked_at + PROOF_TTL <= now {
-            *asked_at = now;
-            self.query_start(key).await;
+        let mut query = query.lock().await;
+        if !query.is_within(PROOF_TTL, clock::now()) {
+            self.query_start(key, &mut query).await;
         }
     }
 
-    /// Asks an engine when it started. Returns whether it is the listed incarnation.
-    async fn query_start(&self, key: Key) -> bool {
+    /// Returns whether an engine of each list still runs in the incarnation of that time, by an answer to a query that was
+    /// sent after this call. No engines of these lists can have ended together since.
+    pub async fn have_survived(
+        &self,
+        service: &str,
+        build: &Build,
+        lists: &[Vec<Witness>],
+    ) -> bool {
+        let since = clock::now();
+        for list in lists {
+            let mut engines = assignments::serving_witnesses(&self.gateway, service, build, list);
+            engines.sort_by_cached_key(|_| rand::random::<u32>());
+            let mut is_proven = false;
+            for asked in engines.chunks(MAX_ASKED_WITNESSES) {
+                let answers = asked.iter().map(|it| self.confirms(*it, since));
+                is_proven = future::join_all(answers).await.contains(&true);
+                if is_proven {
+                    break;
+                }
+            }
+            if !is_proven {
+                log::info!(event = "witnesses-gone", service; "no engine of build {build} has run throughout: streams of service {service} may have begun at another build");
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Returns whether an engine has answered a query that was sent after `since` that it is the listed incarnation, and
+    /// accepts work.
+    async fn confirms(&self, key: Key, since: Time) -> bool {
+        let query = self.gateway.identity_checks.query(key);
+        let mut query = query.lock().await;
+        if query.asked_at < since {
+            let hosts = self.gateway.peers.borrow().host_count();
+            let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+            let next = query.asked_at + PROOF_INTERVAL_PER_HOST * hosts;
+            time::sleep(next.saturating_sub(clock::now())).await;
+            self.query_start(key, &mut query).await;
+        }
+        query.has_confirmed
+    }
+
+    /// Asks an engine when it started.
+    async fn query_start(&self, key: Key, query: &mut Query) {
+        *query = Query {
+            asked_at: clock::now(),
+            has_confirmed: false,
+        };
         let target = {
             let table = self.gateway.table.borrow();
             table
                 .get(key)
                 .map(|it| (it.listing.id.clone(), it.listing.addr))
         };
-        let Some((id, addr)) = target else {
-            return false;
-        };
-        let asked_at = clock::now();
+        let Some((id, addr)) = target else { return };
+        let asked_at = query.asked_at;
         let gateway = &self.gateway;
         let request = gateway.dialect.build_status_query(&id);
         let response = orders::call_engine(gateway, key, &id, addr, request).await;
@@ -273,8 +342,11 @@
             table.record_data(key, asked_at, clock::now());
             drop(table);
             orders::record_start(gateway, key, &body, asked_at);
+            let table = gateway.table.borrow();
+            let engine = table.get(key);
+            query.has_confirmed =
+                engine.is_some_and(|it| it.accepts_work() && it.identity().is_certain());
         }
-        self.is_certain(key)
     }
 
     /// Asks one of the engines that have been uncertain for a while when it started.
@@ -301,24 +373,17 @@
     }
 
     /// Records which build began a stream at an engine that may have started again, once that is known. Its first event came
-    /// now, on a connection that was opened at `connected_at`. The stream may have begun at another build than the one
-    /// assigned to it.
+    /// now, on a connection that was opened at `connected_at`.
     pub fn record_origin_later(
         self: &Rc<Self>,
         stream: StreamId,
         (service, services): (Arc<str>, Services),
-        assigned: Option<StreamKey>,
         key: Key,
         connected_at: Option<Time>,
     ) {
         let gossip = self.clone();
         let begun_at = clock::now();
         spawn_local(async move {
-            if let Some(it) = assigned
-                && !assignments::allow_exception(&gossip.gateway, &service, it).await
-            {
-                assignments::record_unassigned(&gossip.gateway, &service);
-            }
             let until = clock::now() + MAX_ORIGIN_WAIT;
             loop {
                 while !gossip.is_certain(key) && clock::now() < until {
--- a/crates/gateway/src/gossip/origins.rs
+++ b/crates/gateway/src/gossip/origins.rs
@@ -20,7 +20,8 @@
 
 use super::Gossip;
 use crate::{
-    assignments, clock,
+    assignments::{self, Evidence},
+    clock,
     message::{self, MAX_ORIGINS_PER_MESSAGE, Message, OriginQuery, OriginReply, StreamNumber},
 };
 
@@ -266,13 +267,22 @@
         if let known @ Origin::Recorded(_) = self.known_origin(stream, service) {
             return known;
         }
-        let candidates = assignments::candidates(&self.gateway, service, key).await;
+        let evidence = assignments::candidates(&self.gateway, service, key).await;
+        let is_certain = match &evidence {
+            Some(Evidence {
+                candidates: Candidates::One(build),
+                witnesses,
+            }) => self.have_survived(service, build, witnesses).await,
+            _ => false,
+        };
         // A record may have been received meanwhile.
         let known = self.known_origin(stream, service);
-        match (known, candidates) {
+        match (known, evidence.map(|it| it.candidates)) {
             (Origin::Recorded(_), _) => known,
-            (_, Some(Candidates::One(it))) => Origin::Recorded(BuildId::new(service, &it)),
-            (_, Some(Candidates::Several)) => Origin::Several,
+            (_, Some(Candidates::One(it))) if is_certain => {
+                Origin::Recorded(BuildId::new(service, &it))
+            }
+            (_, Some(Candidates::One(_) | Candidates::Several)) => Origin::Several,
             (Origin::Only(_), Some(Candidates::Any(Some(it)))) => {
                 known.or(Origin::Only(BuildId::new(service, &it)))
             }
--- a/crates/gateway/src/list_sync.rs
+++ b/crates/gateway/src/list_sync.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use fleet::{
+    assignment::StreamKey,
     era::{Era, Position},
     reader::Role,
     store_call::RecoveryBound,
@@ -115,12 +116,23 @@
 #[serde(untagged)]
 enum HostRequest {
     List(ListRequest),
+/// Request of a host that the store doesn't answer: to record that a stream of a service may begin at another build than the
+/// assigned one, sent as one line of JSON. The response is `true` if the store has recorded it. Earlier builds close the
+/// connection.
+#[derive(Debug, Deserialize, Serialize)]
+struct ExceptionRequest {
+    exception_of: String,
+    /// Key of the stream, in decimal digits.
+    stream: String,
+}
+
     Assignment(AssignmentRequest),
 }
 
 /// Index of a list in [`LISTS`].
 pub fn list_index(kind: Kind) -> usize {
     LISTS.iter().position(|it| *it == kind).unwrap_or(0)
+    Exception(ExceptionRequest),
 }
 
 /// State of this host's lists.
@@ -273,6 +285,14 @@
     write.shutdown().await
 }
 
+        HostRequest::Exception(it) => {
+            let service = it.exception_of.into();
+            let is_recorded = match it.stream.parse() {
+                Ok(key) => assignments::record_for_host(gateway, &service, StreamKey(key)).await,
+                Err(_) => false,
+            };
+            serde_json::to_vec(&is_recorded)?.into()
+        }
 /// Response to a request, serialized once for all hosts that request the same delta.
 fn cached_response(gateway: &Rc<Gateway>, request: &ListRequest) -> std::io::Result<Bytes> {
     let outage = gateway.removal_kind() == fleet::table::Removal::AfterOutage;
@@ -333,6 +353,16 @@
         .read_to_end(&mut body)
         .await
         .ok()?;
+/// Asks one host to record that a stream may begin at another build than the assigned one. Returns whether the store has
+/// recorded it.
+pub async fn request_exception(addr: SocketAddr, service: &str, key: StreamKey) -> bool {
+    let request = ExceptionRequest {
+        exception_of: service.to_owned(),
+        stream: key.0.to_string(),
+    };
+    ask(addr, &request).await.unwrap_or(false)
+}
+
     serde_json::from_slice(&body).ok()
 }
 
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -518,6 +518,16 @@
         known.chain(self.seeds.iter().copied()).collect()
     }
 
+    /// Addresses of the live hosts that the store answers, those with the most recent messages first.
+    pub fn hosts_with_store(&self, now: Time) -> Vec<SocketAddr> {
+        let peers = self.live_peers(now).map(|it| it.1);
+        let mut peers: Vec<&Peer> = peers
+            .filter(|it| !it.list_state.store_unavailable)
+            .collect();
+        peers.sort_by_key(|it| std::cmp::Reverse(it.last_received));
+        peers.into_iter().map(|it| it.addr).collect()
+    }
+
     /// Address of a host.
     pub fn addr(&self, name: &str) -> Option<SocketAddr> {
         self.by_name.get(name).map(|it| it.addr)
--- a/crates/gateway/src/relay.rs
+++ b/crates/gateway/src/relay.rs
@@ -226,7 +226,7 @@
         let events = read_events(body, &mut self.buffer);
         match wait_for_engine(&context, key, stage, events).await {
             WaitResult::Ready(received) => {
-                self.confirm_engine().await;
+                self.confirm_engine(&received).await;
                 self.forward(received)
             }
             WaitResult::Stalled => self.take_over().await,
@@ -234,10 +234,14 @@
         }
     }
 
-    /// Waits until it is certain whether the engine that sends its first event has started again.
-    async fn confirm_engine(&self) {
+    /// Waits until it is certain whether the engine that sends its first event has started again, and until it is recorded
+    /// where a new stream may have begun.
+    async fn confirm_engine(&self, received: &Result<Received, Failure>) {
         if let Some((_, in_flight)) = self.upstream.as_ref().filter(|_| self.awaiting_first) {
             self.exchange.confirm_engine(in_flight).await;
+            if let Ok(Received::Events(_)) = received {
+                self.exchange.secure_origin(in_flight).await;
+            }
         }
     }
 
@@ -312,7 +316,7 @@
             .await
         {
             Takeover::Continued(received) => {
-                self.confirm_engine().await;
+                self.confirm_engine(&received).await;
                 self.forward(received)
             }
             Takeover::Accepted(it) => {
