Tell a connection to the store that fails from an outage of the store

Cause: one call without an answer made the store unavailable, and the next answer ended an outage. For 2.5 s from then on, each entry that vanished counted as lapsed. A host that the store refused alone concluded the same, and hosts that take their lists from another one were told so.

Change: fleet::availability. A call without an answer is evidence about its connection: the open ones are closed, and a probe on a new one shows whether the store is available. The grace period counts from the return of the store, which hosts pass on with lists, and ends within the drain time if the entry was listed after the return. Whether an engine may have restarted without a new entry still takes any recovery for a gap in the list.

The tests of tables.rs give Removal::AfterOutage its new field; their times are unchanged.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod account;
 pub mod admission;
 pub mod assignment;
+pub mod availability;
 pub mod backoff;
 pub mod budget;
 pub mod capacity;
--- a/crates/fleet/src/store_call.rs
+++ b/crates/fleet/src/store_call.rs
@@ -32,6 +32,11 @@
     bound.0.mul_f64(WATCH_FRACTION)
 }
 
+/// Returns how long the answer to a probe is waited for.
+pub fn probe_timeout(bound: RecoveryBound) -> Duration {
+    bound.0.mul_f64(PROBE_TIMEOUT_FRACTION)
+}
+
 /// Returns the next call; `answered` is true if the store answered the last one.
 pub fn next_call(bound: RecoveryBound, answered: bool) -> Call {
     if answered {
@@ -40,7 +45,7 @@
             bound.0.mul_f64(WATCH_TIMEOUT_FRACTION),
         )
     } else {
-        Call::Probe(bound.0.mul_f64(PROBE_TIMEOUT_FRACTION))
+        Call::Probe(probe_timeout(bound))
     }
 }
 
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -30,6 +30,9 @@
 /// seconds after an outage.
 pub const REMOVAL_GRACE_AFTER_OUTAGE: Duration = Duration::from_millis(2300);
 
+/// Time after the return of the store in which hosts read the entries that live engines have written again.
+const MAX_ENTRY_RETURN_TIME: Duration = Duration::from_millis(3200);
+
 /// Maximum age of a successful response that shows that an engine is alive.
 const LIVENESS_TTL: Duration = Duration::from_millis(1500);
 
@@ -61,8 +64,11 @@
 pub enum Removal {
     /// The store has answered throughout.
     StoreAvailable,
-    /// There was an outage of the store, in which entries of live engines lapse.
-    AfterOutage,
+    /// There was an outage of the store, in which entries of live engines lapse. They are written again after its return.
+    AfterOutage {
+        /// When the store returned.
+        returned_at: Time,
+    },
 }
 
 /// Engines by key and by id, and the announced versions of adapters.
@@ -250,15 +256,17 @@
     }
 
     /// Records that the entry of an engine has vanished. [`Table::remove_expired`] removes the engine, after
-    /// a grace period if it may still be alive. If the store has answered throughout, that period ends at
-    /// `latest`.
+    /// a grace period if it may still be alive. That period ends at `latest`.
     pub fn schedule_removal(&mut self, id: &str, removal: Removal, latest: Time, now: Time) {
         let Some(key) = self.ids.get(id) else { return };
         let Some(engine) = self.engines.get_mut(key) else {
             return;
         };
         let grace = match removal {
-            Removal::AfterOutage => REMOVAL_GRACE_AFTER_OUTAGE,
+            Removal::AfterOutage { returned_at } => {
+                let read_until = returned_at + MAX_ENTRY_RETURN_TIME;
+                REMOVAL_GRACE_AFTER_OUTAGE.min(read_until.min(latest).saturating_sub(now))
+            }
             Removal::StoreAvailable
                 if engine.last_success_at + LIVENESS_TTL > now && engine.accepts_work() =>
             {
--- a/crates/fleet/tests/it/main.rs
+++ b/crates/fleet/tests/it/main.rs
@@ -3,6 +3,7 @@
 mod accounts;
 mod admissions;
 mod assignments;
+mod availabilities;
 mod backoffs;
 mod budgets;
 mod capacities;
--- a/crates/fleet/tests/it/tables.rs
+++ b/crates/fleet/tests/it/tables.rs
@@ -75,7 +75,8 @@
 
 #[test]
 fn an_engine_whose_entry_lapsed_is_used_until_its_entry_should_be_back() {
-    for (removal, used_until) in [(Removal::StoreAvailable, 0), (Removal::AfterOutage, 2000)] {
+    let after_outage = Removal::AfterOutage { returned_at: at(0) };
+    for (removal, used_until) in [(Removal::StoreAvailable, 0), (after_outage, 2000)] {
         let (mut table, keys) = table(&[("i-1", &[])]);
         table.schedule_removal("i-1", removal, at(5000), at(0));
         table.remove_expired(at(used_until));
@@ -84,7 +85,7 @@
         assert!(table.get(keys[0]).is_none());
     }
     let (mut table, keys) = table(&[("i-1", &[])]);
-    table.schedule_removal("i-1", Removal::AfterOutage, at(5000), at(0));
+    table.schedule_removal("i-1", after_outage, at(5000), at(0));
     table.upsert(listing("i-1", &[]), at(1000));
     table.remove_expired(at(9000));
     assert!(table.get(keys[0]).is_some(), "the entry came back");
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -15,6 +15,7 @@
         Account, Accounts,
         ledger::{AccountId, Ledger},
     },
+    availability::{self, Availability},
     budget::Budget,
     capacity::{Load, Samples},
     catalog::Catalog,
@@ -39,7 +40,8 @@
     dialect::{Dialect, Kind, ResponseHead},
     gossip::{CrashWatch, IdentityChecks, JoinedHosts, OriginQueries, TurnQuestions},
     list_cache::ListCache,
-    list_sync, memory, message,
+    list_sync::{self, ListState},
+    memory, message,
     metrics::Metrics,
     peers::Peers,
     queues::Queues,
@@ -48,9 +50,6 @@
     watch::DeferredEntries,
 };
 
-/// Time after the store's recovery during which engine entries that vanished may be written again.
-const ENTRY_RETURN_WINDOW: Duration = Duration::from_millis(2500);
-
 /// Minimum time between two messages of this host that a copy of an adapter is wanted. A new copy is available after
 /// about 300 ms.
 const WANTED_COPY_INTERVAL: Duration = Duration::from_millis(300);
@@ -178,7 +177,7 @@
     /// Notified when the list of hosts was read from the store.
     pub hosts_listed: Notify,
     /// Availability of the store.
-    store: RefCell<StoreState>,
+    store: RefCell<Availability>,
     /// Time of the last probe of the unavailable store.
     probed_at: Cell<Option<Time>>,
     /// Retry budgets by service.
@@ -210,15 +209,6 @@
     invalid_header_logged_at: Cell<Option<Time>>,
 }
 
-/// Availability of the store, from its last responses.
-#[derive(Default)]
-struct StoreState {
-    /// True if the last call failed.
-    unavailable: bool,
-    /// Time of the last recovery.
-    recovered_at: Option<Time>,
-}
-
 /// Requests that wait for the load of one adapter.
 #[derive(Default)]
 pub struct LoadWait {
@@ -232,6 +222,19 @@
     pub last_request: Cell<Option<Time>>,
 }
 
+/// Logs that the store is no longer available.
+fn log_store_loss(change: availability::Change, why: &str) {
+    match change {
+        availability::Change::Lost => {
+            log::warn!(event = "store-lost", why; "the store does not answer");
+        }
+        availability::Change::Suspected => {
+            log::info!(event = "store-silent"; "a call to the store got no answer: trying a new connection");
+        }
+        _ => {}
+    }
+}
+
 impl Gateway {
     /// Creates the state of a host that knows no configuration, engines or other hosts.
     pub fn new(settings: Settings, dialect: Arc<dyn Dialect>, incarnation: u64) -> Self {
@@ -353,17 +356,50 @@
         }
     }
 
-    /// Records whether the last store call was answered.
-    pub fn set_store_available(&self, available: bool) {
+    /// Records an answer of the store.
+    pub fn record_store_answer(&self) {
+        let change = self.store.borrow_mut().record_answer(clock::now());
+        match change {
+            availability::Change::Regained => {
+                log::info!(event = "store-regained"; "the store is available again");
+                self.store_recovered.notify_waiters();
+            }
+            availability::Change::Cleared => {
+                log::info!(event = "store-connection-lost"; "a connection to the store failed, and a new one works");
+                self.store_recovered.notify_waiters();
+            }
+            _ => {}
+        }
+    }
+
+    /// Records an answer of the store that it can't serve this host.
+    pub fn record_store_refusal(&self) {
+        let change = self.store.borrow_mut().record_refusal(clock::now());
+        log_store_loss(change, "refused");
+    }
+
+    /// Records that a call to the store that was sent at `sent_at` got no answer. Returns whether a call on a new connection
+    /// has to show whether the store is available.
+    pub fn record_store_failure(&self, sent_at: Time) -> bool {
+        let change = self
+            .store
+            .borrow_mut()
+            .record_failure(sent_at, clock::now());
+        log_store_loss(change, "silent");
+        change == availability::Change::Suspected
+    }
+
+    /// Records what the state of another host's lists says of the store.
+    pub fn observe_store_of(&self, lists: &ListState) {
+        let now = clock::now();
         let mut store = self.store.borrow_mut();
-        if store.unavailable && available {
-            store.recovered_at = Some(clock::now());
-            log::info!(event = "store-regained"; "the store is available again");
-            self.store_recovered.notify_waiters();
-        } else if !store.unavailable && !available {
-            log::warn!(event = "store-lost"; "the store does not answer");
+        if lists.store_unavailable {
+            store.observe_loss(now);
+        }
+        let ages = lists.lists.iter().filter_map(|it| it.1);
+        if let Some(age) = ages.min() {
+            store.observe_answer(now.saturating_sub(Duration::from_millis(age.into())));
         }
-        store.unavailable = !available;
     }
 
     /// Records the era that an answer of the store states.
@@ -378,7 +414,7 @@
         if let Verdict::Advanced { from, to } = verdict {
             log::warn!(event = "store-rolled-back", from = from.0, to = to.0; "the store came back from an older copy: era {} follows {}", to.0, from.0);
             // Engines write their entries again, as after an outage.
-            self.store.borrow_mut().recovered_at = Some(clock::now());
+            self.store.borrow_mut().record_new_era(clock::now());
             self.store_recovered.notify_waiters();
             self.claims_wakeup.notify_one();
         }
@@ -531,9 +567,9 @@
         is_due
     }
 
-    /// Returns whether the last store call failed.
+    /// Returns whether the store doesn't answer this host.
     pub fn is_store_unavailable(&self) -> bool {
-        self.store.borrow().unavailable
+        self.store.borrow().is_unavailable()
     }
 
     /// Time since this host read a list; `None` if a reader provides the list.
@@ -560,9 +596,10 @@
         if kind == Kind::Engines {
             self.origins.borrow_mut().observe_complete_list(at);
             let mut table = self.table.borrow_mut();
-            match self.removal_kind() {
-                Removal::StoreAvailable => table.observe_complete_list(at),
-                Removal::AfterOutage => table.interrupt_list(),
+            if self.store.borrow().may_lag(clock::now()) {
+                table.interrupt_list();
+            } else {
+                table.observe_complete_list(at);
             }
         }
     }
@@ -585,17 +622,10 @@
 
     /// Determines how to treat an engine whose entry vanishes now.
     pub fn removal_kind(&self) -> Removal {
-        let store = self.store.borrow();
-        let now = clock::now();
-        if store.unavailable
-            || store
-                .recovered_at
-                .is_some_and(|it| it + ENTRY_RETURN_WINDOW > now)
-        {
-            Removal::AfterOutage
-        } else {
-            Removal::StoreAvailable
-        }
+        let returned_at = self.store.borrow().returned_at(clock::now());
+        returned_at.map_or(Removal::StoreAvailable, |returned_at| {
+            Removal::AfterOutage { returned_at }
+        })
     }
 
     /// Retry budget of a service.
--- a/crates/gateway/src/gossip.rs
+++ b/crates/gateway/src/gossip.rs
@@ -442,6 +442,7 @@
 
     /// Records the list state of another host.
     fn handle_list_state(&self, list_state: ListState, from: SocketAddr) {
+        self.gateway.observe_store_of(&list_state);
         let mut peers = self.gateway.peers.borrow_mut();
         if peers.receive_list_state(list_state, from, clock::now()) {
             self.gateway.lists_received.notify_waiters();
@@ -581,6 +582,7 @@
                 log::info!(event = "host", host = &*host; "received a heartbeat of host {host} from {from}");
             }
             peers.receive_heartbeat(&host, heartbeat, from, now);
+            self.gateway.observe_store_of(&heartbeat.list_state);
             let ListState { era, era_age, .. } = heartbeat.list_state;
             let age = Duration::from_millis(era_age.into());
             self.gateway.observe_era_age(Era(era), age);
--- a/crates/gateway/src/list_cache.rs
+++ b/crates/gateway/src/list_cache.rs
@@ -78,6 +78,9 @@
     pub watermark: Watermark,
     /// True if the store was unavailable a moment ago, so removed entries may be written again.
     pub outage: bool,
+    /// Time in ms since the store returned, if `outage` is set. Earlier builds of this program don't state it.
+    #[serde(default)]
+    pub returned_ms: Option<u64>,
 }
 
 impl ListCache {
@@ -177,6 +180,7 @@
             objects: objects.cloned().collect(),
             watermark: list.watermark(),
             outage: false,
+            returned_ms: None,
         }
     }
 }
--- a/crates/gateway/src/list_sync.rs
+++ b/crates/gateway/src/list_sync.rs
@@ -12,6 +12,7 @@
     era::{Era, Position},
     reader::Role,
     store_call::RecoveryBound,
+    table::Removal,
 };
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use tokio::{
@@ -67,6 +68,10 @@
 /// Time within which heartbeats of all live hosts are received.
 const HEARTBEAT_WAIT: Duration = Duration::from_millis(450);
 
+/// Precision of the time since the return of the store in a response, in ms. Hosts that request the same delta within it
+/// share the response.
+const RETURN_AGE_STEP_MS: u64 = 100;
+
 /// Maximum size of a request, in bytes. It may hold the name of a service.
 const MAX_REQUEST_BYTES: u64 = 1 << 10;
 
@@ -89,8 +94,8 @@
 
 /// Response with a delta of a list, kept for hosts that request the same one.
 pub struct CachedResponse {
-    /// Start of the delta, watermark, and true if the store was unavailable a moment ago.
-    key: (Position, Watermark, bool),
+    /// Start of the delta, watermark, and time in ms since the return of the store if it was unavailable a moment ago.
+    key: (Position, Watermark, Option<u64>),
     body: Bytes,
 }
 
@@ -111,11 +116,6 @@
     assignment_of: String,
 }
 
-/// Request of another host.
-#[derive(Debug, Deserialize)]
-#[serde(untagged)]
-enum HostRequest {
-    List(ListRequest),
 /// Request of a host that the store doesn't answer: to record that a stream of a service may begin at another build than the
 /// assigned one, sent as one line of JSON. The response is `true` if the store has recorded it. Earlier builds close the
 /// connection.
@@ -126,13 +126,18 @@
     stream: String,
 }
 
+/// Request of another host.
+#[derive(Debug, Deserialize)]
+#[serde(untagged)]
+enum HostRequest {
+    List(ListRequest),
     Assignment(AssignmentRequest),
+    Exception(ExceptionRequest),
 }
 
 /// Index of a list in [`LISTS`].
 pub fn list_index(kind: Kind) -> usize {
     LISTS.iter().position(|it| *it == kind).unwrap_or(0)
-    Exception(ExceptionRequest),
 }
 
 /// State of this host's lists.
@@ -280,11 +285,6 @@
         HostRequest::Assignment(it) => {
             serde_json::to_vec(&assignments::copy(gateway, &it.assignment_of))?.into()
         }
-    };
-    write.write_all(&body).await?;
-    write.shutdown().await
-}
-
         HostRequest::Exception(it) => {
             let service = it.exception_of.into();
             let is_recorded = match it.stream.parse() {
@@ -293,22 +293,34 @@
             };
             serde_json::to_vec(&is_recorded)?.into()
         }
+    };
+    write.write_all(&body).await?;
+    write.shutdown().await
+}
+
 /// Response to a request, serialized once for all hosts that request the same delta.
 fn cached_response(gateway: &Rc<Gateway>, request: &ListRequest) -> std::io::Result<Bytes> {
-    let outage = gateway.removal_kind() == fleet::table::Removal::AfterOutage;
+    let returned_ms = match gateway.removal_kind() {
+        Removal::AfterOutage { returned_at } => {
+            let age = clock::now().saturating_sub(returned_at).as_millis();
+            Some(u64::try_from(age).unwrap_or(u64::MAX) / RETURN_AGE_STEP_MS * RETURN_AGE_STEP_MS)
+        }
+        Removal::StoreAvailable => None,
+    };
     let watermark = gateway.list_cache.watermark(request.kind);
     let since = Position {
         era: Era(request.era),
         rev: request.since,
     };
-    let key = (since, watermark, outage);
+    let key = (since, watermark, returned_ms);
     if let Some(cached) = gateway.list_responses.borrow().get(&request.kind)
         && cached.key == key
     {
         return Ok(cached.body.clone());
     }
     let mut delta = gateway.list_cache.delta_since(request.kind, since);
-    delta.outage = outage;
+    delta.outage = returned_ms.is_some();
+    delta.returned_ms = returned_ms;
     let body: Bytes = serde_json::to_vec(&delta)?.into();
     let cached = CachedResponse {
         key,
@@ -341,6 +353,16 @@
         .ok()??
 }
 
+/// Asks one host to record that a stream may begin at another build than the assigned one. Returns whether the store has
+/// recorded it.
+pub async fn request_exception(addr: SocketAddr, service: &str, key: StreamKey) -> bool {
+    let request = ExceptionRequest {
+        exception_of: service.to_owned(),
+        stream: key.0.to_string(),
+    };
+    ask(addr, &request).await.unwrap_or(false)
+}
+
 /// Sends a request to one host and reads the response. Returns `None` if it fails.
 async fn ask<T: DeserializeOwned>(addr: SocketAddr, request: &impl Serialize) -> Option<T> {
     let mut stream = TcpStream::connect(addr).await.ok()?;
@@ -353,16 +375,6 @@
         .read_to_end(&mut body)
         .await
         .ok()?;
-/// Asks one host to record that a stream may begin at another build than the assigned one. Returns whether the store has
-/// recorded it.
-pub async fn request_exception(addr: SocketAddr, service: &str, key: StreamKey) -> bool {
-    let request = ExceptionRequest {
-        exception_of: service.to_owned(),
-        stream: key.0.to_string(),
-    };
-    ask(addr, &request).await.unwrap_or(false)
-}
-
     serde_json::from_slice(&body).ok()
 }
 
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -1,14 +1,19 @@
 //! Calls to the platform's store.
 
-use std::{rc::Rc, time::Duration};
+use std::{pin::Pin, rc::Rc, time::Duration};
 
-use fleet::era::{Era, Position, Verdict};
+use fleet::{
+    Time,
+    era::{Era, Position, Verdict},
+    store_call::{self, RecoveryBound},
+};
 use hyper::{Request, http::StatusCode};
+use tokio::task::spawn_local;
 
 use bytes::Bytes;
 
 use crate::{
-    call,
+    call, clock,
     connection::Failure,
     dialect::{Kind, Object},
     gateway::Gateway,
@@ -87,25 +92,44 @@
     timeout: Duration,
     reason: &'static str,
 ) -> Option<Answer> {
+    let sent_at = clock::now();
     match send_counted(gateway, request, timeout, reason).await {
         Ok((_, _, Verdict::Outdated)) => None,
         Ok((status, body, _)) => {
             let era = gateway.store_era();
-            let available = !status.is_server_error() && status != StatusCode::TOO_MANY_REQUESTS;
-            if !available {
+            if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
                 log::debug!("store refused the call: {status}");
+                gateway.record_store_refusal();
+                return None;
             }
-            gateway.set_store_available(available);
-            available.then_some(Answer { status, body, era })
+            gateway.record_store_answer();
+            Some(Answer { status, body, era })
         }
         Err(error) => {
             log::debug!("store call failed: {error}");
-            gateway.set_store_available(false);
+            record_failure(gateway, sent_at);
             None
         }
     }
 }
 
+/// Records that a call got no answer. One connection may fail while others work, so none of the open ones is used again, and
+/// a call on a new one shows whether the store is available.
+fn record_failure(gateway: &Rc<Gateway>, sent_at: Time) {
+    if !gateway.record_store_failure(sent_at) {
+        return;
+    }
+    gateway.store_pool.close_idle(gateway.settings.store);
+    let gateway = gateway.clone();
+    let probe: Pin<Box<dyn Future<Output = ()>>> = Box::pin(async move {
+        let request = gateway.dialect.probe();
+        let bound = RecoveryBound(gateway.settings.store_blind_time());
+        let timeout = store_call::probe_timeout(bound);
+        send(&gateway, request, timeout, "probe").await;
+    });
+    spawn_local(probe);
+}
+
 /// Reads one object, with its position. Returns `Some(None)` if the object does not exist, and `None` if
 /// the store did not answer.
 pub async fn get(
@@ -168,6 +192,7 @@
     if position.is_some_and(|it| it.era != era) {
         return WriteResult::Refused;
     }
+    let sent_at = clock::now();
     match send_counted(gateway, request, CALL_TIMEOUT, reason).await {
         Ok((status, body, Verdict::Current(answer_era))) => {
             // Before the first answer of the store, there is no era to compare with.
@@ -181,7 +206,7 @@
         }
         Err(error) => {
             log::debug!("store write failed: {error}");
-            gateway.set_store_available(false);
+            record_failure(gateway, sent_at);
             WriteResult::Unknown
         }
     }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -5,6 +5,7 @@
 use std::{collections::HashSet, rc::Rc, time::Duration};
 
 use fleet::{
+    Time,
     engine::Engine,
     era::{Era, Position},
     listing::{Listing, State},
@@ -277,11 +278,7 @@
     if is_outdated(gateway, kind, delta.watermark.as_of()) {
         return;
     }
-    let removal = if delta.outage {
-        Removal::AfterOutage
-    } else {
-        gateway.removal_kind()
-    };
+    let removal = received_removal(gateway, delta);
     if delta.full {
         apply_list(
             gateway,
@@ -303,6 +300,34 @@
     gateway.mark_complete(kind, clock::now());
 }
 
+/// Determines how to treat an engine whose entry vanishes by the list of another host.
+fn received_removal(gateway: &Gateway, delta: &Delta) -> Removal {
+    let own = gateway.removal_kind();
+    let now = clock::now();
+    match (own, delta.returned_ms) {
+        (_, Some(age)) if delta.outage => Removal::AfterOutage {
+            returned_at: now.saturating_sub(Duration::from_millis(age)),
+        },
+        // An earlier build of this program doesn't state when the store returned.
+        (Removal::StoreAvailable, _) if delta.outage => Removal::AfterOutage { returned_at: now },
+        _ => own,
+    }
+}
+
+/// Returns the time until which an engine may be used whose entry has vanished after the list was last known to be
+/// complete.
+fn latest_use(gateway: &Gateway, removal: Removal) -> Time {
+    let complete_at = gateway.complete_at(Kind::Engines);
+    if let Removal::AfterOutage { returned_at } = removal
+        && complete_at < returned_at
+    {
+        // The entry may have lapsed in the outage. It has a time of its own.
+        return Time::MAX;
+    }
+    let drain_time = gateway.settings.drain_time();
+    complete_at + drain_time.saturating_sub(VANISHED_RESERVE)
+}
+
 /// Applies the removal of an object.
 fn remove_object(gateway: &Rc<Gateway>, kind: Kind, name: &str, at: u64, removal: Removal) {
     if kind == Kind::Config {
@@ -313,12 +338,7 @@
     if kind == Kind::Engines {
         gateway.deferred_entries.remove(name);
         log::info!(event = "entry-gone", engine = name; "the entry of engine {name} was removed");
-        // The entry vanished after the list was last known to be complete.
-        let latest = gateway.complete_at(kind)
-            + gateway
-                .settings
-                .drain_time()
-                .saturating_sub(VANISHED_RESERVE);
+        let latest = latest_use(gateway, removal);
         let mut table = gateway.table.borrow_mut();
         table.schedule_removal(name, removal, latest, clock::now());
         gateway.orders_wakeup.notify_one();
