Refuse responses whose status is not between 200 and 599

Callers got sealed responses of engines with the statuses 101, 600, 799 and 999 as answers (MIXED). 000, 001, 099, other 1xx and statuses that are no three digits never reached them, which a test now says as well.

Cause: hyper and ureq accept any status from 100 to 999, and nothing checked it; only the client of plain services refused 101.

Change: such a response is malformed where its head is read, in the one client of each interface. It is a failure of its upstream, the connection is closed, and a request that must not run twice is answered 502.

--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -63,6 +63,9 @@
 /// upstream closes the connection.
 const KEEP_ALIVE_FRACTION: f64 = 0.6;
 
+/// Status codes of a complete response (RFC 9110, section 15). A change of protocol is never asked for.
+const FINAL_STATUSES: std::ops::Range<u16> = 200..600;
+
 /// Maximum size of the head of a response, in bytes. A connection reads at most as much at once.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 
@@ -309,7 +312,7 @@
 }
 
 impl Connection {
-    /// Sends a request. The returned future reads the headers of the response.
+    /// Sends a request. The returned future reads the headers of the response, which has a final status.
     pub fn send(
         &mut self,
         request: Request<Bytes>,
@@ -333,6 +336,10 @@
                 None => Failure::Broken(it.error().to_string()),
             })?;
             allowance.renew();
+            let status = response.status();
+            if !FINAL_STATUSES.contains(&status.as_u16()) {
+                return Err(Failure::Malformed(format!("{status} is no final status")));
+            }
             let mut response = response.map(|incoming| Body {
                 incoming,
                 allowance,
--- a/crates/upstream/src/call.rs
+++ b/crates/upstream/src/call.rs
@@ -1,6 +1,7 @@
 //! Sends one HTTP call and classifies its failures by whether the upstream may have run it.
 
 use std::{
+    io,
     net::SocketAddr,
     sync::Arc,
     time::{Duration, Instant},
@@ -28,6 +29,8 @@
 /// Maximum number of bytes on the wire for each byte of a body that is read as a whole. A byte in a chunk of its own takes
 /// six.
 const MAX_WIRE_RATIO: u64 = 8;
+/// Status codes of a complete response (RFC 9110, section 15). A change of protocol is never asked for.
+const FINAL_STATUSES: std::ops::Range<u16> = 200..600;
 /// Size of each of the two buffers of a connection.
 const BUFFER_BYTES: usize = 16 * 1024;
 /// Largest body of a response that is parsed as a whole, such as an error or the response to a
@@ -141,10 +144,16 @@
     *request.method_mut() = call.method;
     *request.uri_mut() = uri;
     *request.headers_mut() = call.headers;
-    if request.body().is_empty() && !needs_body(request.method()) {
-        return agent.run(request.map(|_| ()));
+    let response = if request.body().is_empty() && !needs_body(request.method()) {
+        agent.run(request.map(|_| ()))?
+    } else {
+        agent.run(request)?
+    };
+    let status = response.status();
+    if !FINAL_STATUSES.contains(&status.as_u16()) {
+        return Err(io::Error::other(format!("{status} is no final status")).into());
     }
-    agent.run(request)
+    Ok(response)
 }
 
 /// Returns whether a request of this method carries a body even if the body is empty.
--- a/crates/upstream/src/plain.rs
+++ b/crates/upstream/src/plain.rs
@@ -5,7 +5,7 @@
 use kernel::fault::{Fault, Kind};
 use ureq::{
     Body, Error,
-    http::{self, HeaderMap, HeaderName, HeaderValue, Method, StatusCode, header},
+    http::{self, HeaderMap, HeaderName, HeaderValue, Method, header},
 };
 
 use crate::{
@@ -75,11 +75,6 @@
         let deadline = request.deadline;
         let call = build_call(request, self.max_response_bytes)?;
         let response = call::send(call).map_err(|failure| failure.fault())?;
-        if response.status() == StatusCode::SWITCHING_PROTOCOLS {
-            let detail =
-                format!("the instance {address} changed the protocol in place of an answer");
-            return Err(Fault::new(Kind::UpstreamLost, detail));
-        }
         if is_leaving(&response) {
             let detail = format!("the instance {address} is leaving");
             return Err(Fault::new(Kind::UpstreamLeaving, detail));
--- a/crates/upstream/tests/it/plain.rs
+++ b/crates/upstream/tests/it/plain.rs
@@ -166,6 +166,22 @@
     );
 }
 
+/// An answer with a status of 600 or above was taken for the response to the call.
+#[test]
+fn a_response_without_a_final_status_is_none() {
+    for status in [
+        "000", "001", "099", "101", "199", "600", "799", "999", "2x0",
+    ] {
+        let head = format!("HTTP/1.1 {status} X\r\nContent-Length: 2\r\n\r\nok");
+        check_fails(&Action::Write(head), distant_deadline(), Kind::UpstreamLost);
+    }
+    for status in [200, 299, 304, 404, 599] {
+        let upstream = Upstream::start(vec![Action::Write(format_response(status, ""))]);
+        let response = call(&upstream, "POST", "open", distant_deadline()).unwrap();
+        assert_eq!(response.status, status);
+    }
+}
+
 /// Covers a deadline that has passed before the call.
 #[test]
 fn a_call_past_its_deadline_is_not_sent() {
