Make older versions stale though new ones are announced meanwhile

Cause: a host may use older versions for 2.5 s after an announcement, and the next one restarted that time for all of them.

Change: the last 16 versions are kept with the times at which they were received, and each makes those below it stale 2.5 s later. Beyond 16 within that time, a version takes the time of the one before, which is earlier.

The new test of tables.rs covers a version every 1.8 s; by the code before, none of them became stale (that test was not run there: it doesn't compile beside the earlier type).

--- a/crates/fleet/src/loader.rs
+++ b/crates/fleet/src/loader.rs
@@ -558,7 +558,7 @@
                     && !state.is_changing(name)
             });
             let Some((name, _)) = old else { return true };
-            let version = view.table.newest_version(name).map(|it| it.version);
+            let version = view.table.newest_version(name);
             actions.push(state.create_order(*key, name.clone(), Op::Load(version)));
             false
         });
@@ -612,7 +612,7 @@
             if let Some(victim) = chosen.victim {
                 actions.push(state.create_order(key, victim, Op::Unload));
             } else {
-                let version = view.table.newest_version(name).map(|it| it.version);
+                let version = view.table.newest_version(name);
                 actions.push(state.create_order(key, name.clone(), Op::Load(version)));
                 self.demands.remove(&wanted);
             }
--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -43,6 +43,9 @@
 /// Time after the end of [`OLDER_VERSION_TTL`] in which a request that was sent before may still begin.
 const RECALL_DELAY: Duration = Duration::from_secs(1);
 
+/// Maximum number of versions of an adapter that are remembered at a time.
+const MAX_ANNOUNCED_VERSIONS: usize = 16;
+
 /// Decayed uses from which an adapter of a draining engine is loaded elsewhere before a request misses it.
 const MIN_COPY_USES: f64 = 2.0;
 
@@ -150,36 +153,36 @@
     Uncertain,
 }
 
-/// The newest announced version of an adapter.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct Announced {
-    /// Number of the version.
-    pub version: u64,
-    /// When this host received the announcement.
-    pub received_at: Time,
-    /// Versions below this one were stale when the announcement was received.
-    stale_below: u64,
+/// Announced versions of an adapter. Each makes the versions below it stale after [`OLDER_VERSION_TTL`], whichever are
+/// announced meanwhile.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+struct Announced {
+    /// The last versions in ascending order, with the times at which this host received them.
+    versions: VecDeque<(u64, Time)>,
 }
 
 impl Announced {
-    /// Returns the version below which all versions are stale.
-    fn stale_below(self, now: Time) -> u64 {
-        if self.received_at + OLDER_VERSION_TTL <= now {
-            self.version
-        } else {
-            self.stale_below
+    fn newest(&self) -> Option<u64> {
+        self.versions.back().map(|it| it.0)
+    }
+
+    /// Adds the newest version. Beyond [`MAX_ANNOUNCED_VERSIONS`], it takes the place of the last one, whose time it gets.
+    fn push(&mut self, version: u64, now: Time) {
+        let is_stale = |it: &(u64, Time)| it.1 + OLDER_VERSION_TTL <= now;
+        while self.versions.get(1).is_some_and(is_stale) {
+            self.versions.pop_front();
+        }
+        let is_full = self.versions.len() >= MAX_ANNOUNCED_VERSIONS;
+        match self.versions.back_mut() {
+            Some(last) if is_full => last.0 = version,
+            _ => self.versions.push_back((version, now)),
         }
     }
 
     /// Returns when a version becomes stale; `None` if no newer one is announced.
-    fn expiry(self, version: u64) -> Option<Time> {
-        if version >= self.version {
-            None
-        } else if version < self.stale_below {
-            Some(Time::ZERO)
-        } else {
-            Some(self.received_at + OLDER_VERSION_TTL)
-        }
+    fn expiry(&self, version: u64) -> Option<Time> {
+        let newer = self.versions.iter().find(|it| it.0 > version)?;
+        Some(newer.1 + OLDER_VERSION_TTL)
     }
 }
 
@@ -618,30 +621,26 @@
 
     /// Records an announced version. Returns whether it is newer than the known one; an older one is ignored.
     pub fn announce(&mut self, name: Name, version: u64, now: Time) -> bool {
-        let previous = self.versions.get(&name).copied();
-        let newer = previous.is_none_or(|it| it.version < version);
-        if newer {
-            let announced = Announced {
-                version,
-                received_at: now,
-                stale_below: previous.map_or(0, |it| it.stale_below(now)),
-            };
-            self.versions.insert(name, announced);
+        let announced = self.versions.entry(name).or_default();
+        let is_newer = announced.newest().is_none_or(|it| it < version);
+        if is_newer {
+            announced.push(version, now);
         }
-        newer
+        is_newer
     }
 
     /// Returns the newest announced version.
-    pub fn newest_version(&self, name: &str) -> Option<Announced> {
-        self.versions.get(name).copied()
+    pub fn newest_version(&self, name: &str) -> Option<u64> {
+        self.versions.get(name)?.newest()
     }
 
     /// Compares a version of an adapter with the newest announced one.
     pub fn freshness(&self, name: &str, version: u64, now: Time) -> Freshness {
-        match self.versions.get(name) {
-            Some(it) if version < it.stale_below(now) => Freshness::Stale,
-            Some(it) if version < it.version => Freshness::Older,
-            _ => Freshness::Newest,
+        let announced = self.versions.get(name);
+        match announced.and_then(|it| it.expiry(version)) {
+            Some(it) if it <= now => Freshness::Stale,
+            Some(_) => Freshness::Older,
+            None => Freshness::Newest,
         }
     }
 
--- a/crates/fleet/tests/it/tables.rs
+++ b/crates/fleet/tests/it/tables.rs
@@ -137,6 +137,33 @@
     assert_eq!(table.freshness("m/a1", 3, at(5000)), Freshness::Older);
 }
 
+/// Each announcement restarted the time for which older versions may be used, so none became stale.
+#[test]
+fn older_versions_become_stale_though_new_ones_are_announced_in_quick_succession() {
+    let (mut table, _) = table(&[]);
+    for version in 1..40 {
+        let now = at(1800 * version);
+        assert!(table.announce("m/a1".into(), version, now));
+        let freshness = |it: u64| table.freshness("m/a1", it, now);
+        assert_eq!(freshness(version), Freshness::Newest);
+        for (age, expected) in [
+            (1, Freshness::Older),
+            (2, Freshness::Older),
+            (3, Freshness::Stale),
+        ] {
+            if version > age {
+                assert_eq!(freshness(version - age), expected, "{version} - {age}");
+            }
+        }
+    }
+    for version in 40..400 {
+        assert!(table.announce("m/a1".into(), version, at(80_000)));
+    }
+    assert_eq!(table.freshness("m/a1", 398, at(80_100)), Freshness::Older);
+    assert_eq!(table.freshness("m/a1", 398, at(82_500)), Freshness::Stale);
+    assert_eq!(table.freshness("m/a1", 399, at(90_000)), Freshness::Newest);
+}
+
 /// Nothing bounds how long a request waits for a slot at an engine that turns slow.
 #[test]
 fn a_request_that_waits_for_a_slot_needs_the_newest_version() {
--- a/crates/gateway/src/exchange/attempt.rs
+++ b/crates/gateway/src/exchange/attempt.rs
@@ -442,7 +442,7 @@
             instance: listing.id.clone(),
             build: listing.build.clone(),
             held,
-            required: newest.map(|it| it.version).filter(|it| held == Some(*it)),
+            required: newest.filter(|it| held == Some(*it)),
             is_limited: engine.needs_turn(now),
         })
     }
