Use no entry without the start that earlier ones of its engine stated

Cause: such an entry counted as one of incarnation 0. The engine's own entries then were those of a superseded incarnation, and were ignored.

Change: an entry without a start names no engine to use if an earlier entry of the engine stated one, as with entries that can't be parsed. Engines that never state a start are used as before.

--- a/crates/fleet/src/table.rs
+++ b/crates/fleet/src/table.rs
@@ -224,6 +224,14 @@
         key
     }
 
+    /// Returns whether an entry states no start, unlike the earlier ones of its engine, so that another writer has left it.
+    pub fn lacks_start(&self, listing: &Listing) -> bool {
+        let engine = self.find(&listing.id).and_then(|it| self.get(it));
+        let known = engine.map(|it| it.listing.incarnation);
+        let departed = self.departed.get(&listing.id).map(|it| it.incarnation);
+        listing.incarnation == 0 && known.or(departed).is_some_and(|it| it != 0)
+    }
+
     /// Returns the relation of an entry to what is known of its engine. The entry may come from an older copy of the
     /// store.
     pub fn standing(&self, listing: &Listing) -> Standing {
--- a/crates/fleet/tests/it/tables.rs
+++ b/crates/fleet/tests/it/tables.rs
@@ -436,3 +436,24 @@
     assert_eq!(&*engine.listing.build, "v4");
     assert!(engine.is_superseded(900) && engine.is_superseded(1000));
 }
+
+/// The entry of another writer counted as one of an incarnation without a start, so those of the engine itself were ignored.
+#[test]
+fn an_entry_without_the_start_that_earlier_ones_stated_is_another_writers() {
+    let (mut table, _) = table(&[]);
+    let with_start = |start: u64| Listing {
+        incarnation: start,
+        ..listing("i-1", &[])
+    };
+    table.upsert(with_start(0), at(0));
+    assert!(!table.lacks_start(&with_start(0)), "the engine states none");
+    table.upsert(with_start(7), at(0));
+    assert!(table.lacks_start(&with_start(0)));
+    assert!(!table.lacks_start(&with_start(9)));
+    table.schedule_removal("i-1", Removal::StoreAvailable, at(1), at(1));
+    assert_eq!(table.remove_expired(at(2)).len(), 1);
+    assert!(table.lacks_start(&with_start(0)), "also once it is removed");
+    let key = table.upsert(with_start(7), at(3));
+    let engine = table.get(key).expect("the engine is back");
+    assert!(engine.accepts_work() && !engine.is_superseded(7));
+}
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -408,10 +408,12 @@
     match kind {
         Kind::Engines => {
             gateway.deferred_entries.remove(&object.name);
-            let Some(listing) = gateway.dialect.parse_listing(object) else {
+            let listing = gateway.dialect.parse_listing(object);
+            let listing = listing.filter(|it| !gateway.table.borrow().lacks_start(it));
+            let Some(listing) = listing else {
                 log::warn!(
                     event = "entry-unreadable", engine = &*object.name;
-                    "cannot parse the entry of engine {}", object.name
+                    "the entry of engine {} can't be parsed, or lacks the start that earlier ones stated", object.name
                 );
                 // An entry that does not say what the engine is names no engine to use, whatever it said before.
                 let mut table = gateway.table.borrow_mut();
