--- a/crates/entry/tests/soak/check.rs
+++ b/crates/entry/tests/soak/check.rs
@@ -88,6 +88,9 @@
         if call.route.runs_once() && NOT_RUN.contains(&status) && runs > 0 {
             report("reported as not run, but ran");
         }
+        if status != 0 && !(200..600).contains(&status) {
+            report("answered with a status that is no final one");
+        }
         if call.answer.excess_bytes > 0 {
             report("bytes arrived that belong to no response");
         }
--- a/crates/entry/tests/soak/run.rs
+++ b/crates/entry/tests/soak/run.rs
@@ -10,6 +10,7 @@
 mod releases;
 mod series;
 mod signals;
+mod silences;
 mod size;
 mod usage;
 
@@ -36,6 +37,7 @@
     releases::{Release, Replacement},
     series::Failure,
     signals::Signals,
+    silences::Silence,
 };
 use crate::{
     caller::{self, Route, Traffic},
@@ -83,8 +85,8 @@
 /// Number of steps of a run.
 const STEPS: usize = 30;
 
-/// Make the generators of rollbacks, pressure, signals, floods, releases, endings, crashes, limits, edges and series differ from
-/// that of the other steps.
+/// Make the generators of rollbacks, pressure, signals, floods, releases, endings, crashes, limits, edges, series and silences
+/// differ from that of the other steps.
 const ROLLBACK_SEED: u64 = 0x5eed;
 const PRESSURE_SEED: u64 = 0x9e55;
 const SIGNAL_SEED: u64 = 0x516a;
@@ -95,6 +97,7 @@
 const LIMIT_SEED: u64 = 0x1174;
 const EDGE_SEED: u64 = 0xed6e;
 const SERIES_SEED: u64 = 0x5e21;
+const SILENCE_SEED: u64 = 0x517e;
 
 /// Time for which a run with series goes on without faults.
 const CALM_TIME: Duration = Duration::from_secs(3);
@@ -205,6 +208,7 @@
     let mut limit_rng = StdRng::seed_from_u64(seed ^ LIMIT_SEED);
     let mut edges = Edges::new(seed ^ EDGE_SEED);
     let mut series_rng = StdRng::seed_from_u64(seed ^ SERIES_SEED);
+    let mut silence_rng = StdRng::seed_from_u64(seed ^ SILENCE_SEED);
     for number in 0..STEPS.max(size.series) {
         let step = Step::choose(&mut run.rng, hosts, ENGINES + PLAIN_INSTANCES);
         println!("seed {seed} step {number}: {step:?}");
@@ -242,6 +246,10 @@
             println!("seed {seed} step {number}: {step:?}");
             run.limit_engine(&step);
         }
+        if let Some(step) = Silence::choose(&mut silence_rng) {
+            println!("seed {seed} step {number}: {step:?}");
+            run.silence(&step);
+        }
         edges.advance(&mut run, number);
         if number < size.series {
             let step = series::choose(&mut series_rng, size);
