Ask witnesses only if no host has a record of the stream

In a service of two builds, each stream that was taken up at a host without its record cost a status query, also if a holder of the record answered. The query now follows the answers of the holders. A host that answers another one's question asks witnesses, too, before it says that a service has had one build only.

--- a/crates/gateway/src/gossip/origins.rs
+++ b/crates/gateway/src/gossip/origins.rs
@@ -12,7 +12,8 @@
 
 use fleet::{
     Time,
-    assignment::{Candidates, StreamKey},
+    assignment::{Candidates, StreamKey, Witness},
+    listing::Build,
     origin::{self, Announcement, BuildId, Catchup, Holder, Origin, Services, StreamId},
 };
 use futures::future;
@@ -20,8 +21,7 @@
 
 use super::Gossip;
 use crate::{
-    assignments::{self, Evidence},
-    clock,
+    assignments, clock,
     message::{self, MAX_ORIGINS_PER_MESSAGE, Message, OriginQuery, OriginReply, StreamNumber},
 };
 
@@ -241,6 +241,10 @@
             self.query_origin(stream, service, pending, deadline),
         )
         .await;
+        if let Answers::Received(Origin::Recorded(it)) = answers {
+            return Some(it);
+        }
+        let computed = self.prove_origin(stream, service, computed).await;
         match (answers, computed) {
             // The stream may have begun at another build than the assigned one before the store recorded that, so the record
             // of a holder counts more than what the assignments give.
@@ -263,31 +267,48 @@
         stream: StreamId,
         key: Option<StreamKey>,
         service: &Arc<str>,
-    ) -> Origin {
+    ) -> Computed {
         if let known @ Origin::Recorded(_) = self.known_origin(stream, service) {
-            return known;
+            return Computed::Known(known);
         }
         let evidence = assignments::candidates(&self.gateway, service, key).await;
-        let is_certain = match &evidence {
-            Some(Evidence {
-                candidates: Candidates::One(build),
-                witnesses,
-            }) => self.have_survived(service, build, witnesses).await,
-            _ => false,
-        };
         // A record may have been received meanwhile.
         let known = self.known_origin(stream, service);
-        match (known, evidence.map(|it| it.candidates)) {
-            (Origin::Recorded(_), _) => known,
-            (_, Some(Candidates::One(it))) if is_certain => {
-                Origin::Recorded(BuildId::new(service, &it))
+        let Some(evidence) = evidence else {
+            // Another build than the listed ones may have begun the stream.
+            return Computed::Known(match known {
+                Origin::Only(_) => Origin::Unknown,
+                it => it,
+            });
+        };
+        match (known, evidence.candidates) {
+            (Origin::Recorded(_), _) => Computed::Known(known),
+            (_, Candidates::One(it)) => Computed::Assigned(it, evidence.witnesses),
+            (_, Candidates::Several) => Computed::Known(Origin::Several),
+            (Origin::Only(_), Candidates::Any(Some(it))) => {
+                Computed::Known(known.or(Origin::Only(BuildId::new(service, &it))))
             }
-            (_, Some(Candidates::One(_) | Candidates::Several)) => Origin::Several,
-            (Origin::Only(_), Some(Candidates::Any(Some(it)))) => {
-                known.or(Origin::Only(BuildId::new(service, &it)))
+            (_, Candidates::Any(_)) => Computed::Known(known),
+        }
+    }
+
+    /// Returns the origin of a stream. One that follows from the assignments counts only if their witnesses still run.
+    async fn prove_origin(
+        &self,
+        stream: StreamId,
+        service: &Arc<str>,
+        computed: Computed,
+    ) -> Origin {
+        match computed {
+            Computed::Known(it) => it,
+            Computed::Assigned(build, witnesses) => {
+                let is_proven = self.have_survived(service, &build, &witnesses).await;
+                match self.known_origin(stream, service) {
+                    known @ Origin::Recorded(_) => known,
+                    _ if is_proven => Origin::Recorded(BuildId::new(service, &build)),
+                    _ => Origin::Several,
+                }
             }
-            (_, Some(Candidates::Any(_))) | (Origin::Several, None) => known,
-            (_, None) => Origin::Unknown,
         }
     }
 
@@ -298,7 +319,8 @@
         if let Origin::Recorded(_) = known {
             return known;
         }
-        match self.compute_origin(stream, None, service).await {
+        let computed = self.compute_origin(stream, None, service).await;
+        match self.prove_origin(stream, service, computed).await {
             Origin::Recorded(it) => Origin::Only(it),
             it => it,
         }
@@ -394,6 +416,14 @@
     }
 }
 
+/// Origin of a stream by the knowledge of this host and the assignments.
+enum Computed {
+    /// This host knows it, or knows that it can't be told.
+    Known(Origin),
+    /// The assignments give the stream to this build, if one engine of each of these lists still runs.
+    Assigned(Build, Vec<Vec<Witness>>),
+}
+
 /// Result of a query to other hosts.
 enum Answers {
     /// At least one host has answered.
