Ask other hosts while it is not known whether the store is available

A host now probes the store, and asks others for configurations, lists, assignments and the record of an exception, from the first call without an answer on. Only what needs an outage waits for a second one: entries that may have lapsed, and what a host tells others of the store.

--- a/crates/fleet/src/availability.rs
+++ b/crates/fleet/src/availability.rs
@@ -129,6 +129,11 @@
         self.state == State::Unavailable
     }
 
+    /// Returns whether the store is unavailable, or it is not known yet since a call got no answer.
+    pub fn is_doubtful(&self) -> bool {
+        self.state != State::Available
+    }
+
     /// Returns when the store returned for engines whose entries vanish now and may be written again: now, while it is
     /// unavailable to all hosts. Returns `None` if engines could write throughout.
     pub fn returned_at(&self, now: Time) -> Option<Time> {
--- a/crates/fleet/tests/it/availabilities.rs
+++ b/crates/fleet/tests/it/availabilities.rs
@@ -9,8 +9,9 @@
 fn a_connection_that_goes_silent_is_no_outage() {
     let mut store = Availability::default();
     store.record_answer(at(0));
+    assert!(!store.is_doubtful());
     assert_eq!(store.record_failure(at(100), at(2900)), Change::Suspected);
-    assert!(!store.is_unavailable());
+    assert!(!store.is_unavailable() && store.is_doubtful());
     assert_eq!(
         store.record_failure(at(2000), at(2950)),
         Change::None,
@@ -18,6 +19,7 @@
     );
     assert!(!store.is_unavailable());
     assert_eq!(store.record_answer(at(2960)), Change::Cleared);
+    assert!(!store.is_doubtful());
     assert_eq!(store.returned_at(at(2960)), None);
     assert!(!store.may_lag(at(2960)));
 }
--- a/crates/gateway/src/assignments.rs
+++ b/crates/gateway/src/assignments.rs
@@ -319,7 +319,7 @@
 async fn find_history(gateway: &Rc<Gateway>, name: &Arc<str>, service: &Service) {
     let read = read_from_now_on(gateway, name, service);
     let copy = async {
-        if !gateway.is_store_unavailable() {
+        if !gateway.is_store_doubtful() {
             time::sleep(COPY_DELAY).await;
         }
         copy_from_hosts(gateway, name, service).await;
@@ -402,7 +402,7 @@
     if written.await == Ok(true) {
         return Exception::Recorded;
     }
-    if gateway.is_store_unavailable() {
+    if gateway.is_store_doubtful() {
         let asked = time::timeout(MAX_EXCEPTION_WRITE, ask_hosts_to_record(gateway, name, key));
         if asked.await == Ok(true) {
             return Exception::Recorded;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -572,6 +572,12 @@
         self.store.borrow().is_unavailable()
     }
 
+    /// Returns whether the store may not answer this host. What other hosts know is asked for then, without waiting for
+    /// certainty.
+    pub fn is_store_doubtful(&self) -> bool {
+        self.store.borrow().is_doubtful()
+    }
+
     /// Time since this host read a list; `None` if a reader provides the list.
     pub fn read_age(&self, kind: Kind) -> Option<Duration> {
         let read = self.last_read[list_sync::list_index(kind)].get()?;
--- a/crates/gateway/src/list_sync.rs
+++ b/crates/gateway/src/list_sync.rs
@@ -383,7 +383,7 @@
 pub async fn bootstrap(gateway: Rc<Gateway>) {
     time::sleep(BOOTSTRAP_INTERVAL).await;
     while gateway.catalog().is_none() || !gateway.engines_listed.get() {
-        if gateway.is_store_unavailable() {
+        if gateway.is_store_doubtful() {
             let hosts = gateway.peers.borrow().addresses();
             for addr in hosts {
                 if addr != gateway.settings.peers && bootstrap_from(&gateway, addr).await {
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -53,7 +53,7 @@
     let mut backoff = MIN_BACKOFF;
     let mut last_role = None;
     loop {
-        let store_may_lag = gateway.is_store_unavailable() || !gateway.is_era_settled();
+        let store_may_lag = gateway.is_store_doubtful() || !gateway.is_era_settled();
         if kind == Kind::Config && store_may_lag {
             list_sync::adopt_newer_config(&gateway).await;
         }
@@ -85,7 +85,7 @@
     }
     let recovery_bound = RecoveryBound(gateway.settings.store_blind_time());
     let (request, timeout) =
-        match store_call::next_call(recovery_bound, !gateway.is_store_unavailable()) {
+        match store_call::next_call(recovery_bound, !gateway.is_store_doubtful()) {
             Call::Watch(wait, timeout) => {
                 let wait = if gateway.has_followers() {
                     wait.min(max_read_interval(gateway, kind))
