Record failed calls to the store where they are sent

Both callers of send_counted took the time before a call and recorded its failure after it; send_counted does so now. The two probes are one function, as are the order of hosts by their last message and the end of a request that finds no place here and is passed on or fails. Two comments say what the item is.

Behaviour is the same, but for a debug line of failed writes that now reads as that of other calls.

--- a/crates/gateway/src/assignments.rs
+++ b/crates/gateway/src/assignments.rs
@@ -30,7 +30,7 @@
     rendezvous,
     table::{Key, Table},
 };
-use futures::{StreamExt, stream::FuturesUnordered};
+use futures::{StreamExt, future, stream::FuturesUnordered};
 use serde::{Deserialize, Serialize};
 use tokio::{
     sync::{Mutex, Notify},
@@ -381,7 +381,7 @@
     Some(StoredHistory::new(&known.history, known.era))
 }
 
-/// Whether a stream may begin at another build than the assigned one.
+/// Permission of a stream to begin at another build than the assigned one.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Exception {
     /// The store has recorded that it may.
@@ -424,15 +424,10 @@
 async fn ask_hosts_to_record(gateway: &Rc<Gateway>, name: &Arc<str>, key: StreamKey) -> bool {
     let hosts = gateway.peers.borrow().hosts_with_store(clock::now());
     let hosts = hosts.into_iter().take(MAX_ASKED_HOSTS);
-    let mut answers: FuturesUnordered<_> = hosts
+    let answers: FuturesUnordered<_> = hosts
         .map(|it| list_sync::request_exception(it, name, key))
         .collect();
-    while let Some(is_recorded) = answers.next().await {
-        if is_recorded {
-            return true;
-        }
-    }
-    false
+    answers.any(future::ready).await
 }
 
 /// Records for another host, which the store doesn't answer, that a stream may begin at another build than the assigned
@@ -480,7 +475,7 @@
     false
 }
 
-/// What the assignments tell of the build that began a stream.
+/// Builds that may have begun a stream by the assignments, and the engines that prove it.
 pub struct Evidence {
     /// Builds that may have begun it.
     pub candidates: Candidates,
--- a/crates/gateway/src/exchange.rs
+++ b/crates/gateway/src/exchange.rs
@@ -237,10 +237,7 @@
     pub(crate) async fn run(mut self) -> Response<Body> {
         if let Err(fault) = self.find_origin().await {
             // A host that reaches engines may find it.
-            if self.may_hand_over_instead().await {
-                return self.hand_over().await;
-            }
-            return self.fail(fault);
+            return self.hand_over_or_fail(fault).await;
         }
         self.assign_build().await;
         // True if the last engine did not hold the adapter.
@@ -255,12 +252,7 @@
                 Some(it) => it,
                 None => match self.place_and_send(until).await {
                     Ok(it) => it,
-                    Err(fault) => {
-                        if self.may_hand_over_instead().await {
-                            return self.hand_over().await;
-                        }
-                        return self.fail(fault);
-                    }
+                    Err(fault) => return self.hand_over_or_fail(fault).await,
                 },
             };
             match outcome {
@@ -314,6 +306,15 @@
         }
     }
 
+    /// Passes the request on if this host is cut off from all engines, or ends it with a fault.
+    async fn hand_over_or_fail(mut self, fault: Fault) -> Response<Body> {
+        if self.may_hand_over_instead().await {
+            self.hand_over().await
+        } else {
+            self.fail(fault)
+        }
+    }
+
     /// Ends the request of a caller that has disconnected. Nobody reads the response.
     fn end_without_caller(&mut self) -> Response<Body> {
         self.record_end(End::CallerLeft);
--- a/crates/gateway/src/peers.rs
+++ b/crates/gateway/src/peers.rs
@@ -512,20 +512,14 @@
 
     /// Addresses of other hosts, those with the most recent messages first, followed by the seeds.
     pub fn addresses(&self) -> Vec<SocketAddr> {
-        let mut known: Vec<&Peer> = self.by_name.values().collect();
-        known.sort_by_key(|it| std::cmp::Reverse(it.last_received));
-        let known = known.into_iter().map(|it| it.addr);
+        let known = latest_first(self.by_name.values());
         known.chain(self.seeds.iter().copied()).collect()
     }
 
     /// Addresses of the live hosts that the store answers, those with the most recent messages first.
     pub fn hosts_with_store(&self, now: Time) -> Vec<SocketAddr> {
         let peers = self.live_peers(now).map(|it| it.1);
-        let mut peers: Vec<&Peer> = peers
-            .filter(|it| !it.list_state.store_unavailable)
-            .collect();
-        peers.sort_by_key(|it| std::cmp::Reverse(it.last_received));
-        peers.into_iter().map(|it| it.addr).collect()
+        latest_first(peers.filter(|it| !it.list_state.store_unavailable)).collect()
     }
 
     /// Address of a host.
@@ -534,6 +528,13 @@
     }
 }
 
+/// Returns the addresses of hosts, those with the most recent messages first.
+fn latest_first<'a>(peers: impl Iterator<Item = &'a Peer>) -> impl Iterator<Item = SocketAddr> {
+    let mut peers: Vec<&Peer> = peers.collect();
+    peers.sort_by_key(|it| std::cmp::Reverse(it.last_received));
+    peers.into_iter().map(|it| it.addr)
+}
+
 /// Returns a host as a holder of records.
 fn to_holder((name, peer): (&Arc<str>, &Peer)) -> Holder<SocketAddr> {
     Holder {
--- a/crates/gateway/src/store.rs
+++ b/crates/gateway/src/store.rs
@@ -59,13 +59,14 @@
     }
 }
 
-/// Sends a call and counts it.
+/// Sends a call and counts it. If it gets no answer, that is recorded as evidence about its connection.
 async fn send_counted(
     gateway: &Rc<Gateway>,
     request: Request<Bytes>,
     timeout: Duration,
     reason: &'static str,
 ) -> Result<(StatusCode, Bytes, Verdict), Failure> {
+    let sent_at = clock::now();
     let response = call::send(
         &gateway.store_pool,
         gateway.settings.store,
@@ -79,6 +80,10 @@
         Err(_) => "silent",
     };
     gateway.metrics.count_store_call(reason, outcome);
+    if let Err(error) = &response {
+        log::debug!("store call failed: {error}");
+        record_failure(gateway, sent_at);
+    }
     let (head, body) = response?.accept();
     let verdict = gateway.observe_era(gateway.dialect.parse_era(&head.headers));
     Ok((head.status, body, verdict))
@@ -92,9 +97,8 @@
     timeout: Duration,
     reason: &'static str,
 ) -> Option<Answer> {
-    let sent_at = clock::now();
     match send_counted(gateway, request, timeout, reason).await {
-        Ok((_, _, Verdict::Outdated)) => None,
+        Ok((_, _, Verdict::Outdated)) | Err(_) => None,
         Ok((status, body, _)) => {
             let era = gateway.store_era();
             if status.is_server_error() || status == StatusCode::TOO_MANY_REQUESTS {
@@ -105,14 +109,15 @@
             gateway.record_store_answer();
             Some(Answer { status, body, era })
         }
-        Err(error) => {
-            log::debug!("store call failed: {error}");
-            record_failure(gateway, sent_at);
-            None
-        }
     }
 }
 
+/// Asks for existing data, to see whether the store answers within `timeout`.
+pub async fn probe(gateway: &Rc<Gateway>, timeout: Duration) -> Option<Answer> {
+    let request = gateway.dialect.probe();
+    send(gateway, request, timeout, "probe").await
+}
+
 /// Records that a call got no answer. One connection may fail while others work, so none of the open ones is used again, and
 /// a call on a new one shows whether the store is available.
 fn record_failure(gateway: &Rc<Gateway>, sent_at: Time) {
@@ -121,13 +126,11 @@
     }
     gateway.store_pool.close_idle(gateway.settings.store);
     let gateway = gateway.clone();
-    let probe: Pin<Box<dyn Future<Output = ()>>> = Box::pin(async move {
-        let request = gateway.dialect.probe();
+    let checked: Pin<Box<dyn Future<Output = ()>>> = Box::pin(async move {
         let bound = RecoveryBound(gateway.settings.store_blind_time());
-        let timeout = store_call::probe_timeout(bound);
-        send(&gateway, request, timeout, "probe").await;
+        probe(&gateway, store_call::probe_timeout(bound)).await;
     });
-    spawn_local(probe);
+    spawn_local(checked);
 }
 
 /// Reads one object, with its position. Returns `Some(None)` if the object does not exist, and `None` if
@@ -192,7 +195,6 @@
     if position.is_some_and(|it| it.era != era) {
         return WriteResult::Refused;
     }
-    let sent_at = clock::now();
     match send_counted(gateway, request, CALL_TIMEOUT, reason).await {
         Ok((status, body, Verdict::Current(answer_era))) => {
             // Before the first answer of the store, there is no era to compare with.
@@ -201,12 +203,7 @@
             }
             write_result(gateway, status, &body, answer_era)
         }
-        Ok((_, _, Verdict::Advanced { .. } | Verdict::Outdated | Verdict::Unknown)) => {
-            WriteResult::Unknown
-        }
-        Err(error) => {
-            log::debug!("store write failed: {error}");
-            record_failure(gateway, sent_at);
+        Ok((_, _, Verdict::Advanced { .. } | Verdict::Outdated | Verdict::Unknown)) | Err(_) => {
             WriteResult::Unknown
         }
     }
--- a/crates/gateway/src/watch.rs
+++ b/crates/gateway/src/watch.rs
@@ -100,11 +100,7 @@
                     let _ = time::timeout(PROBE_CHECK_INTERVAL, recovered).await;
                     return;
                 }
-                let request = gateway.dialect.probe();
-                if store::send(gateway, request, timeout, "probe")
-                    .await
-                    .is_none()
-                {
+                if store::probe(gateway, timeout).await.is_none() {
                     back_off(backoff).await;
                 }
                 return;
